Add design, wire protocol and session layer

docs/design.md gives the requirements, modules, state, messages and failure handling. internal/wirepb has the frames, internal/connector carries them over yamux sessions with a version handshake, size limits and typed refusals.

--- /dev/null
+++ b/cmd/entry/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/connector/doc.go
@@ -0,0 +1,27 @@
+// Package connector carries frames between the processes of the fleet.
+//
+// Processes keep yamux sessions over TCP, optionally with mutual TLS. Each
+// exchange uses one yamux stream, and the first frame on a stream selects the
+// handler at the receiver. Frames are length-delimited protobuf messages of at
+// most [maxFrameBytes].
+//
+// The first stream of a session is a handshake: both ends exchange a Hello
+// message. A session with another protocol version is refused.
+//
+// # Usage
+//
+// A server registers one handler per message type and serves a listener:
+//
+//	srv := connector.NewServer(identity)
+//	connector.On(srv, func(ctx context.Context, s *connector.Stream, f *wirepb.Frame, m *wirepb.Reserve) error {
+//		return s.Reply(f, &wirepb.Reserved{})
+//	})
+//	err := srv.Serve(ctx, ln)
+//
+// A client opens streams through a pool, or makes a call with one answer:
+//
+//	pool := connector.NewPool(identity)
+//	res, err := connector.Call[*wirepb.Reserved](ctx, pool, addr, id, &wirepb.Reserve{})
+//
+// A Refused answer becomes a [*RefusedError].
+package connector
--- /dev/null
+++ b/internal/connector/errors.go
@@ -0,0 +1,49 @@
+package connector
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"daisylane/internal/wirepb"
+)
+
+// Errors of sessions and streams.
+var (
+	// ErrDial means that no connection to the peer could be made, so nothing was sent.
+	ErrDial = errors.New("dial failed")
+	// ErrProtocol means that the peer speaks another protocol version or sent an unexpected frame.
+	ErrProtocol = errors.New("protocol error")
+	// ErrTooLarge means that a frame is over the size limit.
+	ErrTooLarge = errors.New("frame too large")
+)
+
+// RefusedError is a Refused answer of the peer: the request was not carried out.
+type RefusedError struct {
+	Reason string        // one of the reasons of the wire protocol, for example "budget"
+	Text   string        // explanation for a person
+	After  time.Duration // time until coming back helps, 0 if unknown
+	Holder string        // instance to ask instead, empty if none
+	Addr   string        // address of that instance
+	Load   *wirepb.Load  // load of the refusing side, nil if not reported
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused: %s: %s", e.Reason, e.Text)
+}
+
+// Message returns the wire form of the error.
+func (e *RefusedError) Message() *wirepb.Refused {
+	return &wirepb.Refused{
+		Reason: e.Reason, Text: e.Text, After: uint64(e.After.Milliseconds()),
+		Holder: e.Holder, Addr: e.Addr, Load: e.Load,
+	}
+}
+
+func refusedError(m *wirepb.Refused) *RefusedError {
+	return &RefusedError{
+		Reason: m.GetReason(), Text: m.GetText(), After: time.Duration(m.GetAfter()) * time.Millisecond,
+		Holder: m.GetHolder(), Addr: m.GetAddr(), Load: m.GetLoad(),
+	}
+}
--- /dev/null
+++ b/internal/connector/server.go
@@ -0,0 +1,194 @@
+package connector
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"daisylane/internal/wirepb"
+)
+
+// ProtocolVersion is the version of the frames. Sessions with another version are refused.
+const ProtocolVersion = 1
+
+// Handler answers one exchange. The stream is closed when it returns.
+type Handler func(ctx context.Context, s *Stream, f *wirepb.Frame) error
+
+// Server accepts sessions and runs the handlers of their streams.
+type Server struct {
+	identity Identity
+	tls      func() *tls.Config
+	fail     func(peer string, err error)
+	handlers map[protoreflect.FullName]Handler
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	wg       sync.WaitGroup
+}
+
+// ServerOption configures a server.
+type ServerOption func(*Server)
+
+// WithServerTLS makes the server accept only TLS sessions. The function is
+// called for each session, so that renewed certificates take effect.
+func WithServerTLS(cfg func() *tls.Config) ServerOption {
+	return func(srv *Server) { srv.tls = cfg }
+}
+
+// WithFailure reports failed handshakes and handlers.
+func WithFailure(f func(peer string, err error)) ServerOption {
+	return func(srv *Server) { srv.fail = f }
+}
+
+// NewServer returns a server without handlers.
+func NewServer(identity Identity, opts ...ServerOption) *Server {
+	srv := &Server{
+		identity: identity,
+		fail:     func(string, error) {},
+		handlers: make(map[protoreflect.FullName]Handler),
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+	for _, opt := range opts {
+		opt(srv)
+	}
+	return srv
+}
+
+// On registers the handler for streams that start with a message of type M.
+// Register all handlers before Serve.
+func On[M proto.Message](srv *Server, h func(ctx context.Context, s *Stream, f *wirepb.Frame, m M) error) {
+	var zero M
+	name := zero.ProtoReflect().Descriptor().FullName()
+	srv.handlers[name] = func(ctx context.Context, s *Stream, f *wirepb.Frame) error {
+		return h(ctx, s, f, Unwrap(f).(M))
+	}
+}
+
+// Answer registers a handler for exchanges with one answer. An error that is a
+// [*RefusedError] is sent to the peer as it is; another error becomes a
+// refusal with reason "internal".
+func Answer[M, A proto.Message](srv *Server, h func(ctx context.Context, id string, m M) (A, error)) {
+	On(srv, func(ctx context.Context, s *Stream, f *wirepb.Frame, m M) error {
+		a, err := h(ctx, f.GetId(), m)
+		if err == nil {
+			return s.Reply(f, a)
+		}
+		var refused *RefusedError
+		if errors.As(err, &refused) {
+			return s.Refuse(f, refused)
+		}
+		_ = s.Refuse(f, &RefusedError{Reason: "internal", Text: err.Error()})
+		return err
+	})
+}
+
+// Serve accepts sessions until the context ends or the listener is closed.
+func (srv *Server) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("accept: %w", err)
+		}
+		srv.wg.Go(func() { srv.serveConn(ctx, conn) })
+	}
+}
+
+// Close ends all sessions and waits for their handlers.
+func (srv *Server) Close() error {
+	srv.mu.Lock()
+	for mux := range srv.sessions {
+		_ = mux.Close()
+	}
+	srv.mu.Unlock()
+	srv.wg.Wait()
+	return nil
+}
+
+func (srv *Server) serveConn(ctx context.Context, conn net.Conn) {
+	peer := conn.RemoteAddr().String()
+	if srv.tls != nil {
+		conn = tls.Server(conn, srv.tls())
+	}
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		srv.fail(peer, fmt.Errorf("start session: %w", err))
+		return
+	}
+	defer mux.Close()
+	srv.track(mux, true)
+	defer srv.track(mux, false)
+
+	var greeted atomic.Bool
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		conn, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		srv.wg.Go(func() { srv.serveStream(ctx, peer, conn, &greeted) })
+	}
+}
+
+func (srv *Server) serveStream(ctx context.Context, peer string, conn net.Conn, greeted *atomic.Bool) {
+	defer conn.Close()
+	s := newStream(conn)
+	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	f, err := s.Receive()
+	if err != nil {
+		srv.fail(peer, err)
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	if !greeted.Load() {
+		if err := srv.greet(s, f); err != nil {
+			srv.fail(peer, err)
+			return
+		}
+		greeted.Store(true)
+		return
+	}
+	h, ok := srv.handlers[bodyName(f)]
+	if !ok {
+		_ = s.Refuse(f, &RefusedError{Reason: "frame", Text: fmt.Sprintf("no handler for %q", bodyName(f))})
+		return
+	}
+	if err := h(ctx, s, f); err != nil {
+		srv.fail(peer, err)
+	}
+}
+
+func (srv *Server) greet(s *Stream, f *wirepb.Frame) error {
+	hello := f.GetHello()
+	if hello.GetProtocol() != ProtocolVersion {
+		text := fmt.Sprintf("protocol version %d is not supported, want %d", hello.GetProtocol(), ProtocolVersion)
+		_ = s.Refuse(f, &RefusedError{Reason: "protocol", Text: text})
+		return fmt.Errorf("handshake: %s: %w", text, ErrProtocol)
+	}
+	return s.Reply(f, srv.identity())
+}
+
+func (srv *Server) track(mux *yamux.Session, open bool) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	if open {
+		srv.sessions[mux] = struct{}{}
+		return
+	}
+	delete(srv.sessions, mux)
+}
