--- /dev/null
+++ b/internal/checker/checker.go
@@ -0,0 +1,132 @@
+// Package checker validates values that come from outside: settings, bundles,
+// platform objects and request bodies.
+//
+// A type that implements [Checker] validates itself. [Decode] decodes JSON and
+// rejects unknown fields, trailing data and values that fail their check, so
+// that no invalid value of such a type gets past decoding.
+//
+// # Usage
+//
+//	type Limit struct {
+//		Rate int `json:"rate"`
+//	}
+//
+//	func (l Limit) Check() error {
+//		var f checker.Faults
+//		checker.Range(&f, "rate", l.Rate, 1, 1000)
+//		return f.Err()
+//	}
+//
+//	limit, err := checker.Decode[Limit](data)
+package checker
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Checker is a value that can validate itself.
+type Checker interface {
+	Check() error
+}
+
+// ErrTrailing means that data follows the decoded value.
+var ErrTrailing = errors.New("unexpected data after the value")
+
+// Decode decodes JSON into a T and checks it. Unknown fields are an error.
+func Decode[T Checker](data []byte) (T, error) {
+	var v T
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&v); err != nil {
+		return v, fmt.Errorf("decode %T: %w", v, err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return v, fmt.Errorf("decode %T: %w", v, ErrTrailing)
+	}
+	if err := v.Check(); err != nil {
+		return v, fmt.Errorf("check %T: %w", v, err)
+	}
+	return v, nil
+}
+
+// Encode checks v and encodes it as JSON.
+func Encode[T Checker](v T) ([]byte, error) {
+	if err := v.Check(); err != nil {
+		return nil, fmt.Errorf("check %T: %w", v, err)
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return data, nil
+}
+
+// Fault is one invalid field.
+type Fault struct {
+	Key  string // path of the field, for example "listen.http"
+	Text string // what is wrong and what is allowed
+}
+
+func (f Fault) String() string { return f.Key + ": " + f.Text }
+
+// FaultsError lists all invalid fields of a value.
+type FaultsError []Fault
+
+func (e FaultsError) Error() string {
+	lines := make([]string, len(e))
+	for i, f := range e {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Faults collects invalid fields. The zero value is ready to use.
+type Faults struct {
+	list []Fault
+}
+
+// Add records a fault of field key.
+func (f *Faults) Add(key, format string, args ...any) {
+	f.list = append(f.list, Fault{Key: key, Text: fmt.Sprintf(format, args...)})
+}
+
+// Require records a fault unless ok is true.
+func (f *Faults) Require(ok bool, key, format string, args ...any) {
+	if !ok {
+		f.Add(key, format, args...)
+	}
+}
+
+// Within records the faults of a nested value under the given key.
+func (f *Faults) Within(key string, err error) {
+	var nested FaultsError
+	switch {
+	case err == nil:
+	case errors.As(err, &nested):
+		for _, n := range nested {
+			f.Add(key+"."+n.Key, "%s", n.Text)
+		}
+	default:
+		f.Add(key, "%v", err)
+	}
+}
+
+// Err returns nil if there is no fault, else a [FaultsError].
+func (f *Faults) Err() error {
+	if len(f.list) == 0 {
+		return nil
+	}
+	return FaultsError(f.list)
+}
+
+// Range records a fault unless low <= v <= high.
+func Range[T cmp.Ordered](f *Faults, key string, v, low, high T) {
+	f.Require(v >= low && v <= high, key, "is %v, allowed is %v to %v", v, low, high)
+}
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,44 @@
+package placer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func instances(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("entry-%d", i)
+	}
+	return list
+}
+
+// Guards against items moving between instances that both stay.
+func TestRankMovesOnlyItemsOfLostInstance(t *testing.T) {
+	all := instances(10)
+	rest := slices.Delete(slices.Clone(all), 3, 4)
+	for shard := range 1024 {
+		before := First(ShardKey(shard), all)
+		after := First(ShardKey(shard), rest)
+		if before != "entry-3" && before != after {
+			t.Fatalf("shard %d moved from %s to %s", shard, before, after)
+		}
+		if ranked := Rank(ShardKey(shard), all); ranked[0] != before {
+			t.Fatalf("Rank = %s, First = %s", ranked[0], before)
+		}
+	}
+}
+
+// Guards against one instance being responsible for far more than its share.
+func TestSpread(t *testing.T) {
+	counts := make(map[string]int)
+	for shard := range 1024 {
+		counts[First(ShardKey(shard), instances(10))]++
+	}
+	for name, n := range counts {
+		if n > 2*1024/10 {
+			t.Errorf("%s has %d of 1024 shards", name, n)
+		}
+	}
+}
