--- a/internal/faker/doc.go
+++ b/internal/faker/doc.go
@@ -46,15 +46,30 @@
 	reply(w, status, map[string]any{"error": map[string]string{"message": text}})
 }
 
-// accept handles a JSON body: it decodes, checks and passes it on.
+// accept handles a body in a format of the stand-ins: it decodes, checks and passes it on.
 func accept[T checker.Checker](f func(http.ResponseWriter, T)) http.HandlerFunc {
+	return handle(checker.Decode[T], f)
+}
+
+// acceptOpen is accept for an outside format, of which unknown fields are ignored.
+func acceptOpen[T checker.Checker](f func(http.ResponseWriter, T)) http.HandlerFunc {
+	return handle(func(data []byte) (T, error) {
+		var v T
+		if err := json.Unmarshal(data, &v); err != nil {
+			return v, err
+		}
+		return v, v.Check()
+	}, f)
+}
+
+func handle[T any](decode func([]byte) (T, error), f func(http.ResponseWriter, T)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 		if err != nil {
 			fail(w, http.StatusBadRequest, err.Error())
 			return
 		}
-		v, err := checker.Decode[T](data)
+		v, err := decode(data)
 		if err != nil {
 			fail(w, http.StatusBadRequest, err.Error())
 			return
--- /dev/null
+++ b/internal/faker/main.go
@@ -0,0 +1,101 @@
+package faker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"daisylane/internal/loader"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	exitUsage     = 2
+)
+
+type listener struct {
+	Listen string `long:"listen" required:"true" description:"address to serve on"`
+}
+
+type platformCommand struct{ listener }
+
+type engineCommand struct {
+	listener
+	Models   []string      `long:"model" description:"served model, may be repeated (default: all)"`
+	Slots    int           `long:"slots" default:"8" description:"requests that run at once"`
+	Blocks   int           `long:"blocks" default:"4096" description:"size of the prefix cache, in blocks of 16 tokens"`
+	Interval time.Duration `long:"interval" default:"5ms" description:"time between tokens"`
+	Prefill  time.Duration `long:"prefill" default:"50us" description:"time per prompt token that is not cached"`
+	Lag      time.Duration `long:"lag" default:"1s" description:"lag of the load report"`
+	Fenced   bool          `long:"fenced" description:"reject orders with an old fencing number"`
+}
+
+type bookingCommand struct{ listener }
+
+// Main runs a command line and returns the exit status.
+func Main(args []string) int {
+	parser := flags.NewNamedParser("standin", flags.Default)
+	for _, c := range []struct {
+		name, text string
+		command    any
+	}{
+		{"platform", "Serve the object API and the instance list", &platformCommand{}},
+		{"engine", "Serve a model engine", &engineCommand{}},
+		{"booking", "Serve a booking service", &bookingCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.text, "", c.command); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case !errors.As(err, &usage):
+		return 1
+	case usage.Type == flags.ErrHelp:
+		return 0
+	}
+	return exitUsage
+}
+
+// Execute implements [flags.Commander].
+func (c *platformCommand) Execute([]string) error { return c.serve(NewPlatform()) }
+
+// Execute implements [flags.Commander].
+func (c *engineCommand) Execute([]string) error {
+	return c.serve(NewEngine(EngineConfig{
+		Models: c.Models, Slots: c.Slots, Blocks: c.Blocks, Fenced: c.Fenced,
+		Interval: loader.Duration(c.Interval), Prefill: loader.Duration(c.Prefill), Lag: loader.Duration(c.Lag),
+	}))
+}
+
+// Execute implements [flags.Commander].
+func (c *bookingCommand) Execute([]string) error { return c.serve(NewBooking()) }
+
+// serve prints the address and serves until SIGINT or SIGTERM.
+func (l listener) serve(h http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ln, err := net.Listen("tcp", l.Listen)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", l.Listen, err)
+	}
+	fmt.Println("listening on", ln.Addr())
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", ln.Addr(), err)
+	}
+	return nil
+}
