--- /dev/null
+++ b/internal/bundler/doc.go
@@ -0,0 +1,22 @@
+// Package bundler defines the bundle: the accounts, budgets and targets that
+// operators configure, its signed form and the lookups of the request path.
+//
+// Operators write a bundle in TOML. [Split] encodes it canonically as chunks
+// that are addressed by their SHA-256 hash, and [Sign] makes the head that
+// lists them. A process checks the head with [Verify], assembles the chunks
+// with [Join] and builds an [Index] once per version.
+//
+// A bundle never holds the tokens of a budget. These come from top-ups only, so
+// that a bundle change cannot create or destroy tokens.
+//
+// # Usage
+//
+//	b, err := bundler.Parse(data)
+//	chunks, err := bundler.Split(b)
+//	head, err := bundler.Sign(bundler.Head{Version: 7, Author: "ann", Chunks: bundler.Hashes(chunks)}, key)
+//
+//	err = bundler.Verify(head, trust)
+//	b, err = bundler.Join(head, bodies)
+//	index, err := bundler.NewIndex(b)
+//	account, ok := index.AccountByKey(bundler.HashKey(bearer))
+package bundler
