--- a/internal/bundler/check.go
+++ b/internal/bundler/check.go
@@ -95,11 +95,11 @@
 	for _, p := range a.Budgets {
 		known(&f, "budgets", p.Budget, budgets)
 		for _, name := range p.Targets {
-			known(&f, "budgets."+p.Budget+".targets", name, targets)
+			knownOrAny(&f, "budgets."+p.Budget+".targets", name, targets)
 		}
 	}
 	for _, name := range a.Targets {
-		known(&f, "targets", name, targets)
+		knownOrAny(&f, "targets", name, targets)
 	}
 	return f.Err()
 }
@@ -116,8 +116,11 @@
 // Check reports the faults of the target.
 func (t Target) Check() error {
 	var f checker.Faults
-	for _, name := range append(append([]string{}, t.Repeat...), t.Adapters...) {
-		f.Require(name == Any || isName(name), "repeat", "%q is not a method or adapter name", name)
+	for _, name := range t.Repeat {
+		f.Require(name == Any || isName(name), "repeat", "%q is not an HTTP method or %q", name, Any)
+	}
+	for _, name := range t.Adapters {
+		f.Require(name == Any || isName(name), "adapters", "%q is not an adapter name or %q", name, Any)
 	}
 	switch t.Kind {
 	case KindModel:
@@ -158,11 +161,17 @@
 }
 
 func known(f *checker.Faults, key, name string, defined map[string]struct{}) {
-	if _, ok := defined[name]; !ok && name != Any {
+	if _, ok := defined[name]; !ok {
 		f.Add(key, "%q is not defined in this bundle", name)
 	}
 }
 
+func knownOrAny(f *checker.Faults, key, name string, defined map[string]struct{}) {
+	if name != Any {
+		known(f, key, name, defined)
+	}
+}
+
 func between(v, low, high float64) bool { return v >= low && v <= high }
 
 func isName(s string) bool {
