--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,133 @@
+package watcher
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"daisylane/internal/checker"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+
+func side(name string) Member {
+	return Member{Name: name, Role: Side, Centre: "c1", Region: "r1", Addr: "127.0.0.1:1", Target: "t-" + name, Model: "m", Adapters: []string{"a"}}
+}
+
+func rows(names ...string) []Listed {
+	list := make([]Listed, len(names))
+	for i, n := range names {
+		list[i] = Listed{Name: n, Role: Side, State: "live"}
+	}
+	return list
+}
+
+// Guards against work for sides that refuse, cannot be dialled or serve something else.
+func TestCandidates(t *testing.T) {
+	tests := []struct {
+		name  string
+		query Query
+		apply func(v *View)
+		want  int
+	}{
+		{"registered before listed", Query{Model: "m"}, func(*View) {}, 2},
+		{"by target", Query{Target: "t-a"}, func(*View) {}, 1},
+		{"by adapter", Query{Model: "m", Adapter: "other"}, func(*View) {}, 0},
+		{"leaving beats a live list", Query{}, func(v *View) { v.Leave("a"); v.List(at(1), rows("a", "b")) }, 1},
+		{"list says leaving", Query{}, func(v *View) { v.List(at(1), []Listed{{Name: "a", State: Leaving}}) }, 1},
+		{"same registration again", Query{}, func(v *View) { v.Leave("a"); v.Register(at(1), side("a"), 1) }, 1},
+		{"drain undone", Query{}, func(v *View) { v.Leave("a"); v.Remove("a", 2); v.Register(at(1), side("a"), 3) }, 2},
+		{"old removal", Query{}, func(v *View) { v.Register(at(1), side("a"), 5); v.Remove("a", 4) }, 2},
+		{"failed dial", Query{}, func(v *View) { v.Dialed(at(1), "a", false) }, 1},
+		{"suspicion ends", Query{}, func(v *View) { v.Dialed(at(-20), "a", false) }, 2},
+		{"only suspected left", Query{}, func(v *View) { v.Dialed(at(1), "a", false); v.Dialed(at(1), "b", false) }, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := New()
+			v.Register(start, side("a"), 1)
+			v.Register(start, side("b"), 1)
+			tt.apply(v)
+			if got := v.Candidates(at(2), tt.query); len(got) != tt.want {
+				t.Errorf("candidates = %v, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against tokens being released for an instance that was only hidden by an outage.
+func TestGone(t *testing.T) {
+	tests := []struct {
+		name  string
+		lists []int // seconds at which a list without "a" arrives
+		want  bool
+	}{
+		{"absent for 90 s", []int{10, 40, 70, 100}, true},
+		{"absent for less", []int{10, 40, 70, 99}, false},
+		{"outage between lists", []int{10, 200}, false},
+		{"no list", nil, false},
+	}
+	for _, tt := range tests {
+		known, unknown := New(), New()
+		known.List(start, rows("a"))
+		for _, s := range tt.lists {
+			known.List(at(s), nil)
+			unknown.List(at(s), nil)
+		}
+		if got := known.Gone("a"); got != tt.want {
+			t.Errorf("%s: listed before: gone = %v, want %v", tt.name, got, tt.want)
+		}
+		if got := unknown.Gone("a"); got != tt.want {
+			t.Errorf("%s: never listed: gone = %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against R6 violations: no sequence of lists, dials or registrations
+// without a removal makes a leaving side a candidate again.
+func TestLeavingIsFinal(t *testing.T) {
+	_ = flag.Set("rapid.seed", "7")
+	rapid.Check(t, func(t *rapid.T) {
+		v := New()
+		v.Register(start, side("a"), 1)
+		v.Leave("a")
+		for i, op := range rapid.SliceOf(rapid.IntRange(0, 3)).Draw(t, "ops") {
+			switch op {
+			case 0:
+				v.List(at(i), rows("a"))
+			case 1:
+				v.List(at(i), nil)
+			case 2:
+				v.Dialed(at(i), "a", true)
+			case 3:
+				v.Register(at(i), side("a"), uint64(i+2))
+			}
+			if got := v.Candidates(at(i), Query{}); len(got) > 0 {
+				t.Fatalf("leaving side is a candidate: %v", got)
+			}
+		}
+	})
+}
+
+// Guards against a registration that cannot be routed to.
+func TestMemberCheck(t *testing.T) {
+	if _, err := checker.Decode[Member]([]byte(`{"name":"x","role":"side"}`)); err == nil {
+		t.Error("incomplete registration was accepted")
+	}
+}
+
+// Reports the cost of a query at the planned number of targets.
+func BenchmarkCandidates(b *testing.B) {
+	v := New()
+	for i := range 1400 {
+		v.Register(start, side(fmt.Sprintf("s%d", i)), 1)
+	}
+	for b.Loop() {
+		v.Candidates(start, Query{Model: "m"})
+	}
+}
