Add the shard object and its transitions

Budgets need one value that states who may spend what. allotter defines it as an immutable value with a check of the invariant.

--- /dev/null
+++ b/internal/allotter/types.go
@@ -0,0 +1,107 @@
+// Package allotter defines the shard object, which holds the prepaid budgets of
+// one shard, and the transitions that are allowed on it.
+//
+// A [Shard] is an immutable value. Each With method returns a changed copy or an
+// error and leaves the receiver alone. For each budget, settled + sum over
+// grants (allotted - folded) never exceeds topped; [Shard.Check] enforces it on
+// decoding and encoding.
+//
+// # Usage
+//
+//	s := allotter.New(7)
+//	s, err := s.WithTopUp("acme", "topup-1", 1000, now, now)
+//	s, tenure := s.WithHold("eu", "entry-1.a")
+//	s, err = s.WithGrant("acme", "entry-1.a", "eu", 400)
+//	s, result, err := s.WithFold(fold, now)
+//
+// A holder's grant is lowered only by the holder itself, after a lower mark is
+// durable, or by a successor, after the holder's journal is sealed.
+package allotter
+
+import "github.com/pkg/errors"
+
+// Errors of the transitions.
+var (
+	ErrUnknown = errors.New("unknown budget, top it up first")
+	ErrShort   = errors.New("not enough free tokens, ask for less or top up")
+	ErrAmount  = errors.New("amount out of range")
+	ErrExpired = errors.New("top-up is too old to tell a repetition, issue it again under a new id")
+	ErrTerm    = errors.New("the region has another holder, stop holding the shard")
+)
+
+// Windows in seconds.
+const (
+	keyWindowSeconds   = 2 * 3600
+	topUpWindowSeconds = 7 * 24 * 3600
+)
+
+// Shard is the object shard/<n>. Times are in seconds since 1970.
+type Shard struct {
+	Number   int                `json:"number"`
+	Budgets  map[string]Budget  `json:"budgets,omitempty"`
+	Holders  map[string]Tenure  `json:"holders,omitempty"`  // by region
+	Journals map[string]Journal `json:"journals,omitempty"` // by instance
+}
+
+// Tenure is the hold of a region.
+type Tenure struct {
+	Instance string `json:"instance"`
+	Term     uint64 `json:"term"`
+}
+
+// Budget is the state of one prepaid budget.
+type Budget struct {
+	Topped  int64            `json:"topped"`
+	Settled int64            `json:"settled"`
+	Grants  map[string]Grant `json:"grants,omitempty"` // by instance
+	Demand  map[string]int64 `json:"demand,omitempty"` // recent tokens by region
+	TopUps  map[string]int64 `json:"topups,omitempty"` // time by top-up id
+	Keys    map[string]int64 `json:"keys,omitempty"`   // time by key hash
+}
+
+// Grant is the part of a budget that one instance may spend. The amounts are
+// cumulative over the life of the instance.
+type Grant struct {
+	Region   string `json:"region"`
+	Allotted int64  `json:"allotted"`
+	Folded   int64  `json:"folded"`
+	Marked   int64  `json:"marked"` // mark as of the last fold
+}
+
+// Journal says which part of an instance's journal is folded into the shard, and
+// which of its reservations are settled: a number below Next is settled unless it
+// is in Open, another number is settled if it is in Done.
+type Journal struct {
+	Seq  uint64   `json:"seq"`
+	Next uint64   `json:"next"`
+	Open []uint64 `json:"open,omitempty"`
+	Done []uint64 `json:"done,omitempty"`
+}
+
+// Charge is the actual use of a reservation. Holder is the instance that made
+// the reservation; after a takeover it differs from the owner of the journal.
+type Charge struct {
+	Budget string `json:"budget"`
+	Holder string `json:"holder"`
+	Number uint64 `json:"number"`
+	Tokens int64  `json:"tokens"`
+	Key    string `json:"key,omitempty"`
+}
+
+// Fold adds the charges of a journal's records up to Seq. Next, Open and Marks
+// describe the instance's state as of Seq; a successor that folds a sealed
+// journal leaves Next zero, because it does not know the open numbers.
+type Fold struct {
+	Instance string
+	Seq      uint64
+	Next     uint64
+	Open     []uint64
+	Marks    map[string]int64 // by budget
+	Charges  []Charge
+}
+
+// Result lists the charges that a fold dropped because their reservation or key
+// was charged before.
+type Result struct {
+	Dropped []Charge
+}
