--- a/internal/allotter/commands.go
+++ b/internal/allotter/commands.go
@@ -40,6 +40,24 @@
 	return s, t
 }
 
+// WithHandOver ends the instance's hold of a region and flags its grants, so that
+// the next holder leaves its journal alone while the instance lives.
+func (s Shard) WithHandOver(region, instance string) Shard {
+	if t := s.Holders[region]; t.Instance == instance {
+		s.Holders = edit(s.Holders, region, Tenure{Term: t.Term + 1})
+	}
+	budgets := maps.Clone(s.Budgets)
+	for name, b := range budgets {
+		if g, ok := b.Grants[instance]; ok && !g.Handed {
+			g.Handed = true
+			b.Grants = edit(b.Grants, instance, g)
+			budgets[name] = b
+		}
+	}
+	s.Budgets = budgets
+	return s
+}
+
 // WithGrant allots free tokens to an instance.
 func (s Shard) WithGrant(budget, instance, region string, tokens int64) (Shard, error) {
 	b, ok := s.Budgets[budget]
--- a/internal/allotter/queries.go
+++ b/internal/allotter/queries.go
@@ -60,27 +60,28 @@
 	return list
 }
 
-// Share returns how many free tokens a region's holder takes. It gets its part of
-// recent demand of all free tokens but the reserve. If that is below the need,
-// the budget is short and it gets exactly the need, as far as there is one.
-// Without recorded demand the regions share evenly.
-func Share(free, need int64, region string, demand map[string]int64, regions int) int64 {
-	if free <= 0 {
-		return 0
-	}
+// Share returns how many free tokens a region's holder takes, when it has the
+// given unspent tokens and needs more by the given amount. Its target is its part
+// of recent demand of all unspent tokens but the reserve, and the reserve of what
+// is free stays. If that is below the need, the budget is short and it gets
+// exactly the need, as far as there is one. Without recorded demand the regions
+// share evenly.
+func Share(b Budget, region string, have, need int64, regions int) int64 {
+	free := b.Free()
 	var total int64
-	for _, d := range demand {
+	for _, d := range b.Demand {
 		total += d
 	}
-	spread := free - free*reservePercent/100
-	share := spread / int64(max(regions, 1))
+	part := 1 / float64(max(regions, 1))
 	if total > 0 {
-		share = int64(float64(spread) * (float64(demand[region]) / float64(total)))
+		part = float64(b.Demand[region]) / float64(total)
 	}
+	const spread = 1 - reservePercent/100.0
+	share := min(int64(part*spread*float64(b.Topped-b.Settled))-have, int64(spread*float64(free)))
 	if share < need {
-		return min(need, free)
+		share = min(need, free)
 	}
-	return share
+	return max(share, 0)
 }
 
 // Check enforces the invariant of each budget.
--- a/internal/allotter/types.go
+++ b/internal/allotter/types.go
@@ -65,7 +65,8 @@
 	Region   string `json:"region"`
 	Allotted int64  `json:"allotted"`
 	Folded   int64  `json:"folded"`
-	Marked   int64  `json:"marked"` // mark as of the last fold
+	Marked   int64  `json:"marked"`           // mark as of the last fold
+	Handed   bool   `json:"handed,omitempty"` // handed over: the instance only settles what is open
 }
 
 // Journal says which part of an instance's journal is folded into the shard, and
--- /dev/null
+++ b/internal/journaler/queries.go
@@ -0,0 +1,102 @@
+package journaler
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Seq returns the number of the last durable record.
+func (j *Journal) Seq() uint64 { return j.seq }
+
+// Stopped reports whether the journal takes no more entries.
+func (j *Journal) Stopped() bool { return j.stopped }
+
+// Used returns the part of the ring whose records are not folded.
+func (j *Journal) Used() float64 {
+	used := 0
+	for _, shards := range j.unfolded {
+		if len(shards) > 0 {
+			used++
+		}
+	}
+	return float64(used) / float64(j.cfg.Slots)
+}
+
+// Crowded reports whether the unfolded part calls for a fold.
+func (j *Journal) Crowded() bool { return j.Used() >= foldThreshold }
+
+// Unfolded returns the shards that have unfolded records, in order.
+func (j *Journal) Unfolded() []int {
+	var list []int
+	for _, shards := range j.unfolded {
+		for shard := range shards {
+			if !slices.Contains(list, shard) {
+				list = append(list, shard)
+			}
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Replay orders the listed slots of an instance's journal. The listing need not
+// be atomic: a gap is an error, and a record written after the listing makes the
+// seal fail.
+func Replay(instance string, slots int, listed []Slot) (Log, error) {
+	log := Log{Instance: instance, slots: slots}
+	list := slices.DeleteFunc(slices.Clone(listed), func(s Slot) bool { return s.Version == 0 })
+	slices.SortFunc(list, func(a, b Slot) int { return cmp.Compare(a.Record.Seq, b.Record.Seq) })
+	versions := make(map[string]uint64, len(list))
+	for i, s := range list {
+		r := s.Record
+		versions[s.Key] = s.Version
+		switch {
+		case s.Key != Key(instance, r.Seq, slots), r.Writer != instance && !r.Seals():
+			return log, fmt.Errorf("replay %s: record %d of %s: %w", s.Key, r.Seq, r.Writer, ErrWriter)
+		case i > 0 && r.Seq != list[i-1].Record.Seq+1,
+			i == 0 && r.Seq != 1 && len(list) < slots:
+			return log, fmt.Errorf("replay %s before record %d: %w", instance, r.Seq, ErrGap)
+		}
+		if r.Seals() {
+			log.Sealed, log.Sealer = true, r.Writer
+			continue
+		}
+		log.Records = append(log.Records, r)
+		log.Last = r.Seq
+	}
+	log.version = versions[Key(instance, log.Last+1, slots)]
+	return log, nil
+}
+
+// Seal returns the write that seals the journal in the slot after the last record.
+// The writer's own next record then conflicts. On a conflict or a lost response
+// the journal is listed again.
+func (l Log) Seal(successor string) Write {
+	r := Record{Writer: successor, Seq: l.Last + 1, Entries: []Entry{{Kind: KindSeal}}}
+	body, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // a Record without data always encodes
+	}
+	return Write{Key: Key(l.Instance, l.Last+1, l.slots), Version: l.version, Body: body}
+}
+
+// After visits the entries of a shard in records after seq, each with its record's
+// number.
+func (l Log) After(shard int, seq uint64, visit func(seq uint64, e Entry) error) error {
+	for _, r := range l.Records {
+		if r.Seq <= seq {
+			continue
+		}
+		for _, e := range r.Entries {
+			if e.Shard != shard {
+				continue
+			}
+			if err := visit(r.Seq, e); err != nil {
+				return fmt.Errorf("record %d of %s: %w", r.Seq, l.Instance, err)
+			}
+		}
+	}
+	return nil
+}
