--- /dev/null
+++ b/internal/holder/holder.go
@@ -0,0 +1,174 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"daisylane/internal/budgeter"
+	"daisylane/internal/connector"
+	"daisylane/internal/placer"
+	"daisylane/internal/wirepb"
+)
+
+const tickInterval = 100 * time.Millisecond
+
+// ErrStopped means that the holder takes no more requests.
+var ErrStopped = errors.New("holder is stopped")
+
+// Holder owns the budget shards of this process. It is safe for concurrent use.
+type Holder struct {
+	cfg      Config
+	platform Platform
+	members  Members
+	pool     *connector.Pool
+	log      zerolog.Logger
+	scope    tally.Scope
+	sealed   func(sealer string)
+
+	system *actor.ActorSystem
+	pid    *actor.PID
+	ctx    context.Context // ends with Close, bounds the calls of the actor
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// New starts a holder without shards. Shards are taken when they are first
+// asked for.
+func New(cfg Config, platform Platform, members Members, pool *connector.Pool, opts ...Option) (*Holder, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, fmt.Errorf("start holder: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Holder{
+		cfg: cfg, platform: platform, members: members, pool: pool,
+		log: zerolog.Nop(), scope: tally.NoopScope, sealed: func(string) {},
+		ctx: ctx, cancel: cancel,
+	}
+	for _, opt := range opts {
+		opt(h)
+	}
+	h.system = actor.NewActorSystem(actor.WithLoggerFactory(discardLogger))
+	h.pid = h.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newKeeper(h) }))
+	h.tasks.Go(h.tick)
+	return h, nil
+}
+
+// Serve registers the handlers for calls of other processes.
+func (h *Holder) Serve(srv *connector.Server) {
+	connector.Answer(srv, func(ctx context.Context, id string, m *wirepb.Reserve) (*wirepb.Reserved, error) {
+		r, err := h.Reserve(ctx, id, m)
+		if err != nil {
+			return nil, err
+		}
+		return &wirepb.Reserved{Reservation: r}, nil
+	})
+	connector.Answer(srv, func(ctx context.Context, _ string, m *wirepb.Settle) (*wirepb.Settled, error) {
+		return h.Settle(ctx, m)
+	})
+	connector.Answer(srv, func(ctx context.Context, _ string, m *wirepb.Return) (*wirepb.Returned, error) {
+		return h.Return(ctx, m)
+	})
+}
+
+// Reserve reserves tokens if this process holds the shard of the budget or can
+// take it. A repeated call with the same request id gets the same reservation
+// while that is open. A refusal with reason "holder" names the instance to ask.
+func (h *Holder) Reserve(ctx context.Context, id string, m *wirepb.Reserve) (*wirepb.Reservation, error) {
+	req := budgeter.Request{
+		Shard: placer.Shard(m.GetBudget(), h.cfg.Shards), Budget: m.GetBudget(), Tokens: m.GetTokens(), Key: m.GetKey(),
+	}
+	reply, err := ask[budgeter.Reservation](ctx, h, func(r replyTo[budgeter.Reservation]) any { return reserve{id, req, r} })
+	if err != nil {
+		return nil, err
+	}
+	return h.message(reply), nil
+}
+
+// Settle charges or, with zero tokens, releases a reservation. It returns when
+// the charge is durable.
+func (h *Holder) Settle(ctx context.Context, m *wirepb.Settle) (*wirepb.Settled, error) {
+	charge := budgeter.Charge{Reservation: reservationOf(m.GetReservation()), Key: m.GetKey(), Tokens: m.GetTokens()}
+	duplicate, err := ask[bool](ctx, h, func(r replyTo[bool]) any { return settle{charge, r} })
+	if err != nil {
+		return nil, err
+	}
+	return &wirepb.Settled{Duplicate: duplicate}, nil
+}
+
+// Return gives unused tokens of a budget back to the shard object, for another region.
+func (h *Holder) Return(ctx context.Context, m *wirepb.Return) (*wirepb.Returned, error) {
+	tokens, err := ask[int64](ctx, h, func(r replyTo[int64]) any { return giveBack{m, r} })
+	if err != nil {
+		return nil, err
+	}
+	return &wirepb.Returned{Tokens: tokens}, nil
+}
+
+// Status describes the held shards.
+func (h *Holder) Status(ctx context.Context) (Status, error) {
+	return ask[Status](ctx, h, func(r replyTo[Status]) any { return status{r} })
+}
+
+// Stop hands over all shards, waits until the open reservations are settled and
+// seals the journal. If the context ends earlier, a successor recovers the rest.
+func (h *Holder) Stop(ctx context.Context) error {
+	_, err := ask[struct{}](ctx, h, func(r replyTo[struct{}]) any { return handOver{r} })
+	h.Close()
+	if err != nil {
+		return fmt.Errorf("hand over shards: %w", err)
+	}
+	return nil
+}
+
+// Close stops at once, as a crash would.
+func (h *Holder) Close() {
+	h.cancel()
+	_ = h.system.Root.StopFuture(h.pid).Wait()
+	h.tasks.Wait()
+	h.system.Shutdown()
+}
+
+func (h *Holder) tick() {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-t.C:
+			h.send(tick{})
+		}
+	}
+}
+
+func (h *Holder) send(m any) { h.system.Root.Send(h.pid, m) }
+
+// effect runs a call outside the actor and sends its result to the actor.
+func (h *Holder) effect(call func(ctx context.Context) any) {
+	h.tasks.Go(func() {
+		if m := call(h.ctx); m != nil && h.ctx.Err() == nil {
+			h.send(m)
+		}
+	})
+}
+
+func (h *Holder) message(r budgeter.Reservation) *wirepb.Reservation {
+	return &wirepb.Reservation{
+		Holder: r.Holder, Shard: uint32(r.Shard), Number: r.Number, Budget: r.Budget, Tokens: r.Tokens,
+		Region: r.Region, Addr: h.members.Self().Addr,
+	}
+}
+
+func reservationOf(m *wirepb.Reservation) budgeter.Reservation {
+	return budgeter.Reservation{
+		Holder: m.GetHolder(), Region: m.GetRegion(), Shard: int(m.GetShard()), Number: m.GetNumber(),
+		Budget: m.GetBudget(), Tokens: m.GetTokens(),
+	}
+}
--- /dev/null
+++ b/internal/holder/keeper.go
@@ -0,0 +1,277 @@
+package holder
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/pkg/errors"
+
+	"daisylane/internal/budgeter"
+	"daisylane/internal/connector"
+	"daisylane/internal/journaler"
+	"daisylane/internal/storer"
+	"daisylane/internal/watcher"
+)
+
+const (
+	// redirectTime is how long the answer to a lookup of a holder is reused.
+	redirectTime = 500 * time.Millisecond
+	// maxReservations bounds the request ids that are kept to answer repeated calls.
+	maxReservations = 100_000
+)
+
+// keeper is the actor that owns the decision state of a holder.
+type keeper struct {
+	h       *Holder
+	budgets *budgeter.Holder
+	journal *journaler.Journal
+
+	token     budgeter.Token
+	reserves  map[budgeter.Token]reserve
+	settles   map[budgeter.Token]replyTo[bool]
+	gives     map[budgeter.Token]replyTo[int64]
+	granted   map[string]budgeter.Reservation // open reservations by request id
+	owners    map[reservationKey]string       // request id of an open reservation
+	pending   map[int][]any                   // calls that wait until the holder of a shard is known
+	redirects map[int]redirect
+	conflicts map[int]int // tries of the pending update
+	takeovers map[string]*takeover
+	withheld  map[string]map[int]bool // former holders by shard that are not released
+
+	up       bool // whether the platform answered last
+	foldedAt time.Time
+	stopping *handOver
+	sealing  bool
+}
+
+type reservationKey struct {
+	holder string
+	shard  int
+	number uint64
+}
+
+func keyOf(r budgeter.Reservation) reservationKey { return reservationKey{r.Holder, r.Shard, r.Number} }
+
+type redirect struct {
+	holder watcher.Member
+	at     time.Time
+}
+
+func newKeeper(h *Holder) *keeper {
+	return &keeper{
+		h: h,
+		budgets: budgeter.New(budgeter.Config{
+			Instance: h.cfg.Instance, Region: h.cfg.Region, Regions: len(h.cfg.Regions), Ahead: h.cfg.Ahead,
+		}),
+		journal:   journaler.New(journaler.Config{Writer: h.cfg.Instance, Slots: h.cfg.Slots}),
+		reserves:  make(map[budgeter.Token]reserve),
+		settles:   make(map[budgeter.Token]replyTo[bool]),
+		gives:     make(map[budgeter.Token]replyTo[int64]),
+		granted:   make(map[string]budgeter.Reservation),
+		owners:    make(map[reservationKey]string),
+		pending:   make(map[int][]any),
+		redirects: make(map[int]redirect),
+		conflicts: make(map[int]int),
+		takeovers: make(map[string]*takeover),
+		withheld:  make(map[string]map[int]bool),
+		up:        true,
+		foldedAt:  time.Now(),
+	}
+}
+
+// Receive handles one message of the actor.
+func (k *keeper) Receive(ctx actor.Context) {
+	now := time.Now()
+	switch m := ctx.Message().(type) {
+	case reserve:
+		k.reserve(now, m)
+	case settle:
+		k.settle(now, m)
+	case giveBack:
+		k.giveBack(now, m)
+	case status:
+		m.reply.send(k.status(), nil)
+	case handOver:
+		k.handOver(now, m)
+	case tick:
+		k.tick(now)
+	case slotWritten:
+		k.slotWritten(now, m)
+	case slotRead:
+		k.slotRead(now, m)
+	case objectRead:
+		k.objectRead(now, m)
+	case objectWritten:
+		k.objectWritten(now, m)
+	case tenureRead:
+		k.tenureRead(now, m)
+	case regionsAsked:
+		k.carryOut(now, k.budgets.Asked(m.shard, m.budget))
+	case takeoverResult:
+		k.takeoverResult(now, m)
+	}
+}
+
+func (k *keeper) nextToken() budgeter.Token {
+	k.token++
+	return k.token
+}
+
+func (k *keeper) reserve(now time.Time, m reserve) {
+	if r, ok := k.granted[m.id]; ok && m.id != "" {
+		m.reply.send(r, nil)
+		return
+	}
+	if !k.holds(now, m.req.Shard, m, m.reply.fail) {
+		return
+	}
+	token := k.nextToken()
+	k.reserves[token] = m
+	k.carryOut(now, k.budgets.Reserve(now, token, m.req))
+}
+
+func (r replyTo[T]) fail(err error) {
+	var zero T
+	r.send(zero, err)
+}
+
+func (k *keeper) settle(now time.Time, m settle) {
+	r := m.charge.Reservation
+	if r.Holder != k.h.cfg.Instance && !k.holds(now, r.Shard, m, m.reply.fail) {
+		return
+	}
+	k.forget(r)
+	if m.charge.Tokens == 0 {
+		k.carryOut(now, k.budgets.Release(now, r))
+		m.reply.send(false, nil)
+		return
+	}
+	token := k.nextToken()
+	k.settles[token] = m.reply
+	k.carryOut(now, k.budgets.Settle(now, token, m.charge))
+}
+
+func (k *keeper) forget(r budgeter.Reservation) {
+	if id, ok := k.owners[keyOf(r)]; ok {
+		delete(k.owners, keyOf(r))
+		delete(k.granted, id)
+	}
+}
+
+func (k *keeper) giveBack(now time.Time, m giveBack) {
+	token := k.nextToken()
+	k.gives[token] = m.reply
+	k.carryOut(now, k.budgets.Return(now, token, int(m.m.GetShard()), m.m.GetBudget(), m.m.GetTokens()))
+}
+
+// holds reports whether this instance holds a shard. Otherwise it finds out who
+// does: the call is kept, or refused with the name of the holder.
+func (k *keeper) holds(now time.Time, shard int, call any, fail func(error)) bool {
+	if k.budgets.Holds(shard) {
+		return true
+	}
+	if k.stopping != nil || k.journal.Stopped() {
+		fail(&connector.RefusedError{Reason: "stopping", Text: "the instance is stopping", After: 250 * time.Millisecond})
+		return false
+	}
+	if r, ok := k.redirects[shard]; ok && now.Sub(r.at) < redirectTime && !k.h.members.Suspected(r.holder.Name) {
+		fail(notHolder(r.holder.Name, r.holder.Addr))
+		return false
+	}
+	first := len(k.pending[shard]) == 0
+	k.pending[shard] = append(k.pending[shard], call)
+	if first {
+		k.h.effect(func(ctx context.Context) any { return k.h.readTenure(ctx, shard) })
+	}
+	return false
+}
+
+// resume repeats the calls that waited for the holder of a shard.
+func (k *keeper) resume(now time.Time, shard int) {
+	calls := k.pending[shard]
+	delete(k.pending, shard)
+	for _, call := range calls {
+		switch m := call.(type) {
+		case reserve:
+			k.reserve(now, m)
+		case settle:
+			k.settle(now, m)
+		}
+	}
+}
+
+func (k *keeper) refusePending(shard int, err error) {
+	calls := k.pending[shard]
+	delete(k.pending, shard)
+	for _, call := range calls {
+		switch m := call.(type) {
+		case reserve:
+			m.reply.fail(err)
+		case settle:
+			m.reply.fail(err)
+		}
+	}
+}
+
+func (k *keeper) tenureRead(now time.Time, m tenureRead) {
+	switch {
+	case m.err != nil:
+		k.platform(now, m.err)
+		k.refusePending(m.shard, &connector.RefusedError{
+			Reason: string(budgeter.ReasonPlatform), Text: "the holder of the budget cannot be found, the platform is not reachable", After: 5 * time.Second,
+		})
+	case m.holder.Name != "":
+		k.redirects[m.shard] = redirect{m.holder, now}
+		k.refusePending(m.shard, notHolder(m.holder.Name, m.holder.Addr))
+	default:
+		k.carryOut(now, k.budgets.Hold(m.shard))
+	}
+}
+
+// platform learns from the result of a platform call whether it is reachable.
+func (k *keeper) platform(now time.Time, err error) {
+	up := !errors.Is(err, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUncertain)
+	if up == k.up {
+		return
+	}
+	k.up = up
+	k.h.log.Info().Str("event", "platform").Bool("up", up).Send()
+	k.carryOut(now, k.budgets.Platform(now, up))
+}
+
+func (k *keeper) tick(now time.Time) {
+	k.carryOut(now, k.budgets.Tick(now))
+	k.journalActions(now, k.journal.Tick(now))
+	for _, name := range slices.Sorted(maps.Keys(k.takeovers)) {
+		k.takeovers[name].tick(now)
+	}
+	if now.Sub(k.foldedAt) >= k.h.cfg.Fold || k.journal.Crowded() && now.Sub(k.foldedAt) >= time.Second {
+		k.foldedAt = now
+		for _, shard := range k.journal.Unfolded() {
+			k.carryOut(now, k.budgets.Fold(shard))
+		}
+	}
+}
+
+func (k *keeper) handOver(now time.Time, m handOver) {
+	k.stopping = &m
+	for _, shard := range k.budgets.Shards() {
+		k.carryOut(now, k.budgets.HandOver(now, shard))
+	}
+	k.finishStop(now)
+}
+
+// finishStop seals the journal once all shards are handed over.
+func (k *keeper) finishStop(_ time.Time) {
+	if k.stopping == nil || k.sealing || len(k.budgets.Shards()) > 0 {
+		return
+	}
+	k.sealing = true
+	k.journalActions(time.Now(), k.journal.Seal(sealToken))
+}
+
+// sealToken marks the own seal among the appends of the budgeter, which count from 1.
+const sealToken journaler.Token = 1 << 63
--- /dev/null
+++ b/internal/holder/messages.go
@@ -0,0 +1,67 @@
+package holder
+
+import (
+	"daisylane/internal/budgeter"
+	"daisylane/internal/journaler"
+	"daisylane/internal/storer"
+	"daisylane/internal/watcher"
+	"daisylane/internal/wirepb"
+)
+
+// Calls to the actor.
+type (
+	reserve struct {
+		id    string
+		req   budgeter.Request
+		reply replyTo[budgeter.Reservation]
+	}
+	settle struct {
+		charge budgeter.Charge
+		reply  replyTo[bool]
+	}
+	giveBack struct {
+		m     *wirepb.Return
+		reply replyTo[int64]
+	}
+	status   struct{ reply replyTo[Status] }
+	handOver struct{ reply replyTo[struct{}] }
+	tick     struct{}
+)
+
+// Results of effects.
+type (
+	// slotWritten is the result of a journal write.
+	slotWritten struct {
+		write   journaler.Write
+		version uint64
+		err     error
+	}
+	// slotRead is the result of reading a journal slot back.
+	slotRead struct {
+		read journaler.Read
+		slot journaler.Slot
+		err  error
+	}
+	// objectRead is the result of reading a shard object for an update.
+	objectRead struct {
+		shard int
+		item  storer.Item
+		err   error
+	}
+	// objectWritten is the result of writing a shard object.
+	objectWritten struct {
+		shard int
+		err   error
+	}
+	// tenureRead is the result of looking up who holds a shard.
+	tenureRead struct {
+		shard  int
+		holder watcher.Member // alive holder other than this process, empty if none
+		err    error
+	}
+	// regionsAsked says that all other regions answered a request for tokens.
+	regionsAsked struct {
+		shard  int
+		budget string
+	}
+)
--- /dev/null
+++ b/internal/locator/commands.go
@@ -0,0 +1,32 @@
+package locator
+
+import "daisylane/internal/watcher"
+
+// Leave records a side's own statement that it is leaving.
+func (l *Locator) Leave(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.view.Leave(name)
+}
+
+// Dialed records the result of a dial to an address.
+func (l *Locator) Dialed(addr string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if name, ok := l.addrs[addr]; ok {
+		l.view.Dialed(l.now(), name, err == nil)
+	}
+}
+
+// Add records an instance without the platform, for example a peer from the
+// settings during a platform outage.
+func (l *Locator) Add(m watcher.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.members[m.Name]; ok {
+		return
+	}
+	l.members[m.Name] = registration{member: m}
+	l.addrs[m.Addr] = m.Name
+	l.view.Register(l.now(), m, 1)
+}
--- /dev/null
+++ b/internal/locator/locator.go
@@ -0,0 +1,269 @@
+// Package locator keeps the membership view of a process up to date.
+//
+// It registers the process as object member/<role>/<instance>, watches the
+// registrations of the others and reads the platform's instance list. During a
+// platform outage the last view stays in use; failed dials and refusals of
+// leaving sides still change it.
+//
+// # Usage
+//
+//	l := locator.New(platform, self)
+//	err := l.Register(ctx)
+//	go l.Run(ctx)
+//	entries := l.Entries(region, "")
+package locator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"daisylane/internal/checker"
+	"daisylane/internal/storer"
+	"daisylane/internal/watcher"
+)
+
+const (
+	memberPrefix = "member/"
+
+	defaultListInterval = 5 * time.Second
+	watchWait           = 25 * time.Second
+	retryInterval       = time.Second
+)
+
+// Platform is the part of the platform client that the locator uses.
+type Platform interface {
+	Get(ctx context.Context, key string) (storer.Item, error)
+	Put(ctx context.Context, key string, body []byte, version uint64) (uint64, error)
+	Delete(ctx context.Context, key string, version uint64) error
+	List(ctx context.Context, prefix string) ([]storer.Item, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]storer.Item, uint64, error)
+	Instances(ctx context.Context) ([]storer.Instance, error)
+}
+
+// Locator owns the membership view of a process. It is safe for concurrent use.
+type Locator struct {
+	platform Platform
+	self     watcher.Member
+	interval time.Duration
+	log      zerolog.Logger
+	now      func() time.Time
+
+	mu      sync.Mutex
+	view    *watcher.View
+	members map[string]registration // by full instance name
+	addrs   map[string]string       // address to full instance name
+	rows    []storer.Instance
+	ready   bool // the registrations were listed once
+}
+
+type registration struct {
+	member  watcher.Member
+	version uint64
+}
+
+// Option configures a locator.
+type Option func(*Locator)
+
+// WithLogger sets the logger. The default discards events.
+func WithLogger(log zerolog.Logger) Option { return func(l *Locator) { l.log = log } }
+
+// WithListInterval sets how often the instance list is read.
+func WithListInterval(d time.Duration) Option { return func(l *Locator) { l.interval = d } }
+
+// New returns a locator for the given process.
+func New(platform Platform, self watcher.Member, opts ...Option) *Locator {
+	l := &Locator{
+		platform: platform,
+		self:     self,
+		interval: defaultListInterval,
+		log:      zerolog.Nop(),
+		now:      time.Now,
+		view:     watcher.New(),
+		members:  make(map[string]registration),
+		addrs:    make(map[string]string),
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// Register writes the registration of this process. A lost response is resolved
+// by reading the object back, since its name is unique to the process.
+func (l *Locator) Register(ctx context.Context) error {
+	body, err := checker.Encode(l.self)
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	key := watcher.Key(l.self.Role, l.self.Name)
+	_, err = l.platform.Put(ctx, key, body, 0)
+	if err == nil || errors.Is(err, storer.ErrConflict) {
+		return nil
+	}
+	if errors.Is(err, storer.ErrUncertain) {
+		_, err = l.platform.Get(ctx, key)
+	}
+	if err != nil {
+		return fmt.Errorf("register %s: %w", key, err)
+	}
+	return nil
+}
+
+// Deregister deletes the registration at a planned stop.
+func (l *Locator) Deregister(ctx context.Context) error {
+	key := watcher.Key(l.self.Role, l.self.Name)
+	item, err := l.platform.Get(ctx, key)
+	if errors.Is(err, storer.ErrAbsent) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("deregister %s: %w", key, err)
+	}
+	if err := l.platform.Delete(ctx, key, item.Version); err != nil && !errors.Is(err, storer.ErrUncertain) {
+		return fmt.Errorf("deregister %s: %w", key, err)
+	}
+	return nil
+}
+
+// Run keeps the view up to date until the context ends.
+func (l *Locator) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { l.watchMembers(ctx) })
+	wg.Go(func() { l.listInstances(ctx) })
+	wg.Wait()
+}
+
+func (l *Locator) watchMembers(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		var err error
+		if after == 0 {
+			after, err = l.listMembers(ctx)
+		} else {
+			after, err = l.watchOnce(ctx, after)
+		}
+		if err != nil {
+			l.log.Warn().Str("event", "members").Err(err).Send()
+			sleep(ctx, retryInterval)
+		}
+	}
+}
+
+// listMembers reads all registrations and returns the revision to watch from.
+// The highest version in the listing is a safe start: what changed after the
+// listing has a higher version.
+func (l *Locator) listMembers(ctx context.Context) (uint64, error) {
+	items, err := l.platform.List(ctx, memberPrefix)
+	if err != nil {
+		return 0, fmt.Errorf("list registrations: %w", err)
+	}
+	after := uint64(1)
+	for _, item := range items {
+		l.apply(item)
+		after = max(after, item.Version)
+	}
+	l.mu.Lock()
+	l.ready = true
+	l.mu.Unlock()
+	return after, nil
+}
+
+func (l *Locator) watchOnce(ctx context.Context, after uint64) (uint64, error) {
+	items, revision, err := l.platform.Watch(ctx, memberPrefix, after, watchWait)
+	if err != nil {
+		return after, fmt.Errorf("watch registrations: %w", err)
+	}
+	for _, item := range items {
+		l.apply(item)
+	}
+	return revision, nil
+}
+
+// apply records one registration. An empty body stands for a deleted object.
+func (l *Locator) apply(item storer.Item) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	name := item.Key[strings.LastIndexByte(item.Key, '/')+1:]
+	if len(item.Body) == 0 {
+		l.view.Remove(name, item.Version)
+		if r, ok := l.members[name]; ok {
+			delete(l.members, name)
+			if l.addrs[r.member.Addr] == name {
+				delete(l.addrs, r.member.Addr)
+			}
+		}
+		return
+	}
+	m, err := checker.Decode[watcher.Member](item.Body)
+	if err != nil {
+		l.log.Warn().Str("event", "members").Str("key", item.Key).Err(err).Send()
+		return
+	}
+	l.members[m.Name] = registration{member: m, version: item.Version}
+	l.addrs[m.Addr] = m.Name
+	l.view.Register(l.now(), m, item.Version)
+	l.relist()
+}
+
+func (l *Locator) listInstances(ctx context.Context) {
+	for ctx.Err() == nil {
+		rows, err := l.platform.Instances(ctx)
+		if err != nil {
+			l.log.Warn().Str("event", "instances").Err(err).Send()
+		} else {
+			l.mu.Lock()
+			l.rows = rows
+			l.relist()
+			l.mu.Unlock()
+		}
+		sleep(ctx, l.interval)
+	}
+}
+
+// relist gives the view the instance list under full instance names. The
+// platform knows a machine by the name in its settings; it stands for the newest
+// incarnation that registered under it. An older incarnation counts as absent.
+func (l *Locator) relist() {
+	if l.rows == nil {
+		return
+	}
+	newest := make(map[string]registration)
+	for _, r := range l.members {
+		base := Base(r.member.Name)
+		if known, ok := newest[base]; !ok || r.version > known.version {
+			newest[base] = r
+		}
+	}
+	listed := make([]watcher.Listed, 0, len(l.rows))
+	for _, row := range l.rows {
+		name := row.Name
+		if r, ok := newest[name]; ok {
+			name = r.member.Name
+		}
+		listed = append(listed, watcher.Listed{
+			Name: name, Role: row.Role, Centre: row.Centre, Region: row.Region, Addr: row.Addr, State: string(row.State),
+		})
+	}
+	l.view.List(l.now(), listed)
+}
+
+// Base returns the name in the settings of an instance, without its incarnation.
+func Base(instance string) string {
+	if i := strings.LastIndexByte(instance, '.'); i > 0 {
+		return instance[:i]
+	}
+	return instance
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/locator/queries.go
@@ -0,0 +1,71 @@
+package locator
+
+import (
+	"slices"
+
+	"daisylane/internal/watcher"
+)
+
+// Self returns the registration of this process.
+func (l *Locator) Self() watcher.Member { return l.self }
+
+// Ready reports whether the registrations were listed at least once.
+func (l *Locator) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ready
+}
+
+// Candidates returns the targets that may receive work.
+func (l *Locator) Candidates(q watcher.Query) []*watcher.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view.Candidates(l.now(), q)
+}
+
+// Entries returns the entries of a region, or of one data centre of it. Entries
+// whose last dial failed recently are left out.
+func (l *Locator) Entries(region, centre string) []*watcher.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	suspected := l.view.Suspected(l.now())
+	entries := l.view.Entries(region, centre)
+	return slices.DeleteFunc(slices.Clone(entries), func(m *watcher.Member) bool {
+		return m.Name != l.self.Name && slices.Contains(suspected, m.Name)
+	})
+}
+
+// Registered returns all registered instances of a role, also suspected and
+// leaving ones.
+func (l *Locator) Registered(role string) []watcher.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []watcher.Member
+	for _, r := range l.members {
+		if r.member.Role == role {
+			list = append(list, r.member)
+		}
+	}
+	return list
+}
+
+// Get returns what is known about an instance.
+func (l *Locator) Get(name string) (watcher.Member, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view.Get(name)
+}
+
+// Gone reports whether an instance was absent from the instance list for long.
+func (l *Locator) Gone(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view.Gone(name)
+}
+
+// Suspected reports whether the last dial to an instance failed recently.
+func (l *Locator) Suspected(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.view.Suspected(l.now()), name)
+}
--- /dev/null
+++ b/internal/router/attempts.go
@@ -0,0 +1,130 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"daisylane/internal/assembler"
+	"daisylane/internal/connector"
+	"daisylane/internal/wirepb"
+)
+
+// runAttempts tries the job at one target after the other until the answer is
+// whole, or another attempt is not allowed. It answers at once when it gives up.
+func (r *Router) runAttempts(ctx context.Context, req request, j job, reservation *wirepb.Reservation, out sink) result {
+	q := Query{Account: req.account.Name, Target: j.target, Prefix: j.prefix, Deadline: req.deadline}
+	var last *attempt
+	outcome, mayHaveRun := Refused, false
+	for n := 1; ; n++ {
+		choice, ok := r.targets.Choose(q)
+		if !ok {
+			break
+		}
+		r.records.Record(req.id, "choose", choice.Name, choice.Reason)
+		a := &attempt{r: r, req: req, choice: choice, answer: assembler.NewAnswer(req.id), out: out}
+		var err error
+		outcome, err = a.start(ctx, j.message(req, reservation))
+		r.targets.Done(choice, a.load, outcome)
+		r.recordOutcome(req.id, choice, outcome, err)
+		last = a
+		mayHaveRun = mayHaveRun || outcome == Unknown
+		switch outcome {
+		case Whole:
+			return result{end: a.end, choice: choice}
+		case Canceled:
+			a.cancel(ctx)
+			return result{failure: canceledError()}
+		case Interrupted:
+			return result{failure: interruptedError(a)}
+		case Unknown:
+			if !j.repeatable {
+				return result{failure: unknownError()}
+			}
+		}
+		q.Tried = append(q.Tried, choice.Name)
+		wait, ok := r.targets.Retry(req.account.Name, n)
+		if !ok || !sleep(ctx, wait) {
+			break
+		}
+	}
+	if mayHaveRun {
+		return result{failure: unknownError()}
+	}
+	return result{failure: notRunError(ctx, last, outcome)}
+}
+
+func (j job) message(req request, reservation *wirepb.Reservation) *wirepb.Run {
+	return &wirepb.Run{
+		Reservation: reservation, Account: req.account.Name, Target: j.target, Model: j.model,
+		Method: j.method, Path: j.path, Header: j.header, Payload: j.payload,
+		Deadline: uint64(max(time.Until(req.deadline).Milliseconds(), 0)),
+		Worth:    req.worth, Output: j.output, Stream: j.stream, Key: req.key, Claim: j.claim,
+	}
+}
+
+func (r *Router) recordOutcome(id string, choice Choice, outcome Outcome, err error) {
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	r.records.Record(id, "attempt", outcome.String(), choice.Name+" "+reason)
+	r.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("attempts").Inc(1)
+}
+
+// sleep waits unless the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (o Outcome) String() string {
+	return [...]string{"whole", "refused", "unreachable", "unknown", "interrupted", "canceled"}[o]
+}
+
+func canceledError() *Error {
+	return &Error{
+		Status: http.StatusServiceUnavailable, Type: typeUnknown, Reason: "deadline",
+		Message: "the caller's deadline passed while the request was running",
+	}
+}
+
+func interruptedError(a *attempt) *Error {
+	message := "the answer broke off"
+	if text := a.end.GetText(); text != "" {
+		message += ": " + text
+	}
+	return &Error{Status: http.StatusBadGateway, Type: typeInterrupted, Reason: "target", Message: message, After: time.Second}
+}
+
+func unknownError() *Error {
+	return &Error{
+		Status: http.StatusBadGateway, Type: typeUnknown, Reason: "target",
+		Message: "the connection to the target was lost, the request may have run",
+	}
+}
+
+// notRunError explains why no target took the request.
+func notRunError(ctx context.Context, last *attempt, outcome Outcome) *Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return notRun(http.StatusServiceUnavailable, "deadline", "no target could start the request within its timeout").withAfter(time.Second)
+	case last == nil:
+		return notRun(http.StatusServiceUnavailable, "overload", "no target for the request is available").withAfter(2 * time.Second)
+	case outcome == Refused && last.refused != nil:
+		refused := last.refused
+		after := max(refused.After, time.Second)
+		return refusalError(&connector.RefusedError{Reason: refused.Reason, Text: refused.Text, After: after}, "overload")
+	default:
+		return notRun(http.StatusServiceUnavailable, "overload", "the target could not be reached").withAfter(time.Second)
+	}
+}
--- /dev/null
+++ b/internal/router/auth.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"daisylane/internal/bundler"
+)
+
+// request is one authenticated request of a caller.
+type request struct {
+	id       string
+	account  bundler.Account
+	index    *bundler.Index
+	key      string // hash of account and the caller's key, empty without one
+	worth    float64
+	deadline time.Time
+}
+
+type handlerFunc func(ctx context.Context, w http.ResponseWriter, hr *http.Request, req request) *Error
+
+// authenticated finds the client account of a request, applies its limits and
+// writes the error of the handler, if any.
+func (r *Router) authenticated(h handlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		r.inflight.Add(1)
+		defer r.inflight.Add(-1)
+		req, failure := r.admit(hr)
+		if failure != nil {
+			r.fail(w, req, failure)
+			return
+		}
+		w.Header().Set(headerID, req.id)
+		ctx, cancel := context.WithDeadline(hr.Context(), req.deadline)
+		defer cancel()
+		release, failure := r.limits.Acquire(ctx, req.account, req.worth, req.deadline)
+		if failure != nil {
+			r.fail(w, req, failure)
+			return
+		}
+		defer release()
+		if failure := h(ctx, w, hr, req); failure != nil {
+			r.fail(w, req, failure)
+		}
+	})
+}
+
+func (r *Router) fail(w http.ResponseWriter, req request, failure *Error) {
+	r.log.Info().Str("event", "refused").Str("id", req.id).Str("account", req.account.Name).
+		Str("type", failure.Type).Str("reason", failure.Reason).Str("text", failure.Message).Send()
+	r.scope.Tagged(map[string]string{"type": failure.Type, "reason": failure.Reason}).Counter("caller_errors").Inc(1)
+	r.records.Record(req.id, "answer", failure.Type, failure.Reason+": "+failure.Message)
+	failure.write(w, req.id)
+}
+
+func (r *Router) admit(hr *http.Request) (request, *Error) {
+	req := request{id: newID(), index: r.index()}
+	if req.index == nil {
+		return req, notRun(http.StatusServiceUnavailable, "stopping", "no bundle is in force yet").withAfter(2 * time.Second)
+	}
+	key, ok := strings.CutPrefix(hr.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return req, notRun(http.StatusUnauthorized, "key", "no bearer key, send the header Authorization: Bearer KEY")
+	}
+	req.account, ok = req.index.AccountByKey(bundler.HashKey(key))
+	if !ok {
+		return req, notRun(http.StatusUnauthorized, "key", "the bearer key belongs to no client account")
+	}
+	return req.withHeaders(hr.Header)
+}
+
+// withHeaders returns the request with the caller's key, worth and timeout.
+func (req request) withHeaders(h http.Header) (request, *Error) {
+	if key := h.Get(headerKey); key != "" {
+		if len(key) > maxKeyBytes {
+			return req, notRun(http.StatusBadRequest, "body", "%s is longer than %d bytes", headerKey, maxKeyBytes)
+		}
+		req.key = hashKey(req.account.Name, key)
+	}
+	req.worth = max(req.account.Worth, 0)
+	if s := h.Get(headerWorth); s != "" {
+		worth, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(worth > 0) {
+			return req, notRun(http.StatusBadRequest, "body", "%s is %q, want a positive number", headerWorth, s)
+		}
+		req.worth = min(req.worth, worth)
+	}
+	timeout := defaultTimeout
+	if s := h.Get(headerTimeout); s != "" {
+		seconds, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(seconds > 0) {
+			return req, notRun(http.StatusBadRequest, "body", "%s is %q, want seconds above 0", headerTimeout, s)
+		}
+		timeout = min(time.Duration(seconds*float64(time.Second)), maxTimeout)
+	}
+	req.deadline = time.Now().Add(timeout)
+	return req, nil
+}
+
+func newID() string { return strings.ToLower(rand.Text()) }
+
+// hashKey hides the caller's key, which may carry personal data, and separates accounts.
+func hashKey(account, key string) string {
+	sum := sha256.Sum256([]byte(account + "\x00" + key))
+	return hex.EncodeToString(sum[:16])
+}
--- /dev/null
+++ b/internal/router/chat_handler.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"context"
+	"net/http"
+
+	"daisylane/internal/bundler"
+)
+
+// prefixBytes is how much of the prompt decides which target is likely to have
+// it in its prefix cache: about the system prompt and the start of a history.
+const prefixBytes = 2048
+
+// serveChat runs a chat completion, streamed or plain.
+func (r *Router) serveChat(ctx context.Context, w http.ResponseWriter, hr *http.Request, req request) *Error {
+	payload, failure := readBody(w, hr)
+	if failure != nil {
+		return failure
+	}
+	chat, err := parseChat(payload)
+	if err != nil {
+		return notRun(http.StatusBadRequest, "body", "%v", err)
+	}
+	target, failure := findModel(req, chat.Model)
+	if failure != nil {
+		return failure
+	}
+	output := chat.outputBound(target.Output.Default, target.Output.Limit)
+	j := job{
+		target: target.Name, model: target.Model, method: http.MethodPost, path: "/v1/chat/completions",
+		payload: payload, repeatable: true, stream: chat.Stream, output: output,
+		tokens: chat.promptBound() + output*chat.choices(), prefix: payload[:min(len(payload), prefixBytes)],
+	}
+	if chat.Stream {
+		return r.streamChat(ctx, w, req, j, chat)
+	}
+	return r.plainChat(ctx, w, req, j)
+}
+
+func (r *Router) plainChat(ctx context.Context, w http.ResponseWriter, req request, j job) *Error {
+	var answer []byte
+	res := r.run(ctx, req, j, func(data []byte) error {
+		answer = append(answer, data...)
+		return nil
+	})
+	if res.failure != nil {
+		return res.failure
+	}
+	writeAnswer(w, res.end.GetHeader(), int(res.end.GetStatus()), answer)
+	return nil
+}
+
+func (r *Router) streamChat(ctx context.Context, w http.ResponseWriter, req request, j job, chat chatRequest) *Error {
+	events := newEventWriter(w, chat.wantsUsage())
+	res := r.run(ctx, req, j, events.data)
+	if res.failure == nil {
+		_ = events.done()
+		return nil
+	}
+	if !events.started {
+		return res.failure
+	}
+	r.records.Record(req.id, "answer", res.failure.Type, res.failure.Message)
+	events.fail(req.id, res.failure)
+	return nil
+}
+
+// findModel returns the first target with the model that the account may use.
+func findModel(req request, name string) (bundler.Target, *Error) {
+	targets := req.index.Model(name)
+	if len(targets) == 0 {
+		return bundler.Target{}, notRun(http.StatusNotFound, "model", "there is no model %q, see GET /v1/models", name)
+	}
+	for _, target := range targets {
+		if req.account.Reaches(target.Name) {
+			return target, nil
+		}
+	}
+	return bundler.Target{}, notRun(http.StatusForbidden, "right", "the account may not use model %q", name)
+}
--- /dev/null
+++ b/internal/router/job.go
@@ -0,0 +1,142 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"daisylane/internal/connector"
+	"daisylane/internal/wirepb"
+)
+
+// job is what a target is asked to do.
+type job struct {
+	target     string // name of the target in the bundle
+	model      string // model to route by, empty for plain services
+	method     string
+	path       string
+	header     map[string]string
+	payload    []byte
+	repeatable bool   // whether the call may run more than once
+	claim      string // key of the claim of a non-idempotent call
+	stream     bool
+	tokens     int64 // upper bound of the tokens to charge
+	output     int64 // maximum output tokens
+	prefix     []byte
+}
+
+// result is the final outcome of a job.
+type result struct {
+	end     *wirepb.End
+	choice  Choice // side that gave the whole answer
+	failure *Error // nil if the answer is whole
+}
+
+// claimState returns the state that a claim of the job gets.
+func (res result) claimState() string {
+	switch {
+	case res.failure == nil:
+		return claimDone
+	case res.failure.Type == typeNotRun:
+		return claimNotRun
+	default:
+		return claimUnknown
+	}
+}
+
+// sink takes the pieces of an answer in order.
+type sink func(data []byte) error
+
+// run reserves the tokens of a job, runs it at a target and settles the charge.
+func (r *Router) run(ctx context.Context, req request, j job, out sink) result {
+	reservation, failure := r.reserve(ctx, req, j)
+	if failure != nil {
+		return result{failure: failure}
+	}
+	res := r.runAttempts(ctx, req, j, reservation, out)
+	if reservation != nil {
+		r.settle(ctx, req, reservation, res)
+	}
+	return res
+}
+
+func (r *Router) reserve(ctx context.Context, req request, j job) (*wirepb.Reservation, *Error) {
+	if j.tokens == 0 {
+		return nil, nil
+	}
+	budget, ok := req.index.BudgetFor(req.account, j.target)
+	if !ok {
+		return nil, notRun(http.StatusPaymentRequired, "budget", "the account has no budget for %q", j.target)
+	}
+	ctx, span := r.tracer.Start(ctx, "reserve")
+	defer span.End()
+	reservation, err := r.budgets.Reserve(ctx, req.id, &wirepb.Reserve{Budget: budget.Name, Tokens: j.tokens, Key: req.key})
+	if err != nil {
+		r.records.Record(req.id, "reserve", "refused", err.Error())
+		return nil, refusalError(err, "budget")
+	}
+	r.records.Record(req.id, "reserve", "granted", reservation.GetHolder())
+	return reservation, nil
+}
+
+// settle charges the use of a request, or releases the reservation of a request
+// that did not run. An outcome that is not known is left to the side, which
+// owns the charge.
+func (r *Router) settle(ctx context.Context, req request, reservation *wirepb.Reservation, res result) {
+	m := &wirepb.Settle{Reservation: reservation, Key: req.key}
+	switch {
+	case res.end != nil:
+		m.Tokens = min(res.end.GetUsage().GetPrompt()+res.end.GetUsage().GetOutput(), reservation.GetTokens())
+	case res.failure != nil && res.failure.Type == typeNotRun:
+	default:
+		r.records.Record(req.id, "settle", "left to the side", "")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	r.background(func() {
+		defer cancel()
+		if !r.persist(ctx, req.id, "settle", func() error { return r.budgets.Settle(ctx, req.id, m) }) {
+			return
+		}
+		r.records.Record(req.id, "settle", "durable", strconv.FormatInt(m.Tokens, 10)+" tokens")
+		r.billed(ctx, req.id, res)
+	})
+}
+
+const (
+	persistMinWait = 100 * time.Millisecond
+	persistMaxWait = 5 * time.Second
+)
+
+// billed tells the side that the charge is durable, so that it stops sending it.
+// A lost message costs one more settlement by the side, which is a duplicate.
+func (r *Router) billed(ctx context.Context, id string, res result) {
+	if res.choice.Addr == "" {
+		return
+	}
+	s, err := r.pool.Open(ctx, res.choice.Addr)
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	if f, err := connector.Wrap(id, &wirepb.Billed{}); err == nil {
+		_ = s.Send(f)
+	}
+}
+
+// persist repeats an action until it succeeds or the context ends, and reports whether it succeeded.
+func (r *Router) persist(ctx context.Context, id, name string, action func() error) bool {
+	for wait := persistMinWait; ; wait = min(2*wait, persistMaxWait) {
+		err := action()
+		if err == nil {
+			return true
+		}
+		r.log.Warn().Str("event", name).Str("id", id).Err(err).Send()
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(wait):
+		}
+	}
+}
