--- a/internal/allotter/types.go
+++ b/internal/allotter/types.go
@@ -12,7 +12,7 @@
 //	s, err := s.WithTopUp("acme", "topup-1", 1000, now, now)
 //	s, tenure := s.WithHold("eu", "entry-1.a")
 //	s, err = s.WithGrant("acme", "entry-1.a", "eu", 400)
-//	s, result, err := s.WithFold(fold, now)
+//	s, result := s.WithFold(fold, now)
 //
 // A holder's grant is lowered only by the holder itself, after a lower mark is
 // durable, or by a successor, after the holder's journal is sealed.
@@ -105,4 +105,5 @@
 // was charged before.
 type Result struct {
 	Dropped []Charge
+	Cut     []Charge // charged only up to the end of their grant
 }
--- /dev/null
+++ b/internal/budgeter/queries.go
@@ -0,0 +1,148 @@
+package budgeter
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"daisylane/internal/allotter"
+)
+
+// Amounts are an account's tokens at this holder.
+type Amounts struct {
+	Allotted int64 `json:"allotted"`
+	Marked   int64 `json:"marked"`
+	Charged  int64 `json:"charged"`
+	Reserved int64 `json:"reserved"`
+}
+
+// Amounts returns the holder's amounts of a budget.
+func (h *Holder) Amounts(number int, budget string) Amounts {
+	sh := h.shards[number]
+	if sh == nil || sh.accounts[budget] == nil {
+		return Amounts{}
+	}
+	a := sh.accounts[budget]
+	return Amounts{Allotted: a.allotted, Marked: a.durable, Charged: a.charged, Reserved: a.reserved}
+}
+
+// Holds reports whether the instance admits requests for a shard.
+func (h *Holder) Holds(number int) bool {
+	sh := h.shards[number]
+	return sh != nil && sh.held && !sh.leaving
+}
+
+// Object returns the shard object as last stored by this holder.
+func (h *Holder) Object(number int) allotter.Shard {
+	if sh := h.shards[number]; sh != nil {
+		return sh.object
+	}
+	return allotter.New(number)
+}
+
+// Owed returns the shards in which an instance has grants, in order. When that
+// instance dies, these need recovery.
+func (h *Holder) Owed(instance string) []int {
+	var list []int
+	for _, sh := range h.sorted() {
+		for _, b := range sh.object.Budgets {
+			if _, ok := b.Grants[instance]; ok {
+				list = append(list, sh.number)
+				break
+			}
+		}
+	}
+	return list
+}
+
+// settled reports whether a reservation is settled, or was never made.
+func (h *Holder) settled(sh *shard, r Reservation) bool {
+	if sh.unfolded(r.Holder, r.Number) != nil {
+		return true
+	}
+	if r.Holder == h.cfg.Instance {
+		_, open := sh.open[r.Number]
+		return !open
+	}
+	if _, ok := sh.object.Budgets[r.Budget].Grants[r.Holder]; !ok {
+		return true
+	}
+	f := sh.former[r.Holder]
+	if f != nil && f.complete {
+		_, open := f.open[r.Number]
+		return !open
+	}
+	return sh.object.Settled(r.Holder, r.Number)
+}
+
+// charged reports whether a key was charged in the object's window or is charged
+// by an entry that is not folded.
+func (sh *shard) charged(budget, key string, now time.Time) bool {
+	if key == "" {
+		return false
+	}
+	if sh.object.Budgets[budget].Charged(key, now.Unix()) {
+		return true
+	}
+	return slices.ContainsFunc(sh.charges, func(c *charge) bool { return c.Budget == budget && c.Key == key })
+}
+
+func (sh *shard) unfolded(holder string, number uint64) *charge {
+	for _, c := range sh.charges {
+		if c.Holder == holder && c.Number == number {
+			return c
+		}
+	}
+	return nil
+}
+
+// due reports whether something waits for an update of the object.
+func (sh *shard) due() bool {
+	if sh.updating {
+		return false
+	}
+	if !sh.held || sh.leaving && (!sh.handed || len(sh.open) == 0) {
+		return true
+	}
+	for _, f := range sh.former {
+		if !f.stored || f.complete && len(f.open) == 0 {
+			return true
+		}
+	}
+	for _, a := range sh.accounts {
+		if a.trim && !sh.leaving {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *account) used() int64 { return a.charged + a.reserved }
+
+func (a *account) limit() int64 { return min(a.allotted, a.ceiling) }
+
+// room is what can be admitted now.
+func (a *account) room() int64 {
+	mark := a.durable
+	if a.marking >= 0 {
+		mark = min(mark, a.marking)
+	}
+	return min(mark, a.limit()) - a.used()
+}
+
+func (a *account) wanted() int64 {
+	var sum int64
+	for _, w := range a.waiting {
+		sum += w.req.Tokens
+	}
+	return sum
+}
+
+func (h *Holder) sorted() []*shard {
+	return slices.SortedFunc(maps.Values(h.shards), func(a, b *shard) int { return cmp.Compare(a.number, b.number) })
+}
+
+func (sh *shard) sorted() []*account {
+	return slices.SortedFunc(maps.Values(sh.accounts), func(a, b *account) int { return cmp.Compare(a.budget, b.budget) })
+}
--- /dev/null
+++ b/internal/recoverer/queries.go
@@ -0,0 +1,22 @@
+package recoverer
+
+import "slices"
+
+// Waiting returns the sides that have not answered and are not known gone, in
+// order.
+func (r *Recovery) Waiting() []string {
+	var list []string
+	for name, s := range r.sides {
+		if !s.answered && !s.gone {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Done reports whether all shards are released.
+func (r *Recovery) Done() bool { return r.step == stepDone }
+
+// Instance returns the dead holder.
+func (r *Recovery) Instance() string { return r.cfg.Instance }
