--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -47,6 +47,15 @@
 	return h.flush()
 }
 
+// Abandon gives up the pending hold of a shard that another instance has taken
+// since. It has no effect on a shard that is held.
+func (h *Holder) Abandon(number int) []Action {
+	if sh := h.shards[number]; sh != nil && !sh.held && !sh.leaving {
+		h.lose(sh)
+	}
+	return h.flush()
+}
+
 // Reserve asks for tokens. It is answered by Granted or Refused.
 func (h *Holder) Reserve(now time.Time, token Token, r Request) []Action {
 	sh := h.shards[r.Shard]
--- a/internal/budgeter/queries.go
+++ b/internal/budgeter/queries.go
@@ -146,3 +146,14 @@
 func (sh *shard) sorted() []*account {
 	return slices.SortedFunc(maps.Values(sh.accounts), func(a, b *account) int { return cmp.Compare(a.budget, b.budget) })
 }
+
+// Shards returns the numbers of the shards that are held or being handed over, in order.
+func (h *Holder) Shards() []int {
+	var list []int
+	for _, sh := range h.sorted() {
+		if sh.held || sh.leaving {
+			list = append(list, sh.number)
+		}
+	}
+	return list
+}
--- a/internal/holder/actions.go
+++ b/internal/holder/actions.go
@@ -37,8 +37,6 @@
 			k.journalActions(now, k.journal.Folded(a.Shard, a.Seq))
 		case budgeter.Held:
 			k.held(now, a)
-		case budgeter.Replayed:
-			k.replayed(now, a)
 		case budgeter.Closed:
 			k.closed(now, a)
 		case budgeter.Left:
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -37,9 +35,9 @@
 	owners    map[reservationKey]string       // request id of an open reservation
 	pending   map[int][]any                   // calls that wait until the holder of a shard is known
 	redirects map[int]redirect
-	conflicts map[int]int // tries of the pending update
-	takeovers map[string]*takeover
-	withheld  map[string]map[int]bool // former holders by shard that are not released
+	expected  map[int]string              // dead holder that a pending hold replaces
+	conflicts map[int]int                 // tries of the pending update
+	takeovers map[takeoverKey]*takeover
 
 	up       bool // whether the platform answered last
 	foldedAt time.Time
@@ -74,9 +72,9 @@
 		owners:    make(map[reservationKey]string),
 		pending:   make(map[int][]any),
 		redirects: make(map[int]redirect),
+		expected:  make(map[int]string),
 		conflicts: make(map[int]int),
-		takeovers: make(map[string]*takeover),
-		withheld:  make(map[string]map[int]bool),
+		takeovers: make(map[takeoverKey]*takeover),
 		up:        true,
 		foldedAt:  time.Now(),
 	}
@@ -227,6 +225,7 @@
 		k.redirects[m.shard] = redirect{m.holder, now}
 		k.refusePending(m.shard, notHolder(m.holder.Name, m.holder.Addr))
 	default:
+		k.expected[m.shard] = m.former
 		k.carryOut(now, k.budgets.Hold(m.shard))
 	}
 }
@@ -245,8 +244,8 @@
 func (k *keeper) tick(now time.Time) {
 	k.carryOut(now, k.budgets.Tick(now))
 	k.journalActions(now, k.journal.Tick(now))
-	for _, name := range slices.Sorted(maps.Keys(k.takeovers)) {
-		k.takeovers[name].tick(now)
+	for _, t := range k.takeovers {
+		t.tick(now)
 	}
 	if now.Sub(k.foldedAt) >= k.h.cfg.Fold || k.journal.Crowded() && now.Sub(k.foldedAt) >= time.Second {
 		k.foldedAt = now
--- a/internal/holder/messages.go
+++ b/internal/holder/messages.go
@@ -56,7 +56,8 @@
 	// tenureRead is the result of looking up who holds a shard.
 	tenureRead struct {
 		shard  int
-		holder watcher.Member // alive holder other than this process, empty if none
+		holder watcher.Member // alive instance other than this process to ask, empty if none
+		former string         // dead holder in the object, empty if none
 		err    error
 	}
 	// regionsAsked says that all other regions answered a request for tokens.
--- a/internal/holder/platform.go
+++ b/internal/holder/platform.go
@@ -110,12 +110,13 @@
 	k.platform(now, m.err)
 	object, err := decodeObject(m.shard, m.item)
 	if m.err != nil || err != nil {
-		k.updateFailed(now, m.shard, errors.WithMessage(firstError(m.err, err), "read shard object"))
+		k.updateFailed(now, m.shard, fmt.Errorf("read shard object: %w", firstError(m.err, err)))
 		return
 	}
 	if !k.budgets.Holds(m.shard) && k.stopping == nil && k.taken(object) {
 		k.carryOut(now, k.budgets.Abandon(m.shard))
-		k.refusePending(m.shard, notHolder(k.holderOf(object)))
+		holder, _ := k.h.members.Get(object.Holders[k.h.cfg.Region].Instance)
+		k.refusePending(m.shard, notHolder(holder.Name, holder.Addr))
 		return
 	}
 	next, changed := k.budgets.Propose(now, m.shard, object)
@@ -134,15 +135,11 @@
 	})
 }
 
-// taken reports whether another instance that is alive took the hold of the
-// region since the lookup. Taking it over would end that instance's journal.
+// taken reports whether another instance took the hold of the region since the
+// lookup. Taking it over would end that instance's journal.
 func (k *keeper) taken(object allotter.Shard) bool {
 	name := object.Holders[k.h.cfg.Region].Instance
-	if name == "" || name == k.h.cfg.Instance || k.h.members.Suspected(name) || k.h.members.Gone(name) {
-		return false
-	}
-	m, ok := k.h.members.Get(name)
-	return ok && m.Addr != "" && k.pendingFor(object.Number) && !k.deadHolder(name)
+	return name != k.h.cfg.Instance && name != k.expected[object.Number]
 }
 
 func (k *keeper) objectWritten(now time.Time, m objectWritten) {
@@ -191,13 +188,10 @@
 		return tenureRead{shard: shard, holder: m}
 	}
 	first := placer.First(placer.ShardKey(shard), h.entryNames())
-	if first == h.cfg.Instance || first == "" {
-		return tenureRead{shard: shard}
-	}
 	if m, ok := h.alive(ctx, first); ok {
 		return tenureRead{shard: shard, holder: m}
 	}
-	return tenureRead{shard: shard}
+	return tenureRead{shard: shard, former: name}
 }
 
 // alive probes another instance. A paused process accepts connections but does
--- /dev/null
+++ b/internal/holder/regions.go
@@ -0,0 +1,58 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"daisylane/internal/budgeter"
+	"daisylane/internal/connector"
+	"daisylane/internal/wirepb"
+)
+
+const returnTimeout = time.Second
+
+// askRegions asks the holders of the other regions to give back unused tokens.
+func (k *keeper) askRegions(a budgeter.Ask) {
+	h := k.h
+	object := k.budgets.Object(a.Shard)
+	var names []string
+	for region, tenure := range object.Holders {
+		if region != h.cfg.Region {
+			names = append(names, tenure.Instance)
+		}
+	}
+	h.effect(func(ctx context.Context) any {
+		h.collect(ctx, names, a)
+		return regionsAsked{a.Shard, a.Budget}
+	})
+}
+
+// collect asks each holder for its part and returns when all have answered.
+func (h *Holder) collect(ctx context.Context, names []string, a budgeter.Ask) {
+	var wg sync.WaitGroup
+	var sum atomic.Int64
+	for _, name := range names {
+		wg.Go(func() { sum.Add(h.askReturn(ctx, name, a)) })
+	}
+	wg.Wait()
+	h.log.Info().Str("event", "returned").Str("budget", a.Budget).Int64("tokens", sum.Load()).Int64("asked", a.Tokens).Send()
+}
+
+func (h *Holder) askReturn(ctx context.Context, name string, a budgeter.Ask) int64 {
+	m, ok := h.members.Get(name)
+	if !ok {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+	defer cancel()
+	res, err := connector.Call[*wirepb.Returned](ctx, h.pool, m.Addr, "return", &wirepb.Return{
+		Budget: a.Budget, Tokens: a.Tokens, Shard: uint32(a.Shard),
+	})
+	if err != nil {
+		h.log.Warn().Str("event", "return").Str("holder", name).Err(err).Send()
+		return 0
+	}
+	return res.GetTokens()
+}
--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -50,6 +50,9 @@
 	return f.Err()
 }
 
+// ParseMember decodes a registration and checks it.
+func ParseMember(data []byte) (Member, error) { return checker.Decode[Member](data) }
+
 // Key returns the object key of a registration.
 func Key(role, name string) string { return "member/" + role + "/" + name }
 
