--- /dev/null
+++ b/internal/executor/convert.go
@@ -0,0 +1,33 @@
+package executor
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"daisylane/internal/admitter"
+	"daisylane/internal/wirepb"
+)
+
+func reservation(r *wirepb.Reservation) admitter.Reservation {
+	return admitter.Reservation{
+		Holder: r.GetHolder(), Shard: r.GetShard(), Number: r.GetNumber(), Budget: r.GetBudget(),
+		Tokens: r.GetTokens(), Addr: r.GetAddr(), Region: r.GetRegion(),
+	}
+}
+
+func wireReservation(r admitter.Reservation) *wirepb.Reservation {
+	return &wirepb.Reservation{
+		Holder: r.Holder, Shard: r.Shard, Number: r.Number, Budget: r.Budget,
+		Tokens: r.Tokens, Addr: r.Addr, Region: r.Region,
+	}
+}
+
+func wireCharge(c admitter.Charge) *wirepb.Charge {
+	return &wirepb.Charge{Id: c.ID, Reservation: wireReservation(c.Reservation), Key: c.Key, Tokens: c.Tokens}
+}
+
+// continueTrace returns a context in the trace of a frame's sender.
+func continueTrace(f *wirepb.Frame) context.Context {
+	return propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier(f.GetTrace()))
+}
--- /dev/null
+++ b/internal/executor/desk.go
@@ -0,0 +1,58 @@
+package executor
+
+import (
+	"log/slog"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"daisylane/internal/admitter"
+)
+
+// desk is the actor that owns the admission state.
+type desk struct {
+	system *actor.ActorSystem
+	pid    *actor.PID
+	state  *admitter.Admitter
+}
+
+// decision is a message to the desk.
+type decision struct {
+	apply func(*admitter.Admitter)
+	done  chan struct{}
+}
+
+func newDesk(limits admitter.Limits) *desk {
+	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) })
+	d := &desk{system: actor.NewActorSystem(quiet), state: admitter.New(limits)}
+	d.pid = d.system.Root.Spawn(actor.PropsFromFunc(d.receive))
+	return d
+}
+
+func (d *desk) receive(ctx actor.Context) {
+	m, ok := ctx.Message().(*decision)
+	if !ok {
+		return
+	}
+	defer close(m.done)
+	m.apply(d.state)
+}
+
+// decide runs f on the admission state and waits for it. The desk stops only
+// after everything that decides has stopped.
+func (d *desk) decide(f func(*admitter.Admitter)) {
+	m := &decision{apply: f, done: make(chan struct{})}
+	d.system.Root.Send(d.pid, m)
+	<-m.done
+}
+
+// ask returns the result of f on the admission state.
+func ask[T any](d *desk, f func(*admitter.Admitter) T) T {
+	var v T
+	d.decide(func(a *admitter.Admitter) { v = f(a) })
+	return v
+}
+
+func (d *desk) stop() {
+	_ = d.system.Root.StopFuture(d.pid).Wait()
+	d.system.Shutdown()
+}
--- /dev/null
+++ b/internal/executor/settings.go
@@ -0,0 +1,130 @@
+package executor
+
+import (
+	"net"
+	"net/url"
+	"time"
+
+	"daisylane/internal/checker"
+	"daisylane/internal/loader"
+)
+
+// Kinds of targets.
+const (
+	Model   = "model"   // OpenAI-compatible model engine
+	Service = "service" // any other HTTP service
+)
+
+// Settings of a side.
+type Settings struct {
+	Listen    string   `toml:"listen"`    // address for routers
+	Advertise string   `toml:"advertise"` // address in the registration, empty: the listening address
+	Platform  string   `toml:"platform"`  // URL of the platform
+	Name      string   `toml:"name"`
+	Centre    string   `toml:"centre"`
+	Region    string   `toml:"region"`
+	Target    Target   `toml:"target"`
+	Limits    Limits   `toml:"limits"`
+	TLS       TLSFiles `toml:"tls"`
+}
+
+// Target is the back end of a side.
+type Target struct {
+	URL      string   `toml:"url"`
+	Name     string   `toml:"name"`
+	Kind     string   `toml:"kind"`
+	Model    string   `toml:"model"`
+	Adapters []string `toml:"adapters"`
+}
+
+// Limits bound the work and the memory of a side.
+type Limits struct {
+	Slots    int             `toml:"slots"`    // running requests, until the target reports its slots
+	Queue    int             `toml:"queue"`    // waiting requests
+	Buffer   int             `toml:"buffer"`   // kept bytes per answer
+	Deadline loader.Duration `toml:"deadline"` // longest time of a request
+	Flush    loader.Duration `toml:"flush"`    // time for the delivery of charges at a stop
+}
+
+// TLSFiles are PEM files for mutual TLS. Without them sessions are not encrypted.
+type TLSFiles struct {
+	Cert string `toml:"cert"`
+	Key  string `toml:"key"`
+	CA   string `toml:"ca"`
+}
+
+// Defaults returns the settings that a file may leave out.
+func Defaults() Settings {
+	return Settings{
+		Listen: "127.0.0.1:7400",
+		Target: Target{Kind: Model},
+		Limits: Limits{
+			Slots:    8,
+			Queue:    64,
+			Buffer:   16 << 20,
+			Deadline: loader.Duration(10 * time.Minute),
+			Flush:    loader.Duration(30 * time.Second),
+		},
+	}
+}
+
+// Check validates the settings.
+func (s Settings) Check() error {
+	var f checker.Faults
+	checkAddress(&f, "listen", s.Listen)
+	if s.Advertise != "" {
+		checkAddress(&f, "advertise", s.Advertise)
+	}
+	checkURL(&f, "platform", s.Platform)
+	f.Require(s.Name != "", "name", "is empty, set the name of this instance")
+	f.Require(s.Centre != "", "centre", "is empty, set the data centre of this instance")
+	f.Require(s.Region != "", "region", "is empty, set the region of this instance")
+	f.Within("target", s.Target.Check())
+	f.Within("limits", s.Limits.Check())
+	f.Within("tls", s.TLS.Check())
+	return f.Err()
+}
+
+// Check validates the target.
+func (t Target) Check() error {
+	var f checker.Faults
+	checkURL(&f, "url", t.URL)
+	f.Require(t.Name != "", "name", "is empty, set the name that the bundle uses")
+	f.Require(t.Kind == Model || t.Kind == Service, "kind", "is %q, allowed is %q or %q", t.Kind, Model, Service)
+	f.Require(t.Kind != Model || t.Model != "", "model", "is empty, a target of kind %q needs a model", Model)
+	return f.Err()
+}
+
+// Check validates the limits.
+func (l Limits) Check() error {
+	var f checker.Faults
+	checker.Range(&f, "slots", l.Slots, 1, 10_000)
+	checker.Range(&f, "queue", l.Queue, 0, 100_000)
+	checker.Range(&f, "buffer", l.Buffer, 64<<10, 256<<20)
+	checker.Range(&f, "deadline", l.Deadline.Std(), time.Second, time.Hour)
+	checker.Range(&f, "flush", l.Flush.Std(), 0, time.Hour)
+	return f.Err()
+}
+
+// Check requires all files or none.
+func (t TLSFiles) Check() error {
+	var f checker.Faults
+	if t == (TLSFiles{}) {
+		return nil
+	}
+	f.Require(t.Cert != "", "cert", "is empty, set cert, key and ca or none of them")
+	f.Require(t.Key != "", "key", "is empty, set cert, key and ca or none of them")
+	f.Require(t.CA != "", "ca", "is empty, set cert, key and ca or none of them")
+	return f.Err()
+}
+
+func checkAddress(f *checker.Faults, key, addr string) {
+	_, _, err := net.SplitHostPort(addr)
+	f.Require(err == nil, key, "is %q, want host:port", addr)
+}
+
+func checkURL(f *checker.Faults, key, text string) {
+	u, err := url.Parse(text)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	f.Require(ok, key, "is %q, want a URL like \"http://127.0.0.1:8000\"", text)
+}
--- /dev/null
+++ b/internal/executor/side.go
@@ -0,0 +1,274 @@
+package executor
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+
+	"daisylane/internal/admitter"
+	"daisylane/internal/connector"
+	"daisylane/internal/wirepb"
+)
+
+const (
+	progressInterval = time.Second
+	tickInterval     = 100 * time.Millisecond
+	loadInterval     = time.Second
+	closureInterval  = 5 * time.Second
+	registerInterval = time.Second
+	platformTimeout  = 5 * time.Second
+	settleTimeout    = 5 * time.Second
+	keepPeriod       = 60 * time.Second
+	stopPoll         = 20 * time.Millisecond
+)
+
+// Holders delivers charges to the holders of reservations.
+type Holders interface {
+	// Settle returns nil after the charge is durable.
+	Settle(ctx context.Context, charge admitter.Charge) error
+}
+
+// Registry makes the side known and gives the closed holders.
+type Registry interface {
+	Register(ctx context.Context, m Member) error
+	Closures(ctx context.Context) ([]string, error)
+	Deregister(ctx context.Context, m Member) error
+}
+
+// Side runs requests at one target.
+type Side struct {
+	cfg      Settings
+	instance string
+	registry Registry
+	holders  Holders
+	log      zerolog.Logger
+	tracer   trace.Tracer
+	pooled   *http.Client // for requests that may be repeated
+	single   *http.Client // for claims: a connection per call, because net/http repeats calls on reused connections
+	desk     *desk
+
+	work  sync.WaitGroup // running requests and charges on their way
+	reads atomic.Int64   // streams that read an answer
+
+	mu       sync.Mutex
+	jobs     map[string]*job
+	reported time.Time // time of the last load report
+}
+
+// Option configures a side.
+type Option func(*Side)
+
+// WithLogger sets the logger.
+func WithLogger(log zerolog.Logger) Option { return func(s *Side) { s.log = log } }
+
+// WithTracer sets the tracer of request spans.
+func WithTracer(t trace.Tracer) Option { return func(s *Side) { s.tracer = t } }
+
+// WithInstance sets the instance name instead of the configured name with a random incarnation.
+func WithInstance(name string) Option { return func(s *Side) { s.instance = name } }
+
+// New returns a side that does not serve yet.
+func New(cfg Settings, registry Registry, holders Holders, opts ...Option) (*Side, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, fmt.Errorf("check settings: %w", err)
+	}
+	s := &Side{
+		cfg:      cfg,
+		instance: Incarnation(cfg.Name),
+		registry: registry,
+		holders:  holders,
+		log:      zerolog.Nop(),
+		tracer:   otel.Tracer("daisylane/executor"),
+		pooled:   newClient(false),
+		single:   newClient(true),
+		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue}),
+		jobs:     make(map[string]*job),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s, nil
+}
+
+// Incarnation returns an instance name that no earlier process had.
+func Incarnation(name string) string { return name + "-" + rand.Text()[:10] }
+
+// Instance returns the name of the instance.
+func (s *Side) Instance() string { return s.instance }
+
+// Identity returns the Hello message of the side.
+func (s *Side) Identity() *wirepb.Hello {
+	return &wirepb.Hello{
+		Protocol: connector.ProtocolVersion,
+		Instance: s.instance,
+		Role:     "side",
+		Centre:   s.cfg.Centre,
+		Region:   s.cfg.Region,
+	}
+}
+
+// Serve registers the side and serves routers until ctx ends, then stops
+// gracefully: it refuses new work, finishes running requests, delivers charges
+// and deregisters. It can be called once.
+func (s *Side) Serve(ctx context.Context, ln net.Listener) error {
+	defer s.desk.stop()
+	srv, err := s.server()
+	if err != nil {
+		return err
+	}
+	member := s.member(ln.Addr().String())
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var loops sync.WaitGroup
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(inner, ln) }()
+	loops.Go(func() { s.loop(inner, tickInterval, s.tick) })
+	if s.cfg.Target.Kind == Model {
+		loops.Go(func() { s.loop(inner, loadInterval, s.pollLoad) })
+	}
+	registered := make(chan struct{})
+	loops.Go(func() {
+		defer close(registered)
+		s.register(ctx, member)
+		s.loop(ctx, closureInterval, s.pollClosures)
+	})
+
+	select {
+	case <-ctx.Done():
+		<-registered
+		s.stop(inner, member)
+	case err = <-served:
+		served <- nil
+	}
+	cancel()
+	_ = srv.Close()
+	s.abort()
+	loops.Wait()
+	s.work.Wait()
+	if e := <-served; e != nil {
+		err = e
+	}
+	if err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func (s *Side) server() (*connector.Server, error) {
+	opts := []connector.ServerOption{connector.WithFailure(func(peer string, err error) {
+		s.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
+	})}
+	if s.cfg.TLS != (TLSFiles{}) {
+		cfg, err := s.cfg.TLS.server()
+		if err != nil {
+			return nil, fmt.Errorf("load TLS files: %w", err)
+		}
+		opts = append(opts, connector.WithServerTLS(cfg))
+	}
+	srv := connector.NewServer(s.Identity, opts...)
+	s.handle(srv)
+	return srv, nil
+}
+
+func (s *Side) loop(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f(ctx)
+		}
+	}
+}
+
+func (s *Side) tick(context.Context) {
+	now := time.Now()
+	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Tick(now) }))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, j := range s.jobs {
+		if j.expired(now) {
+			delete(s.jobs, id)
+		}
+	}
+}
+
+// carryOut performs the actions of the admission state.
+func (s *Side) carryOut(actions []admitter.Action) {
+	for _, act := range actions {
+		switch act := act.(type) {
+		case admitter.Start:
+			if j := s.job(act.ID); j != nil {
+				s.work.Go(func() { s.execute(j) })
+			}
+		case admitter.Refuse:
+			s.refuse(act)
+		case admitter.Stop:
+			if j := s.job(act.ID); j != nil {
+				j.cancel(errLimit)
+			}
+		case admitter.Settle:
+			s.work.Go(func() { s.settle(act.Charge) })
+		}
+	}
+}
+
+func (s *Side) refuse(act admitter.Refuse) {
+	j := s.drop(act.ID)
+	if j == nil {
+		return
+	}
+	j.refuse(&connector.RefusedError{Reason: string(act.Reason), Text: act.Text, After: act.After, Load: s.load()})
+	s.log.Info().Str("request", act.ID).Str("reason", string(act.Reason)).Msg("request refused")
+}
+
+func (s *Side) job(id string) *job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs[id]
+}
+
+func (s *Side) drop(id string) *job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[id]
+	delete(s.jobs, id)
+	return j
+}
+
+// add registers a job unless its id is known.
+func (s *Side) add(j *job) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.jobs[j.id]; known {
+		return false
+	}
+	s.jobs[j.id] = j
+	return true
+}
+
+func (s *Side) load() *wirepb.Load {
+	var load admitter.Load
+	var leaving bool
+	s.desk.decide(func(a *admitter.Admitter) { load, leaving = a.Load(), a.Draining() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := &wirepb.Load{
+		Running: uint32(load.Running), Waiting: uint32(load.Waiting), Slots: uint32(load.Slots),
+		Cache: load.Cache, Leaving: leaving,
+	}
+	if !s.reported.IsZero() {
+		m.Age = uint64(time.Since(s.reported).Milliseconds())
+	}
+	return m
+}
