--- /dev/null
+++ b/internal/logger/logger_test.go
@@ -0,0 +1,62 @@
+package logger
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+const token = "dl-5ecre7"
+
+// Guards against events that break into several lines or cannot be split into pairs.
+func TestOneLine(t *testing.T) {
+	var out bytes.Buffer
+	log, err := New(&out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Debug().Msg("hidden")
+	log.Error().Err(errors.New("a\nb")).Str("name", "x y").Int("n", 3).Msg("two\nlines")
+	_, got, _ := strings.Cut(out.String(), " ")
+	if want := "level=error msg=\"two\\nlines\" error=\"a\\nb\" n=3 name=\"x y\"\n"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// Guards against keys and tokens in logs, in any form of logging or encoding.
+func TestRedaction(t *testing.T) {
+	var out bytes.Buffer
+	log, err := New(&out, "debug")
+	if err != nil {
+		t.Fatal(err)
+	}
+	type settings struct{ Key Secret }
+	s := settings{Key: token}
+	log.Info().Interface("settings", s).Stringer("key", s.Key).Any("raw", s.Key).Msgf("%v %+v %#v %q %x", s.Key, s, s, s.Key, s.Key)
+	log.Info().Object("headers", Headers(http.Header{"Authorization": {"Bearer " + token}, "X-Api-Key": {token}})).Send()
+	log.Error().Err(fmt.Errorf("header %q", "Authorization: Bearer "+token)).Str("url", "/?h=bearer+"+token).Send()
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out.Write(data)
+	if strings.Contains(out.String(), token) || strings.Contains(out.String(), fmt.Sprintf("%x", token)) {
+		t.Errorf("log has the token: %s", out.String())
+	}
+	if s.Key.Reveal() != token {
+		t.Error("secret is lost")
+	}
+}
+
+// Guards against a misspelt level that silences the log.
+func TestLevel(t *testing.T) {
+	for _, level := range []string{"", "loud"} {
+		if _, err := New(&bytes.Buffer{}, level); err == nil {
+			t.Errorf("level %q is accepted", level)
+		}
+	}
+}
--- /dev/null
+++ b/internal/reporter/metrics.go
@@ -0,0 +1,94 @@
+package reporter
+
+// Names of the fleet's metrics. The last word is the unit.
+const (
+	Requests           = "requests_total"
+	RequestSeconds     = "request_seconds"
+	FirstTokenSeconds  = "first_token_seconds"
+	TokenGapSeconds    = "token_gap_seconds"
+	Tokens             = "tokens_total"
+	InFlight           = "in_flight_requests"
+	Refusals           = "refusals_total"
+	Retries            = "retries_total"
+	Resumes            = "resumes_total"
+	OpenBreakers       = "open_breakers"
+	Reservations       = "reservations_total"
+	OpenReserved       = "open_reserved_tokens"
+	Marked             = "marked_tokens"
+	Allotted           = "allotted_tokens"
+	Withheld           = "withheld_tokens"
+	Overspent          = "overspent_tokens"
+	Charges            = "charges_total"
+	UnbilledCharges    = "unbilled_charges"
+	HeldShards         = "held_shards"
+	JournalRecords     = "journal_records_total"
+	JournalSeconds     = "journal_commit_seconds"
+	Folds              = "folds_total"
+	Recoveries         = "recoveries_total"
+	RecoverySeconds    = "recovery_seconds"
+	Claims             = "claims_total"
+	PlatformCalls      = "platform_calls_total"
+	PlatformSeconds    = "platform_call_seconds"
+	PeerBytes          = "peer_bytes_total"
+	BundleVersion      = "bundle_version"
+	BundleDelaySeconds = "bundle_delay_seconds"
+	LiveTargets        = "live_targets"
+	Orders             = "orders_total"
+	Drains             = "drains_total"
+)
+
+// Kind of a metric.
+type Kind string
+
+// Kinds of metrics.
+const (
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram"
+)
+
+// Metric describes a metric.
+type Metric struct {
+	Name string
+	Kind Kind
+	Unit string
+	Tags []string
+	Help string
+}
+
+// Metrics lists all metrics of the fleet.
+var Metrics = []Metric{
+	{Requests, Counter, "requests", []string{"service", "outcome"}, "Requests answered, by typed outcome."},
+	{RequestSeconds, Histogram, "seconds", []string{"service", "outcome"}, "Time from request to the end of the answer."},
+	{FirstTokenSeconds, Histogram, "seconds", []string{"model"}, "Time from request to the first token."},
+	{TokenGapSeconds, Histogram, "seconds", []string{"model"}, "Time between tokens of a stream."},
+	{Tokens, Counter, "tokens", []string{"model", "kind"}, "Prompt and output tokens billed."},
+	{InFlight, Gauge, "requests", []string{"service"}, "Requests being answered."},
+	{Refusals, Counter, "refusals", []string{"reason"}, "Requests refused as not run, by reason."},
+	{Retries, Counter, "retries", []string{"reason"}, "Attempts after the first."},
+	{Resumes, Counter, "resumes", nil, "Streams continued over a new connection."},
+	{OpenBreakers, Gauge, "breakers", nil, "Targets that an open circuit breaker excludes."},
+	{Reservations, Counter, "reservations", []string{"result"}, "Reservations asked of the holder."},
+	{OpenReserved, Gauge, "tokens", nil, "Tokens in open reservations."},
+	{Marked, Gauge, "tokens", nil, "Tokens marked and not yet charged."},
+	{Allotted, Gauge, "tokens", nil, "Tokens allotted and not yet folded."},
+	{Withheld, Gauge, "tokens", nil, "Tokens withheld after the crash of a holder."},
+	{Overspent, Gauge, "tokens", nil, "Tokens charged over the budget. Always 0 in a correct fleet."},
+	{Charges, Counter, "charges", []string{"result"}, "Charges received, as durable or duplicate."},
+	{UnbilledCharges, Gauge, "charges", nil, "Charges that the holder has not confirmed."},
+	{HeldShards, Gauge, "shards", nil, "Budget shards that this process holds."},
+	{JournalRecords, Counter, "records", nil, "Journal records written."},
+	{JournalSeconds, Histogram, "seconds", nil, "Time of a journal commit."},
+	{Folds, Counter, "folds", nil, "Folds of charges into shard objects."},
+	{Recoveries, Counter, "recoveries", []string{"result"}, "Takeovers from a dead holder."},
+	{RecoverySeconds, Histogram, "seconds", nil, "Time from takeover until all tokens are released."},
+	{Claims, Counter, "claims", []string{"state"}, "Claims of non-idempotent calls, by state."},
+	{PlatformCalls, Counter, "calls", []string{"kind", "result"}, "Calls to the platform, by read, write and watch."},
+	{PlatformSeconds, Histogram, "seconds", []string{"kind"}, "Time of a call to the platform."},
+	{PeerBytes, Counter, "bytes", []string{"scope", "direction"}, "Control traffic with processes in the centre, region or elsewhere."},
+	{BundleVersion, Gauge, "version", nil, "Bundle version in force."},
+	{BundleDelaySeconds, Histogram, "seconds", nil, "Time from acceptance of a bundle until it is in force here."},
+	{LiveTargets, Gauge, "targets", []string{"model"}, "Targets that can get work."},
+	{Orders, Counter, "orders", []string{"result"}, "Orders to engines."},
+	{Drains, Counter, "drains", nil, "Drains begun."},
+}
