Add a second level of bundle chunks

A one-account change transferred 236 KB at planned size, mostly the list of hashes in the head and large chunks. Let the head name lists of smaller chunks, and check a bundle with the maps of its index.

--- a/internal/bundler/check.go
+++ b/internal/bundler/check.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/BurntSushi/toml"
 
@@ -44,32 +45,61 @@
 // Check reports all faults: of single values, names used twice, and references
 // to regions, budgets or targets that the bundle does not define.
 func (b Bundle) Check() error {
-	var f checker.Faults
-	regions := distinct(&f, "regions", b.Regions, func(s string) string { return s })
-	budgets := distinct(&f, "budgets", b.Budgets, func(v Budget) string { return v.Name })
-	targets := distinct(&f, "targets", b.Targets, func(v Target) string { return v.Name })
-	distinct(&f, "accounts", b.Accounts, func(v Account) string { return v.Name })
+	_, err := NewIndex(b)
+	return err
+}
+
+func (x *Index) check(f *checker.Faults) {
+	b := x.bundle
 	f.Require(len(b.Regions) > 0, "regions", "is empty, name at least one region")
-	for _, v := range b.Budgets {
-		within(&f, "budgets", v.Name, v.Check())
-	}
-	for _, v := range b.Targets {
-		within(&f, "targets", v.Name, v.Check())
-	}
-	owners := make(map[string]string, len(b.Accounts))
-	for _, a := range b.Accounts {
-		within(&f, "accounts", a.Name, a.Check())
-		within(&f, "accounts", a.Name, a.checkReferences(regions, budgets, targets))
-		for _, key := range a.Keys {
-			if owner, taken := owners[key]; taken {
-				f.Add("accounts."+a.Name+".keys", "key %.12s… is also a key of account %s, remove one", key, owner)
-			}
-			owners[key] = a.Name
+	for i, name := range b.Regions {
+		distinct(f, "regions", name, !slices.Contains(b.Regions[:i], name))
+	}
+	for i, v := range b.Budgets {
+		distinct(f, "budgets", v.Name, x.budgets[v.Name] == int32(i))
+		within(f, "budgets", v.Name, v.Check())
+	}
+	for i, v := range b.Targets {
+		distinct(f, "targets", v.Name, x.targets[v.Name] == int32(i))
+		within(f, "targets", v.Name, v.Check())
+	}
+	names := make(map[string]struct{}, len(b.Accounts))
+	for i, a := range b.Accounts {
+		_, taken := names[a.Name]
+		names[a.Name] = struct{}{}
+		distinct(f, "accounts", a.Name, !taken)
+		within(f, "accounts", a.Name, a.Check())
+		within(f, "accounts", a.Name, x.checkAccount(int32(i), a))
+	}
+}
+
+func (x *Index) checkAccount(i int32, a Account) error {
+	var f checker.Faults
+	for j, key := range a.Keys {
+		unique := x.keys[key] == i && !slices.Contains(a.Keys[:j], key)
+		f.Require(unique, "keys", "key %.12s… is there twice, remove one", key)
+	}
+	if a.Home != "" {
+		f.Require(slices.Contains(x.bundle.Regions, a.Home), "home", "%q is not a region of this bundle", a.Home)
+	}
+	for _, p := range a.Budgets {
+		if _, ok := x.budgets[p.Budget]; !ok {
+			f.Add("budgets", "%q is not defined in this bundle", p.Budget)
 		}
+		x.checkTargets(&f, "budgets", p.Targets)
 	}
+	x.checkTargets(&f, "targets", a.Targets)
 	return f.Err()
 }
 
+func (x *Index) checkTargets(f *checker.Faults, key string, names []string) {
+	for _, name := range names {
+		if _, ok := x.targets[name]; !ok && name != Any {
+			f.Add(key, "target %q is not defined in this bundle", name)
+		}
+	}
+}
+
 // Check reports the faults of the account itself, not of its references.
 func (a Account) Check() error {
 	var f checker.Faults
@@ -82,24 +112,7 @@
 		f.Require(isHash(key), "keys", "%.12q is not a SHA-256 in lower-case hex, make one with 'daisylane key new'", key)
 	}
 	for _, p := range a.Budgets {
-		f.Require(len(p.Targets) > 0, "budgets."+p.Budget, "pays for no target, name targets or %q", Any)
-	}
-	return f.Err()
-}
-
-func (a Account) checkReferences(regions, budgets, targets map[string]struct{}) error {
-	var f checker.Faults
-	if a.Home != "" {
-		known(&f, "home", a.Home, regions)
-	}
-	for _, p := range a.Budgets {
-		known(&f, "budgets", p.Budget, budgets)
-		for _, name := range p.Targets {
-			knownOrAny(&f, "budgets."+p.Budget+".targets", name, targets)
-		}
-	}
-	for _, name := range a.Targets {
-		knownOrAny(&f, "targets", name, targets)
+		f.Require(len(p.Targets) > 0, "budgets", "%q pays for no target, name targets or %q", p.Budget, Any)
 	}
 	return f.Err()
 }
@@ -145,31 +158,11 @@
 	}
 }
 
-func distinct[T any](f *checker.Faults, key string, list []T, name func(T) string) map[string]struct{} {
-	seen := make(map[string]struct{}, len(list))
-	for _, v := range list {
-		s := name(v)
-		if !isName(s) {
-			f.Add(key, "%q is not a name: use 1 to %d letters, digits and ._/:@-", s, maxNameBytes)
-		}
-		if _, ok := seen[s]; ok {
-			f.Add(key, "%q is there twice, remove one", s)
-		}
-		seen[s] = struct{}{}
-	}
-	return seen
-}
-
-func known(f *checker.Faults, key, name string, defined map[string]struct{}) {
-	if _, ok := defined[name]; !ok {
-		f.Add(key, "%q is not defined in this bundle", name)
-	}
-}
-
-func knownOrAny(f *checker.Faults, key, name string, defined map[string]struct{}) {
-	if name != Any {
-		known(f, key, name, defined)
+func distinct(f *checker.Faults, key, name string, unique bool) {
+	if !isName(name) {
+		f.Add(key, "%q is not a name: use 1 to %d letters, digits and ._/:@-", name, maxNameBytes)
 	}
+	f.Require(unique, key, "%q is there twice, remove one", name)
 }
 
 func between(v, low, high float64) bool { return v >= low && v <= high }
--- a/internal/bundler/doc.go
+++ b/internal/bundler/doc.go
@@ -12,8 +12,8 @@
 // # Usage
 //
 //	b, err := bundler.Parse(data)
-//	chunks, err := bundler.Split(b)
-//	head, err := bundler.Sign(bundler.Head{Version: 7, Author: "ann", Chunks: bundler.Hashes(chunks)}, key)
+//	list, chunks, err := bundler.Split(b)
+//	head, err := bundler.Sign(bundler.Head{Version: 7, Author: "ann", Chunks: list}, key)
 //
 //	err = bundler.Verify(head, trust)
 //	b, err = bundler.Join(head, bodies)
