Avoid boxed arguments in bundle checks

Every bundle change checks 42,000 accounts, and formatted arguments were allocated for checks that pass.

--- a/internal/bundler/check.go
+++ b/internal/bundler/check.go
@@ -76,8 +76,9 @@
 func (x *Index) checkAccount(i int32, a Account) error {
 	var f checker.Faults
 	for j, key := range a.Keys {
-		unique := x.keys[key] == i && !slices.Contains(a.Keys[:j], key)
-		f.Require(unique, "keys", "key %.12s… is there twice, remove one", key)
+		if x.keys[key] != i || slices.Contains(a.Keys[:j], key) {
+			f.Add("keys", "key %.12s… is there twice, remove one", key)
+		}
 	}
 	if a.Home != "" {
 		f.Require(slices.Contains(x.bundle.Regions, a.Home), "home", "%q is not a region of this bundle", a.Home)
@@ -109,10 +110,15 @@
 	checker.Range(&f, "keys", len(a.Keys), 0, maxKeys)
 	checker.Range(&f, "budgets", len(a.Budgets), 0, maxPayments)
 	for _, key := range a.Keys {
-		f.Require(isHash(key), "keys", "%.12q is not a SHA-256 in lower-case hex, make one with 'daisylane key new'", key)
+		if isHash(key) {
+			continue
+		}
+		f.Add("keys", "%.12q is not a SHA-256 in lower-case hex, make one with 'daisylane key new'", key)
 	}
 	for _, p := range a.Budgets {
-		f.Require(len(p.Targets) > 0, "budgets", "%q pays for no target, name targets or %q", p.Budget, Any)
+		if len(p.Targets) == 0 {
+			f.Add("budgets", "%q pays for no target, name targets or %q", p.Budget, Any)
+		}
 	}
 	return f.Err()
 }
@@ -162,7 +168,9 @@
 	if !isName(name) {
 		f.Add(key, "%q is not a name: use 1 to %d letters, digits and ._/:@-", name, maxNameBytes)
 	}
-	f.Require(unique, key, "%q is there twice, remove one", name)
+	if !unique {
+		f.Add(key, "%q is there twice, remove one", name)
+	}
 }
 
 func between(v, low, high float64) bool { return v >= low && v <= high }
