--- /dev/null
+++ b/internal/bundler/list.go
@@ -0,0 +1,12 @@
+package bundler
+
+// Reachable returns the targets that an account may reach, in the order of the bundle.
+func (x *Index) Reachable(account Account) []Target {
+	var list []Target
+	for _, t := range x.bundle.Targets {
+		if account.Reaches(t.Name) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
--- a/internal/holder/actions.go
+++ b/internal/holder/actions.go
@@ -6,6 +6,7 @@
 	"daisylane/internal/budgeter"
 	"daisylane/internal/connector"
 	"daisylane/internal/journaler"
+	"daisylane/internal/reporter"
 )
 
 // carryOut performs the actions of the budgeter.
@@ -40,7 +41,7 @@
 		case budgeter.Closed:
 			k.closed(now, a)
 		case budgeter.Left:
-			k.h.log.Info().Str("event", "left").Int("shard", a.Shard).Send()
+			k.h.log.Info().Int("shard", a.Shard).Msg("shard handed over")
 			k.finishStop(now)
 		}
 	}
@@ -62,7 +63,7 @@
 func (k *keeper) refuse(a budgeter.Refused) {
 	if m, ok := k.reserves[a.Token]; ok {
 		delete(k.reserves, a.Token)
-		k.h.scope.Tagged(map[string]string{"reason": string(a.Err.Reason)}).Counter("refusals_total").Inc(1)
+		k.h.scope.Tagged(map[string]string{"result": string(a.Err.Reason)}).Counter(reporter.Reservations).Inc(1)
 		m.reply.fail(refusal(a.Err))
 	}
 	if reply, ok := k.settles[a.Token]; ok {
@@ -72,8 +73,8 @@
 }
 
 func (k *keeper) held(now time.Time, a budgeter.Held) {
-	k.h.log.Info().Str("event", "held").Int("shard", a.Shard).Uint64("term", a.Tenure.Term).Strs("former", a.Former).Send()
-	k.h.scope.Gauge("held_shards").Update(float64(len(k.budgets.Shards())))
+	k.h.log.Info().Int("shard", a.Shard).Uint64("term", a.Tenure.Term).Strs("former", a.Former).Msg("shard held")
+	k.h.scope.Gauge(reporter.HeldShards).Update(float64(len(k.budgets.Shards())))
 	delete(k.redirects, a.Shard)
 	for _, name := range a.Former {
 		k.takeOver(now, a.Shard, name)
@@ -111,7 +112,7 @@
 
 // lost ends all holding: a successor has sealed the journal.
 func (k *keeper) lost(a journaler.Stop) {
-	k.h.log.Warn().Str("event", "sealed").Str("sealer", a.Sealer).Send()
+	k.h.log.Warn().Str("sealer", a.Sealer).Msg("journal sealed by a successor")
 	k.carryOut(time.Now(), k.budgets.Stop())
 	err := &connector.RefusedError{Reason: "stopping", Text: "the instance lost its shards", After: 250 * time.Millisecond}
 	for shard := range k.pending {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -37,6 +37,8 @@
 	ctx    context.Context // ends with Close, bounds the calls of the actor
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
+
+	closing sync.Once
 }
 
 // New starts a holder without shards. Shards are taken when they are first
@@ -127,12 +129,14 @@
 	return nil
 }
 
-// Close stops at once, as a crash would.
+// Close stops at once, as a crash would. It can be called more than once.
 func (h *Holder) Close() {
-	h.cancel()
-	_ = h.system.Root.StopFuture(h.pid).Wait()
-	h.tasks.Wait()
-	h.system.Shutdown()
+	h.closing.Do(func() {
+		h.cancel()
+		_ = h.system.Root.StopFuture(h.pid).Wait()
+		h.tasks.Wait()
+		h.system.Shutdown()
+	})
 }
 
 func (h *Holder) tick() {
--- /dev/null
+++ b/internal/holder/holder_test.go
@@ -0,0 +1,260 @@
+package holder
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"daisylane/internal/allotter"
+	"daisylane/internal/checker"
+	"daisylane/internal/connector"
+	"daisylane/internal/faker"
+	"daisylane/internal/locator"
+	"daisylane/internal/placer"
+	"daisylane/internal/recoverer"
+	"daisylane/internal/storer"
+	"daisylane/internal/watcher"
+	"daisylane/internal/wirepb"
+)
+
+const testShards = 4
+
+// node is one entry of a test, without router.
+type node struct {
+	holder  *Holder
+	client  *Client
+	members *locator.Locator
+	server  *connector.Server
+	pool    *connector.Pool
+	cancel  context.CancelFunc
+	sealed  chan string
+}
+
+type fixture struct {
+	t        *testing.T
+	platform *httptest.Server
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{t: t, platform: httptest.NewServer(faker.NewPlatform())}
+	t.Cleanup(f.platform.Close)
+	return f
+}
+
+func (f *fixture) store(name string) *storer.Client {
+	return storer.New(f.platform.URL, storer.WithName(name))
+}
+
+func (f *fixture) start(name, region string) *node {
+	f.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	self := watcher.Member{Name: name, Role: watcher.Entry, Centre: region + "-1", Region: region, Addr: ln.Addr().String()}
+	store := f.store(name)
+	n := &node{sealed: make(chan string, 1)}
+	n.members = locator.New(store, self, locator.WithListInterval(100*time.Millisecond))
+	identity := func() *wirepb.Hello {
+		return &wirepb.Hello{Protocol: connector.ProtocolVersion, Instance: name, Role: watcher.Entry, Region: region}
+	}
+	n.pool = connector.NewPool(identity, connector.WithDialResult(n.members.Dialed))
+	n.server = connector.NewServer(identity)
+	connector.Answer(n.server, func(context.Context, string, *wirepb.Status) (*wirepb.Report, error) {
+		return &wirepb.Report{}, nil
+	})
+	n.holder, err = New(Config{
+		Instance: name, Region: region, Shards: testShards, Slots: 16, Ahead: 0.5,
+		Release: recoverer.ReleaseGone, Regions: []string{"north", "south"}, Fold: time.Second,
+	}, store, n.members, n.pool, WithSealed(func(s string) { n.sealed <- s }))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.holder.Serve(n.server)
+	n.client = NewClient(n.holder, n.members, n.pool)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	if err := n.members.Register(ctx); err != nil {
+		f.t.Fatal(err)
+	}
+	go n.members.Run(ctx)
+	go func() { _ = n.server.Serve(ctx, ln) }()
+	f.t.Cleanup(n.kill)
+	f.eventually("membership is read", func() bool { return n.members.Ready() })
+	return n
+}
+
+// kill stops a node as a crash would.
+func (n *node) kill() {
+	n.cancel()
+	_ = n.server.Close()
+	n.holder.Close()
+	_ = n.pool.Close()
+}
+
+func (f *fixture) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for range 500 {
+		if ok() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatalf("timeout: %s", what)
+}
+
+func (f *fixture) object(shard int) allotter.Shard {
+	f.t.Helper()
+	item, err := f.store("test").Get(f.t.Context(), ObjectKey(shard))
+	if errors.Is(err, storer.ErrAbsent) {
+		return allotter.New(shard)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	object, err := checker.Decode[allotter.Shard](item.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return object
+}
+
+func (f *fixture) topUp(budget, id string, tokens int64) {
+	f.t.Helper()
+	shard := placer.Shard(budget, testShards)
+	store := f.store("operator")
+	for range 20 {
+		item, err := store.Get(f.t.Context(), ObjectKey(shard))
+		if err != nil && !errors.Is(err, storer.ErrAbsent) {
+			f.t.Fatal(err)
+		}
+		object, err := decodeObject(shard, item)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		object, err = object.WithTopUp(budget, id, tokens, time.Now().Unix(), time.Now().Unix())
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		body, err := checker.Encode(object)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if _, err := store.Put(f.t.Context(), ObjectKey(shard), body, item.Version); err == nil {
+			return
+		}
+	}
+	f.t.Fatal("top-up always conflicts")
+}
+
+func refusedReason(err error) string {
+	var refused *connector.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
+
+// Guards against tokens being lost or spent twice on the way from the shard
+// object to a reservation and back.
+func TestReserveAndSettle(t *testing.T) {
+	f := newFixture(t)
+	f.topUp("acme", "t1", 1000)
+	a, b := f.start("a.1", "north"), f.start("b.1", "north")
+	f.eventually("entries know each other", func() bool {
+		return len(a.members.Entries("north", "")) == 2 && len(b.members.Entries("north", "")) == 2
+	})
+
+	r, err := a.client.Reserve(t.Context(), "r1", &wirepb.Reserve{Budget: "acme", Tokens: 600})
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := b.client.Reserve(t.Context(), "r1", &wirepb.Reserve{Budget: "acme", Tokens: 600})
+	if err != nil || again.GetNumber() != r.GetNumber() {
+		t.Fatalf("repeated call: %v, %v, want number %d", again, err, r.GetNumber())
+	}
+	if _, err := b.client.Reserve(t.Context(), "r2", &wirepb.Reserve{Budget: "acme", Tokens: 600}); refusedReason(err) != "budget" {
+		t.Fatalf("err = %v, want refusal for the budget", err)
+	}
+	if err := b.client.Settle(t.Context(), "r1", &wirepb.Settle{Reservation: r, Tokens: 100}); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.client.Settle(t.Context(), "r1", &wirepb.Settle{Reservation: r, Tokens: 100}); err != nil {
+		t.Fatalf("duplicate: %v", err)
+	}
+	if _, err := a.client.Reserve(t.Context(), "r3", &wirepb.Reserve{Budget: "acme", Tokens: 900}); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("charge is folded once", func() bool {
+		return f.object(placer.Shard("acme", testShards)).Budgets["acme"].Settled == 100
+	})
+}
+
+// Guards against a dead holder keeping the budget from its successor, and
+// against a paused one spending on after the takeover.
+func TestTakeover(t *testing.T) {
+	f := newFixture(t)
+	f.topUp("acme", "t1", 1000)
+	a, b := f.start("a.1", "north"), f.start("b.1", "north")
+	f.eventually("entries know each other", func() bool {
+		return len(a.members.Entries("north", "")) == 2 && len(b.members.Entries("north", "")) == 2
+	})
+	r, err := a.client.Reserve(t.Context(), "r1", &wirepb.Reserve{Budget: "acme", Tokens: 300})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second := a, b
+	if r.GetHolder() == "b.1" {
+		first, second = b, a
+	}
+	// The first holder is cut off but goes on running, as a paused process would.
+	_ = first.server.Close()
+	first.cancel()
+
+	var got int64
+	f.eventually("successor reserves all tokens", func() bool {
+		r, err := second.client.Reserve(t.Context(), "r2", &wirepb.Reserve{Budget: "acme", Tokens: 1000})
+		got = r.GetTokens()
+		return err == nil
+	})
+	if got != 1000 {
+		t.Errorf("reserved %d, want 1000", got)
+	}
+	select {
+	case <-first.sealed:
+	case <-time.After(10 * time.Second):
+		t.Error("the former holder did not notice the seal")
+	}
+	if _, err := first.holder.Reserve(t.Context(), "r3", &wirepb.Reserve{Budget: "acme", Tokens: 1}); err == nil {
+		t.Error("the former holder still reserves")
+	}
+}
+
+// Guards against a planned stop that leaves tokens withheld.
+func TestHandOver(t *testing.T) {
+	f := newFixture(t)
+	f.topUp("acme", "t1", 1000)
+	a := f.start("a.1", "north")
+	r, err := a.client.Reserve(t.Context(), "r1", &wirepb.Reserve{Budget: "acme", Tokens: 300})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- a.holder.Stop(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	if err := a.client.Settle(t.Context(), "r1", &wirepb.Settle{Reservation: r, Tokens: 120}); err != nil {
+		t.Fatalf("settle during the stop: %v", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+	b := f.object(placer.Shard("acme", testShards)).Budgets["acme"]
+	if b.Settled != 120 || b.Free() != 880 {
+		t.Errorf("settled %d, free %d, want 120 and 880", b.Settled, b.Free())
+	}
+}
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -237,7 +237,7 @@
 		return
 	}
 	k.up = up
-	k.h.log.Info().Str("event", "platform").Bool("up", up).Send()
+	k.h.log.Info().Bool("up", up).Msg("platform reachability changed")
 	k.carryOut(now, k.budgets.Platform(now, up))
 }
 
--- a/internal/holder/platform.go
+++ b/internal/holder/platform.go
@@ -162,7 +162,7 @@
 }
 
 func (k *keeper) updateFailed(now time.Time, shard int, err error) {
-	k.h.log.Warn().Str("event", "update").Int("shard", shard).Err(err).Send()
+	k.h.log.Warn().Int("shard", shard).Err(err).Msg("shard object not updated")
 	k.carryOut(now, k.budgets.Failed(now, shard))
 	if !k.budgets.Holds(shard) && k.stopping == nil {
 		k.carryOut(now, k.budgets.Abandon(shard))
--- a/internal/holder/regions.go
+++ b/internal/holder/regions.go
@@ -37,7 +37,7 @@
 		wg.Go(func() { sum.Add(h.askReturn(ctx, name, a)) })
 	}
 	wg.Wait()
-	h.log.Info().Str("event", "returned").Str("budget", a.Budget).Int64("tokens", sum.Load()).Int64("asked", a.Tokens).Send()
+	h.log.Info().Str("budget", a.Budget).Int64("tokens", sum.Load()).Int64("asked", a.Tokens).Msg("other regions answered")
 }
 
 func (h *Holder) askReturn(ctx context.Context, name string, a budgeter.Ask) int64 {
@@ -51,7 +51,7 @@
 		Budget: a.Budget, Tokens: a.Tokens, Shard: uint32(a.Shard),
 	})
 	if err != nil {
-		h.log.Warn().Str("event", "return").Str("holder", name).Err(err).Send()
+		h.log.Warn().Str("holder", name).Err(err).Msg("holder did not return tokens")
 		return 0
 	}
 	return res.GetTokens()
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -12,6 +12,7 @@
 	"daisylane/internal/connector"
 	"daisylane/internal/journaler"
 	"daisylane/internal/recoverer"
+	"daisylane/internal/reporter"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
@@ -109,9 +110,9 @@
 		case recoverer.Complete:
 			k.carryOut(now, k.budgets.Complete(a.Shard, a.Instance))
 		case recoverer.Done:
-			k.h.log.Info().Str("event", "recovered").Str("instance", a.Instance).Int("shard", t.key.shard).
-				Dur("took", now.Sub(t.started)).Send()
-			k.h.scope.Counter("recoveries_total").Inc(1)
+			k.h.log.Info().Str("instance", a.Instance).Int("shard", t.key.shard).
+				Dur("took", now.Sub(t.started)).Msg("shard recovered")
+			k.h.scope.Tagged(map[string]string{"result": "released"}).Counter(reporter.Recoveries).Inc(1)
 			delete(k.takeovers, t.key)
 		}
 	}
@@ -124,7 +125,7 @@
 
 // failed reports a call that is to be repeated.
 func (t *takeover) failed(a recoverer.Action, err error) func(time.Time, *takeover) []recoverer.Action {
-	t.k.h.log.Warn().Str("event", "takeover").Str("instance", t.key.instance).Int("shard", t.key.shard).Err(err).Send()
+	t.k.h.log.Warn().Str("instance", t.key.instance).Int("shard", t.key.shard).Err(err).Msg("recovery step failed, repeating")
 	return func(_ time.Time, t *takeover) []recoverer.Action {
 		t.recovery.Failed(a)
 		return nil
@@ -177,7 +178,7 @@
 func (t *takeover) replay(now time.Time, a recoverer.Replay) {
 	actions, err := t.k.budgets.Replay(a.Shard, a.Log)
 	if err != nil {
-		t.k.h.log.Error().Str("event", "replay").Err(err).Send()
+		t.k.h.log.Error().Err(err).Msg("journal not replayed")
 		return
 	}
 	t.k.carryOut(now, actions)
@@ -237,7 +238,7 @@
 		m, err := connector.Call[*wirepb.Closed](ctx, h.pool, addr, "close", &wirepb.Close{Instance: a.Instance})
 		if err != nil {
 			// The recovery asks again by itself.
-			h.log.Warn().Str("event", "close").Str("side", a.Side).Err(err).Send()
+			h.log.Warn().Str("side", a.Side).Err(err).Msg("side did not close the holder, asking again")
 			return func(time.Time, *takeover) []recoverer.Action { return nil }
 		}
 		return func(_ time.Time, t *takeover) []recoverer.Action {
--- /dev/null
+++ b/internal/launcher/process.go
@@ -0,0 +1,237 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"daisylane/internal/connector"
+	"daisylane/internal/explainer"
+	"daisylane/internal/holder"
+	"daisylane/internal/locator"
+	"daisylane/internal/logger"
+	"daisylane/internal/reporter"
+	"daisylane/internal/router"
+	"daisylane/internal/storer"
+	"daisylane/internal/syncer"
+	"daisylane/internal/tracer"
+	"daisylane/internal/watcher"
+	"daisylane/internal/wirepb"
+)
+
+const (
+	registerInterval = time.Second
+	headerTimeout    = 10 * time.Second
+	idleTimeout      = 2 * time.Minute
+	drainPoll        = 50 * time.Millisecond
+	deregisterTime   = 5 * time.Second
+)
+
+// ErrSealed means that a successor took over the budget shards while this
+// process was paused. A new process has to replace it.
+var ErrSealed = errors.New("journal was sealed by a successor, start a new process")
+
+// process is a running entry.
+type process struct {
+	cfg      Settings
+	instance string
+	log      zerolog.Logger
+	trace    *tracer.Tracer
+	metrics  *reporter.Reporter
+	platform *storer.Client
+	members  *locator.Locator
+	pool     *connector.Pool
+	server   *connector.Server
+	bundles  *syncer.Syncer
+	holder   *holder.Holder
+	router   *router.Router
+	records  *explainer.Ring
+
+	http     *http.Server
+	peerLn   net.Listener
+	httpLn   net.Listener
+	sealed   chan string
+	failures chan error
+}
+
+// Run runs an entry until the context ends and then stops it gracefully. Log
+// events go to out.
+func Run(ctx context.Context, cfg Settings, out io.Writer) error {
+	p, err := build(ctx, cfg, out)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx)
+}
+
+func build(ctx context.Context, cfg Settings, out io.Writer) (*process, error) {
+	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 2)}
+	steps := []struct {
+		name string
+		run  func(context.Context, io.Writer) error
+	}{
+		{"set up logs, metrics and traces", p.observe},
+		{"listen", p.listen},
+		{"set up sessions", p.connect},
+		{"set up bundles", p.sync},
+		{"start holder", p.hold},
+		{"set up router", p.route},
+	}
+	for _, step := range steps {
+		if err := step.run(ctx, out); err != nil {
+			return nil, fmt.Errorf("%s: %w", step.name, err)
+		}
+	}
+	return p, nil
+}
+
+func (p *process) observe(ctx context.Context, out io.Writer) error {
+	log, err := logger.New(out, p.cfg.Level)
+	if err != nil {
+		return err
+	}
+	p.log = log.With().Str("instance", p.instance).Logger()
+	p.metrics = reporter.New(map[string]string{"instance": p.cfg.Name}, reporter.FlushInterval, func(err error) {
+		p.log.Error().Err(err).Msg("metric dropped")
+	})
+	trace := p.cfg.Trace
+	trace.Role, trace.Instance, trace.Centre, trace.Region = watcher.Entry, p.instance, p.cfg.Centre, p.cfg.Region
+	p.trace, err = tracer.New(ctx, trace)
+	return err
+}
+
+func (p *process) listen(context.Context, io.Writer) error {
+	var err error
+	if p.peerLn, err = net.Listen("tcp", p.cfg.Listen.Peer); err != nil {
+		return err
+	}
+	p.httpLn, err = net.Listen("tcp", p.cfg.Listen.HTTP)
+	return err
+}
+
+func (p *process) self() watcher.Member {
+	addr := p.cfg.Listen.Advertise
+	if addr == "" {
+		addr = p.peerLn.Addr().String()
+	}
+	return watcher.Member{Name: p.instance, Role: watcher.Entry, Centre: p.cfg.Centre, Region: p.cfg.Region, Addr: addr}
+}
+
+func (p *process) identity() *wirepb.Hello {
+	m := &wirepb.Hello{
+		Protocol: connector.ProtocolVersion, Instance: p.instance, Role: watcher.Entry,
+		Centre: p.cfg.Centre, Region: p.cfg.Region,
+	}
+	if p.bundles != nil {
+		m.Bundle = p.bundles.Version()
+	}
+	return m
+}
+
+func (p *process) connect(context.Context, io.Writer) error {
+	p.platform = storer.New(p.cfg.Platform, storer.WithName(p.cfg.Name))
+	p.members = locator.New(p.platform, p.self(), locator.WithLogger(p.log))
+	for _, peer := range p.cfg.Peers {
+		p.members.Add(watcher.Member{Name: peer.Name, Role: watcher.Entry, Centre: peer.Centre, Region: peer.Region, Addr: peer.Addr})
+	}
+	poolOpts := []connector.PoolOption{connector.WithDialResult(p.members.Dialed)}
+	serverOpts := []connector.ServerOption{connector.WithFailure(func(peer string, err error) {
+		p.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
+	})}
+	p.pool = connector.NewPool(p.identity, poolOpts...)
+	p.server = connector.NewServer(p.identity, serverOpts...)
+	return nil
+}
+
+func (p *process) hold(context.Context, io.Writer) error {
+	b := p.cfg.Budgets
+	cfg := holder.Config{
+		Instance: p.instance, Region: p.cfg.Region, Regions: p.cfg.Regions,
+		Shards: b.Shards, Slots: b.Slots, Ahead: b.Ahead, Release: b.Release, Fold: b.Fold.Std(),
+	}
+	var err error
+	p.holder, err = holder.New(cfg, p.platform, p.members, p.pool,
+		holder.WithLogger(p.log), holder.WithScope(p.metrics.Scope()),
+		holder.WithSealed(func(sealer string) { p.sealed <- sealer }))
+	if err != nil {
+		return err
+	}
+	p.holder.Serve(p.server)
+	return nil
+}
+
+func (p *process) route(context.Context, io.Writer) error {
+	p.records = explainer.New(recordsKept)
+	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), newFleet(p.members), p.pool, p.bundles.Index,
+		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithRecords(p))
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.metrics.Handler())
+	mux.Handle("/", p.trace.Handler(p.router.Handler(), "caller"))
+	p.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	p.serveOperator()
+	return nil
+}
+
+func (p *process) run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var loops sync.WaitGroup
+	loops.Go(func() { p.fail(p.server.Serve(inner, p.peerLn)) })
+	loops.Go(func() { p.fail(p.http.Serve(p.httpLn)) })
+	loops.Go(func() { p.members.Run(inner) })
+	loops.Go(func() { p.register(inner) })
+	loops.Go(func() { p.bundles.Run(inner) })
+	p.log.Info().Str("http", p.httpLn.Addr().String()).Str("peer", p.peerLn.Addr().String()).Msg("started")
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case sealer := <-p.sealed:
+		err = fmt.Errorf("stopped by %s: %w", sealer, ErrSealed)
+	case err = <-p.failures:
+	}
+	p.stop(inner)
+	cancel()
+	_ = p.server.Close()
+	_ = p.pool.Close()
+	loops.Wait()
+	_ = p.metrics.Close()
+	p.shutdownTrace()
+	return err
+}
+
+func (p *process) fail(err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		p.failures <- err
+	}
+}
+
+// register repeats the registration until it succeeds, so that a process that
+// starts during a platform outage is found by others when it ends.
+func (p *process) register(ctx context.Context) {
+	for {
+		err := p.members.Register(ctx)
+		if err == nil {
+			return
+		}
+		p.log.Warn().Err(err).Msg("not registered, repeating")
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(registerInterval):
+		}
+	}
+}
+
+// Record implements [router.Records].
+func (p *process) Record(id, step, decision, reason string) {
+	p.records.Add(explainer.Record{Request: id, Time: time.Now(), Step: step, Decision: decision, Reason: strings.TrimSpace(reason)})
+}
--- /dev/null
+++ b/internal/launcher/settings.go
@@ -0,0 +1,155 @@
+package launcher
+
+import (
+	"net"
+	"net/url"
+	"time"
+
+	"daisylane/internal/checker"
+	"daisylane/internal/loader"
+	"daisylane/internal/recoverer"
+	"daisylane/internal/tracer"
+)
+
+// Settings of an entry.
+type Settings struct {
+	Name     string            `toml:"name"`
+	Centre   string            `toml:"centre"`
+	Region   string            `toml:"region"`
+	Regions  []string          `toml:"regions"` // all regions of the deployment
+	Platform string            `toml:"platform"`
+	Level    string            `toml:"level"` // of the log
+	Listen   Listen            `toml:"listen"`
+	Budgets  Budgets           `toml:"budgets"`
+	Limits   Limits            `toml:"limits"`
+	Stop     Stop              `toml:"stop"`
+	Trust    map[string]string `toml:"trust"` // public key in base64 by operator
+	Peers    []Peer            `toml:"peers"` // entries to ask while the platform is down
+	TLS      TLS               `toml:"tls"`
+	Trace    tracer.Config     `toml:"trace"`
+}
+
+// Listen has the addresses of an entry.
+type Listen struct {
+	HTTP      string `toml:"http"`      // for callers
+	Peer      string `toml:"peer"`      // for other processes of the fleet
+	Advertise string `toml:"advertise"` // peer address in the registration, empty: the listening address
+}
+
+// Budgets sets up the budget shards. Shards and slots must be the same in all entries.
+type Budgets struct {
+	Shards  int             `toml:"shards"`
+	Slots   int             `toml:"slots"`
+	Ahead   float64         `toml:"ahead"`
+	Release string          `toml:"release"`
+	Fold    loader.Duration `toml:"fold"`
+}
+
+// Limits bound the work of an entry.
+type Limits struct {
+	Inflight int `toml:"inflight"` // requests in flight
+	Queue    int `toml:"queue"`    // requests that wait for one of them to end
+}
+
+// Stop sets how long a planned stop may take.
+type Stop struct {
+	Notice loader.Duration `toml:"notice"` // time for the balancer to see that the entry is not ready
+	Grace  loader.Duration `toml:"grace"`  // time for the requests in flight
+	Flush  loader.Duration `toml:"flush"`  // time for charges and the hand-over
+}
+
+// Peer is an entry known from the settings.
+type Peer struct {
+	Name   string `toml:"name"`
+	Addr   string `toml:"addr"`
+	Centre string `toml:"centre"`
+	Region string `toml:"region"`
+}
+
+// TLS names the PEM files for mutual TLS between processes. Plain must be set
+// to run without them.
+type TLS struct {
+	Cert  string `toml:"cert"`
+	Key   string `toml:"key"`
+	CA    string `toml:"ca"`
+	Plain bool   `toml:"plain"`
+}
+
+// Defaults returns the settings that a file may leave out.
+func Defaults() Settings {
+	return Settings{
+		Level:   "info",
+		Listen:  Listen{HTTP: "127.0.0.1:8080", Peer: "127.0.0.1:7300"},
+		Budgets: Budgets{Shards: 64, Slots: 64, Ahead: 1, Release: recoverer.ReleaseOperator, Fold: loader.Duration(5 * time.Minute)},
+		Limits:  Limits{Inflight: 4096, Queue: 4096},
+		Stop: Stop{
+			Notice: loader.Duration(2 * time.Second), Grace: loader.Duration(2 * time.Minute), Flush: loader.Duration(30 * time.Second),
+		},
+		Trace: tracer.Config{Ratio: 0.01},
+	}
+}
+
+// Check validates the settings.
+func (s Settings) Check() error {
+	var f checker.Faults
+	f.Require(s.Name != "", "name", "is empty, set the name of this instance")
+	f.Require(s.Centre != "", "centre", "is empty, set the data centre of this instance")
+	f.Require(s.Region != "", "region", "is empty, set the region of this instance")
+	f.Require(len(s.Regions) > 0, "regions", "is empty, list all regions of the deployment")
+	f.Require(len(s.Trust) > 0, "trust", "is empty, name at least one operator's public key")
+	checkURL(&f, "platform", s.Platform)
+	f.Within("listen", s.Listen.check())
+	f.Within("budgets", s.Budgets.check())
+	checker.Range(&f, "limits.inflight", s.Limits.Inflight, 1, 1<<20)
+	checker.Range(&f, "limits.queue", s.Limits.Queue, 0, 1<<20)
+	checker.Range(&f, "stop.notice", s.Stop.Notice.Std(), 0, time.Minute)
+	checker.Range(&f, "stop.grace", s.Stop.Grace.Std(), 0, time.Hour)
+	checker.Range(&f, "stop.flush", s.Stop.Flush.Std(), time.Second, time.Hour)
+	f.Within("tls", s.TLS.check())
+	f.Within("trace", s.Trace.Check())
+	return f.Err()
+}
+
+func (l Listen) check() error {
+	var f checker.Faults
+	checkAddress(&f, "http", l.HTTP)
+	checkAddress(&f, "peer", l.Peer)
+	if l.Advertise != "" {
+		checkAddress(&f, "advertise", l.Advertise)
+	}
+	return f.Err()
+}
+
+func (b Budgets) check() error {
+	var f checker.Faults
+	checker.Range(&f, "shards", b.Shards, 1, 1<<16)
+	checker.Range(&f, "slots", b.Slots, 8, 1024)
+	checker.Range(&f, "ahead", b.Ahead, 0, 1)
+	checker.Range(&f, "fold", b.Fold.Std(), time.Second, time.Hour)
+	f.Require(b.Release == recoverer.ReleaseOperator || b.Release == recoverer.ReleaseGone, "release",
+		"is %q, allowed is %q or %q", b.Release, recoverer.ReleaseOperator, recoverer.ReleaseGone)
+	return f.Err()
+}
+
+func (t TLS) check() error {
+	var f checker.Faults
+	if t.Plain {
+		f.Require(t.Cert == "" && t.Key == "" && t.CA == "", "plain", "is set together with files, remove one of them")
+		return f.Err()
+	}
+	f.Require(t.Cert != "", "cert", "is empty, set cert, key and ca, or plain = true to run without TLS")
+	f.Require(t.Key != "", "key", "is empty, set cert, key and ca")
+	f.Require(t.CA != "", "ca", "is empty, set cert, key and ca")
+	return f.Err()
+}
+
+func checkAddress(f *checker.Faults, key, addr string) {
+	_, _, err := net.SplitHostPort(addr)
+	f.Require(err == nil, key, "is %q, want host:port", addr)
+}
+
+func checkURL(f *checker.Faults, key, text string) {
+	u, err := url.Parse(text)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	f.Require(ok, key, "is %q, want a URL like \"http://127.0.0.1:8000\"", text)
+}
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -149,7 +149,7 @@
 			after, err = l.watchOnce(ctx, after)
 		}
 		if err != nil {
-			l.log.Warn().Str("event", "members").Err(err).Send()
+			l.log.Warn().Err(err).Msg("registrations not read")
 			sleep(ctx, retryInterval)
 		}
 	}
@@ -202,7 +202,7 @@
 	}
 	m, err := checker.Decode[watcher.Member](item.Body)
 	if err != nil {
-		l.log.Warn().Str("event", "members").Str("key", item.Key).Err(err).Send()
+		l.log.Warn().Str("key", item.Key).Err(err).Msg("registration ignored")
 		return
 	}
 	l.members[m.Name] = registration{member: m, version: item.Version}
@@ -215,7 +215,7 @@
 	for ctx.Err() == nil {
 		rows, err := l.platform.Instances(ctx)
 		if err != nil {
-			l.log.Warn().Str("event", "instances").Err(err).Send()
+			l.log.Warn().Err(err).Msg("instance list not read")
 		} else {
 			l.mu.Lock()
 			l.rows = rows
@@ -235,7 +235,7 @@
 	}
 	newest := make(map[string]registration)
 	for _, r := range l.members {
-		base := Base(r.member.Name)
+		base := watcher.Base(r.member.Name)
 		if known, ok := newest[base]; !ok || r.version > known.version {
 			newest[base] = r
 		}
@@ -253,14 +253,6 @@
 	l.view.List(l.now(), listed)
 }
 
-// Base returns the name in the settings of an instance, without its incarnation.
-func Base(instance string) string {
-	if i := strings.LastIndexByte(instance, '.'); i > 0 {
-		return instance[:i]
-	}
-	return instance
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -10,6 +10,7 @@
 
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
+	"daisylane/internal/reporter"
 	"daisylane/internal/tracer"
 	"daisylane/internal/wirepb"
 )
@@ -55,7 +56,7 @@
 	err = a.exchange(ctx, f)
 	for err != nil && a.resumable(ctx, err) {
 		a.r.records.Record(a.req.id, "resume", a.choice.Name, err.Error())
-		a.r.scope.Counter("resumed_streams").Inc(1)
+		a.r.scope.Counter(reporter.Resumes).Inc(1)
 		err = a.resume(ctx)
 	}
 	return a.outcome(ctx, err), err
@@ -154,7 +155,7 @@
 		deliver, err := a.answer.Data(f.GetId(), f.GetSeq(), m.Data.GetBytes())
 		if errors.Is(err, assembler.ErrForeign) {
 			// A frame of another request is dropped, it must never reach this caller.
-			a.r.scope.Counter("foreign_frames").Inc(1)
+			a.r.log.Warn().Str("id", a.req.id).Str("side", a.choice.Name).Str("frame", f.GetId()).Msg("frame of another request dropped")
 			return false, nil
 		}
 		if err != nil {
@@ -212,6 +213,6 @@
 		return
 	}
 	if _, err := s.Receive(); err != nil && !errors.Is(err, io.EOF) {
-		a.r.log.Debug().Str("event", "cancel").Str("id", a.req.id).Err(err).Send()
+		a.r.log.Debug().Str("id", a.req.id).Err(err).Msg("cancel not answered")
 	}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -9,6 +9,7 @@
 
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
+	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
 )
 
@@ -49,6 +50,7 @@
 		if !ok || !sleep(ctx, wait) {
 			break
 		}
+		r.scope.Tagged(map[string]string{"reason": outcome.String()}).Counter(reporter.Retries).Inc(1)
 	}
 	if mayHaveRun {
 		return result{failure: unknownError()}
@@ -71,7 +73,6 @@
 		reason = err.Error()
 	}
 	r.records.Record(id, "attempt", outcome.String(), choice.Name+" "+reason)
-	r.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("attempts").Inc(1)
 }
 
 // sleep waits unless the context ends first.
--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"daisylane/internal/bundler"
+	"daisylane/internal/reporter"
 )
 
 // request is one authenticated request of a caller.
@@ -52,9 +53,12 @@
 }
 
 func (r *Router) fail(w http.ResponseWriter, req request, failure *Error) {
-	r.log.Info().Str("event", "refused").Str("id", req.id).Str("account", req.account.Name).
-		Str("type", failure.Type).Str("reason", failure.Reason).Str("text", failure.Message).Send()
-	r.scope.Tagged(map[string]string{"type": failure.Type, "reason": failure.Reason}).Counter("caller_errors").Inc(1)
+	r.log.Info().Str("id", req.id).Str("account", req.account.Name).
+		Str("type", failure.Type).Str("reason", failure.Reason).Str("text", failure.Message).Msg("request failed")
+	r.count("", failure.Type)
+	if failure.Type == typeNotRun {
+		r.scope.Tagged(map[string]string{"reason": failure.Reason}).Counter(reporter.Refusals).Inc(1)
+	}
 	r.records.Record(req.id, "answer", failure.Type, failure.Reason+": "+failure.Message)
 	failure.write(w, req.id)
 }
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -132,7 +132,7 @@
 		if err == nil {
 			return true
 		}
-		r.log.Warn().Str("event", name).Str("id", id).Err(err).Send()
+		r.log.Warn().Str("id", id).Str("action", name).Err(err).Msg("repeating")
 		select {
 		case <-ctx.Done():
 			return false
--- a/internal/router/models.go
+++ b/internal/router/models.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 )
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 
 	"daisylane/internal/bundler"
 	"daisylane/internal/connector"
+	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
 )
 
@@ -116,6 +117,11 @@
 
 func (r *Router) background(f func()) { r.tasks.Go(f) }
 
+// count records the outcome of a request, for a service or, if empty, none.
+func (r *Router) count(service, outcome string) {
+	r.scope.Tagged(map[string]string{"service": service, "outcome": outcome}).Counter(reporter.Requests).Inc(1)
+}
+
 // Inflight returns the number of requests that are being served.
 func (r *Router) Inflight() int64 { return r.inflight.Load() }
 
--- /dev/null
+++ b/internal/watcher/incarnation.go
@@ -0,0 +1,18 @@
+package watcher
+
+import (
+	"crypto/rand"
+	"strings"
+)
+
+// Incarnate returns an instance name that no earlier process had: the name in
+// the settings, a dot and a random part.
+func Incarnate(name string) string { return name + "." + strings.ToLower(rand.Text()[:10]) }
+
+// Base returns the name in the settings of an instance.
+func Base(instance string) string {
+	if i := strings.LastIndexByte(instance, '.'); i > 0 {
+		return instance[:i]
+	}
+	return instance
+}
