--- /dev/null
+++ b/internal/assembler/assembler_test.go
@@ -0,0 +1,138 @@
+package assembler
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "12", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		_ = flag.Set(name, value)
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against answers that are taken for complete although they are not.
+func TestEnd(t *testing.T) {
+	sent := NewBuffer(100)
+	for _, data := range []string{"a", "b"} {
+		if _, err := sent.Append([]byte(data)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tests := []struct {
+		name       string
+		frames     []string
+		id         string
+		count, sum uint64
+		want       error
+	}{
+		{"whole", []string{"a", "b"}, "q", 2, sent.Sum(), nil},
+		{"missing frame", []string{"a"}, "q", 2, sent.Sum(), ErrGap},
+		{"more frames", []string{"a", "b", "c"}, "q", 2, sent.Sum(), ErrCount},
+		{"other bytes", []string{"a", "x"}, "q", 2, sent.Sum(), ErrChecksum},
+		{"other request", []string{"a", "b"}, "p", 2, sent.Sum(), ErrForeign},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := NewAnswer("q")
+			for i, data := range tt.frames {
+				if ok, err := a.Data("q", uint64(i+1), []byte(data)); !ok || err != nil {
+					t.Fatal(ok, err)
+				}
+			}
+			if err := a.End(tt.id, tt.count, tt.sum); !errors.Is(err, tt.want) || a.Ended() != (tt.want == nil) {
+				t.Errorf("err = %v, want %v", err, tt.want)
+			}
+		})
+	}
+	a := NewAnswer("q")
+	if _, err := a.Data("p", 1, []byte("a")); !errors.Is(err, ErrForeign) || a.Offset() != 0 {
+		t.Errorf("err = %v, want ErrForeign", err)
+	}
+	if err := a.End("q", 0, NewBuffer(1).Sum()); err != nil {
+		t.Error(err)
+	}
+	if _, err := a.Data("q", 1, []byte("a")); !errors.Is(err, ErrEnded) {
+		t.Errorf("err = %v, want ErrEnded", err)
+	}
+}
+
+// Guards against frames that are lost or doubled when streams break at any point
+// and the answer is resumed, with a buffer that is smaller than the answer.
+func TestResumption(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, a := NewBuffer(rapid.IntRange(8, 40).Draw(t, "limit")), NewAnswer("q")
+		var want, got bytes.Buffer
+		frames := rapid.IntRange(0, 60).Draw(t, "frames")
+		for i := 0; i < frames; {
+			data := fmt.Appendf(nil, "<%d>", i)
+			if _, err := b.Append(data); err == nil {
+				want.Write(data)
+				i++
+			} else if !errors.Is(err, ErrFull) {
+				t.Fatal(err)
+			}
+			if rapid.Bool().Draw(t, "read") {
+				read(t, b, a, &got, a.Offset(), rapid.IntRange(0, 9).Draw(t, "break"))
+			}
+			if rapid.IntRange(0, 5).Draw(t, "late") == 0 && a.Offset() > 0 {
+				// A stream of an earlier attempt delivers again what it had.
+				if ok, err := a.Data("q", a.Offset(), []byte("x")); ok || err != nil {
+					t.Fatalf("duplicate: deliver = %v, err = %v", ok, err)
+				}
+			}
+		}
+		for a.Offset() < b.Count() {
+			read(t, b, a, &got, a.Offset(), 10)
+		}
+		if err := a.End("q", b.Count(), b.Sum()); err != nil || !bytes.Equal(got.Bytes(), want.Bytes()) {
+			t.Fatalf("err = %v, got %q, want %q", err, got.Bytes(), want.Bytes())
+		}
+	})
+}
+
+func read(t *rapid.T, b *Buffer, a *Answer, got *bytes.Buffer, offset uint64, limit int) {
+	pieces, err := b.From(offset)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, p := range pieces {
+		if i >= limit {
+			return
+		}
+		deliver, err := a.Data("q", p.Seq, p.Data)
+		if err != nil || !deliver {
+			t.Fatalf("frame %d: deliver = %v, err = %v", p.Seq, deliver, err)
+		}
+		got.Write(p.Data)
+		b.Sent(p.Seq)
+	}
+}
+
+// Guards against a silent gap when the frames at an offset are no longer kept.
+func TestDropped(t *testing.T) {
+	b := NewBuffer(4)
+	for i := range 6 {
+		if _, err := b.Append([]byte("ab")); err != nil {
+			t.Fatal(err)
+		}
+		b.Sent(uint64(i + 1))
+	}
+	if _, err := b.From(3); !errors.Is(err, ErrDropped) {
+		t.Errorf("err = %v, want ErrDropped", err)
+	}
+	if _, err := b.From(7); !errors.Is(err, ErrBeyond) {
+		t.Errorf("err = %v, want ErrBeyond", err)
+	}
+	if p, err := b.From(4); err != nil || len(p) != 2 || p[0].Seq != 5 {
+		t.Errorf("pieces = %v, err = %v", p, err)
+	}
+}
--- /dev/null
+++ b/internal/drainer/drainer_test.go
@@ -0,0 +1,61 @@
+package drainer
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against steps in the wrong order, a stop that never ends, and a side
+// that deregisters with undelivered charges.
+func TestSequence(t *testing.T) {
+	limits := Limits{Finish: time.Minute, Flush: 30 * time.Second}
+	done := Facts{Handed: true, Folded: true, Sealed: true, Left: true}
+	busy, charged := done, done
+	busy.Requests, charged.Charges = 1, 1
+	tests := []struct {
+		name  string
+		d     *Drainer
+		facts Facts
+		want  []Step
+		late  []Step
+		took  time.Duration
+	}{
+		{"side", NewSide(limits), done, []Step{Finishing, Flushing, Leaving, Stopped}, nil, 3 * time.Second},
+		{"side with charge", NewSide(limits), charged, []Step{Finishing, Flushing, Stopped}, []Step{Flushing}, 31 * time.Second},
+		{"side with request", NewSide(limits), busy, []Step{Finishing, Flushing, Leaving, Stopped}, []Step{Finishing}, 62 * time.Second},
+		{"entry", NewEntry(limits), done, []Step{Handing, Finishing, Flushing, Folding, Sealing, Leaving, Stopped}, nil, 6 * time.Second},
+		{
+			"entry without platform", NewEntry(limits),
+			Facts{},
+			[]Step{Handing, Finishing, Flushing, Folding, Sealing, Leaving, Stopped},
+			[]Step{Handing, Folding, Sealing, Leaving},
+			42 * time.Second,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			if got := tt.d.Observe(now, done); got != nil || tt.d.Step() != Serving {
+				t.Fatalf("steps before the order: %v", got)
+			}
+			steps := tt.d.Begin(now)
+			if again := tt.d.Begin(now); again != nil {
+				t.Errorf("second order starts %v", again)
+			}
+			for tt.d.Step() != Stopped && now.Before(time.Unix(600, 0)) {
+				now = now.Add(time.Second)
+				steps = append(steps, tt.d.Observe(now, tt.facts)...)
+			}
+			if !slices.Equal(steps, tt.want) || !slices.Equal(tt.d.Late(), tt.late) {
+				t.Errorf("steps = %v, late = %v, want %v and %v", steps, tt.d.Late(), tt.want, tt.late)
+			}
+			if took := now.Sub(time.Unix(0, 0)); took != tt.took {
+				t.Errorf("took %s, want %s", took, tt.took)
+			}
+			if tt.d.KeepsRegistration() != (tt.facts.Charges > 0) {
+				t.Errorf("keeps registration = %v", tt.d.KeepsRegistration())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fencer/fencer_test.go
@@ -0,0 +1,37 @@
+package fencer
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// Guards against an old order that reaches an engine after a newer one, also
+// after the newer number was only seen elsewhere.
+func TestOrder(t *testing.T) {
+	f := New()
+	steps := []struct {
+		name string
+		do   func() error
+		want error
+	}{
+		{"zero", func() error { return f.Begin("e", 0) }, ErrZero},
+		{"first", func() error { return f.Begin("e", 5) }, nil},
+		{"second at a time", func() error { return f.Begin("e", 6) }, ErrBusy},
+		{"old while newer waits", func() error { f.End("e", 5); return f.Begin("e", 5) }, ErrOld},
+		{"newer", func() error { return f.Begin("e", 6) }, nil},
+		{"end of another order", func() error { f.End("e", 5); return f.Begin("e", 6) }, ErrBusy},
+		{"repeated", func() error { f.End("e", 6); return f.Begin("e", 6) }, nil},
+		{"observed", func() error { f.End("e", 6); f.Observe("e", 9); return f.Begin("e", 8) }, ErrOld},
+		{"observed older", func() error { f.Observe("e", 2); return f.Begin("e", 9) }, nil},
+		{"other target", func() error { return f.Begin("d", 1) }, nil},
+	}
+	for _, s := range steps {
+		if err := s.do(); !errors.Is(err, s.want) {
+			t.Errorf("%s: err = %v, want %v", s.name, err, s.want)
+		}
+	}
+	if n := f.Highest("e"); n != 9 {
+		t.Errorf("highest = %d, want 9", n)
+	}
+}
