Add load and experiment tool

Requirements name overspend, false refusals, exactly-once answers and latency, which need one tool that measures them from outside. prober sends open-loop traffic from a TOML file, sets fault switches per phase, and compares answers with the stand-ins' records.

--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,172 @@
+package prober
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"daisylane/internal/faker"
+	"daisylane/internal/loader"
+)
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+func experiment(entry string) Experiment {
+	exp := Defaults
+	exp.Entries, exp.Settle, exp.Timeout = []string{entry}, 0, loader.Duration(5*time.Second)
+	exp.Callers = []Caller{
+		{Name: "a", Key: "k", Kind: KindChat, Path: "/v1/chat/completions", Model: "m", Share: 3, Worth: 1, Tokens: 8, Budget: 1 << 20},
+		{Name: "b", Key: "k", Kind: KindService, Path: "/bookings", Share: 1, Worth: 1},
+	}
+	exp.Phases = []Phase{{Name: "one", Rate: 400, Duration: loader.Duration(250 * time.Millisecond)}}
+	return exp
+}
+
+// Guards against reports that miscount outcomes, tokens or differences, with
+// stand-ins that fail in each phase in another way.
+func TestRun(t *testing.T) {
+	engine, booking := faker.NewEngine(faker.EngineConfig{}), faker.NewBooking()
+	mux := http.NewServeMux()
+	mux.Handle("/bookings", booking)
+	mux.Handle("/v1/", engine)
+	entry := serve(t, mux)
+	exp := experiment(entry)
+	exp.Engines, exp.Bookings = []string{serve(t, engine)}, []string{serve(t, booking)}
+	exp.Phases = append(exp.Phases, Phase{Name: "pause", Duration: loader.Duration(200 * time.Millisecond)}, Phase{
+		Name: "two", Rate: 400, Duration: loader.Duration(250 * time.Millisecond),
+		Faults: []Fault{{exp.Engines[0] + "/faults", `{"die":3}`}, {exp.Bookings[0] + "/faults", `{"after":2}`}},
+	})
+	rep, err := Run(t.Context(), exp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	one, two := rep.Phases[0], rep.Phases[2]
+	if one.Sent < 50 || one.Outcomes[Whole] != one.Sent || one.Worth != 1 || one.First.Count == 0 || one.Gap.Count != int64(one.Output)-one.First.Count {
+		t.Errorf("phase one: %+v", one)
+	}
+	if two.Outcomes[Broken] != 5 || two.Outcomes[Whole] != two.Sent-5 {
+		t.Errorf("phase two: %+v", two)
+	}
+	want := Findings{Compared: one.Sent + two.Sent, Unanswered: 2}
+	if fmt.Sprint(rep.Findings) != fmt.Sprint(want) {
+		t.Errorf("findings are %+v, want %+v", rep.Findings, want)
+	}
+	var out bytes.Buffer
+	if err := rep.Write(&out); err != nil || !strings.Contains(out.String(), "broken=5") {
+		t.Errorf("table %q, %v", out.String(), err)
+	}
+}
+
+// Guards against violations that pass unnoticed: an entry that refuses what it
+// ran, runs a booking twice, swaps answers, and refuses with budget left.
+func TestFindings(t *testing.T) {
+	engine, booking := faker.NewEngine(faker.EngineConfig{}), faker.NewBooking()
+	var n atomic.Int64
+	refuse := func(w http.ResponseWriter, reason string) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		fmt.Fprintf(w, `{"error":{"type":"notrun","reason":%q}}`, reason)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/bookings", func(w http.ResponseWriter, r *http.Request) {
+		body := &bytes.Buffer{}
+		_, _ = body.ReadFrom(r.Body)
+		for range 2 {
+			again := httptest.NewRequest("POST", "/bookings", bytes.NewReader(body.Bytes()))
+			again.Header = r.Header
+			booking.ServeHTTP(httptest.NewRecorder(), again)
+		}
+		refuse(w, "overload")
+	})
+	mux.HandleFunc("/v1/", func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1)%2 == 0 {
+			refuse(w, "budget")
+			return
+		}
+		var c faker.Chat
+		_ = json.NewDecoder(r.Body).Decode(&c)
+		c.Messages[0].Content += "x"
+		data, _ := json.Marshal(c)
+		other := httptest.NewRequest("POST", "/v1/chat/completions", bytes.NewReader(data))
+		other.Header = r.Header
+		engine.ServeHTTP(w, other)
+	})
+	exp := experiment(serve(t, mux))
+	exp.Engines, exp.Bookings = []string{serve(t, engine)}, []string{serve(t, booking)}
+	exp.Bills = filepath.Join(t.TempDir(), "bills.json")
+	if err := os.WriteFile(exp.Bills, []byte(`{"a":7}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	rep, err := Run(t.Context(), exp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, f := rep.Phases[0], rep.Findings
+	if p.FalseRefusals == 0 || p.FalseRefusals != p.Reasons["budget"] {
+		t.Errorf("%d false refusals, want %d", p.FalseRefusals, p.Reasons["budget"])
+	}
+	if f.Wrong == 0 || f.Wrong != p.Outcomes[Wrong] || f.Twice == 0 || f.Untruthful != f.Twice || f.Bills["a"] != 7 {
+		t.Errorf("findings %+v in %+v", f, p)
+	}
+}
+
+// Guards against a true refusal that counts as false because requests in
+// flight, uncertain ones or charges on their way are left out, and against
+// refusals that excuse each other.
+func TestMarkFalse(t *testing.T) {
+	zero := time.Unix(0, 0)
+	result := func(start, end, bound, tokens int, outcome string) Result {
+		return Result{
+			Caller: "a", Outcome: outcome, Reason: "budget", Bound: bound, Tokens: tokens,
+			Start: zero.Add(time.Duration(start) * time.Second), Took: time.Duration(end-start) * time.Second,
+		}
+	}
+	refused := result(10, 12, 60, 0, NotRun)
+	tests := []struct {
+		name   string
+		others []Result
+		want   bool
+	}{
+		{"room", nil, true},
+		{"in flight", []Result{result(11, 20, 50, 5, Whole)}, false},
+		{"charge on its way", []Result{result(1, 9, 50, 5, Whole)}, false},
+		{"settled", []Result{result(1, 5, 50, 5, Whole)}, true},
+		{"spent", []Result{result(1, 5, 50, 45, Whole)}, false},
+		{"uncertain", []Result{result(1, 5, 50, 0, Interrupted)}, false},
+		{"later", []Result{result(13, 14, 90, 90, Whole)}, true},
+		{"refused too", []Result{refused}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			results := append([]Result{refused}, tt.others...)
+			markFalse([]Caller{{Name: "a", Budget: 100}}, 2*time.Second, results)
+			if results[0].FalseStop != tt.want {
+				t.Errorf("false = %v, want %v", results[0].FalseStop, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against load on other systems than those on loopback.
+func TestLoopback(t *testing.T) {
+	for _, url := range []string{"http://10.0.0.1:80", "http://example.com", "https://127.0.0.1", "127.0.0.1:80", ""} {
+		if experiment(url).Check() == nil {
+			t.Errorf("entry %q is accepted", url)
+		}
+	}
+	if err := experiment("http://127.0.0.1:80").Check(); err != nil {
+		t.Error(err)
+	}
+}
