--- a/internal/claimer/queries.go
+++ b/internal/claimer/queries.go
@@ -44,7 +44,7 @@
 		}
 	}
 	maps.DeleteFunc(merged, func(_ name, claim Claim) bool { return now.Sub(claim.Time) >= keepPeriod })
-	next := Object{Shard: o.Shard, Claims: slices.SortedFunc(maps.Values(merged), compareNames)}
+	next := Object{Shard: o.Shard, Holder: o.Holder, Claims: slices.SortedFunc(maps.Values(merged), compareNames)}
 	size := 0
 	sizes := make([]int, len(next.Claims))
 	for i, claim := range next.Claims {
@@ -98,3 +98,16 @@
 func compareNames(x, y Claim) int {
 	return cmp.Or(cmp.Compare(x.Account, y.Account), cmp.Compare(x.Service, y.Service), cmp.Compare(x.Key, y.Key))
 }
+
+// WithLost returns the object with the running claims of a crashed holder unknown.
+func (o Object) WithLost(now time.Time, holder string) Object {
+	next := o
+	next.Claims = slices.Clone(o.Claims)
+	for i, claim := range next.Claims {
+		if claim.State == Running && claim.Holder == holder {
+			claim.State, claim.Time, claim.Rev = Unknown, now, claim.Rev+1
+			next.Claims[i] = claim
+		}
+	}
+	return next
+}
--- a/internal/claimer/types.go
+++ b/internal/claimer/types.go
@@ -136,9 +136,12 @@
 	Data  json.RawMessage
 }
 
-// Object is the value of a `claim/<shard>` object.
+// Object is the value of a `claim/<shard>` object. Its holder keeps the newer
+// claims in its journal, and whoever replaces the holder replays that journal
+// first. An empty holder has folded everything.
 type Object struct {
 	Shard  int     `json:"shard"`
+	Holder string  `json:"holder,omitempty"`
 	Claims []Claim `json:"claims"` // ordered by name
 }
 
--- a/internal/holder/actions.go
+++ b/internal/holder/actions.go
@@ -101,23 +101,30 @@
 func (k *keeper) durable(now time.Time, a journaler.Durable) {
 	tokens := a.Tokens[:0:0]
 	for _, t := range a.Tokens {
-		if t == sealToken {
+		switch {
+		case t == sealToken:
 			k.stopping.reply.send(struct{}{}, nil)
-			continue
+		case t >= claimToken:
+			k.claimActions(now, k.claims.state.Durable(now, uint64(t-claimToken)))
+		default:
+			tokens = append(tokens, t)
 		}
-		tokens = append(tokens, t)
 	}
 	k.carryOut(now, k.budgets.Durable(now, a.Seq, tokens))
 }
 
 // lost ends all holding: a successor has sealed the journal.
 func (k *keeper) lost(a journaler.Stop) {
+	if k.sealing {
+		return // the own seal
+	}
 	k.h.log.Warn().Str("sealer", a.Sealer).Msg("journal sealed by a successor")
 	k.carryOut(time.Now(), k.budgets.Stop())
 	err := &connector.RefusedError{Reason: "stopping", Text: "the instance lost its shards", After: 250 * time.Millisecond}
 	for shard := range k.pending {
 		k.refusePending(shard, err)
 	}
+	k.loseClaims()
 	if k.stopping != nil {
 		k.stopping.reply.fail(ErrStopped)
 	}
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"daisylane/internal/claimer"
 	"daisylane/internal/connector"
 	"daisylane/internal/placer"
 	"daisylane/internal/wirepb"
@@ -34,7 +35,7 @@
 	pool    *connector.Pool
 
 	mu     sync.Mutex
-	hints  map[int]peer // last known holder by shard
+	hints  map[place]peer // last known holder
 	silent map[string]silence
 }
 
@@ -44,6 +45,13 @@
 	addr string
 }
 
+// place is what has one holder: the budgets of a shard in a region, or its claims.
+type place struct {
+	region string
+	shard  int
+	claims bool
+}
+
 // silence counts the unanswered calls in a row to an instance.
 type silence struct {
 	count int
@@ -52,7 +60,7 @@
 
 // NewClient returns a client that uses the given holder for the shards of this process.
 func NewClient(h *Holder, members Members, pool *connector.Pool) *Client {
-	return &Client{h: h, members: members, pool: pool, hints: make(map[int]peer), silent: make(map[string]silence)}
+	return &Client{h: h, members: members, pool: pool, hints: make(map[place]peer), silent: make(map[string]silence)}
 }
 
 // Reserve reserves tokens of a budget at its holder in this region. A
@@ -60,8 +68,8 @@
 func (c *Client) Reserve(ctx context.Context, id string, m *wirepb.Reserve) (*wirepb.Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	shard := placer.Shard(m.GetBudget(), c.h.cfg.Shards)
-	res, err := follow(ctx, c, shard,
+	at := place{region: c.h.cfg.Region, shard: placer.Shard(m.GetBudget(), c.h.cfg.Shards)}
+	res, err := follow(ctx, c, at,
 		func(ctx context.Context) (*wirepb.Reserved, error) {
 			r, err := c.h.Reserve(ctx, id, m)
 			return &wirepb.Reserved{Reservation: r}, err
@@ -90,7 +98,7 @@
 			return nil
 		}
 	}
-	_, err := follow(ctx, c, int(r.GetShard()),
+	_, err := follow(ctx, c, place{region: r.GetRegion(), shard: int(r.GetShard())},
 		func(ctx context.Context) (*wirepb.Settled, error) { return c.h.Settle(ctx, m) },
 		func(ctx context.Context, addr string) (*wirepb.Settled, error) { return c.settleAt(ctx, id, addr, m) })
 	if err != nil {
@@ -105,14 +113,56 @@
 	return connector.Call[*wirepb.Settled](ctx, c.pool, addr, id, m)
 }
 
+// Claim asks for the right to send a non-idempotent call, at the home region of
+// the account. An empty home is chosen by hash.
+func (c *Client) Claim(ctx context.Context, id string, m *wirepb.Claim, home string) (*wirepb.Claimed, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	res, err := follow(ctx, c, c.home(m.GetAccount(), home),
+		func(ctx context.Context) (*wirepb.Claimed, error) { return c.h.Claim(ctx, id, m) },
+		func(ctx context.Context, addr string) (*wirepb.Claimed, error) {
+			return connector.Call[*wirepb.Claimed](ctx, c.pool, addr, id, m)
+		})
+	if err != nil {
+		return nil, fmt.Errorf("claim: %w", err)
+	}
+	if res.GetState() == string(claimer.Running) && res.GetRequest() == id {
+		// The answer to an earlier try was lost. The call was not sent yet.
+		res.State = string(claimer.Granted)
+	}
+	return res, nil
+}
+
+// Conclude records the outcome of a claimed call.
+func (c *Client) Conclude(ctx context.Context, id string, m *wirepb.Conclude, home string) error {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	_, err := follow(ctx, c, c.home(m.GetAccount(), home),
+		func(ctx context.Context) (*wirepb.Concluded, error) { return nil, c.h.Conclude(ctx, id, m) },
+		func(ctx context.Context, addr string) (*wirepb.Concluded, error) {
+			return connector.Call[*wirepb.Concluded](ctx, c.pool, addr, id, m)
+		})
+	if err != nil {
+		return fmt.Errorf("conclude: %w", err)
+	}
+	return nil
+}
+
+func (c *Client) home(account, region string) place {
+	if region == "" {
+		region = placer.First("home/"+account, c.h.cfg.Regions)
+	}
+	return place{region: region, shard: placer.Shard(account, c.h.cfg.Shards), claims: true}
+}
+
 // follow calls the holder of a shard and follows its redirections.
-func follow[A any](ctx context.Context, c *Client, shard int,
+func follow[A any](ctx context.Context, c *Client, at place,
 	local func(context.Context) (A, error), remote func(ctx context.Context, addr string) (A, error),
 ) (A, error) {
 	var zero A
 	var err error
 	for range maxHops {
-		p, ok := c.locate(shard)
+		p, ok := c.locate(at)
 		if !ok {
 			return zero, &connector.RefusedError{Reason: "platform", Text: "no entry of the region is known", After: 2 * time.Second}
 		}
@@ -122,12 +172,12 @@
 		} else {
 			res, err = callPeer(ctx, c, p, func(ctx context.Context) (A, error) { return remote(ctx, p.addr) })
 		}
-		if err == nil || !c.learn(shard, err) {
+		if err == nil || !c.learn(at, err) {
 			return res, err
 		}
 		select {
 		case <-ctx.Done():
-			return zero, fmt.Errorf("find holder of shard %d: %w", shard, err)
+			return zero, fmt.Errorf("find holder of shard %d: %w", at.shard, err)
 		case <-time.After(hopWait):
 		}
 	}
@@ -144,43 +194,43 @@
 
 // locate returns the instance to ask for a shard: the last known holder, or the
 // first entry of the region that answers.
-func (c *Client) locate(shard int) (peer, bool) {
+func (c *Client) locate(at place) (peer, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p, ok := c.hints[shard]; ok {
+	if p, ok := c.hints[at]; ok {
 		if !c.isSilentLocked(p.name) && !c.members.Suspected(p.name) {
 			return p, true
 		}
-		delete(c.hints, shard)
+		delete(c.hints, at)
 	}
 	addrs := make(map[string]string)
 	var names []string
-	for _, m := range c.members.Entries(c.h.cfg.Region, "") {
+	for _, m := range c.members.Entries(at.region, "") {
 		if !c.isSilentLocked(m.Name) {
 			names = append(names, m.Name)
 			addrs[m.Name] = m.Addr
 		}
 	}
-	name := placer.First(placer.ShardKey(shard), names)
+	name := placer.First(placer.ShardKey(at.shard), names)
 	return peer{name, addrs[name]}, name != ""
 }
 
 // learn takes the holder's name from a refusal and reports whether another call
 // can help.
-func (c *Client) learn(shard int, err error) bool {
+func (c *Client) learn(at place, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var refused *connector.RefusedError
 	if !errors.As(err, &refused) {
-		delete(c.hints, shard)
+		delete(c.hints, at)
 		return !errors.Is(err, ErrStopped)
 	}
 	switch refused.Reason {
 	case reasonHolder:
-		c.hints[shard] = peer{refused.Holder, refused.Addr}
+		c.hints[at] = peer{refused.Holder, refused.Addr}
 		return true
 	case "stopping":
-		delete(c.hints, shard)
+		delete(c.hints, at)
 		return true
 	default:
 		return false
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"daisylane/internal/budgeter"
+	"daisylane/internal/claimer"
 	"daisylane/internal/connector"
 	"daisylane/internal/placer"
 	"daisylane/internal/wirepb"
@@ -77,6 +78,10 @@
 	connector.Answer(srv, func(ctx context.Context, _ string, m *wirepb.Return) (*wirepb.Returned, error) {
 		return h.Return(ctx, m)
 	})
+	connector.Answer(srv, h.Claim)
+	connector.Answer(srv, func(ctx context.Context, id string, m *wirepb.Conclude) (*wirepb.Concluded, error) {
+		return &wirepb.Concluded{}, h.Conclude(ctx, id, m)
+	})
 }
 
 // Reserve reserves tokens if this process holds the shard of the budget or can
@@ -176,3 +181,23 @@
 		Budget: m.GetBudget(), Tokens: m.GetTokens(),
 	}
 }
+
+// Claim asks for the right to send a non-idempotent call.
+func (h *Holder) Claim(ctx context.Context, id string, m *wirepb.Claim) (*wirepb.Claimed, error) {
+	req := claimer.Request{
+		ID: id, Shard: placer.Shard(m.GetAccount(), h.cfg.Shards), Account: m.GetAccount(),
+		Service: m.GetService(), Key: m.GetKey(), Digest: m.GetDigest(),
+	}
+	return ask[*wirepb.Claimed](ctx, h, func(r replyTo[*wirepb.Claimed]) any { return claim{req, r} })
+}
+
+// Conclude records the outcome of a claimed call. It returns when that is durable.
+func (h *Holder) Conclude(ctx context.Context, id string, m *wirepb.Conclude) error {
+	outcome := claimer.Outcome{
+		ID: id, Account: m.GetAccount(), Service: m.GetService(), Key: m.GetKey(), State: claimer.State(m.GetState()),
+		Status: int(m.GetStatus()), Header: m.GetHeader(), Payload: m.GetPayload(),
+	}
+	shard := placer.Shard(m.GetAccount(), h.cfg.Shards)
+	_, err := ask[struct{}](ctx, h, func(r replyTo[struct{}]) any { return conclude{shard, outcome, r} })
+	return err
+}
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -35,9 +35,10 @@
 	owners    map[reservationKey]string       // request id of an open reservation
 	pending   map[int][]any                   // calls that wait until the holder of a shard is known
 	redirects map[int]redirect
-	expected  map[int]string              // dead holder that a pending hold replaces
-	conflicts map[int]int                 // tries of the pending update
+	expected  map[int]string // dead holder that a pending hold replaces
+	conflicts map[int]int    // tries of the pending update
 	takeovers map[takeoverKey]*takeover
+	claims    *claims
 
 	up       bool // whether the platform answered last
 	foldedAt time.Time
@@ -75,6 +76,7 @@
 		expected:  make(map[int]string),
 		conflicts: make(map[int]int),
 		takeovers: make(map[takeoverKey]*takeover),
+		claims:    newClaims(h.cfg.Instance),
 		up:        true,
 		foldedAt:  time.Now(),
 	}
@@ -106,6 +108,14 @@
 		k.objectWritten(now, m)
 	case tenureRead:
 		k.tenureRead(now, m)
+	case claim:
+		k.claim(now, m)
+	case conclude:
+		k.conclude(now, m)
+	case claimsRead:
+		k.claimsRead(now, m)
+	case claimsFolded:
+		k.claimsFolded(now, m)
 	case regionsAsked:
 		k.carryOut(now, k.budgets.Asked(m.shard, m.budget))
 	case takeoverResult:
@@ -247,11 +257,21 @@
 	for _, t := range k.takeovers {
 		t.tick(now)
 	}
+	k.claimActions(now, k.claims.state.Tick(now))
 	if now.Sub(k.foldedAt) >= k.h.cfg.Fold || k.journal.Crowded() && now.Sub(k.foldedAt) >= time.Second {
 		k.foldedAt = now
-		for _, shard := range k.journal.Unfolded() {
-			k.carryOut(now, k.budgets.Fold(shard))
+		k.fold(now)
+	}
+}
+
+// fold brings what only the journal has into the platform's objects.
+func (k *keeper) fold(now time.Time) {
+	for _, shard := range k.journal.Unfolded() {
+		if shard >= claimOffset {
+			k.foldClaims(now, shard-claimOffset, k.h.cfg.Instance)
+			continue
 		}
+		k.carryOut(now, k.budgets.Fold(shard))
 	}
 }
 
@@ -260,12 +280,13 @@
 	for _, shard := range k.budgets.Shards() {
 		k.carryOut(now, k.budgets.HandOver(now, shard))
 	}
+	k.handOverClaims(now)
 	k.finishStop(now)
 }
 
 // finishStop seals the journal once all shards are handed over.
 func (k *keeper) finishStop(_ time.Time) {
-	if k.stopping == nil || k.sealing || len(k.budgets.Shards()) > 0 {
+	if k.stopping == nil || k.sealing || len(k.budgets.Shards()) > 0 || len(k.claims.held) > 0 {
 		return
 	}
 	k.sealing = true
--- a/internal/holder/messages.go
+++ b/internal/holder/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"daisylane/internal/budgeter"
+	"daisylane/internal/claimer"
 	"daisylane/internal/journaler"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
@@ -23,6 +24,15 @@
 		m     *wirepb.Return
 		reply replyTo[int64]
 	}
+	claim struct {
+		req   claimer.Request
+		reply replyTo[*wirepb.Claimed]
+	}
+	conclude struct {
+		shard   int
+		outcome claimer.Outcome
+		reply   replyTo[struct{}]
+	}
 	status   struct{ reply replyTo[Status] }
 	handOver struct{ reply replyTo[struct{}] }
 	tick     struct{}
@@ -60,6 +70,20 @@
 		former string         // dead holder in the object, empty if none
 		err    error
 	}
+	// claimsRead is the result of taking the claims of a shard.
+	claimsRead struct {
+		shard  int
+		object claimer.Object // as written with this instance as holder
+		holder watcher.Member // alive holder to ask instead, empty if none
+		err    error
+	}
+	// claimsFolded is the result of folding the claims of a shard.
+	claimsFolded struct {
+		shard  int
+		seq    uint64
+		object claimer.Object
+		err    error
+	}
 	// regionsAsked says that all other regions answered a request for tokens.
 	regionsAsked struct {
 		shard  int
