Add target choice with prefix affinity, locality and baselines

Prompt prefix caches pay only if requests with one prefix meet at one target, but load reports are 1 to 3 s old and reach only the router whose request ended, so many routers can send one prefix to one target at once. chooser bounds the load and spreads a prefix over more targets as its estimated fleet-wide demand grows. Another region is used only for the deadline or when all targets of the own region are full.

--- /dev/null
+++ b/internal/chooser/policy_test.go
@@ -0,0 +1,142 @@
+package chooser
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func testSource() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func spread(n int, place Place) []Candidate {
+	list := make([]Candidate, n)
+	for i := range list {
+		list[i] = Candidate{fmt.Sprintf("%s-%s-%d", place.Region, place.Centre, i), place}
+	}
+	return list
+}
+
+// Guards against traffic to other data centres and regions without need.
+func TestLocality(t *testing.T) {
+	near := spread(3, Place{"c1", "r1"})
+	region := spread(3, Place{"c2", "r1"})
+	far := spread(3, Place{"c3", "r2"})
+	all := append(append(append([]Candidate{}, near...), region...), far...)
+	tests := []struct {
+		name     string
+		loaded   []Candidate
+		load     int
+		deadline time.Duration
+		list     []Candidate
+		scope    Scope
+	}{
+		{"idle", nil, 0, 0, all, SameCentre},
+		{"data centre overloaded", near, 14, 0, all, SameRegion},
+		{"region busy without deadline", all[:6], 12, 0, all, SameCentre},
+		{"region full without deadline", all[:6], 17, 0, all, OtherRegion},
+		{"region misses the deadline", all[:6], 12, 6 * time.Second, all, OtherRegion},
+		{"region meets the deadline", all[:6], 12, 9 * time.Second, all, SameCentre},
+		{"all miss the deadline", all, 12, 6 * time.Second, all, SameCentre},
+		{"no candidate in the region", nil, 0, 0, far, OtherRegion},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := NewAffinity(Place{"c1", "r1"}, testSource())
+			for _, c := range all {
+				a.Reported(c.Name, Load{Slots: 8, At: start})
+			}
+			for _, c := range tt.loaded {
+				a.Reported(c.Name, Load{Running: 8, Waiting: tt.load - 8, Slots: 8, At: start.Add(time.Second)})
+			}
+			now := start.Add(2 * time.Second)
+			r := Request{Prefix: 1, Length: 5 * time.Second}
+			if tt.deadline > 0 {
+				r.Deadline = now.Add(tt.deadline)
+			}
+			got, ok := a.Choose(now, r, tt.list)
+			if !ok || got.Scope != tt.scope {
+				t.Errorf("choice = %+v, want scope %s", got, tt.scope)
+			}
+			if (got.Added > 0) != (got.Scope == OtherRegion) {
+				t.Errorf("added latency %s for scope %s", got.Added, got.Scope)
+			}
+		})
+	}
+}
+
+// Guards against a lagging report hiding or repeating the router's own requests.
+func TestLoad(t *testing.T) {
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	l := NewLoads()
+	l.Sent(at(1), "a")
+	l.Sent(at(3), "a")
+	steps := []struct {
+		name string
+		do   func()
+		want int
+	}{
+		{"own only", func() {}, 2},
+		{"report counts the first", func() { l.Reported("a", Load{Running: 5, Slots: 8, At: at(2)}) }, 6},
+		{"first ends", func() { l.Done(at(4), "a", at(1)) }, 5},
+		{"older report", func() { l.Reported("a", Load{Running: 9, Slots: 8, At: at(1)}) }, 5},
+		{"newer report", func() { l.Reported("a", Load{Running: 7, Slots: 8, At: at(5)}) }, 7},
+	}
+	for _, s := range steps {
+		s.do()
+		if got, _, _ := l.Load(at(6), "a"); got != s.want {
+			t.Errorf("%s: load = %d, want %d", s.name, got, s.want)
+		}
+	}
+	if got, _, known := l.Load(at(60), "a"); got != 1 || known {
+		t.Errorf("after the report expired: load = %d, known = %v, want 1, false", got, known)
+	}
+}
+
+// Guards against choosing an excluded target, by any policy.
+func TestExclude(t *testing.T) {
+	list := spread(3, Place{"c1", "r1"})
+	r := Request{Exclude: map[string]bool{list[0].Name: true, list[1].Name: true}}
+	for _, p := range policies {
+		policy := p.make(testSource(), 1)
+		for range 20 {
+			if c, ok := policy.Choose(start, r, list); !ok || c.Name != list[2].Name {
+				t.Errorf("%s chose %+v", p.name, c)
+			}
+		}
+		if c, ok := policy.Choose(start, Request{Exclude: r.Exclude}, list[:2]); ok {
+			t.Errorf("%s chose %+v although all are excluded", p.name, c)
+		}
+	}
+}
+
+// Guards against losing the cache hits that pay for prefix affinity, or paying
+// for them with a longer time to the first token than any baseline.
+func TestAffinityBeatsBaselines(t *testing.T) {
+	results := make([]result, len(policies))
+	for i, p := range policies {
+		results[i] = simulate(18, 3, 0.6, 3*time.Minute, p.make)
+	}
+	for i, r := range results[1:] {
+		if results[0].hits < 2*r.hits || results[0].first > r.first {
+			t.Errorf("affinity %+v, %s %+v", results[0], policies[i+1].name, r)
+		}
+	}
+}
+
+// Reports the cost of one decision at the planned number of targets.
+func BenchmarkDecision(b *testing.B) {
+	list := spread(1400, Place{"c", "r"})
+	for _, p := range policies {
+		b.Run(p.name, func(b *testing.B) {
+			policy, n := p.make(testSource(), 320), uint64(0)
+			for _, c := range list {
+				policy.Reported(c.Name, Load{Running: 4, Slots: 8, At: start})
+			}
+			for b.Loop() {
+				n++
+				policy.Choose(start.Add(time.Second), Request{Prefix: n % 5000}, list)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/chooser/types.go
@@ -0,0 +1,204 @@
+package chooser
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	boundFactor    = 1.25 // of the mean load per slot
+	freeShare      = 0.75 // of the slots; less loaded targets count as free
+	fullQueue      = 2.0  // load per slot at which a target counts as full
+	prefixBytes    = 1024
+	prefixShare    = 0.25 // of a target's slots that one prefix may occupy
+	unseenDemand   = 0.5  // requests assumed for a prefix while the router is young
+	maxPrefixes    = 4096
+	demandTime     = time.Minute // decay of the demand for a prefix
+	regionLatency  = 20 * time.Millisecond
+	expectedSlots  = 8                // of a target that has not reported yet
+	maxReportLag   = 10 * time.Second // older reports say nothing about the load
+	expectedLength = 5 * time.Second
+)
+
+// Place is the location of a router or target.
+type Place struct {
+	Centre string
+	Region string
+}
+
+// Candidate is a target that may receive the request.
+type Candidate struct {
+	Name string
+	Place
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Prefix   uint64          // see [Prefix]
+	Deadline time.Time       // zero: none
+	Length   time.Duration   // expected run time, 0: [expectedLength]
+	Exclude  map[string]bool // tried before or with an open circuit breaker
+}
+
+func (r Request) length() time.Duration {
+	if r.Length > 0 {
+		return r.Length
+	}
+	return expectedLength
+}
+
+// Load is a load report of a target.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	At      time.Time // when the target measured it
+}
+
+// Scope says how far a choice is from the router.
+type Scope string
+
+// Scopes, nearest first.
+const (
+	SameCentre  Scope = "centre"
+	SameRegion  Scope = "region"
+	OtherRegion Scope = "other"
+)
+
+// Reasons of a choice.
+const (
+	ReasonPrefix   = "prefix"   // first in rendezvous order
+	ReasonBound    = "bound"    // the first in rendezvous order is over the bound
+	ReasonDeadline = "deadline" // the own region cannot meet the deadline
+	ReasonCapacity = "capacity" // the own region has no candidate or only full ones
+	ReasonPolicy   = "policy"   // a baseline's rule
+)
+
+// Choice is a selected target.
+type Choice struct {
+	Name   string
+	Scope  Scope
+	Reason string
+	Wait   time.Duration // estimated time until the request starts
+	Added  time.Duration // estimated latency added by the distance, both ways
+}
+
+// Policy selects targets and keeps track of their load.
+type Policy interface {
+	Choose(now time.Time, r Request, list []Candidate) (Choice, bool)
+	Sent(now time.Time, name string)
+	Done(now time.Time, name string, sent time.Time)
+	Reported(name string, l Load)
+	Forget(name string)
+}
+
+// Prefix returns the hash of the prompt prefix that selects the target. The
+// model and adapter are part of it, because their caches are not shared.
+func Prefix(model, adapter string, prompt []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(model)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(adapter)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.Write(prompt[:min(len(prompt), prefixBytes)])
+	return d.Sum64()
+}
+
+// Loads combines load reports with the router's own requests. A request in
+// flight that the last report already counts is not counted twice.
+type Loads struct {
+	targets map[string]*target
+}
+
+type target struct {
+	hash   uint64
+	report Load
+	sent   []time.Time // own requests in flight, by send time
+	ended  []span      // own requests that ended lately, a lagging report may still count them
+}
+
+type span struct{ sent, done time.Time }
+
+// NewLoads returns an empty table.
+func NewLoads() *Loads { return &Loads{targets: make(map[string]*target)} }
+
+// Affinity is the policy of the product.
+type Affinity struct {
+	*Loads
+	place   Place
+	source  *rand.Rand
+	peers   int           // routers that share the candidates, this one included
+	latency time.Duration // one way between regions
+	factor  float64
+	demand  map[uint64]*demand
+	began   time.Time // first choice
+
+	own, others []option // reused between choices
+}
+
+// demand is the router's own recent use of a prefix, decaying exponentially.
+type demand struct {
+	count float64
+	at    time.Time
+}
+
+// Option changes a setting of [Affinity].
+type Option func(*Affinity)
+
+// WithRegionLatency sets the one-way latency between regions.
+func WithRegionLatency(d time.Duration) Option { return func(a *Affinity) { a.latency = d } }
+
+// WithBound sets the bound on the load of a target, as a multiple of the mean.
+func WithBound(factor float64) Option { return func(a *Affinity) { a.factor = factor } }
+
+// WithPeers sets the number of routers that share the candidates. Each router
+// sees its own share of a prefix's demand and scales it by this number.
+func WithPeers(n int) Option { return func(a *Affinity) { a.peers = max(1, n) } }
+
+// NewAffinity returns the policy for a router at the given place. The source
+// spreads a prefix in high demand over several targets.
+func NewAffinity(place Place, source *rand.Rand, opts ...Option) *Affinity {
+	a := &Affinity{
+		Loads: NewLoads(), place: place, source: source, peers: 1,
+		latency: regionLatency, factor: boundFactor, demand: make(map[uint64]*demand),
+	}
+	for _, o := range opts {
+		o(a)
+	}
+	return a
+}
+
+// RoundRobin is a baseline that takes the candidates in turn.
+type RoundRobin struct {
+	*Loads
+	next int
+}
+
+// NewRoundRobin returns the baseline. It begins at the given candidate, so that
+// routers started together do not all take the same one.
+func NewRoundRobin(first int) *RoundRobin { return &RoundRobin{Loads: NewLoads(), next: first} }
+
+// LeastLoaded is a baseline that takes the least reported load.
+type LeastLoaded struct {
+	*Loads
+	source *rand.Rand
+}
+
+// NewLeastLoaded returns the baseline. Ties are broken by source.
+func NewLeastLoaded(source *rand.Rand) *LeastLoaded {
+	return &LeastLoaded{Loads: NewLoads(), source: source}
+}
+
+// PowerOfTwo is a baseline that takes the less loaded of two random candidates.
+type PowerOfTwo struct {
+	*Loads
+	source *rand.Rand
+}
+
+// NewPowerOfTwo returns the baseline.
+func NewPowerOfTwo(source *rand.Rand) *PowerOfTwo {
+	return &PowerOfTwo{Loads: NewLoads(), source: source}
+}
