Register sides in the platform and stop them by steps

Refused requests stay known for a resuming router, with reason unknown for requests that are not kept, as the router expects. Tests of executor and admitter pass with -race.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -169,8 +169,8 @@
 				open[r.ID], waiting[r.ID] = r, true
 				take(a.Run(now, r))
 			}
-			if a.Idle() != (len(running)+len(waiting) == 0) {
-				t.Fatalf("%d run, %d wait, idle = %v", len(running), len(waiting), a.Idle())
+			if a.OpenCount() != len(running)+len(waiting) {
+				t.Fatalf("%d run, %d wait, open = %d", len(running), len(waiting), a.OpenCount())
 			}
 		}
 	})
--- a/internal/admitter/queries.go
+++ b/internal/admitter/queries.go
@@ -64,8 +64,8 @@
 // Draining reports whether the side refuses new work.
 func (a *Admitter) Draining() bool { return a.draining }
 
-// Idle reports whether nothing runs or waits.
-func (a *Admitter) Idle() bool { return len(a.running) == 0 && len(a.waiting) == 0 }
+// OpenCount returns how many requests run or wait.
+func (a *Admitter) OpenCount() int { return len(a.running) + len(a.waiting) }
 
 // Wait estimates how long a new request of the lowest worth would wait.
 func (a *Admitter) Wait() time.Duration {
--- a/internal/executor/engine.go
+++ b/internal/executor/engine.go
@@ -139,14 +139,14 @@
 }
 
 // receive keeps the answer of the target.
-func (s *Side) receive(ctx context.Context, j *job, res *http.Response) result {
+func (s *Side) receive(ctx context.Context, j *job, run *wirepb.Run, res *http.Response) result {
 	kind, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type"))
 	model := s.cfg.Target.Kind == Model
 	if model && res.StatusCode == http.StatusOK && kind == "text/event-stream" {
-		return s.receiveEvents(ctx, j, res.Body)
+		return s.receiveEvents(ctx, j, run, res.Body)
 	}
 	if !model {
-		return s.receiveCall(ctx, j, res)
+		return s.receiveCall(ctx, j, run, res)
 	}
 	var body bytes.Buffer
 	err := keepBody(ctx, j, io.TeeReader(io.LimitReader(res.Body, maxAnswerBytes+1), &body))
@@ -167,10 +167,10 @@
 
 // receiveCall keeps the answer of a service. The price of a call is its whole
 // reservation, charged if the service carried it out.
-func (s *Side) receiveCall(ctx context.Context, j *job, res *http.Response) result {
+func (s *Side) receiveCall(ctx context.Context, j *job, run *wirepb.Run, res *http.Response) result {
 	out := result{err: keepBody(ctx, j, res.Body)}
 	if res.StatusCode < http.StatusBadRequest {
-		out.usage.Output = j.run.GetReservation().GetTokens()
+		out.usage.Output = run.GetReservation().GetTokens()
 	}
 	return out
 }
--- a/internal/executor/events.go
+++ b/internal/executor/events.go
@@ -9,6 +9,7 @@
 	"io"
 
 	"daisylane/internal/admitter"
+	"daisylane/internal/wirepb"
 )
 
 const (
@@ -62,8 +63,8 @@
 
 // receiveEvents keeps a streamed answer, one data frame per event payload. The
 // final [DONE] is not kept: the end frame says that the answer is complete.
-func (s *Side) receiveEvents(ctx context.Context, j *job, body io.Reader) result {
-	asked := asksUsage(j.run.GetPayload())
+func (s *Side) receiveEvents(ctx context.Context, j *job, run *wirepb.Run, body io.Reader) result {
+	asked := asksUsage(run.GetPayload())
 	var out result
 	var counted admitter.Usage
 	lines := bufio.NewScanner(body)
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -38,9 +38,9 @@
 	defer span.End()
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errDeadline)
 	defer cancel()
-	started := time.Now()
+	started, run := time.Now(), j.request()
 
-	res, sent := s.send(ctx, j)
+	res, sent := s.send(ctx, j, run)
 	if !sent {
 		span.RecordError(res.err)
 		s.notRun(j, res.err)
@@ -53,7 +53,7 @@
 	if res.err != nil {
 		span.RecordError(res.err)
 		end.Outcome, end.Text = outcomeInterrupted, res.err.Error()
-		if j.run.GetClaim() != "" {
+		if run.GetClaim() != "" {
 			end.Outcome = outcomeUnknown
 		}
 	}
@@ -69,7 +69,7 @@
 
 // send makes the call to the target. It reports false if no connection was
 // made, so that nothing was sent.
-func (s *Side) send(ctx context.Context, j *job) (result, bool) {
+func (s *Side) send(ctx context.Context, j *job, run *wirepb.Run) (result, bool) {
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) {
@@ -78,12 +78,12 @@
 			}
 		},
 	})
-	req, err := s.request(ctx, j.run)
+	req, err := s.request(ctx, run)
 	if err != nil {
 		return result{err: err}, false
 	}
 	client := s.pooled
-	if j.run.GetClaim() != "" {
+	if run.GetClaim() != "" {
 		client = s.single
 	}
 	res, err := client.Do(req)
@@ -91,7 +91,7 @@
 		return result{err: cause(ctx, err)}, sent.Load()
 	}
 	defer res.Body.Close()
-	out := s.receive(ctx, j, res)
+	out := s.receive(ctx, j, run, res)
 	out.status, out.header = res.StatusCode, flatten(res.Header)
 	if out.err != nil {
 		out.err = cause(ctx, out.err)
@@ -100,7 +100,6 @@
 }
 
 func (s *Side) notRun(j *job, err error) {
-	s.drop(j.id)
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.NotRun(time.Now(), j.id) }))
 	refused := &connector.RefusedError{Reason: reasonTarget, Text: err.Error(), After: time.Second, Load: s.load()}
 	switch {
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -18,6 +18,7 @@
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
 	"daisylane/internal/loader"
+	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
@@ -98,7 +99,7 @@
 	deregistered bool
 }
 
-func (p *platform) Register(context.Context, Member) error {
+func (p *platform) Register(context.Context, watcher.Member) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
@@ -115,7 +116,7 @@
 	return append([]string(nil), p.closed...), nil
 }
 
-func (p *platform) Deregister(context.Context, Member) error {
+func (p *platform) Deregister(context.Context, watcher.Member) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.deregistered = true
@@ -330,8 +331,8 @@
 	if end, _ = again.read(t, f.open(f.pool, "q1", resumeFrame(0)), noLimit); end.GetCount() != 30 {
 		t.Errorf("count = %d after the end, want 30", end.GetCount())
 	}
-	if _, refused = newReader("q9").read(t, f.open(f.pool, "q9", resumeFrame(0)), noLimit); refused.GetReason() != reasonAbsent {
-		t.Errorf("refused = %v, want reason absent", refused)
+	if _, refused = newReader("q9").read(t, f.open(f.pool, "q9", resumeFrame(0)), noLimit); refused.GetReason() != reasonUnknown {
+		t.Errorf("refused = %v, want reason unknown", refused)
 	}
 }
 
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -16,7 +16,7 @@
 
 // Reasons of refusals that the admission state does not decide.
 const (
-	reasonAbsent    = "absent"    // the request or its output is not kept here
+	reasonUnknown   = "unknown"   // the request or its output is not kept here; it may have run
 	reasonBody      = "body"      // the request is malformed
 	reasonTarget    = "target"    // no connection to the target could be made
 	reasonCancelled = "cancelled" // the router cancelled the request before it started
@@ -80,7 +80,7 @@
 func (s *Side) onResume(ctx context.Context, st *connector.Stream, f *wirepb.Frame, m *wirepb.Resume) error {
 	j := s.job(f.GetId())
 	if j == nil {
-		return st.Refuse(f, &connector.RefusedError{Reason: reasonAbsent, Text: "the request is not known here"})
+		return st.Refuse(f, &connector.RefusedError{Reason: reasonUnknown, Text: "the request is not known here"})
 	}
 	j.note("resumed at %d", m.GetOffset())
 	return s.stream(ctx, st, j, m.GetOffset())
@@ -105,7 +105,7 @@
 		v, err := j.view(offset)
 		switch {
 		case errors.Is(err, assembler.ErrDropped), errors.Is(err, assembler.ErrBeyond):
-			return st.Refuse(frame, &connector.RefusedError{Reason: reasonAbsent, Text: err.Error()})
+			return st.Refuse(frame, &connector.RefusedError{Reason: reasonUnknown, Text: err.Error()})
 		case err != nil:
 			return err
 		case v.refused != nil:
@@ -182,7 +182,6 @@
 		j.cancel(errCancelled)
 		return
 	}
-	s.drop(id)
 	j.refuse(&connector.RefusedError{Reason: reasonCancelled, Text: errCancelled.Error()})
 }
 
@@ -263,7 +262,7 @@
 func (s *Side) onExplain(_ context.Context, _ string, m *wirepb.Explain) (*wirepb.Records, error) {
 	j := s.job(m.GetRequest())
 	if j == nil {
-		return nil, &connector.RefusedError{Reason: reasonAbsent, Text: "the request is not known here"}
+		return nil, &connector.RefusedError{Reason: reasonUnknown, Text: "the request is not known here"}
 	}
 	data, err := json.Marshal(j.history())
 	if err != nil {
--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -31,12 +31,12 @@
 // job is one request and its output. It outlives the streams that read it.
 type job struct {
 	id       string
-	run      *wirepb.Run
 	deadline time.Time
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
 	mu       sync.Mutex
+	run      *wirepb.Run // nil after the end, to free the payload
 	buf      *assembler.Buffer
 	changed  chan struct{} // closed at the next change
 	accepted bool
@@ -83,13 +83,26 @@
 	j.changed = make(chan struct{})
 }
 
+func (j *job) isRefused() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.refused != nil
+}
+
+// request returns the Run message of a job that has not ended.
+func (j *job) request() *wirepb.Run {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.run
+}
+
 func (j *job) accept() {
 	j.update(func() { j.accepted = true })
 	j.note("sent to the target")
 }
 
 func (j *job) refuse(e *connector.RefusedError) {
-	j.update(func() { j.refused, j.ended = e, time.Now() })
+	j.update(func() { j.refused, j.ended, j.run = e, time.Now(), nil })
 	j.note("refused: %s: %s", e.Reason, e.Text)
 	j.cancel(e)
 }
@@ -97,7 +110,7 @@
 func (j *job) finish(end *wirepb.End) {
 	j.update(func() {
 		end.Count, end.Sum = j.buf.Count(), j.buf.Sum()
-		j.end, j.ended = end, time.Now()
+		j.end, j.ended, j.run = end, time.Now(), nil
 	})
 	j.note("ended: %s: %s", end.GetOutcome(), end.GetText())
 	j.cancel(nil)
--- a/internal/executor/lifecycle.go
+++ b/internal/executor/lifecycle.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"daisylane/internal/admitter"
+	"daisylane/internal/drainer"
+	"daisylane/internal/watcher"
 )
 
 var errStopped = errors.New("the side stopped")
@@ -15,7 +18,7 @@
 // register makes the side known, loads the closed holders and allows admission,
 // in this order. A successor that lists the sides after its closure therefore
 // finds this side, or this side finds the closure.
-func (s *Side) register(ctx context.Context, m Member) {
+func (s *Side) register(ctx context.Context, m watcher.Member) {
 	for ctx.Err() == nil {
 		err := s.tryRegister(ctx, m)
 		if err == nil {
@@ -30,7 +33,7 @@
 	}
 }
 
-func (s *Side) tryRegister(ctx context.Context, m Member) error {
+func (s *Side) tryRegister(ctx context.Context, m watcher.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	if err := s.registry.Register(ctx, m); err != nil {
@@ -61,43 +64,59 @@
 	}))
 }
 
-// stop finishes running requests and delivers charges. If charges remain, the
-// registration stays: their reservations must not be released before the side
-// is known to be gone.
-func (s *Side) stop(ctx context.Context, m Member) {
+// stop carries out the stop sequence.
+func (s *Side) stop(ctx context.Context, m watcher.Member) {
+	limits := drainer.Limits{Finish: s.cfg.Limits.Deadline.Std() + keepPeriod, Flush: s.cfg.Limits.Flush.Std()}
+	d := drainer.NewSide(limits)
 	s.drain(false)
-	s.await(s.cfg.Limits.Deadline.Std()+keepPeriod, func(a *admitter.Admitter) bool { return a.Idle() })
-	flushed := s.await(s.cfg.Limits.Flush.Std(), func(a *admitter.Admitter) bool { return len(a.Unbilled("")) == 0 })
-	s.awaitReaders(s.cfg.Limits.Flush.Std())
-	if !flushed {
-		s.log.Error().Int("charges", s.Status().Unbilled).Msg("charges not delivered, registration is kept")
-		return
+	d.Begin(time.Now())
+	var left atomic.Bool
+	for d.Step() != drainer.Stopped {
+		facts := s.facts()
+		facts.Left = left.Load()
+		for _, step := range d.Observe(time.Now(), facts) {
+			s.log.Info().Str("step", string(step)).Msg("stopping")
+			if step == drainer.Leaving {
+				s.work.Go(func() { left.Store(s.leave(ctx, m)) })
+			}
+		}
+		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	if err := s.registry.Deregister(ctx, m); err != nil {
-		s.log.Warn().Err(err).Msg("deregistration failed")
-		return
+	if late := d.Late(); len(late) > 0 {
+		s.log.Warn().Any("steps", late).Bool("registered", d.KeepsRegistration()).Int("charges", s.Status().Unbilled).
+			Msg("stopped before all steps were complete")
 	}
-	s.log.Info().Str("instance", m.Name).Msg("side stopped")
 }
 
-func (s *Side) await(limit time.Duration, done func(*admitter.Admitter) bool) bool {
-	for end := time.Now().Add(limit); ; time.Sleep(stopPoll) {
-		if ask(s.desk, done) {
+func (s *Side) facts() drainer.Facts {
+	f := drainer.Facts{Readers: int(s.reads.Load())}
+	s.desk.decide(func(a *admitter.Admitter) { f.Requests, f.Charges = a.OpenCount(), len(a.Unbilled("")) })
+	return f
+}
+
+// leave deletes the registration and reports success.
+func (s *Side) leave(ctx context.Context, m watcher.Member) bool {
+	for {
+		err := s.tryLeave(ctx, m)
+		if err == nil {
 			return true
 		}
-		if !time.Now().Before(end) {
+		s.log.Warn().Err(err).Msg("deregistration failed, trying again")
+		select {
+		case <-ctx.Done():
 			return false
+		case <-time.After(registerInterval):
 		}
 	}
 }
 
-// awaitReaders lets streams read the rest of their answers.
-func (s *Side) awaitReaders(limit time.Duration) {
-	for end := time.Now().Add(limit); s.reads.Load() > 0 && time.Now().Before(end); {
-		time.Sleep(stopPoll)
+func (s *Side) tryLeave(ctx context.Context, m watcher.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	if err := s.registry.Deregister(ctx, m); err != nil {
+		return fmt.Errorf("deregister: %w", err)
 	}
+	return nil
 }
 
 // abort ends the requests that still run.
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -16,6 +16,7 @@
 
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
+	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
@@ -39,9 +40,9 @@
 
 // Registry makes the side known and gives the closed holders.
 type Registry interface {
-	Register(ctx context.Context, m Member) error
+	Register(ctx context.Context, m watcher.Member) error
 	Closures(ctx context.Context) ([]string, error)
-	Deregister(ctx context.Context, m Member) error
+	Deregister(ctx context.Context, m watcher.Member) error
 }
 
 // Side runs requests at one target.
@@ -110,7 +111,7 @@
 	return &wirepb.Hello{
 		Protocol: connector.ProtocolVersion,
 		Instance: s.instance,
-		Role:     "side",
+		Role:     watcher.Side,
 		Centre:   s.cfg.Centre,
 		Region:   s.cfg.Region,
 	}
@@ -223,8 +224,9 @@
 	}
 }
 
+// refuse keeps the refused job for a router that resumes; a new Run replaces it.
 func (s *Side) refuse(act admitter.Refuse) {
-	j := s.drop(act.ID)
+	j := s.job(act.ID)
 	if j == nil {
 		return
 	}
@@ -238,19 +240,11 @@
 	return s.jobs[id]
 }
 
-func (s *Side) drop(id string) *job {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	j := s.jobs[id]
-	delete(s.jobs, id)
-	return j
-}
-
-// add registers a job unless its id is known.
+// add registers a job unless its id belongs to a request that was not refused.
 func (s *Side) add(j *job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.jobs[j.id]; known {
+	if known := s.jobs[j.id]; known != nil && !known.isRefused() {
 		return false
 	}
 	s.jobs[j.id] = j
