--- a/internal/faker/platform_faults.go
+++ b/internal/faker/platform_faults.go
@@ -57,7 +57,7 @@
 	if s.Rate != nil {
 		p.limit = limiter(*s.Rate)
 	}
-	p.notify()
+	p.notifyAll()
 }
 
 func limiter(perSecond float64) *rate.Limiter {
--- a/internal/prober/budget.go
+++ b/internal/prober/budget.go
@@ -30,7 +30,10 @@
 	}
 }
 
-func (r Result) overBudget() bool { return r.Outcome == NotRun && r.Reason == "budget" }
+// overBudget excludes a refusal after an attempt that may have consumed tokens.
+func (r Result) overBudget() bool {
+	return r.Outcome == NotRun && r.Reason == "budget" && len(r.IDs) <= 1
+}
 
 // spending returns the changes of a caller's budget in order of time.
 func spending(caller string, settle time.Duration, results []Result) []change {
@@ -41,10 +44,10 @@
 		}
 		list = append(list, change{r.Start, r.Bound})
 		closed := r.Start.Add(r.Took + settle)
-		switch r.Outcome {
-		case Whole, Wrong:
+		switch {
+		case r.Outcome == Whole || r.Outcome == Wrong:
 			list = append(list, change{closed, r.Tokens - r.Bound})
-		case NotRun, Unreachable:
+		case (r.Outcome == NotRun || r.Outcome == Unreachable) && len(r.IDs) <= 1:
 			list = append(list, change{closed, -r.Bound})
 		}
 	}
--- a/internal/prober/compare.go
+++ b/internal/prober/compare.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 
 	"daisylane/internal/faker"
 )
@@ -15,10 +16,10 @@
 type Findings struct {
 	Compared   int            `json:"compared"`   // requests compared with records
 	Wrong      int            `json:"wrong"`      // answers with another content
-	Untruthful int            `json:"untruthful"` // reported as not run, and run
+	Untruthful int            `json:"untruthful"` // reported as not run, and run in that attempt
 	Missing    int            `json:"missing"`    // answered, and not recorded as run to its end
 	Usage      int            `json:"usage"`      // answered with another usage than every run of it had
-	Twice      int            `json:"twice"`      // service calls run more than once
+	Twice      int            `json:"twice"`      // service calls run more than once, over all attempts
 	Repeated   int            `json:"repeated"`   // chat requests run more than once
 	Unanswered int            `json:"unanswered"` // run to the end without a whole answer
 	Bills      map[string]int `json:"bills"`      // per caller with a known bill: billed tokens less tokens of whole answers
@@ -54,9 +55,9 @@
 	for _, res := range r.results {
 		switch {
 		case res.Kind == KindChat && len(r.exp.Engines) > 0:
-			f.take(res, chats[res.ID])
+			f.take(res, chats)
 		case res.Kind == KindService && len(r.exp.Bookings) > 0:
-			f.take(res, services[res.ID])
+			f.take(res, services)
 		}
 	}
 	return f, f.readBills(r.exp.Bills, r.results)
@@ -73,22 +74,28 @@
 	}
 }
 
-func (f *Findings) take(res Result, rec *record) {
-	if rec == nil {
-		rec = &record{}
+func merge(records map[string]*record, ids []string) record {
+	var sum record
+	for _, id := range slices.Compact(slices.Clone(ids)) {
+		if rec := records[id]; rec != nil {
+			sum.runs += rec.runs
+			sum.done += rec.done
+			sum.totals = append(sum.totals, rec.totals...)
+		}
 	}
+	return sum
+}
+
+func (f *Findings) take(res Result, records map[string]*record) {
+	rec, last := merge(records, res.IDs), merge(records, res.IDs[len(res.IDs)-1:])
 	f.Compared++
 	count(&f.Wrong, res.Outcome == Wrong)
-	count(&f.Untruthful, res.Outcome == NotRun && rec.runs > 0)
+	count(&f.Untruthful, res.Outcome == NotRun && last.runs > 0)
 	count(&f.Missing, res.Outcome == Whole && rec.done == 0)
 	count(&f.Unanswered, res.Outcome != Whole && rec.done > 0)
 	count(&f.Twice, res.Kind == KindService && rec.runs > 1)
 	count(&f.Repeated, res.Kind == KindChat && rec.runs > 1)
-	matches := false
-	for _, total := range rec.totals {
-		matches = matches || total == res.Tokens
-	}
-	count(&f.Usage, res.Kind == KindChat && res.Outcome == Whole && rec.done > 0 && !matches)
+	count(&f.Usage, res.Kind == KindChat && res.Outcome == Whole && rec.done > 0 && !slices.Contains(rec.totals, res.Tokens))
 }
 
 func count(n *int, ok bool) {
--- a/internal/prober/doc.go
+++ b/internal/prober/doc.go
@@ -28,6 +28,7 @@
 //	tokens = 64          # maximum output
 //	prefix = 512         # bytes of prompt that all requests share
 //	budget = 100000      # prepaid tokens that only this caller spends, 0 if unknown
+//	repeat = 2           # attempts with the same key after one without a final outcome
 //
 //	[[phase]]
 //	name     = "outage"
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -122,6 +122,22 @@
 	}
 }
 
+// Guards against a repeated call that counts as run once because its attempts have different request ids.
+func TestRepeat(t *testing.T) {
+	booking := faker.NewBooking()
+	booking.Set(faker.BookingFaults{After: faker.Ptr(1)})
+	exp := experiment(serve(t, booking))
+	exp.Bookings, exp.Callers = exp.Entries, exp.Callers[1:]
+	exp.Callers[0].Repeat = 1
+	rep, err := Run(t.Context(), exp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p := rep.Phases[0]; p.Outcomes[Whole] != p.Sent || rep.Findings.Twice != 1 {
+		t.Errorf("findings %+v in %+v", rep.Findings, p)
+	}
+}
+
 // Guards against a true refusal that counts as false because requests in
 // flight, uncertain ones or charges on their way are left out, and against
 // refusals that excuse each other.
--- a/internal/prober/request.go
+++ b/internal/prober/request.go
@@ -31,7 +31,7 @@
 	Phase     string
 	Caller    string
 	Kind      string
-	ID        string // request id
+	IDs       []string // request id of each attempt
 	Outcome   string
 	Reason    string // of a refusal
 	Worth     float64
@@ -91,15 +91,26 @@
 	ID     string `json:"id"`
 }
 
-// send carries out a request at an entry.
-func (q request) send(ctx context.Context, client *http.Client, entry string) Result {
-	start := time.Now()
-	res := Result{Caller: q.caller.Name, Kind: q.caller.Kind, ID: q.id, Worth: q.caller.Worth, Bound: q.bound, Start: start}
-	q.exchange(ctx, client, entry, &res)
-	res.Took = time.Since(start)
+// send carries out a request. An attempt that ends without a final outcome is
+// repeated with the same key, as callers do, at the next entry.
+func (q request) send(ctx context.Context, client *http.Client, entries []string) Result {
+	res := Result{Caller: q.caller.Name, Kind: q.caller.Kind, Worth: q.caller.Worth, Bound: q.bound, Start: time.Now()}
+	for n := 0; n <= q.caller.Repeat && ctx.Err() == nil; n++ {
+		res.IDs = append(res.IDs, fmt.Sprintf("%s-%d", q.id, n))
+		q.exchange(ctx, client, entries[n%len(entries)], &res)
+		if res.final() {
+			break
+		}
+	}
+	res.Took = time.Since(res.Start)
 	return res
 }
 
+func (r *Result) final() bool { return r.Outcome == Whole || r.Outcome == Wrong || r.Outcome == NotRun }
+
+// id returns the request id of the last attempt.
+func (r *Result) id() *string { return &r.IDs[len(r.IDs)-1] }
+
 func (q request) exchange(ctx context.Context, client *http.Client, entry string, res *Result) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+q.caller.Path, bytes.NewReader(q.body))
 	if err != nil {
@@ -110,7 +121,7 @@
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+q.caller.Key.Reveal())
-	req.Header.Set("X-Request-Id", q.id)
+	req.Header.Set("X-Request-Id", *res.id())
 	req.Header.Set("Idempotency-Key", q.id)
 	if q.caller.Worth > 0 {
 		req.Header.Set("X-Worth", strconv.FormatFloat(q.caller.Worth, 'g', -1, 64))
@@ -126,7 +137,7 @@
 	}
 	defer answer.Body.Close()
 	if id := answer.Header.Get("X-Request-Id"); id != "" {
-		res.ID = id
+		*res.id() = id
 	}
 	switch {
 	case answer.StatusCode != http.StatusOK:
--- a/internal/prober/run.go
+++ b/internal/prober/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -115,7 +116,8 @@
 }
 
 func (r *runner) launch(ctx context.Context, p Phase) error {
-	entry := r.exp.Entries[r.rand.IntN(len(r.exp.Entries))]
+	first := r.rand.IntN(len(r.exp.Entries))
+	entries := slices.Concat(r.exp.Entries[first:], r.exp.Entries[:first])
 	q, err := newRequest(r.pick(), fmt.Sprintf("probe-%s-%d", r.start, r.sent))
 	if err != nil {
 		return err
@@ -128,13 +130,13 @@
 	}
 	r.pending.Go(func() {
 		defer func() { <-r.slots }()
-		r.probe(ctx, p, q, entry)
+		r.probe(ctx, p, q, entries)
 	})
 	return nil
 }
 
-func (r *runner) probe(ctx context.Context, p Phase, q request, entry string) {
-	res := q.send(ctx, r.client, entry)
+func (r *runner) probe(ctx context.Context, p Phase, q request, entries []string) {
+	res := q.send(ctx, r.client, entries)
 	res.Phase = p.Name
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/prober/settings.go
+++ b/internal/prober/settings.go
@@ -22,6 +22,7 @@
 	maxRequests = 1_000_000
 	maxInFlight = 5_000
 	maxRate     = 10_000
+	maxRepeat   = 10
 	maxDuration = loader.Duration(2 * time.Hour)
 )
 
@@ -52,6 +53,7 @@
 	Tokens int           `toml:"tokens"`
 	Prefix int           `toml:"prefix"`
 	Budget int           `toml:"budget"`
+	Repeat int           `toml:"repeat"` // attempts after one without a final outcome
 }
 
 // Phase is a part of the experiment with a constant rate.
@@ -108,6 +110,7 @@
 	f.Require(c.Kind != KindChat || c.Tokens > 0, "tokens", "is not positive")
 	f.Require(c.Prefix >= 0, "prefix", "is negative")
 	f.Require(c.Budget >= 0, "budget", "is negative")
+	checker.Range(&f, "repeat", c.Repeat, 0, maxRepeat)
 	return f.Err()
 }
 
--- a/internal/prober/stream.go
+++ b/internal/prober/stream.go
@@ -102,6 +102,6 @@
 	}
 	r.Reason = f.Reason
 	if f.ID != "" {
-		r.ID = f.ID
+		*r.id() = f.ID
 	}
 }
