Match runs with probes by content, use no proxy

Entries give requests their own ids, and a broken connection shows none, so matching by request id missed runs. The engine record now has the end of the last message and the prober looks for its id there. The worth goes in the header Request-Worth that the router reads. Platform client and prober ignore proxy settings, because processes connect by address.

--- a/internal/faker/chat.go
+++ b/internal/faker/chat.go
@@ -13,6 +13,7 @@
 	defaultOutput = 64
 	bytesPerToken = 4
 	blockTokens   = 16
+	tailBytes     = 64
 	chunkObject   = "chat.completion.chunk"
 )
 
@@ -62,6 +63,11 @@
 	return b.String()
 }
 
+func (c Chat) tail() string {
+	last := c.Messages[len(c.Messages)-1].Content
+	return last[max(0, len(last)-tailBytes):]
+}
+
 // tokens counts the prompt tokens, at most one per content byte.
 func (c Chat) tokens() int {
 	n := 0
--- a/internal/faker/run.go
+++ b/internal/faker/run.go
@@ -24,6 +24,7 @@
 	ID     string `json:"id"` // request id
 	Model  string `json:"model"`
 	State  string `json:"state"`
+	Tail   string `json:"tail"`   // end of the last message, to find a run without its request id
 	Cached int    `json:"cached"` // prompt tokens from the prefix cache
 	Usage  Usage  `json:"usage"`
 }
@@ -190,7 +191,7 @@
 func (r *run) record() Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Run{ID: r.id, Model: r.chat.Model, State: r.state, Cached: r.cached, Usage: r.usage()}
+	return Run{ID: r.id, Model: r.chat.Model, State: r.state, Tail: r.chat.tail(), Cached: r.cached, Usage: r.usage()}
 }
 
 func over(state string) bool { return state != StateWaiting && state != StateRunning }
--- a/internal/prober/budget.go
+++ b/internal/prober/budget.go
@@ -32,7 +32,7 @@
 
 // overBudget excludes a refusal after an attempt that may have consumed tokens.
 func (r Result) overBudget() bool {
-	return r.Outcome == NotRun && r.Reason == "budget" && len(r.IDs) <= 1
+	return r.Outcome == NotRun && r.Reason == "budget" && r.Attempts <= 1
 }
 
 // spending returns the changes of a caller's budget in order of time.
@@ -47,7 +47,7 @@
 		switch {
 		case r.Outcome == Whole || r.Outcome == Wrong:
 			list = append(list, change{closed, r.Tokens - r.Bound})
-		case (r.Outcome == NotRun || r.Outcome == Unreachable) && len(r.IDs) <= 1:
+		case (r.Outcome == NotRun || r.Outcome == Unreachable) && r.Attempts <= 1:
 			list = append(list, change{closed, -r.Bound})
 		}
 	}
--- a/internal/prober/compare.go
+++ b/internal/prober/compare.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 
 	"daisylane/internal/faker"
 )
@@ -16,7 +17,7 @@
 type Findings struct {
 	Compared   int            `json:"compared"`   // requests compared with records
 	Wrong      int            `json:"wrong"`      // answers with another content
-	Untruthful int            `json:"untruthful"` // reported as not run, and run in that attempt
+	Untruthful int            `json:"untruthful"` // reported as not run in a single attempt, and run
 	Missing    int            `json:"missing"`    // answered, and not recorded as run to its end
 	Usage      int            `json:"usage"`      // answered with another usage than every run of it had
 	Twice      int            `json:"twice"`      // service calls run more than once, over all attempts
@@ -39,7 +40,8 @@
 			return Findings{}, err
 		}
 		for _, run := range runs {
-			add(chats, run.ID, run.State == faker.StateDone, run.Usage.Total)
+			_, id, _ := strings.Cut(run.Tail, marker)
+			add(chats, id, run.State == faker.StateDone, run.Usage.Total)
 		}
 	}
 	for _, url := range r.exp.Bookings {
@@ -48,16 +50,16 @@
 			return Findings{}, err
 		}
 		for _, run := range runs {
-			add(services, run.ID, run.State == faker.StateDone, 0)
+			add(services, requestOf(run.Body), run.State == faker.StateDone, 0)
 		}
 	}
 	var f Findings
 	for _, res := range r.results {
 		switch {
 		case res.Kind == KindChat && len(r.exp.Engines) > 0:
-			f.take(res, chats)
+			f.take(res, chats[res.ID])
 		case res.Kind == KindService && len(r.exp.Bookings) > 0:
-			f.take(res, services)
+			f.take(res, services[res.ID])
 		}
 	}
 	return f, f.readBills(r.exp.Bills, r.results)
@@ -74,23 +76,20 @@
 	}
 }
 
-func merge(records map[string]*record, ids []string) record {
-	var sum record
-	for _, id := range slices.Compact(slices.Clone(ids)) {
-		if rec := records[id]; rec != nil {
-			sum.runs += rec.runs
-			sum.done += rec.done
-			sum.totals = append(sum.totals, rec.totals...)
-		}
-	}
-	return sum
+// requestOf returns the request named in the body of a service call.
+func requestOf(body any) string {
+	fields, _ := body.(map[string]any)
+	id, _ := fields["request"].(string)
+	return id
 }
 
-func (f *Findings) take(res Result, records map[string]*record) {
-	rec, last := merge(records, res.IDs), merge(records, res.IDs[len(res.IDs)-1:])
+func (f *Findings) take(res Result, rec *record) {
+	if rec == nil {
+		rec = &record{}
+	}
 	f.Compared++
 	count(&f.Wrong, res.Outcome == Wrong)
-	count(&f.Untruthful, res.Outcome == NotRun && last.runs > 0)
+	count(&f.Untruthful, res.Outcome == NotRun && res.Attempts == 1 && rec.runs > 0)
 	count(&f.Missing, res.Outcome == Whole && rec.done == 0)
 	count(&f.Unanswered, res.Outcome != Whole && rec.done > 0)
 	count(&f.Twice, res.Kind == KindService && rec.runs > 1)
--- a/internal/prober/doc.go
+++ b/internal/prober/doc.go
@@ -21,11 +21,11 @@
 //	name   = "clinic"
 //	key    = "dl-key-1"
 //	kind   = "chat"      # or service
-//	path   = "/v1/chat/completions"
+//	path   = "/v1/chat/completions" # or "/services/NAME/bookings"
 //	model  = "m"
 //	share  = 0.8         # of the requests
 //	worth  = 2.0
-//	tokens = 64          # maximum output
+//	tokens = 64          # maximum output, or price of a service call
 //	prefix = 512         # bytes of prompt that all requests share
 //	budget = 100000      # prepaid tokens that only this caller spends, 0 if unknown
 //	repeat = 2           # attempts with the same key after one without a final outcome
@@ -41,6 +41,7 @@
 //
 // A refusal for lack of budget counts as false if the budget had room for the
 // request during its whole time in flight. A request whose consumption is not
-// known counts with its bound. Answers of engines are compared with the output
+// known counts with its bound. Runs are found by the request's id in their
+// content, whatever request ids the system uses. Answers of engines are compared with the output
 // that the stand-in derives from the prompt.
 package prober
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// Guards against a repeated call that counts as run once because its attempts have different request ids.
+// Guards against a repeated call that counts as run once because each attempt is seen alone.
 func TestRepeat(t *testing.T) {
 	booking := faker.NewBooking()
 	booking.Set(faker.BookingFaults{After: faker.Ptr(1)})
--- a/internal/prober/request.go
+++ b/internal/prober/request.go
@@ -31,7 +31,8 @@
 	Phase     string
 	Caller    string
 	Kind      string
-	IDs       []string // request id of each attempt
+	ID        string // of the request, part of its content
+	Attempts  int
 	Outcome   string
 	Reason    string // of a refusal
 	Worth     float64
@@ -55,8 +56,9 @@
 }
 
 const (
-	role = "user"
-	fill = "All work on this route is done in turn. "
+	role   = "user"
+	marker = "Request " // before the id of the request, at the end of the prompt
+	fill   = "All work on this route is done in turn. "
 )
 
 func newRequest(c Caller, id string) (request, error) {
@@ -65,9 +67,9 @@
 		if err != nil {
 			return request{}, fmt.Errorf("encode request: %w", err)
 		}
-		return request{caller: c, id: id, body: body}, nil
+		return request{caller: c, id: id, body: body, bound: c.Tokens}, nil
 	}
-	prompt := strings.Repeat(fill, c.Prefix/len(fill)+1)[:c.Prefix] + "Request " + id
+	prompt := strings.Repeat(fill, c.Prefix/len(fill)+1)[:c.Prefix] + marker + id
 	chat := faker.Chat{
 		Model: c.Model, MaxTokens: c.Tokens, Stream: true,
 		Messages: []faker.Message{{Role: role, Content: prompt}},
@@ -88,15 +90,14 @@
 type failure struct {
 	Type   string `json:"type"`
 	Reason string `json:"reason"`
-	ID     string `json:"id"`
 }
 
 // send carries out a request. An attempt that ends without a final outcome is
 // repeated with the same key, as callers do, at the next entry.
 func (q request) send(ctx context.Context, client *http.Client, entries []string) Result {
-	res := Result{Caller: q.caller.Name, Kind: q.caller.Kind, Worth: q.caller.Worth, Bound: q.bound, Start: time.Now()}
+	res := Result{ID: q.id, Caller: q.caller.Name, Kind: q.caller.Kind, Worth: q.caller.Worth, Bound: q.bound, Start: time.Now()}
 	for n := 0; n <= q.caller.Repeat && ctx.Err() == nil; n++ {
-		res.IDs = append(res.IDs, fmt.Sprintf("%s-%d", q.id, n))
+		res.Attempts++
 		q.exchange(ctx, client, entries[n%len(entries)], &res)
 		if res.final() {
 			break
@@ -108,9 +109,6 @@
 
 func (r *Result) final() bool { return r.Outcome == Whole || r.Outcome == Wrong || r.Outcome == NotRun }
 
-// id returns the request id of the last attempt.
-func (r *Result) id() *string { return &r.IDs[len(r.IDs)-1] }
-
 func (q request) exchange(ctx context.Context, client *http.Client, entry string, res *Result) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+q.caller.Path, bytes.NewReader(q.body))
 	if err != nil {
@@ -121,10 +119,10 @@
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+q.caller.Key.Reveal())
-	req.Header.Set("X-Request-Id", *res.id())
+	req.Header.Set("X-Request-Id", q.id)
 	req.Header.Set("Idempotency-Key", q.id)
 	if q.caller.Worth > 0 {
-		req.Header.Set("X-Worth", strconv.FormatFloat(q.caller.Worth, 'g', -1, 64))
+		req.Header.Set("Request-Worth", strconv.FormatFloat(q.caller.Worth, 'g', -1, 64))
 	}
 	answer, err := client.Do(req)
 	if err != nil {
@@ -136,9 +134,6 @@
 		return
 	}
 	defer answer.Body.Close()
-	if id := answer.Header.Get("X-Request-Id"); id != "" {
-		*res.id() = id
-	}
 	switch {
 	case answer.StatusCode != http.StatusOK:
 		refused(answer.Body, res)
@@ -150,5 +145,6 @@
 		}
 	default:
 		received(answer.Body, res)
+		res.Tokens = q.bound
 	}
 }
--- a/internal/prober/run.go
+++ b/internal/prober/run.go
@@ -58,6 +58,7 @@
 	dialer := &net.Dialer{Timeout: time.Second}
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = exp.InFlight
+	t.Proxy = nil
 	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
--- a/internal/prober/stream.go
+++ b/internal/prober/stream.go
@@ -101,7 +101,4 @@
 		r.Outcome = Broken
 	}
 	r.Reason = f.Reason
-	if f.ID != "" {
-		*r.id() = f.ID
-	}
 }
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -47,6 +47,7 @@
 func New(url string, opts ...Option) *Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = idlePerHost
+	t.Proxy = nil
 	c := &Client{
 		url:     strings.TrimSuffix(url, "/"),
 		timeout: defaultTimeout,
