Relay calls between regions through the platform while their link is cut

Cause: with the link cut a holder refused although another region had unused tokens, and a claim could not reach the home region. Package relayer carries such calls through inbox objects. TestLinkCut: the other region reserves all 950 tokens that are left, and one key meets one claim; both calls fail without the relay.

--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -43,7 +43,7 @@
 		return zero, fmt.Errorf("call %s: %w", addr, err)
 	}
 	if r := answer.GetRefused(); r != nil {
-		return zero, refusedError(r)
+		return zero, Refusal(r)
 	}
 	a, ok := Unwrap(answer).(A)
 	if !ok {
--- a/internal/connector/errors.go
+++ b/internal/connector/errors.go
@@ -41,7 +41,8 @@
 	}
 }
 
-func refusedError(m *wirepb.Refused) *RefusedError {
+// Refusal returns the error of a Refused message.
+func Refusal(m *wirepb.Refused) *RefusedError {
 	return &RefusedError{
 		Reason: m.GetReason(), Text: m.GetText(), After: time.Duration(m.GetAfter()) * time.Millisecond,
 		Holder: m.GetHolder(), Addr: m.GetAddr(), Load: m.GetLoad(),
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -219,7 +219,7 @@
 		return nil, fmt.Errorf("await hello: %w", err)
 	}
 	if r := f.GetRefused(); r != nil {
-		return nil, refusedError(r)
+		return nil, Refusal(r)
 	}
 	peer := f.GetHello()
 	if peer.GetProtocol() != ProtocolVersion {
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -11,13 +11,15 @@
 	"daisylane/internal/claimer"
 	"daisylane/internal/connector"
 	"daisylane/internal/placer"
+	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
 const (
 	// maxHops bounds the redirections of one call while a shard changes its holder.
-	maxHops     = 8
-	callTimeout = 2500 * time.Millisecond
+	maxHops = 8
+	// callTimeout leaves room for a direct try of 1 s and one through the platform of 2 s.
+	callTimeout = 3500 * time.Millisecond
 	// reserveTimeout leaves room for a takeover by a successor.
 	reserveTimeout = 6 * time.Second
 	hopWait        = 100 * time.Millisecond
@@ -45,6 +47,8 @@
 	addr string
 }
 
+func (p peer) member() watcher.Member { return watcher.Member{Name: p.name, Addr: p.addr} }
+
 // place is what has one holder: the budgets of a shard in a region, or its claims.
 type place struct {
 	region string
@@ -74,8 +78,8 @@
 			r, err := c.h.Reserve(ctx, id, m)
 			return &wirepb.Reserved{Reservation: r}, err
 		},
-		func(ctx context.Context, addr string) (*wirepb.Reserved, error) {
-			return connector.Call[*wirepb.Reserved](ctx, c.pool, addr, id, m)
+		func(ctx context.Context, p peer) (*wirepb.Reserved, error) {
+			return connector.Call[*wirepb.Reserved](ctx, c.pool, p.addr, id, m)
 		})
 	if err != nil {
 		return nil, fmt.Errorf("reserve: %w", err)
@@ -100,7 +104,7 @@
 	}
 	_, err := follow(ctx, c, place{region: r.GetRegion(), shard: int(r.GetShard())},
 		func(ctx context.Context) (*wirepb.Settled, error) { return c.h.Settle(ctx, m) },
-		func(ctx context.Context, addr string) (*wirepb.Settled, error) { return c.settleAt(ctx, id, addr, m) })
+		func(ctx context.Context, p peer) (*wirepb.Settled, error) { return c.settleAt(ctx, id, p.addr, m) })
 	if err != nil {
 		return fmt.Errorf("settle: %w", err)
 	}
@@ -120,8 +124,8 @@
 	defer cancel()
 	res, err := follow(ctx, c, c.home(m.GetAccount(), home),
 		func(ctx context.Context) (*wirepb.Claimed, error) { return c.h.Claim(ctx, id, m) },
-		func(ctx context.Context, addr string) (*wirepb.Claimed, error) {
-			return connector.Call[*wirepb.Claimed](ctx, c.pool, addr, id, m)
+		func(ctx context.Context, p peer) (*wirepb.Claimed, error) {
+			return callOrRelay[*wirepb.Claimed](ctx, c.h, p.member(), id, m)
 		})
 	if err != nil {
 		return nil, fmt.Errorf("claim: %w", err)
@@ -139,8 +143,8 @@
 	defer cancel()
 	_, err := follow(ctx, c, c.home(m.GetAccount(), home),
 		func(ctx context.Context) (*wirepb.Concluded, error) { return nil, c.h.Conclude(ctx, id, m) },
-		func(ctx context.Context, addr string) (*wirepb.Concluded, error) {
-			return connector.Call[*wirepb.Concluded](ctx, c.pool, addr, id, m)
+		func(ctx context.Context, p peer) (*wirepb.Concluded, error) {
+			return callOrRelay[*wirepb.Concluded](ctx, c.h, p.member(), id, m)
 		})
 	if err != nil {
 		return fmt.Errorf("conclude: %w", err)
@@ -157,7 +161,7 @@
 
 // follow calls the holder of a shard and follows its redirections.
 func follow[A any](ctx context.Context, c *Client, at place,
-	local func(context.Context) (A, error), remote func(ctx context.Context, addr string) (A, error),
+	local func(context.Context) (A, error), remote func(context.Context, peer) (A, error),
 ) (A, error) {
 	var zero A
 	var err error
@@ -170,7 +174,7 @@
 		if p.name == c.h.cfg.Instance {
 			res, err = local(ctx)
 		} else {
-			res, err = callPeer(ctx, c, p, func(ctx context.Context) (A, error) { return remote(ctx, p.addr) })
+			res, err = callPeer(ctx, c, p, func(ctx context.Context) (A, error) { return remote(ctx, p) })
 		}
 		if err == nil || !c.learn(at, err) {
 			return res, err
@@ -198,14 +202,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p, ok := c.hints[at]; ok {
-		if !c.isSilentLocked(p.name) && !c.members.Suspected(p.name) {
+		if at.region != c.h.cfg.Region || !c.isSilentLocked(p.name) && !c.members.Suspected(p.name) {
 			return p, true
 		}
 		delete(c.hints, at)
 	}
 	addrs := make(map[string]string)
 	var names []string
-	for _, m := range c.members.Entries(at.region, "") {
+	for _, m := range c.entries(at.region) {
 		if !c.isSilentLocked(m.Name) {
 			names = append(names, m.Name)
 			addrs[m.Name] = m.Addr
@@ -215,6 +219,24 @@
 	return peer{name, addrs[name]}, name != ""
 }
 
+// entries returns the entries of a region. If no connection to another region
+// can be made, its registered entries can still be reached through the platform.
+func (c *Client) entries(region string) []watcher.Member {
+	var list []watcher.Member
+	for _, m := range c.members.Entries(region, "") {
+		list = append(list, *m)
+	}
+	if len(list) > 0 || region == c.h.cfg.Region {
+		return list
+	}
+	for _, m := range c.members.Registered(watcher.Entry) {
+		if m.Region == region && !c.members.Gone(m.Name) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // learn takes the holder's name from a refusal and reports whether another call
 // can help.
 func (c *Client) learn(at place, err error) bool {
--- a/internal/holder/config.go
+++ b/internal/holder/config.go
@@ -9,6 +9,7 @@
 
 	"daisylane/internal/checker"
 	"daisylane/internal/recoverer"
+	"daisylane/internal/relayer"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
 )
@@ -67,6 +68,10 @@
 // WithScope sets the scope of the metrics.
 func WithScope(scope tally.Scope) Option { return func(h *Holder) { h.scope = scope } }
 
+// WithRelay lets calls to other regions go through the platform while the link
+// to them is cut.
+func WithRelay(r *relayer.Relayer) Option { return func(h *Holder) { h.relay = r } }
+
 // WithSealed sets what happens when a successor has sealed this instance's
 // journal. The process can't hold shards any more and should stop and restart.
 func WithSealed(f func(sealer string)) Option { return func(h *Holder) { h.sealed = f } }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -15,6 +15,7 @@
 	"daisylane/internal/claimer"
 	"daisylane/internal/connector"
 	"daisylane/internal/placer"
+	"daisylane/internal/relayer"
 	"daisylane/internal/wirepb"
 )
 
@@ -32,6 +33,7 @@
 	log      zerolog.Logger
 	scope    tally.Scope
 	sealed   func(sealer string)
+	relay    *relayer.Relayer // nil without a fallback
 
 	system *actor.ActorSystem
 	pid    *actor.PID
@@ -79,9 +81,18 @@
 		return h.Return(ctx, m)
 	})
 	connector.Answer(srv, h.Claim)
-	connector.Answer(srv, func(ctx context.Context, id string, m *wirepb.Conclude) (*wirepb.Concluded, error) {
-		return &wirepb.Concluded{}, h.Conclude(ctx, id, m)
-	})
+	connector.Answer(srv, h.concluded)
+	if h.relay != nil {
+		relayer.Answer(h.relay, func(ctx context.Context, _ string, m *wirepb.Return) (*wirepb.Returned, error) {
+			return h.Return(ctx, m)
+		})
+		relayer.Answer(h.relay, h.Claim)
+		relayer.Answer(h.relay, h.concluded)
+	}
+}
+
+func (h *Holder) concluded(ctx context.Context, id string, m *wirepb.Conclude) (*wirepb.Concluded, error) {
+	return &wirepb.Concluded{}, h.Conclude(ctx, id, m)
 }
 
 // Reserve reserves tokens if this process holds the shard of the budget or can
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -16,6 +16,7 @@
 	"daisylane/internal/locator"
 	"daisylane/internal/placer"
 	"daisylane/internal/recoverer"
+	"daisylane/internal/relayer"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
@@ -37,6 +38,7 @@
 type fixture struct {
 	t        *testing.T
 	platform *httptest.Server
+	dial     string // address that nodes advertise instead of their own, to cut the link to them
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -57,6 +59,9 @@
 		f.t.Fatal(err)
 	}
 	self := watcher.Member{Name: name, Role: watcher.Entry, Centre: region + "-1", Region: region, Addr: ln.Addr().String()}
+	if f.dial != "" {
+		self.Addr = f.dial
+	}
 	store := f.store(name)
 	n := &node{sealed: make(chan string, 1)}
 	n.members = locator.New(store, self, locator.WithListInterval(100*time.Millisecond))
@@ -68,10 +73,11 @@
 	connector.Answer(n.server, func(context.Context, string, *wirepb.Status) (*wirepb.Report, error) {
 		return &wirepb.Report{}, nil
 	})
+	relay := relayer.New(store, name)
 	n.holder, err = New(Config{
 		Instance: name, Region: region, Shards: testShards, Slots: 16, Ahead: 0.5,
 		Release: recoverer.ReleaseGone, Regions: []string{"north", "south"}, Fold: time.Second,
-	}, store, n.members, n.pool, WithSealed(func(s string) { n.sealed <- s }))
+	}, store, n.members, n.pool, WithRelay(relay), WithSealed(func(s string) { n.sealed <- s }))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -83,6 +89,7 @@
 		f.t.Fatal(err)
 	}
 	go n.members.Run(ctx)
+	go relay.Run(ctx)
 	go func() { _ = n.server.Serve(ctx, ln) }()
 	f.t.Cleanup(n.kill)
 	f.eventually("membership is read", func() bool { return n.members.Ready() })
@@ -258,3 +265,41 @@
 		t.Errorf("settled %d, free %d, want 120 and 880", b.Settled, b.Free())
 	}
 }
+
+// Guards against a refusal while another region has unused tokens and the link
+// to it is cut, and against two claims for one key in that case.
+func TestLinkCut(t *testing.T) {
+	f := newFixture(t)
+	// Nothing listens on port 1, so that no entry can connect to another.
+	f.dial = "127.0.0.1:1"
+	f.topUp("acme", "t1", 1000)
+	a, b := f.start("a.1", "north"), f.start("b.1", "south")
+	f.eventually("entries know each other", func() bool {
+		return len(a.members.Registered(watcher.Entry)) == 2 && len(b.members.Registered(watcher.Entry)) == 2
+	})
+	r, err := a.client.Reserve(t.Context(), "r1", &wirepb.Reserve{Budget: "acme", Tokens: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.client.Settle(t.Context(), "r1", &wirepb.Settle{Reservation: r, Tokens: 50}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.client.Reserve(t.Context(), "r2", &wirepb.Reserve{Budget: "acme", Tokens: 950}); err != nil {
+		t.Errorf("reserve all that is left in the other region: %v", err)
+	}
+	if _, err := a.client.Reserve(t.Context(), "r3", &wirepb.Reserve{Budget: "acme", Tokens: 1}); refusedReason(err) != "budget" {
+		t.Errorf("err = %v, want refusal for the budget", err)
+	}
+
+	got, err := a.client.Claim(t.Context(), "r4", testClaim("d"), "south")
+	if err != nil || got.GetState() != "new" {
+		t.Fatalf("claim through the platform: %v, %v", got, err)
+	}
+	got, err = b.client.Claim(t.Context(), "r5", testClaim("d"), "south")
+	if err != nil || got.GetState() != "running" {
+		t.Errorf("claim at home: %v, %v, want running", got, err)
+	}
+	if err := a.client.Conclude(t.Context(), "r4", testOutcome("done"), "south"); err != nil {
+		t.Errorf("conclude through the platform: %v", err)
+	}
+}
--- a/internal/holder/regions.go
+++ b/internal/holder/regions.go
@@ -6,12 +6,36 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"daisylane/internal/budgeter"
 	"daisylane/internal/connector"
+	"daisylane/internal/relayer"
+	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
-const returnTimeout = time.Second
+const directTimeout = time.Second
+
+// callOrRelay calls another entry over the link or, if no connection can be made
+// or no answer comes, through the platform. The call must be idempotent.
+func callOrRelay[A proto.Message](ctx context.Context, h *Holder, m watcher.Member, id string, call proto.Message) (A, error) {
+	if !h.members.Suspected(m.Name) {
+		direct, cancel := context.WithTimeout(ctx, directTimeout)
+		res, err := connector.Call[A](direct, h.pool, m.Addr, id, call)
+		cancel()
+		var refused *connector.RefusedError
+		if err == nil || errors.As(err, &refused) || h.relay == nil {
+			return res, err
+		}
+	}
+	if h.relay == nil {
+		var zero A
+		return zero, connector.ErrDial
+	}
+	return relayer.Call[A](ctx, h.relay, m.Name, id, call)
+}
 
 // askRegions asks the holders of the other regions to give back unused tokens.
 func (k *keeper) askRegions(a budgeter.Ask) {
@@ -45,9 +69,7 @@
 	if !ok {
 		return 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
-	defer cancel()
-	res, err := connector.Call[*wirepb.Returned](ctx, h.pool, m.Addr, "return", &wirepb.Return{
+	res, err := callOrRelay[*wirepb.Returned](ctx, h, m, "return", &wirepb.Return{
 		Budget: a.Budget, Tokens: a.Tokens, Shard: uint32(a.Shard),
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,260 @@
+package relayer
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"daisylane/internal/checker"
+	"daisylane/internal/connector"
+	"daisylane/internal/storer"
+	"daisylane/internal/wirepb"
+)
+
+const (
+	watchWait     = 25 * time.Second
+	retryInterval = time.Second
+	maxTries      = 8
+	// callTimeout bounds a call whose context has no earlier deadline.
+	callTimeout = 2 * time.Second
+)
+
+// Platform is the part of the platform client that the relayer uses.
+type Platform interface {
+	Get(ctx context.Context, key string) (storer.Item, error)
+	Put(ctx context.Context, key string, body []byte, version uint64) (uint64, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]storer.Item, uint64, error)
+}
+
+// handler answers one call.
+type handler func(ctx context.Context, id string, m proto.Message) (proto.Message, error)
+
+// Relayer sends and answers calls through the platform. It is safe for concurrent use.
+type Relayer struct {
+	platform Platform
+	self     string
+	log      zerolog.Logger
+	handlers map[protoreflect.FullName]handler
+
+	mu      sync.Mutex
+	waiting map[string]chan *wirepb.Frame // by call id
+}
+
+// Option configures a relayer.
+type Option func(*Relayer)
+
+// WithLogger sets the logger. The default discards events.
+func WithLogger(log zerolog.Logger) Option { return func(r *Relayer) { r.log = log } }
+
+// New returns a relayer for the given instance.
+func New(platform Platform, self string, opts ...Option) *Relayer {
+	r := &Relayer{
+		platform: platform,
+		self:     self,
+		log:      zerolog.Nop(),
+		handlers: make(map[protoreflect.FullName]handler),
+		waiting:  make(map[string]chan *wirepb.Frame),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// Answer registers the handler for calls with a message of type M. Register all
+// handlers before Run.
+func Answer[M, A proto.Message](r *Relayer, h func(ctx context.Context, id string, m M) (A, error)) {
+	var zero M
+	r.handlers[zero.ProtoReflect().Descriptor().FullName()] = func(ctx context.Context, id string, m proto.Message) (proto.Message, error) {
+		return h(ctx, id, m.(M))
+	}
+}
+
+// Call sends a call to another instance and waits for the answer, at most 2 s. A
+// refusal of the peer becomes a [*connector.RefusedError]. After any other error
+// the peer may have acted.
+func Call[A proto.Message](ctx context.Context, r *Relayer, to, id string, m proto.Message) (A, error) {
+	var zero A
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	f, err := connector.Wrap(id, m)
+	if err != nil {
+		return zero, fmt.Errorf("relay to %s: %w", to, err)
+	}
+	call := rand.Text()
+	answer := r.expect(call)
+	defer r.forget(call)
+	if err := r.post(ctx, to, call, false, f); err != nil {
+		return zero, fmt.Errorf("relay to %s: %w", to, err)
+	}
+	select {
+	case <-ctx.Done():
+		return zero, fmt.Errorf("relay to %s: await answer: %w", to, ctx.Err())
+	case f := <-answer:
+		if refused := f.GetRefused(); refused != nil {
+			return zero, connector.Refusal(refused)
+		}
+		a, ok := connector.Unwrap(f).(A)
+		if !ok {
+			return zero, fmt.Errorf("relay to %s: unexpected answer: %w", to, connector.ErrProtocol)
+		}
+		return a, nil
+	}
+}
+
+// Run watches the inbox until the context ends.
+func (r *Relayer) Run(ctx context.Context) {
+	after := uint64(1)
+	for ctx.Err() == nil {
+		items, revision, err := r.platform.Watch(ctx, Key(r.self), after, watchWait)
+		if err != nil {
+			r.log.Debug().Err(err).Msg("inbox not watched")
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryInterval):
+			}
+			continue
+		}
+		after = revision
+		for _, item := range items {
+			if item.Key == Key(r.self) && len(item.Body) > 0 {
+				r.receive(ctx, item)
+			}
+		}
+	}
+}
+
+// receive clears the inbox and handles its items. Items that arrived after the
+// watch stay for the next one.
+func (r *Relayer) receive(ctx context.Context, item storer.Item) {
+	inbox, err := checker.Decode[Inbox](item.Body)
+	if err != nil {
+		r.log.Warn().Err(err).Msg("inbox is not valid, clearing it")
+	}
+	if err == nil && len(inbox.Items) == 0 {
+		return
+	}
+	// Clearing comes first: an item is handled by the process that removed it.
+	if err := r.update(ctx, r.self, func(b Inbox) Inbox { return b.Without(inbox.Items) }); err != nil {
+		r.log.Warn().Err(err).Msg("inbox not cleared")
+		return
+	}
+	for _, i := range inbox.Items {
+		go r.handle(ctx, i)
+	}
+}
+
+func (r *Relayer) handle(ctx context.Context, i Item) {
+	f := &wirepb.Frame{}
+	if err := proto.Unmarshal(i.Frame, f); err != nil {
+		r.log.Warn().Str("from", i.From).Err(err).Msg("relayed frame ignored")
+		return
+	}
+	if i.Answer {
+		r.deliver(i.ID, f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := connector.Wrap(f.GetId(), r.answer(ctx, f))
+	if err == nil {
+		err = r.post(ctx, i.From, i.ID, true, answer)
+	}
+	if err != nil {
+		r.log.Warn().Str("to", i.From).Err(err).Msg("relayed call not answered")
+	}
+}
+
+func (r *Relayer) answer(ctx context.Context, f *wirepb.Frame) proto.Message {
+	m := connector.Unwrap(f)
+	if m == nil {
+		return &wirepb.Refused{Reason: "frame", Text: "the frame is empty"}
+	}
+	h, ok := r.handlers[m.ProtoReflect().Descriptor().FullName()]
+	if !ok {
+		return &wirepb.Refused{Reason: "frame", Text: "no handler for the message"}
+	}
+	a, err := h(ctx, f.GetId(), m)
+	if err == nil {
+		return a
+	}
+	var refused *connector.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Message()
+	}
+	return &wirepb.Refused{Reason: "internal", Text: err.Error()}
+}
+
+func (r *Relayer) post(ctx context.Context, to, call string, answer bool, f *wirepb.Frame) error {
+	data, err := proto.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	item := Item{ID: call, From: r.self, Answer: answer, Frame: data}
+	return r.update(ctx, to, func(b Inbox) Inbox { return b.With(item) })
+}
+
+// update changes an inbox by conditional update.
+func (r *Relayer) update(ctx context.Context, owner string, change func(Inbox) Inbox) error {
+	var err error
+	for range maxTries {
+		if err = r.updateOnce(ctx, owner, change); err == nil || !errors.Is(err, storer.ErrConflict) {
+			return err
+		}
+	}
+	return err
+}
+
+func (r *Relayer) updateOnce(ctx context.Context, owner string, change func(Inbox) Inbox) error {
+	var inbox Inbox
+	item, err := r.platform.Get(ctx, Key(owner))
+	switch {
+	case errors.Is(err, storer.ErrAbsent):
+		item = storer.Item{}
+	case err != nil:
+		return fmt.Errorf("read inbox of %s: %w", owner, err)
+	default:
+		// An inbox that is not valid is replaced.
+		inbox, _ = checker.Decode[Inbox](item.Body)
+	}
+	body, err := checker.Encode(change(inbox))
+	if err != nil {
+		return fmt.Errorf("inbox of %s: %w", owner, err)
+	}
+	if _, err := r.platform.Put(ctx, Key(owner), body, item.Version); err != nil {
+		return fmt.Errorf("write inbox of %s: %w", owner, err)
+	}
+	return nil
+}
+
+func (r *Relayer) expect(call string) chan *wirepb.Frame {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answer := make(chan *wirepb.Frame, 1)
+	r.waiting[call] = answer
+	return answer
+}
+
+func (r *Relayer) forget(call string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, call)
+}
+
+func (r *Relayer) deliver(call string, f *wirepb.Frame) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answer, ok := r.waiting[call]; ok {
+		select {
+		case answer <- f:
+		default:
+		}
+	}
+}
