--- /dev/null
+++ b/internal/retrier/queries.go
@@ -0,0 +1,45 @@
+package retrier
+
+import "time"
+
+// Blocked reports whether a target's circuit breaker keeps attempts away.
+func (r *Retrier) Blocked(now time.Time, target string) bool {
+	b, ok := r.breakers[target]
+	if !ok {
+		return false
+	}
+	switch b.state {
+	case Open:
+		return now.Sub(b.opened) < b.pause
+	case HalfOpen:
+		return !b.trial.IsZero() && now.Sub(b.trial) < trialTime
+	}
+	return false
+}
+
+// State returns the state of a target's circuit breaker.
+func (r *Retrier) State(now time.Time, target string) State {
+	b, ok := r.breakers[target]
+	switch {
+	case !ok:
+		return Closed
+	case b.state == Open && !r.Blocked(now, target):
+		return HalfOpen
+	}
+	return b.state
+}
+
+// permission says whether an attempt may be repeated, budgets aside.
+func (r *Retrier) permission(a Attempt) string {
+	switch {
+	case a.Outcome == Whole:
+		return ReasonWhole
+	case a.Outcome != NotRun && !a.Idempotent:
+		return ReasonMayHave
+	case a.Delivered:
+		return ReasonDelivered
+	case a.Number >= r.attempts:
+		return ReasonAttempts
+	}
+	return ReasonAllowed
+}
