--- a/internal/executor/convert.go
+++ b/internal/executor/convert.go
@@ -1,10 +1,6 @@
 package executor
 
 import (
-	"context"
-
-	"go.opentelemetry.io/otel/propagation"
-
 	"daisylane/internal/admitter"
 	"daisylane/internal/wirepb"
 )
@@ -26,8 +22,3 @@
 func wireCharge(c admitter.Charge) *wirepb.Charge {
 	return &wirepb.Charge{Id: c.ID, Reservation: wireReservation(c.Reservation), Key: c.Key, Tokens: c.Tokens}
 }
-
-// continueTrace returns a context in the trace of a frame's sender.
-func continueTrace(f *wirepb.Frame) context.Context {
-	return propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier(f.GetTrace()))
-}
--- a/internal/executor/engine.go
+++ b/internal/executor/engine.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"go.opentelemetry.io/otel/propagation"
 
 	"daisylane/internal/admitter"
+	"daisylane/internal/tracer"
 	"daisylane/internal/wirepb"
 )
 
@@ -67,7 +67,9 @@
 	if len(body) > 0 && req.Header.Get("Content-Type") == "" {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	for key, value := range tracer.Inject(ctx) {
+		req.Header.Set(key, value)
+	}
 	return req, nil
 }
 
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
 
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
@@ -33,8 +32,7 @@
 
 // execute runs a started request at the target and keeps its output and charge.
 func (s *Side) execute(j *job) {
-	ctx, span := s.tracer.Start(j.ctx, "side.run", trace.WithSpanKind(trace.SpanKindServer),
-		trace.WithAttributes(attribute.String("request", j.id), attribute.String("target", s.cfg.Target.Name)))
+	ctx, span := s.spans.Start(j.ctx, "run", attribute.String("request", j.id), attribute.String("target", s.cfg.Target.Name))
 	defer span.End()
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errDeadline)
 	defer cancel()
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -152,7 +152,7 @@
 	t.Helper()
 	cfg := Defaults()
 	cfg.Platform, cfg.Name, cfg.Centre, cfg.Region = "http://127.0.0.1:1", "side-1", "a", "r"
-	cfg.Target = target
+	cfg.Target, cfg.TLS.Plain = target, true
 	cfg.Limits.Slots, cfg.Limits.Flush = 1, loader.Duration(waitLimit)
 	side, err := New(cfg, p, p)
 	if err != nil {
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -11,6 +11,7 @@
 	"daisylane/internal/admitter"
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
+	"daisylane/internal/tracer"
 	"daisylane/internal/wirepb"
 )
 
@@ -47,7 +48,7 @@
 	}
 	allowed := min(time.Duration(min(m.GetDeadline(), uint64(time.Hour.Milliseconds())))*time.Millisecond, s.cfg.Limits.Deadline.Std())
 	deadline := now.Add(allowed)
-	j := newJob(continueTrace(f), id, m, deadline, s.cfg.Limits.Buffer)
+	j := newJob(tracer.Extract(context.Background(), f.GetTrace()), id, m, deadline, s.cfg.Limits.Buffer)
 	if !s.add(j) {
 		return st.Refuse(f, &connector.RefusedError{Reason: string(admitter.Duplicate), Text: "the request is known already, resume it"})
 	}
--- /dev/null
+++ b/internal/executor/main.go
@@ -0,0 +1,115 @@
+package executor
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"daisylane/internal/connector"
+	"daisylane/internal/loader"
+	"daisylane/internal/logger"
+	"daisylane/internal/storer"
+	"daisylane/internal/tracer"
+	"daisylane/internal/watcher"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+const traceFlushTime = 5 * time.Second
+
+type options struct {
+	Settings string `short:"s" long:"settings" value-name:"FILE" required:"true" description:"settings file in TOML"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+// Main runs the command and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var opts options
+	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "side"
+	parser.LongDescription = "Runs requests of routers at one target. SIGTERM stops it gracefully."
+	if _, err := parser.ParseArgs(args); err != nil {
+		if flags.WroteHelp(err) {
+			_, _ = fmt.Fprintln(stdout, err)
+			return exitOK
+		}
+		_, _ = fmt.Fprintln(stderr, "side:", err)
+		return exitUsage
+	}
+	cfg, err := loader.Load(opts.Settings, Defaults())
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	if opts.Check {
+		_, _ = fmt.Fprintf(stdout, "%s: valid\n", opts.Settings)
+		return exitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := Run(ctx, cfg, stderr); err != nil {
+		_, _ = fmt.Fprintln(stderr, "side:", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+// Run runs a side until the context ends and then stops it gracefully. Log
+// events go to out.
+func Run(ctx context.Context, cfg Settings, out io.Writer) error {
+	instance := watcher.Incarnate(cfg.Name)
+	log, err := logger.New(out, cfg.Level)
+	if err != nil {
+		return fmt.Errorf("set up log: %w", err)
+	}
+	log = log.With().Str("instance", instance).Logger()
+	trace := cfg.Trace
+	trace.Role, trace.Instance, trace.Centre, trace.Region = watcher.Side, instance, cfg.Centre, cfg.Region
+	spans, err := tracer.New(ctx, trace)
+	if err != nil {
+		return fmt.Errorf("set up traces: %w", err)
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), traceFlushTime)
+		defer cancel()
+		_ = spans.Shutdown(ctx)
+	}()
+	registry := NewPlatformRegistry(storer.New(cfg.Platform, storer.WithName(instance)))
+	pool, err := cfg.pool(instance)
+	if err != nil {
+		return err
+	}
+	defer pool.Close()
+	side, err := New(cfg, registry, NewRemote(pool, registry), WithInstance(instance), WithLogger(log), WithTracer(spans))
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for routers: %w", err)
+	}
+	return side.Serve(ctx, ln)
+}
+
+func (s Settings) pool(instance string) (*connector.Pool, error) {
+	var opts []connector.PoolOption
+	if !s.TLS.Plain {
+		client, err := s.TLS.Client()
+		if err != nil {
+			return nil, fmt.Errorf("load TLS files: %w", err)
+		}
+		opts = append(opts, connector.WithClientTLS(client))
+	}
+	return connector.NewPool(s.identity(instance), opts...), nil
+}
--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -84,6 +84,24 @@
 	return nil
 }
 
+// Entries returns the registered entries of a region.
+func (r *PlatformRegistry) Entries(ctx context.Context, region string) ([]watcher.Member, error) {
+	items, err := r.objects.List(ctx, watcher.Key(watcher.Entry, ""))
+	if err != nil {
+		return nil, fmt.Errorf("list entries: %w", err)
+	}
+	var members []watcher.Member
+	for _, item := range items {
+		// A registration that cannot be read belongs to another version of the
+		// program and does not hide the others.
+		m, err := checker.Decode[watcher.Member](item.Body)
+		if err == nil && m.Region == region {
+			members = append(members, m)
+		}
+	}
+	return members, nil
+}
+
 func (s *Side) member(addr string) watcher.Member {
 	if s.cfg.Advertise != "" {
 		addr = s.cfg.Advertise
--- a/internal/executor/settings.go
+++ b/internal/executor/settings.go
@@ -3,10 +3,14 @@
 import (
 	"net"
 	"net/url"
+	"slices"
+	"strings"
 	"time"
 
 	"daisylane/internal/checker"
 	"daisylane/internal/loader"
+	"daisylane/internal/logger"
+	"daisylane/internal/tracer"
 )
 
 // Kinds of targets.
@@ -17,15 +21,17 @@
 
 // Settings of a side.
 type Settings struct {
-	Listen    string   `toml:"listen"`    // address for routers
-	Advertise string   `toml:"advertise"` // address in the registration, empty: the listening address
-	Platform  string   `toml:"platform"`  // URL of the platform
-	Name      string   `toml:"name"`
-	Centre    string   `toml:"centre"`
-	Region    string   `toml:"region"`
-	Target    Target   `toml:"target"`
-	Limits    Limits   `toml:"limits"`
-	TLS       TLSFiles `toml:"tls"`
+	Listen    string        `toml:"listen"`    // address for routers
+	Advertise string        `toml:"advertise"` // address in the registration, empty: the listening address
+	Platform  string        `toml:"platform"`  // URL of the platform
+	Name      string        `toml:"name"`
+	Centre    string        `toml:"centre"`
+	Region    string        `toml:"region"`
+	Target    Target        `toml:"target"`
+	Limits    Limits        `toml:"limits"`
+	TLS       TLSFiles      `toml:"tls"`
+	Level     string        `toml:"level"` // of the log
+	Trace     tracer.Config `toml:"trace"`
 }
 
 // Target is the back end of a side.
@@ -46,11 +52,12 @@
 	Flush    loader.Duration `toml:"flush"`    // time for the delivery of charges at a stop
 }
 
-// TLSFiles are PEM files for mutual TLS. Without them sessions are not encrypted.
+// TLSFiles are PEM files for mutual TLS. Plain must be set to run without them.
 type TLSFiles struct {
-	Cert string `toml:"cert"`
-	Key  string `toml:"key"`
-	CA   string `toml:"ca"`
+	Cert  string `toml:"cert"`
+	Key   string `toml:"key"`
+	CA    string `toml:"ca"`
+	Plain bool   `toml:"plain"`
 }
 
 // Defaults returns the settings that a file may leave out.
@@ -58,6 +65,7 @@
 	return Settings{
 		Listen: "127.0.0.1:7400",
 		Target: Target{Kind: Model},
+		Level:  "info",
 		Limits: Limits{
 			Slots:    8,
 			Queue:    64,
@@ -82,6 +90,8 @@
 	f.Within("target", s.Target.Check())
 	f.Within("limits", s.Limits.Check())
 	f.Within("tls", s.TLS.Check())
+	f.Require(slices.Contains(logger.Levels, s.Level), "level", "is %q, allowed is %s", s.Level, strings.Join(logger.Levels, ", "))
+	f.Within("trace", s.Trace.Check())
 	return f.Err()
 }
 
@@ -106,15 +116,14 @@
 	return f.Err()
 }
 
-// Check requires all files or none.
+// Check requires all files, or plain and none.
 func (t TLSFiles) Check() error {
 	var f checker.Faults
-	if t == (TLSFiles{}) {
-		return nil
+	files := []struct{ key, name string }{{"cert", t.Cert}, {"key", t.Key}, {"ca", t.CA}}
+	for _, file := range files {
+		f.Require(t.Plain || file.name != "", file.key, "is empty, set cert, key and ca, or plain to run without TLS")
+		f.Require(!t.Plain || file.name == "", file.key, "is set although plain is set, remove one of them")
 	}
-	f.Require(t.Cert != "", "cert", "is empty, set cert, key and ca or none of them")
-	f.Require(t.Key != "", "key", "is empty, set cert, key and ca or none of them")
-	f.Require(t.CA != "", "ca", "is empty, set cert, key and ca or none of them")
 	return f.Err()
 }
 
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,7 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	"daisylane/internal/admitter"
@@ -45,6 +44,17 @@
 	Deregister(ctx context.Context, m watcher.Member) error
 }
 
+// Spans starts spans.
+type Spans interface {
+	Start(ctx context.Context, name string, attrs ...attribute.KeyValue) (context.Context, trace.Span)
+}
+
+type noSpans struct{}
+
+func (noSpans) Start(ctx context.Context, _ string, _ ...attribute.KeyValue) (context.Context, trace.Span) {
+	return ctx, trace.SpanFromContext(ctx)
+}
+
 // Side runs requests at one target.
 type Side struct {
 	cfg      Settings
@@ -52,7 +62,7 @@
 	registry Registry
 	holders  Holders
 	log      zerolog.Logger
-	tracer   trace.Tracer
+	spans    Spans
 	pooled   *http.Client // for requests that may be repeated
 	single   *http.Client // for claims: a connection per call, because net/http repeats calls on reused connections
 	desk     *desk
@@ -72,7 +82,7 @@
 func WithLogger(log zerolog.Logger) Option { return func(s *Side) { s.log = log } }
 
 // WithTracer sets the tracer of request spans.
-func WithTracer(t trace.Tracer) Option { return func(s *Side) { s.tracer = t } }
+func WithTracer(spans Spans) Option { return func(s *Side) { s.spans = spans } }
 
 // WithInstance sets the instance name instead of the configured name with a random incarnation.
 func WithInstance(name string) Option { return func(s *Side) { s.instance = name } }
@@ -84,11 +94,11 @@
 	}
 	s := &Side{
 		cfg:      cfg,
-		instance: Incarnation(cfg.Name),
+		instance: watcher.Incarnate(cfg.Name),
 		registry: registry,
 		holders:  holders,
 		log:      zerolog.Nop(),
-		tracer:   otel.Tracer("daisylane/executor"),
+		spans:    noSpans{},
 		pooled:   newClient(false),
 		single:   newClient(true),
 		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue}),
@@ -100,20 +110,19 @@
 	return s, nil
 }
 
-// Incarnation returns an instance name that no earlier process had.
-func Incarnation(name string) string { return name + "-" + rand.Text()[:10] }
-
 // Instance returns the name of the instance.
 func (s *Side) Instance() string { return s.instance }
 
-// Identity returns the Hello message of the side.
-func (s *Side) Identity() *wirepb.Hello {
-	return &wirepb.Hello{
-		Protocol: connector.ProtocolVersion,
-		Instance: s.instance,
-		Role:     watcher.Side,
-		Centre:   s.cfg.Centre,
-		Region:   s.cfg.Region,
+// identity gives the Hello message of an instance with these settings.
+func (s Settings) identity(instance string) connector.Identity {
+	return func() *wirepb.Hello {
+		return &wirepb.Hello{
+			Protocol: connector.ProtocolVersion,
+			Instance: instance,
+			Role:     watcher.Side,
+			Centre:   s.Centre,
+			Region:   s.Region,
+		}
 	}
 }
 
@@ -167,14 +176,14 @@
 	opts := []connector.ServerOption{connector.WithFailure(func(peer string, err error) {
 		s.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
 	})}
-	if s.cfg.TLS != (TLSFiles{}) {
+	if !s.cfg.TLS.Plain {
 		cfg, err := s.cfg.TLS.server()
 		if err != nil {
 			return nil, fmt.Errorf("load TLS files: %w", err)
 		}
 		opts = append(opts, connector.WithServerTLS(cfg))
 	}
-	srv := connector.NewServer(s.Identity, opts...)
+	srv := connector.NewServer(s.cfg.identity(s.instance), opts...)
 	s.handle(srv)
 	return srv, nil
 }
