Make the instance lag test independent of scheduling

The test had 50 ms to see a list that lags by 50 ms, which a busy machine can exceed. The lag is now 300 ms and changes are awaited for up to 5 s. Ten runs of storer, faker and prober with the race detector pass.

--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -207,17 +207,28 @@
 		t.Errorf("list: %+v, %v", items, err)
 	}
 	in := storer.Instance{Name: "side-1", Role: "side", Centre: "c1", Region: "r1", Addr: "127.0.0.1:1", State: storer.Live}
+	p.Set(faker.PlatformFaults{Lag: faker.Ptr(loader.Duration(300 * time.Millisecond))})
 	p.Apply(faker.Change{Action: faker.ActionAdd, Instance: &in})
-	time.Sleep(60 * time.Millisecond)
-	p.Set(faker.PlatformFaults{Lag: faker.Ptr(loader.Duration(50 * time.Millisecond))})
+	if list, err := c.Instances(t.Context()); err != nil || len(list) != 0 {
+		t.Errorf("instances: %+v, %v, want none yet", list, err)
+	}
+	await(t, c, storer.Live)
 	p.Apply(faker.Change{Action: faker.ActionLeave, Name: "side-1"})
-	for _, want := range []storer.State{storer.Live, storer.Leaving} {
+	if list, err := c.Instances(t.Context()); err != nil || list[0].State != storer.Live {
+		t.Errorf("instances: %+v, %v, want a live one", list, err)
+	}
+	await(t, c, storer.Leaving)
+}
+
+func await(t *testing.T, c *storer.Client, want storer.State) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		list, err := c.Instances(t.Context())
-		if err != nil || len(list) != 1 || list[0].State != want {
-			t.Errorf("instances: %+v, %v, want state %s", list, err, want)
+		if err == nil && len(list) == 1 && list[0].State == want {
+			return
 		}
-		time.Sleep(60 * time.Millisecond)
 	}
+	t.Fatalf("the instance list shows no instance as %s", want)
 }
 
 // Guards against malformed answers that crash the client or pass its checks.
