Fetch chunks from two sources after a lost answer

One of 6,000 adoptions under 10% message loss was later than 8 s after four lost chunk answers in a row, each costing a timeout of 1 s. Ask two sources on a retry.

--- a/internal/adopter/adopter_test.go
+++ b/internal/adopter/adopter_test.go
@@ -306,6 +306,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			slowest, refusals := time.Duration(0), 0
 			for seed := range uint64(20) {
 				w := newWorld(t, seed, 50)
--- a/internal/adopter/commands.go
+++ b/internal/adopter/commands.go
@@ -183,8 +183,9 @@
 	return a.complete(now, nil)
 }
 
-// ChunkFailed tries another source. After too many failures the version is
-// given up until somebody announces it again.
+// ChunkFailed tries two sources at once, so that a second loss does not cost
+// another timeout. After too many failures the version is given up until
+// somebody announces it again.
 func (a *Adopter) ChunkFailed(_ time.Time, f Fetch) []Action {
 	if a.next == nil {
 		return nil
@@ -197,7 +198,7 @@
 		a.next = nil
 		return nil
 	}
-	return []Action{a.fetchOne(f.Hash)}
+	return []Action{a.fetchOne(f.Hash), a.fetchOne(f.Hash)}
 }
 
 func (a *Adopter) ask(now time.Time, name string, relay uint64) Ask {
--- a/internal/adopter/types.go
+++ b/internal/adopter/types.go
@@ -19,7 +19,7 @@
 	watchersPerCentre = 2
 	fanout            = 4
 	startRounds       = 2
-	maxTries          = 8
+	maxTries          = 12
 	// A process that reaches no peer reads the platform itself.
 	maxMisses    = 2
 	maxFails     = 3
