--- a/internal/launcher/fleet.go
+++ b/internal/launcher/fleet.go
@@ -7,18 +7,20 @@
 
 	"daisylane/internal/chooser"
 	"daisylane/internal/locator"
+	"daisylane/internal/retrier"
 	"daisylane/internal/router"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
-// fleet chooses targets from the membership view and learns from results.
+// fleet chooses targets from the membership view, learns from results and
+// decides about retries.
 type fleet struct {
 	members *locator.Locator
 
-	mu     sync.Mutex
-	policy chooser.Policy
-	sent   map[string][]time.Time // by instance, in order
+	mu      sync.Mutex
+	policy  chooser.Policy
+	retries *retrier.Retrier
 }
 
 func newFleet(members *locator.Locator) *fleet {
@@ -27,16 +29,29 @@
 	return &fleet{
 		members: members,
 		policy:  chooser.NewAffinity(chooser.Place{Centre: self.Centre, Region: self.Region}, source),
-		sent:    make(map[string][]time.Time),
+		retries: retrier.New(source),
 	}
 }
 
+// Begin implements [router.Targets].
+func (f *fleet) Begin(account string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries.Begin(account)
+}
+
 // Choose implements [router.Targets].
 func (f *fleet) Choose(q router.Query) (router.Choice, bool) {
 	members := f.members.Candidates(watcher.Query{Target: q.Target})
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	list := make([]chooser.Candidate, 0, len(members))
 	addrs := make(map[string]string, len(members))
 	for _, m := range members {
+		if f.retries.Blocked(now, m.Name) {
+			continue
+		}
 		list = append(list, chooser.Candidate{Name: m.Name, Place: chooser.Place{Centre: m.Centre, Region: m.Region}})
 		addrs[m.Name] = m.Addr
 	}
@@ -44,13 +59,10 @@
 	for _, name := range q.Tried {
 		exclude[name] = true
 	}
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	c, ok := f.policy.Choose(now, chooser.Request{
 		Prefix: chooser.Prefix(q.Target, "", q.Prefix), Deadline: q.Deadline, Exclude: exclude,
 	}, list)
-	if !ok {
+	if !ok || !f.retries.Admit(now, c.Name) {
 		return router.Choice{}, false
 	}
 	f.policy.Sent(now, c.Name)
@@ -58,18 +70,44 @@
 }
 
 // Done implements [router.Targets].
-func (f *fleet) Done(c router.Choice, load *wirepb.Load, outcome router.Outcome) {
-	if load.GetLeaving() {
+func (f *fleet) Done(c router.Choice, r router.Report) router.Verdict {
+	if r.Load.GetLeaving() {
 		f.members.Leave(c.Name)
 	}
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.policy.Done(now, c.Name, c.Sent)
-	if load != nil {
-		f.policy.Reported(c.Name, chooser.Load{
-			Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots()),
-			At: now.Add(-time.Duration(load.GetAge()) * time.Millisecond),
-		})
+	if r.Load != nil {
+		f.policy.Reported(c.Name, loadOf(now, r.Load))
+	}
+	if r.Outcome == router.Canceled {
+		f.retries.Cancelled(c.Name)
+		return router.Verdict{}
+	}
+	v := f.retries.Conclude(now, attemptOf(c, r))
+	return router.Verdict{Retry: v.Retry, Wait: v.Wait, After: v.After}
+}
+
+func loadOf(now time.Time, m *wirepb.Load) chooser.Load {
+	return chooser.Load{
+		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
+		At: now.Add(-time.Duration(m.GetAge()) * time.Millisecond),
+	}
+}
+
+var outcomes = map[router.Outcome]retrier.Outcome{
+	router.Whole:       retrier.Whole,
+	router.Refused:     retrier.NotRun,
+	router.Unreachable: retrier.NotRun,
+	router.Unknown:     retrier.Unknown,
+	router.Interrupted: retrier.Interrupted,
+}
+
+func attemptOf(c router.Choice, r router.Report) retrier.Attempt {
+	return retrier.Attempt{
+		Account: r.Account, Target: c.Name, Outcome: outcomes[r.Outcome], Refused: r.Outcome == router.Refused,
+		Idempotent: r.Repeatable, Delivered: r.Outcome == router.Interrupted, Number: r.Number,
+		Deadline: r.Deadline, After: r.After,
 	}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -16,8 +16,10 @@
 // runAttempts tries the job at one target after the other until the answer is
 // whole, or another attempt is not allowed. It answers at once when it gives up.
 func (r *Router) runAttempts(ctx context.Context, req request, j job, reservation *wirepb.Reservation, out sink) result {
+	r.targets.Begin(req.account.Name)
 	q := Query{Account: req.account.Name, Target: j.target, Prefix: j.prefix, Deadline: req.deadline}
 	var last *attempt
+	var verdict Verdict
 	outcome, mayHaveRun := Refused, false
 	for n := 1; ; n++ {
 		choice, ok := r.targets.Choose(q)
@@ -28,34 +30,49 @@
 		a := &attempt{r: r, req: req, choice: choice, answer: assembler.NewAnswer(req.id), out: out}
 		var err error
 		outcome, err = a.start(ctx, j.message(req, reservation))
-		r.targets.Done(choice, a.load, outcome)
 		r.recordOutcome(req.id, choice, outcome, err)
+		verdict = r.targets.Done(choice, a.report(outcome, n, j.repeatable))
 		last = a
 		mayHaveRun = mayHaveRun || outcome == Unknown
-		switch outcome {
-		case Whole:
-			return result{end: a.end, choice: choice}
-		case Canceled:
-			a.cancel(ctx)
-			return result{failure: canceledError()}
-		case Interrupted:
-			return result{failure: interruptedError(a)}
-		case Unknown:
-			if !j.repeatable {
-				return result{failure: unknownError()}
-			}
+		if res, final := a.final(ctx, outcome); final {
+			return res
 		}
-		q.Tried = append(q.Tried, choice.Name)
-		wait, ok := r.targets.Retry(req.account.Name, n)
-		if !ok || !sleep(ctx, wait) {
+		if !verdict.Retry || !sleep(ctx, verdict.Wait) {
 			break
 		}
+		q.Tried = append(q.Tried, choice.Name)
 		r.scope.Tagged(map[string]string{"reason": outcome.String()}).Counter(reporter.Retries).Inc(1)
 	}
 	if mayHaveRun {
 		return result{failure: unknownError()}
 	}
-	return result{failure: notRunError(ctx, last, outcome)}
+	return result{failure: notRunError(ctx, last, outcome, verdict.After)}
+}
+
+// final returns the result of an outcome after which no other attempt can help.
+func (a *attempt) final(ctx context.Context, outcome Outcome) (result, bool) {
+	switch outcome {
+	case Whole:
+		return result{end: a.end, choice: a.choice}, true
+	case Canceled:
+		a.cancel(ctx)
+		return result{failure: canceledError()}, true
+	case Interrupted:
+		return result{failure: interruptedError(a)}, true
+	default:
+		return result{}, false
+	}
+}
+
+func (a *attempt) report(outcome Outcome, number int, repeatable bool) Report {
+	rep := Report{
+		Account: a.req.account.Name, Outcome: outcome, Number: number, Repeatable: repeatable,
+		Deadline: a.req.deadline, Load: a.load,
+	}
+	if a.refused != nil {
+		rep.After = a.refused.After
+	}
+	return rep
 }
 
 func (j job) message(req request, reservation *wirepb.Reservation) *wirepb.Run {
@@ -115,17 +132,18 @@
 }
 
 // notRunError explains why no target took the request.
-func notRunError(ctx context.Context, last *attempt, outcome Outcome) *Error {
+func notRunError(ctx context.Context, last *attempt, outcome Outcome, after time.Duration) *Error {
+	after = max(after, time.Second)
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return notRun(http.StatusServiceUnavailable, "deadline", "no target could start the request within its timeout").withAfter(time.Second)
+		return notRun(http.StatusServiceUnavailable, "deadline", "no target could start the request within its timeout").withAfter(after)
 	case last == nil:
-		return notRun(http.StatusServiceUnavailable, "overload", "no target for the request is available").withAfter(2 * time.Second)
+		return notRun(http.StatusServiceUnavailable, "overload", "no target for the request is available").withAfter(2 * after)
 	case outcome == Refused && last.refused != nil:
 		refused := last.refused
-		after := max(refused.After, time.Second)
+		after = max(refused.After, after)
 		return refusalError(&connector.RefusedError{Reason: refused.Reason, Text: refused.Text, After: after}, "overload")
 	default:
-		return notRun(http.StatusServiceUnavailable, "overload", "the target could not be reached").withAfter(time.Second)
+		return notRun(http.StatusServiceUnavailable, "overload", "the target could not be reached").withAfter(after)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,9 +9,9 @@
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
-	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"daisylane/internal/bundler"
 	"daisylane/internal/connector"
@@ -44,6 +44,17 @@
 	Conclude(ctx context.Context, id string, m *wirepb.Conclude, home string) error
 }
 
+// Tracer starts the spans of a request.
+type Tracer interface {
+	Start(ctx context.Context, name string, attrs ...attribute.KeyValue) (context.Context, trace.Span)
+}
+
+type noTracer struct{}
+
+func (noTracer) Start(ctx context.Context, _ string, _ ...attribute.KeyValue) (context.Context, trace.Span) {
+	return ctx, noop.Span{}
+}
+
 // Router answers the requests of callers.
 type Router struct {
 	budgets Budgets
@@ -55,7 +66,7 @@
 	records Records
 	log     zerolog.Logger
 	scope   tally.Scope
-	tracer  trace.Tracer
+	tracer  Tracer
 
 	stopping atomic.Bool
 	inflight atomic.Int64
@@ -74,6 +85,9 @@
 // WithRecords sets where decisions are recorded for the explain command.
 func WithRecords(records Records) Option { return func(r *Router) { r.records = records } }
 
+// WithTracer sets the tracer of the spans. The default records none.
+func WithTracer(t Tracer) Option { return func(r *Router) { r.tracer = t } }
+
 // WithLimits sets the limits per account. The default has none.
 func WithLimits(limits Limits) Option { return func(r *Router) { r.limits = limits } }
 
@@ -89,7 +103,7 @@
 		records: noRecords{},
 		log:     zerolog.Nop(),
 		scope:   tally.NoopScope,
-		tracer:  otel.Tracer("daisylane/router"),
+		tracer:  noTracer{},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -105,7 +119,7 @@
 	mux.Handle("/services/{service}/{path...}", r.authenticated(r.serveService))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", r.serveReady)
-	return otelhttp.NewHandler(mux, "caller")
+	return mux
 }
 
 // Stop makes the router report not ready. Requests still get served until the
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -12,6 +12,7 @@
 type Choice struct {
 	Name   string // instance name of the side
 	Addr   string
+	Sent   time.Time
 	Reason string // why it was chosen, for the explain command
 }
 
@@ -26,14 +27,31 @@
 
 // Targets chooses targets and learns from the results.
 type Targets interface {
+	// Begin counts a new request of an account, which pays into its retry budget.
+	Begin(account string)
 	// Choose returns an instance for the query, or false if there is none. The
 	// caller must call Done for each choice.
 	Choose(q Query) (Choice, bool)
-	// Done reports the end of an attempt. The load is nil if the side did not report it.
-	Done(c Choice, load *wirepb.Load, outcome Outcome)
-	// Retry tells whether an attempt of the account may be followed by another,
-	// and how long to wait before it.
-	Retry(account string, attempt int) (time.Duration, bool)
+	// Done reports the end of an attempt and decides whether another may follow.
+	Done(c Choice, r Report) Verdict
+}
+
+// Report describes the end of an attempt.
+type Report struct {
+	Account    string
+	Outcome    Outcome
+	Number     int  // of the attempt, from 1
+	Repeatable bool // whether the request may run more than once
+	Deadline   time.Time
+	After      time.Duration // time to come back that the side gave
+	Load       *wirepb.Load  // nil if the side did not report it
+}
+
+// Verdict says how to go on after an attempt.
+type Verdict struct {
+	Retry bool
+	Wait  time.Duration // before the retry
+	After time.Duration // time to come back for the caller if there is no retry
 }
 
 // Outcome of an attempt.
