Serve a request end to end through entries and sides

Entries with membership, budget holder, bundle, target choice and limits, and sides before two model engines and a booking service, run in one test process against the platform stand-in: a stream, a plain answer, one booking for a key used at two entries, and the bill in the shard object.

--- a/internal/bundler/list.go
+++ b/internal/bundler/list.go
@@ -10,3 +10,6 @@
 	}
 	return list
 }
+
+// Accounts returns all accounts in the order of the bundle. The slice must not be changed.
+func (x *Index) Accounts() []Account { return x.bundle.Accounts }
--- /dev/null
+++ b/internal/launcher/bundles.go
@@ -0,0 +1,75 @@
+package launcher
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"time"
+
+	"daisylane/internal/adopter"
+	"daisylane/internal/bundler"
+	"daisylane/internal/reporter"
+	"daisylane/internal/syncer"
+	"daisylane/internal/watcher"
+)
+
+const peersInterval = time.Second
+
+// sync sets up the bundle of the process.
+func (p *process) sync(context.Context, io.Writer) error {
+	trust, err := trustOf(p.cfg.Trust)
+	if err != nil {
+		return err
+	}
+	self := adopter.Peer{Name: p.instance, Role: watcher.Entry, Centre: p.cfg.Centre, Addr: p.self().Addr}
+	p.bundles = syncer.New(syncer.Config{Self: self, Trust: trust}, p.pool, p.platform,
+		syncer.WithChange(p.adopted),
+		syncer.WithRefusal(func(peer string, err error) {
+			p.log.Warn().Str("peer", peer).Err(err).Msg("bundle refused")
+		}))
+	p.bundles.Register(p.server)
+	return nil
+}
+
+// trustOf decodes the operators' public keys.
+func trustOf(keys map[string]string) (bundler.Trust, error) {
+	trust := make(bundler.Trust, len(keys))
+	for author, text := range keys {
+		key, err := base64.StdEncoding.DecodeString(text)
+		if err != nil || len(key) != ed25519.PublicKeySize {
+			return nil, fmt.Errorf("public key of %s is not %d bytes in base64, take it from the output of daisylane key new", author, ed25519.PublicKeySize)
+		}
+		trust[author] = key
+	}
+	return trust, nil
+}
+
+func (p *process) adopted(head bundler.Head, x *bundler.Index) {
+	p.log.Info().Uint64("version", head.Version).Str("author", head.Author).Dur("delay", time.Since(head.Time)).Msg("bundle in force")
+	p.metrics.Scope().Gauge(reporter.BundleVersion).Update(float64(head.Version))
+	p.gate.adopt(x.Accounts())
+}
+
+// feedPeers tells the syncer about changes of the membership.
+func (p *process) feedPeers(ctx context.Context) {
+	t := time.NewTicker(peersInterval)
+	defer t.Stop()
+	for {
+		var peers []adopter.Peer
+		for _, role := range []string{watcher.Entry, watcher.Side} {
+			for _, m := range p.members.Registered(role) {
+				if !p.members.Gone(m.Name) {
+					peers = append(peers, adopter.Peer{Name: m.Name, Role: role, Centre: m.Centre, Addr: m.Addr})
+				}
+			}
+		}
+		p.bundles.SetPeers(peers)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/launcher/fixture_test.go
@@ -0,0 +1,329 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"daisylane/internal/allotter"
+	"daisylane/internal/bundler"
+	"daisylane/internal/checker"
+	"daisylane/internal/executor"
+	"daisylane/internal/faker"
+	"daisylane/internal/holder"
+	"daisylane/internal/loader"
+	"daisylane/internal/placer"
+	"daisylane/internal/storer"
+	"daisylane/internal/syncer"
+)
+
+const (
+	testKey    = "secret-key"
+	testBudget = "workshop"
+	testShards = 8
+)
+
+// fixture is a fleet on loopback with stand-ins, all in the test's process.
+type fixture struct {
+	t        *testing.T
+	fake     *faker.Platform
+	platform *httptest.Server
+	engines  []*faker.Engine
+	booking  *faker.Booking
+	key      ed25519.PrivateKey
+	public   ed25519.PublicKey
+	logs     *logBuffer
+}
+
+// logBuffer collects the log for a failing test.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// running is a process of the fleet that runs in the test's process.
+type running struct {
+	url    string // of an entry
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fake := faker.NewPlatform()
+	f := &fixture{t: t, fake: fake, platform: httptest.NewServer(fake), key: private, public: public, logs: &logBuffer{}}
+	t.Cleanup(f.platform.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.logs.buf.String())
+		}
+	})
+	return f
+}
+
+func (f *fixture) store() *storer.Client {
+	return storer.New(f.platform.URL, storer.WithName("operator"))
+}
+
+// standard starts two model targets, a booking target and two entries, and funds
+// the budget.
+func (f *fixture) standard(tokens int64) (a, b *running) {
+	f.push(testBundle())
+	f.topUp("t1", tokens)
+	for n := range 2 {
+		f.engine(fmt.Sprintf("side-%d", n+1))
+	}
+	f.bookings("side-3")
+	a, b = f.entry("entry-1"), f.entry("entry-2")
+	f.ready(a)
+	f.ready(b)
+	return a, b
+}
+
+func testBundle() bundler.Bundle {
+	return bundler.Bundle{
+		Regions: []string{"north"},
+		Budgets: []bundler.Budget{{Name: testBudget}},
+		Targets: []bundler.Target{
+			{Name: "planner", Kind: bundler.KindModel, Model: "plan-1", Context: 8192, Output: bundler.Output{Default: 32, Limit: 256}},
+			{Name: "booking", Kind: bundler.KindService, Repeat: []string{"GET"}},
+		},
+		Accounts: []bundler.Account{{
+			Name: "workshop", Keys: []string{bundler.HashKey(testKey)}, Worth: 1, Targets: []string{"planner", "booking"},
+			Budgets: []bundler.Payment{{Budget: testBudget, Targets: []string{bundler.Any}}},
+		}},
+	}
+}
+
+// push signs a bundle and moves the head to it.
+func (f *fixture) push(b bundler.Bundle) {
+	f.t.Helper()
+	ctx, store := f.t.Context(), f.store()
+	list, chunks, err := bundler.Split(b)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, c := range chunks {
+		if _, err := store.Put(ctx, syncer.ChunkPrefix+c.Hash, c.Body, 0); err != nil && !errors.Is(err, storer.ErrConflict) {
+			f.t.Fatal(err)
+		}
+	}
+	item, err := store.Get(ctx, syncer.HeadKey)
+	if err != nil && !errors.Is(err, storer.ErrAbsent) {
+		f.t.Fatal(err)
+	}
+	var former bundler.Head
+	if item.Version > 0 {
+		if err := json.Unmarshal(item.Body, &former); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	head, err := bundler.Sign(bundler.Head{Version: former.Version + 1, Chunks: list, Author: "operator", Time: time.Now().UTC()}, f.key)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	body, err := json.Marshal(head)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := store.Put(ctx, syncer.HeadKey, body, item.Version); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fixture) object() allotter.Shard {
+	f.t.Helper()
+	shard := placer.Shard(testBudget, testShards)
+	item, err := f.store().Get(f.t.Context(), holder.ObjectKey(shard))
+	if errors.Is(err, storer.ErrAbsent) {
+		return allotter.New(shard)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	object, err := checker.Decode[allotter.Shard](item.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return object
+}
+
+func (f *fixture) topUp(id string, tokens int64) {
+	f.t.Helper()
+	now := time.Now().Unix()
+	object, err := f.object().WithTopUp(testBudget, id, tokens, now, now)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	body, err := checker.Encode(object)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := f.store().Put(f.t.Context(), holder.ObjectKey(object.Number), body, 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// list adds an instance to the platform's instance list.
+func (f *fixture) list(name, role, addr string) {
+	f.t.Helper()
+	f.fake.Apply(faker.Change{Action: faker.ActionAdd, Instance: &storer.Instance{
+		Name: name, Role: role, Centre: "north-1", Region: "north", Addr: addr, State: storer.Live,
+	}})
+}
+
+func (f *fixture) engine(name string) *running {
+	engine := faker.NewEngine(faker.EngineConfig{
+		Models: []string{"plan-1"}, Slots: 8, Blocks: 256, Interval: loader.Duration(2 * time.Millisecond), Lag: loader.Duration(time.Second),
+	})
+	f.engines = append(f.engines, engine)
+	return f.side(name, engine, executor.Target{Name: "planner", Kind: executor.Model, Model: "plan-1"})
+}
+
+func (f *fixture) bookings(name string) *running {
+	f.booking = faker.NewBooking()
+	return f.side(name, f.booking, executor.Target{Name: "booking", Kind: executor.Service})
+}
+
+func (f *fixture) side(name string, target http.Handler, cfg executor.Target) *running {
+	f.t.Helper()
+	backend := httptest.NewServer(target)
+	f.t.Cleanup(backend.Close)
+	settings := executor.Defaults()
+	settings.Name, settings.Centre, settings.Region = name, "north-1", "north"
+	settings.Platform, settings.Listen = f.platform.URL, freeAddr(f.t)
+	settings.Target, settings.Target.URL = cfg, backend.URL
+	settings.TLS.Plain = true
+	f.list(name, "side", settings.Listen)
+	return f.run(func(ctx context.Context) error { return executor.Run(ctx, settings, f.logs) })
+}
+
+func (f *fixture) entry(name string) *running {
+	f.t.Helper()
+	cfg := Defaults()
+	cfg.Name, cfg.Centre, cfg.Region, cfg.Regions = name, "north-1", "north", []string{"north"}
+	cfg.Platform = f.platform.URL
+	cfg.Listen = Listen{HTTP: freeAddr(f.t), Peer: freeAddr(f.t)}
+	cfg.Budgets.Shards, cfg.Budgets.Fold = testShards, loader.Duration(time.Second)
+	cfg.Stop.Notice = loader.Duration(50 * time.Millisecond)
+	cfg.Trust = map[string]string{"operator": base64.StdEncoding.EncodeToString(f.public)}
+	cfg.TLS.Plain = true
+	if err := cfg.Check(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.list(name, "entry", cfg.Listen.Peer)
+	r := f.run(func(ctx context.Context) error { return Run(ctx, cfg, f.logs) })
+	r.url = "http://" + cfg.Listen.HTTP
+	return r
+}
+
+func (f *fixture) run(main func(ctx context.Context) error) *running {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{cancel: cancel, done: make(chan error, 1)}
+	go func() { r.done <- main(ctx) }()
+	f.t.Cleanup(func() {
+		if err := r.stop(); err != nil {
+			f.t.Errorf("process failed: %v", err)
+		}
+	})
+	return r
+}
+
+// stop ends a process gracefully.
+func (r *running) stop() error {
+	r.cancel()
+	err := <-r.done
+	r.done <- err
+	return err
+}
+
+func (f *fixture) ready(r *running) {
+	f.t.Helper()
+	f.eventually("entry is ready", func() bool {
+		res, err := http.Get(r.url + "/readyz")
+		if err != nil {
+			return false
+		}
+		res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+func (f *fixture) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for range 750 {
+		if ok() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatalf("timeout: %s", what)
+}
+
+// response is the answer to a caller.
+type response struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (f *fixture) post(r *running, path, body string, header ...string) response {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, r.url+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return response{status: -1, body: err.Error()}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return response{status: -1, body: err.Error()}
+	}
+	return response{res.StatusCode, res.Header, string(data)}
+}
+
+func chat(prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":"plan-1","stream":%v,"messages":[{"role":"user","content":%q}],"max_tokens":20}`, stream, prompt)
+}
--- /dev/null
+++ b/internal/launcher/launcher_test.go
@@ -0,0 +1,45 @@
+package launcher
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Guards against a break anywhere on the path from a caller to a target and back.
+func TestWholePath(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.standard(100_000)
+
+	res := f.post(a, "/v1/chat/completions", chat("tyre size", true))
+	if res.status != http.StatusOK || !strings.HasSuffix(res.body, "data: [DONE]\n\n") {
+		t.Fatalf("stream: status %d, body %q", res.status, res.body)
+	}
+	if strings.Contains(res.body, `"usage":{`) {
+		t.Errorf("usage event was not asked for: %s", res.body)
+	}
+	res = f.post(b, "/v1/chat/completions", chat("tyre size", false))
+	if res.status != http.StatusOK || !strings.Contains(res.body, `"usage"`) {
+		t.Fatalf("plain: status %d, body %q", res.status, res.body)
+	}
+	runs := 0
+	for _, e := range f.engines {
+		runs += len(e.Runs())
+	}
+	if runs != 2 {
+		t.Errorf("%d runs, want 2", runs)
+	}
+
+	first := f.post(a, "/services/booking/bookings", `{"slot":"9:00"}`, "Idempotency-Key", "k1")
+	second := f.post(b, "/services/booking/bookings", `{"slot":"9:00"}`, "Idempotency-Key", "k1")
+	if first.status >= 300 || second.status != first.status || second.body != first.body {
+		t.Errorf("bookings: %+v and %+v", first, second)
+	}
+	if second.header.Get("Idempotent-Replayed") != "true" {
+		t.Error("second booking is not marked as replayed")
+	}
+	if n := len(f.booking.Runs()); n != 1 {
+		t.Errorf("%d bookings, want 1", n)
+	}
+	f.eventually("both requests are billed", func() bool { return f.object().Budgets[testBudget].Settled > 0 })
+}
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,10 +13,10 @@
 	"github.com/rs/zerolog"
 
 	"daisylane/internal/connector"
-	"daisylane/internal/explainer"
 	"daisylane/internal/holder"
 	"daisylane/internal/locator"
 	"daisylane/internal/logger"
+	"daisylane/internal/relayer"
 	"daisylane/internal/reporter"
 	"daisylane/internal/router"
 	"daisylane/internal/storer"
@@ -31,7 +30,6 @@
 	registerInterval = time.Second
 	headerTimeout    = 10 * time.Second
 	idleTimeout      = 2 * time.Minute
-	drainPoll        = 50 * time.Millisecond
 	deregisterTime   = 5 * time.Second
 )
 
@@ -51,9 +49,10 @@
 	pool     *connector.Pool
 	server   *connector.Server
 	bundles  *syncer.Syncer
+	relay    *relayer.Relayer
 	holder   *holder.Holder
 	router   *router.Router
-	records  *explainer.Ring
+	gate     *gate
 
 	http     *http.Server
 	peerLn   net.Listener
@@ -73,7 +72,7 @@
 }
 
 func build(ctx context.Context, cfg Settings, out io.Writer) (*process, error) {
-	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 2)}
+	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 4), gate: newGate(cfg.Limits.Inflight)}
 	steps := []struct {
 		name string
 		run  func(context.Context, io.Writer) error
@@ -131,7 +130,7 @@
 		Centre: p.cfg.Centre, Region: p.cfg.Region,
 	}
 	if p.bundles != nil {
-		m.Bundle = p.bundles.Version()
+		m.Bundle = p.bundles.Head().Version
 	}
 	return m
 }
@@ -157,8 +156,9 @@
 		Instance: p.instance, Region: p.cfg.Region, Regions: p.cfg.Regions,
 		Shards: b.Shards, Slots: b.Slots, Ahead: b.Ahead, Release: b.Release, Fold: b.Fold.Std(),
 	}
+	p.relay = relayer.New(p.platform, p.instance, relayer.WithLogger(p.log))
 	var err error
-	p.holder, err = holder.New(cfg, p.platform, p.members, p.pool,
+	p.holder, err = holder.New(cfg, p.platform, p.members, p.pool, holder.WithRelay(p.relay),
 		holder.WithLogger(p.log), holder.WithScope(p.metrics.Scope()),
 		holder.WithSealed(func(sealer string) { p.sealed <- sealer }))
 	if err != nil {
@@ -169,14 +169,13 @@
 }
 
 func (p *process) route(context.Context, io.Writer) error {
-	p.records = explainer.New(recordsKept)
 	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), newFleet(p.members), p.pool, p.bundles.Index,
-		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithRecords(p))
+		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithTracer(p.trace),
+		router.WithLimits(p.gate))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.Handle("/", p.trace.Handler(p.router.Handler(), "caller"))
 	p.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	p.serveOperator()
 	return nil
 }
 
@@ -188,7 +187,10 @@
 	loops.Go(func() { p.fail(p.http.Serve(p.httpLn)) })
 	loops.Go(func() { p.members.Run(inner) })
 	loops.Go(func() { p.register(inner) })
-	loops.Go(func() { p.bundles.Run(inner) })
+	loops.Go(func() { p.fail(p.bundles.Run(inner)) })
+	loops.Go(func() { p.feedPeers(inner) })
+	loops.Go(func() { p.relay.Run(inner) })
+	loops.Go(func() { p.gate.run(inner) })
 	p.log.Info().Str("http", p.httpLn.Addr().String()).Str("peer", p.peerLn.Addr().String()).Msg("started")
 
 	var err error
@@ -230,8 +232,3 @@
 		}
 	}
 }
-
-// Record implements [router.Records].
-func (p *process) Record(id, step, decision, reason string) {
-	p.records.Add(explainer.Record{Request: id, Time: time.Now(), Step: step, Decision: decision, Reason: strings.TrimSpace(reason)})
-}
