--- a/internal/chooser/types.go
+++ b/internal/chooser/types.go
@@ -12,8 +12,8 @@
 	freeShare      = 0.75 // of the slots; less loaded targets count as free
 	fullQueue      = 2.0  // load per slot at which a target counts as full
 	prefixBytes    = 1024
-	prefixShare    = 0.25 // of a target's slots that one prefix may occupy
-	unseenDemand   = 0.5  // requests assumed for a prefix while the router is young
+	prefixShare    = 0.125 // of a target's slots that one prefix may occupy
+	unseenDemand   = 0.5   // requests assumed for a prefix while the router is young
 	maxPrefixes    = 4096
 	demandTime     = time.Minute // decay of the demand for a prefix
 	regionLatency  = 20 * time.Millisecond
