Use the whole own region before another one for a deadline

When the target preferred for the prefix missed the deadline, the choice went to another region although a target of the own region could meet it, and also when the other region missed the deadline as well. Both cost billed traffic for nothing. Targets without a report are now bounded by the router's own requests.

The new cases of TestLocality and TestSpread fail with the former code. TestSpread also fails when the replicas of neighbouring prefixes coincide.

--- a/internal/chooser/commands.go
+++ b/internal/chooser/commands.go
@@ -15,7 +15,7 @@
 	if a.began.IsZero() {
 		a.began = now
 	}
-	copies := a.copies(now, r)
+	copies := min(a.copies(now, r), uint64(max(1, len(list))))
 	own, others := a.split(now, r, list)
 	first := a.choose(now, r, own, others, a.source.Uint64N(copies))
 	if copies > 1 {
--- a/internal/chooser/queries.go
+++ b/internal/chooser/queries.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -83,12 +84,18 @@
 		return a.choice(remote, ReasonCapacity)
 	}
 	best, why := a.within(own)
-	short := a.insufficient(now, r, own, best)
+	if r.late(now, best) {
+		best, why = a.quickest(own), ReasonBound
+	}
+	short := r.shortage(now, own, best)
 	if short == "" || len(others) == 0 {
 		return a.choice(best, why)
 	}
 	remote, _ := a.within(others)
-	if remote.wait+2*a.latency >= best.wait {
+	if r.late(now.Add(2*a.latency), remote) {
+		remote = a.quickest(others)
+	}
+	if r.late(now.Add(2*a.latency), remote) || remote.wait+2*a.latency >= best.wait {
 		return a.choice(best, why)
 	}
 	return a.choice(remote, short)
@@ -100,11 +107,16 @@
 	}
 }
 
-// insufficient returns why the own region cannot serve the request in time, or
-// "" if it can.
-func (a *Affinity) insufficient(now time.Time, r Request, own []option, best option) string {
+// late reports whether an option is expected to miss the deadline.
+func (r Request) late(now time.Time, o option) bool {
+	return !r.Deadline.IsZero() && now.Add(o.wait+r.length()).After(r.Deadline)
+}
+
+// shortage returns why the own region cannot serve the request in time, or ""
+// if it can.
+func (r Request) shortage(now time.Time, own []option, best option) string {
 	if !r.Deadline.IsZero() {
-		if now.Add(best.wait + r.length()).After(r.Deadline) {
+		if r.late(now, best) {
 			return ReasonDeadline
 		}
 		return ""
@@ -117,6 +129,22 @@
 	return ReasonCapacity
 }
 
+// quickest returns the option with the shortest wait. Of equal ones, the
+// router's data centre comes first, then the weight decides.
+func (a *Affinity) quickest(list []option) option {
+	return slices.MinFunc(list, func(x, y option) int {
+		return cmp.Or(cmp.Compare(x.wait, y.wait), a.distance(x)-a.distance(y), cmp.Compare(y.weight, x.weight))
+	})
+}
+
+// distance is 0 in the router's data centre and 1 elsewhere.
+func (a *Affinity) distance(o option) int {
+	if o.Centre == a.place.Centre {
+		return 0
+	}
+	return 1
+}
+
 // within selects among the candidates of one region: by prefix among those
 // below the bound, the router's data centre first. The bound comes from the
 // whole region, so that an overloaded data centre spills over to the others.
@@ -131,7 +159,7 @@
 		}
 		limit := max(freeShare*float64(o.slots), a.factor*mean*float64(o.slots)+1)
 		switch {
-		case o.known && float64(o.load+1) > limit:
+		case float64(o.load+1) > limit:
 		case local:
 			near = heavier(list, near, i)
 		default:
