Replace registrations after a lost watch, fix the limiter's timer

A watch that lost its place needs a way to drop registrations that were deleted meanwhile: watcher.Sync. limiter.Next returned the last instant at which a request could still start, so a Tick at that time did nothing and the timer would have been set for the same time again; it now returns the next instant. TestTickAtNext fails with the former code. Tests of both packages pass.

--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// Guards against a timer that finds nothing to do and is set again for the same time.
+func TestTickAtNext(t *testing.T) {
+	l := New(source(), 1)
+	l.Offer(start, req("x", 1, time.Hour))
+	l.Offer(start, req("y", 1, 3*time.Second))
+	if got := l.Tick(l.Next()); len(got) != 1 || got[0].Kind != Refuse || l.Waiting() != 0 {
+		t.Errorf("actions = %+v, %d waiting", got, l.Waiting())
+	}
+}
+
 // Guards against one account taking more than its limits.
 func TestLimits(t *testing.T) {
 	limits := map[string]Limit{"a": {Rate: 1, Burst: 2, Concurrent: 10}, "b": {Rate: 100, Burst: 100, Concurrent: 1}}
--- a/internal/limiter/queries.go
+++ b/internal/limiter/queries.go
@@ -12,11 +12,12 @@
 // Waiting returns the number of queued requests.
 func (l *Limiter) Waiting() int { return len(l.queue) }
 
-// Next returns when the first queued request becomes too late, zero if none waits.
+// Next returns when the first queued request becomes too late, zero if none
+// waits. A Tick at that time gives it up.
 func (l *Limiter) Next() time.Time {
 	var next time.Time
 	for _, r := range l.queue {
-		if late := r.Deadline.Add(-r.Length); next.IsZero() || late.Before(next) {
+		if late := r.Deadline.Add(1 - r.Length); next.IsZero() || late.Before(next) {
 			next = late
 		}
 	}
--- a/internal/watcher/commands.go
+++ b/internal/watcher/commands.go
@@ -34,7 +34,8 @@
 }
 
 // Register records a registration of the given object version. Versions that
-// are not newer than the last registration or removal are ignored.
+// are not newer than the last registration or removal are ignored. Versions of
+// an object must keep growing when it is deleted and created again.
 func (v *View) Register(now time.Time, m Member, version uint64) {
 	n := v.node(m.Name)
 	if version <= n.version {
@@ -59,6 +60,18 @@
 	n.version, n.registered = version, false
 }
 
+// Sync replaces all registrations, after a watch lost its place.
+func (v *View) Sync(now time.Time, list []Registration) {
+	present := make(map[string]bool, len(list))
+	for _, r := range list {
+		present[r.Member.Name] = true
+		v.Register(now, r.Member, r.Version)
+	}
+	for _, n := range v.order {
+		n.registered = n.registered && present[n.member.Name]
+	}
+}
+
 // Leave records a side's own statement that it is leaving.
 func (v *View) Leave(name string) { v.node(name).leaving = true }
 
--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -53,6 +53,12 @@
 // Key returns the object key of a registration.
 func Key(role, name string) string { return "member/" + role + "/" + name }
 
+// Registration is a registration with its object version.
+type Registration struct {
+	Member  Member
+	Version uint64
+}
+
 // Listed is one row of the instance list.
 type Listed struct {
 	Name   string `json:"name"`
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -43,6 +43,8 @@
 		{"same registration again", Query{}, func(v *View) { v.Leave("a"); v.Register(at(1), side("a"), 1) }, 1},
 		{"drain undone", Query{}, func(v *View) { v.Leave("a"); v.Remove("a", 2); v.Register(at(1), side("a"), 3) }, 2},
 		{"old removal", Query{}, func(v *View) { v.Register(at(1), side("a"), 5); v.Remove("a", 4) }, 2},
+		{"sync drops the missing", Query{}, func(v *View) { v.Sync(at(1), []Registration{{side("b"), 1}}) }, 1},
+		{"sync adds", Query{}, func(v *View) { v.Sync(at(1), []Registration{{side("a"), 1}, {side("b"), 1}, {side("c"), 1}}) }, 3},
 		{"failed dial", Query{}, func(v *View) { v.Dialed(at(1), "a", false) }, 1},
 		{"suspicion ends", Query{}, func(v *View) { v.Dialed(at(-20), "a", false) }, 2},
 		{"only suspected left", Query{}, func(v *View) { v.Dialed(at(1), "a", false); v.Dialed(at(1), "b", false) }, 2},
