--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -56,6 +56,12 @@
 // Key returns the object key of a registration.
 func Key(role, name string) string { return "member/" + role + "/" + name }
 
+// Registration is a registration with its object version.
+type Registration struct {
+	Member  Member
+	Version uint64
+}
+
 // Listed is one row of the instance list.
 type Listed struct {
 	Name   string `json:"name"`
