--- /dev/null
+++ b/internal/operator/bundle.go
@@ -0,0 +1,106 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"strconv"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"daisylane/internal/bundler"
+	"daisylane/internal/storer"
+	"daisylane/internal/syncer"
+)
+
+// maxCalls bounds the platform calls at a time.
+const maxCalls = 8
+
+// baseLine is the first line of 'bundle show', which tells 'bundle push' from
+// which version a file was edited.
+var baseLine = regexp.MustCompile(`^# version (\d+) `)
+
+func baseOf(data []byte) (uint64, bool) {
+	m := baseLine.FindSubmatch(data)
+	if m == nil {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(string(m[1]), 10, 64)
+	return n, err == nil
+}
+
+func readBundle(file string) (bundler.Bundle, []byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return bundler.Bundle{}, nil, fmt.Errorf("read bundle: %w", err)
+	}
+	b, err := bundler.Parse(data)
+	if err != nil {
+		return b, nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return b, data, nil
+}
+
+// published is the bundle in force.
+type published struct {
+	head   bundler.Head
+	stored uint64 // version of the head object
+	bundle bundler.Bundle
+	parts  bundler.Parts
+}
+
+// readPublished reads and verifies the bundle in force. Without one, the head
+// has version 0.
+func readPublished(ctx context.Context, p platform, trust bundler.Trust) (published, error) {
+	head, stored, err := readHead(ctx, p)
+	if err != nil || head.Version == 0 {
+		return published{}, err
+	}
+	if err := bundler.Verify(head, trust); err != nil {
+		return published{}, fmt.Errorf("bundle in force: %w; add the author to [trust] in the settings", err)
+	}
+	parts := make(bundler.Parts)
+	for missing := parts.Missing(head); len(missing) > 0; missing = parts.Missing(head) {
+		if err := fetchChunks(ctx, p, parts, missing); err != nil {
+			return published{}, err
+		}
+	}
+	b, err := parts.Merge(head)
+	if err != nil {
+		return published{}, err
+	}
+	return published{head, stored, b, parts}, nil
+}
+
+func readHead(ctx context.Context, p platform) (bundler.Head, uint64, error) {
+	item, err := p.Get(ctx, syncer.HeadKey)
+	if errors.Is(err, storer.ErrAbsent) {
+		return bundler.Head{}, 0, nil
+	}
+	if err != nil {
+		return bundler.Head{}, 0, fmt.Errorf("read bundle head: %w", err)
+	}
+	head, err := bundler.DecodeHead(item.Body)
+	return head, item.Version, err
+}
+
+func fetchChunks(ctx context.Context, p platform, parts bundler.Parts, hashes []string) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxCalls)
+	var mu sync.Mutex
+	for _, hash := range hashes {
+		group.Go(func() error {
+			item, err := p.Get(ctx, syncer.ChunkPrefix+hash)
+			if err != nil {
+				return fmt.Errorf("read bundle chunk: %w", err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			return parts.Add(hash, item.Body)
+		})
+	}
+	return group.Wait()
+}
