--- a/internal/admitter/types.go
+++ b/internal/admitter/types.go
@@ -98,7 +98,7 @@
 	Running int     `json:"running"`
 	Waiting int     `json:"waiting"`
 	Slots   int     `json:"slots"`
-	Cache   float64 `json:"cache"`
+	Cache   float64 `json:"cache"` // use of the prefix cache, in the unit of the engine
 }
 
 // Check reports counts that no engine can have.
@@ -107,7 +107,7 @@
 	f.Require(l.Running >= 0, "running", "is %d, must not be negative", l.Running)
 	f.Require(l.Waiting >= 0, "waiting", "is %d, must not be negative", l.Waiting)
 	f.Require(l.Slots >= 0, "slots", "is %d, must not be negative", l.Slots)
-	checker.Range(&f, "cache", l.Cache, 0, 1)
+	f.Require(l.Cache >= 0, "cache", "is %v, must not be negative", l.Cache)
 	return f.Err()
 }
 
--- a/internal/executor/engine.go
+++ b/internal/executor/engine.go
@@ -38,7 +38,7 @@
 }
 
 // request builds the call to the target.
-func (s *Side) request(ctx context.Context, run *wirepb.Run) (*http.Request, error) {
+func (s *Side) request(ctx context.Context, id string, run *wirepb.Run) (*http.Request, error) {
 	method, path, body := run.GetMethod(), run.GetPath(), run.GetPayload()
 	if s.cfg.Target.Kind == Model {
 		if method == "" {
@@ -54,7 +54,7 @@
 			}
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(s.cfg.Target.URL, "/")+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, s.targetURL(path), bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w: %w", errBody, err)
 	}
@@ -67,12 +67,17 @@
 	if len(body) > 0 && req.Header.Get("Content-Type") == "" {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	if s.cfg.Target.Kind == Model {
+		req.Header.Set(requestHeader, id)
+	}
 	for key, value := range tracer.Inject(ctx) {
 		req.Header.Set(key, value)
 	}
 	return req, nil
 }
 
+func (s *Side) targetURL(path string) string { return strings.TrimSuffix(s.cfg.Target.URL, "/") + path }
+
 // completionBody asks the engine for usage and bounds the output by the
 // reservation.
 func completionBody(run *wirepb.Run) ([]byte, error) {
@@ -225,7 +230,7 @@
 	var load admitter.Load
 	ctx, cancel := context.WithTimeout(ctx, loadInterval)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(s.cfg.Target.URL, "/")+"/load", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.targetURL("/load"), nil)
 	if err != nil {
 		return load, fmt.Errorf("build load request: %w", err)
 	}
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -54,6 +54,8 @@
 		if run.GetClaim() != "" {
 			end.Outcome = outcomeUnknown
 		}
+		s.stopEngine(j.id, &res)
+		end.Usage = &wirepb.Usage{Prompt: res.usage.Prompt, Output: res.usage.Output}
 	}
 	// The charge is kept before the router sees the end, so that its Billed finds the charge.
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Ended(time.Now(), j.id, res.usage) }))
@@ -65,6 +67,22 @@
 		Dur("took", time.Since(started)).AnErr("cause", res.err).Msg("request ended")
 }
 
+// stopEngine frees the slot of a run that broke off. The engine's own count of
+// its tokens takes the place of the side's.
+func (s *Side) stopEngine(id string, res *result) {
+	if s.cfg.Target.Kind != Model {
+		return
+	}
+	used, err := s.cancelStream(id)
+	if err != nil {
+		s.log.Debug().Str("request", id).Err(err).Msg("run of the engine not cancelled")
+		return
+	}
+	if used != (admitter.Usage{}) {
+		res.usage = used
+	}
+}
+
 // send makes the call to the target. It reports false if no connection was
 // made, so that nothing was sent.
 func (s *Side) send(ctx context.Context, j *job, run *wirepb.Run) (result, bool) {
@@ -76,7 +94,7 @@
 			}
 		},
 	})
-	req, err := s.request(ctx, run)
+	req, err := s.request(ctx, j.id, run)
 	if err != nil {
 		return result{err: err}, false
 	}
