--- a/internal/launcher/fleet.go
+++ b/internal/launcher/fleet.go
@@ -66,7 +66,7 @@
 		return router.Choice{}, false
 	}
 	f.policy.Sent(now, c.Name)
-	return router.Choice{Name: c.Name, Addr: addrs[c.Name], Sent: now, Reason: c.Reason + ", " + string(c.Scope)}, true
+	return router.Choice{Name: c.Name, Addr: addrs[c.Name], Sent: now, Reason: c.Reason, Scope: string(c.Scope)}, true
 }
 
 // Done implements [router.Targets].
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"daisylane/internal/connector"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/holder"
 	"daisylane/internal/locator"
 	"daisylane/internal/logger"
@@ -27,6 +28,9 @@
 )
 
 const (
+	// roleOperator is the organizational unit in an operator's certificate.
+	roleOperator = "operator"
+
 	registerInterval = time.Second
 	headerTimeout    = 10 * time.Second
 	idleTimeout      = 2 * time.Minute
@@ -39,20 +43,22 @@
 
 // process is a running entry.
 type process struct {
-	cfg      Settings
-	instance string
-	log      zerolog.Logger
-	trace    *tracer.Tracer
-	metrics  *reporter.Reporter
-	platform *storer.Client
-	members  *locator.Locator
-	pool     *connector.Pool
-	server   *connector.Server
-	bundles  *syncer.Syncer
-	relay    *relayer.Relayer
-	holder   *holder.Holder
-	router   *router.Router
-	gate     *gate
+	cfg         Settings
+	instance    string
+	log         zerolog.Logger
+	trace       *tracer.Tracer
+	metrics     *reporter.Reporter
+	platform    *storer.Client
+	credentials *credentialer.Credentials // nil without TLS
+	members     *locator.Locator
+	pool        *connector.Pool
+	server      *connector.Server
+	bundles     *syncer.Syncer
+	relay       *relayer.Relayer
+	holder      *holder.Holder
+	router      *router.Router
+	gate        *gate
+	records     *records
 
 	http     *http.Server
 	peerLn   net.Listener
@@ -72,7 +78,7 @@
 }
 
 func build(ctx context.Context, cfg Settings, out io.Writer) (*process, error) {
-	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 4), gate: newGate(cfg.Limits.Inflight)}
+	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 4), gate: newGate(cfg.Limits.Inflight), records: newRecords()}
 	steps := []struct {
 		name string
 		run  func(context.Context, io.Writer) error
@@ -141,15 +147,34 @@
 	for _, peer := range p.cfg.Peers {
 		p.members.Add(watcher.Member{Name: peer.Name, Role: watcher.Entry, Centre: peer.Centre, Region: peer.Region, Addr: peer.Addr})
 	}
+	if err := p.loadCredentials(); err != nil {
+		return err
+	}
 	poolOpts := []connector.PoolOption{connector.WithDialResult(p.members.Dialed)}
 	serverOpts := []connector.ServerOption{connector.WithFailure(func(peer string, err error) {
 		p.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
 	})}
+	if p.credentials != nil {
+		poolOpts = append(poolOpts, connector.WithClientTLS(p.credentials.Client(watcher.Entry, watcher.Side)))
+		serverOpts = append(serverOpts, connector.WithServerTLS(p.credentials.Server(watcher.Entry, watcher.Side, roleOperator)))
+	}
 	p.pool = connector.NewPool(p.identity, poolOpts...)
 	p.server = connector.NewServer(p.identity, serverOpts...)
 	return nil
 }
 
+func (p *process) loadCredentials() error {
+	if p.cfg.TLS.Plain {
+		return nil
+	}
+	var err error
+	p.credentials, err = credentialer.New(credentialer.Files{Cert: p.cfg.TLS.Cert, Key: p.cfg.TLS.Key, CA: p.cfg.TLS.CA},
+		credentialer.WithFailure(func(err error) {
+			p.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
+		}))
+	return err
+}
+
 func (p *process) hold(context.Context, io.Writer) error {
 	b := p.cfg.Budgets
 	cfg := holder.Config{
@@ -171,11 +196,12 @@
 func (p *process) route(context.Context, io.Writer) error {
 	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), newFleet(p.members), p.pool, p.bundles.Index,
 		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithTracer(p.trace),
-		router.WithLimits(p.gate))
+		router.WithLimits(p.gate), router.WithRecords(p.records))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.Handle("/", p.trace.Handler(p.router.Handler(), "caller"))
 	p.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	p.serveOperator()
 	return nil
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -10,6 +10,7 @@
 
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
+	"daisylane/internal/explainer"
 	"daisylane/internal/reporter"
 	"daisylane/internal/tracer"
 	"daisylane/internal/wirepb"
@@ -55,7 +56,7 @@
 	f.Trace = tracer.Inject(ctx)
 	err = a.exchange(ctx, f)
 	for err != nil && a.resumable(ctx, err) {
-		a.r.records.Record(a.req.id, "resume", a.choice.Name, err.Error())
+		a.r.record(a.req.id, "resume", a.choice.Name, cause(err), explainer.Int("offset", int64(a.answer.Offset())))
 		a.r.scope.Counter(reporter.Resumes).Inc(1)
 		err = a.resume(ctx)
 	}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -9,6 +9,7 @@
 
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
+	"daisylane/internal/explainer"
 	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
 )
@@ -26,7 +27,7 @@
 		if !ok {
 			break
 		}
-		r.records.Record(req.id, "choose", choice.Name, choice.Reason)
+		r.record(req.id, "choose", choice.Name, choice.Reason, explainer.Name("scope", choice.Scope), explainer.Int("attempt", int64(n)))
 		a := &attempt{r: r, req: req, choice: choice, answer: assembler.NewAnswer(req.id), out: out}
 		var err error
 		outcome, err = a.start(ctx, j.message(req, reservation))
@@ -85,11 +86,7 @@
 }
 
 func (r *Router) recordOutcome(id string, choice Choice, outcome Outcome, err error) {
-	reason := ""
-	if err != nil {
-		reason = err.Error()
-	}
-	r.records.Record(id, "attempt", outcome.String(), choice.Name+" "+reason)
+	r.record(id, "attempt", outcome.String(), cause(err), explainer.Name("side", choice.Name))
 }
 
 // sleep waits unless the context ends first.
--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"daisylane/internal/bundler"
+	"daisylane/internal/explainer"
 	"daisylane/internal/reporter"
 )
 
@@ -59,7 +60,7 @@
 	if failure.Type == typeNotRun {
 		r.scope.Tagged(map[string]string{"reason": failure.Reason}).Counter(reporter.Refusals).Inc(1)
 	}
-	r.records.Record(req.id, "answer", failure.Type, failure.Reason+": "+failure.Message)
+	r.record(req.id, "answer", failure.Type, failure.Reason, explainer.Name("account", req.account.Name))
 	failure.write(w, req.id)
 }
 
--- a/internal/router/chat_handler.go
+++ b/internal/router/chat_handler.go
@@ -60,7 +60,7 @@
 	if !events.started {
 		return res.failure
 	}
-	r.records.Record(req.id, "answer", res.failure.Type, res.failure.Message)
+	r.record(req.id, "answer", res.failure.Type, res.failure.Reason)
 	events.fail(req.id, res.failure)
 	return nil
 }
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"daisylane/internal/connector"
+	"daisylane/internal/explainer"
+	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
 )
 
@@ -54,13 +55,25 @@
 	if failure != nil {
 		return result{failure: failure}
 	}
+	began := time.Now()
 	res := r.runAttempts(ctx, req, j, reservation, out)
+	if res.failure == nil {
+		r.whole(req, j, time.Since(began))
+	}
 	if reservation != nil {
 		r.settle(ctx, req, reservation, res)
 	}
 	return res
 }
 
+// whole records a request that got its whole answer.
+func (r *Router) whole(req request, j job, took time.Duration) {
+	tags := map[string]string{"service": j.target, "outcome": "whole"}
+	r.scope.Tagged(tags).Counter(reporter.Requests).Inc(1)
+	r.scope.Tagged(tags).Histogram(reporter.RequestSeconds, reporter.SecondsBuckets).RecordDuration(took)
+	r.record(req.id, "answer", "whole", "", explainer.Duration("took", took))
+}
+
 func (r *Router) reserve(ctx context.Context, req request, j job) (*wirepb.Reservation, *Error) {
 	if j.tokens == 0 {
 		return nil, nil
@@ -73,10 +86,11 @@
 	defer span.End()
 	reservation, err := r.budgets.Reserve(ctx, req.id, &wirepb.Reserve{Budget: budget.Name, Tokens: j.tokens, Key: req.key})
 	if err != nil {
-		r.records.Record(req.id, "reserve", "refused", err.Error())
+		r.record(req.id, "reserve", "refused", cause(err), explainer.Name("budget", budget.Name), explainer.Int("tokens", j.tokens))
 		return nil, refusalError(err, "budget")
 	}
-	r.records.Record(req.id, "reserve", "granted", reservation.GetHolder())
+	r.record(req.id, "reserve", "granted", "", explainer.Name("budget", budget.Name), explainer.Int("tokens", j.tokens),
+		explainer.Name("holder", reservation.GetHolder()), explainer.Int("shard", int64(reservation.GetShard())))
 	return reservation, nil
 }
 
@@ -90,7 +104,7 @@
 		m.Tokens = min(res.end.GetUsage().GetPrompt()+res.end.GetUsage().GetOutput(), reservation.GetTokens())
 	case res.failure != nil && res.failure.Type == typeNotRun:
 	default:
-		r.records.Record(req.id, "settle", "left to the side", "")
+		r.record(req.id, "settle", "side", "unknown")
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
@@ -99,7 +113,7 @@
 		if !r.persist(ctx, req.id, "settle", func() error { return r.budgets.Settle(ctx, req.id, m) }) {
 			return
 		}
-		r.records.Record(req.id, "settle", "durable", strconv.FormatInt(m.Tokens, 10)+" tokens")
+		r.record(req.id, "settle", "durable", "", explainer.Int("tokens", m.Tokens))
 		r.billed(ctx, req.id, res)
 	})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,6 +126,9 @@
 // listener is closed, because the balancer learns of the stop with a delay.
 func (r *Router) Stop() { r.stopping.Store(true) }
 
+// Stopping reports whether Stop was called.
+func (r *Router) Stopping() bool { return r.stopping.Load() }
+
 // Wait waits until all settlements are durable or given up.
 func (r *Router) Wait() { r.tasks.Wait() }
 
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"daisylane/internal/bundler"
+	"daisylane/internal/explainer"
 	"daisylane/internal/wirepb"
 )
 
@@ -50,7 +51,7 @@
 	if err != nil {
 		return refusalError(err, "platform")
 	}
-	r.records.Record(req.id, "claim", claim.GetState(), "owner "+claim.GetRequest())
+	r.record(req.id, "claim", claim.GetState(), "", explainer.Name("owner", claim.GetRequest()))
 	if claim.GetState() != claimNew {
 		return replayClaim(w, claim)
 	}
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"daisylane/internal/assembler"
 	"daisylane/internal/bundler"
+	"daisylane/internal/connector"
+	"daisylane/internal/explainer"
 	"daisylane/internal/wirepb"
 )
 
@@ -13,7 +19,8 @@
 	Name   string // instance name of the side
 	Addr   string
 	Sent   time.Time
-	Reason string // why it was chosen, for the explain command
+	Reason string // why it was chosen
+	Scope  string // how far it is
 }
 
 // Query describes the targets that can run a job.
@@ -80,9 +87,42 @@
 
 // Records keeps the decisions about requests for the explain command.
 type Records interface {
-	Record(id, step, decision, reason string)
+	Add(id string, r explainer.Record)
 }
 
 type noRecords struct{}
 
-func (noRecords) Record(string, string, string, string) {}
+func (noRecords) Add(string, explainer.Record) {}
+
+// record keeps one decision about a request.
+func (r *Router) record(id, step, decision, reason string, details ...explainer.Field) {
+	r.records.Add(id, explainer.Record{Time: time.Now(), Step: step, Decision: decision, Reason: reason, Details: details})
+}
+
+// cause names the kind of an error. Its text can hold addresses and parts of
+// the caller's input, which records must not have.
+func cause(err error) string {
+	var refused *connector.RefusedError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &refused):
+		return refused.Reason
+	case errors.Is(err, connector.ErrDial):
+		return "dial"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "deadline"
+	case errors.Is(err, errSink):
+		return "caller"
+	case errors.Is(err, assembler.ErrGap):
+		return "gap"
+	case errors.Is(err, assembler.ErrChecksum), errors.Is(err, assembler.ErrCount):
+		return "checksum"
+	case errors.Is(err, connector.ErrProtocol):
+		return "protocol"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "silence"
+	default:
+		return "connection"
+	}
+}
