--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -152,11 +152,21 @@
 	return nil
 }
 
+// home returns where the claims of an account are kept: in its home region, or in
+// the next one in rank if no entry of that is registered. Any region is safe,
+// because the claim object names the holder that keeps the claims.
 func (c *Client) home(account, region string) place {
-	if region == "" {
-		region = placer.First("home/"+account, c.h.cfg.Regions)
+	at := place{region: region, shard: placer.Shard(account, c.h.cfg.Shards), claims: true}
+	ranked := placer.Rank("home/"+account, c.h.cfg.Regions)
+	if region != "" {
+		ranked = append([]string{region}, ranked...)
 	}
-	return place{region: region, shard: placer.Shard(account, c.h.cfg.Shards), claims: true}
+	for _, r := range ranked {
+		if at.region = r; len(c.entries(r)) > 0 {
+			return at
+		}
+	}
+	return at
 }
 
 // follow calls the holder of a shard and follows its redirections.
--- a/internal/launcher/bundles.go
+++ b/internal/launcher/bundles.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"encoding/base64"
-	"fmt"
 	"io"
 	"time"
 
@@ -19,7 +16,7 @@
 
 // sync sets up the bundle of the process.
 func (p *process) sync(context.Context, io.Writer) error {
-	trust, err := trustOf(p.cfg.Trust)
+	trust, err := bundler.ParseTrust(p.cfg.Trust)
 	if err != nil {
 		return err
 	}
@@ -33,19 +30,6 @@
 	return nil
 }
 
-// trustOf decodes the operators' public keys.
-func trustOf(keys map[string]string) (bundler.Trust, error) {
-	trust := make(bundler.Trust, len(keys))
-	for author, text := range keys {
-		key, err := base64.StdEncoding.DecodeString(text)
-		if err != nil || len(key) != ed25519.PublicKeySize {
-			return nil, fmt.Errorf("public key of %s is not %d bytes in base64, take it from the output of daisylane key new", author, ed25519.PublicKeySize)
-		}
-		trust[author] = key
-	}
-	return trust, nil
-}
-
 func (p *process) adopted(head bundler.Head, x *bundler.Index) {
 	p.log.Info().Uint64("version", head.Version).Str("author", head.Author).Dur("delay", time.Since(head.Time)).Msg("bundle in force")
 	p.metrics.Scope().Gauge(reporter.BundleVersion).Update(float64(head.Version))
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"time"
 
+	"daisylane/internal/bundler"
 	"daisylane/internal/checker"
 	"daisylane/internal/loader"
 	"daisylane/internal/recoverer"
@@ -97,6 +98,8 @@
 	f.Require(s.Region != "", "region", "is empty, set the region of this instance")
 	f.Require(len(s.Regions) > 0, "regions", "is empty, list all regions of the deployment")
 	f.Require(len(s.Trust) > 0, "trust", "is empty, name at least one operator's public key")
+	_, err := bundler.ParseTrust(s.Trust)
+	f.Within("trust", err)
 	checkURL(&f, "platform", s.Platform)
 	f.Within("listen", s.Listen.check())
 	f.Within("budgets", s.Budgets.check())
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -148,7 +148,7 @@
 		} else {
 			after, err = l.watchOnce(ctx, after)
 		}
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			l.log.Warn().Err(err).Msg("registrations not read")
 			sleep(ctx, retryInterval)
 		}
@@ -214,9 +214,12 @@
 func (l *Locator) listInstances(ctx context.Context) {
 	for ctx.Err() == nil {
 		rows, err := l.platform.Instances(ctx)
-		if err != nil {
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
 			l.log.Warn().Err(err).Msg("instance list not read")
-		} else {
+		default:
 			l.mu.Lock()
 			l.rows = rows
 			l.relist()
--- a/internal/prober/main.go
+++ b/internal/prober/main.go
@@ -26,9 +26,17 @@
 // Main runs a command line and returns the exit status.
 func Main(args []string) int {
 	parser := flags.NewNamedParser("prober", flags.Default)
-	if _, err := parser.AddCommand("run", "Run an experiment", "", &runCommand{}); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
+	for _, c := range []struct {
+		name, text string
+		command    any
+	}{
+		{"run", "Run an experiment", &runCommand{}},
+		{"call", "Send one request and print the answer", &callCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.text, "", c.command); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
 	}
 	_, err := parser.ParseArgs(args)
 	var usage *flags.Error
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,31 +8,25 @@
   shift
   "$@" >"$dir/$name.log" 2>&1 &
   pids+=($!)
-  eval "pid_${name//-/_}=$!"
 }
 
-# stop_all ends all started processes by their ids, entries and sides first.
+# stop_all ends all started processes by their ids, the latest first.
 stop_all() {
-  local pid
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-}
-
-# wait_for URL waits until a GET succeeds.
-wait_for() {
   local n
-  for n in $(seq 150); do
-    if curl -sf -o /dev/null --max-time 2 "$1"; then return 0; fi
-    sleep 0.1
+  for ((n = ${#pids[@]} - 1; n >= 0; n--)); do
+    kill -TERM "${pids[n]}" 2>/dev/null || true
+    wait "${pids[n]}" 2>/dev/null || true
   done
-  echo "no answer from $1" >&2
-  return 1
+  pids=()
 }
 
-# setting FILE KEY=VALUE... prints a settings file with replaced values.
-setting() {
+# settings FILE KEY=VALUE... prints a settings file with replaced values.
+settings() {
   local file=$1 arg expr=()
   shift
-  for arg in "$@"; do expr+=(-e "s|^\( *${arg%%=*} *= *\).*|\1${arg#*=}|"); done
+  for arg in "$@"; do expr+=(-e "s|^\( *${arg%%=*} *= *\)[^#]*|\1${arg#*=} |"); done
   sed "${expr[@]}" "$file"
 }
+
+# field NAME prints a string field of a JSON object on standard input.
+field() { sed -n "s/.*\"$1\": *\"\([^\"]*\)\".*/\1/p" | head -n 1; }
