Clamp the caller's timeout before its conversion

Cause: a Request-Timeout of 1e99 s overflowed the conversion to a duration and gave a deadline in the past. TestWithHeaders fails before and passes after.

--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -102,7 +102,7 @@
 		if err != nil || !(seconds > 0) {
 			return req, notRun(http.StatusBadRequest, "body", "%s is %q, want seconds above 0", headerTimeout, s)
 		}
-		timeout = min(time.Duration(seconds*float64(time.Second)), maxTimeout)
+		timeout = time.Duration(min(seconds, maxTimeout.Seconds()) * float64(time.Second))
 	}
 	req.deadline = time.Now().Add(timeout)
 	return req, nil
