Close gaps in the routing tests

Trial mutations of the new packages on a scratch copy showed five changes that no test noticed: a leaving mark before the first registration, gone targets, refusals in the circuit breaker, concurrency freed after a request, and a full other region.

--- a/internal/chooser/policy_test.go
+++ b/internal/chooser/policy_test.go
@@ -35,6 +35,7 @@
 		{"data centre overloaded", near, 14, 0, all, SameRegion},
 		{"region busy without deadline", all[:6], 12, 0, all, SameCentre},
 		{"region full without deadline", all[:6], 17, 0, all, OtherRegion},
+		{"all full without deadline", all, 17, 0, all, SameCentre},
 		{"region misses the deadline", all[:6], 12, 6 * time.Second, all, OtherRegion},
 		{"region meets the deadline", all[:6], 12, 9 * time.Second, all, SameCentre},
 		{"one target of the region meets the deadline", all[:5], 12, 6 * time.Second, all, SameRegion},
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// Guards against an account that stays at its limit after its requests ended.
+func TestConcurrencyIsFreed(t *testing.T) {
+	l := New(source(), 1, WithDefault(Limit{Rate: 100, Burst: 100, Concurrent: 3}))
+	for round := range 3 {
+		now := start.Add(time.Duration(round) * time.Minute)
+		for _, id := range []string{"runs", "withdrawn", "late"} {
+			r := Request{ID: id, Account: "a", Worth: 1, Deadline: now.Add(3 * time.Second), Length: time.Second}
+			if got := l.Offer(now, r)[0]; got.Kind == Refuse {
+				t.Fatalf("round %d: %+v", round, got)
+			}
+		}
+		l.Done(now, "withdrawn")
+		l.Tick(now.Add(10 * time.Second))
+		l.Done(now.Add(10*time.Second), "runs")
+	}
+}
+
 // Guards against a timer that finds nothing to do and is set again for the same time.
 func TestTickAtNext(t *testing.T) {
 	l := New(source(), 1)
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// Guards against opening the breaker of a target that works but refuses.
+func TestRefusalKeepsBreakerClosed(t *testing.T) {
+	r := New(source())
+	for range 2 * tripFailures {
+		r.Conclude(start, Attempt{Target: "a", Outcome: NotRun, Refused: true, Number: 1})
+	}
+	if r.State(start, "a") != Closed {
+		t.Error("refusals opened the breaker")
+	}
+}
+
 // Guards against retry storms: whatever happens, retries stay within the burst
 // plus the share of the requests, for the fleet and for each account.
 func TestBudgetBound(t *testing.T) {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -42,6 +42,12 @@
 		{"list says leaving", Query{}, func(v *View) { v.List(at(1), []Listed{{Name: "a", State: Leaving}}) }, 1},
 		{"same registration again", Query{}, func(v *View) { v.Leave("a"); v.Register(at(1), side("a"), 1) }, 1},
 		{"drain undone", Query{}, func(v *View) { v.Leave("a"); v.Remove("a", 2); v.Register(at(1), side("a"), 3) }, 2},
+		{"leaving before registered", Query{Target: "t-c"}, func(v *View) { v.Leave("c"); v.Register(at(1), side("c"), 1) }, 0},
+		{"gone", Query{}, func(v *View) {
+			for s := 0; s <= 90; s += 30 {
+				v.List(at(s), rows("b"))
+			}
+		}, 1},
 		{"old removal", Query{}, func(v *View) { v.Register(at(1), side("a"), 5); v.Remove("a", 4) }, 2},
 		{"sync drops the missing", Query{}, func(v *View) { v.Sync(at(1), []Registration{{side("b"), 1}}) }, 1},
 		{"sync adds", Query{}, func(v *View) { v.Sync(at(1), []Registration{{side("a"), 1}, {side("b"), 1}, {side("c"), 1}}) }, 3},
