Read load reports from messages, follow the number of routers

Routers get load with the sides' answers and the number of entries changes, so chooser converts wirepb.Load and can change the number of peers. The benchmark also reports the 95th percentile of the time to the first token, because the queue alone leaves out what cache hits save.

--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -65,8 +65,9 @@
 }
 
 type result struct {
-	hits             float64 // share of requests
-	mean, p95, first time.Duration
+	hits            float64       // share of requests
+	mean, p95       time.Duration // in the queue
+	first, firstP95 time.Duration // until the first token
 }
 
 // simulate runs routers with lagging load reports against engines. Load reports
@@ -99,8 +100,7 @@
 	end := start.Add(length)
 	warm := start.Add(length / 3)
 	var hits, total int
-	var prefills time.Duration
-	var waits []time.Duration
+	var waits, firsts []time.Duration
 	rate := share * float64(targets*simSlots) / (simDecode + simCached).Seconds()
 	var arrive func(time.Time)
 	arrive = func(now time.Time) {
@@ -115,7 +115,7 @@
 			cost, hit := e.prefill(prefix)
 			if now.After(warm) {
 				total++
-				prefills += cost
+				firsts = append(firsts, at.Sub(now)+cost)
 				waits = append(waits, at.Sub(now))
 				if hit {
 					hits++
@@ -157,15 +157,21 @@
 	for _, e := range engines {
 		for _, w := range e.queue {
 			waits = append(waits, end.Sub(w.since))
+			firsts = append(firsts, end.Sub(w.since))
 		}
 	}
-	slices.Sort(waits)
-	var sum time.Duration
-	for _, w := range waits {
-		sum += w
+	r := result{hits: float64(hits) / float64(total)}
+	r.mean, r.p95 = meanAndP95(waits)
+	r.first, r.firstP95 = meanAndP95(firsts)
+	return r
+}
+
+func meanAndP95(list []time.Duration) (mean, p95 time.Duration) {
+	slices.Sort(list)
+	for _, d := range list {
+		mean += d
 	}
-	mean := sum / time.Duration(len(waits))
-	return result{float64(hits) / float64(total), mean, waits[len(waits)*95/100], mean + prefills/time.Duration(total)}
+	return mean / time.Duration(len(list)), list[len(list)*95/100]
 }
 
 var policies = []struct {
@@ -192,6 +198,7 @@
 					b.ReportMetric(r.mean.Seconds(), "mean-wait-s")
 					b.ReportMetric(r.p95.Seconds(), "p95-wait-s")
 					b.ReportMetric(r.first.Seconds(), "mean-first-token-s")
+					b.ReportMetric(r.firstP95.Seconds(), "p95-first-token-s")
 				}
 			})
 		}
--- a/internal/chooser/commands.go
+++ b/internal/chooser/commands.go
@@ -27,6 +27,9 @@
 	return first.Choice, first.Name != ""
 }
 
+// SetPeers changes the number of routers, see [WithPeers].
+func (a *Affinity) SetPeers(n int) { a.peers = max(1, n) }
+
 // split returns the allowed candidates of the own region and of the others.
 func (a *Affinity) split(now time.Time, r Request, list []Candidate) (own, others []option) {
 	own, others = a.own[:0], a.others[:0]
--- a/internal/chooser/policy_test.go
+++ b/internal/chooser/policy_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"daisylane/internal/wirepb"
 )
 
 func testSource() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
@@ -90,6 +92,10 @@
 			t.Errorf("%s: load = %d, want %d", s.name, got, s.want)
 		}
 	}
+	l.Reported("a", LoadOf(at(8), &wirepb.Load{Running: 1, Waiting: 2, Slots: 4, Age: 1500}))
+	if got, slots, _ := l.Load(at(8), "a"); got != 3 || slots != 4 {
+		t.Errorf("load of a message = %d of %d, want 3 of 4", got, slots)
+	}
 	if got, _, known := l.Load(at(60), "a"); got != 1 || known {
 		t.Errorf("after the report expired: load = %d, known = %v, want 1, false", got, known)
 	}
--- a/internal/chooser/types.go
+++ b/internal/chooser/types.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"daisylane/internal/wirepb"
 )
 
 const (
@@ -57,6 +59,14 @@
 	At      time.Time // when the target measured it
 }
 
+// LoadOf returns the load report of a side's message received now.
+func LoadOf(now time.Time, m *wirepb.Load) Load {
+	return Load{
+		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
+		At: now.Add(-time.Duration(m.GetAge()) * time.Millisecond),
+	}
+}
+
 // Scope says how far a choice is from the router.
 type Scope string
 
@@ -154,9 +164,10 @@
 // WithBound sets the bound on the load of a target, as a multiple of the mean.
 func WithBound(factor float64) Option { return func(a *Affinity) { a.factor = factor } }
 
-// WithPeers sets the number of routers that share the candidates. Each router
-// sees its own share of a prefix's demand and scales it by this number.
-func WithPeers(n int) Option { return func(a *Affinity) { a.peers = max(1, n) } }
+// WithPeers sets the number of routers that share the candidates, this one
+// included. Each router sees its own share of a prefix's demand and scales it by
+// this number.
+func WithPeers(n int) Option { return func(a *Affinity) { a.SetPeers(n) } }
 
 // NewAffinity returns the policy for a router at the given place. The source
 // spreads a prefix in high demand over several targets.
