--- a/internal/chooser/commands.go
+++ b/internal/chooser/commands.go
@@ -15,11 +15,11 @@
 	if a.began.IsZero() {
 		a.began = now
 	}
-	copies := min(a.copies(now, r), uint64(max(1, len(list))))
+	replicas := min(a.replicas(now, r), uint64(max(1, len(list))))
 	own, others := a.split(now, r, list)
-	first := a.choose(now, r, own, others, a.source.Uint64N(copies))
-	if copies > 1 {
-		second := a.choose(now, r, own, others, a.source.Uint64N(copies))
+	first := a.choose(now, r, own, others, a.source.Uint64N(replicas))
+	if replicas > 1 {
+		second := a.choose(now, r, own, others, a.source.Uint64N(replicas))
 		if second.load < first.load && second.Scope == first.Scope {
 			first = second
 		}
@@ -47,10 +47,10 @@
 	return own, others
 }
 
-// copies returns over how many targets the demand for a prefix is spread. Load
+// replicas returns over how many targets the demand for a prefix is spread. Load
 // reports lag too far for the bound alone to stop many routers from sending the
 // same prefix to one target at once.
-func (a *Affinity) copies(now time.Time, r Request) uint64 {
+func (a *Affinity) replicas(now time.Time, r Request) uint64 {
 	d, ok := a.demand[r.Prefix]
 	if !ok {
 		a.trim(now)
--- a/internal/chooser/queries.go
+++ b/internal/chooser/queries.go
@@ -72,8 +72,8 @@
 	load float64
 }
 
-func (a *Affinity) choose(now time.Time, r Request, own, others []option, copy uint64) scored {
-	key := mix(mix(r.Prefix) ^ copy)
+func (a *Affinity) choose(now time.Time, r Request, own, others []option, replica uint64) scored {
+	key := mix(mix(r.Prefix) ^ replica)
 	weigh(own, key)
 	weigh(others, key)
 	switch {
--- a/internal/retrier/commands.go
+++ b/internal/retrier/commands.go
@@ -93,7 +93,7 @@
 	if a.Outcome != NotRun && !a.Idempotent || a.Outcome == Whole {
 		return 0
 	}
-	after := min(max(a.After, shedLoadAfter), maxComeBack)
+	after := min(max(a.After, minComeBack), maxComeBack)
 	return after + time.Duration(r.source.Int64N(int64(after/2)))
 }
 
--- a/internal/retrier/types.go
+++ b/internal/retrier/types.go
@@ -6,20 +6,20 @@
 )
 
 const (
-	fleetShare    = 0.1 // retries per first attempt
-	accountShare  = 0.2
-	fleetBurst    = 20
-	accountBurst  = 5
-	maxAttempts   = 3
-	baseBackoff   = 50 * time.Millisecond
-	maxBackoff    = 2 * time.Second
-	tripFailures  = 5
-	openTime      = 2 * time.Second
-	maxOpenTime   = 30 * time.Second
-	trialTime     = 10 * time.Second // then a trial without a result is given up
-	maxComeBack   = 30 * time.Second
-	maxAccounts   = 50_000
-	shedLoadAfter = time.Second // time to come back if nothing else is known
+	fleetShare   = 0.1 // retries per first attempt
+	accountShare = 0.2
+	fleetBurst   = 20
+	accountBurst = 5
+	maxAttempts  = 3
+	baseBackoff  = 50 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	tripFailures = 5
+	openTime     = 2 * time.Second
+	maxOpenTime  = 30 * time.Second
+	trialTime    = 10 * time.Second // then a trial without a result is given up
+	maxComeBack  = 30 * time.Second
+	maxAccounts  = 50_000
+	minComeBack  = time.Second
 )
 
 // Outcome is the typed result of an attempt.
