--- a/internal/chooser/policy_test.go
+++ b/internal/chooser/policy_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"daisylane/internal/wirepb"
 )
 
 func testSource() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
@@ -35,6 +37,7 @@
 		{"data centre overloaded", near, 14, 0, all, SameRegion},
 		{"region busy without deadline", all[:6], 12, 0, all, SameCentre},
 		{"region full without deadline", all[:6], 17, 0, all, OtherRegion},
+		{"all full without deadline", all, 17, 0, all, SameCentre},
 		{"region misses the deadline", all[:6], 12, 6 * time.Second, all, OtherRegion},
 		{"region meets the deadline", all[:6], 12, 9 * time.Second, all, SameCentre},
 		{"one target of the region meets the deadline", all[:5], 12, 6 * time.Second, all, SameRegion},
@@ -89,6 +92,10 @@
 			t.Errorf("%s: load = %d, want %d", s.name, got, s.want)
 		}
 	}
+	l.Reported("a", LoadOf(at(8), &wirepb.Load{Running: 1, Waiting: 2, Slots: 4, Age: 1500}))
+	if got, slots, _ := l.Load(at(8), "a"); got != 3 || slots != 4 {
+		t.Errorf("load of a message = %d of %d, want 3 of 4", got, slots)
+	}
 	if got, _, known := l.Load(at(60), "a"); got != 1 || known {
 		t.Errorf("after the report expired: load = %d, known = %v, want 1, false", got, known)
 	}
