--- a/internal/executor/desk.go
+++ b/internal/executor/desk.go
@@ -13,6 +13,7 @@
 	system *actor.ActorSystem
 	pid    *actor.PID
 	state  *admitter.Admitter
+	ended  chan struct{}
 }
 
 // decision is a message to the desk.
@@ -23,7 +24,7 @@
 
 func newDesk(limits admitter.Limits) *desk {
 	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) })
-	d := &desk{system: actor.NewActorSystem(quiet), state: admitter.New(limits)}
+	d := &desk{system: actor.NewActorSystem(quiet), state: admitter.New(limits), ended: make(chan struct{})}
 	d.pid = d.system.Root.Spawn(actor.PropsFromFunc(d.receive))
 	return d
 }
@@ -37,12 +38,15 @@
 	m.apply(d.state)
 }
 
-// decide runs f on the admission state and waits for it. The desk stops only
-// after everything that decides has stopped.
+// decide runs f on the admission state and waits for it. After the end of the
+// desk it does nothing.
 func (d *desk) decide(f func(*admitter.Admitter)) {
 	m := &decision{apply: f, done: make(chan struct{})}
 	d.system.Root.Send(d.pid, m)
-	<-m.done
+	select {
+	case <-m.done:
+	case <-d.ended:
+	}
 }
 
 // ask returns the result of f on the admission state.
@@ -54,5 +58,6 @@
 
 func (d *desk) stop() {
 	_ = d.system.Root.StopFuture(d.pid).Wait()
+	close(d.ended)
 	d.system.Shutdown()
 }
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -144,6 +144,8 @@
 	if s.cfg.Target.Kind == Model {
 		loops.Go(func() { s.loop(inner, loadInterval, s.pollLoad) })
 	}
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
 	registered := make(chan struct{})
 	loops.Go(func() {
 		defer close(registered)
@@ -158,6 +160,7 @@
 	case err = <-served:
 		served <- nil
 	}
+	leave()
 	cancel()
 	_ = srv.Close()
 	s.abort()
