--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -12,8 +12,10 @@
 	"github.com/uber-go/tally/v4"
 
 	"daisylane/internal/budgeter"
+	"daisylane/internal/claimer"
 	"daisylane/internal/connector"
 	"daisylane/internal/placer"
+	"daisylane/internal/relayer"
 	"daisylane/internal/wirepb"
 )
 
@@ -31,6 +33,7 @@
 	log      zerolog.Logger
 	scope    tally.Scope
 	sealed   func(sealer string)
+	relay    *relayer.Relayer // nil without a fallback
 
 	system *actor.ActorSystem
 	pid    *actor.PID
@@ -77,6 +80,19 @@
 	connector.Answer(srv, func(ctx context.Context, _ string, m *wirepb.Return) (*wirepb.Returned, error) {
 		return h.Return(ctx, m)
 	})
+	connector.Answer(srv, h.Claim)
+	connector.Answer(srv, h.concluded)
+	if h.relay != nil {
+		relayer.Answer(h.relay, func(ctx context.Context, _ string, m *wirepb.Return) (*wirepb.Returned, error) {
+			return h.Return(ctx, m)
+		})
+		relayer.Answer(h.relay, h.Claim)
+		relayer.Answer(h.relay, h.concluded)
+	}
+}
+
+func (h *Holder) concluded(ctx context.Context, id string, m *wirepb.Conclude) (*wirepb.Concluded, error) {
+	return &wirepb.Concluded{}, h.Conclude(ctx, id, m)
 }
 
 // Reserve reserves tokens if this process holds the shard of the budget or can
@@ -176,3 +192,23 @@
 		Budget: m.GetBudget(), Tokens: m.GetTokens(),
 	}
 }
+
+// Claim asks for the right to send a non-idempotent call.
+func (h *Holder) Claim(ctx context.Context, id string, m *wirepb.Claim) (*wirepb.Claimed, error) {
+	req := claimer.Request{
+		ID: id, Shard: placer.Shard(m.GetAccount(), h.cfg.Shards), Account: m.GetAccount(),
+		Service: m.GetService(), Key: m.GetKey(), Digest: m.GetDigest(),
+	}
+	return ask[*wirepb.Claimed](ctx, h, func(r replyTo[*wirepb.Claimed]) any { return claim{req, r} })
+}
+
+// Conclude records the outcome of a claimed call. It returns when that is durable.
+func (h *Holder) Conclude(ctx context.Context, id string, m *wirepb.Conclude) error {
+	outcome := claimer.Outcome{
+		ID: id, Account: m.GetAccount(), Service: m.GetService(), Key: m.GetKey(), State: claimer.State(m.GetState()),
+		Status: int(m.GetStatus()), Header: m.GetHeader(), Payload: m.GetPayload(),
+	}
+	shard := placer.Shard(m.GetAccount(), h.cfg.Shards)
+	_, err := ask[struct{}](ctx, h, func(r replyTo[struct{}]) any { return conclude{shard, outcome, r} })
+	return err
+}
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,10 +13,11 @@
 	"github.com/rs/zerolog"
 
 	"daisylane/internal/connector"
-	"daisylane/internal/explainer"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/holder"
 	"daisylane/internal/locator"
 	"daisylane/internal/logger"
+	"daisylane/internal/relayer"
 	"daisylane/internal/reporter"
 	"daisylane/internal/router"
 	"daisylane/internal/storer"
@@ -28,10 +28,12 @@
 )
 
 const (
+	// roleOperator is the organizational unit in an operator's certificate.
+	roleOperator = "operator"
+
 	registerInterval = time.Second
 	headerTimeout    = 10 * time.Second
 	idleTimeout      = 2 * time.Minute
-	drainPoll        = 50 * time.Millisecond
 	deregisterTime   = 5 * time.Second
 )
 
@@ -41,19 +43,22 @@
 
 // process is a running entry.
 type process struct {
-	cfg      Settings
-	instance string
-	log      zerolog.Logger
-	trace    *tracer.Tracer
-	metrics  *reporter.Reporter
-	platform *storer.Client
-	members  *locator.Locator
-	pool     *connector.Pool
-	server   *connector.Server
-	bundles  *syncer.Syncer
-	holder   *holder.Holder
-	router   *router.Router
-	records  *explainer.Ring
+	cfg         Settings
+	instance    string
+	log         zerolog.Logger
+	trace       *tracer.Tracer
+	metrics     *reporter.Reporter
+	platform    *storer.Client
+	credentials *credentialer.Credentials // nil without TLS
+	members     *locator.Locator
+	pool        *connector.Pool
+	server      *connector.Server
+	bundles     *syncer.Syncer
+	relay       *relayer.Relayer
+	holder      *holder.Holder
+	router      *router.Router
+	gate        *gate
+	records     *records
 
 	http     *http.Server
 	peerLn   net.Listener
@@ -73,7 +78,7 @@
 }
 
 func build(ctx context.Context, cfg Settings, out io.Writer) (*process, error) {
-	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 2)}
+	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 4), gate: newGate(cfg.Limits.Inflight), records: newRecords()}
 	steps := []struct {
 		name string
 		run  func(context.Context, io.Writer) error
@@ -131,7 +136,7 @@
 		Centre: p.cfg.Centre, Region: p.cfg.Region,
 	}
 	if p.bundles != nil {
-		m.Bundle = p.bundles.Version()
+		m.Bundle = p.bundles.Head().Version
 	}
 	return m
 }
@@ -142,23 +147,43 @@
 	for _, peer := range p.cfg.Peers {
 		p.members.Add(watcher.Member{Name: peer.Name, Role: watcher.Entry, Centre: peer.Centre, Region: peer.Region, Addr: peer.Addr})
 	}
+	if err := p.loadCredentials(); err != nil {
+		return err
+	}
 	poolOpts := []connector.PoolOption{connector.WithDialResult(p.members.Dialed)}
 	serverOpts := []connector.ServerOption{connector.WithFailure(func(peer string, err error) {
 		p.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
 	})}
+	if p.credentials != nil {
+		poolOpts = append(poolOpts, connector.WithClientTLS(p.credentials.Client(watcher.Entry, watcher.Side)))
+		serverOpts = append(serverOpts, connector.WithServerTLS(p.credentials.Server(watcher.Entry, watcher.Side, roleOperator)))
+	}
 	p.pool = connector.NewPool(p.identity, poolOpts...)
 	p.server = connector.NewServer(p.identity, serverOpts...)
 	return nil
 }
 
+func (p *process) loadCredentials() error {
+	if p.cfg.TLS.Plain {
+		return nil
+	}
+	var err error
+	p.credentials, err = credentialer.New(credentialer.Files{Cert: p.cfg.TLS.Cert, Key: p.cfg.TLS.Key, CA: p.cfg.TLS.CA},
+		credentialer.WithFailure(func(err error) {
+			p.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
+		}))
+	return err
+}
+
 func (p *process) hold(context.Context, io.Writer) error {
 	b := p.cfg.Budgets
 	cfg := holder.Config{
 		Instance: p.instance, Region: p.cfg.Region, Regions: p.cfg.Regions,
 		Shards: b.Shards, Slots: b.Slots, Ahead: b.Ahead, Release: b.Release, Fold: b.Fold.Std(),
 	}
+	p.relay = relayer.New(p.platform, p.instance, relayer.WithLogger(p.log))
 	var err error
-	p.holder, err = holder.New(cfg, p.platform, p.members, p.pool,
+	p.holder, err = holder.New(cfg, p.platform, p.members, p.pool, holder.WithRelay(p.relay),
 		holder.WithLogger(p.log), holder.WithScope(p.metrics.Scope()),
 		holder.WithSealed(func(sealer string) { p.sealed <- sealer }))
 	if err != nil {
@@ -169,9 +194,9 @@
 }
 
 func (p *process) route(context.Context, io.Writer) error {
-	p.records = explainer.New(recordsKept)
 	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), newFleet(p.members), p.pool, p.bundles.Index,
-		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithRecords(p))
+		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithTracer(p.trace),
+		router.WithLimits(p.gate), router.WithRecords(p.records))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.Handle("/", p.trace.Handler(p.router.Handler(), "caller"))
@@ -188,7 +213,10 @@
 	loops.Go(func() { p.fail(p.http.Serve(p.httpLn)) })
 	loops.Go(func() { p.members.Run(inner) })
 	loops.Go(func() { p.register(inner) })
-	loops.Go(func() { p.bundles.Run(inner) })
+	loops.Go(func() { p.fail(p.bundles.Run(inner)) })
+	loops.Go(func() { p.feedPeers(inner) })
+	loops.Go(func() { p.relay.Run(inner) })
+	loops.Go(func() { p.gate.run(inner) })
 	p.log.Info().Str("http", p.httpLn.Addr().String()).Str("peer", p.peerLn.Addr().String()).Msg("started")
 
 	var err error
@@ -230,8 +258,3 @@
 		}
 	}
 }
-
-// Record implements [router.Records].
-func (p *process) Record(id, step, decision, reason string) {
-	p.records.Add(explainer.Record{Request: id, Time: time.Now(), Step: step, Decision: decision, Reason: strings.TrimSpace(reason)})
-}
--- a/internal/prober/compare.go
+++ b/internal/prober/compare.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 
 	"daisylane/internal/faker"
 )
@@ -15,10 +17,10 @@
 type Findings struct {
 	Compared   int            `json:"compared"`   // requests compared with records
 	Wrong      int            `json:"wrong"`      // answers with another content
-	Untruthful int            `json:"untruthful"` // reported as not run, and run
+	Untruthful int            `json:"untruthful"` // reported as not run in a single attempt, and run
 	Missing    int            `json:"missing"`    // answered, and not recorded as run to its end
 	Usage      int            `json:"usage"`      // answered with another usage than every run of it had
-	Twice      int            `json:"twice"`      // service calls run more than once
+	Twice      int            `json:"twice"`      // service calls run more than once, over all attempts
 	Repeated   int            `json:"repeated"`   // chat requests run more than once
 	Unanswered int            `json:"unanswered"` // run to the end without a whole answer
 	Bills      map[string]int `json:"bills"`      // per caller with a known bill: billed tokens less tokens of whole answers
@@ -38,7 +40,8 @@
 			return Findings{}, err
 		}
 		for _, run := range runs {
-			add(chats, run.ID, run.State == faker.StateDone, run.Usage.Total)
+			_, id, _ := strings.Cut(run.Tail, marker)
+			add(chats, id, run.State == faker.StateDone, run.Usage.Total)
 		}
 	}
 	for _, url := range r.exp.Bookings {
@@ -47,7 +50,7 @@
 			return Findings{}, err
 		}
 		for _, run := range runs {
-			add(services, run.ID, run.State == faker.StateDone, 0)
+			add(services, requestOf(run.Body), run.State == faker.StateDone, 0)
 		}
 	}
 	var f Findings
@@ -73,22 +76,25 @@
 	}
 }
 
+// requestOf returns the request named in the body of a service call.
+func requestOf(body any) string {
+	fields, _ := body.(map[string]any)
+	id, _ := fields["request"].(string)
+	return id
+}
+
 func (f *Findings) take(res Result, rec *record) {
 	if rec == nil {
 		rec = &record{}
 	}
 	f.Compared++
 	count(&f.Wrong, res.Outcome == Wrong)
-	count(&f.Untruthful, res.Outcome == NotRun && rec.runs > 0)
+	count(&f.Untruthful, res.Outcome == NotRun && res.Attempts == 1 && rec.runs > 0)
 	count(&f.Missing, res.Outcome == Whole && rec.done == 0)
 	count(&f.Unanswered, res.Outcome != Whole && rec.done > 0)
 	count(&f.Twice, res.Kind == KindService && rec.runs > 1)
 	count(&f.Repeated, res.Kind == KindChat && rec.runs > 1)
-	matches := false
-	for _, total := range rec.totals {
-		matches = matches || total == res.Tokens
-	}
-	count(&f.Usage, res.Kind == KindChat && res.Outcome == Whole && rec.done > 0 && !matches)
+	count(&f.Usage, res.Kind == KindChat && res.Outcome == Whole && rec.done > 0 && !slices.Contains(rec.totals, res.Tokens))
 }
 
 func count(n *int, ok bool) {
