--- a/internal/allotter/commands.go
+++ b/internal/allotter/commands.go
@@ -37,24 +37,20 @@
 	}
 	t = Tenure{Instance: instance, Term: t.Term + 1}
 	s.Holders = edit(s.Holders, region, t)
+	s.Journals = edit(s.Journals, instance, Journal{Region: region})
 	return s, t
 }
 
-// WithHandOver ends the instance's hold of a region and flags its grants, so that
-// the next holder leaves its journal alone while the instance lives.
+// WithHandOver ends the instance's hold of a region and flags its journal, so that
+// the next holder leaves it alone while the instance lives.
 func (s Shard) WithHandOver(region, instance string) Shard {
 	if t := s.Holders[region]; t.Instance == instance {
 		s.Holders = edit(s.Holders, region, Tenure{Term: t.Term + 1})
 	}
-	budgets := maps.Clone(s.Budgets)
-	for name, b := range budgets {
-		if g, ok := b.Grants[instance]; ok && !g.Handed {
-			g.Handed = true
-			b.Grants = edit(b.Grants, instance, g)
-			budgets[name] = b
-		}
+	if j, ok := s.Journals[instance]; ok {
+		j.Handed = true
+		s.Journals = edit(s.Journals, instance, j)
 	}
-	s.Budgets = budgets
 	return s
 }
 
@@ -135,7 +131,7 @@
 // grant and reported, because an error would block the fold for ever.
 func (s Shard) WithFold(f Fold, now int64) (Shard, Result) {
 	var res Result
-	if f.Seq <= s.Journals[f.Instance].Seq {
+	if j, ok := s.Journals[f.Instance]; !ok || f.Seq <= j.Seq {
 		return s, res
 	}
 	next := s
--- a/internal/allotter/queries.go
+++ b/internal/allotter/queries.go
@@ -45,15 +45,13 @@
 	return sum
 }
 
-// Former returns the instances that have grants of a region without holding it
-// and without having handed it over, in order of name.
+// Former returns the instances that held a region and neither handed it over nor
+// were closed, in order of name.
 func (s Shard) Former(region string) []string {
 	var list []string
-	for _, b := range s.Budgets {
-		for instance, g := range b.Grants {
-			if g.Region == region && !g.Handed && s.Holders[region].Instance != instance && !slices.Contains(list, instance) {
-				list = append(list, instance)
-			}
+	for instance, j := range s.Journals {
+		if j.Region == region && !j.Handed && s.Holders[region].Instance != instance {
+			list = append(list, instance)
 		}
 	}
 	slices.Sort(list)
--- a/internal/allotter/types.go
+++ b/internal/allotter/types.go
@@ -65,18 +65,23 @@
 	Region   string `json:"region"`
 	Allotted int64  `json:"allotted"`
 	Folded   int64  `json:"folded"`
-	Marked   int64  `json:"marked"`           // mark as of the last fold
-	Handed   bool   `json:"handed,omitempty"` // handed over: the instance only settles what is open
+	Marked   int64  `json:"marked"` // mark as of the last fold
 }
 
-// Journal says which part of an instance's journal is folded into the shard, and
-// which of its reservations are settled: a number below Next is settled unless it
-// is in Open, another number is settled if it is in Done.
+// Journal is what the shard knows of a holder's journal: up to which record it is
+// folded, and which reservations are settled. A number below Next is settled
+// unless it is in Open, another number is settled if it is in Done. A handed
+// instance only settles what is open.
+//
+// The value is kept from the hold until the close, even without a grant, because
+// the journal can contain charges on grants of former holders.
 type Journal struct {
-	Seq  uint64   `json:"seq"`
-	Next uint64   `json:"next"`
-	Open []uint64 `json:"open,omitempty"`
-	Done []uint64 `json:"done,omitempty"`
+	Region string   `json:"region"`
+	Handed bool     `json:"handed,omitempty"`
+	Seq    uint64   `json:"seq"`
+	Next   uint64   `json:"next"`
+	Open   []uint64 `json:"open,omitempty"`
+	Done   []uint64 `json:"done,omitempty"`
 }
 
 // Charge is the actual use of a reservation. Holder is the instance that made
--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -69,7 +69,7 @@
 func (h *Holder) Settle(now time.Time, token Token, c Charge) []Action {
 	r := c.Reservation
 	sh := h.shards[r.Shard]
-	if sh == nil || !sh.held && !sh.leaving {
+	if sh == nil || !sh.held || sh.leaving && r.Holder != h.cfg.Instance {
 		h.refuse(token, ReasonStopping, "this instance does not hold the shard, ask its present holder", shortBack)
 		return h.flush()
 	}
@@ -138,7 +138,7 @@
 	if f := sh.former[r.Holder]; f != nil && f.complete {
 		h.update(sh)
 	}
-	if sh.leaving && len(sh.open) == 0 {
+	if sh.leaving && (!sh.handed || len(sh.open) == 0) {
 		h.update(sh)
 	}
 	if a := sh.accounts[r.Budget]; a != nil {
@@ -380,7 +380,7 @@
 		}
 		p.folds = append(p.folds, name)
 	}
-	if !f.complete {
+	if !f.complete || !sh.replayed(next.Former(h.cfg.Region), p) {
 		return next
 	}
 	left := make(map[string]int64)
@@ -412,6 +412,12 @@
 			return next
 		}
 	}
+	// The next holder closes former grants, so that charges on them come first.
+	if slices.ContainsFunc(sh.charges, func(c *charge) bool {
+		return c.Holder != h.cfg.Instance && (c.seq == 0 || c.seq > p.seq)
+	}) {
+		return next
+	}
 	next = next.WithHandOver(h.cfg.Region, h.cfg.Instance)
 	p.handed = true
 	pending := slices.ContainsFunc(sh.charges, func(c *charge) bool { return c.seq == 0 || c.seq > p.seq })
--- a/internal/budgeter/queries.go
+++ b/internal/budgeter/queries.go
@@ -41,17 +41,15 @@
 	return allotter.New(number)
 }
 
-// Owed returns the held shards in which another instance of the region has
-// grants, in order. When that instance dies, these need recovery, whether it
+// Owed returns the held shards that another instance of the region has held
+// and that are not closed, in order. When that instance dies, these need recovery, whether it
 // handed them over or not.
 func (h *Holder) Owed(instance string) []int {
 	var list []int
 	for _, sh := range h.sorted() {
-		for _, b := range sh.object.Budgets {
-			if g, ok := b.Grants[instance]; ok && sh.held && g.Region == h.cfg.Region && instance != h.cfg.Instance {
-				list = append(list, sh.number)
-				break
-			}
+		j, ok := sh.object.Journals[instance]
+		if ok && sh.held && j.Region == h.cfg.Region && instance != h.cfg.Instance {
+			list = append(list, sh.number)
 		}
 	}
 	return list
@@ -98,6 +96,19 @@
 	return nil
 }
 
+// replayed reports whether the journals of all given instances are folded. Each
+// of them can contain charges on the grants of another one, so that no grant is
+// lowered or closed before.
+func (sh *shard) replayed(instances []string, p *proposal) bool {
+	for _, name := range instances {
+		f := sh.former[name]
+		if f == nil || !f.stored && !slices.Contains(p.folds, name) {
+			return false
+		}
+	}
+	return true
+}
+
 // due reports whether something waits for an update of the object.
 func (sh *shard) due() bool {
 	if sh.updating {
