--- /dev/null
+++ b/internal/allotter/allotter_test.go
@@ -0,0 +1,119 @@
+package allotter
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"daisylane/internal/checker"
+)
+
+const now = 1_000_000
+
+func sample(t *testing.T) Shard {
+	t.Helper()
+	s, err := New(1).WithTopUp("b", "t1", 100, now, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, _ = s.WithHold("eu", "e1")
+	s, err = s.WithGrant("b", "e1", "eu", 60)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against a retried top-up that counts twice.
+func TestTopUpCountsOnce(t *testing.T) {
+	s := sample(t)
+	again, err := s.WithTopUp("b", "t1", 100, now, now)
+	if err != nil || again.Budgets["b"].Topped != 100 {
+		t.Fatalf("topped %d, %v", again.Budgets["b"].Topped, err)
+	}
+	if _, err := s.WithTopUp("b", "t0", 1, now-topUpWindowSeconds-1, now); !errors.Is(err, ErrExpired) {
+		t.Fatalf("old top-up: %v", err)
+	}
+}
+
+// Guards against charges that count twice: by journal, by number and by key.
+func TestFoldChargesOnce(t *testing.T) {
+	fold := func(seq uint64, c ...Charge) Fold { return Fold{Instance: "e1", Seq: seq, Charges: c} }
+	one := Charge{Budget: "b", Holder: "e1", Number: 1, Tokens: 10, Key: "k"}
+	other := Charge{Budget: "b", Holder: "e1", Number: 2, Tokens: 10, Key: "k"}
+	for _, tc := range []struct {
+		name    string
+		folds   []Fold
+		settled int64
+	}{
+		{"same record", []Fold{fold(1, one), fold(1, one)}, 10},
+		{"same number", []Fold{fold(1, one), fold(2, one)}, 10},
+		{"same key", []Fold{fold(1, one), fold(2, other)}, 10},
+		{"other journal", []Fold{fold(1, one), {Instance: "e2", Seq: 9, Charges: []Charge{one}}}, 10},
+		{"below next", []Fold{{Instance: "e1", Seq: 1, Next: 3, Open: []uint64{2}}, fold(2, one), fold(3, other)}, 10},
+	} {
+		s := sample(t)
+		s, _ = s.WithHold("us", "e2")
+		for _, f := range tc.folds {
+			s, _ = s.WithFold(f, now)
+		}
+		if got := s.Budgets["b"].Settled; got != tc.settled {
+			t.Errorf("%s: settled %d, want %d", tc.name, got, tc.settled)
+		}
+	}
+}
+
+// Guards against a grant to an instance that lost its hold, and against values
+// that share state with their predecessors.
+func TestHoldAndImmutability(t *testing.T) {
+	s := sample(t)
+	next, tenure := s.WithHold("eu", "e2")
+	if tenure.Term != 2 || s.Holders["eu"].Term != 1 {
+		t.Fatalf("terms %d and %d", tenure.Term, s.Holders["eu"].Term)
+	}
+	if _, err := next.WithGrant("b", "e1", "eu", 1); !errors.Is(err, ErrTerm) {
+		t.Fatalf("grant to former holder: %v", err)
+	}
+	if got := next.Former("eu"); len(got) != 1 || next.Withheld("b") != 60 {
+		t.Fatalf("former %v, withheld %d", got, next.Withheld("b"))
+	}
+	if closed := next.WithClose("e1"); closed.Withheld("b") != 0 || next.Withheld("b") != 60 {
+		t.Fatal("close changed the receiver or released nothing")
+	}
+}
+
+// Guards against a transition that breaks the invariant.
+func TestInvariant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := New(1).WithTopUp("b", "t", 100, now, now)
+		names := []string{"e1", "e2"}
+		for i, n := range names {
+			s, _ = s.WithHold([]string{"eu", "us"}[i], n)
+		}
+		for seq := range uint64(40) {
+			i := rapid.IntRange(0, 1).Draw(t, "instance")
+			tokens := rapid.Int64Range(0, 60).Draw(t, "tokens")
+			next, err := s, error(nil)
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				next, err = s.WithGrant("b", names[i], []string{"eu", "us"}[i], tokens)
+			case 1:
+				next, err = s.WithReturn("b", names[i], tokens)
+			case 2:
+				next = s.WithTrim("b", names[i], tokens)
+			case 3:
+				next, _ = s.WithFold(Fold{
+					Instance: names[i], Seq: seq + 1,
+					Charges: []Charge{{Budget: "b", Holder: names[i], Number: seq, Tokens: tokens}},
+				}, now)
+			}
+			if err == nil {
+				s = next
+			}
+			if _, err := checker.Encode(s); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/budgeter/bench_test.go
+++ b/internal/budgeter/bench_test.go
@@ -13,7 +13,7 @@
 // desk drives holders against shard objects without faults, except an outage.
 type desk struct {
 	object  allotter.Shard
-	down    bool
+	down    map[int]bool // holders that reach neither the platform nor the others
 	now     time.Time
 	holders []*Holder
 	seqs    []uint64
@@ -25,7 +25,7 @@
 }
 
 func newDesk(topped int64, instances []string, regions []string, ahead float64) *desk {
-	d := &desk{now: time.Unix(1e6, 0), granted: make(map[Token]Reservation), refused: make(map[Token]bool)}
+	d := &desk{down: make(map[int]bool), now: time.Unix(1e6, 0), granted: make(map[Token]Reservation), refused: make(map[Token]bool)}
 	d.object, _ = allotter.New(0).WithTopUp("b", "t", topped, 1e6, 1e6)
 	for i, name := range instances {
 		h := New(Config{Instance: name, Region: regions[i], Regions: len(instances), Ahead: ahead})
@@ -44,7 +44,7 @@
 		case Refused:
 			d.refused[a.Token] = true
 		case Append:
-			if d.down {
+			if d.down[i] {
 				continue
 			}
 			d.seqs[i]++
@@ -52,7 +52,7 @@
 			d.bytes, d.records = d.bytes+len(body), d.records+1
 			d.run(i, h.Durable(d.now, d.seqs[i], []journaler.Token{a.Token}))
 		case Update:
-			if d.down {
+			if d.down[i] {
 				d.run(i, h.Failed(d.now, a.Shard))
 				continue
 			}
@@ -60,7 +60,7 @@
 			d.run(i, h.Stored(d.now, a.Shard))
 		case Ask:
 			for j := range d.holders {
-				if j != i {
+				if j != i && !d.down[i] && !d.down[j] {
 					d.token++
 					d.run(j, d.holders[j].Return(d.now, d.token, a.Shard, a.Budget, a.Tokens))
 				}
@@ -70,6 +70,11 @@
 	}
 }
 
+func (d *desk) cutOff(i int) {
+	d.down[i] = true
+	d.run(i, d.holders[i].Platform(d.now, false))
+}
+
 // request reserves and settles, and reports whether it was served.
 func (d *desk) request(i int, tokens, actual int64) bool {
 	d.token++
@@ -134,9 +139,9 @@
 // between two regions, until a budget of 1,000 requests is spent.
 func BenchmarkPolicies(b *testing.B) {
 	const budget, size, routers = 100_000, 100, 20
-	pick := func(i int) int { // 80/20, turned around halfway
+	pick := func(i int) int { // 80/20, turned around after 750 requests
 		hot := 0
-		if i > 500 {
+		if i > 750 {
 			hot = 1
 		}
 		if i%5 == 4 {
@@ -163,6 +168,17 @@
 			report(b, func(i int) bool { return d.request(pick(i), size, size) })
 		}
 	})
+	b.Run("holder, region cut off", func(b *testing.B) {
+		for range b.N {
+			d := newDesk(budget, []string{"a", "b"}, []string{"eu", "us"}, 1)
+			report(b, func(i int) bool {
+				if i == 200 {
+					d.cutOff(1)
+				}
+				return d.request(pick(i), size, size)
+			})
+		}
+	})
 	static := func(parts int) func(b *testing.B) {
 		return func(b *testing.B) {
 			for range b.N {
@@ -194,10 +210,8 @@
 			for range b.N {
 				d := newDesk(1_000_000, []string{"a", "b"}, []string{"eu", "us"}, ahead)
 				m := d.holders[0].Amounts(0, "b")
-				d.down = true
-				for i := range d.holders {
-					d.run(i, d.holders[i].Platform(d.now, false))
-				}
+				d.cutOff(0)
+				d.cutOff(1)
 				refused := 0
 				for i := range 1000 {
 					d.now = d.now.Add(600 * time.Millisecond)
--- a/internal/recoverer/property_test.go
+++ b/internal/recoverer/property_test.go
@@ -14,7 +14,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	for name, value := range map[string]string{
-		"rapid.seed": "7", "rapid.checks": "60", "rapid.nofailfile": "true",
+		"rapid.seed": "7", "rapid.checks": "150", "rapid.nofailfile": "true",
 	} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
@@ -207,7 +207,7 @@
 func TestSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
-		if err := run(choose, false, 200); err != nil {
+		if err := run(choose, false, 300); err != nil {
 			t.Fatal(err)
 		}
 	})
