--- a/internal/adopter/adopter_test.go
+++ b/internal/adopter/adopter_test.go
@@ -69,7 +69,7 @@
 
 // world simulates a platform and processes in virtual time.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	rnd    *rand.Rand
 	now    time.Time
 	queue  agenda
@@ -82,6 +82,9 @@
 	bodies map[string][]byte
 	nodes  map[string]*node
 	names  []string
+	asks   map[string]int // by asking process
+	served map[string]int // chunks by serving process
+	reads  int            // calls of the platform
 }
 
 type node struct {
@@ -95,10 +98,11 @@
 	adopted  map[uint64]time.Time
 }
 
-func newWorld(t *testing.T, seed uint64, n int) *world {
+func newWorld(t testing.TB, seed uint64, n int) *world {
 	w := &world{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: epoch,
 		cut: make(map[string]bool), bodies: make(map[string][]byte), nodes: make(map[string]*node),
+		asks: make(map[string]int), served: make(map[string]int),
 	}
 	for i := range n {
 		role := "side"
@@ -211,6 +215,7 @@
 }
 
 func (w *world) read(n *node, d time.Duration) {
+	w.reads++
 	if w.down || w.cut[n.self.Name] || w.lost() {
 		w.reply(n, time.Second, func() []Action { return n.Platform(w.now, nil, errors.New("down")) })
 		return
@@ -219,6 +224,7 @@
 }
 
 func (w *world) exchange(n *node, ask Ask) {
+	w.asks[n.self.Name]++
 	failed := func() []Action { return n.Failed(w.now, ask) }
 	if w.lost() {
 		w.reply(n, time.Second, failed)
@@ -244,7 +250,7 @@
 }
 
 // forged raises the version of a head without signing it again.
-func forged(t *testing.T, head []byte) []byte {
+func forged(t testing.TB, head []byte) []byte {
 	h, err := bundler.DecodeHead(head)
 	if err != nil {
 		t.Fatal(err)
@@ -257,6 +263,11 @@
 }
 
 func (w *world) fetch(n *node, f Fetch) {
+	if f.Peer.Name == "" {
+		w.reads++
+	} else {
+		w.served[f.Peer.Name]++
+	}
 	body, ok := w.bodies[f.Hash], !w.down && !w.cut[n.self.Name]
 	if peer := w.nodes[f.Peer.Name]; f.Peer.Name != "" {
 		body, ok = nil, false
