--- a/internal/operator/script_test.go
+++ b/internal/operator/script_test.go
@@ -1,8 +1,3 @@
-//go:build testscript
-
-// The tag is needed as long as go.mod does not list go-internal, which was
-// removed while nothing imported it.
-
 package operator
 
 import (
