--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -585,13 +585,13 @@
 		return
 	}
 	h.lower(now, sh, a)
-	h.raise(sh, a)
+	fits := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.req.Tokens <= a.limit()-a.used() })
+	h.raise(sh, a, fits)
 	if len(a.waiting) == 0 {
 		a.stage = stageNone
 		return
 	}
-	fits := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.req.Tokens <= a.limit()-a.used() })
-	if a.marking < 0 && !fits && a.stage == stageNone {
+	if !fits && a.stage == stageNone {
 		a.stage = stageTake
 		h.update(sh)
 	}
@@ -615,11 +615,11 @@
 }
 
 // raise writes a higher mark if requests wait for it or the rest of the mark is low.
-func (h *Holder) raise(sh *shard, a *account) {
+func (h *Holder) raise(sh *shard, a *account, wanted bool) {
 	unspent := a.limit() - a.used()
 	target := int64(h.cfg.Ahead * float64(unspent))
 	ahead := a.durable - a.used()
-	if len(a.waiting) == 0 && ahead*100 > target*lowPercent {
+	if !wanted && ahead*100 > target*lowPercent {
 		return
 	}
 	mark := a.used() + min(max(target, a.wanted()), unspent)
