--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -33,7 +33,7 @@
 
 // Hold starts to take the hold of a shard in the instance's region.
 func (h *Holder) Hold(number int) []Action {
-	if h.shards[number] != nil {
+	if h.shards[number] != nil || h.stopped {
 		return nil
 	}
 	sh := &shard{
@@ -236,9 +236,7 @@
 
 // Stop reports that the journal is sealed. All shards are lost.
 func (h *Holder) Stop() []Action {
-	for _, sh := range h.sorted() {
-		h.lose(sh)
-	}
+	h.stop()
 	return h.flush()
 }
 
@@ -342,9 +340,7 @@
 		next, _ = next.WithHold(h.cfg.Region, h.cfg.Instance)
 	case !sh.leaving && object.Holders[h.cfg.Region].Instance != h.cfg.Instance:
 		h.emit(Fenced{Shard: number})
-		for _, held := range h.sorted() {
-			h.lose(held)
-		}
+		h.stop()
 		return object, false
 	}
 	next, _ = next.WithFold(h.fold(sh), now.Unix())
@@ -682,6 +678,15 @@
 	})
 }
 
+// stop ends all holds for good. A second hold would describe the journal without
+// the reservations of the first one, which are forgotten here.
+func (h *Holder) stop() {
+	h.stopped = true
+	for _, sh := range h.sorted() {
+		h.lose(sh)
+	}
+}
+
 // lose ends the hold of a shard that another instance has taken over.
 func (h *Holder) lose(sh *shard) {
 	delete(h.shards, sh.number)
--- a/internal/budgeter/types.go
+++ b/internal/budgeter/types.go
@@ -210,6 +210,7 @@
 	next    uint64 // number of the next reservation
 	seq     uint64 // last durable record
 	down    bool
+	stopped bool // the journal is lost, so that no shard can be held any more
 	out     []Action
 }
 
