Refuse charges of a holder that is not replayed yet

A successor accepted the charge of a paused holder that had handed over. That holder's next fold described the reservation as open again, so it stayed open for ever.

--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -85,6 +85,12 @@
 		h.emit(Settled{Token: token, Duplicate: true})
 		return h.flush()
 	}
+	// A holder that is not replayed can still fold by itself and would overwrite
+	// what this instance folds about its reservations.
+	if f := sh.former[r.Holder]; r.Holder != h.cfg.Instance && (f == nil || !f.stored) {
+		h.refuse(token, ReasonStopping, "the reservation's holder is not taken over yet", shortBack)
+		return h.flush()
+	}
 	tokens := min(max(c.Tokens, 0), r.Tokens)
 	if r.Holder == h.cfg.Instance {
 		a, own := sh.account(r.Budget), sh.open[r.Number]
@@ -305,6 +311,10 @@
 			f.open[r.Number] = r
 		}
 	}
+	if !f.stored {
+		f.late = append(f.late, charges...)
+		return nil
+	}
 	var actions []Action
 	for _, c := range charges {
 		actions = append(actions, h.Settle(now, 0, c)...)
@@ -376,7 +386,7 @@
 		}
 		p.folds = append(p.folds, name)
 	}
-	if !f.complete || !sh.replayed(next.Former(h.cfg.Region), p) {
+	if !f.complete || !sh.replayed(next.Former(h.cfg.Region)) {
 		return next
 	}
 	left := make(map[string]int64)
@@ -484,8 +494,14 @@
 	sh.charges = slices.DeleteFunc(sh.charges, func(c *charge) bool { return c.seq > 0 && c.seq <= p.seq })
 	h.emit(Folded{Shard: number, Seq: p.seq})
 	for _, name := range p.folds {
-		sh.former[name].stored = true
+		f := sh.former[name]
+		f.stored = true
 		h.emit(Replayed{Shard: number, Instance: name})
+		for _, c := range f.late {
+			h.out = h.Settle(now, 0, c) // contains what was emitted before
+		}
+		f.late = nil
+		sh.again = true
 	}
 	for _, name := range p.closes {
 		delete(sh.former, name)
--- a/internal/budgeter/queries.go
+++ b/internal/budgeter/queries.go
@@ -99,10 +99,10 @@
 // replayed reports whether the journals of all given instances are folded. Each
 // of them can contain charges on the grants of another one, so that no grant is
 // lowered or closed before.
-func (sh *shard) replayed(instances []string, p *proposal) bool {
+func (sh *shard) replayed(instances []string) bool {
 	for _, name := range instances {
 		f := sh.former[name]
-		if f == nil || !f.stored && !slices.Contains(p.folds, name) {
+		if f == nil || !f.stored {
 			return false
 		}
 	}
--- a/internal/budgeter/types.go
+++ b/internal/budgeter/types.go
@@ -281,6 +281,7 @@
 	complete bool // all sides have answered
 	open     map[uint64]Reservation
 	done     map[uint64]bool // concluded here
+	late     []Charge        // reported before the fold was stored
 }
 
 // proposal is what the pending update contains.
