--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -312,6 +312,9 @@
 		}
 	}
 	if !f.stored {
+		for _, c := range charges { // open until settled, also if Complete comes first
+			f.open[c.Reservation.Number] = c.Reservation
+		}
 		f.late = append(f.late, charges...)
 		return nil
 	}
@@ -496,6 +499,7 @@
 	for _, name := range p.folds {
 		f := sh.former[name]
 		f.stored = true
+		maps.DeleteFunc(f.open, func(number uint64, _ Reservation) bool { return sh.object.Settled(name, number) })
 		h.emit(Replayed{Shard: number, Instance: name})
 		for _, c := range f.late {
 			h.out = h.Settle(now, 0, c) // contains what was emitted before
--- a/internal/budgeter/queries.go
+++ b/internal/budgeter/queries.go
@@ -67,12 +67,15 @@
 	if _, ok := sh.object.Budgets[r.Budget].Grants[r.Holder]; !ok {
 		return true
 	}
+	if sh.object.Settled(r.Holder, r.Number) {
+		return true
+	}
 	f := sh.former[r.Holder]
-	if f != nil && f.complete {
-		_, open := f.open[r.Number]
-		return !open
+	if f == nil || !f.complete {
+		return false
 	}
-	return sh.object.Settled(r.Holder, r.Number)
+	_, open := f.open[r.Number]
+	return !open
 }
 
 // charged reports whether a key was charged in the object's window or is charged
