--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -33,7 +33,7 @@
 
 // Hold starts to take the hold of a shard in the instance's region.
 func (h *Holder) Hold(number int) []Action {
-	if h.shards[number] != nil {
+	if h.shards[number] != nil || h.stopped {
 		return nil
 	}
 	sh := &shard{
@@ -94,6 +94,12 @@
 		h.emit(Settled{Token: token, Duplicate: true})
 		return h.flush()
 	}
+	// A holder that is not replayed can still fold by itself and would overwrite
+	// what this instance folds about its reservations.
+	if f := sh.former[r.Holder]; r.Holder != h.cfg.Instance && (f == nil || !f.stored) {
+		h.refuse(token, ReasonStopping, "the reservation's holder is not taken over yet", shortBack)
+		return h.flush()
+	}
 	tokens := min(max(c.Tokens, 0), r.Tokens)
 	if r.Holder == h.cfg.Instance {
 		a, own := sh.account(r.Budget), sh.open[r.Number]
@@ -245,9 +251,7 @@
 
 // Stop reports that the journal is sealed. All shards are lost.
 func (h *Holder) Stop() []Action {
-	for _, sh := range h.sorted() {
-		h.lose(sh)
-	}
+	h.stop()
 	return h.flush()
 }
 
@@ -316,6 +320,13 @@
 			f.open[r.Number] = r
 		}
 	}
+	if !f.stored {
+		for _, c := range charges { // open until settled, also if Complete comes first
+			f.open[c.Reservation.Number] = c.Reservation
+		}
+		f.late = append(f.late, charges...)
+		return nil
+	}
 	var actions []Action
 	for _, c := range charges {
 		actions = append(actions, h.Settle(now, 0, c)...)
@@ -351,9 +362,7 @@
 		next, _ = next.WithHold(h.cfg.Region, h.cfg.Instance)
 	case !sh.leaving && object.Holders[h.cfg.Region].Instance != h.cfg.Instance:
 		h.emit(Fenced{Shard: number})
-		for _, held := range h.sorted() {
-			h.lose(held)
-		}
+		h.stop()
 		return object, false
 	}
 	next, _ = next.WithFold(h.fold(sh), now.Unix())
@@ -389,7 +398,7 @@
 		}
 		p.folds = append(p.folds, name)
 	}
-	if !f.complete || !sh.replayed(next.Former(h.cfg.Region), p) {
+	if !f.complete || !sh.replayed(next.Former(h.cfg.Region)) {
 		return next
 	}
 	left := make(map[string]int64)
@@ -497,8 +506,15 @@
 	sh.charges = slices.DeleteFunc(sh.charges, func(c *charge) bool { return c.seq > 0 && c.seq <= p.seq })
 	h.emit(Folded{Shard: number, Seq: p.seq})
 	for _, name := range p.folds {
-		sh.former[name].stored = true
+		f := sh.former[name]
+		f.stored = true
+		maps.DeleteFunc(f.open, func(number uint64, _ Reservation) bool { return sh.object.Settled(name, number) })
 		h.emit(Replayed{Shard: number, Instance: name})
+		for _, c := range f.late {
+			h.out = h.Settle(now, 0, c) // contains what was emitted before
+		}
+		f.late = nil
+		sh.again = true
 	}
 	for _, name := range p.closes {
 		delete(sh.former, name)
@@ -594,13 +610,13 @@
 		return
 	}
 	h.lower(now, sh, a)
-	h.raise(sh, a)
+	fits := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.req.Tokens <= a.limit()-a.used() })
+	h.raise(sh, a, fits)
 	if len(a.waiting) == 0 {
 		a.stage = stageNone
 		return
 	}
-	fits := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.req.Tokens <= a.limit()-a.used() })
-	if a.marking < 0 && !fits && a.stage == stageNone {
+	if !fits && a.stage == stageNone {
 		a.stage = stageTake
 		h.update(sh)
 	}
@@ -624,11 +640,11 @@
 }
 
 // raise writes a higher mark if requests wait for it or the rest of the mark is low.
-func (h *Holder) raise(sh *shard, a *account) {
+func (h *Holder) raise(sh *shard, a *account, wanted bool) {
 	unspent := a.limit() - a.used()
 	target := int64(h.cfg.Ahead * float64(unspent))
 	ahead := a.durable - a.used()
-	if len(a.waiting) == 0 && ahead*100 > target*lowPercent {
+	if !wanted && ahead*100 > target*lowPercent {
 		return
 	}
 	mark := a.used() + min(max(target, a.wanted()), unspent)
@@ -691,6 +707,15 @@
 	})
 }
 
+// stop ends all holds for good. A second hold would describe the journal without
+// the reservations of the first one, which are forgotten here.
+func (h *Holder) stop() {
+	h.stopped = true
+	for _, sh := range h.sorted() {
+		h.lose(sh)
+	}
+}
+
 // lose ends the hold of a shard that another instance has taken over.
 func (h *Holder) lose(sh *shard) {
 	delete(h.shards, sh.number)
--- a/internal/budgeter/types.go
+++ b/internal/budgeter/types.go
@@ -210,6 +210,7 @@
 	next    uint64 // number of the next reservation
 	seq     uint64 // last durable record
 	down    bool
+	stopped bool // the journal is lost, so that no shard can be held any more
 	out     []Action
 }
 
@@ -280,6 +281,7 @@
 	complete bool // all sides have answered
 	open     map[uint64]Reservation
 	done     map[uint64]bool // concluded here
+	late     []Charge        // reported before the fold was stored
 }
 
 // proposal is what the pending update contains.
--- a/internal/recoverer/property_test.go
+++ b/internal/recoverer/property_test.go
@@ -14,7 +14,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	for name, value := range map[string]string{
-		"rapid.seed": "7", "rapid.checks": "150", "rapid.nofailfile": "true",
+		"rapid.seed": "7", "rapid.checks": "150", "rapid.nofailfile": "true", "rapid.shrinktime": "2s",
 	} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
@@ -152,10 +152,11 @@
 	for n := range f.shards {
 		for _, region := range f.regions {
 			if e := f.named(f.shard(n).Holders[region].Instance); e == nil || e.j.Stopped() {
-				if len(f.live(region)) == 0 {
-					f.startEntry(region)
+				if !fold {
+					continue
 				}
-				f.takeOver(region, n)
+				next := f.startEntry(region) // the others may be leaving the shard
+				f.holder(next, next.h.Hold(n))
 			}
 		}
 		for _, e := range f.entries {
