--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,33 @@
 		t.Errorf("server does not serve after garbage: %v", err)
 	}
 }
+
+// greetedConn notes whether the session counted as greeted when the server answered.
+type greetedConn struct {
+	bufferConn
+	greeted atomic.Bool
+	early   bool
+}
+
+func (c *greetedConn) Write(p []byte) (int, error) {
+	c.early = c.early || !c.greeted.Load()
+	return len(p), nil
+}
+
+func (c *greetedConn) SetReadDeadline(time.Time) error { return nil }
+func (c *greetedConn) Close() error                    { return nil }
+
+// Guards against the first request of a session being taken for a handshake and
+// refused, which happened when it arrived right after the Hello answer.
+func TestGreetedBeforeAnswer(t *testing.T) {
+	conn := &greetedConn{}
+	hello := &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: testIdentity("client", ProtocolVersion)()}}
+	if err := newStream(&conn.bufferConn).Send(hello); err != nil {
+		t.Fatal(err)
+	}
+	srv := NewServer(testIdentity("server", ProtocolVersion))
+	srv.serveStream(t.Context(), "client", conn, &conn.greeted)
+	if conn.early || !conn.greeted.Load() {
+		t.Errorf("answered early = %v, greeted = %v", conn.early, conn.greeted.Load())
+	}
+}
