--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -231,3 +231,33 @@
 		t.Errorf("err = %v, want ErrFull", err)
 	}
 }
+
+// Guards against an outcome that is undone when an older journal is replayed
+// after a newer one or after the folded object.
+func TestReplayOrder(t *testing.T) {
+	j := &journal{c: New("h1")}
+	j.run(start, j.c.Claim(start, ask("q1", "d")))
+	j.run(start, j.c.Conclude(start, outcome("q1", Done)))
+	o, err := j.c.Fold(start, Object{Shard: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fromObject, fromJournals := New("h2"), New("h2")
+	fromObject.Load(o)
+	for i, c := range []*Claimer{fromObject, fromJournals} {
+		if i == 1 {
+			if err := c.Replay(j.entries[1]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := c.Replay(j.entries[0]); err != nil {
+			t.Fatal(err)
+		}
+		if claim, _ := c.Get("a", "booking", "k"); claim.State != Done {
+			t.Errorf("claim is %s, want done", claim.State)
+		}
+	}
+	if err := fromObject.Replay(Entry{Shard: 3, Data: []byte(`{"state":"new"}`)}); err == nil {
+		t.Error("an invalid entry is accepted")
+	}
+}
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -209,7 +210,7 @@
 	f.t.Helper()
 	for end := time.Now().Add(waitLimit); !ok(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
-			f.t.Fatalf("no %s after %s", what, waitLimit)
+			f.t.Fatalf("no %s after %s, status %+v", what, waitLimit, f.side.Status())
 		}
 	}
 }
@@ -355,7 +356,10 @@
 	p := &platform{failures: 1}
 	f := startModelSide(t, startEngine(t, 5, nil), p)
 	router := f.newPool()
-	newReader("q1").read(t, f.open(router, "q1", runFrame(7, 100)), 1)
+	r := newReader("q1")
+	if _, refused := r.read(t, f.open(router, "q1", runFrame(7, 100)), 1); refused != nil {
+		t.Fatalf("refused = %v", refused)
+	}
 	_ = router.Close()
 	f.until("charge", func() bool { return len(p.settled()) > 0 })
 	f.stop()
@@ -615,3 +619,41 @@
 		t.Errorf("charges = %+v, want 9 tokens and a release", p.settled())
 	}
 }
+
+// Guards against an answer over the buffer size that stalls or loses bytes.
+func TestLargeAnswer(t *testing.T) {
+	t.Parallel()
+	body := bytes.Repeat([]byte("0123456789abcdef"), 64<<10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
+	defer srv.Close()
+	f := newFixture(t)
+	f.cfg.Target = Target{URL: srv.URL, Name: "records", Kind: Service}
+	f.cfg.Limits.Buffer = 64 << 10
+	f.start(&platform{}, &platform{})
+	f.until("registration", func() bool { return f.side.Status().Registered })
+	s := f.open(f.pool, "q1", runFrame(1, 1))
+	a, got := assembler.NewAnswer("q1"), []byte(nil)
+	for ended := false; !ended; {
+		frame, err := s.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch m := frame.GetBody().(type) {
+		case *wirepb.Frame_Data:
+			if ok, err := a.Data("q1", frame.GetSeq(), m.Data.GetBytes()); err != nil || !ok {
+				t.Fatal(ok, err)
+			}
+			got = append(got, m.Data.GetBytes()...)
+		case *wirepb.Frame_End:
+			ended = true
+			if err := a.End("q1", m.End.GetCount(), m.End.GetSum()); err != nil {
+				t.Fatal(err)
+			}
+		case *wirepb.Frame_Refused:
+			t.Fatal(m.Refused)
+		}
+	}
+	if !bytes.Equal(got, body) {
+		t.Errorf("got %d bytes, want %d", len(got), len(body))
+	}
+}
