--- a/internal/connector/server.go
+++ b/internal/connector/server.go
@@ -123,7 +123,7 @@
 	if srv.tls != nil {
 		conn = tls.Server(conn, srv.tls())
 	}
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(newCorkConn(conn), muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		srv.fail(peer, fmt.Errorf("start session: %w", err))
@@ -178,7 +178,7 @@
 		_ = s.Refuse(f, &RefusedError{Reason: "protocol", Text: text})
 		return fmt.Errorf("handshake: %s: %w", text, ErrProtocol)
 	}
-	// The peer may open its first exchange as soon as it has the answer.
+	// The peer may open its next stream before Reply returns.
 	greeted.Store(true)
 	return s.Reply(f, srv.identity())
 }
