Observe the demand for a prefix over five minutes

With many routers each sees few requests of a prefix, so most took it for rare and sent it to its first target.

--- a/internal/chooser/types.go
+++ b/internal/chooser/types.go
@@ -17,7 +17,7 @@
 	prefixShare    = 0.125 // of a target's slots that one prefix may occupy
 	unseenDemand   = 0.5   // requests assumed for a prefix while the router is young
 	maxPrefixes    = 4096
-	demandTime     = time.Minute // decay of the demand for a prefix
+	demandTime     = 5 * time.Minute // decay of the demand; over a minute most of 320 routers see nothing of a prefix
 	regionLatency  = 20 * time.Millisecond
 	expectedSlots  = 8                // of a target that has not reported yet
 	maxReportLag   = 10 * time.Second // older reports say nothing about the load
