Lay out status and explain for people

Cause: status printed one line of JSON per process and explain the JSON of each process in turn, so a process with an old bundle, a waiting recovery or the order of decisions over several processes had to be found by eye.

Ruled out: checker.Decode for the reports, because it rejects unknown fields and so would lose every process of a newer release during a replacement. Ruled out: adding withheld tokens of several holders up, because holders of different regions report the same tokens of one shard object.

--- a/internal/launcher/operator.go
+++ b/internal/launcher/operator.go
@@ -37,8 +37,8 @@
 	return r.kept.JSON(id)
 }
 
-// status is the answer to the status command.
-type status struct {
+// Status is the state of an entry for the operator.
+type Status struct {
 	Instance string        `json:"instance"`
 	Role     string        `json:"role"`
 	Bundle   uint64        `json:"bundle"`   // version in force
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("holder status: %w", err)
 	}
-	data, err := json.Marshal(status{
+	data, err := json.Marshal(Status{
 		Instance: p.instance, Role: watcher.Entry, Bundle: p.bundles.Head().Version,
 		Stopping: p.router.Stopping(), Inflight: p.router.Inflight(), Holder: held,
 	})
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -49,7 +50,16 @@
 	if len(known) == 0 {
 		return fmt.Errorf("request %s: %w, records are kept for a limited time", c.Args.Request, errAbsent)
 	}
-	return c.env.print(known, func(w io.Writer) { printRecords(w, known) })
+	t, err := newTimeline(c.Args.Request, known)
+	if err != nil && !c.env.globals.JSON {
+		return err
+	}
+	return c.env.print(known, func(w io.Writer) {
+		t.print(w)
+		if unreachable > 0 {
+			line(w, "\n%d processes did not answer, so that records can be missing.", unreachable)
+		}
+	})
 }
 
 func hasRecords(report json.RawMessage) bool {
@@ -57,15 +67,10 @@
 	return text != "null" && text != "[]" && text != "no report"
 }
 
-func printRecords(w io.Writer, known []answer) {
-	for _, a := range known {
-		line(w, "%s %s:", a.Role, a.Name)
-		var records []json.RawMessage
-		if json.Unmarshal(a.Report, &records) != nil {
-			records = []json.RawMessage{a.Report}
-		}
-		for _, r := range records {
-			line(w, "  %s", compact(r))
-		}
+func compact(data json.RawMessage) string {
+	var buf bytes.Buffer
+	if err := json.Compact(&buf, data); err != nil {
+		return "no report"
 	}
+	return buf.String()
 }
--- a/internal/operator/script_test.go
+++ b/internal/operator/script_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -8,8 +9,10 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
-	"sync"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +20,7 @@
 
 	"daisylane/internal/checker"
 	"daisylane/internal/connector"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/faker"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
@@ -40,10 +44,14 @@
 			e.Setenv("DAISYLANE_PLATFORM", srv.URL)
 			e.Setenv("NOW", strconv.FormatInt(time.Now().Unix(), 10))
 			e.Values["platform"] = stub
-			return startSide(e, storer.New(srv.URL))
+			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"code": expectCode,
+			"code":  expectCode,
+			"serve": serve,
+			"absent": func(ts *testscript.TestScript, _ bool, args []string) {
+				register(ts, watcher.Member{Name: args[1], Role: args[0], Centre: "c1", Region: "north", Addr: "127.0.0.1:1", Target: "runner-2"})
+			},
 			"outage": func(ts *testscript.TestScript, _ bool, args []string) {
 				ts.Value("platform").(*faker.Platform).Set(faker.PlatformFaults{Outage: faker.Ptr(args[0] == "on")})
 			},
@@ -71,50 +79,74 @@
 	}
 }
 
-// startSide registers a process that answers the operator.
-func startSide(e *testscript.Env, c *storer.Client) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
+// serveArgs are the arguments of the script command serve: role, name, file with
+// the status report, file with the records of request r1, and with TLS the
+// directory of ca.crt, the name of the certificate's files and the roles that
+// the process accepts.
+type serveArgs struct {
+	member          watcher.Member
+	report, records []byte
+	opts            []connector.ServerOption
+}
+
+func parseServe(ts *testscript.TestScript, args []string) serveArgs {
+	s := serveArgs{
+		member: watcher.Member{
+			Name: args[1], Role: args[0], Centre: "c0", Region: "north",
+			Target: "runner-1", Kind: "model", Model: "repair-8b",
+		},
+		report: []byte(ts.ReadFile(args[2])), records: []byte(ts.ReadFile(args[3])),
+	}
+	if len(args) > 4 {
+		dir := ts.MkAbs(args[4])
+		creds, err := credentialer.New(credentialer.Files{
+			Cert: filepath.Join(dir, args[5]+".crt"), Key: filepath.Join(dir, args[5]+".key"), CA: filepath.Join(dir, "ca.crt"),
+		})
+		ts.Check(err)
+		s.opts = append(s.opts, connector.WithServerTLS(creds.Server(strings.Split(args[6], ",")...)))
 	}
+	return s
+}
+
+// serve registers a process that answers the operator.
+func serve(ts *testscript.TestScript, _ bool, args []string) {
+	s := parseServe(ts, args)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.Check(err)
+	s.member.Addr = ln.Addr().String()
 	identity := func() *wirepb.Hello {
-		return &wirepb.Hello{Protocol: connector.ProtocolVersion, Instance: "side-1.a", Role: watcher.Side}
+		return &wirepb.Hello{Protocol: connector.ProtocolVersion, Instance: s.member.Name, Role: s.member.Role}
 	}
-	srv := connector.NewServer(identity)
-	var mu sync.Mutex
-	draining := false
+	srv := connector.NewServer(identity, s.opts...)
+	var draining atomic.Bool
 	connector.Answer(srv, func(_ context.Context, _ string, m *wirepb.Drain) (*wirepb.Drained, error) {
-		mu.Lock()
-		defer mu.Unlock()
-		draining = !m.GetUndo()
+		draining.Store(!m.GetUndo())
 		return &wirepb.Drained{}, nil
 	})
 	connector.Answer(srv, func(context.Context, string, *wirepb.Status) (*wirepb.Report, error) {
-		mu.Lock()
-		defer mu.Unlock()
-		return &wirepb.Report{Payload: fmt.Appendf(nil, `{"draining": %v}`, draining)}, nil
+		return &wirepb.Report{Payload: bytes.ReplaceAll(s.report, []byte("$DRAINING"), fmt.Append(nil, draining.Load()))}, nil
 	})
 	connector.Answer(srv, func(_ context.Context, _ string, m *wirepb.Explain) (*wirepb.Records, error) {
 		if m.GetRequest() != "r1" {
 			return nil, &connector.RefusedError{Reason: "unknown", Text: "the request is not known here"}
 		}
-		return &wirepb.Records{Payload: []byte(`[{"text": "started"}, {"text": "ended"}]`)}, nil
+		return &wirepb.Records{Payload: s.records}, nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ctx, ln) }()
-	e.Defer(func() {
+	ts.Defer(func() {
 		cancel()
 		_ = srv.Close()
 		<-done
 	})
-	body, err := checker.Encode(watcher.Member{
-		Name: "side-1.a", Role: watcher.Side, Centre: "c0", Region: "north", Addr: ln.Addr().String(),
-		Target: "runner-1", Kind: "model", Model: "repair-8b",
-	})
-	if err != nil {
-		return err
-	}
-	_, err = c.Put(context.Background(), watcher.Key(watcher.Side, "side-1.a"), body, 0)
-	return err
+	register(ts, s.member)
+}
+
+// register writes a registration; the process need not exist.
+func register(ts *testscript.TestScript, m watcher.Member) {
+	body, err := checker.Encode(m)
+	ts.Check(err)
+	_, err = storer.New(ts.Getenv("DAISYLANE_PLATFORM")).Put(context.Background(), watcher.Key(m.Role, m.Name), body, 0)
+	ts.Check(err)
 }
--- /dev/null
+++ b/internal/operator/timeline.go
@@ -0,0 +1,125 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"daisylane/internal/executor"
+	"daisylane/internal/watcher"
+)
+
+// event is one record about a request with the process that made it.
+type event struct {
+	Time     time.Time      `json:"time"`
+	Step     string         `json:"step"`
+	Decision string         `json:"decision"`
+	Reason   string         `json:"reason"`
+	Details  map[string]any `json:"details"`
+	process  string
+}
+
+// entryRecords is the report of an entry.
+type entryRecords struct {
+	Records []event `json:"records"`
+	Dropped int     `json:"dropped"` // records over the limit
+}
+
+// timeline is what all processes know about a request, in order of time. The
+// clocks of the processes can differ.
+type timeline struct {
+	request string
+	events  []event
+	dropped int
+}
+
+func newTimeline(request string, known []answer) (timeline, error) {
+	t := timeline{request: request}
+	for _, a := range known {
+		report, err := decodeRecords(a)
+		if err != nil {
+			return t, fmt.Errorf("records of %s: %w", a.Name, err)
+		}
+		for _, e := range report.Records {
+			e.process = a.Name
+			t.events = append(t.events, e)
+		}
+		t.dropped += report.Dropped
+	}
+	slices.SortStableFunc(t.events, func(a, b event) int { return a.Time.Compare(b.Time) })
+	return t, nil
+}
+
+func decodeRecords(a answer) (entryRecords, error) {
+	var report entryRecords
+	if a.Role == watcher.Side {
+		var records []executor.Record
+		if err := decodeNumbers(a.Report, &records); err != nil {
+			return report, err
+		}
+		for _, r := range records {
+			report.Records = append(report.Records, sideEvent(r))
+		}
+		return report, nil
+	}
+	err := decodeNumbers(a.Report, &report)
+	return report, err
+}
+
+// decodeNumbers keeps numbers as they are written, because a float64 would
+// print large token counts with an exponent.
+func decodeNumbers(data json.RawMessage, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+	if err := dec.Decode(v); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	return nil
+}
+
+// sideEvent splits the text of a side's record: decision, reason, explanation.
+func sideEvent(r executor.Record) event {
+	parts := strings.SplitN(r.Text, ": ", 3)
+	for len(parts) < 3 {
+		parts = append(parts, "")
+	}
+	e := event{Time: r.Time, Step: "run", Decision: parts[0], Reason: strings.TrimSuffix(parts[1], ":")}
+	if parts[2] != "" {
+		e.Details = map[string]any{"text": parts[2]}
+	}
+	return e
+}
+
+// details returns the details as key=value in order of their keys.
+func (e event) details() string {
+	var list []string
+	for _, key := range slices.Sorted(maps.Keys(e.Details)) {
+		value := fmt.Sprint(e.Details[key])
+		if strings.ContainsAny(value, " \t\n\"") {
+			value = fmt.Sprintf("%q", value)
+		}
+		list = append(list, key+"="+value)
+	}
+	return strings.Join(list, " ")
+}
+
+func (e event) detail(key string) string {
+	if v, ok := e.Details[key]; ok {
+		return fmt.Sprint(v)
+	}
+	return ""
+}
+
+// last returns the last event of a step with one of the decisions, or any.
+func (t timeline) last(step string, decisions ...string) (event, bool) {
+	for _, e := range slices.Backward(t.events) {
+		if e.Step == step && (len(decisions) == 0 || slices.Contains(decisions, e.Decision)) {
+			return e, true
+		}
+	}
+	return event{}, false
+}
