Check roles at the side and report why a TLS session fails

Cause: a side accepted every certificate of the CA, whatever its role, because it had a TLS configuration of its own without the role check of credentialer. A caller whose certificate was refused saw only 'session shutdown', because the TLS handshake ran below yamux, which drops its error.

Sides use credentialer now: they serve entry and operator and call entry. Both ends complete the handshake before the session starts. In TLS 1.3 the refusal of a client's certificate comes after the client's handshake, so the pool reads the alert from the closed connection.

Ruled out: only reading the alert.

The test of the side made its certificates without a role.

--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -187,7 +187,12 @@
 		return nil, fmt.Errorf("%w: %w", ErrDial, err)
 	}
 	if p.tls != nil {
-		conn = tls.Client(conn, p.tls())
+		secure := tls.Client(conn, p.tls())
+		if err := shake(context.Background(), secure); err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("%w: %w", ErrDial, err)
+		}
+		conn = secure
 	}
 	mux, err := yamux.Client(newCorkConn(conn), muxConfig())
 	if err != nil {
@@ -197,6 +202,9 @@
 	peer, err := p.greet(mux)
 	if err != nil {
 		_ = mux.Close()
+		if refused := alert(conn); refused != nil {
+			err = refused
+		}
 		return nil, fmt.Errorf("%w: handshake: %w", ErrDial, err)
 	}
 	p.greeted(addr, peer)
--- a/internal/connector/server.go
+++ b/internal/connector/server.go
@@ -121,7 +121,13 @@
 func (srv *Server) serveConn(ctx context.Context, conn net.Conn) {
 	peer := conn.RemoteAddr().String()
 	if srv.tls != nil {
-		conn = tls.Server(conn, srv.tls())
+		secure := tls.Server(conn, srv.tls())
+		if err := shake(ctx, secure); err != nil {
+			srv.fail(peer, err)
+			linger(conn)
+			return
+		}
+		conn = secure
 	}
 	mux, err := yamux.Server(newCorkConn(conn), muxConfig())
 	if err != nil {
--- a/internal/credentialer/credentialer.go
+++ b/internal/credentialer/credentialer.go
@@ -7,11 +7,17 @@
 // former ones in use. A peer is accepted if its certificate is signed by the CA,
 // valid now, and has one of the wanted roles as an organizational unit.
 //
+// An [Authority] makes such certificates, for fleets without a CA of their own.
+//
 // # Usage
 //
 //	c, err := credentialer.New(credentialer.Files{Cert: "tls.crt", Key: "tls.key", CA: "ca.crt"})
 //	srv := connector.NewServer(identity, connector.WithServerTLS(c.Server("entry", "side", "operator")))
 //	pool := connector.NewPool(identity, connector.WithClientTLS(c.Client("entry", "side")))
+//
+//	ca, pair, err := credentialer.NewAuthority("fleet", 10*365*24*time.Hour)
+//	pair, err = ca.Issue("side-1", "side", 365*24*time.Hour)
+//	err = pair.Write("tls.crt", "tls.key")
 package credentialer
 
 import (
--- a/internal/executor/main.go
+++ b/internal/executor/main.go
@@ -105,11 +105,11 @@
 func (s Settings) pool(instance string) (*connector.Pool, error) {
 	var opts []connector.PoolOption
 	if !s.TLS.Plain {
-		client, err := s.TLS.Client()
+		credentials, err := s.TLS.credentials()
 		if err != nil {
 			return nil, fmt.Errorf("load TLS files: %w", err)
 		}
-		opts = append(opts, connector.WithClientTLS(client))
+		opts = append(opts, connector.WithClientTLS(credentials.Client(watcher.Entry)))
 	}
 	return connector.NewPool(s.identity(instance), opts...), nil
 }
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -180,11 +180,11 @@
 		s.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
 	})}
 	if !s.cfg.TLS.Plain {
-		cfg, err := s.cfg.TLS.server()
+		credentials, err := s.cfg.TLS.credentials()
 		if err != nil {
 			return nil, fmt.Errorf("load TLS files: %w", err)
 		}
-		opts = append(opts, connector.WithServerTLS(cfg))
+		opts = append(opts, connector.WithServerTLS(credentials.Server(serverRoles()...)))
 	}
 	srv := connector.NewServer(s.cfg.identity(s.instance), opts...)
 	s.handle(srv)
--- a/internal/executor/tls_test.go
+++ b/internal/executor/tls_test.go
@@ -1,95 +1,135 @@
 package executor
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
+	"context"
+	"errors"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"daisylane/internal/connector"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/wirepb"
 )
 
-// writeFiles creates an authority and a certificate that it signed.
-func writeFiles(t *testing.T, dir string) TLSFiles {
+// writeFiles writes a certificate of an authority, and the certificate of the
+// authority that its owner accepts.
+func writeFiles(t *testing.T, ca *credentialer.Authority, pair credentialer.Pair, role string) TLSFiles {
 	t.Helper()
-	key := newKey(t)
-	authority := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	own := newKey(t)
-	leaf := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "process"}, NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
+	dir := t.TempDir()
 	files := TLSFiles{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), CA: filepath.Join(dir, "ca")}
-	raw, err := x509.MarshalECPrivateKey(own)
+	leaf, err := ca.Issue("process", role, time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
-	writePEM(t, files.Key, "EC PRIVATE KEY", raw)
-	writePEM(t, files.CA, "CERTIFICATE", sign(t, authority, authority, key, key))
-	writePEM(t, files.Cert, "CERTIFICATE", sign(t, leaf, authority, own, key))
-	return files
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
+	if err := errors.Join(leaf.Write(files.Cert, files.Key), os.WriteFile(files.CA, pair.Cert, 0o600)); err != nil {
 		t.Fatal(err)
 	}
-	return key
+	return files
 }
 
-func sign(t *testing.T, c, parent *x509.Certificate, own, signer *ecdsa.PrivateKey) []byte {
-	der, err := x509.CreateCertificate(rand.Reader, c, parent, &own.PublicKey, signer)
+func newAuthority(t *testing.T) (*credentialer.Authority, credentialer.Pair) {
+	t.Helper()
+	ca, pair, err := credentialer.NewAuthority("authority", time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return der
-}
-
-func writePEM(t *testing.T, file, kind string, der []byte) {
-	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	return ca, pair
 }
 
-// Guards against sessions with processes of another authority or without a certificate.
+// Guards against sessions with processes of another authority, of another role or
+// without a certificate.
 func TestMutualTLS(t *testing.T) {
 	t.Parallel()
 	e := startEngine(t, 1, nil)
 	f := newFixture(t)
-	f.cfg.TLS = writeFiles(t, t.TempDir())
+	ca, pair := newAuthority(t)
+	f.cfg.TLS = writeFiles(t, ca, pair, "side")
 	f.cfg.Target = Target{URL: e.URL, Name: "engine", Kind: Model, Model: "m"}
 	f.start(&platform{}, &platform{})
 	call := func(files TLSFiles) error {
 		cfg := f.cfg
 		cfg.TLS = files
-		pool, err := cfg.pool("router")
-		if err != nil {
-			t.Fatal(err)
+		var opts []connector.PoolOption
+		if !files.Plain {
+			credentials, err := files.credentials()
+			if err != nil {
+				t.Fatal(err)
+			}
+			opts = append(opts, connector.WithClientTLS(credentials.Client("side")))
 		}
+		pool := connector.NewPool(cfg.identity("router"), opts...)
 		defer pool.Close()
-		_, err = connector.Call[*wirepb.Report](t.Context(), pool, f.addr, "s", &wirepb.Status{})
+		_, err := connector.Call[*wirepb.Report](t.Context(), pool, f.addr, "s", &wirepb.Status{})
 		return err
 	}
-	if err := call(f.cfg.TLS); err != nil {
-		t.Errorf("same authority: %v", err)
+	for _, role := range []string{"entry", "operator"} {
+		if err := call(writeFiles(t, ca, pair, role)); err != nil {
+			t.Errorf("same authority, %s: %v", role, err)
+		}
 	}
-	for name, files := range map[string]TLSFiles{"foreign": writeFiles(t, t.TempDir()), "plain": {Plain: true}} {
+	other, otherPair := newAuthority(t)
+	for name, files := range map[string]TLSFiles{
+		"foreign":  writeFiles(t, other, otherPair, "entry"),
+		"stranger": writeFiles(t, other, pair, "entry"), // accepts the side, which must refuse it
+		"role":     writeFiles(t, ca, pair, "side"),
+		"plain":    {Plain: true},
+	} {
 		if err := call(files); !errors.Is(err, connector.ErrDial) {
 			t.Errorf("%s: err = %v, want ErrDial", name, err)
 		}
 	}
 }
+
+// Guards against charges delivered to a process that is not a router.
+func TestPoolRoles(t *testing.T) {
+	t.Parallel()
+	ca, pair := newAuthority(t)
+	other, otherPair := newAuthority(t)
+	f := newFixture(t)
+	f.cfg.TLS = writeFiles(t, ca, pair, "side")
+	pool, err := f.cfg.pool("side")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pool.Close()
+	for _, tt := range []struct {
+		name  string
+		files TLSFiles
+		ok    bool
+	}{
+		{"entry", writeFiles(t, ca, pair, "entry"), true},
+		{"side", writeFiles(t, ca, pair, "side"), false},
+		{"foreign entry", writeFiles(t, other, otherPair, "entry"), false},
+	} {
+		_, err := connector.Call[*wirepb.Report](t.Context(), pool, serveTLS(t, f.cfg, tt.files), "", &wirepb.Status{})
+		if (err == nil) != tt.ok {
+			t.Errorf("%s: err = %v, want success %v", tt.name, err, tt.ok)
+		}
+	}
+}
+
+func serveTLS(t *testing.T, cfg Settings, files TLSFiles) string {
+	t.Helper()
+	credentials, err := files.credentials()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := connector.NewServer(cfg.identity("peer"), connector.WithServerTLS(credentials.Server("side")))
+	connector.Answer(srv, func(context.Context, string, *wirepb.Status) (*wirepb.Report, error) { return &wirepb.Report{}, nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		_ = srv.Close()
+		<-done
+	})
+	return ln.Addr().String()
+}
