Make a CA and certificates with key ca and key cert

Cause: mutual TLS needed certificates with the role as organizational unit, and a single operator had to make them with other tools.

key ca makes a CA, key cert a certificate for entry, side or operator.

Ruled out: name constraints, because peers are dialed by IP address and credentialer checks the role only.

--- a/internal/operator/script_test.go
+++ b/internal/operator/script_test.go
@@ -49,6 +49,12 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"code":  expectCode,
 			"serve": serve,
+			"modes": expectModes,
+			"sleep": func(ts *testscript.TestScript, _ bool, args []string) {
+				d, err := time.ParseDuration(args[0])
+				ts.Check(err)
+				time.Sleep(d)
+			},
 			"absent": func(ts *testscript.TestScript, _ bool, args []string) {
 				register(ts, watcher.Member{Name: args[1], Role: args[0], Centre: "c1", Region: "north", Addr: "127.0.0.1:1", Target: "runner-2"})
 			},
@@ -79,6 +85,22 @@
 	}
 }
 
+// expectModes checks the mode and the number of the files in a directory.
+func expectModes(ts *testscript.TestScript, _ bool, args []string) {
+	entries, err := os.ReadDir(ts.MkAbs(args[0]))
+	ts.Check(err)
+	if strconv.Itoa(len(entries)) != args[2] {
+		ts.Fatalf("%d files, want %s", len(entries), args[2])
+	}
+	for _, e := range entries {
+		info, err := e.Info()
+		ts.Check(err)
+		if got := fmt.Sprintf("%04o", info.Mode().Perm()); got != args[1] {
+			ts.Fatalf("%s has mode %s, want %s", e.Name(), got, args[1])
+		}
+	}
+}
+
 // serveArgs are the arguments of the script command serve: role, name, file with
 // the status report, file with the records of request r1, and with TLS the
 // directory of ca.crt, the name of the certificate's files and the roles that
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -16,6 +16,8 @@
 // table lists all commands. A row without a verb is a command of one word.
 var table = []row{
 	{"key", "new", groupCommand, "make a bearer key of an account, or a signing key of an operator", newKeyNew},
+	{"key", "ca", groupCommand, "make a certificate authority for mutual TLS", newKeyCA},
+	{"key", "cert", groupCommand, "make or renew the certificate of a process", newKeyCert},
 	{"bundle", "sign", groupCommand, "sign a bundle and write it to a file for 'bundle push --signed'", newBundleSign},
 	{"bundle", "push", groupCommand, "put a bundle in force", newBundlePush},
 	{"budget", "topup", groupCommand, "add prepaid tokens to a budget", newBudgetTopUp},
