Run make try with mutual TLS

Cause: make try ran with plain = true, so no run of the real processes used their TLS settings.

The script makes a CA and a certificate for each process with the daisylane command, and checks at the end that status without a certificate gets no answer. It needs no tool beyond Go, make and bash with sed and grep as before.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -28,5 +28,15 @@
   sed "${expr[@]}" "$file"
 }
 
+# secure FILE ROLE NAME makes a certificate in $dir/tls and lets the settings in
+# FILE use it instead of plain = true.
+secure() {
+  local file=$1 role=$2 name=$3
+  "$bin/daisylane" key cert --ca "$dir/tls" --role "$role" "$name" >"$dir/$name.tls"
+  sed -i '/^plain *=/d' "$file"
+  grep -q '^\[tls\]' "$file" || echo '[tls]' >>"$file"
+  sed -n '/^\(cert\|key\|ca\) = /p' "$dir/$name.tls" >>"$file"
+}
+
 # field NAME prints a string field of a JSON object on standard input.
 field() { sed -n "s/.*\"$1\": *\"\([^\"]*\)\".*/\1/p" | head -n 1; }
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Starts a fleet with stand-ins on loopback, streams one answer, places one
-# booking twice with the same key, and prints the answer, the bill and the single
-# run. Stops everything by process id.
+# Starts a fleet with stand-ins on loopback and mutual TLS between its processes,
+# streams one answer, places one booking twice with the same key, and prints the
+# answer, the bill and the single run. Stops everything by process id.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/lib.sh
@@ -25,7 +25,8 @@
 daisylane() { "$bin/daisylane" --settings "$dir/operator.toml" "$@"; }
 call() { "$bin/prober" call "$@"; }
 
-echo "== keys"
+echo "== keys and certificates"
+"$bin/daisylane" key ca --out "$dir/tls"
 "$bin/daisylane" key new --operator operator --out "$dir/operator.key" --json >"$dir/operator.json"
 "$bin/daisylane" key new --json >"$dir/account.json"
 public=$(field public <"$dir/operator.json")
@@ -41,6 +42,7 @@
 
 echo "== bundle and budget"
 settings examples/operator.toml platform="\"$platform\"" key="\"$dir/operator.key\"" operator="\"$public\"" >"$dir/operator.toml"
+secure "$dir/operator.toml" operator operator
 settings examples/bundle.toml keys="[\"$hash\"]" >"$dir/bundle.toml"
 daisylane bundle check "$dir/bundle.toml"
 daisylane bundle push --note "first bundle" "$dir/bundle.toml"
@@ -56,6 +58,7 @@
   settings examples/side.toml name="\"side-$1\"" platform="\"$platform\"" listen="\"$addr\"" \
     url="\"http://127.0.0.1:$((base + 500 + $1))\"" kind="\"$3\"" model="\"$4\"" >"$dir/side-$1.toml"
   sed -i "/^\[target\]/,/^\[limits\]/s|^name *= *.*|name = \"$2\"|" "$dir/side-$1.toml"
+  secure "$dir/side-$1.toml" side "side-$1"
   instance "side-$1" side "$addr"
   start "side-$1" "$bin/side" --settings "$dir/side-$1.toml"
 }
@@ -63,6 +66,7 @@
   local addr=127.0.0.1:$((base + 300 + $1))
   settings examples/entry.toml name="\"entry-$1\"" platform="\"$platform\"" operator="\"$public\"" \
     http="\"127.0.0.1:$((base + 80 + $1))\"" peer="\"$addr\"" fold='"1s"' notice='"100ms"' >"$dir/entry-$1.toml"
+  secure "$dir/entry-$1.toml" entry "entry-$1"
   instance "entry-$1" entry "$addr"
   start "entry-$1" "$bin/entry" --settings "$dir/entry-$1.toml"
 }
@@ -107,6 +111,15 @@
 echo "== status"
 daisylane status
 
+echo "== status without a certificate is refused"
+sed '/^\[tls\]/,$d' "$dir/operator.toml" >"$dir/plain.toml"
+sed -i '1i plain = true' "$dir/plain.toml"
+if "$bin/daisylane" --settings "$dir/plain.toml" status >"$dir/refused" 2>&1; then
+  echo "processes answered without a certificate" >&2
+  exit 1
+fi
+grep "5 of 5 processes did not answer" "$dir/refused"
+
 echo "== stop"
 stop_all
 echo "done"
