Take a side's acknowledgement only from the side itself

Cause: after a side died and another process started at its address, that process could acknowledge a closure for it, although it does not know what the former one ran.

--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -194,7 +194,7 @@
 	if m.GetInstance() == "" {
 		return nil, &connector.RefusedError{Reason: reasonBody, Text: "the message names no instance"}
 	}
-	answer := &wirepb.Closed{}
+	answer := &wirepb.Closed{Instance: s.instance}
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
 		actions := a.Close(m.GetInstance())
 		for _, r := range a.Open(m.GetInstance()) {
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -24,6 +24,13 @@
 	sideMemberPrefix = "member/" + watcher.Side + "/"
 )
 
+// goneKeyPrefix has an object for each side that an operator confirmed to be gone.
+const goneKeyPrefix = "gone/"
+
+// errReplaced means that another process answers at the address of a side. It
+// does not know what the former one ran.
+var errReplaced = errors.New("side was replaced")
+
 // takeoverKey identifies the recovery of one shard from one dead holder.
 type takeoverKey struct {
 	instance string
@@ -77,13 +84,39 @@
 		return
 	}
 	t.listed = now
-	var present []string
+	if t.k.h.cfg.Release == recoverer.ReleaseOperator && len(t.recovery.Waiting()) > 0 {
+		t.readConfirmations()
+	}
+	t.carryOut(now, t.recovery.Listing(now, t.present()))
+}
+
+// present returns the listed sides that the instance list still has.
+func (t *takeover) present() []string {
+	var names []string
 	for name := range t.addrs {
 		if !t.k.h.members.Gone(name) {
-			present = append(present, name)
+			names = append(names, name)
 		}
 	}
-	t.carryOut(now, t.recovery.Listing(now, present))
+	return names
+}
+
+// readConfirmations looks for the operator's word that sides are gone.
+func (t *takeover) readConfirmations() {
+	h := t.k.h
+	t.effect(func(ctx context.Context) func(time.Time, *takeover) []recoverer.Action {
+		items, err := h.platform.List(ctx, goneKeyPrefix)
+		if err != nil {
+			h.log.Warn().Err(err).Msg("confirmations of gone sides not read")
+			items = nil
+		}
+		return func(now time.Time, t *takeover) []recoverer.Action {
+			for _, item := range items {
+				t.recovery.Confirm(strings.TrimPrefix(item.Key, goneKeyPrefix))
+			}
+			return t.recovery.Listing(now, t.present())
+		}
+	})
 }
 
 // carryOut performs the actions of the recovery.
@@ -236,6 +269,9 @@
 		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 		defer cancel()
 		m, err := connector.Call[*wirepb.Closed](ctx, h.pool, addr, "close", &wirepb.Close{Instance: a.Instance})
+		if err == nil && m.GetInstance() != a.Side {
+			err = fmt.Errorf("%w: %s", errReplaced, m.GetInstance())
+		}
 		if err != nil {
 			// The recovery asks again by itself.
 			h.log.Warn().Str("side", a.Side).Err(err).Msg("side did not close the holder, asking again")
