--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -190,7 +190,7 @@
 	a.ceiling = a.limit() - amount
 	a.trim = false
 	a.gives = append(a.gives, give{token, amount})
-	h.lower(now, sh, a)
+	h.lower(sh, a)
 	return h.flush()
 }
 
@@ -219,7 +219,7 @@
 	for _, a := range sh.sorted() {
 		h.refuseWaiting(a, func(waiter) bool { return true }, ReasonStopping, "the instance is stopping", shortBack)
 		a.ceiling, a.trim = a.used(), false
-		h.lower(now, sh, a)
+		h.lower(sh, a)
 	}
 	h.update(sh)
 	return h.flush()
@@ -519,7 +519,7 @@
 	for _, a := range sh.sorted() {
 		h.refresh(sh, a, p)
 		if a.stage != stageNone && p.takes[a.budget] {
-			h.advance(now, sh, a)
+			h.advance(sh, a)
 		}
 		h.pursue(now, sh, a)
 	}
@@ -578,7 +578,7 @@
 // others. Without a step that can help, they are refused.
 func (h *Holder) pursue(now time.Time, sh *shard, a *account) {
 	if !sh.held || sh.leaving {
-		h.lower(now, sh, a)
+		h.lower(sh, a)
 		return
 	}
 	a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool {
@@ -600,7 +600,7 @@
 		h.refuseWaiting(a, all, ReasonPlatform, "the platform is not reachable", h.cfg.Back)
 		return
 	}
-	h.lower(now, sh, a)
+	h.lower(sh, a)
 	fits := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.req.Tokens <= a.limit()-a.used() })
 	h.raise(sh, a, fits)
 	if len(a.waiting) == 0 {
@@ -614,7 +614,7 @@
 }
 
 // advance moves on after an update that took what the shard object had.
-func (h *Holder) advance(_ time.Time, sh *shard, a *account) {
+func (h *Holder) advance(sh *shard, a *account) {
 	short := func(w waiter) bool { return w.req.Tokens > a.limit()-a.used() }
 	switch {
 	case a.stage == stageTake && h.cfg.Regions > 1 && slices.ContainsFunc(a.waiting, short):
@@ -645,7 +645,7 @@
 }
 
 // lower brings the mark down to the ceiling and then has the grant trimmed.
-func (h *Holder) lower(_ time.Time, sh *shard, a *account) {
+func (h *Holder) lower(sh *shard, a *account) {
 	if a.ceiling == noCeiling || a.trim || a.marking >= 0 {
 		return
 	}
--- a/internal/budgeter/types.go
+++ b/internal/budgeter/types.go
@@ -20,7 +20,8 @@
 // and calls Propose, writes the proposal by conditional update and reports Stored
 // or Failed; on a conflict it reads and proposes again. At most one update per
 // shard is pending. Platform reports an outage and its end, Stop the loss of the
-// journal, and Tick is called at least once a second.
+// journal, and Tick is called at least once a second. Actions are carried out in
+// order. After Fenced or Stop the instance continues under a new incarnation.
 package budgeter
 
 import (
--- a/internal/recoverer/property_test.go
+++ b/internal/recoverer/property_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed, so that every run draws the same schedules.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	for name, value := range map[string]string{
