--- a/internal/admitter/types.go
+++ b/internal/admitter/types.go
@@ -41,7 +41,9 @@
 )
 
 const (
-	settleDelay    = 3 * time.Second
+	// settleDelay is longer than the longest flush interval of a journal, after
+	// which the router reports that the charge is durable.
+	settleDelay    = 12 * time.Second
 	settleInterval = time.Second
 	maxInterval    = 30 * time.Second
 	recallPeriod   = 10 * time.Minute
--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -119,7 +119,10 @@
 		sh.account(r.Budget).charged += ch.Tokens
 	}
 	sh.charges = append(sh.charges, ch)
-	h.append(entry(journaler.KindCharge, sh.number, ch.Charge), func(now time.Time, seq uint64) {
+	// The release of a former holder's tokens and the hand-over of the shard wait
+	// for the charge.
+	lazy := r.Holder == h.cfg.Instance && !sh.leaving
+	h.append(lazy, entry(journaler.KindCharge, sh.number, ch.Charge), func(now time.Time, seq uint64) {
 		ch.seq = seq
 		for i, t := range ch.waiting {
 			h.emit(Settled{Token: t, Duplicate: ch.duplicate || i > 0})
@@ -670,7 +673,7 @@
 // in the journal is the one that admission relies on.
 func (h *Holder) mark(sh *shard, a *account, value int64) {
 	a.marking = value
-	h.append(entry(journaler.KindMark, sh.number, Mark{Budget: a.budget, Mark: value}), func(now time.Time, _ uint64) {
+	h.append(false, entry(journaler.KindMark, sh.number, Mark{Budget: a.budget, Mark: value}), func(now time.Time, _ uint64) {
 		a.durable, a.marking = value, -1
 		if h.shards[sh.number] == sh {
 			h.pursue(now, sh, a)
@@ -687,10 +690,10 @@
 	h.emit(Update{Shard: sh.number})
 }
 
-func (h *Holder) append(e journaler.Entry, done func(time.Time, uint64)) {
+func (h *Holder) append(lazy bool, e journaler.Entry, done func(time.Time, uint64)) {
 	h.token++
 	h.appends[h.token] = done
-	h.emit(Append{Token: h.token, Entries: []journaler.Entry{e}})
+	h.emit(Append{Token: h.token, Entries: []journaler.Entry{e}, Lazy: lazy})
 }
 
 func (h *Holder) refuse(token Token, reason Reason, text string, after time.Duration) {
--- a/internal/budgeter/types.go
+++ b/internal/budgeter/types.go
@@ -134,6 +134,7 @@
 type Append struct {
 	Token   journaler.Token
 	Entries []journaler.Entry
+	Lazy    bool // nothing waits for the entry but the senders of a charge
 }
 
 // Update asks for a conditional update of a shard object, see [Holder.Propose].
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -26,7 +26,7 @@
 	closureInterval  = 5 * time.Second
 	registerInterval = time.Second
 	platformTimeout  = 5 * time.Second
-	settleTimeout    = 5 * time.Second
+	settleTimeout    = 15 * time.Second // covers the longest flush interval of a journal
 	keepPeriod       = 60 * time.Second
 	stopPoll         = 20 * time.Millisecond
 )
--- a/internal/holder/actions.go
+++ b/internal/holder/actions.go
@@ -28,6 +28,10 @@
 				reply.send(a.Tokens, nil)
 			}
 		case budgeter.Append:
+			if a.Lazy {
+				k.journalActions(now, k.journal.Defer(a.Token, a.Entries...))
+				continue
+			}
 			k.journalActions(now, k.journal.Append(a.Token, a.Entries...))
 		case budgeter.Update:
 			k.conflicts[a.Shard] = 0
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -20,6 +20,8 @@
 	maxHops = 8
 	// callTimeout leaves room for a direct try of 1 s and one through the platform of 2 s.
 	callTimeout = 3500 * time.Millisecond
+	// settleTimeout covers the longest flush interval of a journal.
+	settleTimeout = MaxFlush + 5*time.Second
 	// reserveTimeout leaves room for a takeover by a successor.
 	reserveTimeout = 6 * time.Second
 	hopWait        = 100 * time.Millisecond
@@ -79,6 +81,8 @@
 			return &wirepb.Reserved{Reservation: r}, err
 		},
 		func(ctx context.Context, p peer) (*wirepb.Reserved, error) {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
 			return connector.Call[*wirepb.Reserved](ctx, c.pool, p.addr, id, m)
 		})
 	if err != nil {
@@ -90,7 +94,7 @@
 // Settle charges or releases a reservation. It goes to the instance that made
 // the reservation, or else to its successor, and returns when it is durable.
 func (c *Client) Settle(ctx context.Context, id string, m *wirepb.Settle) error {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	r := m.GetReservation()
 	if r.GetHolder() == c.h.cfg.Instance {
@@ -112,7 +116,7 @@
 }
 
 func (c *Client) settleAt(ctx context.Context, id, addr string, m *wirepb.Settle) (*wirepb.Settled, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	return connector.Call[*wirepb.Settled](ctx, c.pool, addr, id, m)
 }
@@ -199,8 +203,6 @@
 }
 
 func callPeer[A any](ctx context.Context, c *Client, p peer, call func(context.Context) (A, error)) (A, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	res, err := call(ctx)
 	c.heard(p.name, err)
 	return res, err
--- a/internal/holder/config.go
+++ b/internal/holder/config.go
@@ -14,16 +14,21 @@
 	"daisylane/internal/watcher"
 )
 
+// MaxFlush bounds the flush interval. Sides send a charge again after 12 s, so a
+// longer interval would make each charge a duplicate.
+const MaxFlush = 10 * time.Second
+
 // Config sets up a holder.
 type Config struct {
-	Instance string   // name with incarnation
-	Region   string   // region of this process
-	Shards   int      // number of budget shards of the fleet
-	Slots    int      // slots of the journal
-	Ahead    float64  // part of the unspent allotment that is marked ahead of use
-	Release  string   // policy for sides that are gone, see package recoverer
-	Regions  []string // regions of the deployment
-	Fold     time.Duration
+	Instance string        // name with incarnation
+	Region   string        // region of this process
+	Shards   int           // number of budget shards of the fleet
+	Slots    int           // slots of the journal
+	Ahead    float64       // part of the unspent allotment that is marked ahead of use
+	Release  string        // policy for sides that are gone, see package recoverer
+	Regions  []string      // regions of the deployment
+	Fold     time.Duration // interval of settling charges in the shard objects
+	Flush    time.Duration // longest time until a charge is in the journal
 }
 
 // Check validates the configuration.
@@ -38,6 +43,7 @@
 		"is %q, allowed is %q or %q", c.Release, recoverer.ReleaseOperator, recoverer.ReleaseGone)
 	f.Require(len(c.Regions) > 0, "regions", "must not be empty")
 	checker.Range(&f, "fold", c.Fold, time.Second, time.Hour)
+	checker.Range(&f, "flush", c.Flush, 10*time.Millisecond, MaxFlush)
 	return f.Err()
 }
 
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -76,7 +76,7 @@
 	relay := relayer.New(store, name)
 	n.holder, err = New(Config{
 		Instance: name, Region: region, Shards: testShards, Slots: 16, Ahead: 0.5,
-		Release: recoverer.ReleaseGone, Regions: []string{"north", "south"}, Fold: time.Second,
+		Release: recoverer.ReleaseGone, Regions: []string{"north", "south"}, Fold: time.Second, Flush: 50 * time.Millisecond,
 	}, store, n.members, n.pool, WithRelay(relay), WithSealed(func(s string) { n.sealed <- s }))
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -65,7 +65,7 @@
 		budgets: budgeter.New(budgeter.Config{
 			Instance: h.cfg.Instance, Region: h.cfg.Region, Regions: len(h.cfg.Regions), Ahead: h.cfg.Ahead,
 		}),
-		journal:   journaler.New(journaler.Config{Writer: h.cfg.Instance, Slots: h.cfg.Slots}),
+		journal:   journaler.New(journaler.Config{Writer: h.cfg.Instance, Slots: h.cfg.Slots, Flush: h.cfg.Flush}),
 		reserves:  make(map[budgeter.Token]reserve),
 		settles:   make(map[budgeter.Token]replyTo[bool]),
 		gives:     make(map[budgeter.Token]replyTo[int64]),
@@ -281,6 +281,7 @@
 		k.carryOut(now, k.budgets.HandOver(now, shard))
 	}
 	k.handOverClaims(now)
+	k.journalActions(now, k.journal.Flush())
 	k.finishStop(now)
 }
 
--- a/internal/journaler/commands.go
+++ b/internal/journaler/commands.go
@@ -13,6 +13,9 @@
 	if cfg.Heartbeat == 0 {
 		cfg.Heartbeat = heartbeatInterval
 	}
+	if cfg.Flush == 0 {
+		cfg.Flush = flushInterval
+	}
 	return &Journal{
 		cfg:      cfg,
 		versions: make([]uint64, cfg.Slots),
@@ -26,10 +29,38 @@
 	if j.stopped {
 		return nil
 	}
-	j.pending = append(j.pending, pendingEntry{token, entries})
+	j.add(token, entries)
+	j.urgent = true
+	return j.next()
+}
+
+// Defer adds entries to the next record without asking for one. They are written
+// with the next other entry, or after the flush interval, or when they are many.
+// Charges are deferred, so that the number of writes follows the instances and
+// not the requests.
+func (j *Journal) Defer(token Token, entries ...Entry) []Action {
+	if j.stopped {
+		return nil
+	}
+	j.add(token, entries)
+	if j.deferred < maxRecordBytes/2 {
+		return nil
+	}
+	j.urgent = true
+	return j.next()
+}
+
+// Flush asks for a record with all pending entries.
+func (j *Journal) Flush() []Action {
+	j.urgent = j.urgent || len(j.pending) > 0
 	return j.next()
 }
 
+func (j *Journal) add(token Token, entries []Entry) {
+	j.pending = append(j.pending, pendingEntry{token, entries})
+	j.deferred += sizeOf(entries)
+}
+
 // Seal ends the journal at a planned stop, after all pending entries.
 func (j *Journal) Seal(token Token) []Action {
 	return j.Append(token, Entry{Kind: KindSeal})
@@ -122,7 +153,8 @@
 		f.retry = nil
 		return []Action{a}
 	}
-	if now.Sub(j.written) >= j.cfg.Heartbeat {
+	idle := now.Sub(j.written)
+	if idle >= j.cfg.Heartbeat || len(j.pending) > 0 && idle >= j.cfg.Flush {
 		j.wanted = true
 	}
 	return j.next()
@@ -130,7 +162,7 @@
 
 // next starts a write if there is something to write and the slot is free.
 func (j *Journal) next() []Action {
-	if j.flight != nil || j.stopped || !j.wanted && len(j.pending) == 0 {
+	if j.flight != nil || j.stopped || !j.wanted && !j.urgent {
 		return nil
 	}
 	seq := j.seq + 1
@@ -161,7 +193,8 @@
 		}
 	}
 	j.pending = j.pending[taken:]
-	j.wanted = false
+	j.deferred -= min(size, j.deferred)
+	j.wanted, j.urgent = false, len(j.pending) > 0
 	body, err := json.Marshal(r)
 	if err != nil { // an entry's data is no JSON, which is a programming error
 		panic(err)
--- a/internal/journaler/types.go
+++ b/internal/journaler/types.go
@@ -14,6 +14,7 @@
 //	// carry out each Write and Read, and report with Written, Conflict,
 //	// Uncertain, Failed or ReadBack; tokens in Durable are safe; Stop ends the
 //	// instance's tenure of all shards
+//	actions := j.Defer(token, entry) // an entry that can wait for the next record
 //	actions = j.Tick(now) // at least once a second
 //
 // A successor lists the slots and seals the journal:
@@ -48,6 +49,7 @@
 const (
 	defaultSlots       = 64
 	heartbeatInterval  = 5 * time.Second
+	flushInterval      = 5 * time.Second
 	maxRecordBytes     = 512 << 10
 	foldThreshold      = 0.75
 	entryOverheadBytes = 48
@@ -107,6 +109,7 @@
 	Writer    string
 	Slots     int
 	Heartbeat time.Duration
+	Flush     time.Duration // longest time that deferred entries wait for a record
 }
 
 // Prefix returns the key prefix of an instance's slots.
@@ -165,7 +168,9 @@
 	pending  []pendingEntry
 	flight   *flight
 	written  time.Time // last durable record
-	wanted   bool      // an empty record is due
+	wanted   bool      // a record is due, even an empty one
+	urgent   bool      // an entry waits that is not deferred
+	deferred int       // bytes of pending entries
 	stopped  bool
 }
 
--- a/internal/launcher/fixture_test.go
+++ b/internal/launcher/fixture_test.go
@@ -239,6 +239,7 @@
 	cfg.Platform = f.platform.URL
 	cfg.Listen = Listen{HTTP: freeAddr(f.t), Peer: freeAddr(f.t)}
 	cfg.Budgets.Shards, cfg.Budgets.Fold = testShards, loader.Duration(time.Second)
+	cfg.Budgets.Flush = loader.Duration(100 * time.Millisecond)
 	cfg.Stop.Notice = loader.Duration(50 * time.Millisecond)
 	cfg.Trust = map[string]string{"operator": base64.StdEncoding.EncodeToString(f.public)}
 	cfg.TLS.Plain = true
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -179,7 +179,7 @@
 	b := p.cfg.Budgets
 	cfg := holder.Config{
 		Instance: p.instance, Region: p.cfg.Region, Regions: p.cfg.Regions,
-		Shards: b.Shards, Slots: b.Slots, Ahead: b.Ahead, Release: b.Release, Fold: b.Fold.Std(),
+		Shards: b.Shards, Slots: b.Slots, Ahead: b.Ahead, Release: b.Release, Fold: b.Fold.Std(), Flush: b.Flush.Std(),
 	}
 	p.relay = relayer.New(p.platform, p.instance, relayer.WithLogger(p.log))
 	var err error
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -7,6 +7,7 @@
 
 	"daisylane/internal/bundler"
 	"daisylane/internal/checker"
+	"daisylane/internal/holder"
 	"daisylane/internal/loader"
 	"daisylane/internal/recoverer"
 	"daisylane/internal/tracer"
@@ -44,6 +45,7 @@
 	Ahead   float64         `toml:"ahead"`
 	Release string          `toml:"release"`
 	Fold    loader.Duration `toml:"fold"`
+	Flush   loader.Duration `toml:"flush"`
 }
 
 // Limits bound the work of an entry.
@@ -81,7 +83,7 @@
 	return Settings{
 		Level:   "info",
 		Listen:  Listen{HTTP: "127.0.0.1:8080", Peer: "127.0.0.1:7300"},
-		Budgets: Budgets{Shards: 64, Slots: 64, Ahead: 1, Release: recoverer.ReleaseOperator, Fold: loader.Duration(5 * time.Minute)},
+		Budgets: Budgets{Shards: 64, Slots: 64, Ahead: 1, Release: recoverer.ReleaseOperator, Fold: loader.Duration(5 * time.Minute), Flush: loader.Duration(5 * time.Second)},
 		Limits:  Limits{Inflight: 4096, Queue: 4096},
 		Stop: Stop{
 			Notice: loader.Duration(2 * time.Second), Grace: loader.Duration(2 * time.Minute), Flush: loader.Duration(30 * time.Second),
@@ -129,6 +131,7 @@
 	checker.Range(&f, "slots", b.Slots, 8, 1024)
 	checker.Range(&f, "ahead", b.Ahead, 0, 1)
 	checker.Range(&f, "fold", b.Fold.Std(), time.Second, time.Hour)
+	checker.Range(&f, "flush", b.Flush.Std(), 10*time.Millisecond, holder.MaxFlush)
 	f.Require(b.Release == recoverer.ReleaseOperator || b.Release == recoverer.ReleaseGone, "release",
 		"is %q, allowed is %q or %q", b.Release, recoverer.ReleaseOperator, recoverer.ReleaseGone)
 	return f.Err()
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -62,7 +62,7 @@
 entry() { # NUMBER
   local addr=127.0.0.1:$((base + 300 + $1))
   settings examples/entry.toml name="\"entry-$1\"" platform="\"$platform\"" operator="\"$public\"" \
-    http="\"127.0.0.1:$((base + 80 + $1))\"" peer="\"$addr\"" fold='"1s"' notice='"100ms"' >"$dir/entry-$1.toml"
+    http="\"127.0.0.1:$((base + 80 + $1))\"" peer="\"$addr\"" fold='"1s"' flush='"1s"' notice='"100ms"' >"$dir/entry-$1.toml"
   instance "entry-$1" entry "$addr"
   start "entry-$1" "$bin/entry" --settings "$dir/entry-$1.toml"
 }
