--- a/internal/launcher/fleet.go
+++ b/internal/launcher/fleet.go
@@ -10,7 +10,6 @@
 	"daisylane/internal/retrier"
 	"daisylane/internal/router"
 	"daisylane/internal/watcher"
-	"daisylane/internal/wirepb"
 )
 
 // fleet chooses targets from the membership view, learns from results and
@@ -79,7 +78,7 @@
 	defer f.mu.Unlock()
 	f.policy.Done(now, c.Name, c.Sent)
 	if r.Load != nil {
-		f.policy.Reported(c.Name, loadOf(now, r.Load))
+		f.policy.Reported(c.Name, chooser.LoadOf(now, r.Load))
 	}
 	if r.Outcome == router.Canceled {
 		f.retries.Cancelled(c.Name)
@@ -89,13 +88,6 @@
 	return router.Verdict{Retry: v.Retry, Wait: v.Wait, After: v.After}
 }
 
-func loadOf(now time.Time, m *wirepb.Load) chooser.Load {
-	return chooser.Load{
-		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
-		At: now.Add(-time.Duration(m.GetAge()) * time.Millisecond),
-	}
-}
-
 var outcomes = map[router.Outcome]retrier.Outcome{
 	router.Whole:       retrier.Whole,
 	router.Refused:     retrier.NotRun,
--- a/internal/locator/commands.go
+++ b/internal/locator/commands.go
@@ -26,7 +26,7 @@
 	if _, ok := l.members[m.Name]; ok {
 		return
 	}
-	l.members[m.Name] = registration{member: m}
+	l.members[m.Name] = watcher.Registration{Member: m}
 	l.addrs[m.Addr] = m.Name
 	l.view.Register(l.now(), m, 1)
 }
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -56,17 +56,12 @@
 
 	mu      sync.Mutex
 	view    *watcher.View
-	members map[string]registration // by full instance name
-	addrs   map[string]string       // address to full instance name
+	members map[string]watcher.Registration // by full instance name
+	addrs   map[string]string               // address to full instance name
 	rows    []storer.Instance
 	ready   bool // the registrations were listed once
 }
 
-type registration struct {
-	member  watcher.Member
-	version uint64
-}
-
 // Option configures a locator.
 type Option func(*Locator)
 
@@ -85,7 +80,7 @@
 		log:      zerolog.Nop(),
 		now:      time.Now,
 		view:     watcher.New(),
-		members:  make(map[string]registration),
+		members:  make(map[string]watcher.Registration),
 		addrs:    make(map[string]string),
 	}
 	for _, opt := range opts {
@@ -148,6 +143,9 @@
 		} else {
 			after, err = l.watchOnce(ctx, after)
 		}
+		if err != nil {
+			after = 0 // changes may be missed, so list again
+		}
 		if err != nil && ctx.Err() == nil {
 			l.log.Warn().Err(err).Msg("registrations not read")
 			sleep(ctx, retryInterval)
@@ -164,14 +162,34 @@
 		return 0, fmt.Errorf("list registrations: %w", err)
 	}
 	after := uint64(1)
+	var list []watcher.Registration
 	for _, item := range items {
-		l.apply(item)
 		after = max(after, item.Version)
+		m, err := watcher.ParseMember(item.Body)
+		if err != nil {
+			l.log.Warn().Str("key", item.Key).Err(err).Msg("registration ignored")
+			continue
+		}
+		list = append(list, watcher.Registration{Member: m, Version: item.Version})
 	}
+	l.replace(list)
+	return after, nil
+}
+
+// replace takes over a listing of all registrations, after a start or a watch
+// that may have missed changes.
+func (l *Locator) replace(list []watcher.Registration) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.members)
+	clear(l.addrs)
+	for _, r := range list {
+		l.members[r.Member.Name] = r
+		l.addrs[r.Member.Addr] = r.Member.Name
+	}
+	l.view.Sync(l.now(), list)
 	l.ready = true
-	l.mu.Unlock()
-	return after, nil
+	l.relist()
 }
 
 func (l *Locator) watchOnce(ctx context.Context, after uint64) (uint64, error) {
@@ -194,18 +212,18 @@
 		l.view.Remove(name, item.Version)
 		if r, ok := l.members[name]; ok {
 			delete(l.members, name)
-			if l.addrs[r.member.Addr] == name {
-				delete(l.addrs, r.member.Addr)
+			if l.addrs[r.Member.Addr] == name {
+				delete(l.addrs, r.Member.Addr)
 			}
 		}
 		return
 	}
-	m, err := checker.Decode[watcher.Member](item.Body)
+	m, err := watcher.ParseMember(item.Body)
 	if err != nil {
 		l.log.Warn().Str("key", item.Key).Err(err).Msg("registration ignored")
 		return
 	}
-	l.members[m.Name] = registration{member: m, version: item.Version}
+	l.members[m.Name] = watcher.Registration{Member: m, Version: item.Version}
 	l.addrs[m.Addr] = m.Name
 	l.view.Register(l.now(), m, item.Version)
 	l.relist()
@@ -236,10 +254,10 @@
 	if l.rows == nil {
 		return
 	}
-	newest := make(map[string]registration)
+	newest := make(map[string]watcher.Registration)
 	for _, r := range l.members {
-		base := watcher.Base(r.member.Name)
-		if known, ok := newest[base]; !ok || r.version > known.version {
+		base := watcher.Base(r.Member.Name)
+		if known, ok := newest[base]; !ok || r.Version > known.Version {
 			newest[base] = r
 		}
 	}
@@ -247,7 +265,7 @@
 	for _, row := range l.rows {
 		name := row.Name
 		if r, ok := newest[name]; ok {
-			name = r.member.Name
+			name = r.Member.Name
 		}
 		listed = append(listed, watcher.Listed{
 			Name: name, Role: row.Role, Centre: row.Centre, Region: row.Region, Addr: row.Addr, State: string(row.State),
--- a/internal/locator/queries.go
+++ b/internal/locator/queries.go
@@ -42,8 +42,8 @@
 	defer l.mu.Unlock()
 	var list []watcher.Member
 	for _, r := range l.members {
-		if r.member.Role == role {
-			list = append(list, r.member)
+		if r.Member.Role == role {
+			list = append(list, r.Member)
 		}
 	}
 	return list
