Use a connection per request to the target

TestRefused failed once in a loaded run: it expects a refusal after the engine stopped, but the request can go to a kept connection that is being closed, and after EOF the side cannot tell whether it ran. The target is on the same machine, so a connection per request costs little and makes a stopped target a certain refusal; it also rules out repeats by net/http.

--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -98,11 +98,7 @@
 	if err != nil {
 		return result{err: err}, false
 	}
-	client := s.pooled
-	if run.GetClaim() != "" {
-		client = s.single
-	}
-	res, err := client.Do(req)
+	res, err := s.single.Do(req)
 	if err != nil {
 		return result{err: cause(ctx, err)}, sent.Load()
 	}
@@ -138,6 +134,9 @@
 	return err
 }
 
+// newClient returns a client without redirects. A single client makes a
+// connection per call: on a kept connection net/http may repeat a call, and one
+// that the target just closed leaves open whether the call ran.
 func newClient(single bool) *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -63,8 +63,8 @@
 	holders  Holders
 	log      zerolog.Logger
 	spans    Spans
-	pooled   *http.Client // for requests that may be repeated
-	single   *http.Client // for claims: a connection per call, because net/http repeats calls on reused connections
+	pooled   *http.Client // for load, resumption and cancellation
+	single   *http.Client // for requests of routers: a connection per call, see newClient
 	desk     *desk
 
 	work  sync.WaitGroup // running requests and charges on their way
--- a/internal/executor/standin_test.go
+++ b/internal/executor/standin_test.go
@@ -256,3 +256,29 @@
 		}
 	}
 }
+
+// Guards against a request that may have run for all the side knows, because it
+// was written to a kept connection that the stopped engine had closed.
+func TestClosedConnection(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.cfg.Target = Target{URL: "http://127.0.0.1:1", Name: "engine", Kind: Model, Model: "m"}
+	side, err := New(f.cfg, &platform{}, &platform{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer side.desk.stop()
+	for i := range 20 {
+		srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		side.cfg.Target.URL = srv.URL
+		run := runFrame(1, 10).GetRun()
+		j := newJob(t.Context(), "q", run, time.Now().Add(time.Minute), 1000)
+		if _, sent := side.send(t.Context(), j, run); !sent {
+			t.Fatal("first request was not sent")
+		}
+		srv.Close()
+		if res, sent := side.send(t.Context(), j, run); sent || res.err == nil {
+			t.Fatalf("request %d after the end of the engine: sent = %v, err = %v", i, sent, res.err)
+		}
+	}
+}
