--- a/internal/budgeter/queries.go
+++ b/internal/budgeter/queries.go
@@ -67,12 +67,15 @@
 	if _, ok := sh.object.Budgets[r.Budget].Grants[r.Holder]; !ok {
 		return true
 	}
+	if sh.object.Settled(r.Holder, r.Number) {
+		return true
+	}
 	f := sh.former[r.Holder]
-	if f != nil && f.complete {
-		_, open := f.open[r.Number]
-		return !open
+	if f == nil || !f.complete {
+		return false
 	}
-	return sh.object.Settled(r.Holder, r.Number)
+	_, open := f.open[r.Number]
+	return !open
 }
 
 // charged reports whether a key was charged in the object's window or is charged
@@ -99,10 +102,10 @@
 // replayed reports whether the journals of all given instances are folded. Each
 // of them can contain charges on the grants of another one, so that no grant is
 // lowered or closed before.
-func (sh *shard) replayed(instances []string, p *proposal) bool {
+func (sh *shard) replayed(instances []string) bool {
 	for _, name := range instances {
 		f := sh.former[name]
-		if f == nil || !f.stored && !slices.Contains(p.folds, name) {
+		if f == nil || !f.stored {
 			return false
 		}
 	}
--- a/internal/budgeter/types.go
+++ b/internal/budgeter/types.go
@@ -20,7 +20,8 @@
 // and calls Propose, writes the proposal by conditional update and reports Stored
 // or Failed; on a conflict it reads and proposes again. At most one update per
 // shard is pending. Platform reports an outage and its end, Stop the loss of the
-// journal, and Tick is called at least once a second.
+// journal, and Tick is called at least once a second. Actions are carried out in
+// order. After Fenced or Stop the instance continues under a new incarnation.
 package budgeter
 
 import (
@@ -210,6 +211,7 @@
 	next    uint64 // number of the next reservation
 	seq     uint64 // last durable record
 	down    bool
+	stopped bool // the journal is lost, so that no shard can be held any more
 	out     []Action
 }
 
@@ -280,6 +282,7 @@
 	complete bool // all sides have answered
 	open     map[uint64]Reservation
 	done     map[uint64]bool // concluded here
+	late     []Charge        // reported before the fold was stored
 }
 
 // proposal is what the pending update contains.
