--- a/internal/recoverer/fleet_test.go
+++ b/internal/recoverer/fleet_test.go
@@ -280,6 +280,10 @@
 			for _, name := range a.Former {
 				f.recover(e, name, []int{a.Shard})
 			}
+		case budgeter.Left: // a later hold recovers again
+			maps.DeleteFunc(e.recoveries, func(key string, _ *recoverer.Recovery) bool {
+				return strings.HasSuffix(key, fmt.Sprint([]int{a.Shard}))
+			})
 		case budgeter.Fenced:
 			e.j.Stop()
 		case budgeter.Closed:
