Recover holders that die during a hand-over, make the settle delay a setting

Cause: grants of an instance that was handing over a shard were not in the list of former holders, so they stayed withheld if it died before the end. Held shards are checked for such grants every 3 s.

The tests of sides keep their 3 s until a side settles by itself; the default is 12 s.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -86,8 +86,8 @@
 	if c := a.Unbilled("h1"); len(c) != 1 || c[0].Tokens != 10 {
 		t.Errorf("unbilled = %v, want 10 tokens", c)
 	}
-	wantActions(t, "early", a.Tick(start.Add(settleDelay-1)))
-	wantActions(t, "due", a.Tick(start.Add(settleDelay)), "q1 settle")
+	wantActions(t, "early", a.Tick(start.Add(SettleDelay-1)))
+	wantActions(t, "due", a.Tick(start.Add(SettleDelay)), "q1 settle")
 	wantActions(t, "on its way", a.Tick(start.Add(time.Minute)))
 	a.SettleFailed(start, "q1")
 	wantActions(t, "first retry", a.Tick(start.Add(settleInterval)), "q1 settle")
--- a/internal/admitter/commands.go
+++ b/internal/admitter/commands.go
@@ -84,7 +84,7 @@
 		tokens := min(used.Prompt+used.Output, j.Reservation.Tokens)
 		a.unbilled[id] = &unbilled{
 			Charge:   Charge{ID: id, Reservation: j.Reservation, Key: j.Key, Tokens: tokens},
-			due:      now.Add(settleDelay),
+			due:      now.Add(a.limits.Settle),
 			interval: settleInterval,
 		}
 	}
--- a/internal/admitter/types.go
+++ b/internal/admitter/types.go
@@ -40,10 +40,11 @@
 	Unregistered Reason = "unregistered" // the side has not registered yet
 )
 
+// SettleDelay is longer than the longest flush interval of a journal, after which
+// the router reports that the charge is durable.
+const SettleDelay = 12 * time.Second
+
 const (
-	// settleDelay is longer than the longest flush interval of a journal, after
-	// which the router reports that the charge is durable.
-	settleDelay    = 12 * time.Second
 	settleInterval = time.Second
 	maxInterval    = 30 * time.Second
 	recallPeriod   = 10 * time.Minute
@@ -117,6 +118,9 @@
 type Limits struct {
 	Slots int // requests that run at the same time, until the target reports its own number
 	Queue int // requests that may wait
+	// Settle is the time after which the side delivers a charge by itself, 0 takes
+	// [SettleDelay].
+	Settle time.Duration
 }
 
 // Action is one of Start, Refuse, Stop and Settle.
@@ -177,6 +181,9 @@
 
 // New returns an admitter that refuses all work until Register.
 func New(limits Limits) *Admitter {
+	if limits.Settle == 0 {
+		limits.Settle = SettleDelay
+	}
 	return &Admitter{
 		limits:   limits,
 		closed:   make(map[string]struct{}),
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -155,6 +155,7 @@
 	f.cfg.Platform, f.cfg.Name, f.cfg.Centre, f.cfg.Region = "http://127.0.0.1:1", "side-1", "a", "r"
 	f.cfg.TLS.Plain = true
 	f.cfg.Limits.Slots, f.cfg.Limits.Flush = 1, loader.Duration(waitLimit)
+	f.cfg.Limits.Settle = loader.Duration(3 * time.Second)
 	f.pool = f.newPool()
 	return f
 }
--- a/internal/executor/settings.go
+++ b/internal/executor/settings.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"daisylane/internal/admitter"
 	"daisylane/internal/checker"
 	"daisylane/internal/loader"
 	"daisylane/internal/logger"
@@ -50,6 +51,7 @@
 	Buffer   int             `toml:"buffer"`   // kept bytes per answer
 	Deadline loader.Duration `toml:"deadline"` // longest time of a request
 	Flush    loader.Duration `toml:"flush"`    // time for the delivery of charges at a stop
+	Settle   loader.Duration `toml:"settle"`   // time after which the side delivers a charge by itself
 }
 
 // TLSFiles are PEM files for mutual TLS. Plain must be set to run without them.
@@ -72,6 +74,7 @@
 			Buffer:   16 << 20,
 			Deadline: loader.Duration(10 * time.Minute),
 			Flush:    loader.Duration(30 * time.Second),
+			Settle:   loader.Duration(admitter.SettleDelay),
 		},
 	}
 }
@@ -113,6 +116,7 @@
 	checker.Range(&f, "buffer", l.Buffer, 64<<10, 256<<20)
 	checker.Range(&f, "deadline", l.Deadline.Std(), time.Second, time.Hour)
 	checker.Range(&f, "flush", l.Flush.Std(), 0, time.Hour)
+	checker.Range(&f, "settle", l.Settle.Std(), time.Second, time.Minute)
 	return f.Err()
 }
 
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -23,7 +23,9 @@
 	progressInterval = time.Second
 	tickInterval     = 100 * time.Millisecond
 	loadInterval     = time.Second
-	closureInterval  = 5 * time.Second
+	// A successor asks each registered side by itself. The poll only covers closures
+	// whose request got lost, and each costs the platform a call.
+	closureInterval  = time.Minute
 	registerInterval = time.Second
 	platformTimeout  = 5 * time.Second
 	settleTimeout    = 15 * time.Second // covers the longest flush interval of a journal
@@ -101,7 +103,7 @@
 		spans:    noSpans{},
 		pooled:   newClient(false),
 		single:   newClient(true),
-		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue}),
+		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue, Settle: cfg.Limits.Settle.Std()}),
 		jobs:     make(map[string]*job),
 	}
 	for _, opt := range opts {
--- a/internal/holder/actions.go
+++ b/internal/holder/actions.go
@@ -46,7 +46,11 @@
 			k.closed(now, a)
 		case budgeter.Left:
 			k.h.log.Info().Int("shard", a.Shard).Msg("shard handed over")
+			k.forgetTakeovers(a.Shard)
 			k.finishStop(now)
+		case budgeter.Fenced:
+			k.journal.Stop()
+			k.lost(journaler.Stop{})
 		}
 	}
 }
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -17,6 +17,8 @@
 const (
 	// redirectTime is how long the answer to a lookup of a holder is reused.
 	redirectTime = 500 * time.Millisecond
+	// checkInterval is how often grants of other instances are checked.
+	checkInterval = 3 * time.Second
 	// maxReservations bounds the request ids that are kept to answer repeated calls.
 	maxReservations = 100_000
 )
@@ -40,10 +42,11 @@
 	takeovers map[takeoverKey]*takeover
 	claims    *claims
 
-	up       bool // whether the platform answered last
-	foldedAt time.Time
-	stopping *handOver
-	sealing  bool
+	up        bool // whether the platform answered last
+	foldedAt  time.Time
+	checkedAt time.Time // last look for grants of dead holders
+	stopping  *handOver
+	sealing   bool
 }
 
 type reservationKey struct {
@@ -79,6 +82,7 @@
 		claims:    newClaims(h.cfg.Instance),
 		up:        true,
 		foldedAt:  time.Now(),
+		checkedAt: time.Now(),
 	}
 }
 
@@ -116,6 +120,10 @@
 		k.claimsRead(now, m)
 	case claimsFolded:
 		k.claimsFolded(now, m)
+	case holderLost:
+		if k.budgets.Holds(m.key.shard) {
+			k.takeOver(now, m.key.shard, m.key.instance)
+		}
 	case regionsAsked:
 		k.carryOut(now, k.budgets.Asked(m.shard, m.budget))
 	case takeoverResult:
@@ -258,6 +266,10 @@
 		t.tick(now)
 	}
 	k.claimActions(now, k.claims.state.Tick(now))
+	if now.Sub(k.checkedAt) >= checkInterval {
+		k.checkedAt = now
+		k.checkGrants()
+	}
 	if now.Sub(k.foldedAt) >= k.h.cfg.Fold || k.journal.Crowded() && now.Sub(k.foldedAt) >= time.Second {
 		k.foldedAt = now
 		k.fold(now)
--- a/internal/holder/messages.go
+++ b/internal/holder/messages.go
@@ -84,6 +84,8 @@
 		object claimer.Object
 		err    error
 	}
+	// holderLost says that a former holder with grants of a shard does not answer.
+	holderLost struct{ key takeoverKey }
 	// regionsAsked says that all other regions answered a request for tokens.
 	regionsAsked struct {
 		shard  int
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -72,6 +72,39 @@
 	}
 }
 
+// forgetTakeovers drops the recoveries of a shard that is handed over.
+func (k *keeper) forgetTakeovers(shard int) {
+	for key := range k.takeovers {
+		if key.shard == shard {
+			delete(k.takeovers, key)
+		}
+	}
+}
+
+// checkGrants looks for instances that have grants of a held shard without holding
+// it: former holders that died while they handed it over.
+func (k *keeper) checkGrants() {
+	suspects := make(map[takeoverKey]bool)
+	for _, shard := range k.budgets.Shards() {
+		for _, b := range k.budgets.Object(shard).Budgets {
+			for name, g := range b.Grants {
+				key := takeoverKey{name, shard}
+				if name != k.h.cfg.Instance && g.Region == k.h.cfg.Region && k.takeovers[key] == nil {
+					suspects[key] = true
+				}
+			}
+		}
+	}
+	for key := range suspects {
+		k.h.effect(func(ctx context.Context) any {
+			if _, ok := k.h.alive(ctx, key.instance); ok {
+				return nil
+			}
+			return holderLost{key}
+		})
+	}
+}
+
 func (k *keeper) closed(now time.Time, a budgeter.Closed) {
 	if t := k.takeovers[takeoverKey{a.Instance, a.Shard}]; t != nil {
 		t.carryOut(now, t.recovery.Closed(a.Shard))
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -187,9 +187,13 @@
 // restarted.
 const reasonUnknown = "unknown"
 
+// reasonDuplicate is the refusal of a side that knows the request already, so
+// that an earlier message may have started it.
+const reasonDuplicate = "duplicate"
+
 func (a *attempt) takeRefusal(m *wirepb.Refused) error {
 	a.load = m.GetLoad()
-	if m.GetReason() == reasonUnknown {
+	if m.GetReason() == reasonUnknown || m.GetReason() == reasonDuplicate {
 		return fmt.Errorf("%w: %s", errUnknown, m.GetText())
 	}
 	a.refused = &connector.RefusedError{
