Keep the bundle in sides too, one TLS implementation for all processes

Sides adopt bundles from the entries and refuse requests of accounts that the bundle in force gives no right to their target, unless the router decided by a newer version. The TLS code of the sides is replaced by package credentialer, which also checks the role in the certificate.

--- a/internal/bundler/queries.go
+++ b/internal/bundler/queries.go
@@ -49,11 +49,13 @@
 	x := &Index{
 		bundle:  b,
 		keys:    make(map[string]int32, len(b.Accounts)),
+		names:   make(map[string]int32, len(b.Accounts)),
 		budgets: make(map[string]int32, len(b.Budgets)),
 		targets: make(map[string]int32, len(b.Targets)),
 		models:  make(map[string][]Target),
 	}
 	for i, a := range b.Accounts {
+		x.names[a.Name] = int32(i)
 		for _, key := range a.Keys {
 			x.keys[key] = int32(i)
 		}
@@ -82,6 +84,15 @@
 	return x.bundle.Accounts[i], true
 }
 
+// Account returns the account with this name.
+func (x *Index) Account(name string) (Account, bool) {
+	i, ok := x.names[name]
+	if !ok {
+		return Account{}, false
+	}
+	return x.bundle.Accounts[i], true
+}
+
 // Target returns the target with this name.
 func (x *Index) Target(name string) (Target, bool) {
 	i, ok := x.targets[name]
--- a/internal/bundler/types.go
+++ b/internal/bundler/types.go
@@ -88,6 +88,7 @@
 type Index struct {
 	bundle  Bundle
 	keys    map[string]int32 // key hash to account
+	names   map[string]int32 // account name to account
 	budgets map[string]int32
 	targets map[string]int32
 	models  map[string][]Target
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -38,6 +38,9 @@
 	connector.Answer(srv, s.onDrain)
 	connector.Answer(srv, s.onStatus)
 	connector.Answer(srv, s.onExplain)
+	if s.handlers != nil {
+		s.handlers(srv)
+	}
 }
 
 func (s *Side) onRun(ctx context.Context, st *connector.Stream, f *wirepb.Frame, m *wirepb.Run) error {
@@ -46,6 +49,9 @@
 	if text := s.malformed(id, m); text != "" {
 		return st.Refuse(f, &connector.RefusedError{Reason: reasonBody, Text: text})
 	}
+	if s.rights != nil && !s.rights.Allows(m.GetAccount(), s.cfg.Target.Name, m.GetBundle()) {
+		return st.Refuse(f, &connector.RefusedError{Reason: reasonRight, Text: "the account may not use this target"})
+	}
 	allowed := min(time.Duration(min(m.GetDeadline(), uint64(time.Hour.Milliseconds())))*time.Millisecond, s.cfg.Limits.Deadline.Std())
 	deadline := now.Add(allowed)
 	j := newJob(tracer.Extract(context.Background(), f.GetTrace()), id, m, deadline, s.cfg.Limits.Buffer)
@@ -229,6 +235,7 @@
 type Status struct {
 	Instance   string        `json:"instance"`
 	Role       string        `json:"role"`
+	Bundle     uint64        `json:"bundle"` // version in force, 0 if the side keeps none
 	Target     string        `json:"target"`
 	Model      string        `json:"model,omitempty"`
 	Registered bool          `json:"registered"`
@@ -242,6 +249,9 @@
 // Status returns the state of the side.
 func (s *Side) Status() Status {
 	st := Status{Instance: s.instance, Role: "side", Target: s.cfg.Target.Name, Model: s.cfg.Target.Model}
+	if b, ok := s.rights.(*Bundle); ok {
+		st.Bundle = b.Version()
+	}
 	s.desk.decide(func(a *admitter.Admitter) {
 		st.Registered, st.Draining, st.Load = a.Registered(), a.Draining(), a.Load()
 		st.Unbilled, st.Closed = len(a.Unbilled("")), a.ClosedHolders()
--- a/internal/executor/main.go
+++ b/internal/executor/main.go
@@ -12,6 +12,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"daisylane/internal/connector"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/loader"
 	"daisylane/internal/logger"
 	"daisylane/internal/storer"
@@ -85,13 +86,26 @@
 		defer cancel()
 		_ = spans.Shutdown(ctx)
 	}()
-	registry := NewPlatformRegistry(storer.New(cfg.Platform, storer.WithName(instance)))
-	pool, err := cfg.pool(instance)
+	credentials, err := cfg.TLS.Load()
 	if err != nil {
-		return err
+		return fmt.Errorf("load TLS files: %w", err)
 	}
+	platform := storer.New(cfg.Platform, storer.WithName(instance))
+	registry := NewPlatformRegistry(platform)
+	pool := cfg.pool(instance, credentials)
 	defer pool.Close()
-	side, err := New(cfg, registry, NewRemote(pool, registry), WithInstance(instance), WithLogger(log), WithTracer(spans))
+	opts := []Option{WithInstance(instance), WithLogger(log), WithTracer(spans)}
+	if len(cfg.Trust) > 0 {
+		bundle, err := NewBundle(cfg, instance, pool, platform, log)
+		if err != nil {
+			return err
+		}
+		inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		defer cancel()
+		go bundle.Run(inner)
+		opts = append(opts, WithRights(bundle), WithHandlers(bundle.Register))
+	}
+	side, err := New(cfg, registry, NewRemote(pool, registry), opts...)
 	if err != nil {
 		return err
 	}
@@ -102,14 +116,10 @@
 	return side.Serve(ctx, ln)
 }
 
-func (s Settings) pool(instance string) (*connector.Pool, error) {
+func (s Settings) pool(instance string, credentials *credentialer.Credentials) *connector.Pool {
 	var opts []connector.PoolOption
-	if !s.TLS.Plain {
-		client, err := s.TLS.Client()
-		if err != nil {
-			return nil, fmt.Errorf("load TLS files: %w", err)
-		}
-		opts = append(opts, connector.WithClientTLS(client))
+	if credentials != nil {
+		opts = append(opts, connector.WithClientTLS(credentials.Client(watcher.Entry, watcher.Side)))
 	}
-	return connector.NewPool(s.identity(instance), opts...), nil
+	return connector.NewPool(s.identity(instance), opts...)
 }
--- a/internal/executor/settings.go
+++ b/internal/executor/settings.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"daisylane/internal/admitter"
+	"daisylane/internal/bundler"
 	"daisylane/internal/checker"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/loader"
 	"daisylane/internal/logger"
 	"daisylane/internal/tracer"
@@ -22,17 +24,18 @@
 
 // Settings of a side.
 type Settings struct {
-	Listen    string        `toml:"listen"`    // address for routers
-	Advertise string        `toml:"advertise"` // address in the registration, empty: the listening address
-	Platform  string        `toml:"platform"`  // URL of the platform
-	Name      string        `toml:"name"`
-	Centre    string        `toml:"centre"`
-	Region    string        `toml:"region"`
-	Target    Target        `toml:"target"`
-	Limits    Limits        `toml:"limits"`
-	TLS       TLSFiles      `toml:"tls"`
-	Level     string        `toml:"level"` // of the log
-	Trace     tracer.Config `toml:"trace"`
+	Listen    string                `toml:"listen"`    // address for routers
+	Advertise string                `toml:"advertise"` // address in the registration, empty: the listening address
+	Platform  string                `toml:"platform"`  // URL of the platform
+	Name      string                `toml:"name"`
+	Centre    string                `toml:"centre"`
+	Region    string                `toml:"region"`
+	Target    Target                `toml:"target"`
+	Limits    Limits                `toml:"limits"`
+	TLS       credentialer.Settings `toml:"tls"`
+	Trust     map[string]string     `toml:"trust"` // public key in base64 by operator, empty: the side checks no rights
+	Level     string                `toml:"level"` // of the log
+	Trace     tracer.Config         `toml:"trace"`
 }
 
 // Target is the back end of a side.
@@ -54,14 +57,6 @@
 	Settle   loader.Duration `toml:"settle"`   // time after which the side delivers a charge by itself
 }
 
-// TLSFiles are PEM files for mutual TLS. Plain must be set to run without them.
-type TLSFiles struct {
-	Cert  string `toml:"cert"`
-	Key   string `toml:"key"`
-	CA    string `toml:"ca"`
-	Plain bool   `toml:"plain"`
-}
-
 // Defaults returns the settings that a file may leave out.
 func Defaults() Settings {
 	return Settings{
@@ -79,6 +74,14 @@
 	}
 }
 
+// address is where other processes reach the side.
+func (s Settings) address() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Listen
+}
+
 // Check validates the settings.
 func (s Settings) Check() error {
 	var f checker.Faults
@@ -93,6 +96,8 @@
 	f.Within("target", s.Target.Check())
 	f.Within("limits", s.Limits.Check())
 	f.Within("tls", s.TLS.Check())
+	_, err := bundler.ParseTrust(s.Trust)
+	f.Within("trust", err)
 	f.Require(slices.Contains(logger.Levels, s.Level), "level", "is %q, allowed is %s", s.Level, strings.Join(logger.Levels, ", "))
 	f.Within("trace", s.Trace.Check())
 	return f.Err()
@@ -120,17 +125,6 @@
 	return f.Err()
 }
 
-// Check requires all files, or plain and none.
-func (t TLSFiles) Check() error {
-	var f checker.Faults
-	files := []struct{ key, name string }{{"cert", t.Cert}, {"key", t.Key}, {"ca", t.CA}}
-	for _, file := range files {
-		f.Require(t.Plain || file.name != "", file.key, "is empty, set cert, key and ca, or plain to run without TLS")
-		f.Require(!t.Plain || file.name == "", file.key, "is set although plain is set, remove one of them")
-	}
-	return f.Err()
-}
-
 func checkAddress(f *checker.Faults, key, addr string) {
 	_, _, err := net.SplitHostPort(addr)
 	f.Require(err == nil, key, "is %q, want host:port", addr)
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -15,10 +15,14 @@
 
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
+// roleOperator is the organizational unit in an operator's certificate.
+const roleOperator = "operator"
+
 const (
 	progressInterval = time.Second
 	tickInterval     = 100 * time.Millisecond
@@ -68,6 +72,8 @@
 	pooled   *http.Client // for load, resumption and cancellation
 	single   *http.Client // for requests of routers: a connection per call, see newClient
 	desk     *desk
+	rights   Rights // nil: no check
+	handlers func(*connector.Server)
 
 	work  sync.WaitGroup // running requests and charges on their way
 	reads atomic.Int64   // streams that read an answer
@@ -181,12 +187,14 @@
 	opts := []connector.ServerOption{connector.WithFailure(func(peer string, err error) {
 		s.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
 	})}
-	if !s.cfg.TLS.Plain {
-		cfg, err := s.cfg.TLS.server()
-		if err != nil {
-			return nil, fmt.Errorf("load TLS files: %w", err)
-		}
-		opts = append(opts, connector.WithServerTLS(cfg))
+	credentials, err := s.cfg.TLS.Load(credentialer.WithFailure(func(err error) {
+		s.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("load TLS files: %w", err)
+	}
+	if credentials != nil {
+		opts = append(opts, connector.WithServerTLS(credentials.Server(watcher.Entry, roleOperator)))
 	}
 	srv := connector.NewServer(s.cfg.identity(s.instance), opts...)
 	s.handle(srv)
--- a/internal/executor/tls_test.go
+++ b/internal/executor/tls_test.go
@@ -16,11 +16,13 @@
 	"github.com/pkg/errors"
 
 	"daisylane/internal/connector"
+	"daisylane/internal/credentialer"
+	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
 // writeFiles creates an authority and a certificate that it signed.
-func writeFiles(t *testing.T, dir string) TLSFiles {
+func writeFiles(t *testing.T, dir string) credentialer.Settings {
 	t.Helper()
 	key := newKey(t)
 	authority := &x509.Certificate{
@@ -29,10 +31,10 @@
 	}
 	own := newKey(t)
 	leaf := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "process"}, NotAfter: time.Now().Add(time.Hour),
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "process", OrganizationalUnit: []string{watcher.Entry, watcher.Side}}, NotAfter: time.Now().Add(time.Hour),
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
-	files := TLSFiles{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), CA: filepath.Join(dir, "ca")}
+	files := credentialer.Settings{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), CA: filepath.Join(dir, "ca")}
 	raw, err := x509.MarshalECPrivateKey(own)
 	if err != nil {
 		t.Fatal(err)
@@ -73,13 +75,14 @@
 	f.cfg.TLS = writeFiles(t, t.TempDir())
 	f.cfg.Target = Target{URL: e.URL, Name: "engine", Kind: Model, Model: "m"}
 	f.start(&platform{}, &platform{})
-	call := func(files TLSFiles) error {
+	call := func(files credentialer.Settings) error {
 		cfg := f.cfg
 		cfg.TLS = files
-		pool, err := cfg.pool("router")
+		credentials, err := files.Load()
 		if err != nil {
 			t.Fatal(err)
 		}
+		pool := cfg.pool("router", credentials)
 		defer pool.Close()
 		_, err = connector.Call[*wirepb.Report](t.Context(), pool, f.addr, "s", &wirepb.Status{})
 		return err
@@ -87,7 +90,7 @@
 	if err := call(f.cfg.TLS); err != nil {
 		t.Errorf("same authority: %v", err)
 	}
-	for name, files := range map[string]TLSFiles{"foreign": writeFiles(t, t.TempDir()), "plain": {Plain: true}} {
+	for name, files := range map[string]credentialer.Settings{"foreign": writeFiles(t, t.TempDir()), "plain": {Plain: true}} {
 		if err := call(files); !errors.Is(err, connector.ErrDial) {
 			t.Errorf("%s: err = %v, want ErrDial", name, err)
 		}
--- a/internal/launcher/fixture_test.go
+++ b/internal/launcher/fixture_test.go
@@ -228,6 +228,7 @@
 	settings.Platform, settings.Listen = f.platform.URL, freeAddr(f.t)
 	settings.Target, settings.Target.URL = cfg, backend.URL
 	settings.TLS.Plain = true
+	settings.Trust = map[string]string{"operator": base64.StdEncoding.EncodeToString(f.public)}
 	f.list(name, "side", settings.Listen)
 	return f.run(func(ctx context.Context) error { return executor.Run(ctx, settings, f.logs) })
 }
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -164,14 +164,10 @@
 }
 
 func (p *process) loadCredentials() error {
-	if p.cfg.TLS.Plain {
-		return nil
-	}
 	var err error
-	p.credentials, err = credentialer.New(credentialer.Files{Cert: p.cfg.TLS.Cert, Key: p.cfg.TLS.Key, CA: p.cfg.TLS.CA},
-		credentialer.WithFailure(func(err error) {
-			p.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
-		}))
+	p.credentials, err = p.cfg.TLS.Load(credentialer.WithFailure(func(err error) {
+		p.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
+	}))
 	return err
 }
 
@@ -196,7 +192,8 @@
 func (p *process) route(context.Context, io.Writer) error {
 	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), newFleet(p.members), p.pool, p.bundles.Index,
 		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithTracer(p.trace),
-		router.WithLimits(p.gate), router.WithRecords(p.records))
+		router.WithLimits(p.gate), router.WithRecords(p.records),
+		router.WithVersion(func() uint64 { return p.bundles.Head().Version }))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.Handle("/", p.trace.Handler(p.router.Handler(), "caller"))
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -7,6 +7,7 @@
 
 	"daisylane/internal/bundler"
 	"daisylane/internal/checker"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/holder"
 	"daisylane/internal/loader"
 	"daisylane/internal/recoverer"
@@ -15,20 +16,20 @@
 
 // Settings of an entry.
 type Settings struct {
-	Name     string            `toml:"name"`
-	Centre   string            `toml:"centre"`
-	Region   string            `toml:"region"`
-	Regions  []string          `toml:"regions"` // all regions of the deployment
-	Platform string            `toml:"platform"`
-	Level    string            `toml:"level"` // of the log
-	Listen   Listen            `toml:"listen"`
-	Budgets  Budgets           `toml:"budgets"`
-	Limits   Limits            `toml:"limits"`
-	Stop     Stop              `toml:"stop"`
-	Trust    map[string]string `toml:"trust"` // public key in base64 by operator
-	Peers    []Peer            `toml:"peers"` // entries to ask while the platform is down
-	TLS      TLS               `toml:"tls"`
-	Trace    tracer.Config     `toml:"trace"`
+	Name     string                `toml:"name"`
+	Centre   string                `toml:"centre"`
+	Region   string                `toml:"region"`
+	Regions  []string              `toml:"regions"` // all regions of the deployment
+	Platform string                `toml:"platform"`
+	Level    string                `toml:"level"` // of the log
+	Listen   Listen                `toml:"listen"`
+	Budgets  Budgets               `toml:"budgets"`
+	Limits   Limits                `toml:"limits"`
+	Stop     Stop                  `toml:"stop"`
+	Trust    map[string]string     `toml:"trust"` // public key in base64 by operator
+	Peers    []Peer                `toml:"peers"` // entries to ask while the platform is down
+	TLS      credentialer.Settings `toml:"tls"`
+	Trace    tracer.Config         `toml:"trace"`
 }
 
 // Listen has the addresses of an entry.
@@ -69,15 +70,6 @@
 	Region string `toml:"region"`
 }
 
-// TLS names the PEM files for mutual TLS between processes. Plain must be set
-// to run without them.
-type TLS struct {
-	Cert  string `toml:"cert"`
-	Key   string `toml:"key"`
-	CA    string `toml:"ca"`
-	Plain bool   `toml:"plain"`
-}
-
 // Defaults returns the settings that a file may leave out.
 func Defaults() Settings {
 	return Settings{
@@ -110,7 +102,7 @@
 	checker.Range(&f, "stop.notice", s.Stop.Notice.Std(), 0, time.Minute)
 	checker.Range(&f, "stop.grace", s.Stop.Grace.Std(), 0, time.Hour)
 	checker.Range(&f, "stop.flush", s.Stop.Flush.Std(), time.Second, time.Hour)
-	f.Within("tls", s.TLS.check())
+	f.Within("tls", s.TLS.Check())
 	f.Within("trace", s.Trace.Check())
 	return f.Err()
 }
@@ -137,18 +129,6 @@
 	return f.Err()
 }
 
-func (t TLS) check() error {
-	var f checker.Faults
-	if t.Plain {
-		f.Require(t.Cert == "" && t.Key == "" && t.CA == "", "plain", "is set together with files, remove one of them")
-		return f.Err()
-	}
-	f.Require(t.Cert != "", "cert", "is empty, set cert, key and ca, or plain = true to run without TLS")
-	f.Require(t.Key != "", "key", "is empty, set cert, key and ca")
-	f.Require(t.CA != "", "ca", "is empty, set cert, key and ca")
-	return f.Err()
-}
-
 func checkAddress(f *checker.Faults, key, addr string) {
 	_, _, err := net.SplitHostPort(addr)
 	f.Require(err == nil, key, "is %q, want host:port", addr)
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -30,7 +30,9 @@
 		r.record(req.id, "choose", choice.Name, choice.Reason, explainer.Name("scope", choice.Scope), explainer.Int("attempt", int64(n)))
 		a := &attempt{r: r, req: req, choice: choice, answer: assembler.NewAnswer(req.id), out: out}
 		var err error
-		outcome, err = a.start(ctx, j.message(req, reservation))
+		m := j.message(req, reservation)
+		m.Bundle = r.version()
+		outcome, err = a.start(ctx, m)
 		r.recordOutcome(req.id, choice, outcome, err)
 		verdict = r.targets.Done(choice, a.report(outcome, n, j.repeatable))
 		last = a
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -62,6 +62,7 @@
 	pool    *connector.Pool
 	index   func() *bundler.Index
 
+	version func() uint64
 	limits  Limits
 	records Records
 	log     zerolog.Logger
@@ -88,6 +89,10 @@
 // WithTracer sets the tracer of the spans. The default records none.
 func WithTracer(t Tracer) Option { return func(r *Router) { r.tracer = t } }
 
+// WithVersion sets the source of the version of the bundle in force, which goes
+// to the sides with each request.
+func WithVersion(f func() uint64) Option { return func(r *Router) { r.version = f } }
+
 // WithLimits sets the limits per account. The default has none.
 func WithLimits(limits Limits) Option { return func(r *Router) { r.limits = limits } }
 
@@ -99,6 +104,7 @@
 		targets: targets,
 		pool:    pool,
 		index:   index,
+		version: func() uint64 { return 0 },
 		limits:  noLimits{},
 		records: noRecords{},
 		log:     zerolog.Nop(),
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -54,7 +54,7 @@
 side() { # NUMBER TARGET KIND MODEL
   local addr=127.0.0.1:$((base + 400 + $1))
   settings examples/side.toml name="\"side-$1\"" platform="\"$platform\"" listen="\"$addr\"" \
-    url="\"http://127.0.0.1:$((base + 500 + $1))\"" kind="\"$3\"" model="\"$4\"" >"$dir/side-$1.toml"
+    url="\"http://127.0.0.1:$((base + 500 + $1))\"" kind="\"$3\"" model="\"$4\"" operator="\"$public\"" >"$dir/side-$1.toml"
   sed -i "/^\[target\]/,/^\[limits\]/s|^name *= *.*|name = \"$2\"|" "$dir/side-$1.toml"
   instance "side-$1" side "$addr"
   start "side-$1" "$bin/side" --settings "$dir/side-$1.toml"
