--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -119,7 +119,10 @@
 		sh.account(r.Budget).charged += ch.Tokens
 	}
 	sh.charges = append(sh.charges, ch)
-	h.append(entry(journaler.KindCharge, sh.number, ch.Charge), func(now time.Time, seq uint64) {
+	// The release of a former holder's tokens and the hand-over of the shard wait
+	// for the charge.
+	lazy := r.Holder == h.cfg.Instance && !sh.leaving
+	h.append(lazy, entry(journaler.KindCharge, sh.number, ch.Charge), func(now time.Time, seq uint64) {
 		ch.seq = seq
 		for i, t := range ch.waiting {
 			h.emit(Settled{Token: t, Duplicate: ch.duplicate || i > 0})
@@ -199,7 +202,7 @@
 	a.ceiling = a.limit() - amount
 	a.trim = false
 	a.gives = append(a.gives, give{token, amount})
-	h.lower(now, sh, a)
+	h.lower(sh, a)
 	return h.flush()
 }
 
@@ -228,7 +231,7 @@
 	for _, a := range sh.sorted() {
 		h.refuseWaiting(a, func(waiter) bool { return true }, ReasonStopping, "the instance is stopping", shortBack)
 		a.ceiling, a.trim = a.used(), false
-		h.lower(now, sh, a)
+		h.lower(sh, a)
 	}
 	h.update(sh)
 	return h.flush()
@@ -528,7 +531,7 @@
 	for _, a := range sh.sorted() {
 		h.refresh(sh, a, p)
 		if a.stage != stageNone && p.takes[a.budget] {
-			h.advance(now, sh, a)
+			h.advance(sh, a)
 		}
 		h.pursue(now, sh, a)
 	}
@@ -587,7 +590,7 @@
 // others. Without a step that can help, they are refused.
 func (h *Holder) pursue(now time.Time, sh *shard, a *account) {
 	if !sh.held || sh.leaving {
-		h.lower(now, sh, a)
+		h.lower(sh, a)
 		return
 	}
 	a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool {
@@ -609,7 +612,7 @@
 		h.refuseWaiting(a, all, ReasonPlatform, "the platform is not reachable", h.cfg.Back)
 		return
 	}
-	h.lower(now, sh, a)
+	h.lower(sh, a)
 	fits := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.req.Tokens <= a.limit()-a.used() })
 	h.raise(sh, a, fits)
 	if len(a.waiting) == 0 {
@@ -623,7 +626,7 @@
 }
 
 // advance moves on after an update that took what the shard object had.
-func (h *Holder) advance(_ time.Time, sh *shard, a *account) {
+func (h *Holder) advance(sh *shard, a *account) {
 	short := func(w waiter) bool { return w.req.Tokens > a.limit()-a.used() }
 	switch {
 	case a.stage == stageTake && h.cfg.Regions > 1 && slices.ContainsFunc(a.waiting, short):
@@ -654,7 +657,7 @@
 }
 
 // lower brings the mark down to the ceiling and then has the grant trimmed.
-func (h *Holder) lower(_ time.Time, sh *shard, a *account) {
+func (h *Holder) lower(sh *shard, a *account) {
 	if a.ceiling == noCeiling || a.trim || a.marking >= 0 {
 		return
 	}
@@ -670,7 +673,7 @@
 // in the journal is the one that admission relies on.
 func (h *Holder) mark(sh *shard, a *account, value int64) {
 	a.marking = value
-	h.append(entry(journaler.KindMark, sh.number, Mark{Budget: a.budget, Mark: value}), func(now time.Time, _ uint64) {
+	h.append(false, entry(journaler.KindMark, sh.number, Mark{Budget: a.budget, Mark: value}), func(now time.Time, _ uint64) {
 		a.durable, a.marking = value, -1
 		if h.shards[sh.number] == sh {
 			h.pursue(now, sh, a)
@@ -687,10 +690,10 @@
 	h.emit(Update{Shard: sh.number})
 }
 
-func (h *Holder) append(e journaler.Entry, done func(time.Time, uint64)) {
+func (h *Holder) append(lazy bool, e journaler.Entry, done func(time.Time, uint64)) {
 	h.token++
 	h.appends[h.token] = done
-	h.emit(Append{Token: h.token, Entries: []journaler.Entry{e}})
+	h.emit(Append{Token: h.token, Entries: []journaler.Entry{e}, Lazy: lazy})
 }
 
 func (h *Holder) refuse(token Token, reason Reason, text string, after time.Duration) {
--- a/internal/executor/settings.go
+++ b/internal/executor/settings.go
@@ -7,7 +7,10 @@
 	"strings"
 	"time"
 
+	"daisylane/internal/admitter"
+	"daisylane/internal/bundler"
 	"daisylane/internal/checker"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/loader"
 	"daisylane/internal/logger"
 	"daisylane/internal/tracer"
@@ -21,17 +24,18 @@
 
 // Settings of a side.
 type Settings struct {
-	Listen    string        `toml:"listen"`    // address for routers
-	Advertise string        `toml:"advertise"` // address in the registration, empty: the listening address
-	Platform  string        `toml:"platform"`  // URL of the platform
-	Name      string        `toml:"name"`
-	Centre    string        `toml:"centre"`
-	Region    string        `toml:"region"`
-	Target    Target        `toml:"target"`
-	Limits    Limits        `toml:"limits"`
-	TLS       TLSFiles      `toml:"tls"`
-	Level     string        `toml:"level"` // of the log
-	Trace     tracer.Config `toml:"trace"`
+	Listen    string                `toml:"listen"`    // address for routers
+	Advertise string                `toml:"advertise"` // address in the registration, empty: the listening address
+	Platform  string                `toml:"platform"`  // URL of the platform
+	Name      string                `toml:"name"`
+	Centre    string                `toml:"centre"`
+	Region    string                `toml:"region"`
+	Target    Target                `toml:"target"`
+	Limits    Limits                `toml:"limits"`
+	TLS       credentialer.Settings `toml:"tls"`
+	Trust     map[string]string     `toml:"trust"` // public key in base64 by operator, empty: the side checks no rights
+	Level     string                `toml:"level"` // of the log
+	Trace     tracer.Config         `toml:"trace"`
 }
 
 // Target is the back end of a side.
@@ -50,14 +54,7 @@
 	Buffer   int             `toml:"buffer"`   // kept bytes per answer
 	Deadline loader.Duration `toml:"deadline"` // longest time of a request
 	Flush    loader.Duration `toml:"flush"`    // time for the delivery of charges at a stop
-}
-
-// TLSFiles are PEM files for mutual TLS. Plain must be set to run without them.
-type TLSFiles struct {
-	Cert  string `toml:"cert"`
-	Key   string `toml:"key"`
-	CA    string `toml:"ca"`
-	Plain bool   `toml:"plain"`
+	Settle   loader.Duration `toml:"settle"`   // time after which the side delivers a charge by itself
 }
 
 // Defaults returns the settings that a file may leave out.
@@ -72,10 +69,19 @@
 			Buffer:   16 << 20,
 			Deadline: loader.Duration(10 * time.Minute),
 			Flush:    loader.Duration(30 * time.Second),
+			Settle:   loader.Duration(admitter.SettleDelay),
 		},
 	}
 }
 
+// address is where other processes reach the side.
+func (s Settings) address() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Listen
+}
+
 // Check validates the settings.
 func (s Settings) Check() error {
 	var f checker.Faults
@@ -90,6 +96,8 @@
 	f.Within("target", s.Target.Check())
 	f.Within("limits", s.Limits.Check())
 	f.Within("tls", s.TLS.Check())
+	_, err := bundler.ParseTrust(s.Trust)
+	f.Within("trust", err)
 	f.Require(slices.Contains(logger.Levels, s.Level), "level", "is %q, allowed is %s", s.Level, strings.Join(logger.Levels, ", "))
 	f.Within("trace", s.Trace.Check())
 	return f.Err()
@@ -113,17 +121,7 @@
 	checker.Range(&f, "buffer", l.Buffer, 64<<10, 256<<20)
 	checker.Range(&f, "deadline", l.Deadline.Std(), time.Second, time.Hour)
 	checker.Range(&f, "flush", l.Flush.Std(), 0, time.Hour)
-	return f.Err()
-}
-
-// Check requires all files, or plain and none.
-func (t TLSFiles) Check() error {
-	var f checker.Faults
-	files := []struct{ key, name string }{{"cert", t.Cert}, {"key", t.Key}, {"ca", t.CA}}
-	for _, file := range files {
-		f.Require(t.Plain || file.name != "", file.key, "is empty, set cert, key and ca, or plain to run without TLS")
-		f.Require(!t.Plain || file.name == "", file.key, "is set although plain is set, remove one of them")
-	}
+	checker.Range(&f, "settle", l.Settle.Std(), time.Second, time.Minute)
 	return f.Err()
 }
 
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -66,15 +66,28 @@
 	return p, nil
 }
 
+// bundle returns the bundle version in force. A side without trusted keys keeps
+// none.
+func (p process) bundle() (uint64, bool) {
+	if p.entry != nil {
+		return p.entry.Bundle, true
+	}
+	return p.side.Bundle, p.side.Bundle > 0
+}
+
 // highest returns the highest bundle version of all processes.
 func (f fleet) highest() uint64 {
-	var version uint64
+	var highest uint64
 	for _, p := range f.processes {
-		if p.entry != nil {
-			version = max(version, p.entry.Bundle)
-		}
+		version, _ := p.bundle()
+		highest = max(highest, version)
 	}
-	return version
+	return highest
+}
+
+func (p process) behind(highest uint64) bool {
+	version, ok := p.bundle()
+	return ok && version < highest
 }
 
 // state names the stage of a process between its start and its end.
@@ -94,16 +107,16 @@
 	return "serving"
 }
 
-// version returns the bundle version, marked if it is below the highest. Sides
-// have no bundle.
+// version returns the bundle version, marked if it is below the highest.
 func (p process) version(highest uint64) string {
+	version, ok := p.bundle()
 	switch {
-	case p.entry == nil:
+	case !ok:
 		return "-"
-	case p.entry.Bundle < highest:
-		return fmt.Sprintf("%d (behind)", p.entry.Bundle)
+	case p.behind(highest):
+		return fmt.Sprintf("%d (behind)", version)
 	}
-	return fmt.Sprint(p.entry.Bundle)
+	return fmt.Sprint(version)
 }
 
 func (p process) work() string {
--- a/internal/operator/status_print.go
+++ b/internal/operator/status_print.go
@@ -41,9 +41,9 @@
 
 // behind tells how many processes have an older bundle version.
 func (f fleet) behind() string {
-	n := 0
+	n, highest := 0, f.highest()
 	for _, p := range f.processes {
-		if p.entry != nil && p.entry.Bundle < f.highest() {
+		if p.behind(highest) {
 			n++
 		}
 	}
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -56,7 +56,7 @@
 side() { # NUMBER TARGET KIND MODEL
   local addr=127.0.0.1:$((base + 400 + $1))
   settings examples/side.toml name="\"side-$1\"" platform="\"$platform\"" listen="\"$addr\"" \
-    url="\"http://127.0.0.1:$((base + 500 + $1))\"" kind="\"$3\"" model="\"$4\"" >"$dir/side-$1.toml"
+    url="\"http://127.0.0.1:$((base + 500 + $1))\"" kind="\"$3\"" model="\"$4\"" operator="\"$public\"" >"$dir/side-$1.toml"
   sed -i "/^\[target\]/,/^\[limits\]/s|^name *= *.*|name = \"$2\"|" "$dir/side-$1.toml"
   secure "$dir/side-$1.toml" side "side-$1"
   instance "side-$1" side "$addr"
@@ -65,7 +65,7 @@
 entry() { # NUMBER
   local addr=127.0.0.1:$((base + 300 + $1))
   settings examples/entry.toml name="\"entry-$1\"" platform="\"$platform\"" operator="\"$public\"" \
-    http="\"127.0.0.1:$((base + 80 + $1))\"" peer="\"$addr\"" fold='"1s"' notice='"100ms"' >"$dir/entry-$1.toml"
+    http="\"127.0.0.1:$((base + 80 + $1))\"" peer="\"$addr\"" fold='"1s"' flush='"1s"' notice='"100ms"' >"$dir/entry-$1.toml"
   secure "$dir/entry-$1.toml" entry "entry-$1"
   instance "entry-$1" entry "$addr"
   start "entry-$1" "$bin/entry" --settings "$dir/entry-$1.toml"
