Test which roles a side serves

Cause: the test of the side's mutual TLS has no certificate of a role that the side must refuse. The new test calls a side as entry, operator, side and a role that does not exist.

--- a/internal/executor/tls_test.go
+++ b/internal/executor/tls_test.go
@@ -96,3 +96,47 @@
 		}
 	}
 }
+
+// Guards against a side that takes orders from a certificate of any role.
+func TestServerRoles(t *testing.T) {
+	t.Parallel()
+	ca, pair, err := credentialer.NewAuthority("authority", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	issue := func(role string) credentialer.Settings {
+		dir := t.TempDir()
+		files := credentialer.Settings{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), CA: filepath.Join(dir, "ca")}
+		leaf, err := ca.Issue("process", role, time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := leaf.Write(files.Cert, files.Key); err != nil {
+			t.Fatal(err)
+		}
+		writePEM(t, files.CA, "CERTIFICATE", decodePEM(pair.Cert))
+		return files
+	}
+	e := startEngine(t, 1, nil)
+	f := newFixture(t)
+	f.cfg.TLS = issue(watcher.Side)
+	f.cfg.Target = Target{URL: e.URL, Name: "engine", Kind: Model, Model: "m"}
+	f.start(&platform{}, &platform{})
+	for role, ok := range map[string]bool{watcher.Entry: true, roleOperator: true, watcher.Side: false, "other": false} {
+		credentials, err := issue(role).Load()
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool := f.cfg.pool("caller", credentials)
+		_, err = connector.Call[*wirepb.Report](t.Context(), pool, f.addr, "s", &wirepb.Status{})
+		pool.Close()
+		if (err == nil) != ok {
+			t.Errorf("role %s: err = %v, want success %v", role, err, ok)
+		}
+	}
+}
+
+func decodePEM(data []byte) []byte {
+	block, _ := pem.Decode(data)
+	return block.Bytes
+}
