Delete old bundle chunks with bundle prune

Rule: prune lists the chunks with their object versions, then rewrites the head object unchanged, then deletes unneeded chunks by the listed versions. A push refreshes (writes again) each chunk that the version it read does not have, after that read and before it moves the head. A push that read the head before the rewrite cannot move it and starts again; one that read it later has refreshed its chunks after the listing, so the deletes fail. No clock and no bound on pauses is needed, and a crash of either leaves nothing missing.

Ruled out: refreshing chunks and checking them again after the head moved. A prune that is paused before its delete can delete after that check, and a push that crashes before it leaves a head with a missing chunk.

Pushes keep the head that they replace under bundle/past/<version> with the time, because the head object holds only the version in force. Prune keeps the last 100 versions and those of the last 2 days by default.

--- /dev/null
+++ b/internal/operator/bundle_prune.go
@@ -0,0 +1,176 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"daisylane/internal/bundler"
+	"daisylane/internal/storer"
+	"daisylane/internal/syncer"
+)
+
+const (
+	pruneTimeout = 10 * time.Minute
+	// deleteRate leaves most of the platform's writes to the fleet.
+	deleteRate = rate.Limit(50) // per second
+)
+
+// bundlePrune deletes chunks that no kept version needs. It must not delete a
+// chunk that a push in progress reuses, whenever either of them is paused:
+//
+//  1. it lists the chunks with their object versions;
+//  2. it rewrites the head object with the same head, so that each push that
+//     read the head before fails to move it and starts again;
+//  3. it deletes unneeded chunks by the listed versions.
+//
+// A push that read the head after step 2 refreshes all chunks that the head does
+// not have after that read, hence after step 1, and the deletes of these fail. A
+// check of the chunks after the push moved the head would not be enough, because
+// the delete can come after the check. Versions of a key must not repeat, also
+// not after a delete.
+type bundlePrune struct {
+	env  *env
+	Keep int  `long:"keep" default:"100" value-name:"N" description:"versions to keep, with the one in force"`
+	Days int  `long:"days" default:"2" value-name:"N" description:"also keep the versions that were in force in the last N days"`
+	Dry  bool `long:"dry" description:"only print what would be deleted"`
+}
+
+func newBundlePrune(env *env) any { return &bundlePrune{env: env} }
+
+// pruned is the result.
+type pruned struct {
+	Versions int  `json:"versions"` // kept versions
+	Chunks   int  `json:"chunks"`   // kept chunks
+	Deleted  int  `json:"deleted"`  // chunks
+	Heads    int  `json:"heads"`    // deleted records of former versions
+	Changed  int  `json:"changed"`  // objects that were written since they were listed, and stay
+	Dry      bool `json:"dry"`
+}
+
+// Execute implements [flags.Commander].
+func (c *bundlePrune) Execute([]string) error {
+	if c.Keep < 1 || c.Days < 0 {
+		return fmt.Errorf("%w: --keep must be 1 or more, --days 0 or more", errUsage)
+	}
+	p, cfg, err := c.env.platform()
+	if err != nil {
+		return err
+	}
+	trust, err := bundler.ParseTrust(cfg.Trust)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), pruneTimeout)
+	defer cancel()
+	r, err := c.prune(ctx, p, trust)
+	if err != nil {
+		return fmt.Errorf("prune: %w; repeat the command", err)
+	}
+	return c.env.print(r, func(w io.Writer) {
+		verb := "deleted"
+		if r.Dry {
+			verb = "would delete"
+		}
+		line(w, "%s %d chunks and the records of %d former versions; kept %d chunks of %d versions", verb, r.Deleted, r.Heads, r.Chunks, r.Versions)
+		if r.Changed > 0 {
+			line(w, "%d objects were written meanwhile and stay", r.Changed)
+		}
+	})
+}
+
+func (c *bundlePrune) prune(ctx context.Context, p platform, trust bundler.Trust) (pruned, error) {
+	listed, err := listChunks(ctx, p)
+	if err != nil {
+		return pruned{}, err
+	}
+	head, err := c.fence(ctx, p, trust)
+	if err != nil {
+		return pruned{}, err
+	}
+	kept, expired, err := c.former(ctx, p)
+	if err != nil {
+		return pruned{}, err
+	}
+	needed, err := neededChunks(ctx, p, listed, head, kept)
+	if err != nil {
+		return pruned{}, err
+	}
+	unneeded := make([]storer.Item, 0)
+	for key, item := range listed {
+		if _, ok := needed[key]; !ok {
+			unneeded = append(unneeded, item)
+		}
+	}
+	r := pruned{Versions: 1 + len(kept), Chunks: len(listed) - len(unneeded), Dry: c.Dry}
+	if c.Dry {
+		r.Deleted, r.Heads = len(unneeded), len(expired)
+		return r, nil
+	}
+	if r.Deleted, err = deleteAll(ctx, p, unneeded); err != nil {
+		return r, err
+	}
+	if r.Heads, err = deleteAll(ctx, p, expired); err != nil {
+		return r, err
+	}
+	r.Changed = len(unneeded) - r.Deleted + len(expired) - r.Heads
+	return r, nil
+}
+
+// fence rewrites the head object and returns the head. A conflict means that a
+// push moved the head, which is then read again.
+func (c *bundlePrune) fence(ctx context.Context, p platform, trust bundler.Trust) (bundler.Head, error) {
+	var last error
+	for range maxUpdates {
+		item, err := p.Get(ctx, syncer.HeadKey)
+		if err != nil {
+			return bundler.Head{}, fmt.Errorf("read bundle head: %w", err)
+		}
+		head, err := bundler.DecodeHead(item.Body)
+		if err != nil {
+			return head, err
+		}
+		if err := bundler.Verify(head, trust); err != nil {
+			return head, fmt.Errorf("bundle in force: %w; add the author to [trust] in the settings", err)
+		}
+		if c.Dry {
+			return head, nil
+		}
+		_, last = p.Put(ctx, syncer.HeadKey, item.Body, item.Version)
+		if last == nil {
+			return head, nil
+		}
+		if !errors.Is(last, storer.ErrConflict) && !errors.Is(last, storer.ErrUncertain) {
+			break
+		}
+	}
+	return bundler.Head{}, fmt.Errorf("rewrite bundle head: %w", last)
+}
+
+// former returns the former heads to keep and the objects of the others.
+func (c *bundlePrune) former(ctx context.Context, p platform) ([]bundler.Head, []storer.Item, error) {
+	items, err := p.List(ctx, pastPrefix)
+	if err != nil {
+		return nil, nil, fmt.Errorf("list former versions: %w", err)
+	}
+	oldest := time.Now().AddDate(0, 0, -c.Days)
+	var kept []bundler.Head
+	var expired []storer.Item
+	for i, item := range slices.Backward(items) {
+		v, err := decodePast(item)
+		if err != nil {
+			return nil, nil, err
+		}
+		if newer := len(items) - 1 - i; newer < c.Keep-1 || v.Replaced.After(oldest) {
+			kept = append(kept, v.Head)
+		} else {
+			expired = append(expired, item)
+		}
+	}
+	return kept, expired, nil
+}
--- a/internal/operator/bundle_push.go
+++ b/internal/operator/bundle_push.go
@@ -39,6 +39,18 @@
 	}
 	ctx, cancel := c.env.context()
 	defer cancel()
+	for range maxUpdates {
+		if err = c.push(ctx, p, cfg, trust); !errors.Is(err, errRewritten) {
+			return err
+		}
+	}
+	return err
+}
+
+// push puts the file in force over the version that it reads first. Each chunk
+// that this version does not have is refreshed after that read and before the
+// head moves, see [bundlePrune].
+func (c *bundlePush) push(ctx context.Context, p platform, cfg Settings, trust bundler.Trust) error {
 	current, err := readPublished(ctx, p, trust)
 	if err != nil {
 		return err
@@ -54,7 +66,10 @@
 	if err := putChunks(ctx, p, current.parts, chunks); err != nil {
 		return err
 	}
-	if err := putHead(ctx, p, next, current.stored); err != nil {
+	if err := archive(ctx, p, current.head); err != nil {
+		return fmt.Errorf("keep version %d: %w", current.head.Version, err)
+	}
+	if err := putHead(ctx, p, next, current); err != nil {
 		return err
 	}
 	changes := bundler.Diff(current.bundle, after)
@@ -116,8 +131,7 @@
 	return bodies
 }
 
-// putChunks writes the chunks that the version in force does not have. A chunk
-// that exists has the same content, because its key is its hash.
+// putChunks refreshes the chunks that the version in force does not have.
 func putChunks(ctx context.Context, p platform, known bundler.Parts, chunks []bundler.Chunk) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxCalls)
@@ -126,11 +140,7 @@
 			continue
 		}
 		group.Go(func() error {
-			_, err := p.Put(ctx, syncer.ChunkPrefix+c.Hash, c.Body, 0)
-			if errors.Is(err, storer.ErrUncertain) {
-				_, err = p.Get(ctx, syncer.ChunkPrefix+c.Hash)
-			}
-			if err != nil && !errors.Is(err, storer.ErrConflict) {
+			if err := refresh(ctx, p, syncer.ChunkPrefix+c.Hash, c.Body); err != nil {
 				return fmt.Errorf("write bundle chunk: %w", err)
 			}
 			return nil
@@ -139,14 +149,18 @@
 	return group.Wait()
 }
 
+// errRewritten means that the head object has a new version with the same head,
+// so that the push has to start again.
+var errRewritten = fmt.Errorf("%w: the head was rewritten by 'bundle prune', push again", errConflict)
+
 // putHead advances the head object. If the outcome is uncertain, it reads the
 // object back: the signature tells whether it is this head.
-func putHead(ctx context.Context, p platform, head bundler.Head, over uint64) error {
+func putHead(ctx context.Context, p platform, head bundler.Head, current published) error {
 	data, err := bundler.EncodeHead(head)
 	if err != nil {
 		return err
 	}
-	_, err = p.Put(ctx, syncer.HeadKey, data, over)
+	_, err = p.Put(ctx, syncer.HeadKey, data, current.stored)
 	if err == nil {
 		return nil
 	}
@@ -159,7 +173,9 @@
 		return fmt.Errorf("advance bundle head: %w; read it back: %w", err, readErr)
 	case string(winner.Signature) == string(head.Signature):
 		return nil
-	case stored != over:
+	case stored != current.stored && string(winner.Signature) == string(current.head.Signature):
+		return errRewritten
+	case stored != current.stored:
 		return newConflict(winner)
 	}
 	return fmt.Errorf("advance bundle head: %w; version %d is still in force, push again", err, winner.Version)
--- a/internal/operator/env.go
+++ b/internal/operator/env.go
@@ -53,6 +53,7 @@
 type platform interface {
 	Get(ctx context.Context, key string) (storer.Item, error)
 	Put(ctx context.Context, key string, body []byte, version uint64) (uint64, error)
+	Delete(ctx context.Context, key string, version uint64) error
 	List(ctx context.Context, prefix string) ([]storer.Item, error)
 	Instances(ctx context.Context) ([]storer.Instance, error)
 }
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -20,6 +20,7 @@
 	{"key", "cert", groupCommand, "make or renew the certificate of a process", newKeyCert},
 	{"bundle", "sign", groupCommand, "sign a bundle and write it to a file for 'bundle push --signed'", newBundleSign},
 	{"bundle", "push", groupCommand, "put a bundle in force", newBundlePush},
+	{"bundle", "prune", groupCommand, "delete chunks that no recent version needs", newBundlePrune},
 	{"budget", "topup", groupCommand, "add prepaid tokens to a budget", newBudgetTopUp},
 	{"budget", "release", groupCommand, "confirm that a side is gone, so that the tokens that wait for it are released", newBudgetRelease},
 	{"target", "drain", groupCommand, "take a target out of service, or back with --undo", newTargetDrain},
