End sessions that are accepted while the server closes

Cause: TestTakeover failed in about one of eight runs under load: a session that was accepted between Close and the end of the context stayed open and went on answering status probes, so the successor took the stopped holder for alive. Sessions end with the context now.

--- a/internal/connector/server.go
+++ b/internal/connector/server.go
@@ -140,6 +140,9 @@
 		return
 	}
 	defer mux.Close()
+	// A session that was accepted during Close is not among those that it ended.
+	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	defer stop()
 	srv.track(mux, true)
 	defer srv.track(mux, false)
 
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"daisylane/internal/allotter"
 	"daisylane/internal/checker"
@@ -38,12 +40,20 @@
 type fixture struct {
 	t        *testing.T
 	platform *httptest.Server
+	logs     strings.Builder
+	log      zerolog.Logger
 	dial     string // address that nodes advertise instead of their own, to cut the link to them
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, platform: httptest.NewServer(faker.NewPlatform())}
+	f.log = zerolog.New(zerolog.SyncWriter(&f.logs)).With().Timestamp().Logger()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.logs.String())
+		}
+	})
 	t.Cleanup(f.platform.Close)
 	return f
 }
@@ -64,7 +74,8 @@
 	}
 	store := f.store(name)
 	n := &node{sealed: make(chan string, 1)}
-	n.members = locator.New(store, self, locator.WithListInterval(100*time.Millisecond))
+	log := f.log.With().Str("instance", name).Logger()
+	n.members = locator.New(store, self, locator.WithListInterval(100*time.Millisecond), locator.WithLogger(log))
 	identity := func() *wirepb.Hello {
 		return &wirepb.Hello{Protocol: connector.ProtocolVersion, Instance: name, Role: watcher.Entry, Region: region}
 	}
@@ -77,7 +88,7 @@
 	n.holder, err = New(Config{
 		Instance: name, Region: region, Shards: testShards, Slots: 16, Ahead: 0.5,
 		Release: recoverer.ReleaseGone, Regions: []string{"north", "south"}, Fold: time.Second, Flush: 50 * time.Millisecond,
-	}, store, n.members, n.pool, WithRelay(relay), WithSealed(func(s string) { n.sealed <- s }))
+	}, store, n.members, n.pool, WithRelay(relay), WithLogger(log), WithSealed(func(s string) { n.sealed <- s }))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -226,6 +237,9 @@
 	var got int64
 	f.eventually("successor reserves all tokens", func() bool {
 		r, err := second.client.Reserve(t.Context(), "r2", &wirepb.Reserve{Budget: "acme", Tokens: 1000})
+		if err != nil {
+			f.log.Info().Err(err).Msg("refused")
+		}
 		got = r.GetTokens()
 		return err == nil
 	})
