Decide when closures and journals of ended instances may be removed

Ruled out: removal once all shards are released, because a paused instance that finds its next slot absent would write it and go on; removal of the closure by age, because it needs an assumption about clocks and pauses. A removal that was interrupted at any slot continues (tested for each slot).

--- /dev/null
+++ b/internal/recoverer/remains_test.go
@@ -0,0 +1,70 @@
+package recoverer_test
+
+import (
+	"slices"
+	"testing"
+
+	"daisylane/internal/journaler"
+	"daisylane/internal/recoverer"
+)
+
+func ended(sealer string) recoverer.Remains {
+	r := recoverer.Remains{Instance: "e1", Gone: true, Ring: 4}
+	for seq := uint64(2); seq <= 5; seq++ { // the ring is written round once
+		s := journaler.Slot{Key: journaler.Key("e1", seq, 4), Version: seq, Record: journaler.Record{Writer: "e1", Seq: seq}}
+		if seq == 5 {
+			s.Record = journaler.Record{Writer: sealer, Seq: seq, Entries: []journaler.Entry{{Kind: journaler.KindSeal}}}
+		}
+		r.Slots = append(r.Slots, s)
+	}
+	return r
+}
+
+// Guards against a journal that is removed while it is needed or while its writer
+// can continue it, and a closure that is removed while a reservation can be used.
+func TestRemovable(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		sealer        string
+		change        func(r *recoverer.Remains)
+		slots, closed bool
+	}{
+		{"nothing left", "e2", func(*recoverer.Remains) {}, true, true},
+		{"not gone", "e2", func(r *recoverer.Remains) { r.Gone = false }, false, false},
+		{"own seal", "e1", func(r *recoverer.Remains) { r.Gone = false }, true, false},
+		{"shard", "e2", func(r *recoverer.Remains) { r.Shards = []int{1} }, false, false},
+		{"claims", "e2", func(r *recoverer.Remains) { r.Claims = []int{1} }, false, false},
+		{"entry", "e2", func(r *recoverer.Remains) { r.Entries = []string{"e3"} }, true, false},
+		{"side", "e2", func(r *recoverer.Remains) { r.Sides = []string{"s1"} }, true, false},
+		{"no seal", "e2", func(r *recoverer.Remains) { r.Slots = r.Slots[:3]; r.Ring = 3 }, false, true},
+		{"removal begun", "e2", func(r *recoverer.Remains) { r.Slots = r.Slots[1:]; r.Shards = []int{1} }, true, false},
+		{"removal begun, not gone", "e2", func(r *recoverer.Remains) {
+			r.Slots, r.Shards, r.Gone = r.Slots[1:], []int{1}, false
+		}, false, false},
+	} {
+		r := ended(tc.sealer)
+		tc.change(&r)
+		m := r.Removable()
+		if len(m.Slots) > 0 != tc.slots || m.Closure != tc.closed {
+			t.Errorf("%s: %+v", tc.name, m)
+		}
+	}
+}
+
+// Guards against a removal that is interrupted after the seal is gone: the records
+// that are left would look like a journal that can be continued.
+func TestRemovalEndsWithSeal(t *testing.T) {
+	r := ended("e2")
+	slices.Reverse(r.Slots)
+	m := r.Removable()
+	if last := m.Slots[len(m.Slots)-1]; last != journaler.Key("e1", 5, 4) {
+		t.Fatalf("removes %v", m.Slots)
+	}
+	for n := range m.Slots { // interrupted after n removals
+		left := ended("e2")
+		left.Slots = left.Slots[n:]
+		if got := left.Removable().Slots; !slices.Equal(got, m.Slots[n:]) {
+			t.Fatalf("after %d removals continues with %v", n, got)
+		}
+	}
+}
