--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -38,14 +38,14 @@
 }
 
 type fixture struct {
-	t        *testing.T
+	t        testing.TB
 	platform *httptest.Server
 	logs     strings.Builder
 	log      zerolog.Logger
 	dial     string // address that nodes advertise instead of their own, to cut the link to them
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	f := &fixture{t: t, platform: httptest.NewServer(faker.NewPlatform())}
 	f.log = zerolog.New(zerolog.SyncWriter(&f.logs)).With().Timestamp().Logger()
