Work out the capacity at the planned size

Keep-alive pings were 7 KB/s of it at 20 s for 551 sessions and are 1.4 KB/s at 1 and 5 minutes, by calculation; streams notice silence by themselves.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES = ./...
 RACE_PACKAGES = $(shell $(GO) list ./internal/... | grep -E "/(connector|storer|holder|router|executor|syncer|faker)$$")
 
-.PHONY: build test race lint format generate try bounds
+.PHONY: build test race lint format generate try slopes
 
 build:
 	mkdir -p bin
@@ -31,3 +31,20 @@
 # Starts a complete fleet with stand-ins on loopback, serves requests, and stops it.
 try: build
 	./scripts/try.sh
+
+BENCH = $(GO) test -run NONE
+
+# Prints the measured slopes that docs/CAPACITY.md uses.
+slopes:
+	$(BENCH) -bench 'ControlBytes' -benchtime 1000x ./internal/connector
+	$(BENCH) -bench 'Sessions' -benchtime 3x ./internal/connector
+	$(BENCH) -bench 'PlannedNode' -benchtime 1x ./internal/journaler
+	$(BENCH) -bench 'ReserveSettle' -benchtime 3000x ./internal/holder
+	$(BENCH) -bench 'HolderMemory' -benchtime 1x ./internal/holder
+	$(BENCH) -bench . -benchtime 300x ./internal/budgeter
+	$(BENCH) -bench . -benchtime 5x ./internal/bundler
+	$(BENCH) -bench 'Spread' -benchtime 3x ./internal/adopter
+	$(BENCH) -bench 'Decision' -benchtime 2000x ./internal/chooser
+	$(BENCH) -bench . ./internal/watcher
+	$(BENCH) -bench 'Overhead' -benchtime 1000x ./internal/launcher
+	$(BENCH) -bench 'IdleCalls' -benchtime 1x ./internal/launcher
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -18,10 +18,13 @@
 const (
 	dialTimeout      = 2 * time.Second
 	handshakeTimeout = 2 * time.Second
-	keepAlive        = 20 * time.Second
-	writeTimeout     = 5 * time.Second
-	retireInterval   = time.Second
-	maxRetireTime    = 15 * time.Minute // longer than any request
+	// Silence on a stream is noticed by its user within seconds. Keep-alive only finds
+	// sessions that nobody uses, and each ping costs control traffic.
+	clientKeepAlive = time.Minute
+	serverKeepAlive = 5 * time.Minute
+	writeTimeout    = 5 * time.Second
+	retireInterval  = time.Second
+	maxRetireTime   = 15 * time.Minute // longer than any request
 )
 
 // Identity gives the Hello message of this process. It is called for each new
@@ -224,7 +227,7 @@
 		}
 		conn = secure
 	}
-	mux, err := yamux.Client(newCorkConn(conn), muxConfig())
+	mux, err := yamux.Client(newCorkConn(conn), muxConfig(clientKeepAlive))
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("%w: start session: %w", ErrDial, err)
@@ -266,7 +269,7 @@
 	return peer, nil
 }
 
-func muxConfig() *yamux.Config {
+func muxConfig(keepAlive time.Duration) *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.KeepAliveInterval = keepAlive
 	cfg.ConnectionWriteTimeout = writeTimeout
--- a/internal/connector/server.go
+++ b/internal/connector/server.go
@@ -139,7 +139,7 @@
 		}
 		conn = secure
 	}
-	mux, err := yamux.Server(newCorkConn(conn), muxConfig())
+	mux, err := yamux.Server(newCorkConn(conn), muxConfig(serverKeepAlive))
 	if err != nil {
 		_ = conn.Close()
 		srv.fail(peer, fmt.Errorf("start session: %w", err))
--- a/internal/launcher/fixture_test.go
+++ b/internal/launcher/fixture_test.go
@@ -47,6 +47,7 @@
 	key      ed25519.PrivateKey
 	public   ed25519.PublicKey
 	logs     *logBuffer
+	flush    loader.Duration // of the entries' journals
 }
 
 // logBuffer collects the log for a failing test.
@@ -75,7 +76,7 @@
 		t.Fatal(err)
 	}
 	fake := faker.NewPlatform()
-	f := &fixture{t: t, fake: fake, platform: httptest.NewServer(fake), key: private, public: public, logs: &logBuffer{}}
+	f := &fixture{t: t, fake: fake, platform: httptest.NewServer(fake), key: private, public: public, logs: &logBuffer{}, flush: loader.Duration(100 * time.Millisecond)}
 	t.Cleanup(f.platform.Close)
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -240,7 +241,7 @@
 	cfg.Platform = f.platform.URL
 	cfg.Listen = Listen{HTTP: freeAddr(f.t), Peer: freeAddr(f.t)}
 	cfg.Budgets.Shards, cfg.Budgets.Fold = testShards, loader.Duration(time.Second)
-	cfg.Budgets.Flush = loader.Duration(100 * time.Millisecond)
+	cfg.Budgets.Flush = f.flush
 	cfg.Stop.Notice = loader.Duration(50 * time.Millisecond)
 	cfg.Trust = map[string]string{"operator": base64.StdEncoding.EncodeToString(f.public)}
 	cfg.TLS.Plain = true
