--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES = ./...
 RACE_PACKAGES = $(shell $(GO) list ./internal/... | grep -E "/(connector|storer|holder|router|executor|syncer|faker)$$")
 
-.PHONY: build test race lint format generate try slopes
+.PHONY: build test race lint format generate try faults slopes
 
 build:
 	mkdir -p bin
@@ -32,6 +32,10 @@
 try: build
 	./scripts/try.sh
 
+# Kills an entry and a side of a fleet under load, and compares answers, runs and bill.
+faults: build
+	./scripts/faults.sh
+
 BENCH = $(GO) test -run NONE
 
 # Prints the measured slopes that docs/CAPACITY.md uses.
--- a/internal/faker/chat.go
+++ b/internal/faker/chat.go
@@ -21,8 +21,8 @@
 type Chat struct {
 	Model         string    `json:"model"`
 	Messages      []Message `json:"messages"`
-	MaxTokens     int       `json:"max_tokens"`
-	MaxCompletion int       `json:"max_completion_tokens"`
+	MaxTokens     int       `json:"max_tokens,omitempty"`
+	MaxCompletion int       `json:"max_completion_tokens,omitempty"`
 	Stream        bool      `json:"stream"`
 	StreamOptions struct {
 		IncludeUsage bool `json:"include_usage"`
--- a/internal/holder/claims.go
+++ b/internal/holder/claims.go
@@ -23,6 +23,8 @@
 	claimToken journaler.Token = 1 << 62
 
 	maxClaimTries = 5
+	// outageBack is the time to come back while the platform is not reachable.
+	outageBack = 5 * time.Second
 )
 
 // claims are the claims of the shards whose claim object names this instance as
@@ -54,6 +56,13 @@
 	if !k.holdsClaims(now, m.req.Shard, m, m.reply.fail) {
 		return
 	}
+	if _, known := k.claims.state.Get(m.req.Account, m.req.Service, m.req.Key); !known && !k.up {
+		// A new claim cannot become durable, so there is nothing to wait for.
+		m.reply.fail(&connector.RefusedError{
+			Reason: claimer.Platform, Text: "the platform is not reachable, the call was not sent", After: outageBack,
+		})
+		return
+	}
 	k.claims.answers[m.req.ID] = append(k.claims.answers[m.req.ID], m.reply)
 	k.claimActions(now, k.claims.state.Claim(now, m.req))
 }
--- a/internal/prober/main.go
+++ b/internal/prober/main.go
@@ -31,6 +31,7 @@
 		command    any
 	}{
 		{"run", "Run an experiment", &runCommand{}},
+		{"check", "Print a report and fail if it shows a broken promise", &checkCommand{}},
 		{"call", "Send one request and print the answer", &callCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.text, "", c.command); err != nil {
