Choose targets by expected time to the first token

Cause of the long tail at 1,400 targets: a router sends 10 requests/s, so it has a recent report of few targets, took the others for idle and had nothing but the bound on the known ones. A target with much of the demand stayed overloaded, because every router kept sending to it.

Affinity now takes the less loaded of two targets of the prefix. A report loses its weight over the time that a request runs, in favour of the mean load of recent reports, and the uncertainty adds to the expected wait. Two random targets are considered when the expected wait exceeds the cost of a missing prefix. The own data centre is used until its wait exceeds that cost, and the demand is scaled by the routers of the data centre. The launcher now passes this number; it never did, so every entry took itself for the only one and spread no prefix.

A policy keeps what it derives from an immutable List, so nothing is built per request, and the tried or blocked targets are a slice.

--- a/internal/chooser/baselines.go
+++ b/internal/chooser/baselines.go
@@ -1,74 +1,81 @@
 package chooser
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Choose takes the next candidate in turn.
-func (p *RoundRobin) Choose(now time.Time, r Request, list []Candidate) (Choice, bool) {
-	for range list {
-		c := list[p.next%len(list)]
+func (p *RoundRobin) Choose(now time.Time, r Request, list *List) (Choice, bool) {
+	targets := p.resolve(list)
+	for range targets {
+		i := p.next % len(targets)
 		p.next++
-		if !r.Exclude[c.Name] {
-			return p.choice(now, r, c), true
+		if !slices.Contains(r.Exclude, targets[i].name) {
+			return targets[i].choice(now, r, i), true
 		}
 	}
 	return Choice{}, false
 }
 
 // Choose takes the candidate with the least reported load.
-func (p *LeastLoaded) Choose(now time.Time, r Request, list []Candidate) (Choice, bool) {
-	var best []Candidate
+func (p *LeastLoaded) Choose(now time.Time, r Request, list *List) (Choice, bool) {
+	targets := p.resolve(list)
+	p.best = p.best[:0]
 	lowest := 0.0
-	for _, c := range allowed(r, list) {
-		load := p.reported(c.Name)
-		if len(best) == 0 || load < lowest {
-			best, lowest = best[:0], load
+	for i, t := range targets {
+		load := t.reported()
+		if len(p.best) > 0 && load > lowest || slices.Contains(r.Exclude, t.name) {
+			continue
 		}
-		if load == lowest {
-			best = append(best, c)
+		if len(p.best) == 0 || load < lowest {
+			p.best, lowest = p.best[:0], load
 		}
+		p.best = append(p.best, i)
 	}
-	if len(best) == 0 {
+	if len(p.best) == 0 {
 		return Choice{}, false
 	}
-	return p.choice(now, r, best[p.source.IntN(len(best))]), true
+	i := p.best[p.source.IntN(len(p.best))]
+	return targets[i].choice(now, r, i), true
 }
 
 // Choose takes the less loaded of two random candidates.
-func (p *PowerOfTwo) Choose(now time.Time, r Request, list []Candidate) (Choice, bool) {
-	list = allowed(r, list)
-	if len(list) == 0 {
+func (p *PowerOfTwo) Choose(now time.Time, r Request, list *List) (Choice, bool) {
+	targets := p.resolve(list)
+	first, second := p.random(r, targets), p.random(r, targets)
+	if first < 0 {
 		return Choice{}, false
 	}
-	first, second := list[p.source.IntN(len(list))], list[p.source.IntN(len(list))]
-	if p.perSlot(now, second.Name) < p.perSlot(now, first.Name) {
+	if targets[second].perSlot(now) < targets[first].perSlot(now) {
 		first = second
 	}
-	return p.choice(now, r, first), true
+	return targets[first].choice(now, r, first), true
 }
 
-func (l *Loads) choice(now time.Time, r Request, c Candidate) Choice {
-	load, slots, _ := l.Load(now, c.Name)
-	return Choice{Name: c.Name, Reason: ReasonPolicy, Wait: wait(load, slots, r.length())}
+// random returns a random candidate that is not excluded, -1 if there is none.
+func (p *PowerOfTwo) random(r Request, targets []*target) int {
+	if len(targets) == 0 {
+		return -1
+	}
+	first := p.source.IntN(len(targets))
+	for n := range targets {
+		if i := (first + n) % len(targets); !slices.Contains(r.Exclude, targets[i].name) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (t *target) choice(now time.Time, r Request, index int) Choice {
+	load, slots, _ := t.load(now)
+	return Choice{Name: t.name, Index: index, Reason: ReasonPolicy, Wait: wait(load, slots, r.length())}
 }
 
 // reported returns the last reported load per slot, without own requests.
-func (l *Loads) reported(name string) float64 {
-	t, ok := l.targets[name]
-	if !ok || t.report.Slots <= 0 {
+func (t *target) reported() float64 {
+	if t.report.Slots <= 0 {
 		return 0
 	}
 	return float64(t.report.Running+t.report.Waiting) / float64(t.report.Slots)
 }
-
-func allowed(r Request, list []Candidate) []Candidate {
-	if len(r.Exclude) == 0 {
-		return list
-	}
-	var rest []Candidate
-	for _, c := range list {
-		if !r.Exclude[c.Name] {
-			rest = append(rest, c)
-		}
-	}
-	return rest
-}
--- a/internal/chooser/bench_test.go
+++ b/internal/chooser/bench_test.go
@@ -9,25 +9,25 @@
 
 var policies = []struct {
 	name string
-	make func(r *rand.Rand, peers int) Policy
+	make func(p Place, r *rand.Rand, peers int) Policy
 }{
-	{"affinity", func(r *rand.Rand, n int) Policy { return NewAffinity(Place{"c", "r"}, r, WithPeers(n)) }},
-	{"roundrobin", func(r *rand.Rand, _ int) Policy { return NewRoundRobin(r.IntN(1 << 20)) }},
-	{"leastload", func(r *rand.Rand, _ int) Policy { return NewLeastLoaded(r) }},
-	{"poweroftwo", func(r *rand.Rand, _ int) Policy { return NewPowerOfTwo(r) }},
+	{"affinity", func(p Place, r *rand.Rand, n int) Policy { return NewAffinity(p, r, WithPeers(n)) }},
+	{"roundrobin", func(_ Place, r *rand.Rand, _ int) Policy { return NewRoundRobin(r.IntN(1 << 20)) }},
+	{"leastload", func(_ Place, r *rand.Rand, _ int) Policy { return NewLeastLoaded(r) }},
+	{"poweroftwo", func(_ Place, r *rand.Rand, _ int) Policy { return NewPowerOfTwo(r) }},
 }
 
 // Reports cache hits and waits of each policy.
 func BenchmarkPolicies(b *testing.B) {
 	for _, size := range []struct {
-		targets, routers, seeds int
-		length                  time.Duration
-	}{{18, 3, 8, 8 * time.Minute}, {1400, 320, 3, time.Minute}} {
+		targets, routers, centres, seeds int
+		length                           time.Duration
+	}{{18, 3, 1, 8, 8 * time.Minute}, {1400, 320, 1, 3, time.Minute}, {1400, 320, 6, 3, time.Minute}} {
 		for _, p := range policies {
-			b.Run(fmt.Sprintf("targets=%d/%s", size.targets, p.name), func(b *testing.B) {
+			b.Run(fmt.Sprintf("targets=%d/centres=%d/%s", size.targets, size.centres, p.name), func(b *testing.B) {
 				for b.Loop() {
 					list := simulateSeeds(setup{
-						targets: size.targets, routers: size.routers, demand: underload, length: size.length, policy: p.make,
+						targets: size.targets, routers: size.routers, centres: size.centres, demand: underload, length: size.length, policy: p.make,
 					}, size.seeds)
 					report(b, list, "hits", func(r result) float64 { return r.hits })
 					report(b, list, "lost", func(r result) float64 { return r.lost })
--- a/internal/chooser/model_test.go
+++ b/internal/chooser/model_test.go
@@ -38,12 +38,20 @@
 // cached. Routers learn the load from answers and refusals only.
 type setup struct {
 	targets, routers int
+	centres          int
 	demand           float64
 	length           time.Duration // measured, after the warm-up
 	seed             uint64
 	worth            bool // requests differ in worth, length and deadline
 	shed             bool // routers admit by worth and deadline
-	policy           func(r *rand.Rand, peers int) Policy
+	policy           func(p Place, r *rand.Rand, peers int) Policy
+}
+
+// place puts targets and routers into data centres in turn, and those into two
+// regions.
+func (s setup) place(i int) Place {
+	centre := i % max(1, s.centres)
+	return Place{fmt.Sprint("c", centre), fmt.Sprint("r", centre%2)}
 }
 
 type result struct {
@@ -125,7 +133,7 @@
 	random  *rand.Rand
 	zipf    *rand.Zipf
 	queue   events
-	list    []Candidate
+	list    *List
 	engines map[string]*engine
 	routers []*node
 	calls   map[string]*call // open
@@ -144,6 +152,7 @@
 		warm: start.Add(modelWarm), end: start.Add(modelWarm + s.length),
 	}
 	m.zipf = rand.NewZipf(m.random, 1.1, 20, uint64(s.targets*modelCache))
+	var candidates []Candidate
 	for i := range s.targets {
 		e := &engine{
 			name: fmt.Sprintf("side-%d", i), order: list.New(), cached: make(map[uint64]*list.Element), polled: start,
@@ -151,12 +160,13 @@
 		}
 		e.side.Register(nil)
 		m.engines[e.name] = e
-		m.list = append(m.list, Candidate{e.name, Place{"c", "r"}})
+		candidates = append(candidates, Candidate{e.name, s.place(i)})
 		m.push(start.Add(time.Duration(m.random.Int64N(int64(time.Second)))), func(now time.Time) { m.poll(now, e) })
 	}
+	m.list = NewList(candidates)
 	for i := range s.routers {
 		m.routers = append(m.routers, &node{
-			policy: s.policy(rand.New(rand.NewPCG(s.seed, uint64(3+i))), s.routers),
+			policy: s.policy(s.place(i), rand.New(rand.NewPCG(s.seed, uint64(3+i))), s.routers/max(1, s.centres)),
 			gate:   limiter.New(rand.New(rand.NewPCG(s.seed, 1)), s.targets*modelSlots/s.routers),
 		})
 	}
@@ -236,11 +246,7 @@
 }
 
 func (m *model) send(now time.Time, c *call) {
-	exclude := make(map[string]bool, len(c.tried))
-	for _, name := range c.tried {
-		exclude[name] = true
-	}
-	choice, _ := c.router.policy.Choose(now, Request{Prefix: c.prefix, Deadline: c.Deadline, Length: c.Length, Exclude: exclude}, m.list)
+	choice, _ := c.router.policy.Choose(now, Request{Prefix: c.prefix, Deadline: c.Deadline, Length: c.Length, Exclude: c.tried}, m.list)
 	c.router.policy.Sent(now, choice.Name)
 	c.target, c.sent = m.engines[choice.Name], now
 	m.apply(now, c.target, c.target.side.Run(now, admitter.Request{ID: c.ID, Deadline: c.Deadline, Worth: c.Worth}))
--- a/internal/chooser/policy_test.go
+++ b/internal/chooser/policy_test.go
@@ -58,7 +58,7 @@
 			if tt.deadline > 0 {
 				r.Deadline = now.Add(tt.deadline)
 			}
-			got, ok := a.Choose(now, r, tt.list)
+			got, ok := a.Choose(now, r, NewList(tt.list))
 			if !ok || got.Scope != tt.scope {
 				t.Errorf("choice = %+v, want scope %s", got, tt.scope)
 			}
@@ -104,15 +104,15 @@
 // Guards against choosing an excluded target, by any policy.
 func TestExclude(t *testing.T) {
 	list := spread(3, Place{"c1", "r1"})
-	r := Request{Exclude: map[string]bool{list[0].Name: true, list[1].Name: true}}
+	r := Request{Exclude: []string{list[0].Name, list[1].Name}}
 	for _, p := range policies {
-		policy := p.make(testSource(), 1)
+		policy := p.make(Place{"c", "r"}, testSource(), 1)
 		for range 20 {
-			if c, ok := policy.Choose(start, r, list); !ok || c.Name != list[2].Name {
+			if c, ok := policy.Choose(start, r, NewList(list)); !ok || c.Name != list[2].Name {
 				t.Errorf("%s chose %+v", p.name, c)
 			}
 		}
-		if c, ok := policy.Choose(start, Request{Exclude: r.Exclude}, list[:2]); ok {
+		if c, ok := policy.Choose(start, Request{Exclude: r.Exclude}, NewList(list[:2])); ok {
 			t.Errorf("%s chose %+v although all are excluded", p.name, c)
 		}
 	}
@@ -128,7 +128,7 @@
 		a := NewAffinity(Place{"c1", "r1"}, testSource(), WithPeers(10))
 		for i := range 30 {
 			now := start.Add(time.Duration(i) * time.Second)
-			c, _ := a.Choose(now, Request{Prefix: prefix, Length: time.Second}, list)
+			c, _ := a.Choose(now, Request{Prefix: prefix, Length: time.Second}, NewList(list))
 			used[prefix][c.Name]++
 			a.Sent(now, c.Name)
 		}
@@ -147,7 +147,7 @@
 		for range expectedSlots {
 			a.Sent(start, list[busy].Name)
 		}
-		if c, _ := a.Choose(start, Request{}, list[:2]); c.Name != list[1-busy].Name {
+		if c, _ := a.Choose(start, Request{}, NewList(list[:2])); c.Name != list[1-busy].Name {
 			t.Errorf("choice = %+v, want the idle target", c)
 		}
 	}
@@ -158,13 +158,15 @@
 	list := spread(1400, Place{"c", "r"})
 	for _, p := range policies {
 		b.Run(p.name, func(b *testing.B) {
-			policy, n := p.make(testSource(), 320), uint64(0)
+			policy, n := p.make(Place{"c", "r"}, testSource(), 320), uint64(0)
 			for _, c := range list {
 				policy.Reported(c.Name, Load{Running: 4, Slots: 8, At: start})
 			}
+			candidates := NewList(list)
+			b.ReportAllocs()
 			for b.Loop() {
 				n++
-				policy.Choose(start.Add(time.Second), Request{Prefix: n % 5000}, list)
+				policy.Choose(start.Add(time.Second), Request{Prefix: n % 5000}, candidates)
 			}
 		})
 	}
--- a/internal/chooser/queries.go
+++ b/internal/chooser/queries.go
@@ -1,7 +1,6 @@
 package chooser
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -18,10 +17,7 @@
 }
 
 func (t *target) load(now time.Time) (load, slots int, known bool) {
-	slots = t.report.Slots
-	if slots <= 0 {
-		slots = expectedSlots
-	}
+	slots = t.slots()
 	if now.Sub(t.report.At) > maxReportLag {
 		return len(t.sent), slots, false
 	}
@@ -39,8 +35,15 @@
 	return max(load, len(t.sent)), slots, true
 }
 
-func (l *Loads) perSlot(now time.Time, name string) float64 {
-	load, slots, _ := l.Load(now, name)
+func (t *target) slots() int {
+	if t.report.Slots > 0 {
+		return t.report.Slots
+	}
+	return expectedSlots
+}
+
+func (t *target) perSlot(now time.Time) float64 {
+	load, slots, _ := t.load(now)
 	return float64(load) / float64(slots)
 }
 
@@ -50,183 +53,182 @@
 }
 
 // after returns the demand that is left at a later time.
-func (d *demand) after(now time.Time) float64 {
+func (d demand) after(now time.Time) float64 {
 	return d.count * math.Exp(-now.Sub(d.at).Seconds()/demandTime.Seconds())
 }
 
-// option is a candidate with the values that the choice depends on.
+// query is what one choice depends on.
+type query struct {
+	now      time.Time
+	deadline time.Time
+	length   time.Duration
+	key      uint64
+	replicas uint64
+	mean     float64 // load per slot
+	exclude  []*target
+}
+
+// option is a target that may be chosen.
 type option struct {
-	Candidate
-	load, slots int
-	known       bool
-	wait        time.Duration
-	hash        uint64
-	weight      uint64 // for the prefix of the request
+	target *target // nil: none
+	index  int
+	scope  Scope
+	reason string
+	load   float64 // per slot
+	wait   time.Duration
+	cost   time.Duration // wait and prompt computation that a cached prefix saves
 }
 
-func (o option) perSlot() float64 { return float64(o.load) / float64(o.slots) }
+func (o option) ok() bool { return o.target != nil }
 
-// scored is a choice with the load that it was based on.
-type scored struct {
-	Choice
-	load float64
+func (o option) choice() Choice {
+	if !o.ok() {
+		return Choice{}
+	}
+	return Choice{Name: o.target.name, Index: o.index, Scope: o.scope, Reason: o.reason, Wait: o.wait}
 }
 
-func (a *Affinity) choose(now time.Time, r Request, own, others []option, replica uint64) scored {
-	key := mix(mix(r.Prefix) ^ replica)
-	weigh(own, key)
-	weigh(others, key)
+// better returns the option with the lower cost, the first one of equal ones.
+func (o option) better(other option) option {
 	switch {
-	case len(own) == 0 && len(others) == 0:
-		return scored{}
-	case len(own) == 0:
-		remote, _ := a.within(others)
-		return a.choice(remote, ReasonCapacity)
+	case !other.ok():
+		return o
+	case !o.ok(), other.cost < o.cost, other.cost == o.cost && other.load < o.load:
+		return other
+	}
+	return o
+}
+
+// nearest chooses in the router's data centre, or in its region if a target
+// there is expected to answer sooner although the prefix may not be cached.
+func (a *Affinity) nearest(q query, v *view) option {
+	best := a.pick(q, &v.near, ReasonPrefix)
+	if !best.ok() || best.wait > missCost {
+		remote := a.pick(q, &v.region, ReasonPrefix)
+		if best.ok() {
+			remote.reason = ReasonBound
+		}
+		best = best.better(remote)
 	}
-	best, why := a.within(own)
-	if r.late(now, best) {
-		best, why = a.quickest(own), ReasonBound
+	if q.late(best) {
+		best = q.quickest(&v.near).better(q.quickest(&v.region))
 	}
-	short := r.shortage(now, own, best)
-	if short == "" || len(others) == 0 {
-		return a.choice(best, why)
+	return best
+}
+
+// pick chooses the less loaded of two of the targets that the prefix is spread
+// over. If both are expected to be busy for longer than the prompt takes to
+// compute, two targets from the whole group are considered as well.
+func (a *Affinity) pick(q query, g *group, reason string) option {
+	n := uint64(len(g.targets))
+	if n == 0 {
+		return option{}
 	}
-	remote, _ := a.within(others)
-	if r.late(now.Add(2*a.latency), remote) {
-		remote = a.quickest(others)
+	replicas := min(q.replicas, n)
+	first := a.source.Uint64N(replicas)
+	best := q.option(g, q.heaviest(g, first), reason, 0)
+	if replicas > 1 {
+		second := (first + 1 + a.source.Uint64N(replicas-1)) % replicas
+		best = best.better(q.option(g, q.heaviest(g, second), reason, 0))
 	}
-	if r.late(now.Add(2*a.latency), remote) || remote.wait+2*a.latency >= best.wait {
-		return a.choice(best, why)
+	if best.ok() && best.cost <= missCost {
+		return best
 	}
-	return a.choice(remote, short)
-}
-
-func weigh(list []option, key uint64) {
-	for i := range list {
-		list[i].weight = mix(key ^ list[i].hash)
+	for range 2 {
+		best = best.better(q.option(g, int(a.source.Uint64N(n)), ReasonBound, missCost))
 	}
+	return best
 }
 
-// late reports whether an option is expected to miss the deadline.
-func (r Request) late(now time.Time, o option) bool {
-	return !r.Deadline.IsZero() && now.Add(o.wait+r.length()).After(r.Deadline)
-}
-
-// shortage returns why the own region cannot serve the request in time, or ""
-// if it can.
-func (r Request) shortage(now time.Time, own []option, best option) string {
-	if !r.Deadline.IsZero() {
-		if r.late(now, best) {
-			return ReasonDeadline
+// heaviest returns the first target in the rendezvous order of a replica of the
+// prefix, -1 if all are excluded.
+func (q *query) heaviest(g *group, replica uint64) int {
+	key, best, weight := mix(q.key^replica), -1, uint64(0)
+	for i, h := range g.hashes {
+		if w := mix(key ^ h); (w > weight || best < 0) && !q.excluded(g.targets[i]) {
+			best, weight = i, w
 		}
-		return ""
 	}
-	for _, o := range own {
-		if o.perSlot() < fullQueue {
-			return ""
-		}
-	}
-	return ReasonCapacity
+	return best
 }
 
-// quickest returns the option with the shortest wait. Of equal ones, the
-// router's data centre comes first, then the weight decides.
-func (a *Affinity) quickest(list []option) option {
-	return slices.MinFunc(list, func(x, y option) int {
-		return cmp.Or(cmp.Compare(x.wait, y.wait), a.distance(x)-a.distance(y), cmp.Compare(y.weight, x.weight))
-	})
+func (q *query) excluded(t *target) bool {
+	return len(q.exclude) > 0 && slices.Contains(q.exclude, t)
 }
 
-// distance is 0 in the router's data centre and 1 elsewhere.
-func (a *Affinity) distance(o option) int {
-	if o.Centre == a.place.Centre {
-		return 0
+func (q *query) option(g *group, i int, reason string, miss time.Duration) option {
+	if i < 0 || q.excluded(g.targets[i]) {
+		return option{}
 	}
-	return 1
+	t := g.targets[i]
+	load, wait := t.expect(q.now, q.mean, q.length)
+	return option{t, g.index[i], g.scope, reason, load, wait, wait + miss}
 }
 
-// within selects among the candidates of one region: by prefix among those
-// below the bound, the router's data centre first. The bound comes from the
-// whole region, so that an overloaded data centre spills over to the others.
-func (a *Affinity) within(list []option) (option, string) {
-	mean := meanLoad(list)
-	nearFirst, anyFirst, near, far := -1, -1, -1, -1
-	for i, o := range list {
-		local := o.Centre == a.place.Centre
-		anyFirst = heavier(list, anyFirst, i)
-		if local {
-			nearFirst = heavier(list, nearFirst, i)
-		}
-		limit := max(freeShare*float64(o.slots), a.factor*mean*float64(o.slots)+1)
-		switch {
-		case float64(o.load+1) > limit:
-		case local:
-			near = heavier(list, near, i)
-		default:
-			far = heavier(list, far, i)
-		}
-	}
-	first, best := nearFirst, near
-	if first < 0 {
-		first = anyFirst
-	}
-	if best < 0 {
-		best = far
-	}
-	if best < 0 {
-		best = least(list)
-	}
-	if best != first {
-		return list[best], ReasonBound
+// expect returns the expected load per slot and wait of one more request. A
+// report loses its weight over the time that requests run, in favour of the mean
+// load. What the report does not tell and what arrives later vary the load and
+// so add to the wait.
+func (t *target) expect(now time.Time, mean float64, length time.Duration) (float64, time.Duration) {
+	load, _, known := t.load(now)
+	slots, weight := float64(t.slots()), 0.0
+	if known {
+		weight = math.Exp(-now.Sub(t.report.At).Seconds() / length.Seconds())
 	}
-	return list[best], ReasonPrefix
+	usual := max(mean*slots, float64(len(t.sent)))
+	expected := weight*float64(load) + (1-weight)*usual
+	queue := excess(expected+1-slots, math.Sqrt((1-weight*weight+laterShare)*usual))
+	return expected / slots, time.Duration(queue / slots * float64(length))
 }
 
-func heavier(list []option, i, j int) int {
-	if i < 0 || list[j].weight > list[i].weight {
-		return j
+// excess returns the mean of the positive part of a normal variable.
+func excess(mean, deviation float64) float64 {
+	if deviation < 0.01 {
+		return max(0, mean)
 	}
-	return i
+	z := mean / deviation
+	return mean*math.Erfc(-z/math.Sqrt2)/2 + deviation*math.Exp(-z*z/2)/math.Sqrt(2*math.Pi)
 }
 
-func (a *Affinity) option(now time.Time, r Request, c Candidate) option {
-	t := a.target(c.Name)
-	load, slots, known := t.load(now)
-	return option{c, load, slots, known, wait(load, slots, r.length()), t.hash, 0}
+// late reports whether an option is missing or expected to miss the deadline.
+func (q *query) late(o option) bool {
+	return !o.ok() || !q.deadline.IsZero() && q.now.Add(o.wait+q.length).After(q.deadline)
 }
 
-func (a *Affinity) choice(o option, reason string) scored {
-	c := Choice{Name: o.Name, Scope: SameCentre, Reason: reason, Wait: o.wait}
+// shortage returns why the own region cannot serve the request in time, or ""
+// if it can.
+func (q *query) shortage(v *view, best option) string {
 	switch {
-	case o.Region != a.place.Region:
-		c.Scope, c.Added = OtherRegion, 2*a.latency
-	case o.Centre != a.place.Centre:
-		c.Scope = SameRegion
+	case len(v.others.targets) == 0:
+		return ""
+	case !best.ok():
+		return ReasonCapacity
+	case !q.deadline.IsZero():
+		if q.late(best) {
+			return ReasonDeadline
+		}
+		return ""
+	case q.free(&v.near) || q.free(&v.region):
+		return ""
 	}
-	return scored{c, o.perSlot()}
+	return ReasonCapacity
 }
 
-// meanLoad returns the mean load per slot of the targets with recent reports.
-func meanLoad(list []option) float64 {
-	var load, slots int
-	for _, o := range list {
-		if o.known {
-			load += o.load
-			slots += o.slots
+// free reports whether a group has a target that is not full.
+func (q *query) free(g *group) bool {
+	for _, t := range g.targets {
+		if t.perSlot(q.now) < fullQueue && !q.excluded(t) {
+			return true
 		}
 	}
-	return float64(load) / float64(max(1, slots))
+	return false
 }
 
-// least returns the index of the least loaded candidate. Equal ones are told
-// apart by weight.
-func least(list []option) int {
-	best := 0
-	for i, o := range list {
-		c := cmp.Or(cmp.Compare(o.perSlot(), list[best].perSlot()), cmp.Compare(list[best].weight, o.weight))
-		if c < 0 {
-			best = i
-		}
+// quickest returns the option with the shortest wait.
+func (q *query) quickest(g *group) option {
+	best := option{}
+	for i := range g.targets {
+		best = best.better(q.option(g, i, ReasonBound, 0))
 	}
 	return best
 }
--- a/internal/chooser/types.go
+++ b/internal/chooser/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,17 +11,19 @@
 )
 
 const (
-	boundFactor    = 1.25 // of the mean load per slot
-	freeShare      = 0.75 // of the slots; less loaded targets count as free
-	fullQueue      = 2.0  // load per slot at which a target counts as full
+	fullQueue      = 2.0 // load per slot at which a target counts as full
 	prefixBytes    = 1024
-	prefixShare    = 0.125 // of a target's slots that one prefix may occupy
-	unseenDemand   = 0.5   // requests assumed for a prefix while the router is young
+	prefixShare    = 0.08 // of a target's slots that one prefix may occupy
+	unseenDemand   = 0.5  // requests assumed for a prefix while the router is young
 	maxPrefixes    = 4096
 	demandTime     = 5 * time.Minute // decay of the demand; over a minute most of 320 routers see nothing of a prefix
 	regionLatency  = 20 * time.Millisecond
-	expectedSlots  = 8                // of a target that has not reported yet
-	maxReportLag   = 10 * time.Second // older reports say nothing about the load
+	expectedSlots  = 8                      // of a target that has not reported yet
+	maxReportLag   = 10 * time.Second       // older reports say nothing about the load
+	reportWeight   = 0.02                   // of one report in the mean load
+	missCost       = 700 * time.Millisecond // of computing a prefix that is not cached
+	laterShare     = 0.5                    // of the usual load, variance of what arrives later
+	maxLists       = 64
 	expectedLength = 5 * time.Second
 )
 
@@ -38,10 +41,10 @@
 
 // Request is what the choice depends on.
 type Request struct {
-	Prefix   uint64          // see [Prefix]
-	Deadline time.Time       // zero: none
-	Length   time.Duration   // expected run time, 0: [expectedLength]
-	Exclude  map[string]bool // tried before or with an open circuit breaker
+	Prefix   uint64        // see [Prefix]
+	Deadline time.Time     // zero: none
+	Length   time.Duration // expected run time, 0: [expectedLength]
+	Exclude  []string      // tried before or with an open circuit breaker
 }
 
 func (r Request) length() time.Duration {
@@ -79,8 +82,8 @@
 
 // Reasons of a choice.
 const (
-	ReasonPrefix   = "prefix"   // first in rendezvous order
-	ReasonBound    = "bound"    // the first in rendezvous order is over the bound
+	ReasonPrefix   = "prefix"   // one of the targets that the prefix is spread over
+	ReasonBound    = "bound"    // another target is expected to answer sooner
 	ReasonDeadline = "deadline" // the own region cannot meet the deadline
 	ReasonCapacity = "capacity" // the own region has no candidate or only full ones
 	ReasonPolicy   = "policy"   // a baseline's rule
@@ -89,6 +92,7 @@
 // Choice is a selected target.
 type Choice struct {
 	Name   string
+	Index  int // in the list of candidates
 	Scope  Scope
 	Reason string
 	Wait   time.Duration // estimated time until the request starts
@@ -97,7 +101,7 @@
 
 // Policy selects targets and keeps track of their load.
 type Policy interface {
-	Choose(now time.Time, r Request, list []Candidate) (Choice, bool)
+	Choose(now time.Time, r Request, list *List) (Choice, bool)
 	Sent(now time.Time, name string)
 	Done(now time.Time, name string, sent time.Time)
 	Reported(name string, l Load)
@@ -117,13 +121,25 @@
 	return d.Sum64()
 }
 
+// List is an immutable list of candidates. Policies keep what they derive from
+// a list, so the same list should be passed until the candidates change.
+type List struct {
+	candidates []Candidate
+}
+
+// NewList returns a list of the given candidates.
+func NewList(candidates []Candidate) *List { return &List{slices.Clone(candidates)} }
+
 // Loads combines load reports with the router's own requests. A request in
 // flight that the last report already counts is not counted twice.
 type Loads struct {
 	targets map[string]*target
+	lists   map[*List][]*target
+	exclude []*target // reused between choices
 }
 
 type target struct {
+	name   string
 	hash   uint64
 	report Load
 	sent   []time.Time // own requests in flight, by send time
@@ -133,20 +149,34 @@
 type span struct{ sent, done time.Time }
 
 // NewLoads returns an empty table.
-func NewLoads() *Loads { return &Loads{targets: make(map[string]*target)} }
+func NewLoads() *Loads {
+	return &Loads{targets: make(map[string]*target), lists: make(map[*List][]*target)}
+}
 
 // Affinity is the policy of the product.
 type Affinity struct {
 	*Loads
 	place   Place
 	source  *rand.Rand
-	peers   int           // routers that share the candidates, this one included
+	peers   int           // routers of the data centre, this one included
 	latency time.Duration // one way between regions
-	factor  float64
-	demand  map[uint64]*demand
+	demand  map[uint64]demand
 	began   time.Time // first choice
+	mean    float64   // load per slot in recent reports
+	reports int
+	views   map[*List]*view
+}
+
+// view is a list as seen from the place of a router.
+type view struct{ near, region, others group }
 
-	own, others []option // reused between choices
+// group is a part of a list, with the hashes of the names side by side, because
+// every choice reads them all.
+type group struct {
+	scope   Scope
+	hashes  []uint64
+	targets []*target
+	index   []int // in the list
 }
 
 // demand is the router's own recent use of a prefix, decaying exponentially.
@@ -161,11 +191,8 @@
 // WithRegionLatency sets the one-way latency between regions.
 func WithRegionLatency(d time.Duration) Option { return func(a *Affinity) { a.latency = d } }
 
-// WithBound sets the bound on the load of a target, as a multiple of the mean.
-func WithBound(factor float64) Option { return func(a *Affinity) { a.factor = factor } }
-
 // WithPeers sets the number of routers that share the candidates, this one
-// included. Each router sees its own share of a prefix's demand and scales it by
+// included. With several data centres these are the routers of the own one. Each router sees its own share of a prefix's demand and scales it by
 // this number.
 func WithPeers(n int) Option { return func(a *Affinity) { a.SetPeers(n) } }
 
@@ -174,7 +201,7 @@
 func NewAffinity(place Place, source *rand.Rand, opts ...Option) *Affinity {
 	a := &Affinity{
 		Loads: NewLoads(), place: place, source: source, peers: 1,
-		latency: regionLatency, factor: boundFactor, demand: make(map[uint64]*demand),
+		latency: regionLatency, demand: make(map[uint64]demand), views: make(map[*List]*view),
 	}
 	for _, o := range opts {
 		o(a)
@@ -196,6 +223,7 @@
 type LeastLoaded struct {
 	*Loads
 	source *rand.Rand
+	best   []int // reused between choices
 }
 
 // NewLeastLoaded returns the baseline. Ties are broken by source.
--- a/internal/launcher/fleet.go
+++ b/internal/launcher/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +11,11 @@
 	"daisylane/internal/retrier"
 	"daisylane/internal/router"
 	"daisylane/internal/watcher"
-	"daisylane/internal/wirepb"
+)
+
+const (
+	countInterval = 5 * time.Second
+	maxLists      = 64
 )
 
 // fleet chooses targets from the membership view, learns from results and
@@ -19,8 +24,17 @@
 	members *locator.Locator
 
 	mu      sync.Mutex
-	policy  chooser.Policy
+	policy  *chooser.Affinity
 	retries *retrier.Retrier
+	lists   map[watcher.Query]candidates
+	exclude []string  // reused between choices
+	counted time.Time // last count of the entries
+}
+
+// candidates are the members of a query in the form that the policy keeps.
+type candidates struct {
+	members []*watcher.Member
+	list    *chooser.List
 }
 
 func newFleet(members *locator.Locator) *fleet {
@@ -30,6 +44,7 @@
 		members: members,
 		policy:  chooser.NewAffinity(chooser.Place{Centre: self.Centre, Region: self.Region}, source),
 		retries: retrier.New(source),
+		lists:   make(map[watcher.Query]candidates),
 	}
 }
 
@@ -42,31 +57,48 @@
 
 // Choose implements [router.Targets].
 func (f *fleet) Choose(q router.Query) (router.Choice, bool) {
-	members := f.members.Candidates(watcher.Query{Target: q.Target})
+	query := watcher.Query{Target: q.Target}
+	members := f.members.Candidates(query)
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := make([]chooser.Candidate, 0, len(members))
-	addrs := make(map[string]string, len(members))
-	for _, m := range members {
-		if f.retries.Blocked(now, m.Name) {
-			continue
-		}
-		list = append(list, chooser.Candidate{Name: m.Name, Place: chooser.Place{Centre: m.Centre, Region: m.Region}})
-		addrs[m.Name] = m.Addr
-	}
-	exclude := make(map[string]bool, len(q.Tried))
-	for _, name := range q.Tried {
-		exclude[name] = true
-	}
+	f.count(now)
+	f.exclude = f.retries.AppendBlocked(append(f.exclude[:0], q.Tried...), now)
 	c, ok := f.policy.Choose(now, chooser.Request{
-		Prefix: chooser.Prefix(q.Target, "", q.Prefix), Deadline: q.Deadline, Exclude: exclude,
-	}, list)
+		Prefix: chooser.Prefix(q.Target, "", q.Prefix), Deadline: q.Deadline, Exclude: f.exclude,
+	}, f.list(query, members))
 	if !ok || !f.retries.Admit(now, c.Name) {
 		return router.Choice{}, false
 	}
 	f.policy.Sent(now, c.Name)
-	return router.Choice{Name: c.Name, Addr: addrs[c.Name], Sent: now, Reason: c.Reason, Scope: string(c.Scope)}, true
+	return router.Choice{Name: c.Name, Addr: members[c.Index].Addr, Sent: now, Reason: c.Reason, Scope: string(c.Scope)}, true
+}
+
+// list returns the policy's list of the members, the same one until they change.
+func (f *fleet) list(q watcher.Query, members []*watcher.Member) *chooser.List {
+	if c, ok := f.lists[q]; ok && slices.Equal(c.members, members) {
+		return c.list
+	}
+	if len(f.lists) >= maxLists {
+		clear(f.lists)
+	}
+	places := make([]chooser.Candidate, len(members))
+	for i, m := range members {
+		places[i] = chooser.Candidate{Name: m.Name, Place: chooser.Place{Centre: m.Centre, Region: m.Region}}
+	}
+	list := chooser.NewList(places)
+	f.lists[q] = candidates{members, list}
+	return list
+}
+
+// count tells the policy how many entries of the data centre share its targets.
+func (f *fleet) count(now time.Time) {
+	if now.Sub(f.counted) < countInterval {
+		return
+	}
+	f.counted = now
+	self := f.members.Self()
+	f.policy.SetPeers(len(f.members.Entries(self.Region, self.Centre)))
 }
 
 // Done implements [router.Targets].
@@ -79,7 +111,7 @@
 	defer f.mu.Unlock()
 	f.policy.Done(now, c.Name, c.Sent)
 	if r.Load != nil {
-		f.policy.Reported(c.Name, loadOf(now, r.Load))
+		f.policy.Reported(c.Name, chooser.LoadOf(now, r.Load))
 	}
 	if r.Outcome == router.Canceled {
 		f.retries.Cancelled(c.Name)
@@ -89,13 +121,6 @@
 	return router.Verdict{Retry: v.Retry, Wait: v.Wait, After: v.After}
 }
 
-func loadOf(now time.Time, m *wirepb.Load) chooser.Load {
-	return chooser.Load{
-		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
-		At: now.Add(-time.Duration(m.GetAge()) * time.Millisecond),
-	}
-}
-
 var outcomes = map[router.Outcome]retrier.Outcome{
 	router.Whole:       retrier.Whole,
 	router.Refused:     retrier.NotRun,
--- a/internal/retrier/queries.go
+++ b/internal/retrier/queries.go
@@ -17,6 +17,16 @@
 	return false
 }
 
+// AppendBlocked appends the targets that [Retrier.Blocked] reports to a list.
+func (r *Retrier) AppendBlocked(list []string, now time.Time) []string {
+	for name := range r.breakers {
+		if r.Blocked(now, name) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // State returns the state of a target's circuit breaker.
 func (r *Retrier) State(now time.Time, target string) State {
 	b, ok := r.breakers[target]
