Keep the candidates of a query until the membership changes

Every request filtered all 1,400 members again. The view now keeps the result per query, drops it at any change and when a suspicion ends.

--- a/internal/watcher/commands.go
+++ b/internal/watcher/commands.go
@@ -6,11 +6,29 @@
 	"time"
 )
 
+// Candidates returns the targets that may receive work, ordered by instance
+// name. Suspected ones are returned only if there is no other. The values and
+// the list are shared and must not be changed. The list is kept until the next
+// change, because it is asked for with every request.
+func (v *View) Candidates(now time.Time, q Query) []*Member {
+	a, ok := v.answers[q]
+	if ok && (a.until.IsZero() || now.Before(a.until)) {
+		return a.members
+	}
+	if len(v.answers) >= maxAnswers {
+		clear(v.answers)
+	}
+	a = v.answer(now, q)
+	v.answers[q] = a
+	return a.members
+}
+
 // List replaces what the instance list said before.
 func (v *View) List(now time.Time, rows []Listed) {
 	if now.Before(v.lastList) {
 		return
 	}
+	clear(v.answers)
 	if v.lastList.IsZero() || now.Sub(v.lastList) > maxListGap {
 		v.restartAbsence(now)
 	}
@@ -41,6 +59,7 @@
 	if version <= n.version {
 		return
 	}
+	clear(v.answers)
 	if !n.registered {
 		n.leaving = n.leaving && n.version == 0
 		n.failed = time.Time{}
@@ -58,10 +77,12 @@
 		return
 	}
 	n.version, n.registered = version, false
+	clear(v.answers)
 }
 
 // Sync replaces all registrations, after a watch lost its place.
 func (v *View) Sync(now time.Time, list []Registration) {
+	clear(v.answers)
 	present := make(map[string]bool, len(list))
 	for _, r := range list {
 		present[r.Member.Name] = true
@@ -73,11 +94,15 @@
 }
 
 // Leave records a side's own statement that it is leaving.
-func (v *View) Leave(name string) { v.node(name).leaving = true }
+func (v *View) Leave(name string) {
+	v.node(name).leaving = true
+	clear(v.answers)
+}
 
 // Dialed records the result of a dial.
 func (v *View) Dialed(now time.Time, name string, ok bool) {
 	n := v.node(name)
+	clear(v.answers)
 	if !ok {
 		n.failed = now
 		return
--- a/internal/watcher/queries.go
+++ b/internal/watcher/queries.go
@@ -2,26 +2,26 @@
 
 import "time"
 
-// Candidates returns the targets that may receive work, ordered by instance
-// name. Suspected ones are returned only if there is no other. The values are
-// shared and must not be changed.
-func (v *View) Candidates(now time.Time, q Query) []*Member {
-	live := make([]*Member, 0, len(v.order))
+func (v *View) answer(now time.Time, q Query) answer {
+	var a answer
 	var suspected []*Member
 	for _, n := range v.order {
 		if !n.registered || n.member.Role != Side || !q.matches(n.member) || n.stops() || v.gone(n) {
 			continue
 		}
-		if n.suspected(now) {
-			suspected = append(suspected, n.member)
+		if !n.suspected(now) {
+			a.members = append(a.members, n.member)
 			continue
 		}
-		live = append(live, n.member)
+		suspected = append(suspected, n.member)
+		if end := n.failed.Add(suspectTime); a.until.IsZero() || end.Before(a.until) {
+			a.until = end
+		}
 	}
-	if len(live) == 0 {
-		return suspected
+	if len(a.members) == 0 {
+		a.members = suspected
 	}
-	return live
+	return a
 }
 
 // Entries returns the entries of a region, or of one of its data centres if
--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -12,6 +12,7 @@
 	maxListGap  = 30 * time.Second // a longer gap can hide that an absent instance came back
 	suspectTime = 10 * time.Second // then one more request tests the peer
 	forgetAfter = time.Hour
+	maxAnswers  = 64
 )
 
 // Roles of instances.
@@ -91,6 +92,13 @@
 	order     []*node // by name, so that queries have a stable order
 	firstList time.Time
 	lastList  time.Time
+	answers   map[Query]answer // of Candidates, until the next change
+}
+
+// answer is a stored result of [View.Candidates].
+type answer struct {
+	members []*Member
+	until   time.Time // first end of a suspicion, zero: none
 }
 
 type node struct {
@@ -105,4 +113,4 @@
 }
 
 // New returns an empty view.
-func New() *View { return &View{nodes: make(map[string]*node)} }
+func New() *View { return &View{nodes: make(map[string]*node), answers: make(map[Query]answer)} }
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -139,3 +139,36 @@
 		v.Candidates(start, Query{Model: "m"})
 	}
 }
+
+// Guards against work for a side that left, or none for one that is back,
+// because a list of candidates outlives a change.
+func TestCandidatesFollowChanges(t *testing.T) {
+	v := New()
+	v.Register(at(0), side("a"), 1)
+	v.Register(at(0), side("b"), 1)
+	steps := []struct {
+		name  string
+		apply func()
+		now   int
+		want  int
+	}{
+		{"failed dial", func() { v.Dialed(at(1), "a", false) }, 1, 1},
+		{"still suspected", func() {}, 10, 1},
+		{"suspicion ended", func() {}, 11, 2},
+		{"dialled again", func() { v.Dialed(at(12), "a", false); v.Dialed(at(13), "a", true) }, 13, 2},
+		{"left", func() { v.Leave("a") }, 14, 1},
+		{"new", func() { v.Register(at(15), side("c"), 1) }, 15, 2},
+		{"removed", func() { v.Remove("c", 2) }, 16, 1},
+		{"list says leaving", func() { v.List(at(17), []Listed{{Name: "b", State: Leaving}}) }, 17, 0},
+		{"list says live", func() { v.List(at(18), rows("b")) }, 18, 1},
+		{"registrations replaced", func() { v.Sync(at(19), nil) }, 19, 0},
+	}
+	for _, s := range steps {
+		s.apply()
+		for range 2 {
+			if got := len(v.Candidates(at(s.now), Query{Model: "m"})); got != s.want {
+				t.Errorf("%s: %d candidates, want %d", s.name, got, s.want)
+			}
+		}
+	}
+}
