--- a/internal/launcher/fleet.go
+++ b/internal/launcher/fleet.go
@@ -79,6 +79,11 @@
 	if c, ok := f.lists[q]; ok && slices.Equal(c.members, members) {
 		return c.list
 	}
+	for _, m := range f.lists[q].members {
+		if !slices.Contains(members, m) {
+			f.policy.Forget(m.Name)
+		}
+	}
 	if len(f.lists) >= maxLists {
 		clear(f.lists)
 	}
