Refuse waiting requests that would be cut off at their deadline

Cause: a side kept a request that would start just before its deadline. The engine then ran it until the deadline and the slot was wasted; the refusal leaves time for another target. A waiting request now needs the mean time in a slot before its deadline. One that finds a free slot starts as before.

The new step of TestQueue fails with the former code; tests of admitter and executor pass.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -59,10 +59,12 @@
 }
 
 // Guards against a wrong order of the queue and against requests that wait
-// although they cannot start in time or the queue is full.
+// although they cannot start in time, would be cut off at their deadline or the
+// queue is full.
 func TestQueue(t *testing.T) {
 	a := registered(1, 2)
 	wantActions(t, "free slot", a.Run(start, request(1, 1, time.Minute)), "q1 start")
+	wantActions(t, "too late to end", a.Run(start, request(8, 1, 1500*time.Millisecond)), "q8 deadline")
 	wantActions(t, "wait", a.Run(start, request(2, 1, time.Minute)))
 	wantActions(t, "worth", a.Run(start, request(3, 2, time.Minute)))
 	wantActions(t, "full", a.Run(start, request(4, 1, 2*time.Minute)), "q4 overload")
--- a/internal/admitter/commands.go
+++ b/internal/admitter/commands.go
@@ -180,7 +180,9 @@
 }
 
 // schedule starts waiting requests while slots are free and refuses those that
-// cannot start in time or do not fit into the queue.
+// cannot start in time or do not fit into the queue. A request that waits needs
+// the mean time in a slot before its deadline, or it would be cut off there and
+// use its slot for nothing.
 func (a *Admitter) schedule(now time.Time) []Action {
 	slices.SortStableFunc(a.waiting, func(x, y *job) int {
 		return cmp.Or(cmp.Compare(y.Worth, x.Worth), x.Deadline.Compare(y.Deadline), cmp.Compare(x.arrived, y.arrived))
@@ -196,8 +198,8 @@
 			j.started = now
 			a.running[j.ID] = j
 			actions = append(actions, Start{j.ID})
-		case now.Add(wait).After(j.Deadline):
-			actions = append(actions, a.drop(j, Deadline, fmt.Sprintf("the request would start in %s, after its deadline", wait), wait))
+		case now.Add(wait + a.service).After(j.Deadline):
+			actions = append(actions, a.drop(j, Deadline, fmt.Sprintf("the request would start in %s, too late for its deadline", wait), wait))
 		case len(kept) >= a.limits.Queue:
 			actions = append(actions, a.drop(j, Overload, "the queue is full", wait))
 		default:
--- a/internal/admitter/types.go
+++ b/internal/admitter/types.go
@@ -3,8 +3,9 @@
 //
 // A side admits work only after it has registered and loaded the table of
 // closed holders. Requests that find no free slot wait in order of worth and
-// then deadline. A request that is expected to start after its deadline is
-// refused at once. Charges are kept until the holder has made them durable.
+// then deadline. A request that would wait and start less than the mean time in
+// a slot before its deadline is refused at once. Charges are kept until the
+// holder has made them durable.
 //
 // # Usage
 //
