Let the gates of the model admit 1.2 times their share of the slots

With exactly its share a router leaves slots idle whenever its requests do not fit the free ones: the sides had nothing waiting. What waits at the sides fills the gaps, and the sides order it by worth.

--- a/internal/chooser/model_test.go
+++ b/internal/chooser/model_test.go
@@ -29,6 +29,7 @@
 	modelHops     = 1                // to another target after a refusal
 	modelWarm     = 2 * time.Minute  // left out of the figures
 	underload     = 0.6
+	gateShare     = 1.2 // of a router's share of the slots; what waits at the sides fills gaps
 	overload      = 1.5
 )
 
@@ -167,7 +168,7 @@
 	for i := range s.routers {
 		m.routers = append(m.routers, &node{
 			policy: s.policy(s.place(i), rand.New(rand.NewPCG(s.seed, uint64(3+i))), s.routers/max(1, s.centres)),
-			gate:   limiter.New(rand.New(rand.NewPCG(s.seed, 1)), s.targets*modelSlots/s.routers),
+			gate:   limiter.New(rand.New(rand.NewPCG(s.seed, 1)), int(gateShare*float64(s.targets*modelSlots)/float64(s.routers))),
 		})
 	}
 	m.push(start, m.arrive)
