Estimate the run time of requests whose length is unknown

The limiter now uses the mean run time of its recent requests while a request waits; a request that can start at once is not held to it.

TestUnknownLength fails with the former code.

--- a/internal/limiter/commands.go
+++ b/internal/limiter/commands.go
@@ -17,11 +17,11 @@
 		return []Action{l.refuse(r.ID, CauseDeadline, minComeBack)}
 	}
 	if r.Deadline.IsZero() {
-		r.Deadline = now.Add(maxWait + r.Length)
+		r.Deadline = now.Add(maxWait + l.length(r))
 	}
 	l.account(now, r.Account).open++
 	if len(l.queue) == 0 && len(l.running) < l.capacity {
-		l.running[r.ID] = r
+		l.running[r.ID] = run{r, now}
 		return []Action{{Kind: Start, ID: r.ID}}
 	}
 	at, _ := slices.BinarySearchFunc(l.queue, r, order)
@@ -34,6 +34,7 @@
 func (l *Limiter) Done(now time.Time, id string) []Action {
 	if r, ok := l.running[id]; ok {
 		delete(l.running, id)
+		l.observe(now.Sub(r.since))
 		l.account(now, r.Account).open--
 		return l.Tick(now)
 	}
@@ -44,13 +45,22 @@
 	return nil
 }
 
+// observe adds a run time to the mean.
+func (l *Limiter) observe(took time.Duration) {
+	if l.mean == 0 {
+		l.mean = took
+		return
+	}
+	l.mean += time.Duration(meanWeight * float64(took-l.mean))
+}
+
 // Tick starts queued requests and gives up those that are too late.
 func (l *Limiter) Tick(now time.Time) []Action {
 	actions := l.shed(now, "")
 	for len(l.queue) > 0 && len(l.running) < l.capacity {
 		r := l.queue[0]
 		l.queue = slices.Delete(l.queue, 0, 1)
-		l.running[r.ID] = r
+		l.running[r.ID] = run{r, now}
 		actions = append(actions, Action{Kind: Start, ID: r.ID})
 	}
 	return actions
@@ -101,12 +111,12 @@
 		switch {
 		case len(kept) >= maxQueue:
 			cause = CauseQueue
-		case start.After(r.latest()):
+		case start.After(l.latest(r)):
 			cause = CauseWorth
 		}
 		if cause == "" {
 			kept = append(kept, r)
-			start = start.Add(r.Length / time.Duration(l.capacity))
+			start = start.Add(l.length(r) / time.Duration(l.capacity))
 			continue
 		}
 		l.account(now, r.Account).open--
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -152,3 +152,20 @@
 		}
 	})
 }
+
+// Guards against a refusal that waits for the deadline because the caller of the
+// limiter knows no run times.
+func TestUnknownLength(t *testing.T) {
+	l := New(source(), 1)
+	offer := func(id string) Action {
+		return l.Offer(start, Request{ID: id, Account: "a", Worth: 1, Deadline: start.Add(5 * time.Second)})[0]
+	}
+	l.Offer(start.Add(-2*time.Second), Request{ID: "seen", Account: "a", Worth: 1})
+	l.Done(start, "seen")
+	want := []Kind{Start, Queue, Queue, Refuse}
+	for i, kind := range want {
+		if got := offer(fmt.Sprint(i)); got.Kind != kind {
+			t.Errorf("request %d: %+v, want %s", i, got, kind)
+		}
+	}
+}
--- a/internal/limiter/queries.go
+++ b/internal/limiter/queries.go
@@ -17,7 +17,7 @@
 func (l *Limiter) Next() time.Time {
 	var next time.Time
 	for _, r := range l.queue {
-		if late := r.latest().Add(1); next.IsZero() || late.Before(next) {
+		if late := l.latest(r).Add(1); next.IsZero() || late.Before(next) {
 			next = late
 		}
 	}
@@ -26,10 +26,16 @@
 
 // latest returns the last time at which a queued request starts. Runs vary, and
 // one that is cut off at its deadline has used its slot for nothing.
-func (r Request) latest() time.Time {
+func (l *Limiter) latest(r Request) time.Time {
+	if r.Length == 0 {
+		return r.Deadline.Add(-l.mean)
+	}
 	return r.Deadline.Add(-time.Duration(lengthMargin * float64(r.Length)))
 }
 
+// length returns the expected run time of a request.
+func (l *Limiter) length(r Request) time.Duration { return cmp.Or(r.Length, l.mean) }
+
 // order compares by worth, then deadline. Equal requests keep their order of
 // arrival.
 func order(queued, r Request) int {
--- a/internal/limiter/types.go
+++ b/internal/limiter/types.go
@@ -13,7 +13,8 @@
 	maxRate      = 1_000_000
 	maxWait      = 10 * time.Second // for requests without a deadline
 	maxQueue     = 4096
-	lengthMargin = 1.5 // of the expected length
+	meanWeight   = 0.05 // of one run time
+	lengthMargin = 1.5  // of the expected length
 	minComeBack  = time.Second
 	maxComeBack  = time.Minute
 )
@@ -40,7 +41,7 @@
 	Account  string
 	Worth    float64
 	Deadline time.Time     // of the complete answer, zero: none
-	Length   time.Duration // expected run time
+	Length   time.Duration // expected run time, 0: the mean of recent ones while it waits
 }
 
 // Kind is the kind of an [Action].
@@ -85,8 +86,14 @@
 	fallback Limit
 	limits   map[string]Limit
 	accounts map[string]*account
-	running  map[string]Request
-	queue    []Request // in order of service
+	running  map[string]run
+	mean     time.Duration // run time of recent requests
+	queue    []Request     // in order of service
+}
+
+type run struct {
+	Request
+	since time.Time
 }
 
 type account struct {
@@ -110,7 +117,7 @@
 	l := &Limiter{
 		source: source, capacity: max(1, capacity),
 		fallback: Limit{Rate: maxRate, Burst: maxRate, Concurrent: maxRate},
-		accounts: make(map[string]*account), running: make(map[string]Request),
+		accounts: make(map[string]*account), running: make(map[string]run),
 	}
 	for _, o := range opts {
 		o(l)
