Let a side queue at most half as many requests as it has slots

Cause: a router knows the load of few targets, so any policy sends requests to full sides, and a queue of 64 kept them there for seconds while other targets had free slots. The side knows its load exactly, and a refusal costs one hop. Waiting requests are bounded by half the slots, which is half a mean run, and by limits.queue as before. The model allows two hops now, as the retrier does.

Tests of admitter, executor and chooser pass.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -76,6 +76,17 @@
 	wantActions(t, "second slot", a.Run(start, request(7, 1, time.Minute)), "q7 start")
 }
 
+// Guards against a long queue at one side while others have free slots.
+func TestQueueIsShort(t *testing.T) {
+	a := registered(8, 64)
+	for n := range 12 {
+		if got := a.Run(start, request(n, 1, time.Minute)); n < 8 != (len(got) == 1) {
+			t.Errorf("request %d: actions = %v, want 8 to start and 4 to wait", n, reasons(got))
+		}
+	}
+	wantActions(t, "half the slots wait", a.Run(start, request(12, 1, 2*time.Minute)), "q12 overload")
+}
+
 // Guards against a charge that is settled too early, too often or not again
 // after a failure, and against one above its reservation.
 func TestCharge(t *testing.T) {
--- a/internal/admitter/commands.go
+++ b/internal/admitter/commands.go
@@ -200,7 +200,7 @@
 			actions = append(actions, Start{j.ID})
 		case now.Add(wait + a.service).After(j.Deadline):
 			actions = append(actions, a.drop(j, Deadline, fmt.Sprintf("the request would start in %s, too late for its deadline", wait), wait))
-		case len(kept) >= a.limits.Queue:
+		case len(kept) >= a.queue():
 			actions = append(actions, a.drop(j, Overload, "the queue is full", wait))
 		default:
 			kept = append(kept, j)
--- a/internal/admitter/queries.go
+++ b/internal/admitter/queries.go
@@ -47,6 +47,11 @@
 	return a.limits.Slots
 }
 
+// queue returns how many requests may wait. A side knows its load better than a
+// router does, so it refuses what would wait longer than half a mean run and
+// leaves the request to another target.
+func (a *Admitter) queue() int { return min(a.limits.Queue, max(minQueue, a.Slots()/2)) }
+
 // Load returns the load that routers see. Requests of this side count as soon
 // as they start, before the target reports them.
 func (a *Admitter) Load() Load {
--- a/internal/admitter/types.go
+++ b/internal/admitter/types.go
@@ -51,6 +51,7 @@
 	recallPeriod   = 10 * time.Minute
 	initialService = time.Second
 	meanWeight     = 0.2
+	minQueue       = 2 // of a side with few slots
 )
 
 // Reservation names tokens set aside by a holder. A request without a budget
@@ -118,7 +119,7 @@
 // Limits are the bounds of a side.
 type Limits struct {
 	Slots int // requests that run at the same time, until the target reports its own number
-	Queue int // requests that may wait
+	Queue int // requests that may wait, at most half the slots
 	// Settle is the time after which the side delivers a charge by itself, 0 takes
 	// [SettleDelay].
 	Settle time.Duration
--- a/internal/chooser/baselines.go
+++ b/internal/chooser/baselines.go
@@ -8,9 +8,22 @@
 // Choose takes the next candidate in turn.
 func (p *RoundRobin) Choose(now time.Time, r Request, list *List) (Choice, bool) {
 	targets := p.resolve(list)
-	for range targets {
-		i := p.next % len(targets)
-		p.next++
+	if len(r.Exclude) > 0 {
+		return p.again(now, r, targets)
+	}
+	if len(targets) == 0 {
+		return Choice{}, false
+	}
+	i := p.next % len(targets)
+	p.next++
+	return targets[i].choice(now, r, i), true
+}
+
+// again takes a candidate on the other side of the list. Routers that moved on
+// from a full target would otherwise gather behind each other.
+func (p *RoundRobin) again(now time.Time, r Request, targets []*target) (Choice, bool) {
+	for n := range targets {
+		i := (p.next + len(targets)/2 + n) % len(targets)
 		if !slices.Contains(r.Exclude, targets[i].name) {
 			return targets[i].choice(now, r, i), true
 		}
--- a/internal/chooser/model_test.go
+++ b/internal/chooser/model_test.go
@@ -26,7 +26,7 @@
 	modelPrefill  = time.Second // without a cached prefix
 	modelCached   = 100 * time.Millisecond
 	modelDeadline = 15 * time.Second // of requests without worth
-	modelHops     = 1                // to another target after a refusal
+	modelHops     = 2                // to other targets after refusals, as the retrier allows
 	modelWarm     = 2 * time.Minute
 	underload     = 0.6
 	gateShare     = 1.2 // of a router's share of the slots; what waits at the sides fills gaps
