Decide when reservations of dead routers are released

Cause: a reservation whose router dies before it settles or releases it stays open in a live holder, so that its tokens are withheld for ever.

reclaimer revokes expired reservations at all registered sides and releases those that no side runs or has to bill. Ruled out: a release by time alone, since a delayed Run could spend the tokens again, and a table at the sides without the platform, since a side that registers after the listing would not know it. The table is kept small by the lowest number that has not ended.

--- /dev/null
+++ b/internal/reclaimer/queries.go
@@ -0,0 +1,72 @@
+package reclaimer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"daisylane/internal/recoverer"
+)
+
+// Table returns what sides have to refuse.
+func (r *Reclaimer) Table() Table {
+	return Table{Below: r.below, Numbers: slices.Sorted(maps.Keys(r.revoked))}
+}
+
+// Revoked reports whether sides refuse a reservation.
+func (r *Reclaimer) Revoked(number uint64) bool {
+	_, listed := r.revoked[number]
+	return listed || number < r.below
+}
+
+// Open returns how many reservations are open.
+func (r *Reclaimer) Open() int { return len(r.open) }
+
+// Waiting returns the sides that can still run or bill a revoked reservation, in order.
+func (r *Reclaimer) Waiting() []string { return slices.Sorted(maps.Keys(r.sides)) }
+
+// Unconfirmed reports whether the operator's word on an absent side is missing.
+func (r *Reclaimer) Unconfirmed(now time.Time) bool {
+	if r.cfg.Release != recoverer.ReleaseOperator {
+		return false
+	}
+	for name, s := range r.sides {
+		if !s.absent.IsZero() && now.Sub(s.absent) >= recoverer.AbsentInterval && !r.confirmed[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// expired returns the reservations to revoke, in order.
+func (r *Reclaimer) expired(now time.Time) []uint64 {
+	var numbers []uint64
+	for number, o := range r.open {
+		if !o.listed && !now.Before(o.expires) {
+			numbers = append(numbers, number)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers[:min(len(numbers), maxNumbers)]
+}
+
+// outstanding returns the reservations that a side can still run or bill, in order.
+func (r *Reclaimer) outstanding(name string) []uint64 {
+	var numbers []uint64
+	for number, o := range r.open {
+		if _, ok := o.pending[name]; ok {
+			numbers = append(numbers, number)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers[:min(len(numbers), maxNumbers)]
+}
+
+func (r *Reclaimer) awaits(name string) bool {
+	for _, o := range r.open {
+		if _, ok := o.pending[name]; ok {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/reclaimer/reclaimer_test.go
@@ -0,0 +1,305 @@
+package reclaimer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"daisylane/internal/admitter"
+	"daisylane/internal/budgeter"
+	"daisylane/internal/recoverer"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "13", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		_ = flag.Set(name, value)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func reservation(n uint64) budgeter.Reservation {
+	return budgeter.Reservation{Holder: "h", Number: n, Budget: "acme", Tokens: 10}
+}
+
+func describe(actions []Action) []string {
+	var list []string
+	for _, a := range actions {
+		list = append(list, fmt.Sprintf("%T%v", a, a))
+	}
+	return list
+}
+
+func want(t *testing.T, step string, got []Action, actions ...Action) {
+	t.Helper()
+	if !slices.Equal(describe(got), describe(actions)) {
+		t.Errorf("%s: actions = %v, want %v", step, describe(got), describe(actions))
+	}
+}
+
+// revoked returns a reclaimer that has asked two sides about reservation 1.
+func revoked(t *testing.T, release string) *Reclaimer {
+	t.Helper()
+	r := New(Config{Release: release, Margin: time.Second})
+	r.Opened(start, reservation(1), time.Second)
+	r.Opened(start, reservation(2), time.Minute)
+	want(t, "before the margin", r.Tick(start.Add(1900*time.Millisecond)))
+	want(t, "expired", r.Tick(start.Add(2*time.Second)), Publish{Table{Below: 2}})
+	want(t, "published", r.Published(), List{})
+	want(t, "listed", r.Listed(start.Add(2*time.Second), []string{"s1", "s2"}),
+		Revoke{"s1", 2, []uint64{1}}, Revoke{"s2", 2, []uint64{1}})
+	return r
+}
+
+// Guards against a release while a side runs the request or did not answer, and
+// against a charge that comes first being ignored.
+func TestAnswers(t *testing.T) {
+	r := revoked(t, recoverer.ReleaseGone)
+	want(t, "clean answer", r.Answered("s1", []uint64{1}, nil))
+	want(t, "running there", r.Answered("s2", []uint64{1}, []uint64{1}))
+	want(t, "too early to ask", r.Tick(start.Add(6*time.Second)))
+	want(t, "asked again", r.Tick(start.Add(7*time.Second)), Revoke{"s2", 2, []uint64{1}})
+	want(t, "billed", r.Answered("s2", []uint64{1}, nil), Release{reservation(1)})
+
+	r = revoked(t, recoverer.ReleaseGone)
+	r.Concluded(1)
+	want(t, "settled by the charge", append(r.Answered("s1", []uint64{1}, nil), r.Answered("s2", []uint64{1}, nil)...))
+	if len(r.Waiting()) != 0 {
+		t.Errorf("waiting for %v after the charge", r.Waiting())
+	}
+}
+
+// Guards against tokens released on a short absence of a side or without the
+// operator's word, and against tokens withheld after both.
+func TestGone(t *testing.T) {
+	for _, release := range []string{recoverer.ReleaseGone, recoverer.ReleaseOperator} {
+		r := revoked(t, release)
+		want(t, "clean answer", r.Answered("s1", []uint64{1}, nil))
+		now := start.Add(10 * time.Second)
+		want(t, "absent", r.Listing(now, []string{"s1"}))
+		want(t, "back", r.Listing(now.Add(80*time.Second), []string{"s1", "s2"}))
+		want(t, "absent again", r.Listing(now.Add(85*time.Second), nil))
+		want(t, "short absence", r.Listing(now.Add(174*time.Second), nil))
+		now = now.Add(176 * time.Second)
+		if release == recoverer.ReleaseOperator {
+			want(t, "not confirmed", r.Listing(now, nil))
+			if !r.Unconfirmed(now) {
+				t.Error("the missing confirmation is not reported")
+			}
+			r.Confirm("s2")
+		}
+		want(t, "gone", r.Listing(now, nil), Release{reservation(1)})
+	}
+}
+
+// Guards against more platform calls than one round per interval, and against a
+// failed call that is never repeated.
+func TestRounds(t *testing.T) {
+	r := New(Config{Release: recoverer.ReleaseGone, Margin: time.Second})
+	for n := uint64(1); n <= 3; n++ {
+		r.Opened(start, reservation(n), time.Duration(n)*time.Second)
+	}
+	want(t, "first", r.Tick(start.Add(2*time.Second)), Publish{Table{Below: 2}})
+	r.Failed()
+	want(t, "within the interval", r.Tick(start.Add(11*time.Second)))
+	want(t, "all at once", r.Tick(start.Add(12*time.Second)), Publish{Table{Below: 4}})
+	r.Published()
+	want(t, "no sides", r.Listed(start, nil), Release{reservation(1)}, Release{reservation(2)}, Release{reservation(3)})
+}
+
+// fleet is a holder with sides, each with its real admission state. Messages
+// wait in lists, from which they are taken in any order, lost or repeated.
+type fleet struct {
+	t        *rapid.T
+	now      time.Time
+	r        *Reclaimer
+	sides    map[string]*admitter.Admitter // alive
+	members  []string                      // registered, with those that died
+	table    Table
+	next     uint64
+	runs     []uint64 // sent and not delivered
+	asks     []Revoke
+	answers  []answer
+	calls    []Action // platform calls in flight
+	released map[uint64]bool
+}
+
+type answer struct {
+	side        string
+	asked, open []uint64
+}
+
+func (f *fleet) carryOut(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Revoke:
+			f.asks = append(f.asks, a)
+		case Release:
+			f.released[a.Reservation.Number] = true
+			f.check(a.Reservation.Number)
+		default:
+			f.calls = append(f.calls, a)
+		}
+	}
+}
+
+// check fails if a side runs or would still run a released reservation.
+func (f *fleet) check(number uint64) {
+	for name, s := range f.sides {
+		if len(s.Unsettled("h", []uint64{number})) > 0 {
+			f.t.Fatalf("reservation %d is released while side %s has it", number, name)
+		}
+	}
+}
+
+func (f *fleet) run(name string, number uint64) {
+	id := fmt.Sprint(number)
+	actions := f.sides[name].Run(f.now, admitter.Request{
+		ID: id, Deadline: f.now.Add(time.Hour),
+		Reservation: admitter.Reservation{Holder: "h", Number: number, Tokens: 10},
+	})
+	for _, a := range actions {
+		if s, ok := a.(admitter.Start); ok && s.ID == id && f.released[number] {
+			f.t.Fatalf("side %s runs reservation %d after its release", name, number)
+		}
+	}
+}
+
+func (f *fleet) register(name string) {
+	f.sides[name] = admitter.New(admitter.Limits{Slots: 2, Queue: 2})
+	f.members = append(f.members, name)
+}
+
+// load is the second step of a registration: the table, then admission.
+func (f *fleet) load(s *admitter.Admitter) {
+	if !s.Registered() {
+		s.Revoke("h", f.table.Below, f.table.Numbers)
+		s.Register(nil)
+	}
+}
+
+func take[T any](t *rapid.T, list *[]T) (T, bool) {
+	var zero T
+	if len(*list) == 0 {
+		return zero, false
+	}
+	i := rapid.IntRange(0, len(*list)-1).Draw(t, "index")
+	v := (*list)[i]
+	if rapid.IntRange(0, 4).Draw(t, "repeat") > 0 {
+		*list = slices.Delete(*list, i, i+1)
+	}
+	return v, true
+}
+
+func (f *fleet) platform() {
+	if len(f.calls) == 0 {
+		return
+	}
+	a := f.calls[0]
+	f.calls = f.calls[1:]
+	lost := rapid.IntRange(0, 4).Draw(f.t, "lost") == 0
+	switch a := a.(type) {
+	case Publish:
+		f.table = a.Table // also if only the response is lost
+		if !lost {
+			f.carryOut(f.r.Published())
+		}
+	case List:
+		if !lost {
+			f.carryOut(f.r.Listed(f.now, f.members))
+		}
+	}
+	if lost {
+		f.r.Failed()
+	}
+}
+
+func (f *fleet) step() {
+	names := make([]string, 0, len(f.sides))
+	for name := range f.sides {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	name := ""
+	if len(names) > 0 {
+		name = rapid.SampledFrom(names).Draw(f.t, "side")
+	}
+	switch k := rapid.IntRange(0, 99).Draw(f.t, "step"); {
+	case k < 8:
+		f.next++
+		f.r.Opened(f.now, reservation(f.next), time.Duration(rapid.IntRange(1, 30).Draw(f.t, "left"))*time.Second)
+		f.runs = append(f.runs, f.next)
+	case k < 30 && name != "":
+		if n, ok := take(f.t, &f.runs); ok {
+			f.run(name, n)
+		}
+	case k < 40 && name != "":
+		for n := range f.next {
+			f.sides[name].Ended(f.now, fmt.Sprint(n+1), admitter.Usage{Output: 1})
+		}
+	case k < 48 && name != "":
+		for _, c := range f.sides[name].Unbilled("") {
+			if f.released[c.Reservation.Number] {
+				f.t.Fatalf("charge for released reservation %d", c.Reservation.Number)
+			}
+			f.r.Concluded(c.Reservation.Number)
+			f.sides[name].Billed(c.ID)
+		}
+	case k < 62:
+		if a, ok := take(f.t, &f.asks); ok && f.sides[a.Side] != nil {
+			f.sides[a.Side].Revoke("h", a.Below, a.Numbers)
+			f.answers = append(f.answers, answer{a.Side, a.Numbers, f.sides[a.Side].Unsettled("h", a.Numbers)})
+		}
+	case k < 76:
+		if a, ok := take(f.t, &f.answers); ok {
+			f.carryOut(f.r.Answered(a.side, a.asked, a.open))
+		}
+	case k < 85:
+		f.platform()
+	case k < 92:
+		f.now = f.now.Add(time.Duration(rapid.IntRange(1, 8).Draw(f.t, "seconds")) * time.Second)
+		f.carryOut(f.r.Tick(f.now))
+		f.carryOut(f.r.Listing(f.now, names))
+	case k < 95:
+		f.register(fmt.Sprintf("s%d", len(f.members)+1))
+	case k < 98 && name != "":
+		f.load(f.sides[name])
+	case name != "":
+		delete(f.sides, name)
+	}
+}
+
+// Guards against tokens that are released while a side can still run their
+// request, over lost, repeated and reordered messages and sides that start or die.
+func TestNoReleaseWhileRunnable(t *testing.T) {
+	releases := 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{
+			t: t, now: start, sides: make(map[string]*admitter.Admitter), released: make(map[uint64]bool),
+			r: New(Config{Release: recoverer.ReleaseGone, Margin: time.Second, Round: 2 * time.Second}),
+		}
+		f.register("s1")
+		f.load(f.sides["s1"])
+		for range 900 {
+			f.step()
+		}
+		for name, s := range f.sides {
+			f.load(s)
+			for n := range f.released {
+				f.run(name, n)
+			}
+		}
+		releases += len(f.released)
+	})
+	if releases == 0 {
+		t.Error("no reservation was released in any schedule")
+	}
+	t.Logf("%d releases", releases)
+}
--- a/internal/recoverer/commands.go
+++ b/internal/recoverer/commands.go
@@ -126,7 +126,7 @@
 		case s.absent.IsZero():
 			s.absent = now
 		}
-		if now.Sub(s.absent) < absentInterval || r.cfg.Release == ReleaseOperator && !r.confirmed[name] {
+		if now.Sub(s.absent) < AbsentInterval || r.cfg.Release == ReleaseOperator && !r.confirmed[name] {
 			continue
 		}
 		actions = append(actions, r.gone(s)...)
--- a/internal/recoverer/types.go
+++ b/internal/recoverer/types.go
@@ -34,10 +34,10 @@
 	ReleaseGone     = "gone"     // tokens are released without confirmation
 )
 
-const (
-	absentInterval = 90 * time.Second
-	retryInterval  = time.Second
-)
+// AbsentInterval is how long the instance list must lack a side that is gone.
+const AbsentInterval = 90 * time.Second
+
+const retryInterval = time.Second
 
 // Config sets up a recovery.
 type Config struct {
