Let sides refuse revoked reservations

Cause: a delayed Run on a stale connection must not run after the holder has released its tokens.

Reserve carries the time to the deadline. Revoke makes a side refuse reservations of a holder, including those that wait, and gives back those that run or are not billed. A starting side loads the revocations between its registration and its admission. The handlers of Close and Revoke no longer give an empty answer when the side's state has already ended; the holder would have taken it for one without open requests.

Ruled out: the deadline of Run alone, because it counts from its arrival.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -175,3 +175,30 @@
 		}
 	})
 }
+
+// Guards against waiting or later work of a revoked reservation being run, and
+// against running or unbilled work missing from the answer.
+func TestRevoke(t *testing.T) {
+	a := registered(1, 4)
+	for n := 1; n <= 4; n++ {
+		a.Run(start, request(n, 1, time.Minute))
+	}
+	a.Ended(start, "q1", Usage{Output: 3}) // starts q2
+	wantActions(t, "waiting", a.Revoke("h1", 0, []uint64{1, 2, 3}), "q3 revoked")
+	if got := a.Unsettled("h1", []uint64{1, 2, 3}); !slices.Equal(got, []uint64{1, 2}) {
+		t.Errorf("unsettled = %v, want the unbilled 1 and the running 2", got)
+	}
+	wantActions(t, "listed", a.Run(start, request(3, 1, time.Minute)), "q3 revoked")
+	wantActions(t, "below", a.Revoke("h1", 4, nil))
+	a.Revoke("h1", 2, nil) // an older call that comes late
+	wantActions(t, "no longer listed", a.Run(start, request(3, 1, time.Minute)), "q3 revoked")
+	other := request(3, 1, time.Minute)
+	other.Reservation.Holder = "h2"
+	wantActions(t, "other holder", a.Run(start, other))
+	a.Ended(start, "q2", Usage{Output: 3})
+	a.Billed("q1")
+	a.Billed("q2")
+	if got := a.Unsettled("h1", []uint64{1, 2, 3}); len(got) != 0 {
+		t.Errorf("unsettled = %v after the charges are durable", got)
+	}
+}
--- a/internal/admitter/commands.go
+++ b/internal/admitter/commands.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -39,6 +40,8 @@
 		return Refuse{r.ID, Stopping, "the side is stopping, use another target", 0}, true
 	case closed:
 		return Refuse{r.ID, Closed, fmt.Sprintf("holder %s is closed, reserve again", r.Reservation.Holder), 0}, true
+	case a.isRevoked(r.Reservation):
+		return Refuse{r.ID, Revoked, "the reservation has expired, reserve again", 0}, true
 	case recent, a.Known(r.ID):
 		return Refuse{r.ID, Duplicate, "the request is known already, resume it", 0}, true
 	case reserved:
@@ -122,6 +125,24 @@
 	})
 }
 
+// Revoke refuses reservations of a holder from now on, including work that waits:
+// the given numbers and all that are lower than below. Running work continues.
+func (a *Admitter) Revoke(holder string, below uint64, numbers []uint64) []Action {
+	v := a.revoked[holder]
+	if v == nil {
+		v = &revocation{numbers: make(map[uint64]struct{})}
+		a.revoked[holder] = v
+	}
+	v.below = max(v.below, below)
+	for _, n := range numbers {
+		v.numbers[n] = struct{}{}
+	}
+	maps.DeleteFunc(v.numbers, func(n uint64, _ struct{}) bool { return n < v.below })
+	return a.refuseWaiting(Revoked, "the reservation has expired, reserve again", func(j *job) bool {
+		return a.isRevoked(j.Reservation)
+	})
+}
+
 // Drain refuses new and waiting work; running work continues.
 func (a *Admitter) Drain() []Action {
 	a.draining = true
--- a/internal/admitter/queries.go
+++ b/internal/admitter/queries.go
@@ -36,6 +36,39 @@
 	return charges
 }
 
+// Unsettled returns those of a holder's reservations that run here or have a
+// charge that is not durable yet, in the given order.
+func (a *Admitter) Unsettled(holder string, numbers []uint64) []uint64 {
+	held := make(map[uint64]struct{})
+	for _, j := range a.running {
+		if j.Reservation.Holder == holder {
+			held[j.Reservation.Number] = struct{}{}
+		}
+	}
+	for _, u := range a.unbilled {
+		if u.Reservation.Holder == holder {
+			held[u.Reservation.Number] = struct{}{}
+		}
+	}
+	var list []uint64
+	for _, n := range numbers {
+		if _, ok := held[n]; ok {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// isRevoked reports whether the holder has ended a reservation.
+func (a *Admitter) isRevoked(r Reservation) bool {
+	v := a.revoked[r.Holder]
+	if v == nil {
+		return false
+	}
+	_, listed := v.numbers[r.Number]
+	return listed || r.Number < v.below
+}
+
 // ClosedHolders returns the closed holders in order.
 func (a *Admitter) ClosedHolders() []string { return sortedKeys(a.closed) }
 
--- a/internal/admitter/types.go
+++ b/internal/admitter/types.go
@@ -33,6 +33,7 @@
 // Reasons of refusals.
 const (
 	Closed       Reason = "closed"       // the holder of the reservation is closed
+	Revoked      Reason = "revoked"      // the holder ended the reservation
 	Stopping     Reason = "stopping"     // the side is draining
 	Overload     Reason = "overload"     // the queue is full of requests of at least the same worth
 	Deadline     Reason = "deadline"     // the request cannot start in time
@@ -163,12 +164,19 @@
 	sending  bool
 }
 
+// revocation lists the reservations that a holder ended.
+type revocation struct {
+	below   uint64 // all lower numbers
+	numbers map[uint64]struct{}
+}
+
 // Admitter holds the admission state of one side. It is not safe for concurrent use.
 type Admitter struct {
 	limits     Limits
 	registered bool
 	draining   bool
 	closed     map[string]struct{}
+	revoked    map[string]*revocation // by holder
 	running    map[string]*job
 	waiting    []*job // in the order in which they will start
 	unbilled   map[string]*unbilled
@@ -187,6 +195,7 @@
 	return &Admitter{
 		limits:   limits,
 		closed:   make(map[string]struct{}),
+		revoked:  make(map[string]*revocation),
 		running:  make(map[string]*job),
 		unbilled: make(map[string]*unbilled),
 		recent:   make(map[string]time.Time),
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -19,6 +19,7 @@
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
 	"daisylane/internal/loader"
+	"daisylane/internal/reclaimer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
@@ -95,6 +96,7 @@
 	down         bool
 	failures     int // settlements that fail first
 	closed       []string
+	revoked      map[string]reclaimer.Table
 	events       []string
 	charges      []admitter.Charge
 	deregistered bool
@@ -117,6 +119,13 @@
 	return append([]string(nil), p.closed...), nil
 }
 
+func (p *platform) Revocations(context.Context) (map[string]reclaimer.Table, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events = append(p.events, "revocations")
+	return p.revoked, nil
+}
+
 func (p *platform) Deregister(context.Context, watcher.Member) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -543,7 +552,7 @@
 	p.down = false
 	p.mu.Unlock()
 	f.until("registration", func() bool { return f.side.Status().Registered })
-	if got := strings.Join(p.events[:2], " "); got != "register closures" {
+	if got := strings.Join(p.events[:3], " "); got != "register closures revocations" {
 		t.Errorf("order = %q, want registration before closures", got)
 	}
 	newReader("q1").read(t, f.open(f.pool, "q1", runFrame(1, 10)), noLimit)
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -35,6 +35,7 @@
 		return m, nil
 	})
 	connector.Answer(srv, s.onClose)
+	connector.Answer(srv, s.onRevoke)
 	connector.Answer(srv, s.onDrain)
 	connector.Answer(srv, s.onStatus)
 	connector.Answer(srv, s.onExplain)
@@ -194,8 +195,9 @@
 	if m.GetInstance() == "" {
 		return nil, &connector.RefusedError{Reason: reasonBody, Text: "the message names no instance"}
 	}
-	answer := &wirepb.Closed{Instance: s.instance}
+	var answer *wirepb.Closed // nil if the desk has ended, which must not pass for an empty answer
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
+		answer = &wirepb.Closed{Instance: s.instance}
 		actions := a.Close(m.GetInstance())
 		for _, r := range a.Open(m.GetInstance()) {
 			answer.Open = append(answer.Open, &wirepb.Open{Id: r.ID, Reservation: wireReservation(r.Reservation), Key: r.Key})
@@ -205,10 +207,32 @@
 		}
 		return actions
 	}))
+	if answer == nil {
+		return nil, &connector.RefusedError{Reason: string(admitter.Stopping), Text: errStopped.Error()}
+	}
 	s.log.Info().Str("holder", m.GetInstance()).Int("open", len(answer.Open)).Int("charges", len(answer.Charges)).Msg("holder closed")
 	return answer, nil
 }
 
+func (s *Side) onRevoke(_ context.Context, _ string, m *wirepb.Revoke) (*wirepb.Revoked, error) {
+	if m.GetInstance() == "" {
+		return nil, &connector.RefusedError{Reason: reasonBody, Text: "the message names no instance"}
+	}
+	var answer *wirepb.Revoked // nil if the desk has ended, which must not pass for an empty answer
+	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
+		answer = &wirepb.Revoked{Instance: s.instance}
+		actions := a.Revoke(m.GetInstance(), m.GetBelow(), m.GetNumbers())
+		answer.Numbers = a.Unsettled(m.GetInstance(), m.GetNumbers())
+		return actions
+	}))
+	if answer == nil {
+		return nil, &connector.RefusedError{Reason: string(admitter.Stopping), Text: errStopped.Error()}
+	}
+	s.log.Info().Str("holder", m.GetInstance()).Int("numbers", len(m.GetNumbers())).Int("open", len(answer.Numbers)).
+		Msg("reservations revoked")
+	return answer, nil
+}
+
 func (s *Side) onDrain(_ context.Context, _ string, m *wirepb.Drain) (*wirepb.Drained, error) {
 	s.drain(m.GetUndo())
 	return &wirepb.Drained{}, nil
--- a/internal/executor/lifecycle.go
+++ b/internal/executor/lifecycle.go
@@ -15,9 +15,10 @@
 
 var errStopped = errors.New("the side stopped")
 
-// register makes the side known, loads the closed holders and allows admission,
-// in this order. A successor that lists the sides after its closure therefore
-// finds this side, or this side finds the closure.
+// register makes the side known, loads the closed holders and the ended
+// reservations and allows admission, in this order. A successor that lists the
+// sides after its closure therefore finds this side, or this side finds the
+// closure. The same holds for a holder that ends reservations.
 func (s *Side) register(ctx context.Context, m watcher.Member) {
 	for ctx.Err() == nil {
 		err := s.tryRegister(ctx, m)
@@ -43,7 +44,16 @@
 	if err != nil {
 		return fmt.Errorf("load closed holders: %w", err)
 	}
-	s.desk.decide(func(a *admitter.Admitter) { a.Register(closed) })
+	ended, err := s.registry.Revocations(ctx)
+	if err != nil {
+		return fmt.Errorf("load ended reservations: %w", err)
+	}
+	s.desk.decide(func(a *admitter.Admitter) {
+		for holder, t := range ended {
+			a.Revoke(holder, t.Below, t.Numbers) // nothing waits before the registration
+		}
+		a.Register(closed)
+	})
 	return nil
 }
 
--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"daisylane/internal/checker"
+	"daisylane/internal/reclaimer"
 	"daisylane/internal/recoverer"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
@@ -71,6 +72,23 @@
 	return closed, nil
 }
 
+// Revocations returns the tables of ended reservations by holder.
+func (r *PlatformRegistry) Revocations(ctx context.Context) (map[string]reclaimer.Table, error) {
+	items, err := r.objects.List(ctx, reclaimer.TablePrefix)
+	if err != nil {
+		return nil, fmt.Errorf("list ended reservations: %w", err)
+	}
+	tables := make(map[string]reclaimer.Table, len(items))
+	for _, item := range items {
+		t, err := checker.Decode[reclaimer.Table](item.Body)
+		if err != nil {
+			return nil, fmt.Errorf("ended reservations %s: %w", item.Key, err)
+		}
+		tables[strings.TrimPrefix(item.Key, reclaimer.TablePrefix)] = t
+	}
+	return tables, nil
+}
+
 // Deregister deletes the registration.
 func (r *PlatformRegistry) Deregister(ctx context.Context, m watcher.Member) error {
 	key := watcher.Key(m.Role, m.Name)
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -15,6 +15,7 @@
 
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
+	"daisylane/internal/reclaimer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
@@ -43,6 +44,8 @@
 type Registry interface {
 	Register(ctx context.Context, m watcher.Member) error
 	Closures(ctx context.Context) ([]string, error)
+	// Revocations returns the ended reservations by holder.
+	Revocations(ctx context.Context) (map[string]reclaimer.Table, error)
 	Deregister(ctx context.Context, m watcher.Member) error
 }
 
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -84,7 +84,9 @@
 	}
 	ctx, span := r.tracer.Start(ctx, "reserve")
 	defer span.End()
-	reservation, err := r.budgets.Reserve(ctx, req.id, &wirepb.Reserve{Budget: budget.Name, Tokens: j.tokens, Key: req.key})
+	reservation, err := r.budgets.Reserve(ctx, req.id, &wirepb.Reserve{
+		Budget: budget.Name, Tokens: j.tokens, Key: req.key, Deadline: uint64(max(time.Until(req.deadline).Milliseconds(), 1)),
+	})
 	if err != nil {
 		r.record(req.id, "reserve", "refused", cause(err), explainer.Name("budget", budget.Name), explainer.Int("tokens", j.tokens))
 		return nil, refusalError(err, "budget")
