Release the reservations of dead routers

The holder keeps an expiry per open reservation and runs the reclaimer in its actor: one read, one write and one listing for all expired ones, at most every 10 s. A repeated call with the same request id gets a new reservation once the first is revoked.

--- a/internal/holder/actions.go
+++ b/internal/holder/actions.go
@@ -14,7 +14,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case budgeter.Granted:
-			k.grant(a)
+			k.grant(now, a)
 		case budgeter.Refused:
 			k.refuse(a)
 		case budgeter.Settled:
@@ -55,12 +55,13 @@
 	}
 }
 
-func (k *keeper) grant(a budgeter.Granted) {
+func (k *keeper) grant(now time.Time, a budgeter.Granted) {
 	m, ok := k.reserves[a.Token]
 	if !ok {
 		return
 	}
 	delete(k.reserves, a.Token)
+	k.reclaim.state.Opened(now, a.Reservation, m.left)
 	if m.id != "" && len(k.granted) < maxReservations {
 		k.granted[m.id] = a.Reservation
 		k.owners[keyOf(a.Reservation)] = m.id
@@ -132,6 +133,7 @@
 	for shard := range k.pending {
 		k.refusePending(shard, err)
 	}
+	k.reclaim.state.Stop()
 	k.loseClaims()
 	if k.stopping != nil {
 		k.stopping.reply.fail(ErrStopped)
--- a/internal/holder/config.go
+++ b/internal/holder/config.go
@@ -29,6 +29,8 @@
 	Regions  []string      // regions of the deployment
 	Fold     time.Duration // interval of settling charges in the shard objects
 	Flush    time.Duration // longest time until a charge is in the journal
+	Margin   time.Duration // from a request's deadline to the end of its reservation, 0 takes the default of package reclaimer
+	Round    time.Duration // shortest time between two rounds of ended reservations, 0 takes the default of package reclaimer
 }
 
 // Check validates the configuration.
@@ -44,6 +46,8 @@
 	f.Require(len(c.Regions) > 0, "regions", "must not be empty")
 	checker.Range(&f, "fold", c.Fold, time.Second, time.Hour)
 	checker.Range(&f, "flush", c.Flush, 10*time.Millisecond, MaxFlush)
+	checker.Range(&f, "margin", c.Margin, 0, time.Hour)
+	checker.Range(&f, "round", c.Round, 0, time.Hour)
 	return f.Err()
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -19,7 +19,10 @@
 	"daisylane/internal/wirepb"
 )
 
-const tickInterval = 100 * time.Millisecond
+const (
+	tickInterval = 100 * time.Millisecond
+	maxDeadline  = time.Hour // of a reservation, as of a request at a side
+)
 
 // ErrStopped means that the holder takes no more requests.
 var ErrStopped = errors.New("holder is stopped")
@@ -102,7 +105,8 @@
 	req := budgeter.Request{
 		Shard: placer.Shard(m.GetBudget(), h.cfg.Shards), Budget: m.GetBudget(), Tokens: m.GetTokens(), Key: m.GetKey(),
 	}
-	reply, err := ask[budgeter.Reservation](ctx, h, func(r replyTo[budgeter.Reservation]) any { return reserve{id, req, r} })
+	left := time.Duration(min(m.GetDeadline(), uint64(maxDeadline.Milliseconds()))) * time.Millisecond
+	reply, err := ask[budgeter.Reservation](ctx, h, func(r replyTo[budgeter.Reservation]) any { return reserve{id, req, left, r} })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -77,6 +77,7 @@
 	n.holder, err = New(Config{
 		Instance: name, Region: region, Shards: testShards, Slots: 16, Ahead: 0.5,
 		Release: recoverer.ReleaseGone, Regions: []string{"north", "south"}, Fold: time.Second, Flush: 50 * time.Millisecond,
+		Margin: 50 * time.Millisecond, Round: 200 * time.Millisecond,
 	}, store, n.members, n.pool, WithRelay(relay), WithSealed(func(s string) { n.sealed <- s }))
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -40,6 +40,7 @@
 	expected  map[int]string // dead holder that a pending hold replaces
 	conflicts map[int]int    // tries of the pending update
 	takeovers map[takeoverKey]*takeover
+	reclaim   *reclaim
 	claims    *claims
 
 	up        bool // whether the platform answered last
@@ -79,6 +80,7 @@
 		expected:  make(map[int]string),
 		conflicts: make(map[int]int),
 		takeovers: make(map[takeoverKey]*takeover),
+		reclaim:   newReclaim(h.cfg),
 		claims:    newClaims(h.cfg.Instance),
 		up:        true,
 		foldedAt:  time.Now(),
@@ -128,6 +130,8 @@
 		k.carryOut(now, k.budgets.Asked(m.shard, m.budget))
 	case takeoverResult:
 		k.takeoverResult(now, m)
+	case reclaimResult:
+		k.reclaimActions(now, m.apply(now, k.reclaim.state))
 	}
 }
 
@@ -160,6 +164,9 @@
 		return
 	}
 	k.forget(r)
+	if r.Holder == k.h.cfg.Instance {
+		k.reclaim.state.Concluded(r.Number)
+	}
 	if m.charge.Tokens == 0 {
 		k.carryOut(now, k.budgets.Release(now, r))
 		m.reply.send(false, nil)
@@ -265,6 +272,7 @@
 	for _, t := range k.takeovers {
 		t.tick(now)
 	}
+	k.reclaimTick(now)
 	k.claimActions(now, k.claims.state.Tick(now))
 	if now.Sub(k.checkedAt) >= checkInterval {
 		k.checkedAt = now
--- a/internal/holder/messages.go
+++ b/internal/holder/messages.go
@@ -1,9 +1,12 @@
 package holder
 
 import (
+	"time"
+
 	"daisylane/internal/budgeter"
 	"daisylane/internal/claimer"
 	"daisylane/internal/journaler"
+	"daisylane/internal/reclaimer"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
@@ -14,6 +17,7 @@
 	reserve struct {
 		id    string
 		req   budgeter.Request
+		left  time.Duration // to the deadline, 0 if unknown
 		reply replyTo[budgeter.Reservation]
 	}
 	settle struct {
@@ -86,6 +90,10 @@
 	}
 	// holderLost says that a former holder with grants of a shard does not answer.
 	holderLost struct{ key takeoverKey }
+	// reclaimResult reports the result of a call to the reclaimer.
+	reclaimResult struct {
+		apply func(now time.Time, r *reclaimer.Reclaimer) []reclaimer.Action
+	}
 	// regionsAsked says that all other regions answered a request for tokens.
 	regionsAsked struct {
 		shard  int
--- /dev/null
+++ b/internal/holder/reclaim_test.go
@@ -0,0 +1,176 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"daisylane/internal/connector"
+	"daisylane/internal/executor"
+	"daisylane/internal/faker"
+	"daisylane/internal/loader"
+	"daisylane/internal/watcher"
+	"daisylane/internal/wirepb"
+)
+
+// startSide starts a side in front of an engine stand-in and returns its address.
+func (f *fixture) startSide() string {
+	f.t.Helper()
+	engine := httptest.NewServer(faker.NewEngine(faker.EngineConfig{Slots: 4, Interval: loader.Duration(50 * time.Millisecond)}))
+	f.t.Cleanup(engine.Close)
+	cfg := executor.Defaults()
+	cfg.Platform, cfg.Name, cfg.Centre, cfg.Region = f.platform.URL, "side-1", "north-1", "north"
+	cfg.Target = executor.Target{URL: engine.URL, Name: "engine", Kind: executor.Model, Model: "m"}
+	cfg.TLS.Plain, cfg.Limits.Settle, cfg.Limits.Flush = true, loader.Duration(time.Second), loader.Duration(time.Second)
+	registry := executor.NewPlatformRegistry(f.store("side-1"))
+	side, err := executor.New(cfg, registry, executor.NewRemote(f.pool(), registry))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = side.Serve(ctx, ln)
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	f.eventually("side is registered", func() bool { return side.Status().Registered })
+	return ln.Addr().String()
+}
+
+// pool returns the connections of a router, which last beyond the router.
+func (f *fixture) pool() *connector.Pool {
+	p := connector.NewPool(func() *wirepb.Hello { return &wirepb.Hello{Protocol: connector.ProtocolVersion} })
+	f.t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+func runOf(r *wirepb.Reservation) *wirepb.Run {
+	return &wirepb.Run{
+		Reservation: r, Method: "POST", Path: "/v1/chat/completions", Deadline: 10_000, Output: 40, Model: "m",
+		Payload: []byte(`{"model":"m","messages":[{"role":"user","content":"one two three"}],"max_tokens":40}`),
+	}
+}
+
+func (f *fixture) reserved(n *node) int64 {
+	f.t.Helper()
+	s, err := n.holder.Status(f.t.Context())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var sum int64
+	for _, sh := range s.Shards {
+		sum += sh.Budgets["acme"].Reserved
+	}
+	return sum
+}
+
+func (f *fixture) reserveFor(n *node, id string, left time.Duration) *wirepb.Reservation {
+	f.t.Helper()
+	r, err := n.client.Reserve(f.t.Context(), id, &wirepb.Reserve{Budget: "acme", Tokens: 400, Deadline: uint64(left.Milliseconds())})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against tokens withheld for ever after a router died between Reserve
+// and Run, and against its Run being carried out after the release.
+func TestRouterDiesBeforeRun(t *testing.T) {
+	f := newFixture(t)
+	f.topUp("acme", "t1", 1000)
+	side := f.startSide()
+	n := f.start("a.1", "north")
+	r := f.reserveFor(n, "r1", 200*time.Millisecond)
+	if got := f.reserved(n); got != 400 {
+		t.Fatalf("reserved = %d, want 400", got)
+	}
+	f.eventually("tokens are released", func() bool { return f.reserved(n) == 0 })
+
+	_, err := connector.Call[*wirepb.Accepted](t.Context(), f.pool(), side, "r1", runOf(r))
+	if refusedReason(err) != "revoked" {
+		t.Errorf("delayed Run: err = %v, want refusal as revoked", err)
+	}
+	if again := f.reserveFor(n, "r1", time.Minute); again.GetNumber() == r.GetNumber() {
+		t.Error("a repeated call got the revoked reservation")
+	}
+}
+
+// Guards against a release of tokens that a running request still uses, and
+// against a charge lost to the release.
+func TestRouterDiesMidStream(t *testing.T) {
+	f := newFixture(t)
+	f.topUp("acme", "t1", 1000)
+	side := f.startSide()
+	n := f.start("a.1", "north")
+	r := f.reserveFor(n, "r1", 200*time.Millisecond)
+	router := f.pool()
+	if _, err := connector.Call[*wirepb.Accepted](t.Context(), router, side, "r1", runOf(r)); err != nil {
+		t.Fatal(err)
+	}
+	_ = router.Close()
+
+	// The engine takes 2 s, so that the reservation expires while it runs.
+	charged := func() (sum int64) {
+		s, err := n.holder.Status(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, sh := range s.Shards {
+			sum += sh.Budgets["acme"].Charged
+		}
+		return sum
+	}
+	f.eventually("charge of the side", func() bool {
+		left, used := f.reserved(n), charged()
+		if left == 0 && used == 0 {
+			t.Fatal("the reservation was released before the charge")
+		}
+		return used > 0 && left == 0
+	})
+	var table struct{ Below uint64 }
+	item, err := f.store("test").Get(t.Context(), "revoked/a.1")
+	if err != nil || json.Unmarshal(item.Body, &table) != nil || table.Below <= r.GetNumber() {
+		t.Errorf("table = %s, err = %v, want the reservation revoked during its run", item.Body, err)
+	}
+}
+
+// Guards against a release while a registered side did not answer.
+func TestSilentSideWithholds(t *testing.T) {
+	f := newFixture(t)
+	f.topUp("acme", "t1", 1000)
+	f.startSide()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	m := watcher.Member{Name: "side-2.x", Role: watcher.Side, Centre: "north-1", Region: "north", Addr: silent.Addr().String(), Target: "e2", Kind: "model", Model: "m"}
+	body, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.store("side-2.x").Put(t.Context(), watcher.Key(watcher.Side, m.Name), body, 0); err != nil {
+		t.Fatal(err)
+	}
+	n := f.start("a.1", "north")
+	f.reserveFor(n, "r1", 100*time.Millisecond)
+	f.eventually("table of revoked reservations", func() bool {
+		_, err := f.store("test").Get(t.Context(), "revoked/a.1")
+		return err == nil
+	})
+	time.Sleep(3 * time.Second) // longer than a call to a side may take
+	if got := f.reserved(n); got != 400 {
+		t.Errorf("reserved = %d, want 400 withheld", got)
+	}
+}
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -138,20 +138,30 @@
 func (t *takeover) readConfirmations() {
 	h := t.k.h
 	t.effect(func(ctx context.Context) func(time.Time, *takeover) []recoverer.Action {
-		items, err := h.platform.List(ctx, goneKeyPrefix)
-		if err != nil {
-			h.log.Warn().Err(err).Msg("confirmations of gone sides not read")
-			items = nil
-		}
+		names := h.confirmedGone(ctx)
 		return func(now time.Time, t *takeover) []recoverer.Action {
-			for _, item := range items {
-				t.recovery.Confirm(strings.TrimPrefix(item.Key, goneKeyPrefix))
+			for _, name := range names {
+				t.recovery.Confirm(name)
 			}
 			return t.recovery.Listing(now, t.present())
 		}
 	})
 }
 
+// confirmedGone returns the sides that the operator confirmed to be gone.
+func (h *Holder) confirmedGone(ctx context.Context) []string {
+	items, err := h.platform.List(ctx, goneKeyPrefix)
+	if err != nil {
+		h.log.Warn().Err(err).Msg("confirmations of gone sides not read")
+		return nil
+	}
+	names := make([]string, 0, len(items))
+	for _, item := range items {
+		names = append(names, strings.TrimPrefix(item.Key, goneKeyPrefix))
+	}
+	return names
+}
+
 // carryOut performs the actions of the recovery.
 func (t *takeover) carryOut(now time.Time, actions []recoverer.Action) {
 	k := t.k
@@ -266,11 +276,7 @@
 func (t *takeover) listSides(a recoverer.Sides) {
 	h := t.k.h
 	t.effect(func(ctx context.Context) func(time.Time, *takeover) []recoverer.Action {
-		items, err := h.platform.List(ctx, sideMemberPrefix)
-		if err != nil {
-			return t.failed(a, err)
-		}
-		addrs, names, err := sidesOf(items)
+		addrs, names, err := h.registeredSides(ctx)
 		if err != nil {
 			return t.failed(a, err)
 		}
@@ -281,6 +287,14 @@
 	})
 }
 
+func (h *Holder) registeredSides(ctx context.Context) (map[string]string, []string, error) {
+	items, err := h.platform.List(ctx, sideMemberPrefix)
+	if err != nil {
+		return nil, nil, fmt.Errorf("list sides: %w", err)
+	}
+	return sidesOf(items)
+}
+
 func sidesOf(items []storer.Item) (map[string]string, []string, error) {
 	addrs := make(map[string]string, len(items))
 	names := make([]string, 0, len(items))
