Serve metrics and probes of a side

Cause: a side exposed no metrics, so that an operator saw its refusals and undelivered charges only in the log and in 'daisylane status'.

The setting http opens a listener for /metrics, /healthz and /readyz. The names and tags are those of the entries. Ruled out: metrics on the port for routers, which speaks yamux with mutual TLS.

--- a/internal/admitter/queries.go
+++ b/internal/admitter/queries.go
@@ -36,6 +36,9 @@
 	return charges
 }
 
+// UnbilledCount returns how many charges are not durable yet.
+func (a *Admitter) UnbilledCount() int { return len(a.unbilled) }
+
 // Unsettled returns those of a holder's reservations that run here or have a
 // charge that is not durable yet, in the given order.
 func (a *Admitter) Unsettled(holder string, numbers []uint64) []uint64 {
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -61,6 +61,7 @@
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Ended(time.Now(), j.id, res.usage) }))
 	end.Load = s.load()
 	j.finish(end)
+	s.countEnd(end, time.Since(started))
 	span.SetAttributes(attribute.String("outcome", end.Outcome), attribute.Int64("output", res.usage.Output))
 	s.log.Info().Str("request", j.id).Str("outcome", end.Outcome).Int("status", res.status).
 		Int64("prompt", res.usage.Prompt).Int64("output", res.usage.Output).
@@ -123,6 +124,7 @@
 		refused.Reason, refused.After = reasonBody, 0
 	}
 	j.refuse(refused)
+	s.countRefusal(refused.Reason)
 	s.log.Warn().Str("request", j.id).Str("reason", refused.Reason).Err(err).Msg("request not run")
 }
 
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -169,9 +169,9 @@
 	return f
 }
 
-func (f *fixture) start(registry Registry, holders Holders) {
+func (f *fixture) start(registry Registry, holders Holders, opts ...Option) {
 	f.t.Helper()
-	side, err := New(f.cfg, registry, holders)
+	side, err := New(f.cfg, registry, holders, opts...)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -11,6 +11,7 @@
 	"daisylane/internal/admitter"
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
+	"daisylane/internal/reporter"
 	"daisylane/internal/tracer"
 	"daisylane/internal/wirepb"
 )
@@ -48,9 +49,11 @@
 	now := time.Now()
 	id := f.GetId()
 	if text := s.malformed(id, m); text != "" {
+		s.countRefusal(reasonBody)
 		return st.Refuse(f, &connector.RefusedError{Reason: reasonBody, Text: text})
 	}
 	if s.rights != nil && !s.rights.Allows(m.GetAccount(), s.cfg.Target.Name, m.GetBundle()) {
+		s.countRefusal(reasonRight)
 		return st.Refuse(f, &connector.RefusedError{Reason: reasonRight, Text: "the account may not use this target"})
 	}
 	allowed := min(time.Duration(min(m.GetDeadline(), uint64(time.Hour.Milliseconds())))*time.Millisecond, s.cfg.Limits.Deadline.Std())
@@ -252,6 +255,9 @@
 		}
 		return a.Drain()
 	}))
+	if !undo {
+		s.scope.Counter(reporter.Drains).Inc(1)
+	}
 	s.log.Info().Bool("undo", undo).Msg("drain ordered")
 }
 
--- a/internal/executor/main.go
+++ b/internal/executor/main.go
@@ -15,6 +15,7 @@
 	"daisylane/internal/credentialer"
 	"daisylane/internal/loader"
 	"daisylane/internal/logger"
+	"daisylane/internal/reporter"
 	"daisylane/internal/storer"
 	"daisylane/internal/tracer"
 	"daisylane/internal/watcher"
@@ -94,7 +95,11 @@
 	registry := NewPlatformRegistry(platform)
 	pool := cfg.pool(instance, credentials)
 	defer pool.Close()
-	opts := []Option{WithInstance(instance), WithLogger(log), WithTracer(spans)}
+	metrics := reporter.New(map[string]string{"instance": cfg.Name}, reporter.FlushInterval, func(err error) {
+		log.Error().Err(err).Msg("metric dropped")
+	})
+	defer metrics.Close()
+	opts := []Option{WithInstance(instance), WithLogger(log), WithTracer(spans), WithScope(metrics.Scope())}
 	if len(cfg.Trust) > 0 {
 		bundle, err := NewBundle(cfg, instance, pool, platform, log)
 		if err != nil {
@@ -113,6 +118,14 @@
 	if err != nil {
 		return fmt.Errorf("listen for routers: %w", err)
 	}
+	if cfg.HTTP != "" {
+		stop, err := serveHTTP(cfg.HTTP, side.Handler(metrics.Handler()), log)
+		if err != nil {
+			_ = ln.Close()
+			return err
+		}
+		defer stop()
+	}
 	return side.Serve(ctx, ln)
 }
 
--- a/internal/executor/settings.go
+++ b/internal/executor/settings.go
@@ -26,6 +26,7 @@
 type Settings struct {
 	Listen    string                `toml:"listen"`    // address for routers
 	Advertise string                `toml:"advertise"` // address in the registration, empty: the listening address
+	HTTP      string                `toml:"http"`      // address for metrics and probes, empty: none
 	Platform  string                `toml:"platform"`  // URL of the platform
 	Name      string                `toml:"name"`
 	Centre    string                `toml:"centre"`
@@ -89,6 +90,9 @@
 	if s.Advertise != "" {
 		checkAddress(&f, "advertise", s.Advertise)
 	}
+	if s.HTTP != "" {
+		checkAddress(&f, "http", s.HTTP)
+	}
 	checkURL(&f, "platform", s.Platform)
 	f.Require(s.Name != "", "name", "is empty, set the name of this instance")
 	f.Require(s.Centre != "", "centre", "is empty, set the data centre of this instance")
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -71,6 +72,7 @@
 	registry Registry
 	holders  Holders
 	log      zerolog.Logger
+	scope    tally.Scope
 	spans    Spans
 	pooled   *http.Client // for load, resumption and cancellation
 	single   *http.Client // for requests of routers: a connection per call, see newClient
@@ -92,6 +94,9 @@
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(s *Side) { s.log = log } }
 
+// WithScope sets the scope of the metrics.
+func WithScope(scope tally.Scope) Option { return func(s *Side) { s.scope = scope } }
+
 // WithTracer sets the tracer of request spans.
 func WithTracer(spans Spans) Option { return func(s *Side) { s.spans = spans } }
 
@@ -109,6 +114,7 @@
 		registry: registry,
 		holders:  holders,
 		log:      zerolog.Nop(),
+		scope:    tally.NoopScope,
 		spans:    noSpans{},
 		pooled:   newClient(false),
 		single:   newClient(true),
@@ -220,6 +226,7 @@
 func (s *Side) tick(context.Context) {
 	now := time.Now()
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Tick(now) }))
+	s.gauge()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, j := range s.jobs {
@@ -256,6 +263,7 @@
 		return
 	}
 	j.refuse(&connector.RefusedError{Reason: string(act.Reason), Text: act.Text, After: act.After, Load: s.load()})
+	s.countRefusal(string(act.Reason))
 	s.log.Info().Str("request", act.ID).Str("reason", string(act.Reason)).Msg("request refused")
 }
 
