Pass the worth of a request to the engine as a priority

Cause: an engine with its own queue ran requests in order of arrival, also when the side had ranked them by worth, and a caller could set the field priority of its own request.

--- a/internal/executor/engine.go
+++ b/internal/executor/engine.go
@@ -78,8 +78,8 @@
 
 func (s *Side) targetURL(path string) string { return strings.TrimSuffix(s.cfg.Target.URL, "/") + path }
 
-// completionBody asks the engine for usage and bounds the output by the
-// reservation.
+// completionBody asks the engine for usage, bounds the output by the reservation
+// and sets the priority, in place of one that the caller sent.
 func completionBody(run *wirepb.Run) ([]byte, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(run.GetPayload(), &fields); err != nil || fields == nil {
@@ -104,6 +104,9 @@
 	if err := boundOutput(fields, run.GetOutput()); err != nil {
 		return nil, err
 	}
+	if err := set(fields, "priority", enginePriority(run.GetWorth())); err != nil {
+		return nil, err
+	}
 	body, err := json.Marshal(fields)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errBody, err)
