Pass orders to engines with fencing numbers

Cause: nothing carried orders to engines. Some engines ignore fencing numbers, so that a delayed order could undo a newer one.

A side passes the number in any case. Where the bundle does not say that the engine fences, the side refuses what is older than the newest number, which it reads from fence/<target> before each order. Ruled out: reading it once at the start, since another incarnation of the side may pass orders in between.

--- a/internal/executor/bundle.go
+++ b/internal/executor/bundle.go
@@ -34,7 +34,7 @@
 // WithHandlers registers further handlers on the side's server.
 func WithHandlers(f func(*connector.Server)) Option { return func(s *Side) { s.handlers = f } }
 
-// Bundle keeps the bundle of a side up to date. It implements [Rights].
+// Bundle keeps the bundle of a side up to date. It implements [Rights] and [Engines].
 type Bundle struct {
 	sync     *syncer.Syncer
 	registry *PlatformRegistry
@@ -104,3 +104,13 @@
 	a, ok := index.Account(account)
 	return ok && a.Reaches(target)
 }
+
+// Fences implements [Engines].
+func (b *Bundle) Fences(target string) bool {
+	index := b.sync.Index()
+	if index == nil {
+		return false
+	}
+	t, ok := index.Target(target)
+	return ok && t.Fences
+}
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -97,6 +97,7 @@
 	failures     int // settlements that fail first
 	closed       []string
 	revoked      map[string]reclaimer.Table
+	fence        uint64
 	events       []string
 	charges      []admitter.Charge
 	deregistered bool
@@ -126,6 +127,15 @@
 	return p.revoked, nil
 }
 
+func (p *platform) Fence(context.Context, string) (uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return 0, errors.New("platform is down")
+	}
+	return p.fence, nil
+}
+
 func (p *platform) Deregister(context.Context, watcher.Member) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -38,6 +38,7 @@
 	connector.Answer(srv, s.onClose)
 	connector.Answer(srv, s.onRevoke)
 	connector.Answer(srv, s.onDrain)
+	connector.Answer(srv, s.onOrder)
 	connector.Answer(srv, s.onStatus)
 	connector.Answer(srv, s.onExplain)
 	if s.handlers != nil {
--- a/internal/executor/main.go
+++ b/internal/executor/main.go
@@ -108,7 +108,7 @@
 		inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		defer cancel()
 		go bundle.Run(inner)
-		opts = append(opts, WithRights(bundle), WithHandlers(bundle.Register))
+		opts = append(opts, WithRights(bundle), WithEngines(bundle), WithHandlers(bundle.Register))
 	}
 	side, err := New(cfg, registry, NewRemote(pool, registry), opts...)
 	if err != nil {
--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"daisylane/internal/checker"
+	"daisylane/internal/fencer"
 	"daisylane/internal/reclaimer"
 	"daisylane/internal/recoverer"
 	"daisylane/internal/storer"
@@ -89,6 +90,22 @@
 	return tables, nil
 }
 
+// Fence returns the number of the newest order to a target, 0 if there is none.
+func (r *PlatformRegistry) Fence(ctx context.Context, target string) (uint64, error) {
+	item, err := r.objects.Get(ctx, fencer.Key(target))
+	if errors.Is(err, storer.ErrAbsent) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read the number of the newest order: %w", err)
+	}
+	f, err := checker.Decode[fencer.Fence](item.Body)
+	if err != nil {
+		return 0, fmt.Errorf("newest order %s: %w", item.Key, err)
+	}
+	return f.Number, nil
+}
+
 // Deregister deletes the registration.
 func (r *PlatformRegistry) Deregister(ctx context.Context, m watcher.Member) error {
 	key := watcher.Key(m.Role, m.Name)
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -17,6 +17,7 @@
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
 	"daisylane/internal/credentialer"
+	"daisylane/internal/fencer"
 	"daisylane/internal/reclaimer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
@@ -51,6 +52,8 @@
 	Closures(ctx context.Context) ([]string, error)
 	// Revocations returns the ended reservations by holder.
 	Revocations(ctx context.Context) (map[string]reclaimer.Table, error)
+	// Fence returns the number of the newest order to a target, 0 if there is none.
+	Fence(ctx context.Context, target string) (uint64, error)
 	Deregister(ctx context.Context, m watcher.Member) error
 }
 
@@ -77,7 +80,9 @@
 	pooled   *http.Client // for load, resumption and cancellation
 	single   *http.Client // for requests of routers: a connection per call, see newClient
 	desk     *desk
-	rights   Rights // nil: no check
+	rights   Rights         // nil: no check
+	engines  Engines        // nil: no engine enforces fencing numbers
+	fence    *fencer.Fencer // used by the desk
 	handlers func(*connector.Server)
 
 	work  sync.WaitGroup // running requests and charges on their way
@@ -119,6 +124,7 @@
 		pooled:   newClient(false),
 		single:   newClient(true),
 		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue, Settle: cfg.Limits.Settle.Std()}),
+		fence:    fencer.New(),
 		jobs:     make(map[string]*job),
 	}
 	for _, opt := range opts {
--- a/internal/faker/engine_test.go
+++ b/internal/faker/engine_test.go
@@ -117,7 +117,7 @@
 func TestOrders(t *testing.T) {
 	e, url := startEngine(t, EngineConfig{Fenced: true, Models: []string{"m"}})
 	order := func(number int, name string) int {
-		status, _, err := send(t, "POST", url+"/orders", "", fmt.Sprintf(`{"number":%d,"kind":"load","name":%q}`, number, name))
+		status, _, err := send(t, "POST", url+"/orders", "", fmt.Sprintf(`{"number":%d,"kind":"load","model":%q}`, number, name))
 		if err != nil {
 			t.Fatal(err)
 		}
