Give orders to engines from the command line

Cause: operators had no way to load or unload a model, an adapter or a version, or to change a role.

'target order' takes the next number of fence/<target> by conditional update, reads it back after a lost response, and sends the order to each registered side of the target.

--- a/internal/operator/script_test.go
+++ b/internal/operator/script_test.go
@@ -89,6 +89,16 @@
 		draining = !m.GetUndo()
 		return &wirepb.Drained{}, nil
 	})
+	var newest uint64
+	connector.Answer(srv, func(_ context.Context, _ string, m *wirepb.Order) (*wirepb.Ordered, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if m.GetNumber() < newest || m.GetTarget() != "runner-1" || m.GetModel() != "repair-8b" {
+			return nil, &connector.RefusedError{Reason: "stale", Text: fmt.Sprintf("newest is %d, order is %v", newest, m)}
+		}
+		newest = m.GetNumber()
+		return &wirepb.Ordered{Instance: "side-1.a", Number: newest}, nil
+	})
 	connector.Answer(srv, func(context.Context, string, *wirepb.Status) (*wirepb.Report, error) {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -21,6 +21,7 @@
 	{"budget", "topup", groupCommand, "add prepaid tokens to a budget", newBudgetTopUp},
 	{"budget", "release", groupCommand, "confirm that a side is gone, so that the tokens that wait for it are released", newBudgetRelease},
 	{"target", "drain", groupCommand, "take a target out of service, or back with --undo", newTargetDrain},
+	{"target", "order", groupCommand, "have engines load or unload a model, or change their role", newTargetOrder},
 	{"bundle", "check", groupQuery, "check a bundle file", newBundleCheck},
 	{"bundle", "show", groupQuery, "print the bundle in force", newBundleShow},
 	{"bundle", "diff", groupQuery, "compare a bundle file with the bundle in force, or with another file", newBundleDiff},
--- /dev/null
+++ b/internal/operator/target_order.go
@@ -0,0 +1,153 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"daisylane/internal/checker"
+	"daisylane/internal/connector"
+	"daisylane/internal/fencer"
+	"daisylane/internal/storer"
+	"daisylane/internal/watcher"
+	"daisylane/internal/wirepb"
+)
+
+const (
+	// orderTimeout is longer than a side waits for its engine.
+	orderTimeout   = 40 * time.Second
+	maxFenceTries  = 20
+	reasonStale    = "stale"
+	fenceRetryWait = 50 * time.Millisecond
+)
+
+type targetOrder struct {
+	env     *env
+	Model   string `long:"model" description:"model to load or unload"`
+	Adapter string `long:"adapter" description:"adapter of the model"`
+	Version string `long:"version" description:"version of the model or adapter"`
+	Role    string `long:"role" description:"new role, for an order of kind role"`
+	Number  uint64 `long:"number" description:"send the order that got this number again"`
+	Args    struct {
+		Target string `positional-arg-name:"TARGET" required:"true" description:"name of a target, or instance name of its side"`
+		Kind   string `positional-arg-name:"KIND" required:"true" description:"load, unload or role"`
+	} `positional-args:"true"`
+}
+
+func newTargetOrder(env *env) any { return &targetOrder{env: env} }
+
+// Execute implements [flags.Commander].
+func (c *targetOrder) Execute([]string) error {
+	o := fencer.Order{Kind: c.Args.Kind, Model: c.Model, Adapter: c.Adapter, Version: c.Version, Role: c.Role}
+	if err := o.Check(); err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	cfg, err := c.env.settings()
+	if err != nil {
+		return err
+	}
+	p, pool, err := c.env.connect()
+	if err != nil {
+		return err
+	}
+	defer pool.Close()
+	ctx, cancel := c.env.context()
+	defer cancel()
+	sides, err := c.sides(ctx, p)
+	if err != nil {
+		return err
+	}
+	target, number := sides[0].Target, c.Number
+	if number == 0 {
+		if number, err = issue(ctx, p, target, o, cfg.Author); err != nil {
+			return err
+		}
+	}
+	var done []string
+	for _, m := range sides {
+		if err := send(ctx, pool, m, o, number); err != nil {
+			return err
+		}
+		done = append(done, m.Name)
+	}
+	return c.env.print(map[string]any{"sides": done, "number": number}, func(w io.Writer) {
+		for _, name := range done {
+			line(w, "%s carried out order %d", name, number)
+		}
+	})
+}
+
+// sides returns the registered sides of the target, at least one.
+func (c *targetOrder) sides(ctx context.Context, p platform) ([]watcher.Member, error) {
+	list, err := members(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	var sides []watcher.Member
+	for _, m := range list {
+		if m.Role == watcher.Side && (m.Target == c.Args.Target || m.Name == c.Args.Target) {
+			sides = append(sides, m)
+		}
+	}
+	if len(sides) == 0 {
+		return nil, fmt.Errorf("target %s: %w among the registered sides, see 'daisylane status'", c.Args.Target, errAbsent)
+	}
+	return sides, nil
+}
+
+// issue takes the next fencing number of a target. A number whose update was
+// overtaken after a lost response is left out.
+func issue(ctx context.Context, p platform, target string, o fencer.Order, author string) (uint64, error) {
+	key, id := fencer.Key(target), rand.Text()
+	for range maxFenceTries {
+		item, err := p.Get(ctx, key)
+		if err != nil && !errors.Is(err, storer.ErrAbsent) {
+			return 0, fmt.Errorf("read the newest order to %s: %w", target, err)
+		}
+		var fence fencer.Fence
+		if err == nil {
+			if fence, err = checker.Decode[fencer.Fence](item.Body); err != nil {
+				return 0, fmt.Errorf("newest order to %s: %w", target, err)
+			}
+		}
+		if fence.ID == id {
+			return fence.Number, nil // the response to the last try was lost
+		}
+		next := fence.Next(o, id, author, time.Now().UTC())
+		body, err := checker.Encode(next)
+		if err != nil {
+			return 0, fmt.Errorf("encode order: %w", err)
+		}
+		_, err = p.Put(ctx, key, body, item.Version)
+		switch {
+		case err == nil:
+			return next.Number, nil
+		case !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUncertain):
+			return 0, fmt.Errorf("number the order to %s: %w, repeat the command", target, err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(fenceRetryWait):
+		}
+	}
+	return 0, fmt.Errorf("number the order to %s: %w, other operators give orders too, repeat the command", target, errConflict)
+}
+
+func send(ctx context.Context, pool *connector.Pool, m watcher.Member, o fencer.Order, number uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	_, err := connector.Call[*wirepb.Ordered](ctx, pool, m.Addr, "", &wirepb.Order{
+		Kind: o.Kind, Model: o.Model, Adapter: o.Adapter, Version: o.Version, Role: o.Role, Number: number, Target: m.Target,
+	})
+	var refused *connector.RefusedError
+	if errors.As(err, &refused) && refused.Reason == reasonStale {
+		return fmt.Errorf("order %d to %s: %w: %w; give the order again without --number if it still applies", number, m.Name, errConflict, err)
+	}
+	if err != nil {
+		return fmt.Errorf("order %d to %s at %s: %w, repeat the command with --number %d", number, m.Name, m.Addr, err, number)
+	}
+	return nil
+}
