--- a/internal/holder/reclaim_test.go
+++ b/internal/holder/reclaim_test.go
@@ -55,11 +55,29 @@
 	return p
 }
 
-func runOf(r *wirepb.Reservation) *wirepb.Run {
-	return &wirepb.Run{
+// run sends a request to a side and returns the first frame of the answer.
+func (f *fixture) run(p *connector.Pool, side, id string, r *wirepb.Reservation) *wirepb.Frame {
+	f.t.Helper()
+	s, err := p.Open(f.t.Context(), side)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = s.SetDeadline(time.Now().Add(5 * time.Second))
+	m, err := connector.Wrap(id, &wirepb.Run{
 		Reservation: r, Method: "POST", Path: "/v1/chat/completions", Deadline: 10_000, Output: 40, Model: "m",
 		Payload: []byte(`{"model":"m","messages":[{"role":"user","content":"one two three"}],"max_tokens":40}`),
+	})
+	if err != nil {
+		f.t.Fatal(err)
 	}
+	if err := s.Send(m); err != nil {
+		f.t.Fatal(err)
+	}
+	answer, err := s.Receive()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return answer
 }
 
 func (f *fixture) reserved(n *node) int64 {
@@ -97,9 +115,8 @@
 	}
 	f.eventually("tokens are released", func() bool { return f.reserved(n) == 0 })
 
-	_, err := connector.Call[*wirepb.Accepted](t.Context(), f.pool(), side, "r1", runOf(r))
-	if refusedReason(err) != "revoked" {
-		t.Errorf("delayed Run: err = %v, want refusal as revoked", err)
+	if answer := f.run(f.pool(), side, "r1", r); answer.GetRefused().GetReason() != "revoked" {
+		t.Errorf("delayed Run: answer = %v, want refusal as revoked", answer)
 	}
 	if again := f.reserveFor(n, "r1", time.Minute); again.GetNumber() == r.GetNumber() {
 		t.Error("a repeated call got the revoked reservation")
@@ -115,8 +132,8 @@
 	n := f.start("a.1", "north")
 	r := f.reserveFor(n, "r1", 200*time.Millisecond)
 	router := f.pool()
-	if _, err := connector.Call[*wirepb.Accepted](t.Context(), router, side, "r1", runOf(r)); err != nil {
-		t.Fatal(err)
+	if answer := f.run(router, side, "r1", r); answer.GetAccepted() == nil {
+		t.Fatalf("Run: answer = %v", answer)
 	}
 	_ = router.Close()
 
