Release reservations that wait for a side that deregistered

Cause: with release = "operator" a side that stopped as planned before it answered a revocation could not be confirmed as gone, because 'budget release' looks for its registration. Its reservations stayed withheld.

--- a/internal/holder/reclaim.go
+++ b/internal/holder/reclaim.go
@@ -50,7 +50,7 @@
 	}
 	r.confirmed = now
 	k.reclaimEffect(func(ctx context.Context) reclaimApply {
-		names := k.h.confirmedGone(ctx)
+		names := k.h.departed(ctx, waiting)
 		return func(_ time.Time, r *reclaimer.Reclaimer) []reclaimer.Action {
 			for _, name := range names {
 				r.Confirm(name)
@@ -60,6 +60,24 @@
 	})
 }
 
+// departed returns the sides that the operator confirmed to be gone, and those of
+// the given sides that deregistered. A side deregisters after it has finished its
+// work and delivered its charges, and the operator can't confirm it any more.
+func (h *Holder) departed(ctx context.Context, sides []string) []string {
+	names := h.confirmedGone(ctx)
+	registered, _, err := h.registeredSides(ctx)
+	if err != nil {
+		h.log.Warn().Err(err).Msg("sides not listed")
+		return names
+	}
+	for _, name := range sides {
+		if _, ok := registered[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // presentSides returns those of the sides that the instance list still has.
 func (k *keeper) presentSides(sides []string) []string {
 	return slices.DeleteFunc(slices.Clone(sides), k.h.members.Gone)
--- a/internal/holder/reclaim_test.go
+++ b/internal/holder/reclaim_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -191,3 +192,19 @@
 		t.Errorf("reserved = %d, want 400 withheld", got)
 	}
 }
+
+// Guards against tokens withheld for ever by a side that stopped as planned before
+// it answered, which the operator can't confirm as gone.
+func TestDeparted(t *testing.T) {
+	f := newFixture(t)
+	n := f.start("a.1", "north")
+	body := []byte(`{"name":"s1","role":"side","centre":"c","region":"north","addr":"127.0.0.1:1","target":"e","kind":"model","model":"m"}`)
+	for key, body := range map[string][]byte{"member/side/s1": body, "gone/s2": []byte(`{}`)} {
+		if _, err := f.store("test").Put(t.Context(), key, body, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := n.holder.departed(t.Context(), []string{"s1", "s3"}); !slices.Equal(got, []string{"s2", "s3"}) {
+		t.Errorf("departed = %v, want the confirmed s2 and the deregistered s3", got)
+	}
+}
