--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -10,12 +10,15 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
 	"daisylane/internal/credentialer"
+	"daisylane/internal/fencer"
+	"daisylane/internal/reclaimer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
@@ -47,6 +50,10 @@
 type Registry interface {
 	Register(ctx context.Context, m watcher.Member) error
 	Closures(ctx context.Context) ([]string, error)
+	// Revocations returns the ended reservations by holder.
+	Revocations(ctx context.Context) (map[string]reclaimer.Table, error)
+	// Fence returns the number of the newest order to a target, 0 if there is none.
+	Fence(ctx context.Context, target string) (uint64, error)
 	Deregister(ctx context.Context, m watcher.Member) error
 }
 
@@ -68,11 +75,14 @@
 	registry Registry
 	holders  Holders
 	log      zerolog.Logger
+	scope    tally.Scope
 	spans    Spans
 	pooled   *http.Client // for load, resumption and cancellation
 	single   *http.Client // for requests of routers: a connection per call, see newClient
 	desk     *desk
-	rights   Rights // nil: no check
+	rights   Rights         // nil: no check
+	engines  Engines        // nil: no engine enforces fencing numbers
+	fence    *fencer.Fencer // used by the desk
 	handlers func(*connector.Server)
 
 	work  sync.WaitGroup // running requests and charges on their way
@@ -89,6 +99,9 @@
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(s *Side) { s.log = log } }
 
+// WithScope sets the scope of the metrics.
+func WithScope(scope tally.Scope) Option { return func(s *Side) { s.scope = scope } }
+
 // WithTracer sets the tracer of request spans.
 func WithTracer(spans Spans) Option { return func(s *Side) { s.spans = spans } }
 
@@ -106,10 +119,12 @@
 		registry: registry,
 		holders:  holders,
 		log:      zerolog.Nop(),
+		scope:    tally.NoopScope,
 		spans:    noSpans{},
 		pooled:   newClient(false),
 		single:   newClient(true),
 		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue, Settle: cfg.Limits.Settle.Std()}),
+		fence:    fencer.New(),
 		jobs:     make(map[string]*job),
 	}
 	for _, opt := range opts {
@@ -217,6 +232,7 @@
 func (s *Side) tick(context.Context) {
 	now := time.Now()
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Tick(now) }))
+	s.gauge()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, j := range s.jobs {
@@ -253,6 +269,7 @@
 		return
 	}
 	j.refuse(&connector.RefusedError{Reason: string(act.Reason), Text: act.Text, After: act.After, Load: s.load()})
+	s.countRefusal(string(act.Reason))
 	s.log.Info().Str("request", act.ID).Str("reason", string(act.Reason)).Msg("request refused")
 }
 
--- a/internal/operator/script_test.go
+++ b/internal/operator/script_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -145,6 +146,17 @@
 		draining.Store(!m.GetUndo())
 		return &wirepb.Drained{}, nil
 	})
+	var mu sync.Mutex
+	var newest uint64
+	connector.Answer(srv, func(_ context.Context, _ string, m *wirepb.Order) (*wirepb.Ordered, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if m.GetNumber() < newest || m.GetTarget() != "runner-1" || m.GetModel() != "repair-8b" {
+			return nil, &connector.RefusedError{Reason: "stale", Text: fmt.Sprintf("newest is %d, order is %v", newest, m)}
+		}
+		newest = m.GetNumber()
+		return &wirepb.Ordered{Instance: "side-1.a", Number: newest}, nil
+	})
 	connector.Answer(srv, func(context.Context, string, *wirepb.Status) (*wirepb.Report, error) {
 		return &wirepb.Report{Payload: bytes.ReplaceAll(s.report, []byte("$DRAINING"), fmt.Append(nil, draining.Load()))}, nil
 	})
