--- a/internal/admitter/commands.go
+++ b/internal/admitter/commands.go
@@ -161,6 +161,14 @@
 // Billed forgets the charge of a request, which is durable at its holder.
 func (a *Admitter) Billed(id string) { delete(a.unbilled, id) }
 
+// Orphan makes the charge of a request due at once, because its router is gone and
+// cannot settle it.
+func (a *Admitter) Orphan(now time.Time, id string) {
+	if u, ok := a.unbilled[id]; ok && !u.sending && now.Before(u.due) {
+		u.due = now
+	}
+}
+
 // SettleFailed sends a charge again after a growing interval.
 func (a *Admitter) SettleFailed(now time.Time, id string) {
 	u, ok := a.unbilled[id]
--- a/internal/executor/charges.go
+++ b/internal/executor/charges.go
@@ -141,3 +141,11 @@
 	r.known[region], r.loaded[region] = members, time.Now()
 	return members, nil
 }
+
+// orphan delivers the charge of an answer at once if no router reads it any more.
+// Waiting for a router that is gone would lose the charge if the side dies too.
+func (s *Side) orphan(j *job) {
+	if j.unread() {
+		s.desk.decide(func(a *admitter.Admitter) { a.Orphan(time.Now(), j.id) })
+	}
+}
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -61,6 +61,7 @@
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Ended(time.Now(), j.id, res.usage) }))
 	end.Load = s.load()
 	j.finish(end)
+	s.orphan(j)
 	s.countEnd(end, time.Since(started))
 	span.SetAttributes(attribute.String("outcome", end.Outcome), attribute.Int64("output", res.usage.Output))
 	s.log.Info().Str("request", j.id).Str("outcome", end.Outcome).Int("status", res.status).
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -392,6 +392,33 @@
 	}
 }
 
+// Guards against a charge that waits for a router that is gone, and is lost if the
+// side dies meanwhile.
+func TestOrphanedCharge(t *testing.T) {
+	t.Parallel()
+	p := &platform{}
+	f := newFixture(t)
+	f.cfg.Limits.Settle, f.cfg.Limits.Flush = loader.Duration(time.Minute), loader.Duration(50*time.Millisecond)
+	gate := make(chan struct{}, 16)
+	f.cfg.Target = Target{URL: startEngine(t, 5, gate).URL, Name: "engine", Kind: Model, Model: "m"}
+	f.start(p, p)
+	f.until("registration", func() bool { return f.side.Status().Registered })
+	for range 6 {
+		gate <- struct{}{}
+	}
+	newReader("q1").read(t, f.open(f.pool, "q1", runFrame(1, 100)), noLimit)
+	router := f.newPool()
+	newReader("q2").read(t, f.open(router, "q2", runFrame(2, 100)), 1)
+	_ = router.Close()
+	for range 5 {
+		gate <- struct{}{}
+	}
+	f.until("charge", func() bool { return len(p.settled()) > 0 })
+	if charges := p.settled(); len(charges) != 1 || charges[0].ID != "q2" {
+		t.Errorf("charges = %+v, want that of the router that is gone", charges)
+	}
+}
+
 // Guards against a deregistration that lets a successor release tokens that are
 // charged but not delivered.
 func TestUndeliveredChargeKeepsRegistration(t *testing.T) {
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -103,6 +103,12 @@
 func (s *Side) stream(ctx context.Context, st *connector.Stream, j *job, offset uint64) error {
 	s.reads.Add(1)
 	defer s.reads.Add(-1)
+	j.read(1)
+	defer func() {
+		if j.read(-1) == 0 {
+			s.orphan(j)
+		}
+	}()
 	_ = st.SetDeadline(j.deadline.Add(keepPeriod))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -132,7 +138,11 @@
 			return err
 		}
 		if v.end != nil {
-			return st.Reply(frame, v.end)
+			if err := st.Reply(frame, v.end); err != nil {
+				return err
+			}
+			j.deliver()
+			return nil
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -44,6 +44,9 @@
 	end      *wirepb.End
 	ended    time.Time
 	records  []Record
+	readers  int // streams that read the answer
+
+	delivered bool // a stream has read the answer to its end
 }
 
 // view is the state of a job for a reader at an offset.
@@ -162,3 +165,25 @@
 	defer j.mu.Unlock()
 	return !j.ended.IsZero() && now.Sub(j.ended) > keepPeriod
 }
+
+// read counts streams that read the answer and returns their number.
+func (j *job) read(change int) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.readers += change
+	return j.readers
+}
+
+// unread reports whether the answer ended and no stream has read its end.
+func (j *job) unread() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.end != nil && j.readers == 0 && !j.delivered
+}
+
+// deliver records that a stream has read the answer to its end.
+func (j *job) deliver() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.delivered = true
+}
