Name the sides that keep expired reservations withheld

Cause: an operator could not see which side a revocation waits for, and so which one to confirm as gone.

The status of an entry lists them. The reclaimer drops a side once it has answered for all its reservations; until now it kept it until the next release, which the new check in the test of a silent side showed.

--- a/internal/holder/reclaim_test.go
+++ b/internal/holder/reclaim_test.go
@@ -191,6 +191,9 @@
 	if got := f.reserved(n); got != 400 {
 		t.Errorf("reserved = %d, want 400 withheld", got)
 	}
+	if s, err := n.holder.Status(t.Context()); err != nil || !slices.Equal(s.Revoking, []string{"side-2.x"}) {
+		t.Errorf("status names %v, err = %v, want the silent side", s.Revoking, err)
+	}
 }
 
 // Guards against tokens withheld for ever by a side that stopped as planned before
--- a/internal/holder/status.go
+++ b/internal/holder/status.go
@@ -16,6 +16,7 @@
 	Used      float64    `json:"used"`    // part of the journal that is not folded
 	Shards    []Shard    `json:"shards"`
 	Takeovers []Takeover `json:"takeovers"`
+	Revoking  []string   `json:"revoking,omitempty"` // sides that can still run or bill revoked reservations
 }
 
 // Shard describes one held shard.
@@ -41,7 +42,7 @@
 func (k *keeper) status() Status {
 	s := Status{
 		Instance: k.h.cfg.Instance, Up: k.up, Stopped: k.journal.Stopped(), Seq: k.journal.Seq(), Used: k.journal.Used(),
-		Shards: []Shard{}, Takeovers: []Takeover{},
+		Shards: []Shard{}, Takeovers: []Takeover{}, Revoking: k.reclaim.state.Waiting(),
 	}
 	for _, number := range k.budgets.Shards() {
 		object := k.budgets.Object(number)
--- a/internal/reclaimer/commands.go
+++ b/internal/reclaimer/commands.go
@@ -113,6 +113,9 @@
 			delete(o.pending, name)
 		}
 	}
+	if !r.awaits(name) {
+		delete(r.sides, name)
+	}
 	return r.release()
 }
 
