--- a/internal/admitter/types.go
+++ b/internal/admitter/types.go
@@ -3,8 +3,9 @@
 //
 // A side admits work only after it has registered and loaded the table of
 // closed holders. Requests that find no free slot wait in order of worth and
-// then deadline. A request that is expected to start after its deadline is
-// refused at once. Charges are kept until the holder has made them durable.
+// then deadline. A request that would wait and start less than the mean time in
+// a slot before its deadline is refused at once. Charges are kept until the
+// holder has made them durable.
 //
 // # Usage
 //
@@ -51,6 +52,7 @@
 	recallPeriod   = 10 * time.Minute
 	initialService = time.Second
 	meanWeight     = 0.2
+	minQueue       = 2 // of a side with few slots
 )
 
 // Reservation names tokens set aside by a holder. A request without a budget
@@ -118,7 +120,7 @@
 // Limits are the bounds of a side.
 type Limits struct {
 	Slots int // requests that run at the same time, until the target reports its own number
-	Queue int // requests that may wait
+	Queue int // requests that may wait, at most half the slots
 	// Settle is the time after which the side delivers a charge by itself, 0 takes
 	// [SettleDelay].
 	Settle time.Duration
