Refuse calls to a stopped holder as stopping, test stop and crash of entries

Cause: a holder that is stopped answers its peers until the process ends. It refused with reason internal, which a client takes as final, so that a caller at another entry got notrun 503 without Retry-After during a planned stop. It now refuses with reason stopping, and the client asks the next holder.

Ruled out: requests that are cut off by the stop, double charges, withheld grants.

--- a/internal/holder/ask.go
+++ b/internal/holder/ask.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// errStopping tells a client to ask the next holder.
+var errStopping = &connector.RefusedError{Reason: "stopping", Text: "the instance is stopping", After: 250 * time.Millisecond}
+
 // refusal turns a refusal of the budgeter into one of the session layer.
 func refusal(err *budgeter.RefusedError) error {
 	return &connector.RefusedError{Reason: string(err.Reason), Text: err.Text, After: err.After}
--- a/internal/holder/claims.go
+++ b/internal/holder/claims.go
@@ -75,7 +75,7 @@
 		return true
 	}
 	if k.stopping != nil || k.journal.Stopped() {
-		fail(&connector.RefusedError{Reason: "stopping", Text: "the instance is stopping", After: 250 * time.Millisecond})
+		fail(errStopping)
 		return false
 	}
 	if r, ok := c.redirects[shard]; ok && now.Sub(r.at) < redirectTime && !k.h.members.Suspected(r.holder.Name) {
@@ -215,7 +215,7 @@
 		c.redirects[m.shard] = redirect{m.holder, now}
 		failCalls(calls, notHolder(m.holder.Name, m.holder.Addr))
 	case k.stopping != nil || k.journal.Stopped():
-		failCalls(calls, &connector.RefusedError{Reason: "stopping", Text: "the instance is stopping", After: 250 * time.Millisecond})
+		failCalls(calls, errStopping)
 	default:
 		k.h.log.Info().Int("shard", m.shard).Int("claims", len(m.object.Claims)).Msg("claims held")
 		c.held[m.shard] = true
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -67,30 +67,46 @@
 
 // Serve registers the handlers for calls of other processes.
 func (h *Holder) Serve(srv *connector.Server) {
-	connector.Answer(srv, func(ctx context.Context, id string, m *wirepb.Reserve) (*wirepb.Reserved, error) {
-		r, err := h.Reserve(ctx, id, m)
-		if err != nil {
-			return nil, err
-		}
-		return &wirepb.Reserved{Reservation: r}, nil
-	})
-	connector.Answer(srv, func(ctx context.Context, _ string, m *wirepb.Settle) (*wirepb.Settled, error) {
-		return h.Settle(ctx, m)
-	})
-	connector.Answer(srv, func(ctx context.Context, _ string, m *wirepb.Return) (*wirepb.Returned, error) {
-		return h.Return(ctx, m)
-	})
-	connector.Answer(srv, h.Claim)
-	connector.Answer(srv, h.concluded)
+	connector.Answer(srv, refusing(h.reserved))
+	connector.Answer(srv, refusing(h.settled))
+	connector.Answer(srv, refusing(h.returned))
+	connector.Answer(srv, refusing(h.Claim))
+	connector.Answer(srv, refusing(h.concluded))
 	if h.relay != nil {
-		relayer.Answer(h.relay, func(ctx context.Context, _ string, m *wirepb.Return) (*wirepb.Returned, error) {
-			return h.Return(ctx, m)
-		})
-		relayer.Answer(h.relay, h.Claim)
-		relayer.Answer(h.relay, h.concluded)
+		relayer.Answer(h.relay, refusing(h.returned))
+		relayer.Answer(h.relay, refusing(h.Claim))
+		relayer.Answer(h.relay, refusing(h.concluded))
 	}
 }
 
+// refusing makes a stopped holder refuse remote calls in a way that lets the
+// client look for the next holder.
+func refusing[M, A any](call func(context.Context, string, M) (A, error)) func(context.Context, string, M) (A, error) {
+	return func(ctx context.Context, id string, m M) (A, error) {
+		a, err := call(ctx, id, m)
+		if errors.Is(err, ErrStopped) {
+			err = errStopping
+		}
+		return a, err
+	}
+}
+
+func (h *Holder) reserved(ctx context.Context, id string, m *wirepb.Reserve) (*wirepb.Reserved, error) {
+	r, err := h.Reserve(ctx, id, m)
+	if err != nil {
+		return nil, err
+	}
+	return &wirepb.Reserved{Reservation: r}, nil
+}
+
+func (h *Holder) settled(ctx context.Context, _ string, m *wirepb.Settle) (*wirepb.Settled, error) {
+	return h.Settle(ctx, m)
+}
+
+func (h *Holder) returned(ctx context.Context, _ string, m *wirepb.Return) (*wirepb.Returned, error) {
+	return h.Return(ctx, m)
+}
+
 func (h *Holder) concluded(ctx context.Context, id string, m *wirepb.Conclude) (*wirepb.Concluded, error) {
 	return &wirepb.Concluded{}, h.Conclude(ctx, id, m)
 }
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -303,3 +303,16 @@
 		t.Errorf("conclude through the platform: %v", err)
 	}
 }
+
+// Guards against a false refusal while a stopping entry still answers its
+// peers: the caller must learn that another entry can be asked.
+func TestStoppedHolderRefusesAsStopping(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.start("a", "north"), f.start("b", "north")
+	a.holder.Close()
+	_, err := connector.Call[*wirepb.Reserved](t.Context(), b.pool, a.members.Self().Addr, "r1", &wirepb.Reserve{Budget: "acme", Tokens: 1})
+	var refused *connector.RefusedError
+	if !errors.As(err, &refused) || refused.Reason != "stopping" {
+		t.Errorf("got %v, want a refusal with reason stopping", err)
+	}
+}
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -182,7 +182,7 @@
 		return true
 	}
 	if k.stopping != nil || k.journal.Stopped() {
-		fail(&connector.RefusedError{Reason: "stopping", Text: "the instance is stopping", After: 250 * time.Millisecond})
+		fail(errStopping)
 		return false
 	}
 	if r, ok := k.redirects[shard]; ok && now.Sub(r.at) < redirectTime && !k.h.members.Suspected(r.holder.Name) {
--- a/internal/launcher/fixture_test.go
+++ b/internal/launcher/fixture_test.go
@@ -8,11 +8,9 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -63,9 +61,11 @@
 
 // running is a process of the fleet that runs in the test's process.
 type running struct {
-	url    string // of an entry
-	cancel context.CancelFunc
-	done   chan error
+	name    string
+	url     string // of an entry
+	cancel  context.CancelFunc
+	done    chan error
+	process *process // of an entry
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -229,7 +229,7 @@
 	settings.Target, settings.Target.URL = cfg, backend.URL
 	settings.TLS.Plain = true
 	f.list(name, "side", settings.Listen)
-	return f.run(func(ctx context.Context) error { return executor.Run(ctx, settings, f.logs) })
+	return f.run(name, func(ctx context.Context) error { return executor.Run(ctx, settings, f.logs) })
 }
 
 func (f *fixture) entry(name string) *running {
@@ -246,17 +246,21 @@
 		f.t.Fatal(err)
 	}
 	f.list(name, "entry", cfg.Listen.Peer)
-	r := f.run(func(ctx context.Context) error { return Run(ctx, cfg, f.logs) })
-	r.url = "http://" + cfg.Listen.HTTP
+	p, err := build(f.t.Context(), cfg, f.logs)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r := f.run(name, p.run)
+	r.url, r.process = "http://"+cfg.Listen.HTTP, p
 	return r
 }
 
-func (f *fixture) run(main func(ctx context.Context) error) *running {
+func (f *fixture) run(name string, main func(ctx context.Context) error) *running {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{cancel: cancel, done: make(chan error, 1)}
+	r := &running{name: name, cancel: cancel, done: make(chan error, 1)}
 	go func() { r.done <- main(ctx) }()
 	f.t.Cleanup(func() {
-		if err := r.stop(); err != nil {
+		if err := r.stop(); err != nil && !errors.Is(err, errAborted) {
 			f.t.Errorf("process failed: %v", err)
 		}
 	})
@@ -271,6 +275,12 @@
 	return err
 }
 
+// kill ends an entry as a crash would and waits until it is gone.
+func (r *running) kill() {
+	r.process.abort()
+	_ = r.stop()
+}
+
 func (f *fixture) ready(r *running) {
 	f.t.Helper()
 	f.eventually("entry is ready", func() bool {
@@ -284,6 +294,11 @@
 }
 
 func (f *fixture) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	f.eventuallyf(ok, func() string { return what })
+}
+
+func (f *fixture) eventuallyf(ok func() bool, what func() string) {
 	f.t.Helper()
 	for range 750 {
 		if ok() {
@@ -291,39 +306,5 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	f.t.Fatalf("timeout: %s", what)
-}
-
-// response is the answer to a caller.
-type response struct {
-	status int
-	header http.Header
-	body   string
-}
-
-func (f *fixture) post(r *running, path, body string, header ...string) response {
-	f.t.Helper()
-	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, r.url+path, strings.NewReader(body))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+testKey)
-	req.Header.Set("Content-Type", "application/json")
-	for i := 0; i+1 < len(header); i += 2 {
-		req.Header.Set(header[i], header[i+1])
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return response{status: -1, body: err.Error()}
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	if err != nil {
-		return response{status: -1, body: err.Error()}
-	}
-	return response{res.StatusCode, res.Header, string(data)}
-}
-
-func chat(prompt string, stream bool) string {
-	return fmt.Sprintf(`{"model":"plan-1","stream":%v,"messages":[{"role":"user","content":%q}],"max_tokens":20}`, stream, prompt)
+	f.t.Fatalf("timeout: %s", what())
 }
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -37,6 +37,8 @@
 // process was paused. A new process has to replace it.
 var ErrSealed = errors.New("journal was sealed by a successor, start a new process")
 
+var errAborted = errors.New("aborted")
+
 // process is a running entry.
 type process struct {
 	cfg      Settings
@@ -59,6 +61,7 @@
 	httpLn   net.Listener
 	sealed   chan string
 	failures chan error
+	aborted  chan struct{} // closed to end without a stop, as a crash would
 }
 
 // Run runs an entry until the context ends and then stops it gracefully. Log
@@ -72,7 +75,7 @@
 }
 
 func build(ctx context.Context, cfg Settings, out io.Writer) (*process, error) {
-	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 4), gate: newGate(cfg.Limits.Inflight)}
+	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 4), aborted: make(chan struct{}), gate: newGate(cfg.Limits.Inflight)}
 	steps := []struct {
 		name string
 		run  func(context.Context, io.Writer) error
@@ -199,8 +202,14 @@
 	case sealer := <-p.sealed:
 		err = fmt.Errorf("stopped by %s: %w", sealer, ErrSealed)
 	case err = <-p.failures:
+	case <-p.aborted:
+		err = errAborted
+	}
+	if errors.Is(err, errAborted) {
+		p.cut()
+	} else {
+		p.stop(inner)
 	}
-	p.stop(inner)
 	cancel()
 	_ = p.server.Close()
 	_ = p.pool.Close()
--- a/internal/launcher/stop.go
+++ b/internal/launcher/stop.go
@@ -30,6 +30,17 @@
 	p.log.Info().Msg("stopped")
 }
 
+// abort ends the process without a stop. It must be called once.
+func (p *process) abort() { close(p.aborted) }
+
+// cut ends all connections and the holder at once. The sessions end first, so
+// that a request that is cut off cannot cancel its run at a side.
+func (p *process) cut() {
+	_ = p.pool.Close()
+	_ = p.http.Close()
+	p.holder.Close()
+}
+
 // deregister removes the registration first, so that the others rank this
 // instance no more when they look for a holder.
 func (p *process) deregister(ctx context.Context) {
