Send no call before its claim is durable, test platform faults and bookings

The client takes running under its own id as the right to send, since the first answer may have been lost. During a platform outage a claim made over the link between entries was repeated after 1 s, so that the booking was sent without a durable claim, and a second time under the same key after the outage.

Cause 2: an outcome that the holder refuses for good (owner, outdated, absent) was sent again for 30 s and held up a planned stop. It is now logged and dropped.

Cause 3: a claim whose answer was lost stayed running although the caller was told that nothing ran, which blocks its key. The router now records it as not run. This was found by reading; no test reproduces it.

--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -231,3 +231,26 @@
 		t.Errorf("err = %v, want ErrFull", err)
 	}
 }
+
+// Guards against a call that is sent before its claim is durable: a router
+// repeats a claim under the same request id after a lost answer and takes
+// "running" as the right to send.
+func TestRepeatedClaimWaitsForJournal(t *testing.T) {
+	c := New("entry-1")
+	first := c.Claim(start, ask("r1", "d"))
+	if again := c.Claim(start, ask("r1", "d")); len(again) != 0 {
+		t.Fatalf("before it is durable: %+v", again)
+	}
+	if other := c.Claim(start, ask("r2", "d")); len(other) != 1 || other[0].(Answer).State != Running {
+		t.Errorf("another request: %+v", other)
+	}
+	late := start.Add(durableTimeout)
+	c.Tick(late)
+	undo := c.Durable(late, first[0].(Append).Token)
+	if len(undo) != 1 {
+		t.Fatalf("after the refusal: %+v", undo)
+	}
+	if again := c.Claim(late, ask("r1", "d")); len(again) != 1 || again[0].(Refuse).Reason != Platform {
+		t.Errorf("while the refusal is journaled: %+v", again)
+	}
+}
--- a/internal/claimer/commands.go
+++ b/internal/claimer/commands.go
@@ -41,6 +41,10 @@
 		return []Action{Answer{r.ID, Mismatch, p.claim}}
 	case p.abandoned:
 		return []Action{refusePlatform(waiter{id: r.ID})}
+	case p.claim.Request == r.ID && p.claim.State == Running:
+		return nil // answered with the first try, when the claim is durable
+	case p.claim.Request == r.ID:
+		return []Action{refusePlatform(waiter{id: r.ID})}
 	default:
 		running := p.claim
 		running.State, running.Status, running.Header, running.Payload = Running, 0, nil, nil
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"daisylane/internal/bundler"
+	"daisylane/internal/connector"
 	"daisylane/internal/wirepb"
 )
 
@@ -22,6 +25,10 @@
 	claimMismatch = "mismatch"
 )
 
+// finalReasons are refusals of an outcome that sending it again cannot change,
+// see package claimer.
+var finalReasons = []string{"owner", "outdated", "absent", "body"}
+
 // concludeTimeout bounds the attempts to record the outcome of a claimed call.
 const concludeTimeout = 30 * time.Second
 
@@ -48,6 +55,7 @@
 	}
 	claim, err := r.budgets.Claim(ctx, req.id, c.claimMessage(req), req.account.Home)
 	if err != nil {
+		r.abandonClaim(ctx, req, c, err)
 		return refusalError(err, "platform")
 	}
 	r.records.Record(req.id, "claim", claim.GetState(), "owner "+claim.GetRequest())
@@ -129,6 +137,16 @@
 	return nil
 }
 
+// abandonClaim records that a call is not sent when it is not known whether the
+// claim was made. Otherwise the claim would block the key of the caller.
+func (r *Router) abandonClaim(ctx context.Context, req request, c call, err error) {
+	var refused *connector.RefusedError
+	if errors.As(err, &refused) {
+		return
+	}
+	r.background(func() { r.conclude(ctx, req, c, result{failure: &Error{Type: typeNotRun}}, nil) })
+}
+
 // conclude records the outcome of a claimed call. It goes on in the background
 // when the holder does not answer, since the caller's answer is known.
 func (r *Router) conclude(ctx context.Context, req request, c call, res result, answer []byte) {
@@ -137,7 +155,15 @@
 		m.Status, m.Header, m.Payload = res.end.GetStatus(), res.end.GetHeader(), answer
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), concludeTimeout)
-	record := func() error { return r.budgets.Conclude(ctx, req.id, m, req.account.Home) }
+	record := func() error {
+		err := r.budgets.Conclude(ctx, req.id, m, req.account.Home)
+		var refused *connector.RefusedError
+		if errors.As(err, &refused) && slices.Contains(finalReasons, refused.Reason) {
+			r.log.Error().Str("id", req.id).Str("state", m.State).Err(err).Msg("outcome of a claimed call not recorded")
+			return nil
+		}
+		return err
+	}
 	if err := record(); err == nil {
 		cancel()
 		return
