--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -33,7 +33,7 @@
 
 // Hold starts to take the hold of a shard in the instance's region.
 func (h *Holder) Hold(number int) []Action {
-	if h.shards[number] != nil {
+	if h.shards[number] != nil || h.stopped {
 		return nil
 	}
 	sh := &shard{
@@ -78,7 +78,7 @@
 func (h *Holder) Settle(now time.Time, token Token, c Charge) []Action {
 	r := c.Reservation
 	sh := h.shards[r.Shard]
-	if sh == nil || !sh.held && !sh.leaving {
+	if sh == nil || !sh.held || sh.leaving && r.Holder != h.cfg.Instance {
 		h.refuse(token, ReasonStopping, "this instance does not hold the shard, ask its present holder", shortBack)
 		return h.flush()
 	}
@@ -94,6 +94,12 @@
 		h.emit(Settled{Token: token, Duplicate: true})
 		return h.flush()
 	}
+	// A holder that is not replayed can still fold by itself and would overwrite
+	// what this instance folds about its reservations.
+	if f := sh.former[r.Holder]; r.Holder != h.cfg.Instance && (f == nil || !f.stored) {
+		h.refuse(token, ReasonStopping, "the reservation's holder is not taken over yet", shortBack)
+		return h.flush()
+	}
 	tokens := min(max(c.Tokens, 0), r.Tokens)
 	if r.Holder == h.cfg.Instance {
 		a, own := sh.account(r.Budget), sh.open[r.Number]
@@ -113,7 +119,10 @@
 		sh.account(r.Budget).charged += ch.Tokens
 	}
 	sh.charges = append(sh.charges, ch)
-	h.append(entry(journaler.KindCharge, sh.number, ch.Charge), func(now time.Time, seq uint64) {
+	// The release of a former holder's tokens and the hand-over of the shard wait
+	// for the charge.
+	lazy := r.Holder == h.cfg.Instance && !sh.leaving
+	h.append(lazy, entry(journaler.KindCharge, sh.number, ch.Charge), func(now time.Time, seq uint64) {
 		ch.seq = seq
 		for i, t := range ch.waiting {
 			h.emit(Settled{Token: t, Duplicate: ch.duplicate || i > 0})
@@ -147,7 +156,7 @@
 	if f := sh.former[r.Holder]; f != nil && f.complete {
 		h.update(sh)
 	}
-	if sh.leaving && len(sh.open) == 0 {
+	if sh.leaving && (!sh.handed || len(sh.open) == 0) {
 		h.update(sh)
 	}
 	if a := sh.accounts[r.Budget]; a != nil {
@@ -193,7 +202,7 @@
 	a.ceiling = a.limit() - amount
 	a.trim = false
 	a.gives = append(a.gives, give{token, amount})
-	h.lower(now, sh, a)
+	h.lower(sh, a)
 	return h.flush()
 }
 
@@ -222,7 +231,7 @@
 	for _, a := range sh.sorted() {
 		h.refuseWaiting(a, func(waiter) bool { return true }, ReasonStopping, "the instance is stopping", shortBack)
 		a.ceiling, a.trim = a.used(), false
-		h.lower(now, sh, a)
+		h.lower(sh, a)
 	}
 	h.update(sh)
 	return h.flush()
@@ -245,9 +254,7 @@
 
 // Stop reports that the journal is sealed. All shards are lost.
 func (h *Holder) Stop() []Action {
-	for _, sh := range h.sorted() {
-		h.lose(sh)
-	}
+	h.stop()
 	return h.flush()
 }
 
@@ -316,6 +323,13 @@
 			f.open[r.Number] = r
 		}
 	}
+	if !f.stored {
+		for _, c := range charges { // open until settled, also if Complete comes first
+			f.open[c.Reservation.Number] = c.Reservation
+		}
+		f.late = append(f.late, charges...)
+		return nil
+	}
 	var actions []Action
 	for _, c := range charges {
 		actions = append(actions, h.Settle(now, 0, c)...)
@@ -350,7 +364,8 @@
 	case !sh.held && !sh.leaving:
 		next, _ = next.WithHold(h.cfg.Region, h.cfg.Instance)
 	case !sh.leaving && object.Holders[h.cfg.Region].Instance != h.cfg.Instance:
-		h.lose(sh)
+		h.emit(Fenced{Shard: number})
+		h.stop()
 		return object, false
 	}
 	next, _ = next.WithFold(h.fold(sh), now.Unix())
@@ -386,7 +401,7 @@
 		}
 		p.folds = append(p.folds, name)
 	}
-	if !f.complete {
+	if !f.complete || !sh.replayed(next.Former(h.cfg.Region)) {
 		return next
 	}
 	left := make(map[string]int64)
@@ -418,6 +433,12 @@
 			return next
 		}
 	}
+	// The next holder closes former grants, so that charges on them come first.
+	if slices.ContainsFunc(sh.charges, func(c *charge) bool {
+		return c.Holder != h.cfg.Instance && (c.seq == 0 || c.seq > p.seq)
+	}) {
+		return next
+	}
 	next = next.WithHandOver(h.cfg.Region, h.cfg.Instance)
 	p.handed = true
 	pending := slices.ContainsFunc(sh.charges, func(c *charge) bool { return c.seq == 0 || c.seq > p.seq })
@@ -488,8 +509,15 @@
 	sh.charges = slices.DeleteFunc(sh.charges, func(c *charge) bool { return c.seq > 0 && c.seq <= p.seq })
 	h.emit(Folded{Shard: number, Seq: p.seq})
 	for _, name := range p.folds {
-		sh.former[name].stored = true
+		f := sh.former[name]
+		f.stored = true
+		maps.DeleteFunc(f.open, func(number uint64, _ Reservation) bool { return sh.object.Settled(name, number) })
 		h.emit(Replayed{Shard: number, Instance: name})
+		for _, c := range f.late {
+			h.out = h.Settle(now, 0, c) // contains what was emitted before
+		}
+		f.late = nil
+		sh.again = true
 	}
 	for _, name := range p.closes {
 		delete(sh.former, name)
@@ -503,7 +531,7 @@
 	for _, a := range sh.sorted() {
 		h.refresh(sh, a, p)
 		if a.stage != stageNone && p.takes[a.budget] {
-			h.advance(now, sh, a)
+			h.advance(sh, a)
 		}
 		h.pursue(now, sh, a)
 	}
@@ -562,7 +590,7 @@
 // others. Without a step that can help, they are refused.
 func (h *Holder) pursue(now time.Time, sh *shard, a *account) {
 	if !sh.held || sh.leaving {
-		h.lower(now, sh, a)
+		h.lower(sh, a)
 		return
 	}
 	a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool {
@@ -584,21 +612,21 @@
 		h.refuseWaiting(a, all, ReasonPlatform, "the platform is not reachable", h.cfg.Back)
 		return
 	}
-	h.lower(now, sh, a)
-	h.raise(sh, a)
+	h.lower(sh, a)
+	fits := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.req.Tokens <= a.limit()-a.used() })
+	h.raise(sh, a, fits)
 	if len(a.waiting) == 0 {
 		a.stage = stageNone
 		return
 	}
-	fits := slices.ContainsFunc(a.waiting, func(w waiter) bool { return w.req.Tokens <= a.limit()-a.used() })
-	if a.marking < 0 && !fits && a.stage == stageNone {
+	if !fits && a.stage == stageNone {
 		a.stage = stageTake
 		h.update(sh)
 	}
 }
 
 // advance moves on after an update that took what the shard object had.
-func (h *Holder) advance(_ time.Time, sh *shard, a *account) {
+func (h *Holder) advance(sh *shard, a *account) {
 	short := func(w waiter) bool { return w.req.Tokens > a.limit()-a.used() }
 	switch {
 	case a.stage == stageTake && h.cfg.Regions > 1 && slices.ContainsFunc(a.waiting, short):
@@ -615,11 +643,11 @@
 }
 
 // raise writes a higher mark if requests wait for it or the rest of the mark is low.
-func (h *Holder) raise(sh *shard, a *account) {
+func (h *Holder) raise(sh *shard, a *account, wanted bool) {
 	unspent := a.limit() - a.used()
 	target := int64(h.cfg.Ahead * float64(unspent))
 	ahead := a.durable - a.used()
-	if len(a.waiting) == 0 && ahead*100 > target*lowPercent {
+	if !wanted && ahead*100 > target*lowPercent {
 		return
 	}
 	mark := a.used() + min(max(target, a.wanted()), unspent)
@@ -629,7 +657,7 @@
 }
 
 // lower brings the mark down to the ceiling and then has the grant trimmed.
-func (h *Holder) lower(_ time.Time, sh *shard, a *account) {
+func (h *Holder) lower(sh *shard, a *account) {
 	if a.ceiling == noCeiling || a.trim || a.marking >= 0 {
 		return
 	}
@@ -645,7 +673,7 @@
 // in the journal is the one that admission relies on.
 func (h *Holder) mark(sh *shard, a *account, value int64) {
 	a.marking = value
-	h.append(entry(journaler.KindMark, sh.number, Mark{Budget: a.budget, Mark: value}), func(now time.Time, _ uint64) {
+	h.append(false, entry(journaler.KindMark, sh.number, Mark{Budget: a.budget, Mark: value}), func(now time.Time, _ uint64) {
 		a.durable, a.marking = value, -1
 		if h.shards[sh.number] == sh {
 			h.pursue(now, sh, a)
@@ -662,10 +690,10 @@
 	h.emit(Update{Shard: sh.number})
 }
 
-func (h *Holder) append(e journaler.Entry, done func(time.Time, uint64)) {
+func (h *Holder) append(lazy bool, e journaler.Entry, done func(time.Time, uint64)) {
 	h.token++
 	h.appends[h.token] = done
-	h.emit(Append{Token: h.token, Entries: []journaler.Entry{e}})
+	h.emit(Append{Token: h.token, Entries: []journaler.Entry{e}, Lazy: lazy})
 }
 
 func (h *Holder) refuse(token Token, reason Reason, text string, after time.Duration) {
@@ -682,6 +710,15 @@
 	})
 }
 
+// stop ends all holds for good. A second hold would describe the journal without
+// the reservations of the first one, which are forgotten here.
+func (h *Holder) stop() {
+	h.stopped = true
+	for _, sh := range h.sorted() {
+		h.lose(sh)
+	}
+}
+
 // lose ends the hold of a shard that another instance has taken over.
 func (h *Holder) lose(sh *shard) {
 	delete(h.shards, sh.number)
--- a/internal/budgeter/queries.go
+++ b/internal/budgeter/queries.go
@@ -41,16 +41,15 @@
 	return allotter.New(number)
 }
 
-// Owed returns the shards in which an instance has grants, in order. When that
-// instance dies, these need recovery.
+// Owed returns the held shards that another instance of the region has held
+// and that are not closed, in order. When that instance dies, these need recovery, whether it
+// handed them over or not.
 func (h *Holder) Owed(instance string) []int {
 	var list []int
 	for _, sh := range h.sorted() {
-		for _, b := range sh.object.Budgets {
-			if _, ok := b.Grants[instance]; ok {
-				list = append(list, sh.number)
-				break
-			}
+		j, ok := sh.object.Journals[instance]
+		if ok && sh.held && j.Region == h.cfg.Region && instance != h.cfg.Instance {
+			list = append(list, sh.number)
 		}
 	}
 	return list
@@ -68,12 +67,15 @@
 	if _, ok := sh.object.Budgets[r.Budget].Grants[r.Holder]; !ok {
 		return true
 	}
+	if sh.object.Settled(r.Holder, r.Number) {
+		return true
+	}
 	f := sh.former[r.Holder]
-	if f != nil && f.complete {
-		_, open := f.open[r.Number]
-		return !open
+	if f == nil || !f.complete {
+		return false
 	}
-	return sh.object.Settled(r.Holder, r.Number)
+	_, open := f.open[r.Number]
+	return !open
 }
 
 // charged reports whether a key was charged in the object's window or is charged
@@ -97,6 +99,19 @@
 	return nil
 }
 
+// replayed reports whether the journals of all given instances are folded. Each
+// of them can contain charges on the grants of another one, so that no grant is
+// lowered or closed before.
+func (sh *shard) replayed(instances []string) bool {
+	for _, name := range instances {
+		f := sh.former[name]
+		if f == nil || !f.stored {
+			return false
+		}
+	}
+	return true
+}
+
 // due reports whether something waits for an update of the object.
 func (sh *shard) due() bool {
 	if sh.updating {
--- a/internal/budgeter/types.go
+++ b/internal/budgeter/types.go
@@ -20,7 +20,8 @@
 // and calls Propose, writes the proposal by conditional update and reports Stored
 // or Failed; on a conflict it reads and proposes again. At most one update per
 // shard is pending. Platform reports an outage and its end, Stop the loss of the
-// journal, and Tick is called at least once a second.
+// journal, and Tick is called at least once a second. Actions are carried out in
+// order. After Fenced or Stop the instance continues under a new incarnation.
 package budgeter
 
 import (
@@ -133,6 +134,7 @@
 type Append struct {
 	Token   journaler.Token
 	Entries []journaler.Entry
+	Lazy    bool // nothing waits for the entry but the senders of a charge
 }
 
 // Update asks for a conditional update of a shard object, see [Holder.Propose].
@@ -178,6 +180,12 @@
 	Instance string
 }
 
+// Fenced says that another instance has taken over a shard. It seals this
+// instance's journal, so the instance gives up all shards and its journal and
+// continues under a new incarnation. A full ring would otherwise hide the seal,
+// because nothing more can be folded or written.
+type Fenced struct{ Shard int }
+
 // Left says that the shard is no longer held and nothing of it is open.
 type Left struct{ Shard int }
 
@@ -192,6 +200,7 @@
 func (Held) action()     {}
 func (Replayed) action() {}
 func (Closed) action()   {}
+func (Fenced) action()   {}
 func (Left) action()     {}
 
 // Holder is the state of one instance over all its shards.
@@ -203,6 +212,7 @@
 	next    uint64 // number of the next reservation
 	seq     uint64 // last durable record
 	down    bool
+	stopped bool // the journal is lost, so that no shard can be held any more
 	out     []Action
 }
 
@@ -273,6 +283,7 @@
 	complete bool // all sides have answered
 	open     map[uint64]Reservation
 	done     map[uint64]bool // concluded here
+	late     []Charge        // reported before the fold was stored
 }
 
 // proposal is what the pending update contains.
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -18,8 +18,13 @@
 const (
 	dialTimeout      = 2 * time.Second
 	handshakeTimeout = 2 * time.Second
-	keepAlive        = 20 * time.Second
-	writeTimeout     = 5 * time.Second
+	// Silence on a stream is noticed by its user within seconds. Keep-alive only finds
+	// sessions that nobody uses, and each ping costs control traffic.
+	clientKeepAlive = time.Minute
+	serverKeepAlive = 5 * time.Minute
+	writeTimeout    = 5 * time.Second
+	retireInterval  = time.Second
+	maxRetireTime   = 15 * time.Minute // longer than any request
 )
 
 // Identity gives the Hello message of this process. It is called for each new
@@ -43,6 +48,9 @@
 	addr string
 	mux  *yamux.Session
 	peer *wirepb.Hello
+
+	mu     sync.Mutex
+	shared *callStream // nil before the first call
 }
 
 // PoolOption configures a pool.
@@ -173,12 +181,37 @@
 	return nil
 }
 
+// forget makes the next Open dial anew. Streams that are open on the session
+// can still end.
 func (p *Pool) forget(s *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.sessions[s.addr] == s {
 		delete(p.sessions, s.addr)
+		go s.retire()
+	}
+}
+
+// retire closes a forgotten session when its last stream has ended.
+func (s *session) retire() {
+	for until := time.Now().Add(maxRetireTime); time.Now().Before(until) && !s.idle(); {
+		time.Sleep(retireInterval)
+	}
+	_ = s.mux.Close()
+}
+
+// idle reports whether no stream and no call is open.
+func (s *session) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	streams := s.mux.NumStreams()
+	if s.shared != nil && !s.shared.isClosed() {
+		if s.shared.isWaiting() {
+			return false
+		}
+		streams--
 	}
+	return streams <= 0
 }
 
 func (p *Pool) dial(addr string) (*session, error) {
@@ -187,9 +220,14 @@
 		return nil, fmt.Errorf("%w: %w", ErrDial, err)
 	}
 	if p.tls != nil {
-		conn = tls.Client(conn, p.tls())
+		secure := tls.Client(conn, p.tls())
+		if err := shake(context.Background(), secure); err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("%w: %w", ErrDial, err)
+		}
+		conn = secure
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(newCorkConn(conn), muxConfig(clientKeepAlive))
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("%w: start session: %w", ErrDial, err)
@@ -197,6 +235,9 @@
 	peer, err := p.greet(mux)
 	if err != nil {
 		_ = mux.Close()
+		if refused := alert(conn); refused != nil {
+			err = refused
+		}
 		return nil, fmt.Errorf("%w: handshake: %w", ErrDial, err)
 	}
 	p.greeted(addr, peer)
@@ -228,7 +269,7 @@
 	return peer, nil
 }
 
-func muxConfig() *yamux.Config {
+func muxConfig(keepAlive time.Duration) *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.KeepAliveInterval = keepAlive
 	cfg.ConnectionWriteTimeout = writeTimeout
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -15,18 +15,24 @@
 
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
+// roleOperator is the organizational unit in an operator's certificate.
+const roleOperator = "operator"
+
 const (
 	progressInterval = time.Second
 	tickInterval     = 100 * time.Millisecond
 	loadInterval     = time.Second
-	closureInterval  = 5 * time.Second
+	// A successor asks each registered side by itself. The poll only covers closures
+	// whose request got lost, and each costs the platform a call.
+	closureInterval  = time.Minute
 	registerInterval = time.Second
 	platformTimeout  = 5 * time.Second
-	settleTimeout    = 5 * time.Second
+	settleTimeout    = 15 * time.Second // covers the longest flush interval of a journal
 	keepPeriod       = 60 * time.Second
 	stopPoll         = 20 * time.Millisecond
 )
@@ -63,9 +69,11 @@
 	holders  Holders
 	log      zerolog.Logger
 	spans    Spans
-	pooled   *http.Client // for requests that may be repeated
-	single   *http.Client // for claims: a connection per call, because net/http repeats calls on reused connections
+	pooled   *http.Client // for load, resumption and cancellation
+	single   *http.Client // for requests of routers: a connection per call, see newClient
 	desk     *desk
+	rights   Rights // nil: no check
+	handlers func(*connector.Server)
 
 	work  sync.WaitGroup // running requests and charges on their way
 	reads atomic.Int64   // streams that read an answer
@@ -101,7 +109,7 @@
 		spans:    noSpans{},
 		pooled:   newClient(false),
 		single:   newClient(true),
-		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue}),
+		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue, Settle: cfg.Limits.Settle.Std()}),
 		jobs:     make(map[string]*job),
 	}
 	for _, opt := range opts {
@@ -144,6 +152,8 @@
 	if s.cfg.Target.Kind == Model {
 		loops.Go(func() { s.loop(inner, loadInterval, s.pollLoad) })
 	}
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
 	registered := make(chan struct{})
 	loops.Go(func() {
 		defer close(registered)
@@ -158,6 +168,7 @@
 	case err = <-served:
 		served <- nil
 	}
+	leave()
 	cancel()
 	_ = srv.Close()
 	s.abort()
@@ -176,12 +187,14 @@
 	opts := []connector.ServerOption{connector.WithFailure(func(peer string, err error) {
 		s.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
 	})}
-	if !s.cfg.TLS.Plain {
-		cfg, err := s.cfg.TLS.server()
-		if err != nil {
-			return nil, fmt.Errorf("load TLS files: %w", err)
-		}
-		opts = append(opts, connector.WithServerTLS(cfg))
+	credentials, err := s.cfg.TLS.Load(credentialer.WithFailure(func(err error) {
+		s.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("load TLS files: %w", err)
+	}
+	if credentials != nil {
+		opts = append(opts, connector.WithServerTLS(credentials.Server(watcher.Entry, roleOperator)))
 	}
 	srv := connector.NewServer(s.cfg.identity(s.instance), opts...)
 	s.handle(srv)
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -20,6 +20,8 @@
 	maxHops = 8
 	// callTimeout leaves room for a direct try of 1 s and one through the platform of 2 s.
 	callTimeout = 3500 * time.Millisecond
+	// settleTimeout covers the longest flush interval of a journal.
+	settleTimeout = MaxFlush + 5*time.Second
 	// reserveTimeout leaves room for a takeover by a successor.
 	reserveTimeout = 6 * time.Second
 	hopWait        = 100 * time.Millisecond
@@ -79,6 +81,8 @@
 			return &wirepb.Reserved{Reservation: r}, err
 		},
 		func(ctx context.Context, p peer) (*wirepb.Reserved, error) {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
 			return connector.Call[*wirepb.Reserved](ctx, c.pool, p.addr, id, m)
 		})
 	if err != nil {
@@ -90,7 +94,7 @@
 // Settle charges or releases a reservation. It goes to the instance that made
 // the reservation, or else to its successor, and returns when it is durable.
 func (c *Client) Settle(ctx context.Context, id string, m *wirepb.Settle) error {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	r := m.GetReservation()
 	if r.GetHolder() == c.h.cfg.Instance {
@@ -112,7 +116,7 @@
 }
 
 func (c *Client) settleAt(ctx context.Context, id, addr string, m *wirepb.Settle) (*wirepb.Settled, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	return connector.Call[*wirepb.Settled](ctx, c.pool, addr, id, m)
 }
@@ -152,11 +156,21 @@
 	return nil
 }
 
+// home returns where the claims of an account are kept: in its home region, or in
+// the next one in rank if no entry of that is registered. Any region is safe,
+// because the claim object names the holder that keeps the claims.
 func (c *Client) home(account, region string) place {
-	if region == "" {
-		region = placer.First("home/"+account, c.h.cfg.Regions)
+	at := place{region: region, shard: placer.Shard(account, c.h.cfg.Shards), claims: true}
+	ranked := placer.Rank("home/"+account, c.h.cfg.Regions)
+	if region != "" {
+		ranked = append([]string{region}, ranked...)
+	}
+	for _, r := range ranked {
+		if at.region = r; len(c.entries(r)) > 0 {
+			return at
+		}
 	}
-	return place{region: region, shard: placer.Shard(account, c.h.cfg.Shards), claims: true}
+	return at
 }
 
 // follow calls the holder of a shard and follows its redirections.
@@ -189,8 +203,6 @@
 }
 
 func callPeer[A any](ctx context.Context, c *Client, p peer, call func(context.Context) (A, error)) (A, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	res, err := call(ctx)
 	c.heard(p.name, err)
 	return res, err
--- a/internal/launcher/caller_test.go
+++ b/internal/launcher/caller_test.go
@@ -108,7 +108,7 @@
 }
 
 // check reports an answer that is not that of the question, and whether it is whole.
-func (q question) check(t *testing.T, r response) bool {
+func (q question) check(t testing.TB, r response) bool {
 	t.Helper()
 	text, whole := q.text(r)
 	want := strings.Join(q.output(), "")
--- a/internal/launcher/fixture_test.go
+++ b/internal/launcher/fixture_test.go
@@ -43,7 +43,7 @@
 
 // fixture is a fleet on loopback with stand-ins, all in the test's process.
 type fixture struct {
-	t        *testing.T
+	t        testing.TB
 	fake     *faker.Platform
 	platform *httptest.Server
 	engines  []*faker.Engine
@@ -52,6 +52,8 @@
 	key      ed25519.PrivateKey
 	public   ed25519.PublicKey
 	logs     *logBuffer
+	flush    loader.Duration // of the entries' journals
+	settle   loader.Duration // delay of the sides' charges
 }
 
 // logBuffer collects the log for a failing test.
@@ -77,14 +79,14 @@
 	crash   func()   // cuts all connections at once
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		t.Fatal(err)
 	}
 	fake := faker.NewPlatform()
-	f := &fixture{t: t, fake: fake, platform: httptest.NewServer(fake), key: private, public: public, logs: &logBuffer{}}
+	f := &fixture{settle: loader.Duration(2 * time.Second), t: t, fake: fake, platform: httptest.NewServer(fake), key: private, public: public, logs: &logBuffer{}, flush: loader.Duration(100 * time.Millisecond)}
 	t.Cleanup(f.platform.Close)
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -197,7 +199,7 @@
 	}
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -241,7 +243,8 @@
 	settings.Platform, settings.Listen = f.platform.URL, ln.Addr().String()
 	settings.Target, settings.Target.URL = cfg, backend.URL
 	settings.TLS.Plain = true
-	settings.Limits.Flush = loader.Duration(time.Second)
+	settings.Trust = map[string]string{"operator": base64.StdEncoding.EncodeToString(f.public)}
+	settings.Limits.Flush, settings.Limits.Settle = loader.Duration(time.Second), f.settle
 	front := newLink(f.t, settings.Listen)
 	settings.Advertise = front.ln.Addr().String()
 
@@ -250,18 +253,29 @@
 		return &wirepb.Hello{Protocol: connector.ProtocolVersion, Instance: instance, Role: watcher.Side}
 	})
 	f.t.Cleanup(func() { _ = pool.Close() })
-	registry := executor.NewPlatformRegistry(storer.New(f.platform.URL, storer.WithName(instance)))
+	platform := storer.New(f.platform.URL, storer.WithName(instance))
+	registry := executor.NewPlatformRegistry(platform)
 	out := &outside{Registry: registry, Holders: executor.NewRemote(pool, registry)}
 	log, err := logger.New(f.logs, "info")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	side, err := executor.New(settings, out, out, executor.WithInstance(instance), executor.WithLogger(log))
+	bundle, err := executor.NewBundle(settings, instance, pool, platform, log)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	side, err := executor.New(settings, out, out, executor.WithInstance(instance), executor.WithLogger(log),
+		executor.WithRights(bundle), executor.WithHandlers(bundle.Register))
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.list(name, "side", settings.Advertise)
-	r := f.run(name, func(ctx context.Context) error { return side.Serve(ctx, ln) })
+	r := f.run(name, func(ctx context.Context) error {
+		inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		defer cancel()
+		go bundle.Run(inner)
+		return side.Serve(ctx, ln)
+	})
 	r.front = front
 	r.crash = func() {
 		out.dead.Store(true)
@@ -304,6 +318,7 @@
 	cfg.Platform = f.platform.URL
 	cfg.Listen = Listen{HTTP: freeAddr(f.t), Peer: freeAddr(f.t)}
 	cfg.Budgets.Shards, cfg.Budgets.Fold = testShards, loader.Duration(time.Second)
+	cfg.Budgets.Flush = f.flush
 	cfg.Stop.Notice = loader.Duration(50 * time.Millisecond)
 	cfg.Trust = map[string]string{"operator": base64.StdEncoding.EncodeToString(f.public)}
 	cfg.TLS.Plain = true
--- a/internal/launcher/link_test.go
+++ b/internal/launcher/link_test.go
@@ -26,7 +26,7 @@
 	held            []func() // writes that the silence keeps back
 }
 
-func newLink(t *testing.T, addr string) *link {
+func newLink(t testing.TB, addr string) *link {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -5,7 +5,10 @@
 	"net/url"
 	"time"
 
+	"daisylane/internal/bundler"
 	"daisylane/internal/checker"
+	"daisylane/internal/credentialer"
+	"daisylane/internal/holder"
 	"daisylane/internal/loader"
 	"daisylane/internal/recoverer"
 	"daisylane/internal/tracer"
@@ -13,20 +16,20 @@
 
 // Settings of an entry.
 type Settings struct {
-	Name     string            `toml:"name"`
-	Centre   string            `toml:"centre"`
-	Region   string            `toml:"region"`
-	Regions  []string          `toml:"regions"` // all regions of the deployment
-	Platform string            `toml:"platform"`
-	Level    string            `toml:"level"` // of the log
-	Listen   Listen            `toml:"listen"`
-	Budgets  Budgets           `toml:"budgets"`
-	Limits   Limits            `toml:"limits"`
-	Stop     Stop              `toml:"stop"`
-	Trust    map[string]string `toml:"trust"` // public key in base64 by operator
-	Peers    []Peer            `toml:"peers"` // entries to ask while the platform is down
-	TLS      TLS               `toml:"tls"`
-	Trace    tracer.Config     `toml:"trace"`
+	Name     string                `toml:"name"`
+	Centre   string                `toml:"centre"`
+	Region   string                `toml:"region"`
+	Regions  []string              `toml:"regions"` // all regions of the deployment
+	Platform string                `toml:"platform"`
+	Level    string                `toml:"level"` // of the log
+	Listen   Listen                `toml:"listen"`
+	Budgets  Budgets               `toml:"budgets"`
+	Limits   Limits                `toml:"limits"`
+	Stop     Stop                  `toml:"stop"`
+	Trust    map[string]string     `toml:"trust"` // public key in base64 by operator
+	Peers    []Peer                `toml:"peers"` // entries to ask while the platform is down
+	TLS      credentialer.Settings `toml:"tls"`
+	Trace    tracer.Config         `toml:"trace"`
 }
 
 // Listen has the addresses of an entry.
@@ -43,6 +46,7 @@
 	Ahead   float64         `toml:"ahead"`
 	Release string          `toml:"release"`
 	Fold    loader.Duration `toml:"fold"`
+	Flush   loader.Duration `toml:"flush"`
 }
 
 // Limits bound the work of an entry.
@@ -66,21 +70,12 @@
 	Region string `toml:"region"`
 }
 
-// TLS names the PEM files for mutual TLS between processes. Plain must be set
-// to run without them.
-type TLS struct {
-	Cert  string `toml:"cert"`
-	Key   string `toml:"key"`
-	CA    string `toml:"ca"`
-	Plain bool   `toml:"plain"`
-}
-
 // Defaults returns the settings that a file may leave out.
 func Defaults() Settings {
 	return Settings{
 		Level:   "info",
 		Listen:  Listen{HTTP: "127.0.0.1:8080", Peer: "127.0.0.1:7300"},
-		Budgets: Budgets{Shards: 64, Slots: 64, Ahead: 1, Release: recoverer.ReleaseOperator, Fold: loader.Duration(5 * time.Minute)},
+		Budgets: Budgets{Shards: 64, Slots: 64, Ahead: 1, Release: recoverer.ReleaseOperator, Fold: loader.Duration(5 * time.Minute), Flush: loader.Duration(5 * time.Second)},
 		Limits:  Limits{Inflight: 4096, Queue: 4096},
 		Stop: Stop{
 			Notice: loader.Duration(2 * time.Second), Grace: loader.Duration(2 * time.Minute), Flush: loader.Duration(30 * time.Second),
@@ -97,6 +92,8 @@
 	f.Require(s.Region != "", "region", "is empty, set the region of this instance")
 	f.Require(len(s.Regions) > 0, "regions", "is empty, list all regions of the deployment")
 	f.Require(len(s.Trust) > 0, "trust", "is empty, name at least one operator's public key")
+	_, err := bundler.ParseTrust(s.Trust)
+	f.Within("trust", err)
 	checkURL(&f, "platform", s.Platform)
 	f.Within("listen", s.Listen.check())
 	f.Within("budgets", s.Budgets.check())
@@ -105,7 +102,7 @@
 	checker.Range(&f, "stop.notice", s.Stop.Notice.Std(), 0, time.Minute)
 	checker.Range(&f, "stop.grace", s.Stop.Grace.Std(), 0, time.Hour)
 	checker.Range(&f, "stop.flush", s.Stop.Flush.Std(), time.Second, time.Hour)
-	f.Within("tls", s.TLS.check())
+	f.Within("tls", s.TLS.Check())
 	f.Within("trace", s.Trace.Check())
 	return f.Err()
 }
@@ -126,23 +123,12 @@
 	checker.Range(&f, "slots", b.Slots, 8, 1024)
 	checker.Range(&f, "ahead", b.Ahead, 0, 1)
 	checker.Range(&f, "fold", b.Fold.Std(), time.Second, time.Hour)
+	checker.Range(&f, "flush", b.Flush.Std(), 10*time.Millisecond, holder.MaxFlush)
 	f.Require(b.Release == recoverer.ReleaseOperator || b.Release == recoverer.ReleaseGone, "release",
 		"is %q, allowed is %q or %q", b.Release, recoverer.ReleaseOperator, recoverer.ReleaseGone)
 	return f.Err()
 }
 
-func (t TLS) check() error {
-	var f checker.Faults
-	if t.Plain {
-		f.Require(t.Cert == "" && t.Key == "" && t.CA == "", "plain", "is set together with files, remove one of them")
-		return f.Err()
-	}
-	f.Require(t.Cert != "", "cert", "is empty, set cert, key and ca, or plain = true to run without TLS")
-	f.Require(t.Key != "", "key", "is empty, set cert, key and ca")
-	f.Require(t.CA != "", "ca", "is empty, set cert, key and ca")
-	return f.Err()
-}
-
 func checkAddress(f *checker.Faults, key, addr string) {
 	_, _, err := net.SplitHostPort(addr)
 	f.Require(err == nil, key, "is %q, want host:port", addr)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
+	"daisylane/internal/explainer"
 	"daisylane/internal/reporter"
 	"daisylane/internal/tracer"
 	"daisylane/internal/wirepb"
@@ -56,7 +56,7 @@
 	defer span.End()
 	err := a.run(ctx, m)
 	for err != nil && a.resumable(ctx, err) {
-		a.r.records.Record(a.req.id, "resume", a.choice.Name, err.Error())
+		a.r.record(a.req.id, "resume", a.choice.Name, cause(err), explainer.Int("offset", int64(a.answer.Offset())))
 		a.r.scope.Counter(reporter.Resumes).Inc(1)
 		err = a.resume(ctx)
 		if a.lost(err) {
@@ -212,7 +212,8 @@
 // restarted.
 const reasonUnknown = "unknown"
 
-// reasonDuplicate is the refusal of a request id that the side has got before.
+// reasonDuplicate is the refusal of a side that knows the request already, so
+// that an earlier message may have started it.
 const reasonDuplicate = "duplicate"
 
 // sessionReasons are refusals by the session layer. As the answer to a
@@ -221,12 +222,12 @@
 
 func (a *attempt) takeRefusal(m *wirepb.Refused) error {
 	a.load = m.GetLoad()
-	if m.GetReason() == reasonUnknown {
-		return fmt.Errorf("%w: %s", errUnknown, m.GetText())
-	}
 	if a.again && m.GetReason() == reasonDuplicate {
 		return fmt.Errorf("%w: %s", errKnown, m.GetText())
 	}
+	if m.GetReason() == reasonUnknown || m.GetReason() == reasonDuplicate {
+		return fmt.Errorf("%w: %s", errUnknown, m.GetText())
+	}
 	if a.resumed && slices.Contains(sessionReasons, m.GetReason()) {
 		return fmt.Errorf("%w: %s", errUnknown, m.GetText())
 	}
@@ -241,17 +242,7 @@
 func (a *attempt) cancel(ctx context.Context) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer stop()
-	s, err := a.r.pool.Open(ctx, a.choice.Addr)
-	if err != nil {
-		return
-	}
-	defer s.Close()
-	_ = s.SetDeadline(time.Now().Add(cancelTimeout))
-	f, err := connector.Wrap(a.req.id, &wirepb.Cancel{})
-	if err != nil || s.Send(f) != nil {
-		return
-	}
-	if _, err := s.Receive(); err != nil && !errors.Is(err, io.EOF) {
+	if _, err := connector.Call[*wirepb.Cancel](ctx, a.r.pool, a.choice.Addr, a.req.id, &wirepb.Cancel{}); err != nil {
 		a.r.log.Debug().Str("id", a.req.id).Err(err).Msg("cancel not answered")
 	}
 }
--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"daisylane/internal/bundler"
+	"daisylane/internal/explainer"
 	"daisylane/internal/reporter"
 )
 
@@ -59,7 +60,7 @@
 	if failure.Type == typeNotRun {
 		r.scope.Tagged(map[string]string{"reason": failure.Reason}).Counter(reporter.Refusals).Inc(1)
 	}
-	r.records.Record(req.id, "answer", failure.Type, failure.Reason+": "+failure.Message)
+	r.record(req.id, "answer", failure.Type, failure.Reason, explainer.Name("account", req.account.Name))
 	failure.write(w, req.id)
 }
 
@@ -101,7 +102,7 @@
 		if err != nil || !(seconds > 0) {
 			return req, notRun(http.StatusBadRequest, "body", "%s is %q, want seconds above 0", headerTimeout, s)
 		}
-		timeout = min(time.Duration(seconds*float64(time.Second)), maxTimeout)
+		timeout = time.Duration(min(seconds, maxTimeout.Seconds()) * float64(time.Second))
 	}
 	req.deadline = time.Now().Add(timeout)
 	return req, nil
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -12,6 +12,7 @@
 
 	"daisylane/internal/bundler"
 	"daisylane/internal/connector"
+	"daisylane/internal/explainer"
 	"daisylane/internal/wirepb"
 )
 
@@ -58,7 +59,7 @@
 		r.abandonClaim(ctx, req, c, err)
 		return refusalError(err, "platform")
 	}
-	r.records.Record(req.id, "claim", claim.GetState(), "owner "+claim.GetRequest())
+	r.record(req.id, "claim", claim.GetState(), "", explainer.Name("owner", claim.GetRequest()))
 	if claim.GetState() != claimNew {
 		return replayClaim(w, claim)
 	}
