Settle charges of a closed holder without delay

Cause: a side waits 12 s for a router to report a charge as durable before it delivers the charge itself. After the crash of the entry no router reports, so that the tokens of requests that were open at the closure stayed withheld for 12 s after their end. A charge whose holder is closed is now due at once.

Ruled out: the takeover itself (sides answered the closure within 0.3 s).

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -99,6 +99,16 @@
 	wantActions(t, "billed", a.Tick(start.Add(time.Minute)))
 }
 
+// Guards against tokens that stay withheld after the crash of a holder: no
+// router of a closed holder reports its charges as durable.
+func TestChargeOfClosedHolder(t *testing.T) {
+	a := registered(1, 1)
+	a.Run(start, request(1, 1, time.Minute))
+	a.Close("h1")
+	a.Ended(start, "q1", Usage{Prompt: 4, Output: 6})
+	wantActions(t, "at once", a.Tick(start), "q1 settle")
+}
+
 // Guards against work that is admitted for a closed holder, during a drain or
 // before registration, in any order of events, and against a request that gets
 // two decisions, none, or more slots than there are.
--- a/internal/admitter/commands.go
+++ b/internal/admitter/commands.go
@@ -81,10 +81,14 @@
 	took := now.Sub(j.started)
 	a.service += time.Duration(meanWeight * float64(took-a.service))
 	if j.Reservation.Holder != "" {
+		due := now.Add(a.limits.Settle)
+		if _, closed := a.closed[j.Reservation.Holder]; closed {
+			due = now // its successor waits for the charge to release the rest
+		}
 		tokens := min(used.Prompt+used.Output, j.Reservation.Tokens)
 		a.unbilled[id] = &unbilled{
 			Charge:   Charge{ID: id, Reservation: j.Reservation, Key: j.Key, Tokens: tokens},
-			due:      now.Add(a.limits.Settle),
+			due:      due,
 			interval: settleInterval,
 		}
 	}
--- a/internal/launcher/kill_test.go
+++ b/internal/launcher/kill_test.go
@@ -6,6 +6,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"daisylane/internal/admitter"
+	"daisylane/internal/loader"
 )
 
 // Guards against callers who pay twice or wait long after a crash of an entry,
@@ -13,6 +16,7 @@
 func TestKilledEntry(t *testing.T) {
 	const releaseTime = 10 * time.Second
 	f := newFixture(t)
+	f.settle = loader.Duration(admitter.SettleDelay)
 	a, b := f.standard(1_000_000)
 	warm := question{"warm up", 20, false}
 	var sum bill
