--- a/internal/admitter/queries.go
+++ b/internal/admitter/queries.go
@@ -36,6 +36,42 @@
 	return charges
 }
 
+// UnbilledCount returns how many charges are not durable yet.
+func (a *Admitter) UnbilledCount() int { return len(a.unbilled) }
+
+// Unsettled returns those of a holder's reservations that run here or have a
+// charge that is not durable yet, in the given order.
+func (a *Admitter) Unsettled(holder string, numbers []uint64) []uint64 {
+	held := make(map[uint64]struct{})
+	for _, j := range a.running {
+		if j.Reservation.Holder == holder {
+			held[j.Reservation.Number] = struct{}{}
+		}
+	}
+	for _, u := range a.unbilled {
+		if u.Reservation.Holder == holder {
+			held[u.Reservation.Number] = struct{}{}
+		}
+	}
+	var list []uint64
+	for _, n := range numbers {
+		if _, ok := held[n]; ok {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// isRevoked reports whether the holder has ended a reservation.
+func (a *Admitter) isRevoked(r Reservation) bool {
+	v := a.revoked[r.Holder]
+	if v == nil {
+		return false
+	}
+	_, listed := v.numbers[r.Number]
+	return listed || r.Number < v.below
+}
+
 // ClosedHolders returns the closed holders in order.
 func (a *Admitter) ClosedHolders() []string { return sortedKeys(a.closed) }
 
@@ -47,6 +83,11 @@
 	return a.limits.Slots
 }
 
+// queue returns how many requests may wait. A side knows its load better than a
+// router does, so it refuses what would wait longer than half a mean run and
+// leaves the request to another target.
+func (a *Admitter) queue() int { return min(a.limits.Queue, max(minQueue, a.Slots()/2)) }
+
 // Load returns the load that routers see. Requests of this side count as soon
 // as they start, before the target reports them.
 func (a *Admitter) Load() Load {
--- a/internal/admitter/types.go
+++ b/internal/admitter/types.go
@@ -3,8 +3,9 @@
 //
 // A side admits work only after it has registered and loaded the table of
 // closed holders. Requests that find no free slot wait in order of worth and
-// then deadline. A request that is expected to start after its deadline is
-// refused at once. Charges are kept until the holder has made them durable.
+// then deadline. A request that would wait and start less than the mean time in
+// a slot before its deadline is refused at once. Charges are kept until the
+// holder has made them durable.
 //
 // # Usage
 //
@@ -33,6 +34,7 @@
 // Reasons of refusals.
 const (
 	Closed       Reason = "closed"       // the holder of the reservation is closed
+	Revoked      Reason = "revoked"      // the holder ended the reservation
 	Stopping     Reason = "stopping"     // the side is draining
 	Overload     Reason = "overload"     // the queue is full of requests of at least the same worth
 	Deadline     Reason = "deadline"     // the request cannot start in time
@@ -50,6 +52,7 @@
 	recallPeriod   = 10 * time.Minute
 	initialService = time.Second
 	meanWeight     = 0.2
+	minQueue       = 2 // of a side with few slots
 )
 
 // Reservation names tokens set aside by a holder. A request without a budget
@@ -117,7 +120,7 @@
 // Limits are the bounds of a side.
 type Limits struct {
 	Slots int // requests that run at the same time, until the target reports its own number
-	Queue int // requests that may wait
+	Queue int // requests that may wait, at most half the slots
 	// Settle is the time after which the side delivers a charge by itself, 0 takes
 	// [SettleDelay].
 	Settle time.Duration
@@ -163,12 +166,19 @@
 	sending  bool
 }
 
+// revocation lists the reservations that a holder ended.
+type revocation struct {
+	below   uint64 // all lower numbers
+	numbers map[uint64]struct{}
+}
+
 // Admitter holds the admission state of one side. It is not safe for concurrent use.
 type Admitter struct {
 	limits     Limits
 	registered bool
 	draining   bool
 	closed     map[string]struct{}
+	revoked    map[string]*revocation // by holder
 	running    map[string]*job
 	waiting    []*job // in the order in which they will start
 	unbilled   map[string]*unbilled
@@ -187,6 +197,7 @@
 	return &Admitter{
 		limits:   limits,
 		closed:   make(map[string]struct{}),
+		revoked:  make(map[string]*revocation),
 		running:  make(map[string]*job),
 		unbilled: make(map[string]*unbilled),
 		recent:   make(map[string]time.Time),
--- a/internal/executor/registry.go
+++ b/internal/executor/registry.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	"daisylane/internal/checker"
+	"daisylane/internal/fencer"
+	"daisylane/internal/reclaimer"
 	"daisylane/internal/recoverer"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
@@ -71,6 +73,39 @@
 	return closed, nil
 }
 
+// Revocations returns the tables of ended reservations by holder.
+func (r *PlatformRegistry) Revocations(ctx context.Context) (map[string]reclaimer.Table, error) {
+	items, err := r.objects.List(ctx, reclaimer.TablePrefix)
+	if err != nil {
+		return nil, fmt.Errorf("list ended reservations: %w", err)
+	}
+	tables := make(map[string]reclaimer.Table, len(items))
+	for _, item := range items {
+		t, err := checker.Decode[reclaimer.Table](item.Body)
+		if err != nil {
+			return nil, fmt.Errorf("ended reservations %s: %w", item.Key, err)
+		}
+		tables[strings.TrimPrefix(item.Key, reclaimer.TablePrefix)] = t
+	}
+	return tables, nil
+}
+
+// Fence returns the number of the newest order to a target, 0 if there is none.
+func (r *PlatformRegistry) Fence(ctx context.Context, target string) (uint64, error) {
+	item, err := r.objects.Get(ctx, fencer.Key(target))
+	if errors.Is(err, storer.ErrAbsent) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read the number of the newest order: %w", err)
+	}
+	f, err := checker.Decode[fencer.Fence](item.Body)
+	if err != nil {
+		return 0, fmt.Errorf("newest order %s: %w", item.Key, err)
+	}
+	return f.Number, nil
+}
+
 // Deregister deletes the registration.
 func (r *PlatformRegistry) Deregister(ctx context.Context, m watcher.Member) error {
 	key := watcher.Key(m.Role, m.Name)
