--- a/internal/launcher/fleet.go
+++ b/internal/launcher/fleet.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -15,6 +16,7 @@
 
 const (
 	countInterval = 5 * time.Second
+	expectedSlots = 8 // of a side that has not reported yet
 	maxLists      = 64
 )
 
@@ -27,8 +29,9 @@
 	policy  *chooser.Affinity
 	retries *retrier.Retrier
 	lists   map[watcher.Query]candidates
-	exclude []string  // reused between choices
-	counted time.Time // last count of the entries
+	slots   map[string]int // last reported slots by instance
+	exclude []string       // reused between choices
+	counted time.Time      // last count of the entries
 }
 
 // candidates are the members of a query in the form that the policy keeps.
@@ -45,6 +48,7 @@
 		policy:  chooser.NewAffinity(chooser.Place{Centre: self.Centre, Region: self.Region}, source),
 		retries: retrier.New(source),
 		lists:   make(map[watcher.Query]candidates),
+		slots:   make(map[string]int),
 	}
 }
 
@@ -106,6 +110,28 @@
 	f.policy.SetPeers(len(f.members.Entries(self.Region, self.Centre)))
 }
 
+// capacity returns the requests that this entry should have in flight: a multiple of
+// its share of the slots in its region. It reports false if no side is known.
+func (f *fleet) capacity(share float64) (int, bool) {
+	self := f.members.Self()
+	entries := max(1, len(f.members.Entries(self.Region, "")))
+	sides := f.members.Registered(watcher.Side)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, m := range sides {
+		if m.Region != self.Region {
+			continue
+		}
+		if n := f.slots[m.Name]; n > 0 {
+			sum += n
+		} else {
+			sum += expectedSlots
+		}
+	}
+	return int(math.Ceil(share * float64(sum) / float64(entries))), sum > 0
+}
+
 // Done implements [router.Targets].
 func (f *fleet) Done(c router.Choice, r router.Report) router.Verdict {
 	if r.Load.GetLeaving() {
@@ -117,6 +143,7 @@
 	f.policy.Done(now, c.Name, c.Sent)
 	if r.Load != nil {
 		f.policy.Reported(c.Name, chooser.LoadOf(now, r.Load))
+		f.slots[c.Name] = int(r.Load.GetSlots())
 	}
 	if r.Outcome == router.Canceled {
 		f.retries.Cancelled(c.Name)
--- a/internal/launcher/gate.go
+++ b/internal/launcher/gate.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	gateTick = 100 * time.Millisecond
+	gateTick     = 100 * time.Millisecond
+	sizeInterval = time.Second
 	// burstSeconds is how much of an account's rate may come at once.
 	burstSeconds = 2
 	noLimit      = 1_000_000
@@ -50,6 +51,13 @@
 	}
 }
 
+// resize changes how many requests may be in flight.
+func (g *gate) resize(capacity int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch(g.state.Resize(time.Now(), capacity))
+}
+
 // adopt takes over the limits of a bundle.
 func (g *gate) adopt(accounts []bundler.Account) {
 	limits := make(map[string]limiter.Limit)
@@ -140,3 +148,19 @@
 		}
 	}
 }
+
+// sizeGate follows the capacity of the targets.
+func (p *process) sizeGate(ctx context.Context) {
+	t := time.NewTicker(sizeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if n, ok := p.fleet.capacity(p.cfg.Limits.Share); ok {
+				p.gate.resize(min(n, p.cfg.Limits.Inflight))
+			}
+		}
+	}
+}
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -59,6 +59,7 @@
 	relay       *relayer.Relayer
 	holder      *holder.Holder
 	router      *router.Router
+	fleet       *fleet
 	gate        *gate
 	records     *records
 
@@ -193,7 +194,8 @@
 }
 
 func (p *process) route(context.Context, io.Writer) error {
-	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), newFleet(p.members), p.pool, p.bundles.Index,
+	p.fleet = newFleet(p.members)
+	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), p.fleet, p.pool, p.bundles.Index,
 		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithTracer(p.trace),
 		router.WithLimits(p.gate), router.WithRecords(p.records),
 		router.WithVersion(func() uint64 { return p.bundles.Head().Version }))
@@ -217,6 +219,7 @@
 	loops.Go(func() { p.feedPeers(inner) })
 	loops.Go(func() { p.relay.Run(inner) })
 	loops.Go(func() { p.gate.run(inner) })
+	loops.Go(func() { p.sizeGate(inner) })
 	p.log.Info().Str("http", p.httpLn.Addr().String()).Str("peer", p.peerLn.Addr().String()).Msg("started")
 
 	var err error
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -51,8 +51,8 @@
 
 // Limits bound the work of an entry.
 type Limits struct {
-	Inflight int `toml:"inflight"` // requests in flight
-	Queue    int `toml:"queue"`    // requests that wait for one of them to end
+	Inflight int     `toml:"inflight"` // requests in flight, at most
+	Share    float64 `toml:"share"`    // requests in flight, as a multiple of the entry's share of the slots
 }
 
 // Stop sets how long a planned stop may take.
@@ -76,7 +76,7 @@
 		Level:   "info",
 		Listen:  Listen{HTTP: "127.0.0.1:8080", Peer: "127.0.0.1:7300"},
 		Budgets: Budgets{Shards: 64, Slots: 64, Ahead: 1, Release: recoverer.ReleaseOperator, Fold: loader.Duration(5 * time.Minute), Flush: loader.Duration(5 * time.Second)},
-		Limits:  Limits{Inflight: 4096, Queue: 4096},
+		Limits:  Limits{Inflight: 4096, Share: 1.2},
 		Stop: Stop{
 			Notice: loader.Duration(2 * time.Second), Grace: loader.Duration(2 * time.Minute), Flush: loader.Duration(30 * time.Second),
 		},
@@ -98,7 +98,7 @@
 	f.Within("listen", s.Listen.check())
 	f.Within("budgets", s.Budgets.check())
 	checker.Range(&f, "limits.inflight", s.Limits.Inflight, 1, 1<<20)
-	checker.Range(&f, "limits.queue", s.Limits.Queue, 0, 1<<20)
+	checker.Range(&f, "limits.share", s.Limits.Share, 1, 100)
 	checker.Range(&f, "stop.notice", s.Stop.Notice.Std(), 0, time.Minute)
 	checker.Range(&f, "stop.grace", s.Stop.Grace.Std(), 0, time.Hour)
 	checker.Range(&f, "stop.flush", s.Stop.Flush.Std(), time.Second, time.Hour)
