--- a/internal/connector/bench_test.go
+++ b/internal/connector/bench_test.go
@@ -71,7 +71,8 @@
 	}
 	srv := NewServer(testIdentity("entry-1.abcdefghij", ProtocolVersion))
 	Answer(srv, func(_ context.Context, _ string, m *wirepb.Reserve) (*wirepb.Reserved, error) {
-		return &wirepb.Reserved{Reservation: benchReservation()}, nil
+		r := benchReservation()
+		return &wirepb.Reserved{Reservation: &wirepb.Reservation{Holder: r.GetHolder(), Shard: r.GetShard(), Number: r.GetNumber()}}, nil
 	})
 	Answer(srv, func(context.Context, string, *wirepb.Settle) (*wirepb.Settled, error) { return &wirepb.Settled{}, nil })
 	ctx, cancel := context.WithCancel(context.Background())
@@ -86,7 +87,6 @@
 func benchReservation() *wirepb.Reservation {
 	return &wirepb.Reservation{
 		Holder: "entry-1.abcdefghij", Shard: 512, Number: 1 << 20, Budget: "budget-123456", Tokens: 2000,
-		Addr: "10.10.10.10:7300", Region: "north",
 	}
 }
 
@@ -101,7 +101,7 @@
 		if _, err := Call[*wirepb.Reserved](b.Context(), pool, m.addr, id, &wirepb.Reserve{Budget: "budget-123456", Tokens: 2000}); err != nil {
 			b.Fatal(err)
 		}
-		if _, err := Call[*wirepb.Settled](b.Context(), pool, m.addr, id, &wirepb.Settle{Reservation: benchReservation(), Tokens: 900}); err != nil {
+		if _, err := Call[*wirepb.Settled](b.Context(), pool, m.addr, "", &wirepb.Settle{Reservation: benchReservation(), Tokens: 900}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -83,7 +83,11 @@
 		func(ctx context.Context, p peer) (*wirepb.Reserved, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			return connector.Call[*wirepb.Reserved](ctx, c.pool, p.addr, id, m)
+			res, err := connector.Call[*wirepb.Reserved](ctx, c.pool, p.addr, id, m)
+			if err != nil {
+				return nil, err
+			}
+			return &wirepb.Reserved{Reservation: expandReserved(res.GetReservation(), m, at.region, p.addr)}, nil
 		})
 	if err != nil {
 		return nil, fmt.Errorf("reserve: %w", err)
@@ -93,7 +97,7 @@
 
 // Settle charges or releases a reservation. It goes to the instance that made
 // the reservation, or else to its successor, and returns when it is durable.
-func (c *Client) Settle(ctx context.Context, id string, m *wirepb.Settle) error {
+func (c *Client) Settle(ctx context.Context, _ string, m *wirepb.Settle) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	r := m.GetReservation()
@@ -102,23 +106,23 @@
 			return err
 		}
 	} else if r.GetAddr() != "" && !c.isSilent(r.GetHolder()) {
-		if _, err := c.settleAt(ctx, id, r.GetAddr(), m); err == nil {
+		if _, err := c.settleAt(ctx, r.GetAddr(), m); err == nil {
 			return nil
 		}
 	}
 	_, err := follow(ctx, c, place{region: r.GetRegion(), shard: int(r.GetShard())},
 		func(ctx context.Context) (*wirepb.Settled, error) { return c.h.Settle(ctx, m) },
-		func(ctx context.Context, p peer) (*wirepb.Settled, error) { return c.settleAt(ctx, id, p.addr, m) })
+		func(ctx context.Context, p peer) (*wirepb.Settled, error) { return c.settleAt(ctx, p.addr, m) })
 	if err != nil {
 		return fmt.Errorf("settle: %w", err)
 	}
 	return nil
 }
 
-func (c *Client) settleAt(ctx context.Context, id, addr string, m *wirepb.Settle) (*wirepb.Settled, error) {
+func (c *Client) settleAt(ctx context.Context, addr string, m *wirepb.Settle) (*wirepb.Settled, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	return connector.Call[*wirepb.Settled](ctx, c.pool, addr, id, m)
+	return connector.Call[*wirepb.Settled](ctx, c.pool, addr, "", compactSettle(m))
 }
 
 // Claim asks for the right to send a non-idempotent call, at the home region of
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &wirepb.Reserved{Reservation: r}, nil
+	return &wirepb.Reserved{Reservation: compactReserved(r)}, nil
 }
 
 func (h *Holder) settled(ctx context.Context, _ string, m *wirepb.Settle) (*wirepb.Settled, error) {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -38,6 +38,7 @@
 	req     request
 	choice  Choice
 	answer  *assembler.Answer
+	offset  uint64 // at the last resumption
 	out     sink
 	sent    bool   // whether the side may have got the request
 	heard   bool   // whether the side answered the request with any frame
@@ -56,6 +57,12 @@
 	defer span.End()
 	err := a.run(ctx, m)
 	for err != nil && a.resumable(ctx, err) {
+		// A stream that ends at once without progress must not be resumed in a
+		// tight loop.
+		if a.answer.Offset() == a.offset && !sleep(ctx, resumeWait) {
+			break
+		}
+		a.offset = a.answer.Offset()
 		a.r.record(a.req.id, "resume", a.choice.Name, cause(err), explainer.Int("offset", int64(a.answer.Offset())))
 		a.r.scope.Counter(reporter.Resumes).Inc(1)
 		err = a.resume(ctx)
