--- a/internal/executor/main.go
+++ b/internal/executor/main.go
@@ -5,15 +5,11 @@
 	"fmt"
 	"io"
 	"net"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"daisylane/internal/connector"
 	"daisylane/internal/credentialer"
-	"daisylane/internal/loader"
+	"daisylane/internal/invoker"
 	"daisylane/internal/logger"
 	"daisylane/internal/reporter"
 	"daisylane/internal/storer"
@@ -21,50 +17,16 @@
 	"daisylane/internal/watcher"
 )
 
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 const traceFlushTime = 5 * time.Second
 
-type options struct {
-	Settings string `short:"s" long:"settings" value-name:"FILE" required:"true" description:"settings file in TOML"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
-}
-
 // Main runs the command and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	var opts options
-	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "side"
-	parser.LongDescription = "Runs requests of routers at one target. SIGTERM stops it gracefully."
-	if _, err := parser.ParseArgs(args); err != nil {
-		if flags.WroteHelp(err) {
-			_, _ = fmt.Fprintln(stdout, err)
-			return exitOK
-		}
-		_, _ = fmt.Fprintln(stderr, "side:", err)
-		return exitUsage
-	}
-	cfg, err := loader.Load(opts.Settings, Defaults())
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	if opts.Check {
-		_, _ = fmt.Fprintf(stdout, "%s: valid\n", opts.Settings)
-		return exitOK
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := Run(ctx, cfg, stderr); err != nil {
-		_, _ = fmt.Fprintln(stderr, "side:", err)
-		return exitFailure
-	}
-	return exitOK
+	return invoker.Process(invoker.Program[Settings]{
+		Name:     "side",
+		Text:     "Runs requests of routers at one target. SIGTERM stops it gracefully.",
+		Defaults: Defaults(),
+		Run:      Run,
+	}, args, stdout, stderr)
 }
 
 // Run runs a side until the context ends and then stops it gracefully. Log
--- a/internal/faker/main.go
+++ b/internal/faker/main.go
@@ -10,15 +10,14 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"daisylane/internal/invoker"
 	"daisylane/internal/loader"
 )
 
 const (
 	headerTimeout = 5 * time.Second
-	exitUsage     = 2
 )
 
 type listener struct {
@@ -42,31 +41,11 @@
 
 // Main runs a command line and returns the exit status.
 func Main(args []string) int {
-	parser := flags.NewNamedParser("standin", flags.Default)
-	for _, c := range []struct {
-		name, text string
-		command    any
-	}{
-		{"platform", "Serve the object API and the instance list", &platformCommand{}},
-		{"engine", "Serve a model engine", &engineCommand{}},
-		{"booking", "Serve a booking service", &bookingCommand{}},
-	} {
-		if _, err := parser.AddCommand(c.name, c.text, "", c.command); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-	}
-	_, err := parser.ParseArgs(args)
-	var usage *flags.Error
-	switch {
-	case err == nil:
-		return 0
-	case !errors.As(err, &usage):
-		return 1
-	case usage.Type == flags.ErrHelp:
-		return 0
-	}
-	return exitUsage
+	return invoker.Commands("standin", []invoker.Command{
+		{Name: "platform", Text: "Serve the object API and the instance list", Value: &platformCommand{}},
+		{Name: "engine", Text: "Serve a model engine", Value: &engineCommand{}},
+		{Name: "booking", Text: "Serve a booking service", Value: &bookingCommand{}},
+	}, args)
 }
 
 // Execute implements [flags.Commander].
--- a/internal/prober/main.go
+++ b/internal/prober/main.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-	"github.com/pkg/errors"
-
+	"daisylane/internal/invoker"
 	"daisylane/internal/loader"
 )
 
-const exitUsage = 2
-
 type runCommand struct {
 	JSON bool `long:"json" description:"print the report as JSON"`
 	Args struct {
@@ -25,31 +20,11 @@
 
 // Main runs a command line and returns the exit status.
 func Main(args []string) int {
-	parser := flags.NewNamedParser("prober", flags.Default)
-	for _, c := range []struct {
-		name, text string
-		command    any
-	}{
-		{"run", "Run an experiment", &runCommand{}},
-		{"check", "Print a report and fail if it shows a broken promise", &checkCommand{}},
-		{"call", "Send one request and print the answer", &callCommand{}},
-	} {
-		if _, err := parser.AddCommand(c.name, c.text, "", c.command); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-	}
-	_, err := parser.ParseArgs(args)
-	var usage *flags.Error
-	switch {
-	case err == nil:
-		return 0
-	case !errors.As(err, &usage):
-		return 1
-	case usage.Type == flags.ErrHelp:
-		return 0
-	}
-	return exitUsage
+	return invoker.Commands("prober", []invoker.Command{
+		{Name: "run", Text: "Run an experiment", Value: &runCommand{}},
+		{Name: "check", Text: "Print a report and fail if it shows a broken promise", Value: &checkCommand{}},
+		{Name: "call", Text: "Send one request and print the answer", Value: &callCommand{}},
+	}, args)
 }
 
 // Execute implements [flags.Commander].
