--- a/internal/budgeter/bench_test.go
+++ b/internal/budgeter/bench_test.go
@@ -4,20 +4,74 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 
 	"daisylane/internal/allotter"
 )
 
+// BenchmarkReserveSettle gives the cost of a request in a shard with the planned
+// 225 budgets, 5 requests/s and 5 minutes of unfolded charges, and the bytes of its
+// charge in the journal.
 func BenchmarkReserveSettle(b *testing.B) {
-	d := newDesk(1<<50, []string{"a"}, []string{"eu"}, 1)
-	for i := range b.N {
-		d.request(0, 500, 300)
-		if i%500 == 499 {
-			d.run(0, d.holders[0].Fold(0))
+	for _, budgets := range []int{1, plannedBudgets} {
+		b.Run(fmt.Sprintf("budgets=%d", budgets), func(b *testing.B) {
+			d := plannedDesk(budgets)
+			fill(d, budgets)
+			d.bytes, d.records = 0, 0
+			n := 0
+			for b.Loop() {
+				if n++; n%unfoldedCharges == 0 {
+					b.StopTimer()
+					d.run(0, d.holders[0].Fold(0))
+					fill(d, budgets)
+					b.StartTimer()
+				}
+				d.requestOf(plannedBudget(n%budgets), 0, 500, 300)
+			}
+			b.ReportMetric(float64(d.bytes)/float64(d.records), "B/charge")
+		})
+	}
+}
+
+// BenchmarkMemory gives the memory of a holder per budget, without charges.
+func BenchmarkMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	var keep []*desk
+	for b.Loop() {
+		keep = nil
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for range 20 {
+			keep = append(keep, plannedDesk(plannedBudgets))
 		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(keep)*plannedBudgets), "B/budget")
+}
+
+const (
+	plannedBudgets  = 225
+	unfoldedCharges = 5 * 300
+)
+
+func plannedBudget(i int) string { return fmt.Sprintf("budget-%06d", i) }
+
+// plannedDesk has one holder.
+func plannedDesk(budgets int) *desk {
+	d := newDesk(1, nil, nil, 1)
+	for i := range budgets {
+		d.object, _ = d.object.WithTopUp(plannedBudget(i), fmt.Sprintf("topup-%08d", i), 1<<50, 1e6, 1e6)
+	}
+	d.add("entry-1.0123456789abcdef", "eu", 1, 1)
+	return d
+}
+
+func fill(d *desk, budgets int) {
+	for i := range unfoldedCharges {
+		d.requestOf(plannedBudget(i%budgets), 0, 500, 300)
 	}
-	b.ReportMetric(float64(d.bytes)/float64(d.records), "B/record")
 }
 
 // BenchmarkObject reports the size of an object with the planned 225 budgets.
@@ -28,7 +82,7 @@
 			for _, region := range []string{"eu", "us"} {
 				s, _ = s.WithHold(region, "entry-1."+region+"0123456789abcdef")
 			}
-			for i := range 225 {
+			for i := range plannedBudgets {
 				name := fmt.Sprintf("budget-%06d", i)
 				s, _ = s.WithTopUp(name, fmt.Sprintf("topup-%08d", i), 1e7, 1e9, 1e9)
 				for _, region := range []string{"eu", "us"} {
@@ -51,6 +105,7 @@
 				n = len(body)
 			}
 			b.ReportMetric(float64(n), "B/object")
+			b.ReportMetric(float64(n)/plannedBudgets, "B/budget")
 		})
 	}
 }
--- a/internal/budgeter/desk_test.go
+++ b/internal/budgeter/desk_test.go
@@ -294,9 +294,13 @@
 
 // request reserves and settles at once, and reports whether it was served.
 func (d *desk) request(i int, tokens, actual int64) bool {
+	return d.requestOf("b", i, tokens, actual)
+}
+
+func (d *desk) requestOf(budget string, i int, tokens, actual int64) bool {
 	d.token++
 	t := d.token
-	d.run(i, d.holders[i].Reserve(d.now, t, Request{Budget: "b", Tokens: tokens}))
+	d.run(i, d.holders[i].Reserve(d.now, t, Request{Budget: budget, Tokens: tokens}))
 	r, ok := d.granted[t]
 	if !ok {
 		return false
