--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -59,10 +59,12 @@
 }
 
 // Guards against a wrong order of the queue and against requests that wait
-// although they cannot start in time or the queue is full.
+// although they cannot start in time, would be cut off at their deadline or the
+// queue is full.
 func TestQueue(t *testing.T) {
 	a := registered(1, 2)
 	wantActions(t, "free slot", a.Run(start, request(1, 1, time.Minute)), "q1 start")
+	wantActions(t, "too late to end", a.Run(start, request(8, 1, 1500*time.Millisecond)), "q8 deadline")
 	wantActions(t, "wait", a.Run(start, request(2, 1, time.Minute)))
 	wantActions(t, "worth", a.Run(start, request(3, 2, time.Minute)))
 	wantActions(t, "full", a.Run(start, request(4, 1, 2*time.Minute)), "q4 overload")
@@ -74,6 +76,17 @@
 	wantActions(t, "second slot", a.Run(start, request(7, 1, time.Minute)), "q7 start")
 }
 
+// Guards against a long queue at one side while others have free slots.
+func TestQueueIsShort(t *testing.T) {
+	a := registered(8, 64)
+	for n := range 12 {
+		if got := a.Run(start, request(n, 1, time.Minute)); n < 8 != (len(got) == 1) {
+			t.Errorf("request %d: actions = %v, want 8 to start and 4 to wait", n, reasons(got))
+		}
+	}
+	wantActions(t, "half the slots wait", a.Run(start, request(12, 1, 2*time.Minute)), "q12 overload")
+}
+
 // Guards against a charge that is settled too early, too often or not again
 // after a failure, and against one above its reservation.
 func TestCharge(t *testing.T) {
@@ -99,6 +112,16 @@
 	wantActions(t, "billed", a.Tick(start.Add(time.Minute)))
 }
 
+// Guards against tokens that stay withheld after the crash of a holder: no
+// router of a closed holder reports its charges as durable.
+func TestChargeOfClosedHolder(t *testing.T) {
+	a := registered(1, 1)
+	a.Run(start, request(1, 1, time.Minute))
+	a.Close("h1")
+	a.Ended(start, "q1", Usage{Prompt: 4, Output: 6})
+	wantActions(t, "at once", a.Tick(start), "q1 settle")
+}
+
 // Guards against work that is admitted for a closed holder, during a drain or
 // before registration, in any order of events, and against a request that gets
 // two decisions, none, or more slots than there are.
@@ -175,3 +198,30 @@
 		}
 	})
 }
+
+// Guards against waiting or later work of a revoked reservation being run, and
+// against running or unbilled work missing from the answer.
+func TestRevoke(t *testing.T) {
+	a := registered(1, 4)
+	for n := 1; n <= 4; n++ {
+		a.Run(start, request(n, 1, time.Minute))
+	}
+	a.Ended(start, "q1", Usage{Output: 3}) // starts q2
+	wantActions(t, "waiting", a.Revoke("h1", 0, []uint64{1, 2, 3}), "q3 revoked")
+	if got := a.Unsettled("h1", []uint64{1, 2, 3}); !slices.Equal(got, []uint64{1, 2}) {
+		t.Errorf("unsettled = %v, want the unbilled 1 and the running 2", got)
+	}
+	wantActions(t, "listed", a.Run(start, request(3, 1, time.Minute)), "q3 revoked")
+	wantActions(t, "below", a.Revoke("h1", 4, nil))
+	a.Revoke("h1", 2, nil) // an older call that comes late
+	wantActions(t, "no longer listed", a.Run(start, request(3, 1, time.Minute)), "q3 revoked")
+	other := request(3, 1, time.Minute)
+	other.Reservation.Holder = "h2"
+	wantActions(t, "other holder", a.Run(start, other))
+	a.Ended(start, "q2", Usage{Output: 3})
+	a.Billed("q1")
+	a.Billed("q2")
+	if got := a.Unsettled("h1", []uint64{1, 2, 3}); len(got) != 0 {
+		t.Errorf("unsettled = %v after the charges are durable", got)
+	}
+}
--- a/internal/admitter/commands.go
+++ b/internal/admitter/commands.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -39,6 +40,8 @@
 		return Refuse{r.ID, Stopping, "the side is stopping, use another target", 0}, true
 	case closed:
 		return Refuse{r.ID, Closed, fmt.Sprintf("holder %s is closed, reserve again", r.Reservation.Holder), 0}, true
+	case a.isRevoked(r.Reservation):
+		return Refuse{r.ID, Revoked, "the reservation has expired, reserve again", 0}, true
 	case recent, a.Known(r.ID):
 		return Refuse{r.ID, Duplicate, "the request is known already, resume it", 0}, true
 	case reserved:
@@ -81,10 +84,14 @@
 	took := now.Sub(j.started)
 	a.service += time.Duration(meanWeight * float64(took-a.service))
 	if j.Reservation.Holder != "" {
+		due := now.Add(a.limits.Settle)
+		if _, closed := a.closed[j.Reservation.Holder]; closed {
+			due = now // its successor waits for the charge to release the rest
+		}
 		tokens := min(used.Prompt+used.Output, j.Reservation.Tokens)
 		a.unbilled[id] = &unbilled{
 			Charge:   Charge{ID: id, Reservation: j.Reservation, Key: j.Key, Tokens: tokens},
-			due:      now.Add(a.limits.Settle),
+			due:      due,
 			interval: settleInterval,
 		}
 	}
@@ -122,6 +129,24 @@
 	})
 }
 
+// Revoke refuses reservations of a holder from now on, including work that waits:
+// the given numbers and all that are lower than below. Running work continues.
+func (a *Admitter) Revoke(holder string, below uint64, numbers []uint64) []Action {
+	v := a.revoked[holder]
+	if v == nil {
+		v = &revocation{numbers: make(map[uint64]struct{})}
+		a.revoked[holder] = v
+	}
+	v.below = max(v.below, below)
+	for _, n := range numbers {
+		v.numbers[n] = struct{}{}
+	}
+	maps.DeleteFunc(v.numbers, func(n uint64, _ struct{}) bool { return n < v.below })
+	return a.refuseWaiting(Revoked, "the reservation has expired, reserve again", func(j *job) bool {
+		return a.isRevoked(j.Reservation)
+	})
+}
+
 // Drain refuses new and waiting work; running work continues.
 func (a *Admitter) Drain() []Action {
 	a.draining = true
@@ -140,6 +165,14 @@
 // Billed forgets the charge of a request, which is durable at its holder.
 func (a *Admitter) Billed(id string) { delete(a.unbilled, id) }
 
+// Orphan makes the charge of a request due at once, because its router is gone and
+// cannot settle it.
+func (a *Admitter) Orphan(now time.Time, id string) {
+	if u, ok := a.unbilled[id]; ok && !u.sending && now.Before(u.due) {
+		u.due = now
+	}
+}
+
 // SettleFailed sends a charge again after a growing interval.
 func (a *Admitter) SettleFailed(now time.Time, id string) {
 	u, ok := a.unbilled[id]
@@ -180,7 +213,9 @@
 }
 
 // schedule starts waiting requests while slots are free and refuses those that
-// cannot start in time or do not fit into the queue.
+// cannot start in time or do not fit into the queue. A request that waits needs
+// the mean time in a slot before its deadline, or it would be cut off there and
+// use its slot for nothing.
 func (a *Admitter) schedule(now time.Time) []Action {
 	slices.SortStableFunc(a.waiting, func(x, y *job) int {
 		return cmp.Or(cmp.Compare(y.Worth, x.Worth), x.Deadline.Compare(y.Deadline), cmp.Compare(x.arrived, y.arrived))
@@ -196,9 +231,9 @@
 			j.started = now
 			a.running[j.ID] = j
 			actions = append(actions, Start{j.ID})
-		case now.Add(wait).After(j.Deadline):
-			actions = append(actions, a.drop(j, Deadline, fmt.Sprintf("the request would start in %s, after its deadline", wait), wait))
-		case len(kept) >= a.limits.Queue:
+		case now.Add(wait + a.service).After(j.Deadline):
+			actions = append(actions, a.drop(j, Deadline, fmt.Sprintf("the request would start in %s, too late for its deadline", wait), wait))
+		case len(kept) >= a.queue():
 			actions = append(actions, a.drop(j, Overload, "the queue is full", wait))
 		default:
 			kept = append(kept, j)
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -11,6 +11,7 @@
 	"daisylane/internal/admitter"
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
+	"daisylane/internal/reporter"
 	"daisylane/internal/tracer"
 	"daisylane/internal/wirepb"
 )
@@ -35,17 +36,27 @@
 		return m, nil
 	})
 	connector.Answer(srv, s.onClose)
+	connector.Answer(srv, s.onRevoke)
 	connector.Answer(srv, s.onDrain)
+	connector.Answer(srv, s.onOrder)
 	connector.Answer(srv, s.onStatus)
 	connector.Answer(srv, s.onExplain)
+	if s.handlers != nil {
+		s.handlers(srv)
+	}
 }
 
 func (s *Side) onRun(ctx context.Context, st *connector.Stream, f *wirepb.Frame, m *wirepb.Run) error {
 	now := time.Now()
 	id := f.GetId()
 	if text := s.malformed(id, m); text != "" {
+		s.countRefusal(reasonBody)
 		return st.Refuse(f, &connector.RefusedError{Reason: reasonBody, Text: text})
 	}
+	if s.rights != nil && !s.rights.Allows(m.GetAccount(), s.cfg.Target.Name, m.GetBundle()) {
+		s.countRefusal(reasonRight)
+		return st.Refuse(f, &connector.RefusedError{Reason: reasonRight, Text: "the account may not use this target"})
+	}
 	allowed := min(time.Duration(min(m.GetDeadline(), uint64(time.Hour.Milliseconds())))*time.Millisecond, s.cfg.Limits.Deadline.Std())
 	deadline := now.Add(allowed)
 	j := newJob(tracer.Extract(context.Background(), f.GetTrace()), id, m, deadline, s.cfg.Limits.Buffer)
@@ -92,6 +103,12 @@
 func (s *Side) stream(ctx context.Context, st *connector.Stream, j *job, offset uint64) error {
 	s.reads.Add(1)
 	defer s.reads.Add(-1)
+	j.read(1)
+	defer func() {
+		if j.read(-1) == 0 {
+			s.orphan(j)
+		}
+	}()
 	_ = st.SetDeadline(j.deadline.Add(keepPeriod))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -121,7 +138,11 @@
 			return err
 		}
 		if v.end != nil {
-			return st.Reply(frame, v.end)
+			if err := st.Reply(frame, v.end); err != nil {
+				return err
+			}
+			j.deliver()
+			return nil
 		}
 		select {
 		case <-ctx.Done():
@@ -194,8 +215,9 @@
 	if m.GetInstance() == "" {
 		return nil, &connector.RefusedError{Reason: reasonBody, Text: "the message names no instance"}
 	}
-	answer := &wirepb.Closed{Instance: s.instance}
+	var answer *wirepb.Closed // nil if the desk has ended, which must not pass for an empty answer
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
+		answer = &wirepb.Closed{Instance: s.instance}
 		actions := a.Close(m.GetInstance())
 		for _, r := range a.Open(m.GetInstance()) {
 			answer.Open = append(answer.Open, &wirepb.Open{Id: r.ID, Reservation: wireReservation(r.Reservation), Key: r.Key})
@@ -205,10 +227,32 @@
 		}
 		return actions
 	}))
+	if answer == nil {
+		return nil, &connector.RefusedError{Reason: string(admitter.Stopping), Text: errStopped.Error()}
+	}
 	s.log.Info().Str("holder", m.GetInstance()).Int("open", len(answer.Open)).Int("charges", len(answer.Charges)).Msg("holder closed")
 	return answer, nil
 }
 
+func (s *Side) onRevoke(_ context.Context, _ string, m *wirepb.Revoke) (*wirepb.Revoked, error) {
+	if m.GetInstance() == "" {
+		return nil, &connector.RefusedError{Reason: reasonBody, Text: "the message names no instance"}
+	}
+	var answer *wirepb.Revoked // nil if the desk has ended, which must not pass for an empty answer
+	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
+		answer = &wirepb.Revoked{Instance: s.instance}
+		actions := a.Revoke(m.GetInstance(), m.GetBelow(), m.GetNumbers())
+		answer.Numbers = a.Unsettled(m.GetInstance(), m.GetNumbers())
+		return actions
+	}))
+	if answer == nil {
+		return nil, &connector.RefusedError{Reason: string(admitter.Stopping), Text: errStopped.Error()}
+	}
+	s.log.Info().Str("holder", m.GetInstance()).Int("numbers", len(m.GetNumbers())).Int("open", len(answer.Numbers)).
+		Msg("reservations revoked")
+	return answer, nil
+}
+
 func (s *Side) onDrain(_ context.Context, _ string, m *wirepb.Drain) (*wirepb.Drained, error) {
 	s.drain(m.GetUndo())
 	return &wirepb.Drained{}, nil
@@ -222,6 +266,9 @@
 		}
 		return a.Drain()
 	}))
+	if !undo {
+		s.scope.Counter(reporter.Drains).Inc(1)
+	}
 	s.log.Info().Bool("undo", undo).Msg("drain ordered")
 }
 
@@ -229,6 +276,7 @@
 type Status struct {
 	Instance   string        `json:"instance"`
 	Role       string        `json:"role"`
+	Bundle     uint64        `json:"bundle"` // version in force, 0 if the side keeps none
 	Target     string        `json:"target"`
 	Model      string        `json:"model,omitempty"`
 	Registered bool          `json:"registered"`
@@ -242,6 +290,9 @@
 // Status returns the state of the side.
 func (s *Side) Status() Status {
 	st := Status{Instance: s.instance, Role: "side", Target: s.cfg.Target.Name, Model: s.cfg.Target.Model}
+	if b, ok := s.rights.(*Bundle); ok {
+		st.Bundle = b.Version()
+	}
 	s.desk.decide(func(a *admitter.Admitter) {
 		st.Registered, st.Draining, st.Load = a.Registered(), a.Draining(), a.Load()
 		st.Unbilled, st.Closed = len(a.Unbilled("")), a.ClosedHolders()
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -10,15 +10,22 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
+	"daisylane/internal/credentialer"
+	"daisylane/internal/fencer"
+	"daisylane/internal/reclaimer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
+// roleOperator is the organizational unit in an operator's certificate.
+const roleOperator = "operator"
+
 const (
 	progressInterval = time.Second
 	tickInterval     = 100 * time.Millisecond
@@ -43,6 +50,10 @@
 type Registry interface {
 	Register(ctx context.Context, m watcher.Member) error
 	Closures(ctx context.Context) ([]string, error)
+	// Revocations returns the ended reservations by holder.
+	Revocations(ctx context.Context) (map[string]reclaimer.Table, error)
+	// Fence returns the number of the newest order to a target, 0 if there is none.
+	Fence(ctx context.Context, target string) (uint64, error)
 	Deregister(ctx context.Context, m watcher.Member) error
 }
 
@@ -64,10 +75,15 @@
 	registry Registry
 	holders  Holders
 	log      zerolog.Logger
+	scope    tally.Scope
 	spans    Spans
 	pooled   *http.Client // for load, resumption and cancellation
 	single   *http.Client // for requests of routers: a connection per call, see newClient
 	desk     *desk
+	rights   Rights         // nil: no check
+	engines  Engines        // nil: no engine enforces fencing numbers
+	fence    *fencer.Fencer // used by the desk
+	handlers func(*connector.Server)
 
 	work  sync.WaitGroup // running requests and charges on their way
 	reads atomic.Int64   // streams that read an answer
@@ -83,6 +99,9 @@
 // WithLogger sets the logger.
 func WithLogger(log zerolog.Logger) Option { return func(s *Side) { s.log = log } }
 
+// WithScope sets the scope of the metrics.
+func WithScope(scope tally.Scope) Option { return func(s *Side) { s.scope = scope } }
+
 // WithTracer sets the tracer of request spans.
 func WithTracer(spans Spans) Option { return func(s *Side) { s.spans = spans } }
 
@@ -100,10 +119,12 @@
 		registry: registry,
 		holders:  holders,
 		log:      zerolog.Nop(),
+		scope:    tally.NoopScope,
 		spans:    noSpans{},
 		pooled:   newClient(false),
 		single:   newClient(true),
 		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue, Settle: cfg.Limits.Settle.Std()}),
+		fence:    fencer.New(),
 		jobs:     make(map[string]*job),
 	}
 	for _, opt := range opts {
@@ -181,12 +202,14 @@
 	opts := []connector.ServerOption{connector.WithFailure(func(peer string, err error) {
 		s.log.Debug().Str("peer", peer).Err(err).Msg("stream failed")
 	})}
-	if !s.cfg.TLS.Plain {
-		cfg, err := s.cfg.TLS.server()
-		if err != nil {
-			return nil, fmt.Errorf("load TLS files: %w", err)
-		}
-		opts = append(opts, connector.WithServerTLS(cfg))
+	credentials, err := s.cfg.TLS.Load(credentialer.WithFailure(func(err error) {
+		s.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("load TLS files: %w", err)
+	}
+	if credentials != nil {
+		opts = append(opts, connector.WithServerTLS(credentials.Server(watcher.Entry, roleOperator)))
 	}
 	srv := connector.NewServer(s.cfg.identity(s.instance), opts...)
 	s.handle(srv)
@@ -209,6 +232,7 @@
 func (s *Side) tick(context.Context) {
 	now := time.Now()
 	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Tick(now) }))
+	s.gauge()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, j := range s.jobs {
@@ -245,6 +269,7 @@
 		return
 	}
 	j.refuse(&connector.RefusedError{Reason: string(act.Reason), Text: act.Text, After: act.After, Load: s.load()})
+	s.countRefusal(string(act.Reason))
 	s.log.Info().Str("request", act.ID).Str("reason", string(act.Reason)).Msg("request refused")
 }
 
--- a/internal/launcher/fleet.go
+++ b/internal/launcher/fleet.go
@@ -1,7 +1,9 @@
 package launcher
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,14 +14,30 @@
 	"daisylane/internal/watcher"
 )
 
+const (
+	countInterval = 5 * time.Second
+	expectedSlots = 8 // of a side that has not reported yet
+	maxLists      = 64
+)
+
 // fleet chooses targets from the membership view, learns from results and
 // decides about retries.
 type fleet struct {
 	members *locator.Locator
 
 	mu      sync.Mutex
-	policy  chooser.Policy
+	policy  *chooser.Affinity
 	retries *retrier.Retrier
+	lists   map[watcher.Query]candidates
+	slots   map[string]int // last reported slots by instance
+	exclude []string       // reused between choices
+	counted time.Time      // last count of the entries
+}
+
+// candidates are the members of a query in the form that the policy keeps.
+type candidates struct {
+	members []*watcher.Member
+	list    *chooser.List
 }
 
 func newFleet(members *locator.Locator) *fleet {
@@ -29,6 +47,8 @@
 		members: members,
 		policy:  chooser.NewAffinity(chooser.Place{Centre: self.Centre, Region: self.Region}, source),
 		retries: retrier.New(source),
+		lists:   make(map[watcher.Query]candidates),
+		slots:   make(map[string]int),
 	}
 }
 
@@ -41,31 +61,75 @@
 
 // Choose implements [router.Targets].
 func (f *fleet) Choose(q router.Query) (router.Choice, bool) {
-	members := f.members.Candidates(watcher.Query{Target: q.Target})
+	query := watcher.Query{Target: q.Target}
+	members := f.members.Candidates(query)
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := make([]chooser.Candidate, 0, len(members))
-	addrs := make(map[string]string, len(members))
-	for _, m := range members {
-		if f.retries.Blocked(now, m.Name) {
-			continue
-		}
-		list = append(list, chooser.Candidate{Name: m.Name, Place: chooser.Place{Centre: m.Centre, Region: m.Region}})
-		addrs[m.Name] = m.Addr
-	}
-	exclude := make(map[string]bool, len(q.Tried))
-	for _, name := range q.Tried {
-		exclude[name] = true
-	}
+	f.count(now)
+	f.exclude = f.retries.AppendBlocked(append(f.exclude[:0], q.Tried...), now)
 	c, ok := f.policy.Choose(now, chooser.Request{
-		Prefix: chooser.Prefix(q.Target, "", q.Prefix), Deadline: q.Deadline, Exclude: exclude,
-	}, list)
+		Prefix: chooser.Prefix(q.Target, "", q.Prefix), Deadline: q.Deadline, Exclude: f.exclude,
+	}, f.list(query, members))
 	if !ok || !f.retries.Admit(now, c.Name) {
 		return router.Choice{}, false
 	}
 	f.policy.Sent(now, c.Name)
-	return router.Choice{Name: c.Name, Addr: addrs[c.Name], Sent: now, Reason: c.Reason, Scope: string(c.Scope)}, true
+	return router.Choice{Name: c.Name, Addr: members[c.Index].Addr, Sent: now, Reason: c.Reason, Scope: string(c.Scope)}, true
+}
+
+// list returns the policy's list of the members, the same one until they change.
+func (f *fleet) list(q watcher.Query, members []*watcher.Member) *chooser.List {
+	if c, ok := f.lists[q]; ok && slices.Equal(c.members, members) {
+		return c.list
+	}
+	for _, m := range f.lists[q].members {
+		if !slices.Contains(members, m) {
+			f.policy.Forget(m.Name)
+		}
+	}
+	if len(f.lists) >= maxLists {
+		clear(f.lists)
+	}
+	places := make([]chooser.Candidate, len(members))
+	for i, m := range members {
+		places[i] = chooser.Candidate{Name: m.Name, Place: chooser.Place{Centre: m.Centre, Region: m.Region}}
+	}
+	list := chooser.NewList(places)
+	f.lists[q] = candidates{members, list}
+	return list
+}
+
+// count tells the policy how many entries of the data centre share its targets.
+func (f *fleet) count(now time.Time) {
+	if now.Sub(f.counted) < countInterval {
+		return
+	}
+	f.counted = now
+	self := f.members.Self()
+	f.policy.SetPeers(len(f.members.Entries(self.Region, self.Centre)))
+}
+
+// capacity returns the requests that this entry should have in flight: a multiple of
+// its share of the slots in its region. It reports false if no side is known.
+func (f *fleet) capacity(share float64) (int, bool) {
+	self := f.members.Self()
+	entries := max(1, len(f.members.Entries(self.Region, "")))
+	sides := f.members.Registered(watcher.Side)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, m := range sides {
+		if m.Region != self.Region {
+			continue
+		}
+		if n := f.slots[m.Name]; n > 0 {
+			sum += n
+		} else {
+			sum += expectedSlots
+		}
+	}
+	return int(math.Ceil(share * float64(sum) / float64(entries))), sum > 0
 }
 
 // Done implements [router.Targets].
@@ -79,6 +143,7 @@
 	f.policy.Done(now, c.Name, c.Sent)
 	if r.Load != nil {
 		f.policy.Reported(c.Name, chooser.LoadOf(now, r.Load))
+		f.slots[c.Name] = int(r.Load.GetSlots())
 	}
 	if r.Outcome == router.Canceled {
 		f.retries.Cancelled(c.Name)
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -41,6 +41,8 @@
 // process was paused. A new process has to replace it.
 var ErrSealed = errors.New("journal was sealed by a successor, start a new process")
 
+var errAborted = errors.New("aborted")
+
 // process is a running entry.
 type process struct {
 	cfg         Settings
@@ -57,6 +59,7 @@
 	relay       *relayer.Relayer
 	holder      *holder.Holder
 	router      *router.Router
+	fleet       *fleet
 	gate        *gate
 	records     *records
 
@@ -65,6 +68,7 @@
 	httpLn   net.Listener
 	sealed   chan string
 	failures chan error
+	aborted  chan struct{} // closed to end without a stop, as a crash would
 }
 
 // Run runs an entry until the context ends and then stops it gracefully. Log
@@ -78,7 +82,7 @@
 }
 
 func build(ctx context.Context, cfg Settings, out io.Writer) (*process, error) {
-	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 4), gate: newGate(cfg.Limits.Inflight), records: newRecords()}
+	p := &process{cfg: cfg, instance: watcher.Incarnate(cfg.Name), sealed: make(chan string, 1), failures: make(chan error, 4), aborted: make(chan struct{}), gate: newGate(cfg.Limits.Inflight), records: newRecords()}
 	steps := []struct {
 		name string
 		run  func(context.Context, io.Writer) error
@@ -164,14 +168,10 @@
 }
 
 func (p *process) loadCredentials() error {
-	if p.cfg.TLS.Plain {
-		return nil
-	}
 	var err error
-	p.credentials, err = credentialer.New(credentialer.Files{Cert: p.cfg.TLS.Cert, Key: p.cfg.TLS.Key, CA: p.cfg.TLS.CA},
-		credentialer.WithFailure(func(err error) {
-			p.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
-		}))
+	p.credentials, err = p.cfg.TLS.Load(credentialer.WithFailure(func(err error) {
+		p.log.Warn().Err(err).Msg("changed certificate files not loaded, the former ones stay in use")
+	}))
 	return err
 }
 
@@ -194,9 +194,11 @@
 }
 
 func (p *process) route(context.Context, io.Writer) error {
-	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), newFleet(p.members), p.pool, p.bundles.Index,
+	p.fleet = newFleet(p.members)
+	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), p.fleet, p.pool, p.bundles.Index,
 		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithTracer(p.trace),
-		router.WithLimits(p.gate), router.WithRecords(p.records))
+		router.WithLimits(p.gate), router.WithRecords(p.records),
+		router.WithVersion(func() uint64 { return p.bundles.Head().Version }))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.Handle("/", p.trace.Handler(p.router.Handler(), "caller"))
@@ -217,6 +219,7 @@
 	loops.Go(func() { p.feedPeers(inner) })
 	loops.Go(func() { p.relay.Run(inner) })
 	loops.Go(func() { p.gate.run(inner) })
+	loops.Go(func() { p.sizeGate(inner) })
 	p.log.Info().Str("http", p.httpLn.Addr().String()).Str("peer", p.peerLn.Addr().String()).Msg("started")
 
 	var err error
@@ -225,8 +228,14 @@
 	case sealer := <-p.sealed:
 		err = fmt.Errorf("stopped by %s: %w", sealer, ErrSealed)
 	case err = <-p.failures:
+	case <-p.aborted:
+		err = errAborted
+	}
+	if errors.Is(err, errAborted) {
+		p.cut()
+	} else {
+		p.stop(inner)
 	}
-	p.stop(inner)
 	cancel()
 	_ = p.server.Close()
 	_ = p.pool.Close()
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -7,6 +7,7 @@
 
 	"daisylane/internal/bundler"
 	"daisylane/internal/checker"
+	"daisylane/internal/credentialer"
 	"daisylane/internal/holder"
 	"daisylane/internal/loader"
 	"daisylane/internal/recoverer"
@@ -15,20 +16,20 @@
 
 // Settings of an entry.
 type Settings struct {
-	Name     string            `toml:"name"`
-	Centre   string            `toml:"centre"`
-	Region   string            `toml:"region"`
-	Regions  []string          `toml:"regions"` // all regions of the deployment
-	Platform string            `toml:"platform"`
-	Level    string            `toml:"level"` // of the log
-	Listen   Listen            `toml:"listen"`
-	Budgets  Budgets           `toml:"budgets"`
-	Limits   Limits            `toml:"limits"`
-	Stop     Stop              `toml:"stop"`
-	Trust    map[string]string `toml:"trust"` // public key in base64 by operator
-	Peers    []Peer            `toml:"peers"` // entries to ask while the platform is down
-	TLS      TLS               `toml:"tls"`
-	Trace    tracer.Config     `toml:"trace"`
+	Name     string                `toml:"name"`
+	Centre   string                `toml:"centre"`
+	Region   string                `toml:"region"`
+	Regions  []string              `toml:"regions"` // all regions of the deployment
+	Platform string                `toml:"platform"`
+	Level    string                `toml:"level"` // of the log
+	Listen   Listen                `toml:"listen"`
+	Budgets  Budgets               `toml:"budgets"`
+	Limits   Limits                `toml:"limits"`
+	Stop     Stop                  `toml:"stop"`
+	Trust    map[string]string     `toml:"trust"` // public key in base64 by operator
+	Peers    []Peer                `toml:"peers"` // entries to ask while the platform is down
+	TLS      credentialer.Settings `toml:"tls"`
+	Trace    tracer.Config         `toml:"trace"`
 }
 
 // Listen has the addresses of an entry.
@@ -50,8 +51,8 @@
 
 // Limits bound the work of an entry.
 type Limits struct {
-	Inflight int `toml:"inflight"` // requests in flight
-	Queue    int `toml:"queue"`    // requests that wait for one of them to end
+	Inflight int     `toml:"inflight"` // requests in flight, at most
+	Share    float64 `toml:"share"`    // requests in flight, as a multiple of the entry's share of the slots
 }
 
 // Stop sets how long a planned stop may take.
@@ -69,22 +70,13 @@
 	Region string `toml:"region"`
 }
 
-// TLS names the PEM files for mutual TLS between processes. Plain must be set
-// to run without them.
-type TLS struct {
-	Cert  string `toml:"cert"`
-	Key   string `toml:"key"`
-	CA    string `toml:"ca"`
-	Plain bool   `toml:"plain"`
-}
-
 // Defaults returns the settings that a file may leave out.
 func Defaults() Settings {
 	return Settings{
 		Level:   "info",
 		Listen:  Listen{HTTP: "127.0.0.1:8080", Peer: "127.0.0.1:7300"},
 		Budgets: Budgets{Shards: 64, Slots: 64, Ahead: 1, Release: recoverer.ReleaseOperator, Fold: loader.Duration(5 * time.Minute), Flush: loader.Duration(5 * time.Second)},
-		Limits:  Limits{Inflight: 4096, Queue: 4096},
+		Limits:  Limits{Inflight: 4096, Share: 1.2},
 		Stop: Stop{
 			Notice: loader.Duration(2 * time.Second), Grace: loader.Duration(2 * time.Minute), Flush: loader.Duration(30 * time.Second),
 		},
@@ -106,11 +98,11 @@
 	f.Within("listen", s.Listen.check())
 	f.Within("budgets", s.Budgets.check())
 	checker.Range(&f, "limits.inflight", s.Limits.Inflight, 1, 1<<20)
-	checker.Range(&f, "limits.queue", s.Limits.Queue, 0, 1<<20)
+	checker.Range(&f, "limits.share", s.Limits.Share, 1, 100)
 	checker.Range(&f, "stop.notice", s.Stop.Notice.Std(), 0, time.Minute)
 	checker.Range(&f, "stop.grace", s.Stop.Grace.Std(), 0, time.Hour)
 	checker.Range(&f, "stop.flush", s.Stop.Flush.Std(), time.Second, time.Hour)
-	f.Within("tls", s.TLS.check())
+	f.Within("tls", s.TLS.Check())
 	f.Within("trace", s.Trace.Check())
 	return f.Err()
 }
@@ -137,18 +129,6 @@
 	return f.Err()
 }
 
-func (t TLS) check() error {
-	var f checker.Faults
-	if t.Plain {
-		f.Require(t.Cert == "" && t.Key == "" && t.CA == "", "plain", "is set together with files, remove one of them")
-		return f.Err()
-	}
-	f.Require(t.Cert != "", "cert", "is empty, set cert, key and ca, or plain = true to run without TLS")
-	f.Require(t.Key != "", "key", "is empty, set cert, key and ca")
-	f.Require(t.CA != "", "ca", "is empty, set cert, key and ca")
-	return f.Err()
-}
-
 func checkAddress(f *checker.Faults, key, addr string) {
 	_, _, err := net.SplitHostPort(addr)
 	f.Require(err == nil, key, "is %q, want host:port", addr)
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -30,7 +30,9 @@
 		r.record(req.id, "choose", choice.Name, choice.Reason, explainer.Name("scope", choice.Scope), explainer.Int("attempt", int64(n)))
 		a := &attempt{r: r, req: req, choice: choice, answer: assembler.NewAnswer(req.id), out: out}
 		var err error
-		outcome, err = a.start(ctx, j.message(req, reservation))
+		m := j.message(req, reservation)
+		m.Bundle = r.version()
+		outcome, err = a.start(ctx, m)
 		r.recordOutcome(req.id, choice, outcome, err)
 		verdict = r.targets.Done(choice, a.report(outcome, n, j.repeatable))
 		last = a
@@ -80,8 +82,7 @@
 	return &wirepb.Run{
 		Reservation: reservation, Account: req.account.Name, Target: j.target, Model: j.model,
 		Method: j.method, Path: j.path, Header: j.header, Payload: j.payload,
-		Deadline: uint64(max(time.Until(req.deadline).Milliseconds(), 0)),
-		Worth:    req.worth, Output: j.output, Stream: j.stream, Key: req.key, Claim: j.claim,
+		Worth: req.worth, Output: j.output, Stream: j.stream, Key: req.key, Claim: j.claim,
 	}
 }
 
