--- a/internal/budgeter/desk_test.go
+++ b/internal/budgeter/desk_test.go
@@ -292,11 +292,7 @@
 	})
 }
 
-// request reserves and settles at once, and reports whether it was served.
-func (d *desk) request(i int, tokens, actual int64) bool {
-	return d.requestOf("b", i, tokens, actual)
-}
-
+// requestOf reserves and settles at once, and reports whether it was served.
 func (d *desk) requestOf(budget string, i int, tokens, actual int64) bool {
 	d.token++
 	t := d.token
