--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 PACKAGES = ./...
-RACE_PACKAGES = $(shell $(GO) list ./internal/... | grep -E "/(connector|storer|holder|router|executor|syncer|faker)$$")
+RACE_PACKAGES = $(shell $(GO) list ./internal/... | grep -E "/(connector|storer|holder|router|executor|syncer|faker|launcher|relayer|locator)$$")
 
 .PHONY: build test race lint format generate try faults slopes
 
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -10,7 +10,7 @@
 // that deregisters with undelivered charges.
 func TestSequence(t *testing.T) {
 	limits := Limits{Finish: time.Minute, Flush: 30 * time.Second}
-	done := Facts{Handed: true, Folded: true, Sealed: true, Left: true}
+	done := Facts{Left: true}
 	busy, charged := done, done
 	busy.Requests, charged.Charges = 1, 1
 	tests := []struct {
@@ -24,14 +24,7 @@
 		{"side", NewSide(limits), done, []Step{Finishing, Flushing, Leaving, Stopped}, nil, 3 * time.Second},
 		{"side with charge", NewSide(limits), charged, []Step{Finishing, Flushing, Stopped}, []Step{Flushing}, 31 * time.Second},
 		{"side with request", NewSide(limits), busy, []Step{Finishing, Flushing, Leaving, Stopped}, []Step{Finishing}, 62 * time.Second},
-		{"entry", NewEntry(limits), done, []Step{Handing, Finishing, Flushing, Folding, Sealing, Leaving, Stopped}, nil, 6 * time.Second},
-		{
-			"entry without platform", NewEntry(limits),
-			Facts{},
-			[]Step{Handing, Finishing, Flushing, Folding, Sealing, Leaving, Stopped},
-			[]Step{Handing, Folding, Sealing, Leaving},
-			42 * time.Second,
-		},
+		{"side without platform", NewSide(limits), Facts{}, []Step{Finishing, Flushing, Leaving, Stopped}, []Step{Leaving}, 12 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/drainer/types.go
+++ b/internal/drainer/types.go
@@ -1,12 +1,9 @@
-// Package drainer decides the order of the steps in which an entry or a side
-// stops.
+// Package drainer decides the order of the steps in which a side stops.
 //
 // A side refuses new work, finishes running work, delivers charges and
-// deregisters. An entry reports not ready, hands over its shards, finishes its
-// requests, flushes charges, folds, seals its journal and deregisters. A step
-// that takes too long does not stop the sequence, except that a side with
-// undelivered charges keeps its registration: a successor must not release
-// their reservations before the side is known to be gone.
+// deregisters. A step that takes too long does not stop the sequence, except that
+// a side with undelivered charges keeps its registration: a successor must not
+// release their reservations before the side is known to be gone.
 //
 // # Usage
 //
@@ -24,14 +21,11 @@
 // Step of a stop sequence.
 type Step string
 
-// Steps in their order. Handing, Folding and Sealing belong to entries only.
+// Steps in their order.
 const (
 	Serving   Step = "serving"
-	Handing   Step = "handing"   // hand over shards and unspent amounts
 	Finishing Step = "finishing" // finish running requests
 	Flushing  Step = "flushing"  // deliver charges and the rest of the answers
-	Folding   Step = "folding"   // fold the journal
-	Sealing   Step = "sealing"   // seal the journal
 	Leaving   Step = "leaving"   // delete the registration
 	Stopped   Step = "stopped"
 )
@@ -49,9 +43,6 @@
 	Requests int  // running requests
 	Readers  int  // open answer streams
 	Charges  int  // charges that are not durable
-	Handed   bool // all shards are handed over
-	Folded   bool // the journal is folded
-	Sealed   bool // the journal is sealed
 	Left     bool // the registration is deleted
 }
 
@@ -78,15 +69,3 @@
 		{Leaving, platformLimit, func(f Facts) bool { return f.Left }},
 	}}
 }
-
-// NewEntry returns the sequence of an entry.
-func NewEntry(l Limits) *Drainer {
-	return &Drainer{current: -1, phases: []phase{
-		{Handing, platformLimit, func(f Facts) bool { return f.Handed }},
-		{Finishing, l.Finish, func(f Facts) bool { return f.Requests == 0 }},
-		{Flushing, l.Flush, func(f Facts) bool { return f.Charges == 0 && f.Readers == 0 }},
-		{Folding, platformLimit, func(f Facts) bool { return f.Folded }},
-		{Sealing, platformLimit, func(f Facts) bool { return f.Sealed }},
-		{Leaving, platformLimit, func(f Facts) bool { return f.Left }},
-	}}
-}
--- a/internal/holder/bench_test.go
+++ b/internal/holder/bench_test.go
@@ -42,7 +42,7 @@
 			b.Fatal(err)
 		}
 		go func() {
-			settled <- router.client.Settle(b.Context(), id, &wirepb.Settle{Reservation: r, Tokens: 10})
+			settled <- router.client.Settle(b.Context(), &wirepb.Settle{Reservation: r, Tokens: 10})
 		}()
 	}
 	for range n {
--- a/internal/holder/claims.go
+++ b/internal/holder/claims.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"daisylane/internal/checker"
 	"daisylane/internal/claimer"
 	"daisylane/internal/connector"
 	"daisylane/internal/journaler"
 	"daisylane/internal/reporter"
-	"daisylane/internal/storer"
 	"daisylane/internal/wirepb"
 )
 
@@ -99,116 +94,6 @@
 	return false
 }
 
-// takeClaims makes this instance the holder of the claims of a shard, unless
-// their holder is alive. The journal of a dead holder is sealed and replayed into
-// the object first, so that no claim is missed and no new one can be added to it.
-func (h *Holder) takeClaims(ctx context.Context, shard int) claimsRead {
-	var err error
-	for range maxClaimTries {
-		var res claimsRead
-		res, err = h.takeClaimsOnce(ctx, shard)
-		if err == nil {
-			return res
-		}
-		if !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUncertain) {
-			break
-		}
-	}
-	return claimsRead{shard: shard, err: err}
-}
-
-func (h *Holder) takeClaimsOnce(ctx context.Context, shard int) (claimsRead, error) {
-	object, version, err := h.readClaims(ctx, shard)
-	if err != nil {
-		return claimsRead{}, err
-	}
-	if object.Holder == h.cfg.Instance {
-		// A write whose response was lost: nothing was claimed here since.
-		return claimsRead{shard: shard, object: object}, nil
-	}
-	if m, ok := h.alive(ctx, object.Holder); ok {
-		return claimsRead{shard: shard, holder: m}, nil
-	}
-	if object.Holder != "" {
-		if object, err = h.replayClaims(ctx, object); err != nil {
-			return claimsRead{}, err
-		}
-	}
-	object.Holder = h.cfg.Instance
-	body, err := checker.Encode(object)
-	if err != nil {
-		return claimsRead{}, fmt.Errorf("claims of shard %d: %w", shard, err)
-	}
-	if _, err := h.platform.Put(ctx, claimer.ObjectKey(shard), body, version); err != nil {
-		return claimsRead{}, fmt.Errorf("write claims of shard %d: %w", shard, err)
-	}
-	return claimsRead{shard: shard, object: object}, nil
-}
-
-func (h *Holder) readClaims(ctx context.Context, shard int) (claimer.Object, uint64, error) {
-	item, err := h.platform.Get(ctx, claimer.ObjectKey(shard))
-	if errors.Is(err, storer.ErrAbsent) {
-		return claimer.Object{Shard: shard}, 0, nil
-	}
-	if err != nil {
-		return claimer.Object{}, 0, fmt.Errorf("read claims of shard %d: %w", shard, err)
-	}
-	object, err := checker.Decode[claimer.Object](item.Body)
-	if err != nil {
-		return claimer.Object{}, 0, fmt.Errorf("claims of shard %d: %w", shard, err)
-	}
-	return object, item.Version, nil
-}
-
-// replayClaims returns the object with the claims of its dead holder's journal.
-// Claims that were running there are unknown from now on.
-func (h *Holder) replayClaims(ctx context.Context, object claimer.Object) (claimer.Object, error) {
-	log, err := h.sealJournal(ctx, object.Holder)
-	if err != nil {
-		return object, err
-	}
-	state := claimer.New(h.cfg.Instance)
-	state.Load(object)
-	err = log.After(claimOffset+object.Shard, 0, func(_ uint64, e journaler.Entry) error {
-		return state.Replay(claimer.Entry{Shard: object.Shard, Data: e.Data})
-	})
-	if err != nil {
-		return object, fmt.Errorf("replay claims of %s: %w", object.Holder, err)
-	}
-	now := time.Now()
-	object, err = state.Fold(now, object)
-	if err != nil {
-		return object, fmt.Errorf("fold claims of %s: %w", object.Holder, err)
-	}
-	return object.WithLost(now, object.Holder), nil
-}
-
-// sealJournal seals an instance's journal and returns its records.
-func (h *Holder) sealJournal(ctx context.Context, instance string) (journaler.Log, error) {
-	for range maxClaimTries {
-		slots, err := h.listSlots(ctx, journaler.Prefix(instance))
-		if err != nil {
-			return journaler.Log{}, err
-		}
-		log, err := journaler.Replay(instance, h.cfg.Slots, slots)
-		if err != nil {
-			continue // a record was written during the listing
-		}
-		if log.Sealed {
-			return log, nil
-		}
-		w := log.Seal(h.cfg.Instance)
-		_, err = h.platform.Put(ctx, w.Key, w.Body, w.Version)
-		if err == nil {
-			return log, nil
-		}
-		if errors.Is(err, storer.ErrUnavailable) {
-			return journaler.Log{}, fmt.Errorf("seal journal of %s: %w", instance, err)
-		}
-	}
-	return journaler.Log{}, fmt.Errorf("seal journal of %s: %w", instance, storer.ErrUncertain)
-}
-
 func (k *keeper) claimsRead(now time.Time, m claimsRead) {
 	c := k.claims
 	calls := c.pending[m.shard]
@@ -289,89 +174,6 @@
 	}
 }
 
-// foldClaims writes the claims of a shard that only the journal has. The next
-// holder is empty at a hand-over.
-func (k *keeper) foldClaims(now time.Time, shard int, next string) {
-	c := k.claims
-	if !c.held[shard] || c.folding[shard] {
-		return
-	}
-	changes, err := c.state.Fold(now, claimer.Object{Shard: shard})
-	if err != nil {
-		k.h.log.Error().Int("shard", shard).Err(err).Msg("claims not folded")
-		return
-	}
-	c.folding[shard] = true
-	seq := k.journal.Seq()
-	k.h.effect(func(ctx context.Context) any {
-		object, err := k.h.writeClaims(ctx, now, changes, next)
-		return claimsFolded{shard, seq, object, err}
-	})
-}
-
-// errNotHolder means that another instance took the claims of a shard.
-var errNotHolder = errors.New("another instance holds the claims")
-
-func (h *Holder) writeClaims(ctx context.Context, now time.Time, changes claimer.Object, next string) (claimer.Object, error) {
-	object, version, err := h.readClaims(ctx, changes.Shard)
-	if err != nil {
-		return object, err
-	}
-	if object.Holder != h.cfg.Instance {
-		return object, errNotHolder
-	}
-	if object, err = object.With(now, changes.Claims...); err != nil {
-		return object, fmt.Errorf("fold claims: %w", err)
-	}
-	object.Holder = next
-	body, err := checker.Encode(object)
-	if err != nil {
-		return object, fmt.Errorf("fold claims: %w", err)
-	}
-	if _, err := h.platform.Put(ctx, claimer.ObjectKey(changes.Shard), body, version); err != nil {
-		return object, fmt.Errorf("write claims of shard %d: %w", changes.Shard, err)
-	}
-	return object, nil
-}
-
-func (k *keeper) claimsFolded(now time.Time, m claimsFolded) {
-	c := k.claims
-	delete(c.folding, m.shard)
-	if errors.Is(m.err, errNotHolder) {
-		k.dropClaims(now, m.shard)
-		return
-	}
-	if m.err != nil {
-		k.platform(now, m.err)
-		k.h.log.Warn().Int("shard", m.shard).Err(m.err).Msg("claims not folded, repeating")
-		if k.stopping != nil {
-			k.handOverClaims(now)
-		}
-		return
-	}
-	c.state.Folded(m.object)
-	k.journalActions(now, k.journal.Folded(claimOffset+m.shard, m.seq))
-	if m.object.Holder == "" {
-		k.dropClaims(now, m.shard)
-	} else if k.stopping != nil {
-		k.foldClaims(now, m.shard, "")
-	}
-}
-
-func (k *keeper) dropClaims(now time.Time, shard int) {
-	delete(k.claims.held, shard)
-	k.claimActions(now, k.claims.state.Release(shard))
-	k.finishStop(now)
-}
-
-// handOverClaims gives up the claims of all shards. Requests in flight have ended
-// by then, so that no claim is running.
-func (k *keeper) handOverClaims(now time.Time) {
-	for shard := range k.claims.held {
-		k.foldClaims(now, shard, "")
-	}
-}
-
 // loseClaims refuses all calls after the journal was sealed by a successor.
 func (k *keeper) loseClaims() {
 	now := time.Now()
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -97,7 +97,7 @@
 
 // Settle charges or releases a reservation. It goes to the instance that made
 // the reservation, or else to its successor, and returns when it is durable.
-func (c *Client) Settle(ctx context.Context, _ string, m *wirepb.Settle) error {
+func (c *Client) Settle(ctx context.Context, m *wirepb.Settle) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	r := m.GetReservation()
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -200,10 +200,10 @@
 	if _, err := b.client.Reserve(t.Context(), "r2", &wirepb.Reserve{Budget: "acme", Tokens: 600}); refusedReason(err) != "budget" {
 		t.Fatalf("err = %v, want refusal for the budget", err)
 	}
-	if err := b.client.Settle(t.Context(), "r1", &wirepb.Settle{Reservation: r, Tokens: 100}); err != nil {
+	if err := b.client.Settle(t.Context(), &wirepb.Settle{Reservation: r, Tokens: 100}); err != nil {
 		t.Fatal(err)
 	}
-	if err := a.client.Settle(t.Context(), "r1", &wirepb.Settle{Reservation: r, Tokens: 100}); err != nil {
+	if err := a.client.Settle(t.Context(), &wirepb.Settle{Reservation: r, Tokens: 100}); err != nil {
 		t.Fatalf("duplicate: %v", err)
 	}
 	if _, err := a.client.Reserve(t.Context(), "r3", &wirepb.Reserve{Budget: "acme", Tokens: 900}); err != nil {
@@ -269,7 +269,7 @@
 	stopped := make(chan error, 1)
 	go func() { stopped <- a.holder.Stop(context.Background()) }()
 	time.Sleep(100 * time.Millisecond)
-	if err := a.client.Settle(t.Context(), "r1", &wirepb.Settle{Reservation: r, Tokens: 120}); err != nil {
+	if err := a.client.Settle(t.Context(), &wirepb.Settle{Reservation: r, Tokens: 120}); err != nil {
 		t.Fatalf("settle during the stop: %v", err)
 	}
 	if err := <-stopped; err != nil {
@@ -296,7 +296,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := a.client.Settle(t.Context(), "r1", &wirepb.Settle{Reservation: r, Tokens: 50}); err != nil {
+	if err := a.client.Settle(t.Context(), &wirepb.Settle{Reservation: r, Tokens: 50}); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := b.client.Reserve(t.Context(), "r2", &wirepb.Reserve{Budget: "acme", Tokens: 950}); err != nil {
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -112,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	r.background(func() {
 		defer cancel()
-		if !r.persist(ctx, req.id, "settle", func() error { return r.budgets.Settle(ctx, req.id, m) }) {
+		if !r.persist(ctx, req.id, "settle", func() error { return r.budgets.Settle(ctx, m) }) {
 			return
 		}
 		r.record(req.id, "settle", "durable", "", explainer.Int("tokens", m.Tokens))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,7 +39,7 @@
 // Budgets reserves and settles tokens and keeps the claims of non-idempotent calls.
 type Budgets interface {
 	Reserve(ctx context.Context, id string, m *wirepb.Reserve) (*wirepb.Reservation, error)
-	Settle(ctx context.Context, id string, m *wirepb.Settle) error
+	Settle(ctx context.Context, m *wirepb.Settle) error
 	Claim(ctx context.Context, id string, m *wirepb.Claim, home string) (*wirepb.Claimed, error)
 	Conclude(ctx context.Context, id string, m *wirepb.Conclude, home string) error
 }
