Serve only after the bundle is settled and the registrations are read

Cause, found by reading: an entry that started during a platform outage used the first bundle of any peer before the two rounds of comparison had ended, and could have had an older version in force than it had before its restart. It also reported ready before it knew any side, so that first requests were refused as overload. Both are conditions of readiness now.

--- a/internal/launcher/bundles.go
+++ b/internal/launcher/bundles.go
@@ -57,3 +57,14 @@
 		}
 	}
 }
+
+// index returns the bundle in force, or nil until the process may serve: a bundle
+// from the first peer that answers can be older than what others have in force.
+func (p *process) index() *bundler.Index {
+	select {
+	case <-p.bundles.Ready():
+		return p.bundles.Index()
+	default:
+		return nil
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,7 @@
 	index   func() *bundler.Index
 
 	version func() uint64
+	ready   func() bool
 	limits  Limits
 	records Records
 	log     zerolog.Logger
@@ -93,6 +94,9 @@
 // to the sides with each request.
 func WithVersion(f func() uint64) Option { return func(r *Router) { r.version = f } }
 
+// WithReady sets a further condition for reporting ready.
+func WithReady(f func() bool) Option { return func(r *Router) { r.ready = f } }
+
 // WithLimits sets the limits per account. The default has none.
 func WithLimits(limits Limits) Option { return func(r *Router) { r.limits = limits } }
 
@@ -105,6 +109,7 @@
 		pool:    pool,
 		index:   index,
 		version: func() uint64 { return 0 },
+		ready:   func() bool { return true },
 		limits:  noLimits{},
 		records: noRecords{},
 		log:     zerolog.Nop(),
@@ -149,7 +154,7 @@
 func (r *Router) Inflight() int64 { return r.inflight.Load() }
 
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if r.stopping.Load() || r.index() == nil {
+	if r.stopping.Load() || r.index() == nil || !r.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
