Reserve again when the holder of a reservation died

Cause: a side refuses work of a closed holder, and the router passed that on to the caller as not run, although the successor had the tokens. The router reserves once more and tries again. Ruled out: more than one repetition, because a holder that is closed twice in one request points to a larger failure. TestReserveAgain fails before and passes after.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -49,8 +49,23 @@
 // sink takes the pieces of an answer in order.
 type sink func(data []byte) error
 
-// run reserves the tokens of a job, runs it at a target and settles the charge.
+// reasonClosed is the refusal of a side that knows the reservation's holder to be
+// dead.
+const reasonClosed = "closed"
+
+// run runs a job. If the holder of its reservation died meanwhile, so that no side
+// takes the job, it runs once more under a reservation of the successor.
 func (r *Router) run(ctx context.Context, req request, j job, out sink) result {
+	res := r.runReserved(ctx, req, j, out)
+	if res.failure != nil && res.failure.Type == typeNotRun && res.failure.Reason == reasonClosed {
+		r.record(req.id, "reserve", "again", reasonClosed)
+		res = r.runReserved(ctx, req, j, out)
+	}
+	return res
+}
+
+// runReserved reserves the tokens of a job, runs it at a target and settles the charge.
+func (r *Router) runReserved(ctx context.Context, req request, j job, out sink) result {
 	reservation, failure := r.reserve(ctx, req, j)
 	if failure != nil {
 		return result{failure: failure}
