--- a/internal/holder/config.go
+++ b/internal/holder/config.go
@@ -55,6 +55,7 @@
 type Platform interface {
 	Get(ctx context.Context, key string) (storer.Item, error)
 	Put(ctx context.Context, key string, body []byte, version uint64) (uint64, error)
+	Delete(ctx context.Context, key string, version uint64) error
 	List(ctx context.Context, prefix string) ([]storer.Item, error)
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]storer.Item, uint64, error)
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return fmt.Errorf("hand over shards: %w", err)
 	}
-	return nil
+	return h.removeJournal(ctx)
 }
 
 // Close stops at once, as a crash would. It can be called more than once.
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -15,6 +15,7 @@
 	"daisylane/internal/checker"
 	"daisylane/internal/connector"
 	"daisylane/internal/faker"
+	"daisylane/internal/journaler"
 	"daisylane/internal/locator"
 	"daisylane/internal/placer"
 	"daisylane/internal/recoverer"
@@ -275,6 +276,9 @@
 	if err := <-stopped; err != nil {
 		t.Fatal(err)
 	}
+	if left, err := f.store("test").List(t.Context(), journaler.Prefix("a.1")); err != nil || len(left) > 0 {
+		t.Errorf("%d journal slots are left, %v, want none", len(left), err)
+	}
 	b := f.object(placer.Shard("acme", testShards)).Budgets["acme"]
 	if b.Settled != 120 || b.Free() != 880 {
 		t.Errorf("settled %d, free %d, want 120 and 880", b.Settled, b.Free())
--- /dev/null
+++ b/internal/holder/remove.go
@@ -0,0 +1,34 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"daisylane/internal/journaler"
+	"daisylane/internal/recoverer"
+	"daisylane/internal/storer"
+)
+
+// removeJournal deletes the own journal after it is sealed. All shards and claims
+// are handed over by then, so that no object needs its records. Journals of dead
+// instances stay in the platform.
+func (h *Holder) removeJournal(ctx context.Context) error {
+	slots, err := h.listSlots(ctx, journaler.Prefix(h.cfg.Instance))
+	if err != nil {
+		return fmt.Errorf("remove journal: %w", err)
+	}
+	versions := make(map[string]uint64, len(slots))
+	for _, s := range slots {
+		versions[s.Key] = s.Version
+	}
+	remains := recoverer.Remains{Instance: h.cfg.Instance, Ring: h.cfg.Slots, Slots: slots}
+	for _, key := range remains.Removable().Slots {
+		err := h.platform.Delete(ctx, key, versions[key])
+		if err != nil && !errors.Is(err, storer.ErrAbsent) {
+			return fmt.Errorf("remove journal: %w", err)
+		}
+	}
+	return nil
+}
