Name the admission actor and the test harness plainly, one key prefix for gone sides

The actor of the side's admission and the harness of the budget tests were called desk, which is no term of the field. The prefix of the confirmations stood in two packages; recoverer has it. No behaviour changed; the tests of executor, budgeter, operator and holder pass.

--- a/internal/budgeter/bench_test.go
+++ b/internal/budgeter/bench_test.go
@@ -16,7 +16,7 @@
 func BenchmarkReserveSettle(b *testing.B) {
 	for _, budgets := range []int{1, plannedBudgets} {
 		b.Run(fmt.Sprintf("budgets=%d", budgets), func(b *testing.B) {
-			d := plannedDesk(budgets)
+			d := plannedHarness(budgets)
 			fill(d, budgets)
 			d.bytes, d.records = 0, 0
 			n := 0
@@ -37,13 +37,13 @@
 // BenchmarkMemory gives the memory of a holder per budget, without charges.
 func BenchmarkMemory(b *testing.B) {
 	var before, after runtime.MemStats
-	var keep []*desk
+	var keep []*harness
 	for b.Loop() {
 		keep = nil
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		for range 20 {
-			keep = append(keep, plannedDesk(plannedBudgets))
+			keep = append(keep, plannedHarness(plannedBudgets))
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
@@ -58,9 +58,9 @@
 
 func plannedBudget(i int) string { return fmt.Sprintf("budget-%06d", i) }
 
-// plannedDesk has one holder.
-func plannedDesk(budgets int) *desk {
-	d := newDesk(1, nil, nil, 1)
+// plannedHarness has one holder.
+func plannedHarness(budgets int) *harness {
+	d := newHarness(1, nil, nil, 1)
 	for i := range budgets {
 		d.object, _ = d.object.WithTopUp(plannedBudget(i), fmt.Sprintf("topup-%08d", i), 1<<50, 1e6, 1e6)
 	}
@@ -68,7 +68,7 @@
 	return d
 }
 
-func fill(d *desk, budgets int) {
+func fill(d *harness, budgets int) {
 	for i := range unfoldedCharges {
 		d.requestOf(plannedBudget(i%budgets), 0, 500, 300)
 	}
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -22,21 +22,21 @@
 	for _, tc := range []struct {
 		name   string
 		tokens int64
-		event  func(d *desk, h *Holder) []Action
+		event  func(d *harness, h *Holder) []Action
 		want   Reason
 	}{
-		{"outage", 60, func(d *desk, h *Holder) []Action {
+		{"outage", 60, func(d *harness, h *Holder) []Action {
 			d.run(0, h.Platform(d.now, false))
 			return nil
 		}, ReasonPlatform},
 		{"no tokens", 500, nil, ReasonBudget},
-		{"hand-over", 10, func(d *desk, h *Holder) []Action {
+		{"hand-over", 10, func(d *harness, h *Holder) []Action {
 			d.run(0, h.HandOver(d.now, 0))
 			return nil
 		}, ReasonStopping},
 		{"no amount", 0, nil, ReasonBody},
 	} {
-		d := newDesk(100, []string{"a"}, []string{"eu"}, 0.5)
+		d := newHarness(100, []string{"a"}, []string{"eu"}, 0.5)
 		h := d.holders[0]
 		if tc.event != nil {
 			tc.event(d, h)
@@ -56,7 +56,7 @@
 // Guards against a request that waits for a mark whose write never ends, and
 // against a mark that is used before it is durable.
 func TestWaitsForMarkOnlyForAWhile(t *testing.T) {
-	d := newDesk(100, []string{"a"}, []string{"eu"}, 0.5)
+	d := newHarness(100, []string{"a"}, []string{"eu"}, 0.5)
 	h := d.holders[0]
 	actions := h.Reserve(d.now, 1, Request{Budget: "b", Tokens: 70})
 	if _, ok := find[Granted](actions); ok {
@@ -73,7 +73,7 @@
 
 // Guards against a failed update that leaves its requests waiting.
 func TestFailedUpdateRefuses(t *testing.T) {
-	d := newDesk(100, []string{"a"}, []string{"eu"}, 1)
+	d := newHarness(100, []string{"a"}, []string{"eu"}, 1)
 	h := d.holders[0]
 	if _, ok := find[Update](h.Reserve(d.now, 1, Request{Budget: "b", Tokens: 98})); !ok {
 		t.Fatal("no update")
@@ -86,7 +86,7 @@
 // Guards against tokens that are given back while the journal still marks them,
 // and against use of them after an update with an unknown result.
 func TestReturnLowersMarkFirst(t *testing.T) {
-	d := newDesk(100, []string{"a", "b"}, []string{"eu", "us"}, 1)
+	d := newHarness(100, []string{"a", "b"}, []string{"eu", "us"}, 1)
 	h := d.holders[0]
 	have := h.Amounts(0, "b").Allotted
 	actions := h.Return(d.now, 5, 0, "b", have)
@@ -109,7 +109,7 @@
 
 // Guards against a charge that counts twice by number or by key.
 func TestDuplicates(t *testing.T) {
-	d := newDesk(1000, []string{"a"}, []string{"eu"}, 1)
+	d := newHarness(1000, []string{"a"}, []string{"eu"}, 1)
 	h := d.holders[0]
 	var rs []Reservation
 	for i := range 2 {
@@ -143,7 +143,7 @@
 
 // Guards against a hand-over that leaves before its reservations are settled.
 func TestHandOver(t *testing.T) {
-	d := newDesk(1000, []string{"a"}, []string{"eu"}, 1)
+	d := newHarness(1000, []string{"a"}, []string{"eu"}, 1)
 	h := d.holders[0]
 	g, _ := find[Granted](h.Reserve(d.now, 1, Request{Budget: "b", Tokens: 50}))
 	d.run(0, h.HandOver(d.now, 0))
--- a/internal/budgeter/desk_test.go
+++ b/internal/budgeter/harness_test.go
@@ -13,7 +13,7 @@
 	"daisylane/internal/journaler"
 )
 
-// Latencies of a desk in virtual time. Detection is the time from a crash to the
+// Latencies of a harness in virtual time. Detection is the time from a crash to the
 // successor's hold.
 const (
 	platformDelay  = 25 * time.Millisecond
@@ -26,9 +26,9 @@
 	resendDelay    = 6 * time.Second
 )
 
-// desk drives holders against one shard object without lost responses. Everything
+// harness drives holders against one shard object without lost responses. Everything
 // happens at once, or in virtual time if timed is set.
-type desk struct {
+type harness struct {
 	object   allotter.Shard
 	version  int
 	timed    bool
@@ -79,8 +79,8 @@
 	return e
 }
 
-func newDesk(topped int64, instances []string, regions []string, ahead float64) *desk {
-	d := &desk{
+func newHarness(topped int64, instances []string, regions []string, ahead float64) *harness {
+	d := &harness{
 		down: make(map[int]bool), dead: make(map[int]bool), now: time.Unix(1e6, 0),
 		sealed: make(map[string]int), closed: make(map[string]bool), returns: make(map[Token]func()),
 		answers: make(map[Token]func(*RefusedError, Reservation)),
@@ -94,7 +94,7 @@
 	return d
 }
 
-func (d *desk) add(name, region string, regions int, ahead float64) int {
+func (d *harness) add(name, region string, regions int, ahead float64) int {
 	i := len(d.holders)
 	d.holders = append(d.holders, New(Config{Instance: name, Region: region, Regions: regions, Ahead: ahead}))
 	d.names, d.regions = append(d.names, name), append(d.regions, region)
@@ -104,8 +104,8 @@
 	return i
 }
 
-// after runs an event later, unless the desk is not timed.
-func (d *desk) after(wait time.Duration, run func()) {
+// after runs an event later, unless the harness is not timed.
+func (d *harness) after(wait time.Duration, run func()) {
 	if !d.timed {
 		run()
 		return
@@ -115,7 +115,7 @@
 }
 
 // until runs the events up to a time.
-func (d *desk) until(at time.Time) {
+func (d *harness) until(at time.Time) {
 	for len(d.events) > 0 && !d.events[0].at.After(at) {
 		e := heap.Pop(&d.events).(event)
 		d.now = e.at
@@ -124,7 +124,7 @@
 	d.now = at
 }
 
-func (d *desk) run(i int, actions []Action) {
+func (d *harness) run(i int, actions []Action) {
 	if d.dead[i] {
 		return
 	}
@@ -163,14 +163,14 @@
 	}
 }
 
-func (d *desk) answer(t Token, err *RefusedError, r Reservation) {
+func (d *harness) answer(t Token, err *RefusedError, r Reservation) {
 	if done := d.answers[t]; done != nil {
 		delete(d.answers, t)
 		done(err, r)
 	}
 }
 
-func (d *desk) durable(i int, a Append) {
+func (d *harness) durable(i int, a Append) {
 	switch {
 	case d.dead[i]:
 		return
@@ -187,7 +187,7 @@
 	d.run(i, d.holders[i].Durable(d.now, l.Last, []journaler.Token{a.Token}))
 }
 
-func (d *desk) propose(i, shard int) {
+func (d *harness) propose(i, shard int) {
 	h := d.holders[i]
 	switch {
 	case d.dead[i]:
@@ -215,7 +215,7 @@
 }
 
 // ask passes an Ask over the link or through the inbox.
-func (d *desk) ask(i int, a Ask) {
+func (d *harness) ask(i int, a Ask) {
 	pending := 1
 	done := func() {
 		if pending--; pending == 0 {
@@ -245,7 +245,7 @@
 }
 
 // recover takes over from a dead holder. All sides answer.
-func (d *desk) recover(i int, name string) {
+func (d *harness) recover(i int, name string) {
 	h := d.holders[i]
 	actions, err := h.Replay(0, d.logs[d.sealed[name]])
 	if err != nil {
@@ -271,7 +271,7 @@
 func byNumber(a, b Reservation) int { return cmp.Compare(a.Number, b.Number) }
 
 // reach sets whether a holder reaches the platform.
-func (d *desk) reach(i int, up bool) {
+func (d *harness) reach(i int, up bool) {
 	d.down[i] = !up
 	d.run(i, d.holders[i].Platform(d.now, up))
 	if up {
@@ -284,7 +284,7 @@
 }
 
 // crash ends a holder; a successor holds the shard after the detection delay.
-func (d *desk) crash(i int, done func(successor int)) {
+func (d *harness) crash(i int, done func(successor int)) {
 	d.dead[i] = true
 	h := d.holders[i]
 	d.after(detectionDelay, func() {
@@ -293,7 +293,7 @@
 }
 
 // requestOf reserves and settles at once, and reports whether it was served.
-func (d *desk) requestOf(budget string, i int, tokens, actual int64) bool {
+func (d *harness) requestOf(budget string, i int, tokens, actual int64) bool {
 	d.token++
 	t := d.token
 	d.run(i, d.holders[i].Reserve(d.now, t, Request{Budget: budget, Tokens: tokens}))
--- a/internal/budgeter/policy_test.go
+++ b/internal/budgeter/policy_test.go
@@ -81,7 +81,7 @@
 	name         string
 	warm, length time.Duration // length of the fault
 	period       time.Duration // between shifts of the demand, on average
-	start        func(d *desk, r *result)
+	start        func(d *harness, r *result)
 }
 
 // shifting gives one region four fifths of the demand and swaps the regions at
@@ -103,21 +103,21 @@
 
 func scenarios() []scenario {
 	const warm, short, shift = 20 * time.Minute, 10 * time.Minute, 20 * time.Minute
-	cutOff := func(d *desk, _ *result) {
+	cutOff := func(d *harness, _ *result) {
 		d.cut = true
 		d.reach(1, false)
 	}
 	return []scenario{
-		{"healthy", warm, short, shift, func(*desk, *result) {}},
-		{"link cut", warm, short, shift, func(d *desk, _ *result) { d.cut = true }},
+		{"healthy", warm, short, shift, func(*harness, *result) {}},
+		{"link cut", warm, short, shift, func(d *harness, _ *result) { d.cut = true }},
 		{"cut off, three shifts per hour", time.Hour, time.Hour, shift, cutOff},
 		{"cut off, shift per hour", time.Hour, time.Hour, time.Hour, cutOff},
 		{"cut off, no shift", time.Hour, time.Hour, 1000 * time.Hour, cutOff},
-		{"outage", warm, short, shift, func(d *desk, _ *result) {
+		{"outage", warm, short, shift, func(d *harness, _ *result) {
 			d.reach(0, false)
 			d.reach(1, false)
 		}},
-		{"crash", warm, short, shift, func(d *desk, r *result) { r.crash(d) }},
+		{"crash", warm, short, shift, func(d *harness, r *result) { r.crash(d) }},
 	}
 }
 
@@ -136,7 +136,7 @@
 
 // run plays a trace against holders. Amounts at the sides are the truth.
 func (s scenario) run(list []demand, topped int64, ahead float64) result {
-	d := newDesk(topped, []string{"a", "b"}, []string{"eu", "us"}, ahead)
+	d := newHarness(topped, []string{"a", "b"}, []string{"eu", "us"}, ahead)
 	d.timed = true
 	r := result{holders: [2]int{0, 1}}
 	begin, spent, open := d.now, int64(0), int64(0)
@@ -239,7 +239,7 @@
 }
 
 // crash ends the first region's holder and watches what is withheld.
-func (r *result) crash(d *desk) {
+func (r *result) crash(d *harness) {
 	start, name := d.now, d.names[0]
 	d.crash(0, func(successor int) { r.holders[0] = successor })
 	var watch func()
--- a/internal/executor/desk.go
+++ b/internal/executor/admission.go
@@ -8,28 +8,28 @@
 	"daisylane/internal/admitter"
 )
 
-// desk is the actor that owns the admission state.
-type desk struct {
+// admission is the actor that owns the admission state.
+type admission struct {
 	system *actor.ActorSystem
 	pid    *actor.PID
 	state  *admitter.Admitter
 	ended  chan struct{}
 }
 
-// decision is a message to the desk.
+// decision is a message to the admission actor.
 type decision struct {
 	apply func(*admitter.Admitter)
 	done  chan struct{}
 }
 
-func newDesk(limits admitter.Limits) *desk {
+func newAdmission(limits admitter.Limits) *admission {
 	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) })
-	d := &desk{system: actor.NewActorSystem(quiet), state: admitter.New(limits), ended: make(chan struct{})}
+	d := &admission{system: actor.NewActorSystem(quiet), state: admitter.New(limits), ended: make(chan struct{})}
 	d.pid = d.system.Root.Spawn(actor.PropsFromFunc(d.receive))
 	return d
 }
 
-func (d *desk) receive(ctx actor.Context) {
+func (d *admission) receive(ctx actor.Context) {
 	m, ok := ctx.Message().(*decision)
 	if !ok {
 		return
@@ -39,8 +39,8 @@
 }
 
 // decide runs f on the admission state and waits for it. After the end of the
-// desk it does nothing.
-func (d *desk) decide(f func(*admitter.Admitter)) {
+// admission it does nothing.
+func (d *admission) decide(f func(*admitter.Admitter)) {
 	m := &decision{apply: f, done: make(chan struct{})}
 	d.system.Root.Send(d.pid, m)
 	select {
@@ -50,13 +50,13 @@
 }
 
 // ask returns the result of f on the admission state.
-func ask[T any](d *desk, f func(*admitter.Admitter) T) T {
+func ask[T any](d *admission, f func(*admitter.Admitter) T) T {
 	var v T
 	d.decide(func(a *admitter.Admitter) { v = f(a) })
 	return v
 }
 
-func (d *desk) stop() {
+func (d *admission) stop() {
 	_ = d.system.Root.StopFuture(d.pid).Wait()
 	close(d.ended)
 	d.system.Shutdown()
--- a/internal/executor/charges.go
+++ b/internal/executor/charges.go
@@ -32,7 +32,7 @@
 		return
 	}
 	s.log.Warn().Str("request", c.ID).Str("holder", c.Reservation.Holder).Err(err).Msg("charge not delivered, trying again")
-	s.desk.decide(func(a *admitter.Admitter) { a.SettleFailed(time.Now(), c.ID) })
+	s.admission.decide(func(a *admitter.Admitter) { a.SettleFailed(time.Now(), c.ID) })
 }
 
 // Entries lists the registered entries of a region.
@@ -146,6 +146,6 @@
 // Waiting for a router that is gone would lose the charge if the side dies too.
 func (s *Side) orphan(j *job) {
 	if j.unread() {
-		s.desk.decide(func(a *admitter.Admitter) { a.Orphan(time.Now(), j.id) })
+		s.admission.decide(func(a *admitter.Admitter) { a.Orphan(time.Now(), j.id) })
 	}
 }
--- a/internal/executor/engine.go
+++ b/internal/executor/engine.go
@@ -226,7 +226,7 @@
 	s.mu.Lock()
 	s.reported = now
 	s.mu.Unlock()
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Report(now, load) }))
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action { return a.Report(now, load) }))
 }
 
 func (s *Side) engineLoad(ctx context.Context) (admitter.Load, error) {
--- a/internal/executor/events.go
+++ b/internal/executor/events.go
@@ -141,7 +141,7 @@
 
 // exceeds meters a running request and reports whether it must stop.
 func (s *Side) exceeds(j *job, used admitter.Usage) bool {
-	actions := ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Meter(j.id, used) })
+	actions := ask(s.admission, func(a *admitter.Admitter) []admitter.Action { return a.Meter(j.id, used) })
 	s.carryOut(actions)
 	return len(actions) > 0
 }
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -58,7 +58,7 @@
 		end.Usage = &wirepb.Usage{Prompt: res.usage.Prompt, Output: res.usage.Output}
 	}
 	// The charge is kept before the router sees the end, so that its Billed finds the charge.
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Ended(time.Now(), j.id, res.usage) }))
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action { return a.Ended(time.Now(), j.id, res.usage) }))
 	end.Load = s.load()
 	j.finish(end)
 	s.orphan(j)
@@ -114,7 +114,7 @@
 }
 
 func (s *Side) notRun(j *job, err error) {
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.NotRun(time.Now(), j.id) }))
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action { return a.NotRun(time.Now(), j.id) }))
 	refused := &connector.RefusedError{Reason: reasonTarget, Text: err.Error(), After: time.Second, Load: s.load()}
 	switch {
 	case errors.Is(err, errCancelled):
--- a/internal/executor/handlers.go
+++ b/internal/executor/handlers.go
@@ -67,7 +67,7 @@
 		ID: id, Reservation: reservation(m.GetReservation()), Key: m.GetKey(),
 		Deadline: deadline, Worth: m.GetWorth(), Output: m.GetOutput(),
 	}
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Run(now, req) }))
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action { return a.Run(now, req) }))
 	return s.stream(ctx, st, j, 0)
 }
 
@@ -196,7 +196,7 @@
 		return
 	}
 	var waiting bool
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) (actions []admitter.Action) {
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) (actions []admitter.Action) {
 		actions, waiting = a.Withdraw(time.Now(), id)
 		return actions
 	}))
@@ -208,15 +208,15 @@
 }
 
 func (s *Side) billed(id string) {
-	s.desk.decide(func(a *admitter.Admitter) { a.Billed(id) })
+	s.admission.decide(func(a *admitter.Admitter) { a.Billed(id) })
 }
 
 func (s *Side) onClose(_ context.Context, _ string, m *wirepb.Close) (*wirepb.Closed, error) {
 	if m.GetInstance() == "" {
 		return nil, &connector.RefusedError{Reason: reasonBody, Text: "the message names no instance"}
 	}
-	var answer *wirepb.Closed // nil if the desk has ended, which must not pass for an empty answer
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
+	var answer *wirepb.Closed // nil if the admission actor has ended, which must not pass for an empty answer
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action {
 		answer = &wirepb.Closed{Instance: s.instance}
 		actions := a.Close(m.GetInstance())
 		for _, r := range a.Open(m.GetInstance()) {
@@ -238,8 +238,8 @@
 	if m.GetInstance() == "" {
 		return nil, &connector.RefusedError{Reason: reasonBody, Text: "the message names no instance"}
 	}
-	var answer *wirepb.Revoked // nil if the desk has ended, which must not pass for an empty answer
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
+	var answer *wirepb.Revoked // nil if the admission actor has ended, which must not pass for an empty answer
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action {
 		answer = &wirepb.Revoked{Instance: s.instance}
 		actions := a.Revoke(m.GetInstance(), m.GetBelow(), m.GetNumbers())
 		answer.Numbers = a.Unsettled(m.GetInstance(), m.GetNumbers())
@@ -259,7 +259,7 @@
 }
 
 func (s *Side) drain(undo bool) {
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action {
 		if undo {
 			a.Undrain()
 			return nil
@@ -293,7 +293,7 @@
 	if b, ok := s.rights.(*Bundle); ok {
 		st.Bundle = b.Version()
 	}
-	s.desk.decide(func(a *admitter.Admitter) {
+	s.admission.decide(func(a *admitter.Admitter) {
 		st.Registered, st.Draining, st.Load = a.Registered(), a.Draining(), a.Load()
 		st.Unbilled, st.Closed = len(a.Unbilled("")), a.ClosedHolders()
 	})
--- a/internal/executor/lifecycle.go
+++ b/internal/executor/lifecycle.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return fmt.Errorf("load ended reservations: %w", err)
 	}
-	s.desk.decide(func(a *admitter.Admitter) {
+	s.admission.decide(func(a *admitter.Admitter) {
 		for holder, t := range ended {
 			a.Revoke(holder, t.Below, t.Numbers) // nothing waits before the registration
 		}
@@ -65,7 +65,7 @@
 		s.log.Debug().Err(err).Msg("closed holders not loaded")
 		return
 	}
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action {
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action {
 		var actions []admitter.Action
 		for _, holder := range closed {
 			actions = append(actions, a.Close(holder)...)
@@ -100,7 +100,7 @@
 
 func (s *Side) facts() drainer.Facts {
 	f := drainer.Facts{Readers: int(s.reads.Load())}
-	s.desk.decide(func(a *admitter.Admitter) { f.Requests, f.Charges = a.OpenCount(), len(a.Unbilled("")) })
+	s.admission.decide(func(a *admitter.Admitter) { f.Requests, f.Charges = a.OpenCount(), len(a.Unbilled("")) })
 	return f
 }
 
--- a/internal/executor/metrics.go
+++ b/internal/executor/metrics.go
@@ -32,7 +32,7 @@
 // unready returns why the side admits no work, empty if it does.
 func (s *Side) unready() string {
 	reason := "stopped"
-	s.desk.decide(func(a *admitter.Admitter) {
+	s.admission.decide(func(a *admitter.Admitter) {
 		switch {
 		case !a.Registered():
 			reason = string(admitter.Unregistered)
@@ -63,7 +63,7 @@
 // gauge updates the gauges.
 func (s *Side) gauge() {
 	var open, charges int
-	s.desk.decide(func(a *admitter.Admitter) { open, charges = a.OpenCount(), a.UnbilledCount() })
+	s.admission.decide(func(a *admitter.Admitter) { open, charges = a.OpenCount(), a.UnbilledCount() })
 	s.scope.Tagged(map[string]string{"service": s.cfg.Target.Name}).Gauge(reporter.InFlight).Update(float64(open))
 	s.scope.Gauge(reporter.UnbilledCharges).Update(float64(charges))
 }
--- a/internal/executor/orders.go
+++ b/internal/executor/orders.go
@@ -110,7 +110,7 @@
 		return &connector.RefusedError{Reason: reasonPlatform, Text: err.Error(), After: platformTimeout}
 	}
 	err = errStopped
-	s.desk.decide(func(*admitter.Admitter) {
+	s.admission.decide(func(*admitter.Admitter) {
 		s.fence.Observe(s.cfg.Target.Name, newest)
 		err = s.fence.Begin(s.cfg.Target.Name, number)
 	})
@@ -126,7 +126,7 @@
 }
 
 func (s *Side) endOrder(number uint64) {
-	s.desk.decide(func(*admitter.Admitter) { s.fence.End(s.cfg.Target.Name, number) })
+	s.admission.decide(func(*admitter.Admitter) { s.fence.End(s.cfg.Target.Name, number) })
 }
 
 // sendOrder makes the call to the engine, also if the operator goes away. It
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -70,20 +70,20 @@
 
 // Side runs requests at one target.
 type Side struct {
-	cfg      Settings
-	instance string
-	registry Registry
-	holders  Holders
-	log      zerolog.Logger
-	scope    tally.Scope
-	spans    Spans
-	pooled   *http.Client // for load, resumption and cancellation
-	single   *http.Client // for requests of routers: a connection per call, see newClient
-	desk     *desk
-	rights   Rights         // nil: no check
-	engines  Engines        // nil: no engine enforces fencing numbers
-	fence    *fencer.Fencer // used by the desk
-	handlers func(*connector.Server)
+	cfg       Settings
+	instance  string
+	registry  Registry
+	holders   Holders
+	log       zerolog.Logger
+	scope     tally.Scope
+	spans     Spans
+	pooled    *http.Client // for load, resumption and cancellation
+	single    *http.Client // for requests of routers: a connection per call, see newClient
+	admission *admission
+	rights    Rights         // nil: no check
+	engines   Engines        // nil: no engine enforces fencing numbers
+	fence     *fencer.Fencer // used by the admission actor
+	handlers  func(*connector.Server)
 
 	work  sync.WaitGroup // running requests and charges on their way
 	reads atomic.Int64   // streams that read an answer
@@ -114,18 +114,18 @@
 		return nil, fmt.Errorf("check settings: %w", err)
 	}
 	s := &Side{
-		cfg:      cfg,
-		instance: watcher.Incarnate(cfg.Name),
-		registry: registry,
-		holders:  holders,
-		log:      zerolog.Nop(),
-		scope:    tally.NoopScope,
-		spans:    noSpans{},
-		pooled:   newClient(false),
-		single:   newClient(true),
-		desk:     newDesk(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue, Settle: cfg.Limits.Settle.Std()}),
-		fence:    fencer.New(),
-		jobs:     make(map[string]*job),
+		cfg:       cfg,
+		instance:  watcher.Incarnate(cfg.Name),
+		registry:  registry,
+		holders:   holders,
+		log:       zerolog.Nop(),
+		scope:     tally.NoopScope,
+		spans:     noSpans{},
+		pooled:    newClient(false),
+		single:    newClient(true),
+		admission: newAdmission(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue, Settle: cfg.Limits.Settle.Std()}),
+		fence:     fencer.New(),
+		jobs:      make(map[string]*job),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -153,7 +153,7 @@
 // gracefully: it refuses new work, finishes running requests, delivers charges
 // and deregisters. It can be called once.
 func (s *Side) Serve(ctx context.Context, ln net.Listener) error {
-	defer s.desk.stop()
+	defer s.admission.stop()
 	srv, err := s.server()
 	if err != nil {
 		return err
@@ -231,7 +231,7 @@
 
 func (s *Side) tick(context.Context) {
 	now := time.Now()
-	s.carryOut(ask(s.desk, func(a *admitter.Admitter) []admitter.Action { return a.Tick(now) }))
+	s.carryOut(ask(s.admission, func(a *admitter.Admitter) []admitter.Action { return a.Tick(now) }))
 	s.gauge()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -293,7 +293,7 @@
 func (s *Side) load() *wirepb.Load {
 	var load admitter.Load
 	var leaving bool
-	s.desk.decide(func(a *admitter.Admitter) { load, leaving = a.Load(), a.Draining() })
+	s.admission.decide(func(a *admitter.Admitter) { load, leaving = a.Load(), a.Draining() })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := &wirepb.Load{
--- a/internal/executor/standin_test.go
+++ b/internal/executor/standin_test.go
@@ -273,7 +273,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer side.desk.stop()
+	defer side.admission.stop()
 	for i := range 20 {
 		srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 		side.cfg.Target.URL = srv.URL
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -24,9 +24,6 @@
 	sideMemberPrefix = "member/" + watcher.Side + "/"
 )
 
-// goneKeyPrefix has an object for each side that an operator confirmed to be gone.
-const goneKeyPrefix = "gone/"
-
 // errReplaced means that another process answers at the address of a side. It
 // does not know what the former one ran.
 var errReplaced = errors.New("side was replaced")
@@ -150,14 +147,14 @@
 
 // confirmedGone returns the sides that the operator confirmed to be gone.
 func (h *Holder) confirmedGone(ctx context.Context) []string {
-	items, err := h.platform.List(ctx, goneKeyPrefix)
+	items, err := h.platform.List(ctx, recoverer.GonePrefix)
 	if err != nil {
 		h.log.Warn().Err(err).Msg("confirmations of gone sides not read")
 		return nil
 	}
 	names := make([]string, 0, len(items))
 	for _, item := range items {
-		names = append(names, strings.TrimPrefix(item.Key, goneKeyPrefix))
+		names = append(names, strings.TrimPrefix(item.Key, recoverer.GonePrefix))
 	}
 	return names
 }
--- a/internal/operator/budget_release.go
+++ b/internal/operator/budget_release.go
@@ -8,13 +8,11 @@
 	"io"
 	"time"
 
+	"daisylane/internal/recoverer"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
 )
 
-// gonePrefix has an object for each side that an operator confirmed to be gone.
-const gonePrefix = "gone/"
-
 type budgetRelease struct {
 	env  *env
 	Args struct {
@@ -45,7 +43,7 @@
 		return fmt.Errorf("encode confirmation: %w", err)
 	}
 	// A confirmation that exists has the same effect.
-	_, err = p.Put(ctx, gonePrefix+c.Args.Side, body, 0)
+	_, err = p.Put(ctx, recoverer.GonePrefix+c.Args.Side, body, 0)
 	if err != nil && !errors.Is(err, storer.ErrConflict) {
 		return fmt.Errorf("confirm that %s is gone: %w, repeat the command", c.Args.Side, err)
 	}
--- a/internal/recoverer/types.go
+++ b/internal/recoverer/types.go
@@ -58,6 +58,10 @@
 	return f.Err()
 }
 
+// GonePrefix is the key prefix of the objects by which an operator confirms that a
+// side is gone.
+const GonePrefix = "gone/"
+
 // ClosureKey returns the key of an instance's closure object.
 func ClosureKey(instance string) string { return fmt.Sprintf("closed/%s", instance) }
 
