Retry a plain answer that broke off before its caller got any of it

Cause, found by reading: the router collects a plain answer and still ended with interrupted when a side broke off in the middle, although the caller had nothing yet and the request may be repeated. Such an attempt counts as unknown now, which the retry budgets allow to repeat for repeatable requests. Streams are not affected. TestBufferedAnswerIsRetried fails without the change.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -34,20 +34,21 @@
 
 // attempt is one try of a job at one side.
 type attempt struct {
-	r       *Router
-	req     request
-	choice  Choice
-	answer  *assembler.Answer
-	offset  uint64 // at the last resumption
-	out     sink
-	sent    bool   // whether the side may have got the request
-	heard   bool   // whether the side answered the request with any frame
-	resumed bool   // whether the last frame sent was a resumption
-	again   bool   // whether the request was sent a second time
-	peer    string // instance that the last stream reached
-	load    *wirepb.Load
-	end     *wirepb.End
-	refused *connector.RefusedError
+	r        *Router
+	req      request
+	choice   Choice
+	answer   *assembler.Answer
+	offset   uint64 // at the last resumption
+	out      sink
+	buffered bool   // the caller gets the answer only if it is whole
+	sent     bool   // whether the side may have got the request
+	heard    bool   // whether the side answered the request with any frame
+	resumed  bool   // whether the last frame sent was a resumption
+	again    bool   // whether the request was sent a second time
+	peer     string // instance that the last stream reached
+	load     *wirepb.Load
+	end      *wirepb.End
+	refused  *connector.RefusedError
 }
 
 // start runs the attempt to its end and returns its outcome. The error gives
@@ -115,7 +116,7 @@
 		return Unreachable
 	case errors.Is(err, errSink) || errors.Is(ctx.Err(), context.Canceled):
 		return Canceled
-	case a.answer.Offset() > 0:
+	case a.answer.Offset() > 0 && !a.buffered:
 		return Interrupted
 	default:
 		return Unknown
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -28,7 +28,10 @@
 			break
 		}
 		r.record(req.id, "choose", choice.Name, choice.Reason, explainer.Name("scope", choice.Scope), explainer.Int("attempt", int64(n)))
-		a := &attempt{r: r, req: req, choice: choice, answer: assembler.NewAnswer(req.id), out: out}
+		a := &attempt{r: r, req: req, choice: choice, answer: assembler.NewAnswer(req.id), out: out, buffered: j.buffer != nil}
+		if a.buffered {
+			j.buffer.Reset()
+		}
 		var err error
 		m := j.message(req, reservation)
 		m.Bundle = r.version()
--- a/internal/router/chat_handler.go
+++ b/internal/router/chat_handler.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 
@@ -38,15 +39,12 @@
 }
 
 func (r *Router) plainChat(ctx context.Context, w http.ResponseWriter, req request, j job) *Error {
-	var answer []byte
-	res := r.run(ctx, req, j, func(data []byte) error {
-		answer = append(answer, data...)
-		return nil
-	})
+	j.buffer = &bytes.Buffer{}
+	res := r.run(ctx, req, j, j.collect)
 	if res.failure != nil {
 		return res.failure
 	}
-	writeAnswer(w, res.end.GetHeader(), int(res.end.GetStatus()), answer)
+	writeAnswer(w, res.end.GetHeader(), int(res.end.GetStatus()), j.buffer.Bytes())
 	return nil
 }
 
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -25,6 +26,13 @@
 	tokens     int64 // upper bound of the tokens to charge
 	output     int64 // maximum output tokens
 	prefix     []byte
+	buffer     *bytes.Buffer // answer that the caller gets only if it is whole, nil for a stream
+}
+
+// collect is the sink of a buffered answer.
+func (j job) collect(data []byte) error {
+	_, err := j.buffer.Write(data)
+	return err
 }
 
 // result is the final outcome of a job.
--- a/internal/router/run_test.go
+++ b/internal/router/run_test.go
@@ -1,12 +1,16 @@
 package router
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"daisylane/internal/bundler"
 	"daisylane/internal/connector"
 	"daisylane/internal/wirepb"
@@ -41,18 +45,49 @@
 
 func (b *testBudgets) Conclude(context.Context, string, *wirepb.Conclude, string) error { return nil }
 
-// testTargets knows one side.
-type testTargets struct{ addr string }
+// testTargets gives its sides in order and allows retries.
+type testTargets []string
 
 func (t testTargets) Begin(string) {}
+
 func (t testTargets) Choose(q Query) (Choice, bool) {
-	return Choice{Name: "side-1", Addr: t.addr}, len(q.Tried) == 0
+	n := len(q.Tried)
+	if n >= len(t) {
+		return Choice{}, false
+	}
+	return Choice{Name: fmt.Sprint("side-", n), Addr: t[n]}, true
 }
-func (t testTargets) Done(Choice, Report) Verdict { return Verdict{} }
 
-// startTestSide runs a side that refuses work of a closed holder and answers other
-// requests at once.
-func startTestSide(t *testing.T, closed string) string {
+func (t testTargets) Done(Choice, Report) Verdict { return Verdict{Retry: true} }
+
+func testRequest(t *testing.T) request {
+	t.Helper()
+	index, err := bundler.NewIndex(bundler.Bundle{
+		Regions: []string{"north"},
+		Budgets: []bundler.Budget{{Name: "budget"}},
+		Targets: []bundler.Target{{Name: "model", Kind: bundler.KindModel, Model: "m", Context: 100, Output: bundler.Output{Default: 1, Limit: 10}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return request{
+		id: "r1", index: index, deadline: time.Now().Add(10 * time.Second),
+		account: bundler.Account{Name: "acme", Budgets: []bundler.Payment{{Budget: "budget", Targets: []string{bundler.Any}}}},
+	}
+}
+
+func testRouter(t *testing.T, budgets Budgets, sides ...string) *Router {
+	t.Helper()
+	pool := connector.NewPool(func() *wirepb.Hello { return &wirepb.Hello{Protocol: connector.ProtocolVersion} })
+	t.Cleanup(func() { _ = pool.Close() })
+	return New(budgets, testTargets(sides), pool, func() *bundler.Index { return nil })
+}
+
+// runFunc is a side's handler of requests.
+type runFunc func(s *connector.Stream, f *wirepb.Frame, m *wirepb.Run) error
+
+// startTestSide runs a side with the given handler.
+func startTestSide(t *testing.T, run runFunc) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -63,10 +98,7 @@
 	}
 	srv := connector.NewServer(identity)
 	connector.On(srv, func(_ context.Context, s *connector.Stream, f *wirepb.Frame, m *wirepb.Run) error {
-		if m.GetReservation().GetHolder() == closed {
-			return s.Refuse(f, &connector.RefusedError{Reason: reasonClosed, Text: "the holder is closed"})
-		}
-		return s.Reply(f, &wirepb.End{Outcome: "whole", Sum: emptySum, Usage: &wirepb.Usage{Output: 3}})
+		return run(s, f, m)
 	})
 	connector.Answer(srv, func(context.Context, string, *wirepb.Billed) (*wirepb.Billed, error) {
 		return &wirepb.Billed{}, nil
@@ -80,8 +112,22 @@
 	return ln.Addr().String()
 }
 
-// emptySum is the xxhash of no bytes.
-const emptySum = 0xef46db3751d8e999
+// answer sends pieces of an answer and its end.
+func answer(s *connector.Stream, f *wirepb.Frame, outcome string, pieces ...string) error {
+	sum := xxhash.New()
+	for n, piece := range pieces {
+		_, _ = sum.WriteString(piece)
+		data, err := connector.Wrap(f.GetId(), &wirepb.Data{Bytes: []byte(piece)})
+		if err != nil {
+			return err
+		}
+		data.Seq = uint64(n + 1)
+		if err := s.Send(data); err != nil {
+			return err
+		}
+	}
+	return s.Reply(f, &wirepb.End{Outcome: outcome, Count: uint64(len(pieces)), Sum: sum.Sum64(), Usage: &wirepb.Usage{Output: 3}})
+}
 
 // Guards against a refusal of a request whose budget has the tokens, only because
 // the holder of its reservation died before the side got it.
@@ -99,22 +145,15 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			budgets := &testBudgets{holders: tt.holders}
-			pool := connector.NewPool(func() *wirepb.Hello { return &wirepb.Hello{Protocol: connector.ProtocolVersion} })
-			defer pool.Close()
-			index, err := bundler.NewIndex(bundler.Bundle{
-				Regions: []string{"north"},
-				Budgets: []bundler.Budget{{Name: "budget"}},
-				Targets: []bundler.Target{{Name: "model", Kind: bundler.KindModel, Model: "m", Context: 100, Output: bundler.Output{Default: 1, Limit: 10}}},
+			side := startTestSide(t, func(s *connector.Stream, f *wirepb.Frame, m *wirepb.Run) error {
+				if m.GetReservation().GetHolder() == "a" {
+					return s.Refuse(f, &connector.RefusedError{Reason: reasonClosed, Text: "the holder is closed"})
+				}
+				return answer(s, f, "whole")
 			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			r := New(budgets, testTargets{startTestSide(t, "a")}, pool, func() *bundler.Index { return index })
-			req := request{
-				id: "r1", index: index, deadline: time.Now().Add(10 * time.Second),
-				account: bundler.Account{Name: "acme", Budgets: []bundler.Payment{{Budget: "budget", Targets: []string{bundler.Any}}}},
-			}
-			res := r.run(t.Context(), req, job{target: "model", tokens: 10, repeatable: true}, func([]byte) error { return nil })
+			r := testRouter(t, budgets, side)
+			j := job{target: "model", tokens: 10, repeatable: true}
+			res := r.run(t.Context(), testRequest(t), j, func([]byte) error { return nil })
 			r.Wait()
 			if (res.failure == nil) != tt.ok {
 				t.Errorf("failure = %v, want ok %v", res.failure, tt.ok)
@@ -125,3 +164,45 @@
 		})
 	}
 }
+
+// Guards against an answer that is given up although its caller got nothing of it
+// yet, and against pieces of two attempts in one answer.
+func TestBufferedAnswerIsRetried(t *testing.T) {
+	broken := startTestSide(t, func(s *connector.Stream, f *wirepb.Frame, _ *wirepb.Run) error {
+		return answer(s, f, "interrupted", "first ")
+	})
+	whole := startTestSide(t, func(s *connector.Stream, f *wirepb.Frame, _ *wirepb.Run) error {
+		return answer(s, f, "whole", "second ", "answer")
+	})
+	tests := []struct {
+		name     string
+		buffered bool
+		want     string // answer, or type of the error
+	}{
+		{"plain", true, "second answer"},
+		{"stream", false, typeInterrupted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			budgets := &testBudgets{holders: []string{"b"}}
+			r := testRouter(t, budgets, broken, whole)
+			j := job{target: "model", tokens: 10, repeatable: true}
+			out := func([]byte) error { return nil }
+			if tt.buffered {
+				j.buffer = &bytes.Buffer{}
+				out = j.collect
+			}
+			res := r.run(t.Context(), testRequest(t), j, out)
+			r.Wait()
+			got := ""
+			if res.failure != nil {
+				got = res.failure.Type
+			} else {
+				got = j.buffer.String()
+			}
+			if got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -123,11 +124,9 @@
 // runCall runs the call at a target and records the outcome of a claimed call
 // before the caller gets it.
 func (r *Router) runCall(ctx context.Context, w http.ResponseWriter, req request, c call) *Error {
-	var answer []byte
-	res := r.run(ctx, req, c.job, func(data []byte) error {
-		answer = append(answer, data...)
-		return nil
-	})
+	c.job.buffer = &bytes.Buffer{}
+	res := r.run(ctx, req, c.job, c.job.collect)
+	answer := c.job.buffer.Bytes()
 	if c.claimed {
 		r.conclude(ctx, req, c, res, answer)
 	}
