Keep waiting calls of budgets and claims in one place

The lookup of a holder, the list of waiting calls and the redirects stood twice in the holder actor, with type switches over calls. A waitlist serves both, and calls know how to fail and repeat.

--- a/internal/holder/actions.go
+++ b/internal/holder/actions.go
@@ -84,11 +84,10 @@
 func (k *keeper) held(now time.Time, a budgeter.Held) {
 	k.h.log.Info().Int("shard", a.Shard).Uint64("term", a.Tenure.Term).Strs("former", a.Former).Msg("shard held")
 	k.h.scope.Gauge(reporter.HeldShards).Update(float64(len(k.budgets.Shards())))
-	delete(k.redirects, a.Shard)
 	for _, name := range a.Former {
 		k.takeOver(now, a.Shard, name)
 	}
-	k.resume(now, a.Shard)
+	k.resume(now, k.waiting, a.Shard)
 }
 
 // journalActions performs the actions of the journal.
@@ -130,8 +129,8 @@
 	k.h.log.Warn().Str("sealer", a.Sealer).Msg("journal sealed by a successor")
 	k.carryOut(time.Now(), k.budgets.Stop())
 	err := &connector.RefusedError{Reason: "stopping", Text: "the instance lost its shards", After: 250 * time.Millisecond}
-	for shard := range k.pending {
-		k.refusePending(shard, err)
+	for shard := range k.waiting.calls {
+		k.waiting.refuse(shard, err)
 	}
 	k.reclaim.state.Stop()
 	k.loseClaims()
--- a/internal/holder/claims.go
+++ b/internal/holder/claims.go
@@ -28,8 +28,7 @@
 type claims struct {
 	state     *claimer.Claimer
 	held      map[int]bool
-	pending   map[int][]any // calls that wait until the holder of a shard is known
-	redirects map[int]redirect
+	waiting   *waitlist
 	answers   map[string][]replyTo[*wirepb.Claimed] // by request id
 	concludes map[string][]replyTo[struct{}]
 	folding   map[int]bool
@@ -39,8 +38,7 @@
 	return &claims{
 		state:     claimer.New(instance),
 		held:      make(map[int]bool),
-		pending:   make(map[int][]any),
-		redirects: make(map[int]redirect),
+		waiting:   newWaitlist(),
 		answers:   make(map[string][]replyTo[*wirepb.Claimed]),
 		concludes: make(map[string][]replyTo[struct{}]),
 		folding:   make(map[int]bool),
@@ -48,7 +46,7 @@
 }
 
 func (k *keeper) claim(now time.Time, m claim) {
-	if !k.holdsClaims(now, m.req.Shard, m, m.reply.fail) {
+	if !k.holdsClaims(now, m.req.Shard, m) {
 		return
 	}
 	if _, known := k.claims.state.Get(m.req.Account, m.req.Service, m.req.Key); !known && !k.up {
@@ -63,80 +61,41 @@
 }
 
 func (k *keeper) conclude(now time.Time, m conclude) {
-	if !k.holdsClaims(now, m.shard, m, m.reply.fail) {
+	if !k.holdsClaims(now, m.shard, m) {
 		return
 	}
 	k.claims.concludes[m.outcome.ID] = append(k.claims.concludes[m.outcome.ID], m.reply)
 	k.claimActions(now, k.claims.state.Conclude(now, m.outcome))
 }
 
-// holdsClaims reports whether this instance keeps the claims of a shard.
-// Otherwise the call is kept until the claims are taken, or refused with the name
-// of their holder.
-func (k *keeper) holdsClaims(now time.Time, shard int, call any, fail func(error)) bool {
-	c := k.claims
-	if c.held[shard] {
+// holdsClaims reports whether this instance keeps the claims of a shard. Otherwise
+// the call waits until they are taken or it is known who does.
+func (k *keeper) holdsClaims(now time.Time, shard int, c call) bool {
+	if k.claims.held[shard] {
 		return true
 	}
-	if k.stopping != nil || k.journal.Stopped() {
-		fail(errStopping)
-		return false
-	}
-	if r, ok := c.redirects[shard]; ok && now.Sub(r.at) < redirectTime && !k.h.members.Suspected(r.holder.Name) {
-		fail(notHolder(r.holder.Name, r.holder.Addr))
-		return false
-	}
-	first := len(c.pending[shard]) == 0
-	c.pending[shard] = append(c.pending[shard], call)
-	if first {
-		k.h.effect(func(ctx context.Context) any { return k.h.takeClaims(ctx, shard) })
-	}
+	k.await(now, k.claims.waiting, shard, c, func(ctx context.Context) any { return k.h.takeClaims(ctx, shard) })
 	return false
 }
 
 func (k *keeper) claimsRead(now time.Time, m claimsRead) {
 	c := k.claims
-	calls := c.pending[m.shard]
-	delete(c.pending, m.shard)
 	switch {
 	case m.err != nil:
 		k.platform(now, m.err)
 		k.h.log.Warn().Int("shard", m.shard).Err(m.err).Msg("claims not taken")
-		failCalls(calls, &connector.RefusedError{
+		c.waiting.refuse(m.shard, &connector.RefusedError{
 			Reason: "platform", Text: "the claim cannot be made durable, the platform is not reachable", After: 5 * time.Second,
 		})
 	case m.holder.Name != "":
-		c.redirects[m.shard] = redirect{m.holder, now}
-		failCalls(calls, notHolder(m.holder.Name, m.holder.Addr))
+		c.waiting.redirect(now, m.shard, m.holder)
 	case k.stopping != nil || k.journal.Stopped():
-		failCalls(calls, errStopping)
+		c.waiting.refuse(m.shard, errStopping)
 	default:
 		k.h.log.Info().Int("shard", m.shard).Int("claims", len(m.object.Claims)).Msg("claims held")
 		c.held[m.shard] = true
 		c.state.Load(m.object)
-		for _, call := range calls {
-			k.repeatClaim(now, call)
-		}
-	}
-}
-
-func (k *keeper) repeatClaim(now time.Time, call any) {
-	switch m := call.(type) {
-	case claim:
-		k.claim(now, m)
-	case conclude:
-		k.conclude(now, m)
-	}
-}
-
-func failCalls(calls []any, err error) {
-	for _, call := range calls {
-		switch m := call.(type) {
-		case claim:
-			m.reply.fail(err)
-		case conclude:
-			m.reply.fail(err)
-		}
+		k.resume(now, c.waiting, m.shard)
 	}
 }
 
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -11,12 +11,9 @@
 	"daisylane/internal/connector"
 	"daisylane/internal/journaler"
 	"daisylane/internal/storer"
-	"daisylane/internal/watcher"
 )
 
 const (
-	// redirectTime is how long the answer to a lookup of a holder is reused.
-	redirectTime = 500 * time.Millisecond
 	// checkInterval is how often grants of other instances are checked.
 	checkInterval = 3 * time.Second
 	// maxReservations bounds the request ids that are kept to answer repeated calls.
@@ -35,8 +32,7 @@
 	gives     map[budgeter.Token]replyTo[int64]
 	granted   map[string]budgeter.Reservation // open reservations by request id
 	owners    map[reservationKey]string       // request id of an open reservation
-	pending   map[int][]any                   // calls that wait until the holder of a shard is known
-	redirects map[int]redirect
+	waiting   *waitlist
 	expected  map[int]string // dead holder that a pending hold replaces
 	conflicts map[int]int    // tries of the pending update
 	takeovers map[takeoverKey]*takeover
@@ -58,11 +54,6 @@
 
 func keyOf(r budgeter.Reservation) reservationKey { return reservationKey{r.Holder, r.Shard, r.Number} }
 
-type redirect struct {
-	holder watcher.Member
-	at     time.Time
-}
-
 func newKeeper(h *Holder) *keeper {
 	return &keeper{
 		h: h,
@@ -75,8 +66,7 @@
 		gives:     make(map[budgeter.Token]replyTo[int64]),
 		granted:   make(map[string]budgeter.Reservation),
 		owners:    make(map[reservationKey]string),
-		pending:   make(map[int][]any),
-		redirects: make(map[int]redirect),
+		waiting:   newWaitlist(),
 		expected:  make(map[int]string),
 		conflicts: make(map[int]int),
 		takeovers: make(map[takeoverKey]*takeover),
@@ -145,7 +135,7 @@
 		m.reply.send(r, nil)
 		return
 	}
-	if !k.holds(now, m.req.Shard, m, m.reply.fail) {
+	if !k.holds(now, m.req.Shard, m) {
 		return
 	}
 	token := k.nextToken()
@@ -160,7 +150,7 @@
 
 func (k *keeper) settle(now time.Time, m settle) {
 	r := m.charge.Reservation
-	if r.Holder != k.h.cfg.Instance && !k.holds(now, r.Shard, m, m.reply.fail) {
+	if r.Holder != k.h.cfg.Instance && !k.holds(now, r.Shard, m) {
 		return
 	}
 	k.forget(r)
@@ -190,65 +180,25 @@
 	k.carryOut(now, k.budgets.Return(now, token, int(m.m.GetShard()), m.m.GetBudget(), m.m.GetTokens()))
 }
 
-// holds reports whether this instance holds a shard. Otherwise it finds out who
-// does: the call is kept, or refused with the name of the holder.
-func (k *keeper) holds(now time.Time, shard int, call any, fail func(error)) bool {
+// holds reports whether this instance holds a shard. Otherwise the call waits until
+// it is known who does.
+func (k *keeper) holds(now time.Time, shard int, c call) bool {
 	if k.budgets.Holds(shard) {
 		return true
 	}
-	if k.stopping != nil || k.journal.Stopped() {
-		fail(errStopping)
-		return false
-	}
-	if r, ok := k.redirects[shard]; ok && now.Sub(r.at) < redirectTime && !k.h.members.Suspected(r.holder.Name) {
-		fail(notHolder(r.holder.Name, r.holder.Addr))
-		return false
-	}
-	first := len(k.pending[shard]) == 0
-	k.pending[shard] = append(k.pending[shard], call)
-	if first {
-		k.h.effect(func(ctx context.Context) any { return k.h.readTenure(ctx, shard) })
-	}
+	k.await(now, k.waiting, shard, c, func(ctx context.Context) any { return k.h.readTenure(ctx, shard) })
 	return false
 }
 
-// resume repeats the calls that waited for the holder of a shard.
-func (k *keeper) resume(now time.Time, shard int) {
-	calls := k.pending[shard]
-	delete(k.pending, shard)
-	for _, call := range calls {
-		switch m := call.(type) {
-		case reserve:
-			k.reserve(now, m)
-		case settle:
-			k.settle(now, m)
-		}
-	}
-}
-
-func (k *keeper) refusePending(shard int, err error) {
-	calls := k.pending[shard]
-	delete(k.pending, shard)
-	for _, call := range calls {
-		switch m := call.(type) {
-		case reserve:
-			m.reply.fail(err)
-		case settle:
-			m.reply.fail(err)
-		}
-	}
-}
-
 func (k *keeper) tenureRead(now time.Time, m tenureRead) {
 	switch {
 	case m.err != nil:
 		k.platform(now, m.err)
-		k.refusePending(m.shard, &connector.RefusedError{
+		k.waiting.refuse(m.shard, &connector.RefusedError{
 			Reason: string(budgeter.ReasonPlatform), Text: "the holder of the budget cannot be found, the platform is not reachable", After: 5 * time.Second,
 		})
 	case m.holder.Name != "":
-		k.redirects[m.shard] = redirect{m.holder, now}
-		k.refusePending(m.shard, notHolder(m.holder.Name, m.holder.Addr))
+		k.waiting.redirect(now, m.shard, m.holder)
 	default:
 		k.expected[m.shard] = m.former
 		k.carryOut(now, k.budgets.Hold(m.shard))
--- a/internal/holder/platform.go
+++ b/internal/holder/platform.go
@@ -116,7 +116,7 @@
 	if !k.budgets.Holds(m.shard) && k.stopping == nil && k.taken(object) {
 		k.carryOut(now, k.budgets.Abandon(m.shard))
 		holder, _ := k.h.members.Get(object.Holders[k.h.cfg.Region].Instance)
-		k.refusePending(m.shard, notHolder(holder.Name, holder.Addr))
+		k.waiting.refuse(m.shard, notHolder(holder.Name, holder.Addr))
 		return
 	}
 	next, changed := k.budgets.Propose(now, m.shard, object)
@@ -166,7 +166,7 @@
 	k.carryOut(now, k.budgets.Failed(now, shard))
 	if !k.budgets.Holds(shard) && k.stopping == nil {
 		k.carryOut(now, k.budgets.Abandon(shard))
-		k.refusePending(shard, &connector.RefusedError{
+		k.waiting.refuse(shard, &connector.RefusedError{
 			Reason: "platform", Text: "the budget's shard cannot be taken, the platform is not reachable", After: 5 * time.Second,
 		})
 	}
