--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 
 	"daisylane/internal/connector"
+	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
 
@@ -21,18 +23,9 @@
 func newExplain(env *env) any { return &explain{env: env} }
 
 // Execute implements [flags.Commander].
-func (c *explain) Execute([]string) error {
-	p, pool, err := c.env.connect()
-	if err != nil {
-		return err
-	}
-	defer pool.Close()
-	ctx, cancel := c.env.context()
-	defer cancel()
-	list, err := members(ctx, p)
-	if err != nil {
-		return err
-	}
+func (c *explain) Execute([]string) error { return c.env.reach(c.run) }
+
+func (c *explain) run(ctx context.Context, pool *connector.Pool, list []watcher.Member) error {
 	var known []answer
 	unreachable := 0
 	for _, a := range askAll[*wirepb.Records](ctx, pool, list, c.Args.Request, &wirepb.Explain{Request: c.Args.Request}) {
--- a/internal/operator/processes.go
+++ b/internal/operator/processes.go
@@ -89,6 +89,22 @@
 }
 
 // connect returns what is needed to reach the processes.
+// reach calls f with the registered processes and a pool to talk to them.
+func (e *env) reach(f func(ctx context.Context, pool *connector.Pool, list []watcher.Member) error) error {
+	p, pool, err := e.connect()
+	if err != nil {
+		return err
+	}
+	defer pool.Close()
+	ctx, cancel := e.context()
+	defer cancel()
+	list, err := members(ctx, p)
+	if err != nil {
+		return err
+	}
+	return f(ctx, pool, list)
+}
+
 func (e *env) connect() (platform, *connector.Pool, error) {
 	p, cfg, err := e.platform()
 	if err != nil {
--- a/internal/operator/target_drain.go
+++ b/internal/operator/target_drain.go
@@ -21,18 +21,9 @@
 func newTargetDrain(env *env) any { return &targetDrain{env: env} }
 
 // Execute implements [flags.Commander].
-func (c *targetDrain) Execute([]string) error {
-	p, pool, err := c.env.connect()
-	if err != nil {
-		return err
-	}
-	defer pool.Close()
-	ctx, cancel := c.env.context()
-	defer cancel()
-	list, err := members(ctx, p)
-	if err != nil {
-		return err
-	}
+func (c *targetDrain) Execute([]string) error { return c.env.reach(c.run) }
+
+func (c *targetDrain) run(ctx context.Context, pool *connector.Pool, list []watcher.Member) error {
 	var done []string
 	for _, m := range list {
 		if m.Role != watcher.Side || m.Target != c.Args.Target && m.Name != c.Args.Target {
