--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"daisylane/internal/admitter"
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
 	"daisylane/internal/explainer"
@@ -222,7 +223,7 @@
 
 // reasonDuplicate is the refusal of a side that knows the request already, so
 // that an earlier message may have started it.
-const reasonDuplicate = "duplicate"
+const reasonDuplicate = string(admitter.Duplicate)
 
 // sessionReasons are refusals by the session layer. As the answer to a
 // resumption they say nothing about the request.
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
 	"daisylane/internal/explainer"
 	"daisylane/internal/reporter"
@@ -59,7 +60,7 @@
 
 // reasonClosed is the refusal of a side that knows the reservation's holder to be
 // dead.
-const reasonClosed = "closed"
+const reasonClosed = string(admitter.Closed)
 
 // run runs a job. If the holder of its reservation died meanwhile, so that no side
 // takes the job, it runs once more under a reservation of the successor.
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -12,24 +12,24 @@
 	"github.com/pkg/errors"
 
 	"daisylane/internal/bundler"
+	"daisylane/internal/claimer"
 	"daisylane/internal/connector"
 	"daisylane/internal/explainer"
 	"daisylane/internal/wirepb"
 )
 
-// States of a claim, see package claimer.
+// States of a claim as they are in messages.
 const (
-	claimNew      = "new"
-	claimRunning  = "running"
-	claimDone     = "done"
-	claimNotRun   = "notrun"
-	claimUnknown  = "unknown"
-	claimMismatch = "mismatch"
+	claimNew      = string(claimer.Granted)
+	claimRunning  = string(claimer.Running)
+	claimDone     = string(claimer.Done)
+	claimNotRun   = string(claimer.NotRun)
+	claimUnknown  = string(claimer.Unknown)
+	claimMismatch = string(claimer.Mismatch)
 )
 
-// finalReasons are refusals of an outcome that sending it again cannot change,
-// see package claimer.
-var finalReasons = []string{"owner", "outdated", "absent", "body"}
+// finalReasons are refusals of an outcome that sending it again cannot change.
+var finalReasons = []string{claimer.Owner, claimer.Outdated, claimer.Absent, claimer.Invalid}
 
 // concludeTimeout bounds the attempts to record the outcome of a claimed call.
 const concludeTimeout = 30 * time.Second
