--- a/internal/budgeter/policy_test.go
+++ b/internal/budgeter/policy_test.go
@@ -315,14 +315,18 @@
 	{"nearly empty", func(s scenario) float64 { return s.length.Seconds() * meanRate * meanActual * 0.75 }},
 }
 
+// heldOut is the first of the seeds that were not used to choose the constants of
+// the policy.
+const heldOut = 1000
+
 // runs adds up the runs of several seeds; amounts and times are the largest.
-func (s scenario) runs(l level, seeds int, ahead float64) (sum result) {
+func (s scenario) runs(l level, first uint64, seeds int, ahead float64) (sum result) {
 	list := make([]result, seeds)
 	var wg sync.WaitGroup
 	for seed := range list {
 		wg.Go(func() {
 			topped := int64(l.topUp(s) + s.warm.Seconds()*meanRate*meanActual)
-			list[seed] = s.run(trace(uint64(seed), s.warm+s.length, s.period), topped, ahead)
+			list[seed] = s.run(trace(first+uint64(seed), s.warm+s.length, s.period), topped, ahead)
 		})
 	}
 	wg.Wait()
@@ -345,6 +349,12 @@
 
 // Guards against overspend and false refusals beyond the targets of the design.
 func TestTargets(t *testing.T) {
+	for _, first := range []uint64{0, heldOut} {
+		t.Run(fmt.Sprint("seed ", first), func(t *testing.T) { testTargets(t, first) })
+	}
+}
+
+func testTargets(t *testing.T, first uint64) {
 	for _, s := range scenarios() {
 		for i, l := range levels {
 			nearlyEmpty := i == len(levels)-1
@@ -355,7 +365,7 @@
 			if nearlyEmpty {
 				seeds = 16
 			}
-			r := s.runs(l, seeds, 1)
+			r := s.runs(l, first, seeds, 1)
 			t.Logf("%s, %s: %+v", s.name, l.name, r)
 			if r.overspend != 0 {
 				t.Errorf("%s, %s: overspends by %d", s.name, l.name, r.overspend)
@@ -406,7 +416,7 @@
 		for _, l := range levels {
 			b.Run(s.name+"/"+l.name, func(b *testing.B) {
 				for b.Loop() {
-					s.runs(l, 16, 1).report(b)
+					s.runs(l, 0, 16, 1).report(b)
 				}
 			})
 		}
@@ -423,13 +433,13 @@
 					for _, s := range scenarios() {
 						switch s.name {
 						case "outage":
-							r := s.runs(l, 4, ahead)
+							r := s.runs(l, 0, 4, ahead)
 							b.ReportMetric(float64(r.falsely)*1000/float64(r.requests), "outage-false/1000")
 						case "cut off, shift per hour":
-							r := s.runs(l, 4, ahead)
+							r := s.runs(l, 0, 4, ahead)
 							b.ReportMetric(float64(r.falsely)*1000/float64(r.requests), "hour-false/1000")
 						case "crash":
-							r := s.runs(l, 4, ahead)
+							r := s.runs(l, 0, 4, ahead)
 							b.ReportMetric(float64(r.withheld), "withheld")
 							b.ReportMetric(r.withheldFor.Seconds(), "withheld-s")
 						}
