--- a/internal/holder/actions.go
+++ b/internal/holder/actions.go
@@ -18,6 +18,7 @@
 		case budgeter.Refused:
 			k.refuse(a)
 		case budgeter.Settled:
+			k.countCharge(a)
 			if reply, ok := k.settles[a.Token]; ok {
 				delete(k.settles, a.Token)
 				reply.send(a.Duplicate, nil)
@@ -39,6 +40,7 @@
 		case budgeter.Ask:
 			k.askRegions(a)
 		case budgeter.Folded:
+			k.h.scope.Counter(reporter.Folds).Inc(1)
 			k.journalActions(now, k.journal.Folded(a.Shard, a.Seq))
 		case budgeter.Held:
 			k.held(now, a)
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -227,6 +227,7 @@
 	if now.Sub(k.checkedAt) >= checkInterval {
 		k.checkedAt = now
 		k.checkGrants()
+		k.reportAmounts()
 	}
 	if now.Sub(k.foldedAt) >= k.h.cfg.Fold || k.journal.Crowded() && now.Sub(k.foldedAt) >= time.Second {
 		k.foldedAt = now
--- a/internal/holder/messages.go
+++ b/internal/holder/messages.go
@@ -47,6 +47,7 @@
 	// slotWritten is the result of a journal write.
 	slotWritten struct {
 		write   journaler.Write
+		took    time.Duration
 		version uint64
 		err     error
 	}
--- a/internal/holder/platform.go
+++ b/internal/holder/platform.go
@@ -13,6 +13,7 @@
 	"daisylane/internal/connector"
 	"daisylane/internal/journaler"
 	"daisylane/internal/placer"
+	"daisylane/internal/reporter"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
@@ -30,8 +31,9 @@
 
 func (k *keeper) writeSlot(w journaler.Write) {
 	k.h.effect(func(ctx context.Context) any {
+		began := time.Now()
 		version, err := k.h.platform.Put(ctx, w.Key, w.Body, w.Version)
-		return slotWritten{w, version, err}
+		return slotWritten{w, time.Since(began), version, err}
 	})
 }
 
@@ -39,6 +41,8 @@
 	k.platform(now, m.err)
 	switch {
 	case m.err == nil:
+		k.h.scope.Counter(reporter.JournalRecords).Inc(1)
+		k.h.scope.Histogram(reporter.JournalSeconds, reporter.SecondsBuckets).RecordDuration(m.took)
 		k.journalActions(now, k.journal.Written(now, m.version))
 	case errors.Is(m.err, storer.ErrConflict):
 		k.journalActions(now, k.journal.Conflict())
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -186,6 +186,7 @@
 			k.h.log.Info().Str("instance", a.Instance).Int("shard", t.key.shard).
 				Dur("took", now.Sub(t.started)).Msg("shard recovered")
 			k.h.scope.Tagged(map[string]string{"result": "released"}).Counter(reporter.Recoveries).Inc(1)
+			k.h.scope.Histogram(reporter.RecoverySeconds, reporter.SecondsBuckets).RecordDuration(now.Sub(t.started))
 			delete(k.takeovers, t.key)
 		}
 	}
--- a/internal/launcher/bundles.go
+++ b/internal/launcher/bundles.go
@@ -33,6 +33,7 @@
 func (p *process) adopted(head bundler.Head, x *bundler.Index) {
 	p.log.Info().Uint64("version", head.Version).Str("author", head.Author).Dur("delay", time.Since(head.Time)).Msg("bundle in force")
 	p.metrics.Scope().Gauge(reporter.BundleVersion).Update(float64(head.Version))
+	p.metrics.Scope().Histogram(reporter.BundleDelaySeconds, reporter.SecondsBuckets).RecordDuration(time.Since(head.Time))
 	p.gate.adopt(x.Accounts())
 }
 
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -42,4 +43,22 @@
 		t.Errorf("%d bookings, want 1", n)
 	}
 	f.eventually("both requests are billed", func() bool { return f.object().Budgets[testBudget].Settled > 0 })
+
+	// Metrics that are used with other tags than declared are dropped.
+	f.logs.mu.Lock()
+	dropped := strings.Contains(f.logs.buf.String(), "metric dropped")
+	f.logs.mu.Unlock()
+	if dropped {
+		t.Error("a metric was dropped, see the log")
+	}
+	f.eventually("metrics are served", func() bool {
+		res, err := http.Get(a.url + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		page, err := io.ReadAll(res.Body)
+		return err == nil && strings.Contains(string(page), "daisylane_first_token_seconds") &&
+			strings.Contains(string(page), "daisylane_platform_calls_total")
+	})
 }
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -146,7 +146,8 @@
 }
 
 func (p *process) connect(context.Context, io.Writer) error {
-	p.platform = storer.New(p.cfg.Platform, storer.WithName(p.cfg.Name))
+	p.platform = storer.New(p.cfg.Platform, storer.WithName(p.cfg.Name),
+		storer.WithObserver(func(t http.RoundTripper) http.RoundTripper { return reporter.Transport(p.metrics.Scope(), t) }))
 	p.members = locator.New(p.platform, p.self(), locator.WithLogger(p.log))
 	for _, peer := range p.cfg.Peers {
 		p.members.Add(watcher.Member{Name: peer.Name, Role: watcher.Entry, Centre: peer.Centre, Region: peer.Region, Addr: peer.Addr})
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -11,13 +11,11 @@
 	Refusals           = "refusals_total"
 	Retries            = "retries_total"
 	Resumes            = "resumes_total"
-	OpenBreakers       = "open_breakers"
 	Reservations       = "reservations_total"
 	OpenReserved       = "open_reserved_tokens"
 	Marked             = "marked_tokens"
 	Allotted           = "allotted_tokens"
 	Withheld           = "withheld_tokens"
-	Overspent          = "overspent_tokens"
 	Charges            = "charges_total"
 	UnbilledCharges    = "unbilled_charges"
 	HeldShards         = "held_shards"
@@ -29,10 +27,8 @@
 	Claims             = "claims_total"
 	PlatformCalls      = "platform_calls_total"
 	PlatformSeconds    = "platform_call_seconds"
-	PeerBytes          = "peer_bytes_total"
 	BundleVersion      = "bundle_version"
 	BundleDelaySeconds = "bundle_delay_seconds"
-	LiveTargets        = "live_targets"
 	Orders             = "orders_total"
 	Drains             = "drains_total"
 )
@@ -67,13 +63,11 @@
 	{Refusals, Counter, "refusals", []string{"reason"}, "Requests refused as not run, by reason."},
 	{Retries, Counter, "retries", []string{"reason"}, "Attempts after the first."},
 	{Resumes, Counter, "resumes", nil, "Streams continued over a new connection."},
-	{OpenBreakers, Gauge, "breakers", nil, "Targets that an open circuit breaker excludes."},
 	{Reservations, Counter, "reservations", []string{"result"}, "Reservations asked of the holder."},
 	{OpenReserved, Gauge, "tokens", nil, "Tokens in open reservations."},
 	{Marked, Gauge, "tokens", nil, "Tokens marked and not yet charged."},
 	{Allotted, Gauge, "tokens", nil, "Tokens allotted and not yet folded."},
 	{Withheld, Gauge, "tokens", nil, "Tokens withheld after the crash of a holder."},
-	{Overspent, Gauge, "tokens", nil, "Tokens charged over the budget. Always 0 in a correct fleet."},
 	{Charges, Counter, "charges", []string{"result"}, "Charges received, as durable or duplicate."},
 	{UnbilledCharges, Gauge, "charges", nil, "Charges that the holder has not confirmed."},
 	{HeldShards, Gauge, "shards", nil, "Budget shards that this process holds."},
@@ -85,10 +79,8 @@
 	{Claims, Counter, "claims", []string{"state"}, "Claims of non-idempotent calls, by state."},
 	{PlatformCalls, Counter, "calls", []string{"kind", "result"}, "Calls to the platform, by read, write and watch."},
 	{PlatformSeconds, Histogram, "seconds", []string{"kind"}, "Time of a call to the platform."},
-	{PeerBytes, Counter, "bytes", []string{"scope", "direction"}, "Control traffic with processes in the centre, region or elsewhere."},
 	{BundleVersion, Gauge, "version", nil, "Bundle version in force."},
 	{BundleDelaySeconds, Histogram, "seconds", nil, "Time from acceptance of a bundle until it is in force here."},
-	{LiveTargets, Gauge, "targets", []string{"model"}, "Targets that can get work."},
 	{Orders, Counter, "orders", []string{"result"}, "Orders to engines."},
 	{Drains, Counter, "drains", nil, "Drains begun."},
 }
--- a/internal/router/chat_handler.go
+++ b/internal/router/chat_handler.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"net/http"
+	"time"
 
 	"daisylane/internal/bundler"
+	"daisylane/internal/reporter"
 )
 
 // prefixBytes is how much of the prompt decides which target is likely to have
@@ -50,7 +52,7 @@
 
 func (r *Router) streamChat(ctx context.Context, w http.ResponseWriter, req request, j job, chat chatRequest) *Error {
 	events := newEventWriter(w, chat.wantsUsage())
-	res := r.run(ctx, req, j, events.data)
+	res := r.run(ctx, req, j, r.timed(j.model, events.data))
 	if res.failure == nil {
 		_ = events.done()
 		return nil
@@ -63,6 +65,24 @@
 	return nil
 }
 
+// timed reports the time to the first event of a stream and between events.
+func (r *Router) timed(model string, out sink) sink {
+	scope := r.scope.Tagged(map[string]string{"model": model})
+	first := scope.Histogram(reporter.FirstTokenSeconds, reporter.SecondsBuckets)
+	gap := scope.Histogram(reporter.TokenGapSeconds, reporter.SecondsBuckets)
+	last, started := time.Now(), false
+	return func(data []byte) error {
+		now := time.Now()
+		if started {
+			gap.RecordDuration(now.Sub(last))
+		} else {
+			first.RecordDuration(now.Sub(last))
+		}
+		last, started = now, true
+		return out(data)
+	}
+}
+
 // findModel returns the first target with the model that the account may use.
 func findModel(req request, name string) (bundler.Target, *Error) {
 	targets := req.index.Model(name)
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -43,6 +43,11 @@
 	return func(c *Client) { c.http.Transport = t }
 }
 
+// WithObserver wraps the HTTP transport, for example to count calls.
+func WithObserver(wrap func(http.RoundTripper) http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = wrap(c.http.Transport) }
+}
+
 // New returns a client of the platform at url, for example "http://10.0.0.1:8000".
 func New(url string, opts ...Option) *Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
