Use one check of addresses and URLs, one prefix and one operator role

The entry and the side had the same checks of addresses and URLs; package checker has them now. The prefix of the registrations stood in four packages and the operator's role in three; watcher and credentialer define them. The option WithGreeting of session pools had no user and is removed.

--- /dev/null
+++ b/internal/checker/address.go
@@ -0,0 +1,19 @@
+package checker
+
+import (
+	"net"
+	"net/url"
+)
+
+// Address records a fault unless addr has a host and a port.
+func Address(f *Faults, key, addr string) {
+	_, _, err := net.SplitHostPort(addr)
+	f.Require(err == nil, key, "is %q, want host:port", addr)
+}
+
+// URL records a fault unless text is an http or https URL with a host.
+func URL(f *Faults, key, text string) {
+	u, err := url.Parse(text)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	f.Require(ok, key, "is %q, want a URL like \"http://127.0.0.1:8000\"", text)
+}
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -36,7 +36,6 @@
 	identity Identity
 	tls      func() *tls.Config
 	dialed   func(addr string, err error)
-	greeted  func(addr string, m *wirepb.Hello)
 
 	dials    singleflight.Group
 	mu       sync.Mutex
@@ -67,17 +66,11 @@
 	return func(p *Pool) { p.dialed = f }
 }
 
-// WithGreeting reports the Hello message of each peer that was dialed.
-func WithGreeting(f func(addr string, m *wirepb.Hello)) PoolOption {
-	return func(p *Pool) { p.greeted = f }
-}
-
 // NewPool returns an empty pool.
 func NewPool(identity Identity, opts ...PoolOption) *Pool {
 	p := &Pool{
 		identity: identity,
 		dialed:   func(string, error) {},
-		greeted:  func(string, *wirepb.Hello) {},
 		sessions: make(map[string]*session),
 	}
 	for _, opt := range opts {
@@ -240,7 +233,6 @@
 		}
 		return nil, fmt.Errorf("%w: handshake: %w", ErrDial, err)
 	}
-	p.greeted(addr, peer)
 	return &session{addr: addr, mux: mux, peer: peer}, nil
 }
 
--- a/internal/credentialer/credentialer.go
+++ b/internal/credentialer/credentialer.go
@@ -35,6 +35,10 @@
 	"daisylane/internal/checker"
 )
 
+// Operator is the role in an operator's certificate. Processes have the roles of
+// their registrations.
+const Operator = "operator"
+
 // Errors of the verification of a peer.
 var (
 	ErrNoCertificate = errors.New("peer has no certificate")
--- a/internal/executor/settings.go
+++ b/internal/executor/settings.go
@@ -1,8 +1,6 @@
 package executor
 
 import (
-	"net"
-	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -86,14 +84,14 @@
 // Check validates the settings.
 func (s Settings) Check() error {
 	var f checker.Faults
-	checkAddress(&f, "listen", s.Listen)
+	checker.Address(&f, "listen", s.Listen)
 	if s.Advertise != "" {
-		checkAddress(&f, "advertise", s.Advertise)
+		checker.Address(&f, "advertise", s.Advertise)
 	}
 	if s.HTTP != "" {
-		checkAddress(&f, "http", s.HTTP)
+		checker.Address(&f, "http", s.HTTP)
 	}
-	checkURL(&f, "platform", s.Platform)
+	checker.URL(&f, "platform", s.Platform)
 	f.Require(s.Name != "", "name", "is empty, set the name of this instance")
 	f.Require(s.Centre != "", "centre", "is empty, set the data centre of this instance")
 	f.Require(s.Region != "", "region", "is empty, set the region of this instance")
@@ -110,7 +108,7 @@
 // Check validates the target.
 func (t Target) Check() error {
 	var f checker.Faults
-	checkURL(&f, "url", t.URL)
+	checker.URL(&f, "url", t.URL)
 	f.Require(t.Name != "", "name", "is empty, set the name that the bundle uses")
 	f.Require(t.Kind == Model || t.Kind == Service, "kind", "is %q, allowed is %q or %q", t.Kind, Model, Service)
 	f.Require(t.Kind != Model || t.Model != "", "model", "is empty, a target of kind %q needs a model", Model)
@@ -128,14 +126,3 @@
 	checker.Range(&f, "settle", l.Settle.Std(), time.Second, time.Minute)
 	return f.Err()
 }
-
-func checkAddress(f *checker.Faults, key, addr string) {
-	_, _, err := net.SplitHostPort(addr)
-	f.Require(err == nil, key, "is %q, want host:port", addr)
-}
-
-func checkURL(f *checker.Faults, key, text string) {
-	u, err := url.Parse(text)
-	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-	f.Require(ok, key, "is %q, want a URL like \"http://127.0.0.1:8000\"", text)
-}
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -23,9 +23,6 @@
 	"daisylane/internal/wirepb"
 )
 
-// roleOperator is the organizational unit in an operator's certificate.
-const roleOperator = "operator"
-
 const (
 	progressInterval = time.Second
 	tickInterval     = 100 * time.Millisecond
@@ -209,7 +206,7 @@
 		return nil, fmt.Errorf("load TLS files: %w", err)
 	}
 	if credentials != nil {
-		opts = append(opts, connector.WithServerTLS(credentials.Server(watcher.Entry, roleOperator)))
+		opts = append(opts, connector.WithServerTLS(credentials.Server(watcher.Entry, credentialer.Operator)))
 	}
 	srv := connector.NewServer(s.cfg.identity(s.instance), opts...)
 	s.handle(srv)
--- a/internal/executor/tls_test.go
+++ b/internal/executor/tls_test.go
@@ -122,7 +122,7 @@
 	f.cfg.TLS = issue(watcher.Side)
 	f.cfg.Target = Target{URL: e.URL, Name: "engine", Kind: Model, Model: "m"}
 	f.start(&platform{}, &platform{})
-	for role, ok := range map[string]bool{watcher.Entry: true, roleOperator: true, watcher.Side: false, "other": false} {
+	for role, ok := range map[string]bool{watcher.Entry: true, credentialer.Operator: true, watcher.Side: false, "other": false} {
 		credentials, err := issue(role).Load()
 		if err != nil {
 			t.Fatal(err)
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -19,9 +19,8 @@
 )
 
 const (
-	closeTimeout     = 2 * time.Second
-	listingInterval  = 5 * time.Second
-	sideMemberPrefix = "member/" + watcher.Side + "/"
+	closeTimeout    = 2 * time.Second
+	listingInterval = 5 * time.Second
 )
 
 // errReplaced means that another process answers at the address of a side. It
@@ -286,7 +285,7 @@
 }
 
 func (h *Holder) registeredSides(ctx context.Context) (map[string]string, []string, error) {
-	items, err := h.platform.List(ctx, sideMemberPrefix)
+	items, err := h.platform.List(ctx, watcher.Key(watcher.Side, ""))
 	if err != nil {
 		return nil, nil, fmt.Errorf("list sides: %w", err)
 	}
@@ -301,7 +300,7 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("registration %s: %w", item.Key, err)
 		}
-		name := strings.TrimPrefix(item.Key, sideMemberPrefix)
+		name := strings.TrimPrefix(item.Key, watcher.Key(watcher.Side, ""))
 		addrs[name] = m.Addr
 		names = append(names, name)
 	}
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -28,9 +28,6 @@
 )
 
 const (
-	// roleOperator is the organizational unit in an operator's certificate.
-	roleOperator = "operator"
-
 	registerInterval = time.Second
 	headerTimeout    = 10 * time.Second
 	idleTimeout      = 2 * time.Minute
@@ -161,7 +158,7 @@
 	})}
 	if p.credentials != nil {
 		poolOpts = append(poolOpts, connector.WithClientTLS(p.credentials.Client(watcher.Entry, watcher.Side)))
-		serverOpts = append(serverOpts, connector.WithServerTLS(p.credentials.Server(watcher.Entry, watcher.Side, roleOperator)))
+		serverOpts = append(serverOpts, connector.WithServerTLS(p.credentials.Server(watcher.Entry, watcher.Side, credentialer.Operator)))
 	}
 	p.pool = connector.NewPool(p.identity, poolOpts...)
 	p.server = connector.NewServer(p.identity, serverOpts...)
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -1,8 +1,6 @@
 package launcher
 
 import (
-	"net"
-	"net/url"
 	"time"
 
 	"daisylane/internal/bundler"
@@ -94,7 +92,7 @@
 	f.Require(len(s.Trust) > 0, "trust", "is empty, name at least one operator's public key")
 	_, err := bundler.ParseTrust(s.Trust)
 	f.Within("trust", err)
-	checkURL(&f, "platform", s.Platform)
+	checker.URL(&f, "platform", s.Platform)
 	f.Within("listen", s.Listen.check())
 	f.Within("budgets", s.Budgets.check())
 	checker.Range(&f, "limits.inflight", s.Limits.Inflight, 1, 1<<20)
@@ -109,10 +107,10 @@
 
 func (l Listen) check() error {
 	var f checker.Faults
-	checkAddress(&f, "http", l.HTTP)
-	checkAddress(&f, "peer", l.Peer)
+	checker.Address(&f, "http", l.HTTP)
+	checker.Address(&f, "peer", l.Peer)
 	if l.Advertise != "" {
-		checkAddress(&f, "advertise", l.Advertise)
+		checker.Address(&f, "advertise", l.Advertise)
 	}
 	return f.Err()
 }
@@ -128,14 +126,3 @@
 		"is %q, allowed is %q or %q", b.Release, recoverer.ReleaseOperator, recoverer.ReleaseGone)
 	return f.Err()
 }
-
-func checkAddress(f *checker.Faults, key, addr string) {
-	_, _, err := net.SplitHostPort(addr)
-	f.Require(err == nil, key, "is %q, want host:port", addr)
-}
-
-func checkURL(f *checker.Faults, key, text string) {
-	u, err := url.Parse(text)
-	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-	f.Require(ok, key, "is %q, want a URL like \"http://127.0.0.1:8000\"", text)
-}
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -29,8 +29,6 @@
 )
 
 const (
-	memberPrefix = "member/"
-
 	defaultListInterval = 5 * time.Second
 	watchWait           = 25 * time.Second
 	retryInterval       = time.Second
@@ -157,7 +155,7 @@
 // The highest version in the listing is a safe start: what changed after the
 // listing has a higher version.
 func (l *Locator) listMembers(ctx context.Context) (uint64, error) {
-	items, err := l.platform.List(ctx, memberPrefix)
+	items, err := l.platform.List(ctx, watcher.Prefix)
 	if err != nil {
 		return 0, fmt.Errorf("list registrations: %w", err)
 	}
@@ -193,7 +191,7 @@
 }
 
 func (l *Locator) watchOnce(ctx context.Context, after uint64) (uint64, error) {
-	items, revision, err := l.platform.Watch(ctx, memberPrefix, after, watchWait)
+	items, revision, err := l.platform.Watch(ctx, watcher.Prefix, after, watchWait)
 	if err != nil {
 		return after, fmt.Errorf("watch registrations: %w", err)
 	}
--- a/internal/operator/env.go
+++ b/internal/operator/env.go
@@ -19,8 +19,6 @@
 // commandTimeout bounds a whole command.
 const commandTimeout = 2 * time.Minute
 
-const roleOperator = "operator"
-
 // Settings are the operator's settings.
 type Settings struct {
 	Platform string             `toml:"platform"` // URL of the platform
@@ -90,13 +88,13 @@
 	if cfg.Platform == "" {
 		return nil, cfg, fmt.Errorf("%w: no platform, set it in the settings or with --platform", errUsage)
 	}
-	return storer.New(cfg.Platform, storer.WithName(roleOperator)), cfg, nil
+	return storer.New(cfg.Platform, storer.WithName(credentialer.Operator)), cfg, nil
 }
 
 // pool returns a pool for exchanges with processes.
 func (e *env) pool(cfg Settings) (*connector.Pool, error) {
 	identity := func() *wirepb.Hello {
-		return &wirepb.Hello{Protocol: connector.ProtocolVersion, Instance: roleOperator, Role: roleOperator}
+		return &wirepb.Hello{Protocol: connector.ProtocolVersion, Instance: credentialer.Operator, Role: credentialer.Operator}
 	}
 	if cfg.Plain {
 		return connector.NewPool(identity), nil
--- a/internal/operator/processes.go
+++ b/internal/operator/processes.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	memberPrefix   = "member/"
 	processTimeout = 3 * time.Second
 	maxExchanges   = 16
 )
@@ -32,7 +31,7 @@
 
 // members returns the registered processes.
 func members(ctx context.Context, p platform) ([]watcher.Member, error) {
-	items, err := p.List(ctx, memberPrefix)
+	items, err := p.List(ctx, watcher.Prefix)
 	if err != nil {
 		return nil, fmt.Errorf("list processes: %w", err)
 	}
--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -54,8 +54,12 @@
 // ParseMember decodes a registration and checks it.
 func ParseMember(data []byte) (Member, error) { return checker.Decode[Member](data) }
 
-// Key returns the object key of a registration.
-func Key(role, name string) string { return "member/" + role + "/" + name }
+// Prefix is the key prefix of all registrations.
+const Prefix = "member/"
+
+// Key returns the object key of a registration. With an empty name it is the prefix
+// of the registrations of a role.
+func Key(role, name string) string { return Prefix + role + "/" + name }
 
 // Registration is a registration with its object version.
 type Registration struct {
