Give the syncer the peers only when they changed

The entry replaced all peers of the syncer once a second, which rebuilds and sorts its tables of up to 1,720 names although the membership rarely changes. The list is compared in order of name first. The adopter evaluates its watch at each tick by itself, so nothing depends on the repetition.

--- a/internal/launcher/bundles.go
+++ b/internal/launcher/bundles.go
@@ -1,8 +1,10 @@
 package launcher
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"daisylane/internal/adopter"
@@ -37,20 +39,31 @@
 	p.gate.adopt(x.Accounts())
 }
 
+// peers returns the registered processes that are not gone, in order of name.
+func (p *process) peers() []adopter.Peer {
+	var peers []adopter.Peer
+	for _, role := range []string{watcher.Entry, watcher.Side} {
+		for _, m := range p.members.Registered(role) {
+			if !p.members.Gone(m.Name) {
+				peers = append(peers, adopter.Peer{Name: m.Name, Role: role, Centre: m.Centre, Addr: m.Addr})
+			}
+		}
+	}
+	slices.SortFunc(peers, func(a, b adopter.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return peers
+}
+
 // feedPeers tells the syncer about changes of the membership.
 func (p *process) feedPeers(ctx context.Context) {
 	t := time.NewTicker(peersInterval)
 	defer t.Stop()
+	var last []adopter.Peer
 	for {
-		var peers []adopter.Peer
-		for _, role := range []string{watcher.Entry, watcher.Side} {
-			for _, m := range p.members.Registered(role) {
-				if !p.members.Gone(m.Name) {
-					peers = append(peers, adopter.Peer{Name: m.Name, Role: role, Centre: m.Centre, Addr: m.Addr})
-				}
-			}
+		// The syncer ranks all peers anew, which is not needed while they stay the same.
+		if peers := p.peers(); !slices.Equal(peers, last) {
+			p.bundles.SetPeers(peers)
+			last = peers
 		}
-		p.bundles.SetPeers(peers)
 		select {
 		case <-ctx.Done():
 			return
