Serve callers on the users' platform by an entry with grants of prepaid tokens

Cause: daisylane could run only beside its own sides and stand-ins; the users' platform fixes settings, store, runners and headers, and gives no machine for control.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -3,8 +3,16 @@
 
 import (
 	"os"
+	"slices"
 
 	"daisylane/internal/launcher"
+	"daisylane/internal/starter"
 )
 
-func main() { os.Exit(launcher.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	args := os.Args[1:]
+	if slices.Contains(args, starter.Flag) {
+		os.Exit(starter.Main(args, os.Stdout, os.Stderr))
+	}
+	os.Exit(launcher.Main(args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/granter/commands.go
@@ -0,0 +1,218 @@
+package granter
+
+import (
+	"slices"
+	"time"
+)
+
+// Prepaid sets what is prepaid for an account; negative means not limited.
+func (g *Granter) Prepaid(name string, tokens int64) { g.account(name).prepaid = tokens }
+
+// Recover takes over from the former process of this instance, which must be
+// dead. Before anything is reserved, the grants of [Granter.Join] must be written,
+// then a ledger on the version of the one passed here. Both writes void late ones
+// of the former process; if one conflicts, the recovery begins again. It returns
+// the tokens that count as spent though they may not have been, by account.
+func (g *Granter) Recover(now time.Duration, old Ledger, grants Grants, version uint64) map[string]int64 {
+	lost := make(map[string]int64)
+	g.grants, g.version = grants, version
+	for name, parts := range grants.Accounts {
+		part, ok := parts[g.name]
+		if !ok {
+			continue
+		}
+		a := g.account(name)
+		a.held = part.Held
+		a.spent = g.bound(now, old, name, part)
+		if n := a.spent - part.Spent; n > 0 {
+			lost[name] = n
+		}
+	}
+	return lost
+}
+
+// bound returns the most that the former process can have spent.
+func (g *Granter) bound(now time.Duration, old Ledger, name string, part Holding) int64 {
+	limit, ok := old.Accounts[name]
+	sameBoot := old.Boot != "" && old.Boot == g.boot && now >= time.Duration(old.Time)*time.Millisecond
+	switch {
+	case !ok:
+		// Nothing is spent before the first ledger that has the account.
+		return min(part.Held, part.Spent)
+	case limit.Rate == 0:
+		return min(part.Held, limit.Limit)
+	case !sameBoot:
+		return part.Held
+	}
+	return min(part.Held, limit.after(old.Age(now)))
+}
+
+// Join returns the grants with this incarnation and all parts as they are.
+func (g *Granter) Join() Grants { return g.grants.WithInstance(g.name, g.incarnation) }
+
+// Observe takes over the grants as read from the store. Older versions are ignored.
+func (g *Granter) Observe(grants Grants, version uint64) {
+	if version < g.version {
+		return
+	}
+	g.grants, g.version = grants, version
+	// A conditional write on an older version can no longer be carried out.
+	g.pending = slices.DeleteFunc(g.pending, func(w write) bool { return w.version < version })
+	for name, parts := range grants.Accounts {
+		if part, ok := parts[g.name]; ok {
+			g.account(name).held = part.Held
+		}
+	}
+}
+
+// GrantsSent announces a write of the grants on the version last observed.
+func (g *Granter) GrantsSent(grants Grants) {
+	w := write{version: g.version, held: make(map[string]int64)}
+	for name, parts := range grants.Accounts {
+		if part, ok := parts[g.name]; ok {
+			w.held[name] = part.Held
+		}
+	}
+	g.pending = append(g.pending, w)
+}
+
+// GrantsVoid says that the write announced last had no effect and never will.
+func (g *Granter) GrantsVoid() {
+	if n := len(g.pending); n > 0 {
+		g.pending = g.pending[:n-1]
+	}
+}
+
+// LedgerSent announces a write of the ledger.
+func (g *Granter) LedgerSent(l Ledger) { g.sent = append(g.sent, l) }
+
+// LedgerVoid says that a write had no effect and never will.
+func (g *Granter) LedgerVoid(l Ledger) {
+	g.sent = slices.DeleteFunc(g.sent, func(s Ledger) bool { return s.Number == l.Number })
+}
+
+// LedgerWritten says that a write took effect. Earlier writes on older versions
+// can no longer be carried out.
+func (g *Granter) LedgerWritten(l Ledger) {
+	if l.Number <= g.ledger.Number && l.Incarnation == g.ledger.Incarnation {
+		return
+	}
+	g.ledger = l
+	g.sent = slices.DeleteFunc(g.sent, func(s Ledger) bool { return s.Number <= l.Number })
+}
+
+// Ready allows reservations, after the grants and the ledger of this incarnation
+// were written.
+func (g *Granter) Ready() { g.ready = true }
+
+// Stop makes the following plans return what is not needed.
+func (g *Granter) Stop() { g.stopping = true }
+
+// Reserve takes tokens for a request, at its most, or says what is missing.
+func (g *Granter) Reserve(now time.Duration, name string, n int64) Decision {
+	a := g.account(name)
+	d := g.judge(now, name, a, n)
+	if d.Outcome == Reserved {
+		a.reserved += n
+	}
+	return d
+}
+
+// Ask counts the demand of a new request.
+func (g *Granter) Ask(now time.Duration, name string, n int64) {
+	a := g.account(name)
+	a.demand = a.decayed(now) + float64(n)
+	a.at = now
+	a.lump = max(float64(n), a.lump*lumpDecay)
+}
+
+// Wait counts a request that waits for tokens; the result ends it.
+func (g *Granter) Wait(name string, n int64, short bool) (done func()) {
+	a := g.account(name)
+	count := &a.waiting
+	if short {
+		count = &a.want
+	}
+	*count += n
+	return func() { *count -= n }
+}
+
+// Settle ends a reservation with what was used of it.
+func (g *Granter) Settle(name string, reserved, used int64) {
+	a := g.account(name)
+	a.reserved -= reserved
+	a.spent += min(used, reserved)
+}
+
+// PlanLedger returns the next ledger.
+func (g *Granter) PlanLedger(now time.Duration) Ledger {
+	g.number++
+	l := Ledger{
+		Incarnation: g.incarnation, Number: g.number, Boot: g.boot, Time: now.Milliseconds(),
+		Accounts: make(map[string]Limit, len(g.accounts)),
+	}
+	for name, a := range g.accounts {
+		if a.prepaid < 0 && a.held == 0 {
+			continue
+		}
+		rate := a.rate(now)
+		l.Accounts[name] = Limit{
+			Limit: a.used() + a.waiting + int64(a.lump+rate*limitAhead.Seconds()),
+			Rate:  int64(rate*rateMargin + a.lump/lumpInterval.Seconds()),
+		}
+		if g.stopping && a.reserved == 0 && a.waiting == 0 {
+			l.Accounts[name] = Limit{Limit: a.spent}
+		}
+	}
+	return l
+}
+
+// PlanGrants returns the next grants.
+func (g *Granter) PlanGrants(now time.Duration) Grants { return g.plan(now, g.grants) }
+
+func (g *Granter) plan(now time.Duration, grants Grants) Grants {
+	for name, a := range g.accounts {
+		if a.prepaid < 0 {
+			continue
+		}
+		grants = grants.WithHolding(name, g.name, g.part(now, grants, name, a))
+	}
+	return grants
+}
+
+// part decides the holding of this instance. It takes from what is not granted
+// and returns what exceeds the fair part or what others miss.
+func (g *Granter) part(now time.Duration, grants Grants, name string, a *account) Holding {
+	h := Holding{Held: a.held, Spent: a.spent, Rate: int64(a.rate(now))}
+	if g.stopping {
+		h.Held = min(a.held, a.used()+a.waiting)
+		return h
+	}
+	pool := a.prepaid - grants.held(name)
+	need := max(0, a.used()+a.waiting+a.want-a.held)
+	fair := a.used() + g.share(now, grants, name, a)
+	missing := g.missing(grants, name)
+	switch {
+	case pool < 0:
+		h.Held = max(a.used(), a.held+pool)
+	case missing > pool && need == 0:
+		h.Held = max(a.used(), a.held-(missing-pool))
+	case need > 0:
+		h.Held = a.held + min(pool, max(need, fair-a.held))
+	case fair > a.held:
+		h.Held = a.held + min(pool-missing, fair-a.held)
+	case float64(a.held) > float64(a.used())+float64(fair-a.used())*(1+surplusShare):
+		h.Held = fair
+	}
+	h.Want = max(0, a.used()+a.waiting+a.want-h.Held)
+	return h
+}
+
+func (g *Granter) account(name string) *account {
+	a, ok := g.accounts[name]
+	if !ok {
+		a = &account{prepaid: -1}
+		g.accounts[name] = a
+	}
+	return a
+}
--- /dev/null
+++ b/internal/granter/queries.go
@@ -0,0 +1,180 @@
+package granter
+
+import (
+	"math"
+	"time"
+)
+
+// Version returns the version of the grants last observed.
+func (g *Granter) Version() uint64 { return g.version }
+
+// Instances returns the number of instances that have ever joined.
+func (g *Granter) Instances() int { return len(g.grants.Instances) }
+
+// Owns reports whether a ledger was written by this incarnation.
+func (g *Granter) Owns(l Ledger) bool { return l.Incarnation == g.incarnation }
+
+// Took reports whether this instance has a part of each budget.
+func (g *Granter) Took() bool {
+	for name, a := range g.accounts {
+		if _, ok := g.grants.Accounts[name][g.name]; !ok && a.prepaid >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// LedgerDue reports whether the ledger should be written: for waiting requests,
+// or because it has grown old.
+func (g *Granter) LedgerDue(now time.Duration) bool {
+	for _, a := range g.accounts {
+		if a.waiting > 0 {
+			return true
+		}
+	}
+	return g.ledger.Age(now) >= LedgerInterval
+}
+
+// GrantsDue reports whether the grants should be written at once: tokens are
+// missing here or elsewhere, or a budget was lowered.
+func (g *Granter) GrantsDue(now time.Duration) bool {
+	for name, a := range g.accounts {
+		if a.prepaid < 0 {
+			continue
+		}
+		part := g.grants.Accounts[name][g.name]
+		next := g.part(now, g.grants, name, a)
+		pool := a.prepaid - g.grants.held(name)
+		switch {
+		case next.Want > part.Want, pool < 0 && next.Held < a.held:
+			return true
+		case a.want > 0 && next.Held > a.held:
+			return true
+		case g.missing(g.grants, name) > max(0, pool) && next.Held < a.held:
+			return true
+		}
+	}
+	return false
+}
+
+// GrantsStale reports whether the parts differ so much from the fair ones, or
+// the published figures from the current ones, that a write is worth its price.
+func (g *Granter) GrantsStale(now time.Duration) bool {
+	for name, a := range g.accounts {
+		if a.prepaid < 0 {
+			continue
+		}
+		part := g.grants.Accounts[name][g.name]
+		next := g.part(now, g.grants, name, a)
+		left := float64(a.prepaid) / staleParts
+		if math.Abs(float64(next.Held-part.Held)) > left || math.Abs(float64(next.Spent-part.Spent)) > left {
+			return true
+		}
+	}
+	return false
+}
+
+// staleParts is the part of a budget, one in so many, by which the published
+// figures may differ from the current ones.
+const staleParts = 50
+
+// judge decides about a reservation without making it.
+func (g *Granter) judge(now time.Duration, name string, a *account, n int64) Decision {
+	if a.prepaid < 0 {
+		return Decision{Outcome: Reserved}
+	}
+	limit, rate := g.limit(now, name)
+	d := Decision{
+		Held: g.held(name, a), Used: a.used(), Limit: limit, Age: g.ledger.Age(now),
+		Left: a.prepaid - g.spent(name, a),
+	}
+	after := d.Used + n
+	switch {
+	case !g.ready:
+		d.Outcome, d.After = Unready, minComeBack
+	case n > d.Left:
+		d.Outcome = Exhausted
+	case after > d.Held || g.grants.held(name) > a.prepaid:
+		d.Outcome, d.After = Short, maxComeBack
+	case after > limit:
+		d.Outcome = Limited
+		d.After = maxComeBack
+		if rate > 0 {
+			d.After = time.Duration(float64(after-limit) / float64(rate) * float64(time.Second))
+		}
+	default:
+		d.Outcome = Reserved
+	}
+	return d
+}
+
+// held returns the part that is certain whatever becomes of pending writes.
+func (g *Granter) held(name string, a *account) int64 {
+	held := a.held
+	for _, w := range g.pending {
+		if n, ok := w.held[name]; ok {
+			held = min(held, n)
+		}
+	}
+	return held
+}
+
+// limit returns what may be used now under any ledger that may be in force, and
+// how fast that grows.
+func (g *Granter) limit(now time.Duration, name string) (tokens, rate int64) {
+	l := g.ledger.Accounts[name]
+	tokens, rate = l.after(g.ledger.Age(now)), l.Rate
+	for _, s := range g.sent {
+		l := s.Accounts[name]
+		tokens, rate = min(tokens, l.after(s.Age(now))), min(rate, l.Rate)
+	}
+	return tokens, rate
+}
+
+// spent returns the tokens that all instances are known to have spent of an account.
+func (g *Granter) spent(name string, a *account) int64 {
+	sum := a.spent
+	for instance, part := range g.grants.Accounts[name] {
+		if instance != g.name {
+			sum += min(part.Spent, part.Held)
+		}
+	}
+	return sum
+}
+
+// missing returns the tokens that other instances ask for.
+func (g *Granter) missing(grants Grants, name string) int64 {
+	var sum int64
+	for instance, part := range grants.Accounts[name] {
+		if instance != g.name {
+			sum += part.Want
+		}
+	}
+	return sum
+}
+
+// share returns the fair part of this instance of what is left of a budget: by
+// demand, where each instance counts a little more than its own.
+func (g *Granter) share(now time.Duration, grants Grants, name string, a *account) int64 {
+	left := max(0, a.prepaid-g.spent(name, a)-a.reserved)
+	own, sum := a.rate(now), a.rate(now)
+	for instance, part := range grants.Accounts[name] {
+		if instance != g.name {
+			sum += float64(part.Rate)
+		}
+	}
+	instances := float64(max(1, len(grants.Instances)))
+	prior := priorShare * sum / instances
+	weight := 1 / instances
+	if sum > 0 {
+		weight = (own + prior) / (sum + prior*instances)
+	}
+	return int64((1 - poolShare) * weight * float64(left))
+}
+
+// rate returns the tokens per second that are asked for.
+func (a *account) rate(now time.Duration) float64 { return a.decayed(now) / demandTime.Seconds() }
+
+func (a *account) decayed(now time.Duration) float64 {
+	return a.demand * math.Exp(-(now-a.at).Seconds()/demandTime.Seconds())
+}
--- /dev/null
+++ b/internal/granter/types.go
@@ -0,0 +1,233 @@
+// Package granter decides what one instance may spend of the prepaid budgets of
+// client accounts.
+//
+// Two objects in the store bound the spending. [Grants] is shared: it gives each
+// instance a part of each budget, and the parts never sum to more than what is
+// prepaid. [Ledger] belongs to one instance and bounds how much of its grant it
+// may have used up by a given time: limit + rate * age. A successor of a crashed
+// process counts that bound as spent and goes on with the rest.
+//
+// A grant is large, so that an instance that is cut off goes on serving. The
+// bound in the ledger is small, so that a crash loses little.
+//
+// # Usage
+//
+// The caller keeps the objects. Before it sends one, it announces it; afterwards
+// it tells the outcome:
+//
+//	g := granter.New("entry-1", incarnation, bootID)
+//	g.Recover(now, ledger, grants, version)
+//	l := g.PlanLedger(now)
+//	g.LedgerSent(l)
+//	g.LedgerDone(l, err)
+//	d := g.Reserve(now, "rider-app", 20_000)
+//	g.Settle(now, "rider-app", 20_000, 18_250)
+//
+// Times are readings of a clock that counts suspension, is never stepped and
+// starts anew with each boot.
+package granter
+
+import (
+	"maps"
+	"time"
+
+	"daisylane/internal/checker"
+)
+
+const (
+	demandTime   = 6 * time.Second        // over which the demand of an account is averaged, half of a usual cut
+	limitAhead   = 500 * time.Millisecond // demand that the limit allows beyond what is used, half of LedgerInterval
+	rateMargin   = 1.6                    // growth of the limit per demand, so that a cut instance serves a rise
+	lumpInterval = 3 * time.Second        // time in which the limit also grows by one large request
+	lumpDecay    = 0.9                    // of the remembered size per smaller request
+	poolShare    = 0.1                    // of what is left that stays ungranted, for whoever runs short first
+	priorShare   = 0.2                    // of the mean demand that each instance counts beside its own
+	surplusShare = 0.2                    // of the fair part by which a grant may exceed it before it is returned
+	// LedgerInterval is the time between two writes of the ledger without need.
+	// A crash loses the tokens that the limit allows in this time.
+	LedgerInterval = time.Second
+	minComeBack    = 300 * time.Millisecond // a store call and a round trip of the caller
+	maxComeBack    = 5 * time.Second        // a cut is often over by then
+)
+
+// Holding is the part of one instance in a budget. Held and Spent only count up
+// or are set by the instance itself.
+type Holding struct {
+	Held  int64 `json:"held"`           // tokens granted since the budget began, spent ones included
+	Spent int64 `json:"spent"`          // tokens used when the object was written
+	Rate  int64 `json:"rate"`           // tokens per second asked for
+	Want  int64 `json:"want,omitempty"` // tokens that are missing
+}
+
+// Check validates a holding.
+func (h Holding) Check() error {
+	var f checker.Faults
+	f.Require(h.Held >= 0, "held", "is %d, must not be negative", h.Held)
+	f.Require(h.Spent >= 0, "spent", "is %d, must not be negative", h.Spent)
+	f.Require(h.Rate >= 0, "rate", "is %d, must not be negative", h.Rate)
+	f.Require(h.Want >= 0, "want", "is %d, must not be negative", h.Want)
+	return f.Err()
+}
+
+// Grants are the parts of all instances in the budgets of a shard.
+type Grants struct {
+	Instances map[string]string             `json:"instances"` // incarnation of each instance
+	Accounts  map[string]map[string]Holding `json:"accounts"`  // by account and instance
+}
+
+// Check validates the grants.
+func (g Grants) Check() error {
+	var f checker.Faults
+	for account, parts := range g.Accounts {
+		for instance, h := range parts {
+			f.Within("accounts."+account+"."+instance, h.Check())
+		}
+	}
+	return f.Err()
+}
+
+// WithHolding returns the grants with one holding replaced.
+func (g Grants) WithHolding(account, instance string, h Holding) Grants {
+	accounts := maps.Clone(g.Accounts)
+	if accounts == nil {
+		accounts = make(map[string]map[string]Holding)
+	}
+	parts := maps.Clone(accounts[account])
+	if parts == nil {
+		parts = make(map[string]Holding)
+	}
+	parts[instance] = h
+	accounts[account] = parts
+	g.Accounts = accounts
+	return g
+}
+
+// WithInstance returns the grants with the incarnation of an instance.
+func (g Grants) WithInstance(name, incarnation string) Grants {
+	instances := maps.Clone(g.Instances)
+	if instances == nil {
+		instances = make(map[string]string)
+	}
+	instances[name] = incarnation
+	g.Instances = instances
+	return g
+}
+
+// held returns the sum of all grants of an account.
+func (g Grants) held(account string) int64 {
+	var sum int64
+	for _, h := range g.Accounts[account] {
+		sum += h.Held
+	}
+	return sum
+}
+
+// Limit bounds the tokens that an instance has used of one budget: Limit + Rate
+// for each second since the ledger's time.
+type Limit struct {
+	Limit int64 `json:"limit"` // tokens
+	Rate  int64 `json:"rate"`  // tokens per second
+}
+
+// Check validates a limit.
+func (l Limit) Check() error {
+	var f checker.Faults
+	f.Require(l.Limit >= 0, "limit", "is %d, must not be negative", l.Limit)
+	f.Require(l.Rate >= 0, "rate", "is %d, must not be negative", l.Rate)
+	return f.Err()
+}
+
+func (l Limit) after(age time.Duration) int64 {
+	return l.Limit + int64(float64(l.Rate)*age.Seconds())
+}
+
+// Ledger bounds the spending of one instance.
+type Ledger struct {
+	Incarnation string           `json:"incarnation"`
+	Number      int64            `json:"number"` // of the write, from 1 in each incarnation
+	Boot        string           `json:"boot"`   // id of the boot that Time belongs to, empty if unknown
+	Time        int64            `json:"time"`   // boot clock in milliseconds, read before the write was sent
+	Accounts    map[string]Limit `json:"accounts"`
+}
+
+// Check validates the ledger.
+func (l Ledger) Check() error {
+	var f checker.Faults
+	f.Require(l.Incarnation != "", "incarnation", "is empty")
+	f.Require(l.Time >= 0, "time", "is %d, must not be negative", l.Time)
+	for account, limit := range l.Accounts {
+		f.Within("accounts."+account, limit.Check())
+	}
+	return f.Err()
+}
+
+// Age returns the time since the ledger was written.
+func (l Ledger) Age(now time.Duration) time.Duration {
+	return max(0, now-time.Duration(l.Time)*time.Millisecond)
+}
+
+// Outcome of a reservation.
+type Outcome string
+
+// Outcomes.
+const (
+	Reserved  Outcome = "reserved"
+	Limited   Outcome = "limited"   // a write of the ledger raises the limit
+	Short     Outcome = "short"     // the grant is too small, the budget or other instances may have more
+	Exhausted Outcome = "exhausted" // the budget cannot cover the request
+	Unready   Outcome = "unready"   // the objects have not been read yet
+)
+
+// Decision is the answer to a reservation, with what decided it.
+type Decision struct {
+	Outcome Outcome
+	Held    int64         // tokens granted to this instance
+	Used    int64         // spent and reserved
+	Limit   int64         // what may be used now
+	Left    int64         // of the whole budget, as far as known
+	Age     time.Duration // of the ledger
+	After   time.Duration // time to come back if nothing changes
+}
+
+// account is the state of one budget at this instance.
+type account struct {
+	prepaid  int64 // negative: not limited
+	held     int64
+	spent    int64
+	reserved int64
+	waiting  int64 // tokens of reservations that wait for the limit
+	want     int64 // tokens of reservations that wait for a grant
+	demand   float64
+	at       time.Duration // of demand
+	lump     float64       // size of a large request
+}
+
+func (a *account) used() int64 { return a.spent + a.reserved }
+
+// write is a write of the grants that may still be carried out.
+type write struct {
+	version uint64 // condition
+	held    map[string]int64
+}
+
+// Granter is the state of one instance for the budgets of one shard.
+type Granter struct {
+	name        string
+	incarnation string
+	boot        string
+	ready       bool
+	accounts    map[string]*account
+	grants      Grants
+	version     uint64  // of the grants
+	pending     []write // of the grants
+	ledger      Ledger  // newest that is known to be written
+	sent        []Ledger
+	number      int64
+	stopping    bool
+}
+
+// New returns the state of an instance that has read nothing yet. The boot id is
+// empty if it is unknown.
+func New(name, incarnation, boot string) *Granter {
+	return &Granter{name: name, incarnation: incarnation, boot: boot, accounts: make(map[string]*account)}
+}
--- /dev/null
+++ b/internal/resolver/queries.go
@@ -0,0 +1,87 @@
+package resolver
+
+import (
+	"fmt"
+	"strings"
+)
+
+// New prepares a configuration for look-ups. It fails if a route is invalid.
+func New(cfg Config) (*Table, error) {
+	t := &Table{
+		cfg: cfg, routes: make(map[string]map[string]*Route), services: make(map[string]*Service),
+		keys: make(map[string]*Account), accounts: make(map[string]*Account),
+	}
+	for i := range cfg.Services {
+		t.services[cfg.Services[i].Name] = &cfg.Services[i]
+	}
+	for i := range cfg.Accounts {
+		a := &cfg.Accounts[i]
+		t.accounts[a.Name] = a
+		for _, key := range a.Keys {
+			t.keys[key] = a
+		}
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		if err := r.Check(); err != nil {
+			return nil, fmt.Errorf("route %q of version %d: %w", r.Name, cfg.Version, err)
+		}
+		host := strings.ToLower(r.Host)
+		if t.routes[host] == nil {
+			t.routes[host] = make(map[string]*Route)
+		}
+		t.routes[host][r.Prefix] = r
+	}
+	return t, nil
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.cfg.Version }
+
+// Keyed reports whether requests need a key unless their route is public.
+func (t *Table) Keyed() bool { return t.cfg.Keyed }
+
+// Limits returns the bounds of what a caller may send.
+func (t *Table) Limits() Limits { return t.cfg.Limits }
+
+// Accounts returns all client accounts. The result must not be changed.
+func (t *Table) Accounts() []Account { return t.cfg.Accounts }
+
+// Route returns the route with the longest prefix of the path. The host may have
+// a port.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+		host = host[:at]
+	}
+	prefixes := t.routes[host]
+	for end := len(path); len(prefixes) > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			break
+		}
+		if r, ok := prefixes[path[:slash+1]]; ok {
+			return r, true
+		}
+		end = slash
+	}
+	return nil, false
+}
+
+// Service returns a service by its name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Account returns the account that holds a key.
+func (t *Table) Account(key string) (*Account, bool) {
+	a, ok := t.keys[key]
+	return a, ok
+}
+
+// Named returns an account by its name.
+func (t *Table) Named(name string) (*Account, bool) {
+	a, ok := t.accounts[name]
+	return a, ok
+}
--- /dev/null
+++ b/internal/resolver/resolver_test.go
@@ -0,0 +1,85 @@
+package resolver
+
+import (
+	"testing"
+	"time"
+)
+
+func route(name, host, prefix string, shares ...Share) Route {
+	if len(shares) == 0 {
+		shares = []Share{{"engine", 1}}
+	}
+	return Route{Name: name, Host: host, Prefix: prefix, Kind: Idempotent, Shares: shares, Timeout: time.Second, Attempts: 1}
+}
+
+// Guards against a request that goes to a route with a shorter prefix, or to
+// another host's route.
+func TestRoute(t *testing.T) {
+	table, err := New(Config{Routes: []Route{
+		route("short", "a.example", "/plans/"),
+		route("long", "a.example", "/plans/new/"),
+		route("root", "b.example", "/"),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ name, host, path, want string }{
+		{"prefix", "a.example", "/plans/7", "short"},
+		{"longest prefix", "a.example", "/plans/new/7", "long"},
+		{"the prefix itself", "a.example", "/plans/new/", "long"},
+		{"no slash at the end", "a.example", "/plans/new", "short"},
+		{"part of a name", "a.example", "/plansx/7", ""},
+		{"host with port and capitals", "A.Example:8080", "/plans/7", "short"},
+		{"other host", "b.example", "/plans/7", "root"},
+		{"unknown host", "c.example", "/plans/7", ""},
+		{"no path", "a.example", "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := ""
+			if r, ok := table.Route(tt.host, tt.path); ok {
+				got = r.Name
+			}
+			if got != tt.want {
+				t.Errorf("got route %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a service that gets requests beyond its weight.
+func TestPick(t *testing.T) {
+	r := route("split", "a.example", "/", Share{"old", 90}, Share{"off", 0}, Share{"new", 10})
+	counts := map[string]int{}
+	for n := range r.Weight() {
+		counts[r.Pick(n)]++
+	}
+	if counts["old"] != 90 || counts["new"] != 10 || counts["off"] != 0 {
+		t.Errorf("got %v", counts)
+	}
+}
+
+// Guards against a table with a route that could not be served.
+func TestInvalidRoute(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Route)
+	}{
+		{"no host", func(r *Route) { r.Host = "" }},
+		{"prefix without slash", func(r *Route) { r.Prefix = "/plans" }},
+		{"unknown kind", func(r *Route) { r.Kind = "batch" }},
+		{"no service", func(r *Route) { r.Shares = nil }},
+		{"negative weight", func(r *Route) { r.Shares = []Share{{"engine", -1}} }},
+		{"no timeout", func(r *Route) { r.Timeout = 0 }},
+		{"no attempt", func(r *Route) { r.Attempts = 0 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := route("plans", "a.example", "/plans/")
+			tt.change(&r)
+			if _, err := New(Config{Routes: []Route{r}}); err == nil {
+				t.Error("the route is accepted")
+			}
+		})
+	}
+}
--- a/internal/retrier/commands.go
+++ b/internal/retrier/commands.go
@@ -8,6 +8,12 @@
 	r.account(account).fill()
 }
 
+// SetBurst changes the retries of the fleet that may come at once.
+func (r *Retrier) SetBurst(n float64) {
+	r.fleet.burst = n
+	r.fleet.tokens = min(r.fleet.tokens, n)
+}
+
 // Admit reports whether a target may receive an attempt and, if its circuit
 // breaker waits for a trial, makes this attempt the trial. Call it only for the
 // target that then receives the attempt; [Retrier.Blocked] is for choosing.
@@ -53,7 +59,7 @@
 		v.Reason, v.After = ReasonDeadline, r.comeBack(a)
 		return v
 	}
-	if a.Outcome != NotRun {
+	if a.Outcome != NotRun || a.Refused && r.counted {
 		if reason := r.spend(a.Account); reason != "" {
 			v.Reason, v.After = reason, r.comeBack(a)
 			return v
@@ -125,7 +131,7 @@
 		if len(r.accounts) >= maxAccounts {
 			clear(r.accounts)
 		}
-		b = &bucket{accountBurst, r.accountShare, accountBurst}
+		b = &bucket{r.accountBurst, r.accountShare, r.accountBurst}
 		r.accounts[name] = b
 	}
 	return b
--- a/internal/retrier/queries.go
+++ b/internal/retrier/queries.go
@@ -48,8 +48,16 @@
 		return ReasonMayHave
 	case a.Delivered:
 		return ReasonDelivered
-	case a.Number >= r.attempts:
+	case a.Number >= r.limit(a):
 		return ReasonAttempts
 	}
 	return ReasonAllowed
 }
+
+// limit returns how many attempts a request may have.
+func (r *Retrier) limit(a Attempt) int {
+	if a.Attempts > 0 {
+		return a.Attempts
+	}
+	return r.attempts
+}
--- a/internal/retrier/types.go
+++ b/internal/retrier/types.go
@@ -42,6 +42,7 @@
 	Idempotent bool
 	Delivered  bool // part of the answer reached the caller
 	Number     int  // from 1
+	Attempts   int  // that this request may have, 0: as many as the others
 	Deadline   time.Time
 	After      time.Duration // time to come back that the side gave, 0 if none
 }
@@ -99,7 +100,10 @@
 	breakers     map[string]*breaker
 	fleetShare   float64
 	accountShare float64
+	fleetBurst   float64
+	accountBurst float64
 	attempts     int
+	counted      bool // refusals count as retries
 }
 
 // Option changes a setting of a [Retrier].
@@ -110,6 +114,14 @@
 	return func(r *Retrier) { r.fleetShare, r.accountShare = fleet, account }
 }
 
+// WithBursts sets the retries that may come at once, for the fleet and per account.
+func WithBursts(fleet, account float64) Option {
+	return func(r *Retrier) { r.fleetBurst, r.accountBurst = fleet, account }
+}
+
+// WithRefusalsCounted makes retries after a refusal draw on the budgets too.
+func WithRefusalsCounted() Option { return func(r *Retrier) { r.counted = true } }
+
 // WithAttempts sets the most attempts of one request.
 func WithAttempts(n int) Option { return func(r *Retrier) { r.attempts = n } }
 
@@ -117,11 +129,12 @@
 func New(source *rand.Rand, opts ...Option) *Retrier {
 	r := &Retrier{
 		source: source, accounts: make(map[string]*bucket), breakers: make(map[string]*breaker),
-		fleetShare: fleetShare, accountShare: accountShare, attempts: maxAttempts,
+		fleetShare: fleetShare, accountShare: accountShare, fleetBurst: fleetBurst, accountBurst: accountBurst,
+		attempts: maxAttempts,
 	}
 	for _, o := range opts {
 		o(r)
 	}
-	r.fleet = bucket{fleetBurst, r.fleetShare, fleetBurst}
+	r.fleet = bucket{r.fleetBurst, r.fleetShare, r.fleetBurst}
 	return r
 }
--- /dev/null
+++ b/internal/starter/entry.go
@@ -0,0 +1,212 @@
+package starter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"daisylane/internal/accountant"
+	"daisylane/internal/chooser"
+	"daisylane/internal/follower"
+	"daisylane/internal/forwarder"
+	"daisylane/internal/logger"
+	"daisylane/internal/receiver"
+	"daisylane/internal/reporter"
+	"daisylane/internal/retrier"
+	"daisylane/platform"
+)
+
+const (
+	metricsPort = "9464"
+	// gcPercent trades memory for processor time: a loaded entry has 20 MB of live data.
+	gcPercent   = 300
+	memoryShare = 0.7 // of the instance's memory that the heap may fill before it is collected more often
+
+	tickTime      = 250 * time.Millisecond  // connections, lapsed targets, settings
+	retryPart     = 0.6                     // of the common retry budget that the instances use; the rest covers restarts and the sliding window
+	noticeTime    = 2500 * time.Millisecond // until the balancer has seen two failed probes of an instance that stops
+	endMargin     = 700 * time.Millisecond  // of the grace period, kept for the last writes
+	idleTimeout   = 5 * time.Minute         // of callers' connections; the configuration's limit is shorter for them
+	readTimeout   = 10 * time.Second        // for the head of a request
+	maxHeaderSize = 64 << 10
+	accountRetry  = 10 // retries of one account that may come at once
+)
+
+// entry is a process on the platform.
+type entry struct {
+	cfg      platform.Settings
+	path     string
+	log      zerolog.Logger
+	lines    *logger.Async
+	store    *platform.Store
+	money    *accountant.Accountant
+	dispatch *receiver.Dispatch
+	receiver *receiver.Receiver
+	pool     *forwarder.Pool
+	metrics  *reporter.Reporter
+	callers  *http.Server
+	listed   atomic.Bool // the targets are known
+	stopping atomic.Bool
+}
+
+func newEntry(cfg platform.Settings, path string, log zerolog.Logger, lines *logger.Async) *entry {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.Memory) * (1 << 20)))
+	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	retries := retrier.New(source, retrier.WithRefusalsCounted(),
+		retrier.WithShares(cfg.Bounds.RetryShare*retryPart, 1), retrier.WithBursts(1, accountRetry))
+	e := &entry{
+		cfg: cfg, path: path, log: log, lines: lines,
+		store: platform.NewStore(cfg.Store.Addr),
+		pool:  forwarder.New(platform.RequestID),
+	}
+	e.dispatch = receiver.NewDispatch(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries)
+	e.money = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, log)
+	e.metrics = reporter.New(map[string]string{"instance": cfg.Name}, reporter.FlushInterval, func(err error) {
+		log.Error().Err(err).Msg("metric dropped")
+	})
+	e.receiver = receiver.New(platform.Codec{}, e.dispatch, e.money, e.pool,
+		receiver.WithLog(log), receiver.WithScope(e.metrics.Scope()))
+	return e
+}
+
+// run serves until the context ends, then stops gracefully.
+func (e *entry) run(ctx context.Context, reload <-chan os.Signal) error {
+	e.log.Info().Str("instance", e.cfg.Name).Str("centre", e.cfg.Centre).Str("region", e.cfg.Region).
+		Str("store", e.cfg.Store.Addr).Msg("started")
+	failed := make(chan error, 4)
+	if err := e.listen(failed); err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		if err := e.money.Run(work); err != nil {
+			failed <- err
+		}
+	}()
+	go follower.New(e.store, platform.KindConfig, &configHandler{e: e}).Run(work)
+	go follower.New(e.store, platform.KindRunners, &rosterHandler{e: e}).Run(work)
+	go e.tick(work)
+	for {
+		select {
+		case <-ctx.Done():
+			return e.stop(cancel)
+		case err := <-failed:
+			return err
+		case <-reload:
+			e.reload()
+		}
+	}
+}
+
+// listen opens the addresses for callers, for the balancer's probes and for metrics.
+func (e *entry) listen(failed chan<- error) error {
+	e.callers = &http.Server{
+		Handler: e.receiver, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderSize,
+		ErrorLog: nil,
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.ReadyPath, e.probe)
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", e.metrics.Handler())
+	list := []struct {
+		addr   string
+		server *http.Server
+	}{
+		{e.cfg.Listen.Callers, e.callers},
+		{e.cfg.Listen.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: readTimeout}},
+		{net.JoinHostPort(e.cfg.Addr, metricsPort), &http.Server{Handler: metrics, ReadHeaderTimeout: readTimeout}},
+	}
+	for _, s := range list {
+		l, err := net.Listen("tcp", s.addr)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", s.addr, err)
+		}
+		go func() {
+			if err := s.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serve %s: %w", s.addr, err)
+			}
+		}()
+	}
+	return nil
+}
+
+// probe tells the balancer whether this instance takes new connections.
+func (e *entry) probe(w http.ResponseWriter, _ *http.Request) {
+	if e.stopping.Load() || !e.listed.Load() || e.receiver.Table() == nil || !e.money.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// tick does what is due from time to time.
+func (e *entry) tick(ctx context.Context) {
+	t := time.NewTicker(tickTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			var gone []follower.Target
+			e.dispatch.Roster(func(r *follower.Roster) { gone = r.Expire(now) })
+			for _, g := range gone {
+				e.forget(g, "lapsed")
+			}
+			n := e.money.Instances()
+			e.dispatch.Peers(n, e.cfg.Bounds.RetryReserve*retryPart/float64(max(1, n)))
+			e.pool.Sweep(now)
+		}
+	}
+}
+
+// forget drops what is known of a target that is gone.
+func (e *entry) forget(t follower.Target, reason string) {
+	e.dispatch.Forget(t.ID)
+	e.pool.Forget(t.Addr)
+	e.log.Info().Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Str("reason", reason).Msg("target gone")
+}
+
+// reload reads the settings again. Addresses stay those of the start.
+func (e *entry) reload() {
+	cfg, err := platform.LoadSettings(e.path)
+	if err != nil {
+		e.log.Error().Err(err).Msg("settings not reloaded, the former ones stay in force")
+		return
+	}
+	e.log.Info().Bool("store_moved", cfg.Store.Addr != e.cfg.Store.Addr).Msg("settings reloaded")
+}
+
+// stop lets the balancer see that this instance is not ready, finishes the
+// requests in flight, then returns the tokens that are left.
+func (e *entry) stop(cancel func()) error {
+	began := time.Now()
+	e.stopping.Store(true)
+	e.log.Info().Int64("inflight", e.receiver.Inflight()).Msg("stopping")
+	e.callers.SetKeepAlivesEnabled(false)
+	e.money.Stop()
+	end := began.Add(e.cfg.Grace() - endMargin)
+	for time.Now().Before(end) && (time.Since(began) < noticeTime || e.receiver.Inflight() > 0) {
+		time.Sleep(tickTime / 5)
+	}
+	ctx, done := context.WithDeadline(context.Background(), began.Add(e.cfg.Grace()-endMargin/2))
+	defer done()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.log.Warn().Int64("inflight", e.receiver.Inflight()).Err(err).Msg("requests did not finish in time")
+	}
+	cancel()
+	if err := e.money.Close(ctx); err != nil {
+		e.log.Warn().Err(err).Msg("tokens not returned, the next process of this instance has them")
+	}
+	e.log.Info().Int64("dropped_lines", e.lines.Dropped()).Msg("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/starter/handlers.go
@@ -0,0 +1,113 @@
+package starter
+
+import (
+	"time"
+
+	"daisylane/internal/follower"
+	"daisylane/internal/resolver"
+	"daisylane/internal/storer"
+	"daisylane/platform"
+)
+
+// configHandler adopts configurations. It never goes back to an older version.
+type configHandler struct{ e *entry }
+
+func (h *configHandler) Listed(items []storer.Item) {
+	for _, item := range items {
+		if item.Key == platform.ConfigName {
+			h.adopt(item)
+		}
+	}
+}
+
+func (h *configHandler) Changed(changes []follower.Change) {
+	for _, c := range changes {
+		if !c.Deleted && c.Item.Key == platform.ConfigName {
+			h.adopt(c.Item)
+		}
+	}
+}
+
+func (h *configHandler) adopt(item storer.Item) {
+	cfg, err := platform.DecodeConfig(item.Body)
+	if err != nil {
+		h.e.log.Error().Err(err).Uint64("revision", item.Version).Msg("configuration refused, the former one stays in force")
+		return
+	}
+	old := h.e.receiver.Table()
+	if old != nil && cfg.Version <= old.Version() {
+		return
+	}
+	table, err := resolver.New(cfg)
+	if err != nil {
+		h.e.log.Error().Err(err).Int64("version", cfg.Version).Msg("configuration refused, the former one stays in force")
+		return
+	}
+	h.e.receiver.Adopt(table)
+	budgets := make(map[string]int64, len(cfg.Accounts))
+	for _, a := range cfg.Accounts {
+		budgets[a.Name] = a.Prepaid
+	}
+	h.e.money.Budgets(budgets)
+	h.e.log.Info().Int64("version", cfg.Version).Uint64("revision", item.Version).Int("routes", len(cfg.Routes)).
+		Int("accounts", len(cfg.Accounts)).Msg("configuration adopted")
+}
+
+func (h *configHandler) Lost(err error) {
+	h.e.log.Warn().Err(err).Msg("configuration is not followed")
+}
+
+func (h *configHandler) Regained() { h.e.log.Info().Msg("configuration is followed again") }
+
+func (h *configHandler) Current() { h.e.receiver.Contact(time.Now()) }
+
+// rosterHandler keeps the roster. Entries that cannot be read name no target.
+type rosterHandler struct{ e *entry }
+
+func (h *rosterHandler) Listed(items []storer.Item) {
+	var list []follower.Target
+	for _, item := range items {
+		if t, ok := h.decode(item); ok {
+			list = append(list, t)
+		}
+	}
+	h.e.dispatch.Roster(func(r *follower.Roster) { r.List(time.Now(), list) })
+	h.e.listed.Store(true)
+	h.e.log.Info().Int("targets", len(list)).Msg("targets listed")
+}
+
+func (h *rosterHandler) Changed(changes []follower.Change) {
+	for _, c := range changes {
+		t, ok := follower.Target{ID: c.Item.Key}, false
+		if !c.Deleted {
+			t, ok = h.decode(c.Item)
+		}
+		h.e.dispatch.Roster(func(r *follower.Roster) {
+			if ok {
+				r.Put(t)
+			} else {
+				r.Remove(time.Now(), t.ID)
+			}
+		})
+		h.e.log.Info().Str("target", c.Item.Key).Str("service", t.Service).Str("addr", t.Addr).Bool("leaving", t.Leaving).
+			Bool("listed", ok).Uint64("revision", c.Item.Version).Msg("target changed")
+	}
+}
+
+func (h *rosterHandler) decode(item storer.Item) (follower.Target, bool) {
+	t, err := platform.DecodeRunner(item.Key, item.Body)
+	if err != nil {
+		h.e.log.Warn().Err(err).Uint64("revision", item.Version).Msg("target entry ignored")
+		return t, false
+	}
+	return t, true
+}
+
+func (h *rosterHandler) Lost(err error) { h.e.log.Warn().Err(err).Msg("targets are not followed") }
+
+func (h *rosterHandler) Regained() {
+	h.e.dispatch.Roster(func(r *follower.Roster) { r.Regained(time.Now()) })
+	h.e.log.Info().Msg("targets are followed again")
+}
+
+func (h *rosterHandler) Current() {}
