Drop a target whose address answers as another one

Ruled out: retries after failures, which the retry budget bounds (83 requests with two sends). Change: a 421 removes the target until a new entry brings it back, and the next attempt draws on the retry budget. The reach of grants follows the variance of demand, and limits grow only after two seconds.

--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -93,6 +93,14 @@
 	}
 }
 
+// Gone drops a target whose address answers as another one. Only a new entry
+// brings it back.
+func (r *Roster) Gone(id string) {
+	delete(r.targets, id)
+	delete(r.lapsed, id)
+	r.ready = nil
+}
+
 // Expire drops lapsed targets whose time is over and returns them.
 func (r *Roster) Expire(now time.Time) []Target {
 	var gone []Target
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -121,8 +121,7 @@
 // Ask counts the demand of a new request.
 func (g *Granter) Ask(now time.Duration, name string, n int64) {
 	a := g.account(name)
-	a.demand = a.decayed(now) + float64(n)
-	a.at = now
+	a.asked = a.asked.with(now, float64(n))
 	a.lump = max(float64(n), a.lump*lumpDecay)
 }
 
@@ -155,10 +154,9 @@
 		if a.prepaid < 0 && a.held == 0 {
 			continue
 		}
-		rate := a.rate(now)
 		l.Accounts[name] = Limit{
-			Limit: a.used() + a.waiting + int64(a.lump+rate*limitAhead.Seconds()),
-			Rate:  int64(rate*rateMargin + a.lump/lumpInterval.Seconds()),
+			Limit: a.used() + a.waiting + int64(a.asked.reach(now, limitAhead, limitSpread)),
+			Rate:  max(1, int64(a.asked.rate(now)*limitGrowth+a.lump)),
 		}
 		if g.stopping && a.reserved == 0 && a.waiting == 0 {
 			l.Accounts[name] = Limit{Limit: a.spent}
@@ -183,7 +181,7 @@
 // part decides the holding of this instance. It takes from what is not granted
 // and returns what exceeds the fair part or what others miss.
 func (g *Granter) part(now time.Duration, grants Grants, name string, a *account) Holding {
-	h := Holding{Held: a.held, Spent: a.spent, Rate: int64(a.rate(now))}
+	h := Holding{Held: a.held, Spent: a.spent, Rate: int64(a.asked.rate(now))}
 	if g.stopping {
 		h.Held = min(a.held, a.used()+a.waiting)
 		return h
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -66,7 +66,7 @@
 		}
 		part := g.grants.Accounts[name][g.name]
 		next := g.part(now, g.grants, name, a)
-		left := float64(a.prepaid) / staleParts
+		left := float64(a.prepaid) * staleShare
 		if math.Abs(float64(next.Held-part.Held)) > left || math.Abs(float64(next.Spent-part.Spent)) > left {
 			return true
 		}
@@ -74,10 +74,6 @@
 	return false
 }
 
-// staleParts is the part of a budget, one in so many, by which the published
-// figures may differ from the current ones.
-const staleParts = 50
-
 // judge decides about a reservation without making it.
 func (g *Granter) judge(now time.Duration, name string, a *account, n int64) Decision {
 	if a.prepaid < 0 {
@@ -100,7 +96,7 @@
 		d.Outcome = Limited
 		d.After = maxComeBack
 		if rate > 0 {
-			d.After = time.Duration(float64(after-limit) / float64(rate) * float64(time.Second))
+			d.After = max(0, LimitHold-d.Age) + time.Duration(float64(after-limit)/float64(rate)*float64(time.Second))
 		}
 	default:
 		d.Outcome = Reserved
@@ -153,11 +149,12 @@
 	return sum
 }
 
-// share returns the fair part of this instance of what is left of a budget: by
-// demand, where each instance counts a little more than its own.
+// share returns the fair part of this instance of what is left of a budget: the
+// demand of some time ahead, and in no case more than its part by demand.
 func (g *Granter) share(now time.Duration, grants Grants, name string, a *account) int64 {
 	left := max(0, a.prepaid-g.spent(name, a)-a.reserved)
-	own, sum := a.rate(now), a.rate(now)
+	own := a.asked.rate(now)
+	sum := own
 	for instance, part := range grants.Accounts[name] {
 		if instance != g.name {
 			sum += float64(part.Rate)
@@ -169,12 +166,35 @@
 	if sum > 0 {
 		weight = (own + prior) / (sum + prior*instances)
 	}
-	return int64((1 - poolShare) * weight * float64(left))
+	ahead := a.asked.reach(now, grantAhead, grantSpread) + prior*grantAhead.Seconds()
+	return int64(min((1-poolShare)*weight*float64(left), ahead))
+}
+
+// with counts one more request.
+func (a average) with(now time.Duration, tokens float64) average {
+	if a.at == 0 {
+		a.since = now
+	}
+	f := a.factor(now)
+	return average{tokens: a.tokens*f + tokens, squares: a.squares*f + tokens*tokens, at: now, since: a.since}
 }
 
 // rate returns the tokens per second that are asked for.
-func (a *account) rate(now time.Duration) float64 { return a.decayed(now) / demandTime.Seconds() }
+func (a average) rate(now time.Duration) float64 { return a.tokens * a.factor(now) / a.span(now) }
+
+// reach returns the demand of some time, with a number of standard deviations
+// for requests that come at random.
+func (a average) reach(now, ahead time.Duration, spread float64) float64 {
+	variance := a.squares * a.factor(now) / a.span(now) * ahead.Seconds()
+	return a.rate(now)*ahead.Seconds() + spread*math.Sqrt(variance)
+}
+
+func (a average) factor(now time.Duration) float64 {
+	return math.Exp(-(now - a.at).Seconds() / demandTime.Seconds())
+}
 
-func (a *account) decayed(now time.Duration) float64 {
-	return a.demand * math.Exp(-(now-a.at).Seconds()/demandTime.Seconds())
+// span returns the seconds that the decayed sums stand for.
+func (a average) span(now time.Duration) float64 {
+	age := max(now-a.since, minDemandAge).Seconds()
+	return demandTime.Seconds() * (1 - math.Exp(-age/demandTime.Seconds()))
 }
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -35,19 +35,26 @@
 )
 
 const (
-	demandTime   = 6 * time.Second        // over which the demand of an account is averaged, half of a usual cut
-	limitAhead   = 500 * time.Millisecond // demand that the limit allows beyond what is used, half of LedgerInterval
-	rateMargin   = 1.6                    // growth of the limit per demand, so that a cut instance serves a rise
-	lumpInterval = 3 * time.Second        // time in which the limit also grows by one large request
-	lumpDecay    = 0.9                    // of the remembered size per smaller request
+	demandTime   = 15 * time.Second       // over which the demand of an account is averaged, two usual cuts
+	minDemandAge = 2 * time.Second        // demand seen for a shorter time is averaged over this one
+	grantAhead   = 10 * time.Second       // demand that a grant covers: a usual cut takes 7 to 9 s
+	grantSpread  = 1.0                    // standard deviations of that demand that it covers beside the mean
+	limitAhead   = time.Second            // demand that the limit covers, see LedgerInterval
+	limitSpread  = 0.5                    // standard deviations of that demand
+	limitGrowth  = 3.0                    // growth of an old ledger's limit, as a multiple of the demand
+	lumpDecay    = 0.9                    // of the remembered size of large requests, per smaller request
 	poolShare    = 0.1                    // of what is left that stays ungranted, for whoever runs short first
-	priorShare   = 0.2                    // of the mean demand that each instance counts beside its own
+	priorShare   = 0.2                    // of the mean demand of all instances that counts beside the own
 	surplusShare = 0.2                    // of the fair part by which a grant may exceed it before it is returned
+	staleShare   = 0.02                   // of a budget by which published figures may differ from the current ones
+	minComeBack  = 300 * time.Millisecond // a store call and a round trip of the caller
+	maxComeBack  = 5 * time.Second        // a cut is often over by then
+
 	// LedgerInterval is the time between two writes of the ledger without need.
-	// A crash loses the tokens that the limit allows in this time.
 	LedgerInterval = time.Second
-	minComeBack    = 300 * time.Millisecond // a store call and a round trip of the caller
-	maxComeBack    = 5 * time.Second        // a cut is often over by then
+	// LimitHold is how old a ledger becomes before its limits grow. A killed
+	// process has its successor sooner, so nothing beyond the limit is lost.
+	LimitHold = 2 * time.Second
 )
 
 // Holding is the part of one instance in a budget. Held and Spent only count up
@@ -122,8 +129,8 @@
 	return sum
 }
 
-// Limit bounds the tokens that an instance has used of one budget: Limit + Rate
-// for each second since the ledger's time.
+// Limit bounds the tokens that an instance has used of one budget: Limit, and
+// Rate for each second after the ledger is [LimitHold] old.
 type Limit struct {
 	Limit int64 `json:"limit"` // tokens
 	Rate  int64 `json:"rate"`  // tokens per second
@@ -138,7 +145,7 @@
 }
 
 func (l Limit) after(age time.Duration) int64 {
-	return l.Limit + int64(float64(l.Rate)*age.Seconds())
+	return l.Limit + int64(float64(l.Rate)*max(0, age-LimitHold).Seconds())
 }
 
 // Ledger bounds the spending of one instance.
@@ -197,9 +204,16 @@
 	reserved int64
 	waiting  int64 // tokens of reservations that wait for the limit
 	want     int64 // tokens of reservations that wait for a grant
-	demand   float64
-	at       time.Duration // of demand
-	lump     float64       // size of a large request
+	asked    average
+	lump     float64 // size of a large request
+}
+
+// average is the demand of late, decaying exponentially.
+type average struct {
+	tokens  float64
+	squares float64       // of the tokens of each request
+	at      time.Duration // of the last request
+	since   time.Duration // of the first one
 }
 
 func (a *account) used() int64 { return a.spent + a.reserved }
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"daisylane/internal/follower"
 	"daisylane/internal/forwarder"
 	"daisylane/internal/retrier"
 )
@@ -54,7 +55,7 @@
 		case time.Until(j.deadline) <= 0:
 			j.expire()
 			return
-		case res.outcome == retrier.NotRun && !res.refused && j.dials < maxDials, res.moved && j.dials < maxDials, verdict.Retry:
+		case res.outcome == retrier.NotRun && !res.refused && j.dials < maxDials, verdict.Retry && j.dials < maxDials:
 			if verdict.Wait > 0 && !res.refused && res.outcome != retrier.NotRun {
 				pause(ctx, verdict.Wait)
 			}
@@ -73,6 +74,8 @@
 	}
 	if res.moved {
 		j.r.pool.Forget(lane.Target.Addr)
+		j.r.dispatch.Roster(func(r *follower.Roster) { r.Gone(lane.Target.ID) })
+		j.r.log.Warn().Str("id", j.meta.ID).Str("target", lane.Target.ID).Str("addr", lane.Target.Addr).Msg("target replaced at its address")
 	}
 	return j.r.dispatch.Done(now, lane, &retrier.Attempt{
 		Account: account, Outcome: res.outcome, Refused: res.refused, Idempotent: j.route.Repeatable(),
