Let requests wait for tokens within their latency objective

Cause: at the start of a cut an instance may use only what its ledger allows until the ledger is old; requests were refused at once and came back late. Change: a request waits up to 0.6 of its objective; the ledger is written every 400 ms, its limits grow after 1.8 s up to the whole grant in 2 s more; a successor inherits the demand of the former process.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -38,7 +38,6 @@
 )
 
 const (
-	waitTime       = 350 * time.Millisecond // for tokens: a third of the shortest latency objective of a stream
 	ledgerGap      = 60 * time.Millisecond  // between two ledger writes, so that one serves many requests
 	grantsGap      = 250 * time.Millisecond // between two writes of the grants by one instance
 	refreshTime    = 2 * time.Second        // after which stale grants are written again
@@ -141,10 +140,11 @@
 }
 
 // Reserve takes tokens for a request at its most. If the tokens are not here it
-// waits for a short time while they are fetched, but not if that is known to be
-// in vain.
-func (a *Accountant) Reserve(ctx context.Context, account string, n int64) granter.Decision {
-	deadline := time.NewTimer(waitTime)
+// waits up to the given time while they are fetched, but not if that is known to
+// be in vain.
+func (a *Accountant) Reserve(ctx context.Context, account string, n int64, wait time.Duration) granter.Decision {
+	deadline := time.NewTimer(wait)
+	end := a.clock() + wait
 	defer deadline.Stop()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -163,7 +163,7 @@
 			return d
 		case d.Outcome == granter.Unready:
 			return d
-		case !inTouch && (d.Outcome == granter.Short || d.After > waitTime):
+		case !inTouch && (d.Outcome == granter.Short || now+d.After > end):
 			return d
 		}
 		if !a.await(ctx, deadline.C, account, n, d) {
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -24,6 +24,7 @@
 		a := g.account(name)
 		a.held = part.Held
 		a.spent = g.bound(now, old, name, part)
+		a.asked, a.lump = formerAverage(now, part), float64(part.Large)
 		if n := a.spent - part.Spent; n > 0 {
 			lost[name] = n
 		}
@@ -156,7 +157,7 @@
 		}
 		l.Accounts[name] = Limit{
 			Limit: a.used() + a.waiting + int64(a.asked.reach(now, limitAhead, limitSpread)),
-			Rate:  max(1, int64(a.asked.rate(now)*limitGrowth+a.lump)),
+			Rate:  max(1, int64(float64(a.held-a.used())/limitRamp.Seconds())),
 		}
 		if g.stopping && a.reserved == 0 && a.waiting == 0 {
 			l.Accounts[name] = Limit{Limit: a.spent}
@@ -181,7 +182,7 @@
 // part decides the holding of this instance. It takes from what is not granted
 // and returns what exceeds the fair part or what others miss.
 func (g *Granter) part(now time.Duration, grants Grants, name string, a *account) Holding {
-	h := Holding{Held: a.held, Spent: a.spent, Rate: int64(a.asked.rate(now))}
+	h := Holding{Held: a.held, Spent: a.spent, Rate: int64(a.asked.rate(now)), Large: int64(a.lump)}
 	if g.stopping {
 		h.Held = min(a.held, a.used()+a.waiting)
 		return h
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -167,9 +167,29 @@
 		weight = (own + prior) / (sum + prior*instances)
 	}
 	ahead := a.asked.reach(now, grantAhead, grantSpread) + prior*grantAhead.Seconds()
+	ahead += float64(left) * youngShare * a.asked.young(now)
 	return int64(min((1-poolShare)*weight*float64(left), ahead))
 }
 
+// formerAverage returns the demand as a former process published it.
+func formerAverage(now time.Duration, part Holding) average {
+	if part.Rate == 0 {
+		return average{}
+	}
+	a := average{at: now, since: now - demandTime}
+	a.tokens = float64(part.Rate) * a.span(now)
+	a.squares = a.tokens * float64(part.Large) / 2
+	return a
+}
+
+// young returns 1 for demand that was never seen, and less the longer it has been.
+func (a average) young(now time.Duration) float64 {
+	if a.at == 0 {
+		return 1
+	}
+	return math.Exp(-(now - a.since).Seconds() / youngTime.Seconds())
+}
+
 // with counts one more request.
 func (a average) with(now time.Duration, tokens float64) average {
 	if a.at == 0 {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -40,8 +40,10 @@
 	grantAhead   = 10 * time.Second       // demand that a grant covers: a usual cut takes 7 to 9 s
 	grantSpread  = 1.0                    // standard deviations of that demand that it covers beside the mean
 	limitAhead   = time.Second            // demand that the limit covers, see LedgerInterval
-	limitSpread  = 0.5                    // standard deviations of that demand
-	limitGrowth  = 3.0                    // growth of an old ledger's limit, as a multiple of the demand
+	limitSpread  = 0.25                   // standard deviations of that demand
+	limitRamp    = 2 * time.Second        // in which the limit of an old ledger grows to the whole grant
+	youngShare   = 0.04                   // of what is left that an instance holds of a budget whose demand it has not seen
+	youngTime    = 10 * time.Second       // over which this part shrinks while demand is seen
 	lumpDecay    = 0.9                    // of the remembered size of large requests, per smaller request
 	poolShare    = 0.1                    // of what is left that stays ungranted, for whoever runs short first
 	priorShare   = 0.2                    // of the mean demand of all instances that counts beside the own
@@ -51,10 +53,10 @@
 	maxComeBack  = 5 * time.Second        // a cut is often over by then
 
 	// LedgerInterval is the time between two writes of the ledger without need.
-	LedgerInterval = time.Second
+	LedgerInterval = 400 * time.Millisecond
 	// LimitHold is how old a ledger becomes before its limits grow. A killed
 	// process has its successor sooner, so nothing beyond the limit is lost.
-	LimitHold = 2 * time.Second
+	LimitHold = 1800 * time.Millisecond
 )
 
 // Holding is the part of one instance in a budget. Held and Spent only count up
@@ -63,6 +65,7 @@
 	Held  int64 `json:"held"`           // tokens granted since the budget began, spent ones included
 	Spent int64 `json:"spent"`          // tokens used when the object was written
 	Rate  int64 `json:"rate"`           // tokens per second asked for
+	Large int64 `json:"large"`          // tokens of a large request
 	Want  int64 `json:"want,omitempty"` // tokens that are missing
 }
 
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -196,7 +196,7 @@
 		return true
 	}
 	n := j.meta.Prompt + j.meta.Output
-	j.budget = j.r.budgets.Reserve(j.req.Context(), j.account.Name, n)
+	j.budget = j.r.budgets.Reserve(j.req.Context(), j.account.Name, n, time.Duration(tokenShare*float64(j.route.Target)))
 	switch j.budget.Outcome {
 	case granter.Reserved:
 		j.reserved = n
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -28,6 +28,7 @@
 	maxDials        = 4                      // targets that one request tries in vain to connect to
 	staleTime       = 4 * time.Second        // without contact, after which an unknown route or key may be one that was added
 	defaultPatience = 30 * time.Second       // of a caller that states none
+	tokenShare      = 0.6                    // of the latency objective that a request may wait for tokens
 	minLeft         = 20 * time.Millisecond  // a shorter rest serves no request
 	silenceFactor   = 1.5                    // of the latency objective, after which a repeatable request goes elsewhere
 	streamFactor    = 2.5                    // of the objective of the first event
@@ -83,6 +84,6 @@
 // Budgets reserves prepaid tokens.
 type Budgets interface {
 	Ready() bool
-	Reserve(ctx context.Context, account string, n int64) granter.Decision
+	Reserve(ctx context.Context, account string, n int64, wait time.Duration) granter.Decision
 	Settle(account string, reserved, used int64)
 }
