Reach the store through relays beside the targets

Cause: entries that are cut off from the store spend only what they hold; covering cuts of 7 to 9 s takes large grants, which a loss of power destroys.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -12,7 +12,7 @@
 func main() {
 	args := os.Args[1:]
 	if slices.Contains(args, starter.Flag) {
-		os.Exit(starter.Main(args, os.Stdout, os.Stderr))
+		os.Exit(starter.Entry(args, os.Stdout, os.Stderr))
 	}
 	os.Exit(launcher.Main(args, os.Stdout, os.Stderr))
 }
--- a/cmd/side/main.go
+++ b/cmd/side/main.go
@@ -1,10 +1,19 @@
-// Command side runs the sidecar process of one target.
+// Command side runs beside one target and is the only way to it. On the users'
+// platform it relays calls of entries to the store.
 package main
 
 import (
 	"os"
+	"slices"
 
 	"daisylane/internal/executor"
+	"daisylane/internal/starter"
 )
 
-func main() { os.Exit(executor.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	args := os.Args[1:]
+	if slices.Contains(args, starter.Flag) {
+		os.Exit(starter.Side(args, os.Stdout, os.Stderr))
+	}
+	os.Exit(executor.Main(args, os.Stdout, os.Stderr))
+}
--- a/internal/resolver/queries.go
+++ b/internal/resolver/queries.go
@@ -68,6 +68,9 @@
 	return nil, false
 }
 
+// Services returns all services. The result must not be changed.
+func (t *Table) Services() []Service { return t.cfg.Services }
+
 // Service returns a service by its name.
 func (t *Table) Service(name string) (*Service, bool) {
 	s, ok := t.services[name]
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -48,6 +48,7 @@
 	log      zerolog.Logger
 	lines    *logger.Async
 	store    *platform.Store
+	paths    *paths
 	money    *accountant.Accountant
 	dispatch *receiver.Dispatch
 	receiver *receiver.Receiver
@@ -66,9 +67,10 @@
 		retrier.WithShares(cfg.Bounds.RetryShare*retryPart, 1), retrier.WithBursts(1, accountRetry))
 	e := &entry{
 		cfg: cfg, path: path, log: log, lines: lines,
-		store: platform.NewStore(cfg.Store.Addr),
+		paths: newPaths(cfg.Store.Addr, log),
 		pool:  forwarder.New(platform.RequestID),
 	}
+	e.store = platform.NewStore(cfg.Store.Addr, e.paths)
 	e.dispatch = receiver.NewDispatch(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries)
 	e.money = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, log)
 	e.metrics = reporter.New(map[string]string{"instance": cfg.Name}, reporter.FlushInterval, func(err error) {
@@ -165,10 +167,44 @@
 			n := e.money.Instances()
 			e.dispatch.Peers(n, e.cfg.Bounds.RetryReserve*retryPart/float64(max(1, n)))
 			e.pool.Sweep(now)
+			e.paths.setRelays(e.relays())
+			if way, due := e.paths.probe(ctx); due {
+				go func() { _ = e.store.Probe(way) }() // the way notes the result
+			}
 		}
 	}
 }
 
+// relays returns the addresses of the relays beside the targets of engine
+// services, those of the own region first.
+func (e *entry) relays() []string {
+	table := e.receiver.Table()
+	if table == nil {
+		return nil
+	}
+	var near, far []string
+	e.dispatch.Roster(func(r *follower.Roster) {
+		for _, s := range table.Services() {
+			if s.Engine == nil {
+				continue
+			}
+			for _, t := range r.Ready(s.Name) {
+				host, _, err := net.SplitHostPort(t.Addr)
+				if err != nil {
+					continue
+				}
+				addr := net.JoinHostPort(host, e.cfg.RelayPort())
+				if e.cfg.Regions[t.Centre] == e.cfg.Region {
+					near = append(near, addr)
+				} else {
+					far = append(far, addr)
+				}
+			}
+		}
+	})
+	return append(near, far...)
+}
+
 // forget drops what is known of a target that is gone.
 func (e *entry) forget(t follower.Target, reason string) {
 	e.dispatch.Forget(t.ID)
