--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -37,12 +37,12 @@
 const (
 	demandTime   = 15 * time.Second       // over which the demand of an account is averaged, two usual cuts
 	minDemandAge = 2 * time.Second        // demand seen for a shorter time is averaged over this one
-	grantAhead   = 10 * time.Second       // demand that a grant covers: a usual cut takes 7 to 9 s
-	grantSpread  = 1.0                    // standard deviations of that demand that it covers beside the mean
-	limitAhead   = time.Second            // demand that the limit covers, see LedgerInterval
-	limitSpread  = 0.25                   // standard deviations of that demand
+	grantAhead   = 4 * time.Second        // demand that a grant covers: an outage of the store that no relay bridges takes 2 to 5 s
+	grantSpread  = 0.5                    // standard deviations of that demand that it covers beside the mean
+	limitAhead   = 700 * time.Millisecond // demand that the limit covers, see LedgerInterval
+	limitSpread  = 0.2                    // standard deviations of that demand
 	limitRamp    = 2 * time.Second        // in which the limit of an old ledger grows to the whole grant
-	youngShare   = 0.04                   // of what is left that an instance holds of a budget whose demand it has not seen
+	youngShare   = 0.015                  // of what is left that an instance holds of a budget whose demand it has not seen
 	youngTime    = 10 * time.Second       // over which this part shrinks while demand is seen
 	lumpDecay    = 0.9                    // of the remembered size of large requests, per smaller request
 	poolShare    = 0.1                    // of what is left that stays ungranted, for whoever runs short first
