Bill only what was delivered, publish open reservations, write less often

Change: a request without a delivered event is not billed; reservations are published, so that an account whose tokens are taken is refused at once; a grant covers 1.5 s of demand; ledger every 700 ms, grants every 4 s.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -40,7 +40,7 @@
 const (
 	ledgerGap      = 60 * time.Millisecond  // between two ledger writes, so that one serves many requests
 	grantsGap      = 250 * time.Millisecond // between two writes of the grants by one instance
-	refreshTime    = 2 * time.Second        // after which stale grants are written again
+	refreshTime    = 4 * time.Second        // after which stale grants are written again
 	retryPause     = 150 * time.Millisecond
 	contactTime    = 3 * time.Second // after which the last contact with the store proves nothing
 	watchInstances = 8               // up to so many, the grants are watched: each change wakes all instances
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -182,7 +182,7 @@
 // part decides the holding of this instance. It takes from what is not granted
 // and returns what exceeds the fair part or what others miss.
 func (g *Granter) part(now time.Duration, grants Grants, name string, a *account) Holding {
-	h := Holding{Held: a.held, Spent: a.spent, Rate: int64(a.asked.rate(now)), Large: int64(a.lump)}
+	h := Holding{Held: a.held, Spent: a.spent, Open: a.reserved, Rate: int64(a.asked.rate(now)), Large: int64(a.lump)}
 	if g.stopping {
 		h.Held = min(a.held, a.used()+a.waiting)
 		return h
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -82,7 +82,7 @@
 	limit, rate := g.limit(now, name)
 	d := Decision{
 		Held: g.held(name, a), Used: a.used(), Limit: limit, Age: g.ledger.Age(now),
-		Left: a.prepaid - g.spent(name, a),
+		Left: a.prepaid - g.taken(name, a),
 	}
 	after := d.Used + n
 	switch {
@@ -127,12 +127,13 @@
 	return tokens, rate
 }
 
-// spent returns the tokens that all instances are known to have spent of an account.
-func (g *Granter) spent(name string, a *account) int64 {
-	sum := a.spent
+// taken returns the tokens of an account that all instances are known to have
+// spent or reserved.
+func (g *Granter) taken(name string, a *account) int64 {
+	sum := a.used()
 	for instance, part := range g.grants.Accounts[name] {
 		if instance != g.name {
-			sum += min(part.Spent, part.Held)
+			sum += min(part.Spent+part.Open, part.Held)
 		}
 	}
 	return sum
@@ -152,7 +153,7 @@
 // share returns the fair part of this instance of what is left of a budget: the
 // demand of some time ahead, and in no case more than its part by demand.
 func (g *Granter) share(now time.Duration, grants Grants, name string, a *account) int64 {
-	left := max(0, a.prepaid-g.spent(name, a)-a.reserved)
+	left := max(0, a.prepaid-g.taken(name, a))
 	own := a.asked.rate(now)
 	sum := own
 	for instance, part := range grants.Accounts[name] {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -35,28 +35,28 @@
 )
 
 const (
-	demandTime   = 15 * time.Second       // over which the demand of an account is averaged, two usual cuts
-	minDemandAge = 2 * time.Second        // demand seen for a shorter time is averaged over this one
-	grantAhead   = 4 * time.Second        // demand that a grant covers: an outage of the store that no relay bridges takes 2 to 5 s
-	grantSpread  = 0.5                    // standard deviations of that demand that it covers beside the mean
-	limitAhead   = 700 * time.Millisecond // demand that the limit covers, see LedgerInterval
-	limitSpread  = 0.2                    // standard deviations of that demand
-	limitRamp    = 2 * time.Second        // in which the limit of an old ledger grows to the whole grant
-	youngShare   = 0.015                  // of what is left that an instance holds of a budget whose demand it has not seen
-	youngTime    = 10 * time.Second       // over which this part shrinks while demand is seen
-	lumpDecay    = 0.9                    // of the remembered size of large requests, per smaller request
-	poolShare    = 0.1                    // of what is left that stays ungranted, for whoever runs short first
-	priorShare   = 0.2                    // of the mean demand of all instances that counts beside the own
-	surplusShare = 0.2                    // of the fair part by which a grant may exceed it before it is returned
-	staleShare   = 0.02                   // of a budget by which published figures may differ from the current ones
-	minComeBack  = 300 * time.Millisecond // a store call and a round trip of the caller
-	maxComeBack  = 5 * time.Second        // a cut is often over by then
+	demandTime   = 15 * time.Second        // over which the demand of an account is averaged, two usual cuts
+	minDemandAge = 2 * time.Second         // demand seen for a shorter time is averaged over this one
+	grantAhead   = 1500 * time.Millisecond // demand that a grant covers: an outage of the store that no relay bridges takes 2 to 5 s
+	grantSpread  = 0.5                     // standard deviations of that demand that it covers beside the mean
+	limitAhead   = 700 * time.Millisecond  // demand that the limit covers, see LedgerInterval
+	limitSpread  = 0.2                     // standard deviations of that demand
+	limitRamp    = 2 * time.Second         // in which the limit of an old ledger grows to the whole grant
+	youngShare   = 0.015                   // of what is left that an instance holds of a budget whose demand it has not seen
+	youngTime    = 10 * time.Second        // over which this part shrinks while demand is seen
+	lumpDecay    = 0.9                     // of the remembered size of large requests, per smaller request
+	poolShare    = 0.1                     // of what is left that stays ungranted, for whoever runs short first
+	priorShare   = 0.2                     // of the mean demand of all instances that counts beside the own
+	surplusShare = 0.2                     // of the fair part by which a grant may exceed it before it is returned
+	staleShare   = 0.04                    // of a budget by which published figures may differ from the current ones
+	minComeBack  = 300 * time.Millisecond  // a store call and a round trip of the caller
+	maxComeBack  = 5 * time.Second         // a cut is often over by then
 
 	// LedgerInterval is the time between two writes of the ledger without need.
-	LedgerInterval = 400 * time.Millisecond
+	LedgerInterval = 700 * time.Millisecond
 	// LimitHold is how old a ledger becomes before its limits grow. A killed
 	// process has its successor sooner, so nothing beyond the limit is lost.
-	LimitHold = 1800 * time.Millisecond
+	LimitHold = 2 * time.Second
 )
 
 // Holding is the part of one instance in a budget. Held and Spent only count up
@@ -64,6 +64,7 @@
 type Holding struct {
 	Held  int64 `json:"held"`           // tokens granted since the budget began, spent ones included
 	Spent int64 `json:"spent"`          // tokens used when the object was written
+	Open  int64 `json:"open,omitempty"` // tokens reserved then
 	Rate  int64 `json:"rate"`           // tokens per second asked for
 	Large int64 `json:"large"`          // tokens of a large request
 	Want  int64 `json:"want,omitempty"` // tokens that are missing
@@ -74,6 +75,7 @@
 	var f checker.Faults
 	f.Require(h.Held >= 0, "held", "is %d, must not be negative", h.Held)
 	f.Require(h.Spent >= 0, "spent", "is %d, must not be negative", h.Spent)
+	f.Require(h.Open >= 0, "open", "is %d, must not be negative", h.Open)
 	f.Require(h.Rate >= 0, "rate", "is %d, must not be negative", h.Rate)
 	f.Require(h.Want >= 0, "want", "is %d, must not be negative", h.Want)
 	return f.Err()
@@ -194,7 +196,7 @@
 	Held    int64         // tokens granted to this instance
 	Used    int64         // spent and reserved
 	Limit   int64         // what may be used now
-	Left    int64         // of the whole budget, as far as known
+	Left    int64         // of the whole budget, neither spent nor reserved as far as known
 	Age     time.Duration // of the ledger
 	After   time.Duration // time to come back if nothing changes
 }
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -108,13 +108,14 @@
 		if !j.stream.started {
 			j.begin(a)
 		}
+		// An event that fails on its way may still have reached the caller.
+		j.stream.events++
 		if _, err := j.w.Write(event); err != nil {
 			return j.left(err)
 		}
 		if err := flush.Flush(); err != nil {
 			return j.left(err)
 		}
-		j.stream.events++
 		if id != "" {
 			j.stream.last = id
 		}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -208,14 +208,14 @@
 	return j.refuse(http.StatusServiceUnavailable, "tokens"+string(j.budget.Outcome), after)
 }
 
-// settle ends the reservation with what was delivered. The prompt counts once
-// the request may have run.
+// settle ends the reservation with what was delivered. A request of which the
+// caller got nothing is not billed.
 func (j *job) settle() {
 	if j.reserved == 0 {
 		return
 	}
 	var used int64
-	if j.out.ran {
+	if j.stream.events > 0 {
 		used = j.meta.Prompt + min(j.meta.Output, int64(j.stream.events)*int64(j.service.Engine.PerEvent))
 	}
 	j.r.budgets.Settle(j.account.Name, j.reserved, used)
