Let the home of an account lend tokens to the other instances

Change: the first two instances by rendezvous hashing hold an account's grant and lend to the others over their own port; lent tokens count as spent at the lender and are used first. The store stays the way out when the home does not answer. Grants are polled, not watched.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -4,12 +4,12 @@
 //
 // # Usage
 //
-//	a := accountant.New(store, "entry-1", log)
+//	a := accountant.New(store, "entry-1", "10.0.0.4:7340", peers, log)
 //	go a.Run(ctx)
 //	a.Budgets(version, map[string]int64{"rider-app": 2_000_000})
-//	d := a.Reserve(ctx, "rider-app", 20_000)
+//	d := a.Reserve(ctx, "rider-app", 20_000, time.Second)
 //	if d.Outcome == granter.Reserved {
-//		defer func() { a.Settle("rider-app", 20_000, used) }()
+//		defer func() { a.Settle("rider-app", d, used) }()
 //	}
 package accountant
 
@@ -25,7 +25,6 @@
 	"github.com/rs/zerolog"
 
 	"daisylane/internal/checker"
-	"daisylane/internal/follower"
 	"daisylane/internal/granter"
 	"daisylane/internal/storer"
 )
@@ -38,13 +37,14 @@
 )
 
 const (
-	ledgerGap      = 60 * time.Millisecond  // between two ledger writes, so that one serves many requests
-	grantsGap      = 250 * time.Millisecond // between two writes of the grants by one instance
-	refreshTime    = 4 * time.Second        // after which stale grants are written again
-	retryPause     = 150 * time.Millisecond
-	contactTime    = 3 * time.Second // after which the last contact with the store proves nothing
-	watchInstances = 8               // up to so many, the grants are watched: each change wakes all instances
-	pollTime       = 2 * time.Second // reads of the grants in larger fleets
+	ledgerGap   = 60 * time.Millisecond  // between two ledger writes, so that one serves many requests
+	grantsGap   = 250 * time.Millisecond // between two writes of the grants by one instance
+	refreshTime = 4 * time.Second        // after which stale grants are written again
+	retryPause  = 150 * time.Millisecond
+	contactTime = 3 * time.Second        // after which the last contact with the store proves nothing
+	pollTime    = 2 * time.Second        // between reads of the grants, which change little while homes lend
+	lendTime    = 150 * time.Millisecond // in which a lender gets more tokens: a ledger and a grants write
+	avoidTime   = 2 * time.Second        // in which a peer that failed is not asked again
 )
 
 // ErrReplaced means that a newer process of this instance writes the ledger.
@@ -54,13 +54,21 @@
 type Store interface {
 	Get(ctx context.Context, kind, name string) (storer.Item, error)
 	Put(ctx context.Context, kind, name string, body []byte, version uint64) (storer.Item, error)
-	follower.Source
+}
+
+// Peers asks other instances for tokens.
+type Peers interface {
+	// Borrow asks for tokens, at least need and up to ask. It returns 0 if the
+	// peer has too few or does not answer.
+	Borrow(ctx context.Context, peer granter.Lender, account string, need, ask int64) (int64, error)
+	Return(ctx context.Context, peer granter.Lender, account string, tokens int64) error
 }
 
 // Accountant is safe for concurrent use.
 type Accountant struct {
 	store Store
 	name  string
+	peers Peers
 	log   zerolog.Logger
 	clock func() time.Duration
 	boot  string
@@ -71,7 +79,9 @@
 	contact  time.Duration
 	lost     bool // the store did not answer the last write
 	ready    bool
-	budgeted bool // the configuration is known
+	budgeted bool                     // the configuration is known
+	stopped  bool                     // lends no more
+	avoid    map[string]time.Duration // end of the time in which a peer is not asked, by name
 	changed  chan struct{}
 	ledger   chan struct{}
 	grants   chan struct{}
@@ -79,14 +89,15 @@
 }
 
 // New returns the accountant of an instance. Its name must be that of one
-// machine at one address, so that two processes never use it at once.
-func New(store Store, name string, log zerolog.Logger) *Accountant {
+// machine at one address, so that two processes never use it at once. The
+// address is where it lends tokens to its peers.
+func New(store Store, name, addr string, peers Peers, log zerolog.Logger) *Accountant {
 	boot := bootID()
-	incarnation := strconv.FormatUint(rand.Uint64(), 36)
+	self := granter.Instance{Incarnation: strconv.FormatUint(rand.Uint64(), 36), Addr: addr}
 	return &Accountant{
-		store: store, name: name, log: log, clock: bootClock, boot: boot,
-		state:   granter.New(name, incarnation, boot),
-		changed: make(chan struct{}), ledger: make(chan struct{}, 1), grants: make(chan struct{}, 1),
+		store: store, name: name, peers: peers, log: log, clock: bootClock, boot: boot,
+		state: granter.New(name, self, boot),
+		avoid: make(map[string]time.Duration), changed: make(chan struct{}), ledger: make(chan struct{}, 1), grants: make(chan struct{}, 1),
 	}
 }
 
@@ -139,42 +150,98 @@
 	return a.state.Instances()
 }
 
-// Reserve takes tokens for a request at its most. If the tokens are not here it
-// waits up to the given time while they are fetched, but not if that is known to
-// be in vain.
+// Reserve takes tokens for a request at its most. Those that are not here are
+// asked of the account's home, then of the store, for up to the given time, but
+// not if that is known to be in vain.
 func (a *Accountant) Reserve(ctx context.Context, account string, n int64, wait time.Duration) granter.Decision {
-	deadline := time.NewTimer(wait)
-	end := a.clock() + wait
-	defer deadline.Stop()
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.state.Arrived(a.clock(), account, n)
+	if a.ready && !a.state.Covered(account, n) {
+		a.borrow(ctx, account, n)
+	}
+	if !a.state.Covered(account, n) {
+		a.state.Ask(a.clock(), account, n)
+	}
+	return a.obtain(ctx, account, n, a.clock()+wait, a.state.Reserve)
+}
+
+// Lend takes tokens for another instance, at least need and up to ask.
+func (a *Accountant) Lend(ctx context.Context, account string, need, ask int64) granter.Decision {
+	ctx, cancel := context.WithTimeout(ctx, lendTime)
+	defer cancel()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopped {
+		return granter.Decision{Outcome: granter.Unready}
+	}
+	now := a.clock()
+	a.state.Ask(now, account, need)
+	if d := a.state.Lend(now, account, ask); d.Outcome == granter.Reserved {
+		d.Own = ask
+		return d
+	}
+	return a.obtain(ctx, account, need, now+lendTime, a.state.Lend)
+}
+
+// Returned takes back tokens that were lent and not used.
+func (a *Accountant) Returned(account string, tokens int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.state.Ask(a.clock(), account, n)
+	a.state.Returned(account, tokens)
+}
+
+// borrow asks the lenders of an account in turn. The caller holds the lock,
+// which is free while a peer is asked.
+func (a *Accountant) borrow(ctx context.Context, account string, n int64) {
+	for _, lender := range a.state.Lenders(account) {
+		now := a.clock()
+		if now < a.avoid[lender.Name] {
+			continue
+		}
+		need, ask := a.state.Borrow(now, account, n)
+		a.mu.Unlock()
+		got, err := a.peers.Borrow(ctx, lender, account, need, ask)
+		a.mu.Lock()
+		if err != nil {
+			a.avoid[lender.Name] = a.clock() + avoidTime
+			a.log.Warn().Str("peer", lender.Name).Err(err).Msg("peer lends nothing")
+			continue
+		}
+		a.state.Lent(account, got)
+		return
+	}
+}
+
+// obtain tries to take tokens until it succeeds, fails for good or the time is
+// over. The caller holds the lock.
+func (a *Accountant) obtain(ctx context.Context, account string, n int64, end time.Duration, take func(time.Duration, string, int64) granter.Decision) granter.Decision {
 	for {
 		now := a.clock()
-		d := a.state.Reserve(now, account, n)
+		d := take(now, account, n)
 		inTouch := !a.lost && now-a.contact < contactTime
 		switch {
-		case d.Outcome == granter.Reserved:
+		case d.Outcome == granter.Reserved, d.Outcome == granter.Unready:
 			return d
 		case d.Outcome == granter.Exhausted && inTouch:
 			return d
 		case d.Outcome == granter.Exhausted:
 			d.Outcome, d.After = granter.Short, contactTime
 			return d
-		case d.Outcome == granter.Unready:
-			return d
 		case !inTouch && (d.Outcome == granter.Short || now+d.After > end):
 			return d
 		}
-		if !a.await(ctx, deadline.C, account, n, d) {
+		if !a.await(ctx, account, d) {
 			return d
 		}
 	}
 }
 
 // await waits for a change. It reports false when the wait is over.
-func (a *Accountant) await(ctx context.Context, deadline <-chan time.Time, account string, n int64, d granter.Decision) bool {
-	done := a.state.Wait(account, n, d.Outcome == granter.Short)
+func (a *Accountant) await(ctx context.Context, account string, d granter.Decision) bool {
+	done := a.state.Wait(account, d.Own, d.Outcome == granter.Short)
 	defer func() { done() }()
 	changed := a.changed
 	var grown <-chan time.Time
@@ -193,23 +260,23 @@
 		return true
 	case <-grown:
 		return true
-	case <-deadline:
 	case <-ctx.Done():
 	}
 	return false
 }
 
 // Settle ends a reservation with what was used of it.
-func (a *Accountant) Settle(account string, reserved, used int64) {
+func (a *Accountant) Settle(account string, d granter.Decision, used int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.state.Settle(account, reserved, used)
+	a.state.Settle(account, d, used)
 }
 
 // Stop returns what is not needed any more.
 func (a *Accountant) Stop() {
 	a.mu.Lock()
 	a.state.Stop()
+	a.stopped = true
 	a.mu.Unlock()
 	wake(a.grants)
 }
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"daisylane/internal/checker"
-	"daisylane/internal/follower"
 	"daisylane/internal/granter"
 	"daisylane/internal/storer"
 )
@@ -217,58 +217,52 @@
 	return nil
 }
 
-// followGrants keeps the view of the grants current.
+// followGrants reads the grants from time to time and gives lent tokens back
+// that are not needed.
 func (a *Accountant) followGrants(ctx context.Context) {
-	watch, stop := context.WithCancel(ctx)
-	defer stop()
-	follower.New(a.store, KindGrants, grantsHandler{a, stop}).Run(watch)
 	for ctx.Err() == nil {
-		pause(ctx, pollTime)
+		pause(ctx, pollTime/2+rand.N(pollTime))
+		began := a.clock()
 		item, err := a.store.Get(ctx, KindGrants, shardName)
 		a.mu.Lock()
-		a.touched(a.clock(), err)
-		if err == nil {
-			if a.observe(item) == nil {
-				a.notify()
-				wake(a.grants)
-			}
+		a.touched(began, err)
+		if err == nil && a.observe(item) == nil {
+			a.notify()
+			wake(a.grants)
 		}
 		a.mu.Unlock()
+		a.giveBack(ctx)
 	}
 }
 
-// grantsHandler implements [follower.Handler]. It ends the watch in a large fleet.
-type grantsHandler struct {
-	a    *Accountant
-	stop func()
-}
-
-func (h grantsHandler) Listed(items []storer.Item) {
-	h.a.mu.Lock()
-	defer h.a.mu.Unlock()
-	for _, item := range items {
-		if item.Key == shardName && h.a.observe(item) == nil {
-			h.a.notify()
-			wake(h.a.grants)
-		}
+// giveBack returns lent tokens that are not needed to the homes of the accounts.
+func (a *Accountant) giveBack(ctx context.Context) {
+	type gift struct {
+		peer    granter.Lender
+		account string
+		tokens  int64
 	}
-	if h.a.state.Instances() > watchInstances {
-		h.stop()
+	var gifts []gift
+	a.mu.Lock()
+	now := a.clock()
+	for _, account := range a.state.Borrowed() {
+		lenders := a.state.Lenders(account)
+		if len(lenders) == 0 || now < a.avoid[lenders[0].Name] {
+			continue
+		}
+		if n := a.state.TakeSurplus(now, account); n > 0 {
+			gifts = append(gifts, gift{lenders[0], account, n})
+		}
 	}
-}
-
-func (h grantsHandler) Changed(changes []follower.Change) {
-	if c := changes[len(changes)-1]; !c.Deleted {
-		h.Listed([]storer.Item{c.Item})
+	a.mu.Unlock()
+	for _, g := range gifts {
+		// Without an answer the tokens may have arrived, so they are not kept.
+		if err := a.peers.Return(ctx, g.peer, g.account, g.tokens); err != nil {
+			a.log.Warn().Str("peer", g.peer.Name).Str("account", g.account).Int64("tokens", g.tokens).Err(err).Msg("tokens not given back")
+		}
 	}
 }
 
-func (h grantsHandler) Lost(err error) { h.a.log.Warn().Err(err).Msg("grants are not followed") }
-
-func (h grantsHandler) Regained() { h.a.log.Info().Msg("grants are followed again") }
-
-func (h grantsHandler) Current() {}
-
 // read returns an object, or the zero value with version 0 if there is none.
 func read[T checker.Checker](ctx context.Context, s Store, kind, name string) (v T, version uint64, err error) {
 	item, err := s.Get(ctx, kind, name)
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -49,7 +49,7 @@
 }
 
 // Join returns the grants with this incarnation and all parts as they are.
-func (g *Granter) Join() Grants { return g.grants.WithInstance(g.name, g.incarnation) }
+func (g *Granter) Join() Grants { return g.grants.WithInstance(g.name, g.self) }
 
 // Observe takes over the grants as read from the store. Older versions are ignored.
 func (g *Granter) Observe(grants Grants, version uint64) {
@@ -114,15 +114,58 @@
 	a := g.account(name)
 	d := g.judge(now, name, a, n)
 	if d.Outcome == Reserved {
-		a.reserved += n
+		a.reserved += d.Own
+		a.lent -= d.Lent
 	}
 	return d
 }
 
-// Ask counts the demand of a new request.
+// Lend takes tokens for another instance from the own grant, for good.
+func (g *Granter) Lend(now time.Duration, name string, n int64) Decision {
+	a := g.account(name)
+	if a.prepaid < 0 {
+		return Decision{Outcome: Short} // not limited here, or not known yet
+	}
+	lent := a.lent
+	a.lent = 0 // what was lent is not lent on
+	defer func() { a.lent = lent }()
+	d := g.judge(now, name, a, n)
+	if d.Outcome == Reserved {
+		a.spent += n
+	}
+	return d
+}
+
+// Lent adds tokens that another instance gave.
+func (g *Granter) Lent(name string, n int64) { g.account(name).lent += n }
+
+// TakeSurplus removes lent tokens that the demand does not need, to give them back.
+func (g *Granter) TakeSurplus(now time.Duration, name string) int64 {
+	a := g.account(name)
+	n := a.lent - int64(a.local.reach(now, lentAhead, 0)+a.lump)
+	if n < int64(a.lump) || n <= 0 {
+		return 0
+	}
+	a.lent -= n
+	return n
+}
+
+// Returned adds tokens that were lent and come back unused.
+func (g *Granter) Returned(name string, n int64) {
+	a := g.account(name)
+	a.spent = max(0, a.spent-n)
+}
+
+// Ask counts the demand that the own grant has to cover.
 func (g *Granter) Ask(now time.Duration, name string, n int64) {
 	a := g.account(name)
 	a.asked = a.asked.with(now, float64(n))
+}
+
+// Arrived counts a request that a caller sent to this instance.
+func (g *Granter) Arrived(now time.Duration, name string, n int64) {
+	a := g.account(name)
+	a.local = a.local.with(now, float64(n))
 	a.lump = max(float64(n), a.lump*lumpDecay)
 }
 
@@ -137,18 +180,20 @@
 	return func() { *count -= n }
 }
 
-// Settle ends a reservation with what was used of it.
-func (g *Granter) Settle(name string, reserved, used int64) {
+// Settle ends a reservation with what was used of it. Lent tokens are used first.
+func (g *Granter) Settle(name string, d Decision, used int64) {
 	a := g.account(name)
-	a.reserved -= reserved
-	a.spent += min(used, reserved)
+	lent := min(used, d.Lent)
+	a.lent += d.Lent - lent
+	a.reserved -= d.Own
+	a.spent += min(used-lent, d.Own)
 }
 
 // PlanLedger returns the next ledger.
 func (g *Granter) PlanLedger(now time.Duration) Ledger {
 	g.number++
 	l := Ledger{
-		Incarnation: g.incarnation, Number: g.number, Boot: g.boot, Time: now.Milliseconds(),
+		Incarnation: g.self.Incarnation, Number: g.number, Boot: g.boot, Time: now.Milliseconds(),
 		Accounts: make(map[string]Limit, len(g.accounts)),
 	}
 	for name, a := range g.accounts {
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -1,18 +1,77 @@
 package granter
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+const maxLenders = 2 // asked for one request, before the own grant is used
+
 // Version returns the version of the grants last observed.
 func (g *Granter) Version() uint64 { return g.version }
 
 // Instances returns the number of instances that have ever joined.
 func (g *Granter) Instances() int { return len(g.grants.Instances) }
 
+// Lender is an instance that may lend tokens of an account.
+type Lender struct {
+	Name string
+	Addr string
+}
+
+// Lenders returns the instances that hold the grant of an account, first its
+// home. Every instance comes to the same order by rendezvous hashing. The list
+// ends before this instance itself.
+func (g *Granter) Lenders(name string) []Lender {
+	type ranked struct {
+		Lender
+		rank uint64
+	}
+	list := make([]ranked, 0, len(g.grants.Instances))
+	for instance, i := range g.grants.Instances {
+		list = append(list, ranked{Lender{instance, i.Addr}, xxhash.Sum64String(name + "\x00" + instance)})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	var lenders []Lender
+	for _, r := range list[:min(len(list), maxLenders)] {
+		if r.Name == g.name {
+			break
+		}
+		lenders = append(lenders, r.Lender)
+	}
+	return lenders
+}
+
+// Borrow returns how many tokens to ask of a lender for a request that lacks some.
+func (g *Granter) Borrow(now time.Duration, name string, n int64) (need, ask int64) {
+	a := g.account(name)
+	need = max(0, n-a.lent)
+	return need, need + int64(a.local.reach(now, lentAhead, 0))
+}
+
+// Borrowed returns the accounts of which lent tokens are left.
+func (g *Granter) Borrowed() []string {
+	var names []string
+	for name, a := range g.accounts {
+		if a.lent > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Covered reports whether a request needs no tokens of the own grant.
+func (g *Granter) Covered(name string, n int64) bool {
+	a := g.account(name)
+	return a.prepaid < 0 || a.lent >= n
+}
+
 // Owns reports whether a ledger was written by this incarnation.
-func (g *Granter) Owns(l Ledger) bool { return l.Incarnation == g.incarnation }
+func (g *Granter) Owns(l Ledger) bool { return l.Incarnation == g.self.Incarnation }
 
 // Took reports whether this instance has a part of each budget.
 func (g *Granter) Took() bool {
@@ -77,18 +136,22 @@
 // judge decides about a reservation without making it.
 func (g *Granter) judge(now time.Duration, name string, a *account, n int64) Decision {
 	if a.prepaid < 0 {
-		return Decision{Outcome: Reserved}
+		return Decision{Outcome: Reserved, Own: n}
 	}
 	limit, rate := g.limit(now, name)
 	d := Decision{
 		Held: g.held(name, a), Used: a.used(), Limit: limit, Age: g.ledger.Age(now),
 		Left: a.prepaid - g.taken(name, a),
 	}
-	after := d.Used + n
+	d.Lent = min(n, a.lent)
+	d.Own = n - d.Lent
+	after := d.Used + d.Own
 	switch {
+	case d.Own == 0:
+		d.Outcome = Reserved
 	case !g.ready:
 		d.Outcome, d.After = Unready, minComeBack
-	case n > d.Left:
+	case d.Own > d.Left:
 		d.Outcome = Exhausted
 	case after > d.Held || g.grants.held(name) > a.prepaid:
 		d.Outcome, d.After = Short, maxComeBack
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -15,13 +15,17 @@
 // The caller keeps the objects. Before it sends one, it announces it; afterwards
 // it tells the outcome:
 //
-//	g := granter.New("entry-1", incarnation, bootID)
+//	g := granter.New("entry-1", granter.Instance{Incarnation: "7f3c"}, bootID)
 //	g.Recover(now, ledger, grants, version)
 //	l := g.PlanLedger(now)
 //	g.LedgerSent(l)
-//	g.LedgerDone(l, err)
+//	g.LedgerWritten(l)
 //	d := g.Reserve(now, "rider-app", 20_000)
-//	g.Settle(now, "rider-app", 20_000, 18_250)
+//	g.Settle("rider-app", d, 18_250)
+//
+// Each account has a home among the instances, which holds most of its grant and
+// lends tokens to the others ([Granter.Lent]). What is lent counts as spent at
+// the lender, so a crash of either loses tokens but never spends them twice.
 //
 // Times are readings of a clock that counts suspension, is never stepped and
 // starts anew with each boot.
@@ -44,6 +48,7 @@
 	limitRamp    = 2 * time.Second         // in which the limit of an old ledger grows to the whole grant
 	youngShare   = 0.015                   // of what is left that an instance holds of a budget whose demand it has not seen
 	youngTime    = 10 * time.Second        // over which this part shrinks while demand is seen
+	lentAhead    = time.Second             // demand of the own callers that lent tokens cover beside the request
 	lumpDecay    = 0.9                     // of the remembered size of large requests, per smaller request
 	poolShare    = 0.1                     // of what is left that stays ungranted, for whoever runs short first
 	priorShare   = 0.2                     // of the mean demand of all instances that counts beside the own
@@ -81,9 +86,15 @@
 	return f.Err()
 }
 
+// Instance is a process that takes part.
+type Instance struct {
+	Incarnation string `json:"incarnation"`
+	Addr        string `json:"addr"` // where it lends tokens to others
+}
+
 // Grants are the parts of all instances in the budgets of a shard.
 type Grants struct {
-	Instances map[string]string             `json:"instances"` // incarnation of each instance
+	Instances map[string]Instance           `json:"instances"` // by name
 	Accounts  map[string]map[string]Holding `json:"accounts"`  // by account and instance
 }
 
@@ -114,13 +125,13 @@
 	return g
 }
 
-// WithInstance returns the grants with the incarnation of an instance.
-func (g Grants) WithInstance(name, incarnation string) Grants {
+// WithInstance returns the grants with an instance that takes part.
+func (g Grants) WithInstance(name string, i Instance) Grants {
 	instances := maps.Clone(g.Instances)
 	if instances == nil {
-		instances = make(map[string]string)
+		instances = make(map[string]Instance)
 	}
-	instances[name] = incarnation
+	instances[name] = i
 	g.Instances = instances
 	return g
 }
@@ -193,6 +204,8 @@
 // Decision is the answer to a reservation, with what decided it.
 type Decision struct {
 	Outcome Outcome
+	Own     int64         // tokens reserved from the own grant
+	Lent    int64         // tokens reserved from what others lent
 	Held    int64         // tokens granted to this instance
 	Used    int64         // spent and reserved
 	Limit   int64         // what may be used now
@@ -205,11 +218,13 @@
 type account struct {
 	prepaid  int64 // negative: not limited
 	held     int64
+	lent     int64 // tokens that others gave from their grants, neither spent nor reserved
 	spent    int64
 	reserved int64
-	waiting  int64 // tokens of reservations that wait for the limit
-	want     int64 // tokens of reservations that wait for a grant
-	asked    average
+	waiting  int64   // tokens of reservations that wait for the limit
+	want     int64   // tokens of reservations that wait for a grant
+	asked    average // of the own grant
+	local    average // of the callers of this instance
 	lump     float64 // size of a large request
 }
 
@@ -231,22 +246,22 @@
 
 // Granter is the state of one instance for the budgets of one shard.
 type Granter struct {
-	name        string
-	incarnation string
-	boot        string
-	ready       bool
-	accounts    map[string]*account
-	grants      Grants
-	version     uint64  // of the grants
-	pending     []write // of the grants
-	ledger      Ledger  // newest that is known to be written
-	sent        []Ledger
-	number      int64
-	stopping    bool
+	name     string
+	self     Instance
+	boot     string
+	ready    bool
+	accounts map[string]*account
+	grants   Grants
+	version  uint64  // of the grants
+	pending  []write // of the grants
+	ledger   Ledger  // newest that is known to be written
+	sent     []Ledger
+	number   int64
+	stopping bool
 }
 
 // New returns the state of an instance that has read nothing yet. The boot id is
 // empty if it is unknown.
-func New(name, incarnation, boot string) *Granter {
-	return &Granter{name: name, incarnation: incarnation, boot: boot, accounts: make(map[string]*account)}
+func New(name string, self Instance, boot string) *Granter {
+	return &Granter{name: name, self: self, boot: boot, accounts: make(map[string]*account)}
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -218,7 +218,7 @@
 	if j.stream.events > 0 {
 		used = j.meta.Prompt + min(j.meta.Output, int64(j.stream.events)*int64(j.service.Engine.PerEvent))
 	}
-	j.r.budgets.Settle(j.account.Name, j.reserved, used)
+	j.r.budgets.Settle(j.account.Name, j.budget, used)
 }
 
 // refuse answers that the request is not served. It returns false.
@@ -272,7 +272,7 @@
 		e.Int64("config", j.table.Version())
 	}
 	if j.budget.Outcome != "" {
-		e.Str("budget", string(j.budget.Outcome)).Int64("held", j.budget.Held).Int64("used", j.budget.Used).
+		e.Str("budget", string(j.budget.Outcome)).Int64("lent", j.budget.Lent).Int64("held", j.budget.Held).Int64("used", j.budget.Used).
 			Int64("limit", j.budget.Limit).Int64("left", j.budget.Left).Int64("asked", j.meta.Prompt+j.meta.Output).
 			Int64("ledgerage", j.budget.Age.Milliseconds())
 	}
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -85,5 +85,5 @@
 type Budgets interface {
 	Ready() bool
 	Reserve(ctx context.Context, account string, n int64, wait time.Duration) granter.Decision
-	Settle(account string, reserved, used int64)
+	Settle(account string, d granter.Decision, used int64)
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -18,6 +18,7 @@
 	"daisylane/internal/chooser"
 	"daisylane/internal/follower"
 	"daisylane/internal/forwarder"
+	"daisylane/internal/lender"
 	"daisylane/internal/logger"
 	"daisylane/internal/receiver"
 	"daisylane/internal/reporter"
@@ -72,7 +73,7 @@
 	}
 	e.store = platform.NewStore(cfg.Store.Addr, e.paths)
 	e.dispatch = receiver.NewDispatch(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries)
-	e.money = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, log)
+	e.money = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), lender.NewClient(), log)
 	e.metrics = reporter.New(map[string]string{"instance": cfg.Name}, reporter.FlushInterval, func(err error) {
 		log.Error().Err(err).Msg("metric dropped")
 	})
@@ -127,6 +128,7 @@
 	}{
 		{e.cfg.Listen.Callers, e.callers},
 		{e.cfg.Listen.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: readTimeout}},
+		{net.JoinHostPort(e.cfg.Addr, e.cfg.PeerPort()), &http.Server{Handler: lender.Handler(e.money), ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout}},
 		{net.JoinHostPort(e.cfg.Addr, metricsPort), &http.Server{Handler: metrics, ReadHeaderTimeout: readTimeout}},
 	}
 	for _, s := range list {
@@ -193,7 +195,7 @@
 				if err != nil {
 					continue
 				}
-				addr := net.JoinHostPort(host, e.cfg.RelayPort())
+				addr := net.JoinHostPort(host, e.cfg.PeerPort())
 				if e.cfg.Regions[t.Centre] == e.cfg.Region {
 					near = append(near, addr)
 				} else {
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -127,7 +127,7 @@
 
 func runSide(ctx context.Context, cfg platform.Settings, _ options, log zerolog.Logger, _ *logger.Async) error {
 	signal.Ignore(syscall.SIGHUP) // nothing in use changes while the process runs
-	addr := net.JoinHostPort(cfg.Addr, cfg.RelayPort())
+	addr := net.JoinHostPort(cfg.Addr, cfg.PeerPort())
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", addr, err)
