--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -42,7 +42,7 @@
 	refreshTime = 4 * time.Second        // after which stale grants are written again
 	retryPause  = 150 * time.Millisecond
 	contactTime = 3 * time.Second        // after which the last contact with the store proves nothing
-	pollTime    = 2 * time.Second        // between reads of the grants, which change little while homes lend
+	pollTime    = 3 * time.Second        // between reads of the grants, which change little while homes lend
 	lendTime    = 150 * time.Millisecond // in which a lender gets more tokens: a ledger and a grants write
 	avoidTime   = 2 * time.Second        // in which a peer that failed is not asked again
 )
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	defaultWait = 2500 * time.Millisecond // a silent watch is noticed a second after it
+	defaultWait = 4 * time.Second // a silent watch is noticed a second after it
 	minPause    = 100 * time.Millisecond
 	maxPause    = 400 * time.Millisecond // keeps the first read after an outage within half a second
-	minCycle    = 20 * time.Millisecond  // between watches, so that a burst of changes comes in few answers
+	minCycle    = 150 * time.Millisecond // between watches, so that a burst of changes comes in few answers
 )
 
 // ErrHistory means that the changes since a revision are no longer known.
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -46,6 +46,9 @@
 	return lenders
 }
 
+// home reports whether this instance is the first lender of an account.
+func (g *Granter) home(name string) bool { return len(g.Lenders(name)) == 0 }
+
 // Borrow returns how many tokens to ask of a lender for a request that lacks some.
 func (g *Granter) Borrow(now time.Duration, name string, n int64) (need, ask int64) {
 	a := g.account(name)
@@ -91,7 +94,20 @@
 			return true
 		}
 	}
-	return g.ledger.Age(now) >= LedgerInterval
+	return g.exposed(now) && g.ledger.Age(now) >= LedgerInterval
+}
+
+// exposed reports whether the limits of an old ledger would grow beyond what is used.
+func (g *Granter) exposed(now time.Duration) bool {
+	if g.ledger.Age(now) >= idleInterval {
+		return true
+	}
+	for _, a := range g.accounts {
+		if a.held > a.used() {
+			return true
+		}
+	}
+	return false
 }
 
 // GrantsDue reports whether the grants should be written at once: tokens are
@@ -230,8 +246,10 @@
 	if sum > 0 {
 		weight = (own + prior) / (sum + prior*instances)
 	}
-	ahead := a.asked.reach(now, grantAhead, grantSpread) + prior*grantAhead.Seconds()
-	ahead += float64(left) * youngShare * a.asked.young(now)
+	ahead := a.asked.reach(now, grantAhead, grantSpread)
+	if g.home(name) {
+		ahead += prior*grantAhead.Seconds() + float64(left)*youngShare*a.asked.young(now)
+	}
 	return int64(min((1-poolShare)*weight*float64(left), ahead))
 }
 
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -57,6 +57,7 @@
 	minComeBack  = 300 * time.Millisecond  // a store call and a round trip of the caller
 	maxComeBack  = 5 * time.Second         // a cut is often over by then
 
+	idleInterval = 10 * time.Second // between two ledgers of an instance without tokens to lose
 	// LedgerInterval is the time between two writes of the ledger without need.
 	LedgerInterval = 700 * time.Millisecond
 	// LimitHold is how old a ledger becomes before its limits grow. A killed
