Keep the grants of each account in an object of its own

Ruled out: requests for missing tokens (0 to 21 writes an instance). Change: one object an account; a successor voids late writes of its predecessor for each account before it spends of it; ledgers tell where their instances lend.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -31,18 +31,17 @@
 
 // Places of the objects.
 const (
-	KindGrants  = "grants"
-	KindLedgers = "ledgers"
-	shardName   = "0"
+	KindBudgets = "budgets" // one of each account
+	KindLedgers = "ledgers" // one of each instance
 )
 
 const (
 	ledgerGap   = 60 * time.Millisecond  // between two ledger writes, so that one serves many requests
-	grantsGap   = 250 * time.Millisecond // between two writes of the grants by one instance
-	refreshTime = 4 * time.Second        // after which stale grants are written again
+	budgetGap   = 250 * time.Millisecond // between two writes of one budget by one instance
+	refreshTime = 4 * time.Second        // after which stale figures are written again
 	retryPause  = 150 * time.Millisecond
 	contactTime = 3 * time.Second        // after which the last contact with the store proves nothing
-	pollTime    = 3 * time.Second        // between reads of the grants, which change little while homes lend
+	pollTime    = 3 * time.Second        // between reads of the budgets, which change little while homes lend
 	lendTime    = 150 * time.Millisecond // in which a lender gets more tokens: a ledger and a grants write
 	avoidTime   = 2 * time.Second        // in which a peer that failed is not asked again
 )
@@ -53,6 +52,7 @@
 // Store keeps the objects.
 type Store interface {
 	Get(ctx context.Context, kind, name string) (storer.Item, error)
+	List(ctx context.Context, kind string) ([]storer.Item, int64, error)
 	Put(ctx context.Context, kind, name string, body []byte, version uint64) (storer.Item, error)
 }
 
@@ -84,8 +84,8 @@
 	avoid    map[string]time.Duration // end of the time in which a peer is not asked, by name
 	changed  chan struct{}
 	ledger   chan struct{}
-	grants   chan struct{}
-	writes   int64
+	budgets  chan struct{}
+	busy     map[string]bool // accounts whose budget is being written
 }
 
 // New returns the accountant of an instance. Its name must be that of one
@@ -93,11 +93,11 @@
 // address is where it lends tokens to its peers.
 func New(store Store, name, addr string, peers Peers, log zerolog.Logger) *Accountant {
 	boot := bootID()
-	self := granter.Instance{Incarnation: strconv.FormatUint(rand.Uint64(), 36), Addr: addr}
+	self := granter.Self{Name: name, Addr: addr, Incarnation: strconv.FormatUint(rand.Uint64(), 36), Boot: boot}
 	return &Accountant{
 		store: store, name: name, peers: peers, log: log, clock: bootClock, boot: boot,
-		state: granter.New(name, self, boot),
-		avoid: make(map[string]time.Duration), changed: make(chan struct{}), ledger: make(chan struct{}, 1), grants: make(chan struct{}, 1),
+		state: granter.New(self),
+		avoid: make(map[string]time.Duration), changed: make(chan struct{}), ledger: make(chan struct{}, 1), budgets: make(chan struct{}, 1), busy: make(map[string]bool),
 	}
 }
 
@@ -115,8 +115,8 @@
 			cancel(err)
 		}
 	})
-	wg.Go(func() { a.keepGrants(ctx) })
-	wg.Go(func() { a.followGrants(ctx) })
+	wg.Go(func() { a.keepBudgets(ctx) })
+	wg.Go(func() { a.follow(ctx) })
 	wg.Wait()
 	if err := context.Cause(ctx); errors.Is(err, ErrReplaced) {
 		return err
@@ -133,7 +133,7 @@
 	}
 	a.budgeted = true
 	a.notify()
-	wake(a.grants)
+	wake(a.budgets)
 }
 
 // Ready reports whether tokens can be reserved.
@@ -246,7 +246,7 @@
 	changed := a.changed
 	var grown <-chan time.Time
 	if d.Outcome == granter.Short {
-		wake(a.grants)
+		wake(a.budgets)
 	} else {
 		wake(a.ledger)
 		t := time.NewTimer(d.After + time.Millisecond)
@@ -278,7 +278,7 @@
 	a.state.Stop()
 	a.stopped = true
 	a.mu.Unlock()
-	wake(a.grants)
+	wake(a.budgets)
 }
 
 // Close writes the last figures of an instance that serves no more.
@@ -287,10 +287,16 @@
 	if _, err := a.writeLedger(ctx); err != nil {
 		return fmt.Errorf("write the last ledger: %w", err)
 	}
-	if err := a.writeGrants(ctx); err != nil {
-		return fmt.Errorf("return grants: %w", err)
+	a.mu.Lock()
+	due := a.state.BudgetsDue(a.clock(), false)
+	a.mu.Unlock()
+	var failed error
+	for _, account := range due {
+		if err := a.writeBudget(ctx, account); err != nil {
+			failed = fmt.Errorf("return tokens of %s: %w", account, err)
+		}
 	}
-	return nil
+	return failed
 }
 
 func (a *Accountant) notify() {
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -33,29 +33,24 @@
 
 func (a *Accountant) join(ctx context.Context) error {
 	started := a.clock()
-	old, oldVersion, err := read[granter.Ledger](ctx, a.store, KindLedgers, a.name)
+	old, version, err := read[granter.Ledger](ctx, a.store, KindLedgers, a.name)
 	if err != nil {
 		return err
 	}
-	grants, version, err := read[granter.Grants](ctx, a.store, KindGrants, shardName)
-	if err != nil {
+	if err := a.poll(ctx); err != nil {
 		return err
 	}
 	a.mu.Lock()
-	lost := a.state.Recover(started, old, grants, version)
-	joined := a.state.Join()
-	a.state.GrantsSent(joined)
+	a.state.Recover(started, old)
+	l := a.state.PlanLedger(a.clock())
+	a.state.LedgerSent(l)
 	a.mu.Unlock()
-	item, err := put(ctx, a.store, KindGrants, shardName, joined, version)
+	item, err := put(ctx, a.store, KindLedgers, a.name, l, version)
 	if err != nil {
 		return err
 	}
-	a.mu.Lock()
-	a.state.Observe(joined, item.Version)
-	l := a.state.PlanLedger(a.clock())
-	a.state.LedgerSent(l)
-	a.mu.Unlock()
-	if item, err = put(ctx, a.store, KindLedgers, a.name, l, oldVersion); err != nil {
+	// The budgets are read again, with the bounds of what was spent.
+	if err := a.poll(ctx); err != nil {
 		return err
 	}
 	a.mu.Lock()
@@ -65,8 +60,35 @@
 	a.version, a.ready = item.Version, true
 	a.touched(started, nil)
 	a.notify()
-	a.log.Info().Str("former", old.Incarnation).Uint64("ledger_version", oldVersion).Uint64("grants_version", version).
-		Dur("ledger_age", old.Age(started)).Bool("same_boot", old.Boot == a.boot).Any("lost_tokens", lost).Msg("budgets recovered")
+	wake(a.budgets)
+	a.log.Info().Str("former", old.Incarnation).Uint64("version", version).Dur("age", old.Age(started)).
+		Bool("same_boot", old.Boot == a.boot).Any("lost_tokens", a.state.Lost()).Msg("budgets recovered")
+	return nil
+}
+
+// poll reads the budgets and the addresses of the instances.
+func (a *Accountant) poll(ctx context.Context) error {
+	budgets, _, err := a.store.List(ctx, KindBudgets)
+	if err != nil {
+		return fmt.Errorf("read budgets: %w", err)
+	}
+	ledgers, _, err := a.store.List(ctx, KindLedgers)
+	if err != nil {
+		return fmt.Errorf("read ledgers: %w", err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, item := range budgets {
+		a.observe(item.Key, item)
+	}
+	for _, item := range ledgers {
+		l, err := decode[granter.Ledger](item)
+		if err != nil {
+			a.log.Error().Err(err).Msg("ledger cannot be read")
+			continue
+		}
+		a.state.Peer(item.Key, l.Addr)
+	}
 	return nil
 }
 
@@ -144,93 +166,105 @@
 	return nil
 }
 
-// keepGrants writes the grants when tokens are missing or the parts are stale.
-func (a *Accountant) keepGrants(ctx context.Context) {
+// keepBudgets writes the budgets that are due, each by itself.
+func (a *Accountant) keepBudgets(ctx context.Context) {
 	tick := time.NewTicker(refreshTime)
 	defer tick.Stop()
-	for ctx.Err() == nil {
+	for {
 		stale := false
 		select {
 		case <-ctx.Done():
 			return
-		case <-a.grants:
+		case <-a.budgets:
 		case <-tick.C:
 			stale = true
 		}
 		a.mu.Lock()
-		now := a.clock()
-		due := a.budgeted && (a.state.GrantsDue(now) || (stale || !a.state.Took()) && a.state.GrantsStale(now))
-		a.mu.Unlock()
-		if !due {
-			continue
-		}
-		if err := a.writeGrants(ctx); err != nil {
-			pause(ctx, retryPause)
-			wake(a.grants)
-			continue
+		if a.budgeted && a.ready {
+			for _, account := range a.state.BudgetsDue(a.clock(), stale) {
+				if !a.busy[account] {
+					a.busy[account] = true
+					go a.keepBudget(ctx, account)
+				}
+			}
 		}
-		pause(ctx, grantsGap)
+		a.mu.Unlock()
+	}
+}
+
+// keepBudget writes one budget and looks again a little later.
+func (a *Accountant) keepBudget(ctx context.Context, account string) {
+	gap := budgetGap
+	if err := a.writeBudget(ctx, account); err != nil {
+		gap = retryPause
 	}
+	a.mu.Lock()
+	a.notify()
+	a.mu.Unlock()
+	pause(ctx, gap)
+	a.mu.Lock()
+	delete(a.busy, account)
+	a.mu.Unlock()
+	wake(a.budgets)
 }
 
-// writeGrants writes the grants once, and again after a conflict.
-func (a *Accountant) writeGrants(ctx context.Context) error {
+// writeBudget writes a budget once, and again after a conflict.
+func (a *Accountant) writeBudget(ctx context.Context, account string) error {
 	for {
 		a.mu.Lock()
 		began := a.clock()
-		g := a.state.PlanGrants(began)
-		a.state.GrantsSent(g)
-		version := a.state.Version()
+		b, version := a.state.PlanBudget(began, account)
+		a.state.BudgetSent(account, b)
 		a.mu.Unlock()
-		item, err := put(ctx, a.store, KindGrants, shardName, g, version)
+		item, err := put(ctx, a.store, KindBudgets, account, b, version)
 
 		a.mu.Lock()
 		a.touched(began, err)
 		switch {
 		case err == nil:
-			a.state.Observe(g, item.Version)
+			a.state.Observe(began, account, b, item.Version)
 		case errors.Is(err, storer.ErrConflict):
-			a.state.GrantsVoid()
-			err = a.observe(item)
+			a.state.BudgetVoid(account)
+			seen := a.observe(account, item)
 			a.mu.Unlock()
-			if err != nil {
+			if !seen {
 				return err
 			}
 			continue
 		case errors.Is(err, storer.ErrUnavailable):
-			a.state.GrantsVoid()
+			a.state.BudgetVoid(account)
 		}
-		a.notify()
 		a.mu.Unlock()
 		return err
 	}
 }
 
-// observe takes over grants from the store. The caller holds the lock.
-func (a *Accountant) observe(item storer.Item) error {
-	g, err := decode[granter.Grants](item)
+// observe takes over a budget from the store. The caller holds the lock.
+func (a *Accountant) observe(account string, item storer.Item) bool {
+	b, err := decode[granter.Budget](item)
 	if err != nil {
-		a.log.Error().Err(err).Msg("grants cannot be read")
-		return err
+		a.log.Error().Err(err).Msg("budget cannot be read")
+		return false
 	}
-	a.state.Observe(g, item.Version)
-	return nil
+	a.state.Observe(a.clock(), account, b, item.Version)
+	return true
 }
 
-// followGrants reads the grants from time to time and gives lent tokens back
-// that are not needed.
-func (a *Accountant) followGrants(ctx context.Context) {
-	for ctx.Err() == nil {
+// follow reads the budgets from time to time and gives lent tokens back that are
+// not needed.
+func (a *Accountant) follow(ctx context.Context) {
+	for {
 		pause(ctx, pollTime/2+rand.N(pollTime))
+		if ctx.Err() != nil {
+			return
+		}
 		began := a.clock()
-		item, err := a.store.Get(ctx, KindGrants, shardName)
+		err := a.poll(ctx)
 		a.mu.Lock()
 		a.touched(began, err)
-		if err == nil && a.observe(item) == nil {
-			a.notify()
-			wake(a.grants)
-		}
+		a.notify()
 		a.mu.Unlock()
+		wake(a.budgets)
 		a.giveBack(ctx)
 	}
 }
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -1,86 +1,77 @@
 package granter
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
+// unbounded is more than any grant.
+const unbounded = math.MaxInt64 / 4
+
 // Prepaid sets what is prepaid for an account; negative means not limited.
 func (g *Granter) Prepaid(name string, tokens int64) { g.account(name).prepaid = tokens }
 
 // Recover takes over from the former process of this instance, which must be
-// dead. Before anything is reserved, the grants of [Granter.Join] must be written,
-// then a ledger on the version of the one passed here. Both writes void late ones
-// of the former process; if one conflicts, the recovery begins again. It returns
-// the tokens that count as spent though they may not have been, by account.
-func (g *Granter) Recover(now time.Duration, old Ledger, grants Grants, version uint64) map[string]int64 {
-	lost := make(map[string]int64)
-	g.grants, g.version = grants, version
-	for name, parts := range grants.Accounts {
-		part, ok := parts[g.name]
-		if !ok {
-			continue
-		}
-		a := g.account(name)
-		a.held = part.Held
-		a.spent = g.bound(now, old, name, part)
-		a.asked, a.lump = formerAverage(now, part), float64(part.Large)
-		if n := a.spent - part.Spent; n > 0 {
-			lost[name] = n
-		}
+// dead. Before anything is reserved, a ledger must be written on the version of
+// the one passed here, and the budget of the account, which both void late writes
+// of the former process. If the ledger conflicts, the recovery begins again.
+func (g *Granter) Recover(now time.Duration, old Ledger) {
+	for name := range old.Accounts {
+		g.account(name).bound = g.bound(now, old, name)
 	}
-	return lost
 }
 
-// bound returns the most that the former process can have spent.
-func (g *Granter) bound(now time.Duration, old Ledger, name string, part Holding) int64 {
-	limit, ok := old.Accounts[name]
+// bound returns the most that the former process can have spent of a grant of
+// any size.
+func (g *Granter) bound(now time.Duration, old Ledger, name string) int64 {
+	limit := old.Accounts[name]
 	sameBoot := old.Boot != "" && old.Boot == g.boot && now >= time.Duration(old.Time)*time.Millisecond
 	switch {
-	case !ok:
-		// Nothing is spent before the first ledger that has the account.
-		return min(part.Held, part.Spent)
 	case limit.Rate == 0:
-		return min(part.Held, limit.Limit)
+		return limit.Limit
 	case !sameBoot:
-		return part.Held
+		return unbounded
 	}
-	return min(part.Held, limit.after(old.Age(now)))
+	return limit.after(old.Age(now))
 }
 
-// Join returns the grants with this incarnation and all parts as they are.
-func (g *Granter) Join() Grants { return g.grants.WithInstance(g.name, g.self) }
+// Peer takes over the address of an instance.
+func (g *Granter) Peer(name, addr string) { g.peers[name] = addr }
 
-// Observe takes over the grants as read from the store. Older versions are ignored.
-func (g *Granter) Observe(grants Grants, version uint64) {
-	if version < g.version {
+// Observe takes over the budget of an account as read from the store, or as it
+// is after a write of this process. Older versions are ignored.
+func (g *Granter) Observe(now time.Duration, name string, b Budget, version uint64) {
+	a := g.account(name)
+	if version < a.version {
 		return
 	}
-	g.grants, g.version = grants, version
+	a.budget, a.version = b, version
 	// A conditional write on an older version can no longer be carried out.
-	g.pending = slices.DeleteFunc(g.pending, func(w write) bool { return w.version < version })
-	for name, parts := range grants.Accounts {
-		if part, ok := parts[g.name]; ok {
-			g.account(name).held = part.Held
-		}
+	a.pending = slices.DeleteFunc(a.pending, func(w write) bool { return w.version < version })
+	part := b.Parts[g.name]
+	a.held = part.Held
+	if a.fenced {
+		return
+	}
+	a.spent = min(part.Held, a.bound)
+	if a.asked.at == 0 {
+		a.asked, a.lump = formerAverage(now, part), float64(part.Large)
 	}
+	a.fenced = part.By == g.incarnation
 }
 
-// GrantsSent announces a write of the grants on the version last observed.
-func (g *Granter) GrantsSent(grants Grants) {
-	w := write{version: g.version, held: make(map[string]int64)}
-	for name, parts := range grants.Accounts {
-		if part, ok := parts[g.name]; ok {
-			w.held[name] = part.Held
-		}
-	}
-	g.pending = append(g.pending, w)
+// BudgetSent announces a write of a budget on the version last observed.
+func (g *Granter) BudgetSent(name string, b Budget) {
+	a := g.account(name)
+	a.pending = append(a.pending, write{version: a.version, held: b.Parts[g.name].Held})
 }
 
-// GrantsVoid says that the write announced last had no effect and never will.
-func (g *Granter) GrantsVoid() {
-	if n := len(g.pending); n > 0 {
-		g.pending = g.pending[:n-1]
+// BudgetVoid says that the write announced last had no effect and never will.
+func (g *Granter) BudgetVoid(name string) {
+	a := g.account(name)
+	if n := len(a.pending); n > 0 {
+		a.pending = a.pending[:n-1]
 	}
 }
 
@@ -102,8 +93,7 @@
 	g.sent = slices.DeleteFunc(g.sent, func(s Ledger) bool { return s.Number <= l.Number })
 }
 
-// Ready allows reservations, after the grants and the ledger of this incarnation
-// were written.
+// Ready allows reservations, after a ledger of this incarnation was written.
 func (g *Granter) Ready() { g.ready = true }
 
 // Stop makes the following plans return what is not needed.
@@ -193,49 +183,49 @@
 func (g *Granter) PlanLedger(now time.Duration) Ledger {
 	g.number++
 	l := Ledger{
-		Incarnation: g.self.Incarnation, Number: g.number, Boot: g.boot, Time: now.Milliseconds(),
+		Incarnation: g.incarnation, Number: g.number, Boot: g.boot, Time: now.Milliseconds(), Addr: g.addr,
 		Accounts: make(map[string]Limit, len(g.accounts)),
 	}
 	for name, a := range g.accounts {
-		if a.prepaid < 0 && a.held == 0 {
-			continue
-		}
-		l.Accounts[name] = Limit{
-			Limit: a.used() + a.waiting + int64(a.asked.reach(now, limitAhead, limitSpread)),
-			Rate:  max(1, int64(float64(a.held-a.used())/limitRamp.Seconds())),
-		}
-		if g.stopping && a.reserved == 0 && a.waiting == 0 {
+		switch {
+		case !a.fenced && a.bound > 0:
+			l.Accounts[name] = Limit{Limit: a.bound}
+		case !a.fenced, a.prepaid < 0 && a.held == 0:
+		case a.held == 0, g.stopping && a.reserved == 0 && a.waiting == 0:
 			l.Accounts[name] = Limit{Limit: a.spent}
+		default:
+			l.Accounts[name] = Limit{
+				Limit: a.used() + a.waiting + int64(a.asked.reach(now, limitAhead, limitSpread)),
+				Rate:  max(1, int64(float64(a.held-a.used())/limitRamp.Seconds())),
+			}
 		}
 	}
 	return l
 }
 
-// PlanGrants returns the next grants.
-func (g *Granter) PlanGrants(now time.Duration) Grants { return g.plan(now, g.grants) }
-
-func (g *Granter) plan(now time.Duration, grants Grants) Grants {
-	for name, a := range g.accounts {
-		if a.prepaid < 0 {
-			continue
-		}
-		grants = grants.WithHolding(name, g.name, g.part(now, grants, name, a))
-	}
-	return grants
+// PlanBudget returns the next budget of an account and the version it replaces.
+func (g *Granter) PlanBudget(now time.Duration, name string) (Budget, uint64) {
+	a := g.account(name)
+	return a.budget.WithPart(g.name, g.part(now, name, a)), a.version
 }
 
-// part decides the holding of this instance. It takes from what is not granted
-// and returns what exceeds the fair part or what others miss.
-func (g *Granter) part(now time.Duration, grants Grants, name string, a *account) Holding {
-	h := Holding{Held: a.held, Spent: a.spent, Open: a.reserved, Rate: int64(a.asked.rate(now)), Large: int64(a.lump)}
+// part decides the part of this instance. It takes from what is not granted and
+// returns what exceeds the fair part or what others miss.
+func (g *Granter) part(now time.Duration, name string, a *account) Holding {
+	h := Holding{
+		Held: a.held, Spent: a.spent, Open: a.reserved, Rate: int64(a.asked.rate(now)), Large: int64(a.lump), By: g.incarnation,
+	}
+	if !a.fenced {
+		return h
+	}
 	if g.stopping {
 		h.Held = min(a.held, a.used()+a.waiting)
 		return h
 	}
-	pool := a.prepaid - grants.held(name)
+	pool := a.prepaid - a.budget.held()
 	need := max(0, a.used()+a.waiting+a.want-a.held)
-	fair := a.used() + g.share(now, grants, name, a)
-	missing := g.missing(grants, name)
+	fair := a.used() + g.share(now, name, a)
+	missing := a.budget.wanted(g.name)
 	switch {
 	case pool < 0:
 		h.Held = max(a.used(), a.held+pool)
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -11,11 +11,23 @@
 
 const maxLenders = 2 // asked for one request, before the own grant is used
 
-// Version returns the version of the grants last observed.
-func (g *Granter) Version() uint64 { return g.version }
-
 // Instances returns the number of instances that have ever joined.
-func (g *Granter) Instances() int { return len(g.grants.Instances) }
+func (g *Granter) Instances() int { return len(g.peers) }
+
+// Owns reports whether a ledger was written by this incarnation.
+func (g *Granter) Owns(l Ledger) bool { return l.Incarnation == g.incarnation }
+
+// Lost returns the tokens that count as spent though the former process may not
+// have spent them, by account.
+func (g *Granter) Lost() map[string]int64 {
+	lost := make(map[string]int64)
+	for name, a := range g.accounts {
+		if n := a.spent - a.budget.Parts[g.name].Spent; n > 0 && !a.fenced {
+			lost[name] = n
+		}
+	}
+	return lost
+}
 
 // Lender is an instance that may lend tokens of an account.
 type Lender struct {
@@ -31,9 +43,9 @@
 		Lender
 		rank uint64
 	}
-	list := make([]ranked, 0, len(g.grants.Instances))
-	for instance, i := range g.grants.Instances {
-		list = append(list, ranked{Lender{instance, i.Addr}, xxhash.Sum64String(name + "\x00" + instance)})
+	list := make([]ranked, 0, len(g.peers))
+	for instance, addr := range g.peers {
+		list = append(list, ranked{Lender{instance, addr}, xxhash.Sum64String(name + "\x00" + instance)})
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	var lenders []Lender
@@ -49,6 +61,30 @@
 // home reports whether this instance is the first lender of an account.
 func (g *Granter) home(name string) bool { return len(g.Lenders(name)) == 0 }
 
+// LedgerDue reports whether the ledger should be written: for waiting requests,
+// or because it has grown old.
+func (g *Granter) LedgerDue(now time.Duration) bool {
+	for _, a := range g.accounts {
+		if a.waiting > 0 {
+			return true
+		}
+	}
+	return g.exposed(now) && g.ledger.Age(now) >= LedgerInterval
+}
+
+// exposed reports whether the limits of an old ledger would grow beyond what is used.
+func (g *Granter) exposed(now time.Duration) bool {
+	if g.ledger.Age(now) >= idleInterval {
+		return true
+	}
+	for _, a := range g.accounts {
+		if a.held > a.used() {
+			return true
+		}
+	}
+	return false
+}
+
 // Borrow returns how many tokens to ask of a lender for a request that lacks some.
 func (g *Granter) Borrow(now time.Duration, name string, n int64) (need, ask int64) {
 	a := g.account(name)
@@ -73,80 +109,40 @@
 	return a.prepaid < 0 || a.lent >= n
 }
 
-// Owns reports whether a ledger was written by this incarnation.
-func (g *Granter) Owns(l Ledger) bool { return l.Incarnation == g.self.Incarnation }
-
-// Took reports whether this instance has a part of each budget.
-func (g *Granter) Took() bool {
+// BudgetsDue returns the accounts whose budgets should be written at once,
+// because tokens are missing here or elsewhere or a budget was lowered. With
+// stale it also returns those whose published figures are not worth much any more.
+func (g *Granter) BudgetsDue(now time.Duration, stale bool) []string {
+	var due []string
 	for name, a := range g.accounts {
-		if _, ok := g.grants.Accounts[name][g.name]; !ok && a.prepaid >= 0 {
-			return false
+		if a.prepaid >= 0 && (g.due(now, name, a) || stale && g.stale(now, name, a)) {
+			due = append(due, name)
 		}
 	}
-	return true
+	return due
 }
 
-// LedgerDue reports whether the ledger should be written: for waiting requests,
-// or because it has grown old.
-func (g *Granter) LedgerDue(now time.Duration) bool {
-	for _, a := range g.accounts {
-		if a.waiting > 0 {
-			return true
-		}
+func (g *Granter) due(now time.Duration, name string, a *account) bool {
+	part := a.budget.Parts[g.name]
+	if !a.fenced {
+		return part.Held > 0 || a.want > 0 || g.home(name)
 	}
-	return g.exposed(now) && g.ledger.Age(now) >= LedgerInterval
-}
-
-// exposed reports whether the limits of an old ledger would grow beyond what is used.
-func (g *Granter) exposed(now time.Duration) bool {
-	if g.ledger.Age(now) >= idleInterval {
+	next := g.part(now, name, a)
+	pool := a.prepaid - a.budget.held()
+	switch {
+	case next.Want > part.Want, pool < 0 && next.Held < a.held:
+		return true
+	case a.want > 0 && next.Held > a.held, g.stopping && next.Held < a.held:
 		return true
 	}
-	for _, a := range g.accounts {
-		if a.held > a.used() {
-			return true
-		}
-	}
-	return false
-}
-
-// GrantsDue reports whether the grants should be written at once: tokens are
-// missing here or elsewhere, or a budget was lowered.
-func (g *Granter) GrantsDue(now time.Duration) bool {
-	for name, a := range g.accounts {
-		if a.prepaid < 0 {
-			continue
-		}
-		part := g.grants.Accounts[name][g.name]
-		next := g.part(now, g.grants, name, a)
-		pool := a.prepaid - g.grants.held(name)
-		switch {
-		case next.Want > part.Want, pool < 0 && next.Held < a.held:
-			return true
-		case a.want > 0 && next.Held > a.held:
-			return true
-		case g.missing(g.grants, name) > max(0, pool) && next.Held < a.held:
-			return true
-		}
-	}
-	return false
+	return a.budget.wanted(g.name) > max(0, pool) && next.Held < a.held
 }
 
-// GrantsStale reports whether the parts differ so much from the fair ones, or
-// the published figures from the current ones, that a write is worth its price.
-func (g *Granter) GrantsStale(now time.Duration) bool {
-	for name, a := range g.accounts {
-		if a.prepaid < 0 {
-			continue
-		}
-		part := g.grants.Accounts[name][g.name]
-		next := g.part(now, g.grants, name, a)
-		left := float64(a.prepaid) * staleShare
-		if math.Abs(float64(next.Held-part.Held)) > left || math.Abs(float64(next.Spent-part.Spent)) > left {
-			return true
-		}
-	}
-	return false
+func (g *Granter) stale(now time.Duration, name string, a *account) bool {
+	part := a.budget.Parts[g.name]
+	next := g.part(now, name, a)
+	left := float64(a.prepaid) * staleShare
+	return math.Abs(float64(next.Held-part.Held)) > left || math.Abs(float64(next.Spent-part.Spent)) > left
 }
 
 // judge decides about a reservation without making it.
@@ -156,8 +152,8 @@
 	}
 	limit, rate := g.limit(now, name)
 	d := Decision{
-		Held: g.held(name, a), Used: a.used(), Limit: limit, Age: g.ledger.Age(now),
-		Left: a.prepaid - g.taken(name, a),
+		Held: a.certain(), Used: a.used(), Limit: limit, Age: g.ledger.Age(now),
+		Left: a.prepaid - g.taken(a),
 	}
 	d.Lent = min(n, a.lent)
 	d.Own = n - d.Lent
@@ -167,9 +163,11 @@
 		d.Outcome = Reserved
 	case !g.ready:
 		d.Outcome, d.After = Unready, minComeBack
+	case !a.fenced:
+		d.Outcome, d.After = Short, maxComeBack
 	case d.Own > d.Left:
 		d.Outcome = Exhausted
-	case after > d.Held || g.grants.held(name) > a.prepaid:
+	case after > d.Held || a.budget.held() > a.prepaid:
 		d.Outcome, d.After = Short, maxComeBack
 	case after > limit:
 		d.Outcome = Limited
@@ -183,13 +181,11 @@
 	return d
 }
 
-// held returns the part that is certain whatever becomes of pending writes.
-func (g *Granter) held(name string, a *account) int64 {
+// certain returns the grant whatever becomes of pending writes.
+func (a *account) certain() int64 {
 	held := a.held
-	for _, w := range g.pending {
-		if n, ok := w.held[name]; ok {
-			held = min(held, n)
-		}
+	for _, w := range a.pending {
+		held = min(held, w.held)
 	}
 	return held
 }
@@ -208,9 +204,9 @@
 
 // taken returns the tokens of an account that all instances are known to have
 // spent or reserved.
-func (g *Granter) taken(name string, a *account) int64 {
+func (g *Granter) taken(a *account) int64 {
 	sum := a.used()
-	for instance, part := range g.grants.Accounts[name] {
+	for instance, part := range a.budget.Parts {
 		if instance != g.name {
 			sum += min(part.Spent+part.Open, part.Held)
 		}
@@ -218,29 +214,18 @@
 	return sum
 }
 
-// missing returns the tokens that other instances ask for.
-func (g *Granter) missing(grants Grants, name string) int64 {
-	var sum int64
-	for instance, part := range grants.Accounts[name] {
-		if instance != g.name {
-			sum += part.Want
-		}
-	}
-	return sum
-}
-
 // share returns the fair part of this instance of what is left of a budget: the
 // demand of some time ahead, and in no case more than its part by demand.
-func (g *Granter) share(now time.Duration, grants Grants, name string, a *account) int64 {
-	left := max(0, a.prepaid-g.taken(name, a))
+func (g *Granter) share(now time.Duration, name string, a *account) int64 {
+	left := max(0, a.prepaid-g.taken(a))
 	own := a.asked.rate(now)
 	sum := own
-	for instance, part := range grants.Accounts[name] {
+	for instance, part := range a.budget.Parts {
 		if instance != g.name {
 			sum += float64(part.Rate)
 		}
 	}
-	instances := float64(max(1, len(grants.Instances)))
+	instances := float64(max(1, len(g.peers)))
 	prior := priorShare * sum / instances
 	weight := 1 / instances
 	if sum > 0 {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -1,32 +1,33 @@
 // Package granter decides what one instance may spend of the prepaid budgets of
 // client accounts.
 //
-// Two objects in the store bound the spending. [Grants] is shared: it gives each
-// instance a part of each budget, and the parts never sum to more than what is
-// prepaid. [Ledger] belongs to one instance and bounds how much of its grant it
-// may have used up by a given time: limit + rate * age. A successor of a crashed
-// process counts that bound as spent and goes on with the rest.
+// Two kinds of objects in the store bound the spending. A [Budget] is shared: it
+// gives each instance a part of what is prepaid for an account, and the parts
+// never sum to more. A [Ledger] belongs to one instance and bounds how much of
+// its parts it may have used up by a given time. A successor of a crashed process
+// counts that bound as spent and goes on with the rest.
 //
-// A grant is large, so that an instance that is cut off goes on serving. The
-// bound in the ledger is small, so that a crash loses little.
+// Each account has a home among the instances, which holds most of what is
+// granted of it and lends tokens to the others. What is lent counts as spent at
+// the lender, so a crash of either loses tokens but never spends them twice.
 //
 // # Usage
 //
 // The caller keeps the objects. Before it sends one, it announces it; afterwards
 // it tells the outcome:
 //
-//	g := granter.New("entry-1", granter.Instance{Incarnation: "7f3c"}, bootID)
-//	g.Recover(now, ledger, grants, version)
+//	g := granter.New(granter.Self{Name: "entry-1", Incarnation: "7f3c", Boot: bootID})
+//	g.Recover(now, ledger)
 //	l := g.PlanLedger(now)
 //	g.LedgerSent(l)
 //	g.LedgerWritten(l)
+//	g.Ready()
+//	b, version := g.PlanBudget(now, "rider-app")
+//	g.BudgetSent("rider-app", b)
+//	g.Observe(now, "rider-app", b, version+1)
 //	d := g.Reserve(now, "rider-app", 20_000)
 //	g.Settle("rider-app", d, 18_250)
 //
-// Each account has a home among the instances, which holds most of its grant and
-// lends tokens to the others ([Granter.Lent]). What is lent counts as spent at
-// the lender, so a crash of either loses tokens but never spends them twice.
-//
 // Times are readings of a clock that counts suspension, is never stepped and
 // starts anew with each boot.
 package granter
@@ -68,12 +69,13 @@
 // Holding is the part of one instance in a budget. Held and Spent only count up
 // or are set by the instance itself.
 type Holding struct {
-	Held  int64 `json:"held"`           // tokens granted since the budget began, spent ones included
-	Spent int64 `json:"spent"`          // tokens used when the object was written
-	Open  int64 `json:"open,omitempty"` // tokens reserved then
-	Rate  int64 `json:"rate"`           // tokens per second asked for
-	Large int64 `json:"large"`          // tokens of a large request
-	Want  int64 `json:"want,omitempty"` // tokens that are missing
+	Held  int64  `json:"held"`           // tokens granted since the budget began, spent ones included
+	Spent int64  `json:"spent"`          // tokens used when the object was written
+	Open  int64  `json:"open,omitempty"` // tokens reserved then
+	Rate  int64  `json:"rate"`           // tokens per second asked for
+	Large int64  `json:"large"`          // tokens of a large request
+	Want  int64  `json:"want,omitempty"` // tokens that are missing
+	By    string `json:"by"`             // incarnation that wrote it
 }
 
 // Check validates a holding.
@@ -87,61 +89,46 @@
 	return f.Err()
 }
 
-// Instance is a process that takes part.
-type Instance struct {
-	Incarnation string `json:"incarnation"`
-	Addr        string `json:"addr"` // where it lends tokens to others
-}
-
-// Grants are the parts of all instances in the budgets of a shard.
-type Grants struct {
-	Instances map[string]Instance           `json:"instances"` // by name
-	Accounts  map[string]map[string]Holding `json:"accounts"`  // by account and instance
+// Budget is the object of one account: the parts of all instances.
+type Budget struct {
+	Parts map[string]Holding `json:"parts"` // by instance
 }
 
-// Check validates the grants.
-func (g Grants) Check() error {
+// Check validates the budget.
+func (b Budget) Check() error {
 	var f checker.Faults
-	for account, parts := range g.Accounts {
-		for instance, h := range parts {
-			f.Within("accounts."+account+"."+instance, h.Check())
-		}
+	for instance, h := range b.Parts {
+		f.Within("parts."+instance, h.Check())
 	}
 	return f.Err()
 }
 
-// WithHolding returns the grants with one holding replaced.
-func (g Grants) WithHolding(account, instance string, h Holding) Grants {
-	accounts := maps.Clone(g.Accounts)
-	if accounts == nil {
-		accounts = make(map[string]map[string]Holding)
-	}
-	parts := maps.Clone(accounts[account])
+// WithPart returns the budget with one part replaced.
+func (b Budget) WithPart(instance string, h Holding) Budget {
+	parts := maps.Clone(b.Parts)
 	if parts == nil {
 		parts = make(map[string]Holding)
 	}
 	parts[instance] = h
-	accounts[account] = parts
-	g.Accounts = accounts
-	return g
+	return Budget{parts}
 }
 
-// WithInstance returns the grants with an instance that takes part.
-func (g Grants) WithInstance(name string, i Instance) Grants {
-	instances := maps.Clone(g.Instances)
-	if instances == nil {
-		instances = make(map[string]Instance)
+// held returns the sum of all parts.
+func (b Budget) held() int64 {
+	var sum int64
+	for _, h := range b.Parts {
+		sum += h.Held
 	}
-	instances[name] = i
-	g.Instances = instances
-	return g
+	return sum
 }
 
-// held returns the sum of all grants of an account.
-func (g Grants) held(account string) int64 {
+// wanted returns the tokens that other instances than the given one ask for.
+func (b Budget) wanted(instance string) int64 {
 	var sum int64
-	for _, h := range g.Accounts[account] {
-		sum += h.Held
+	for name, h := range b.Parts {
+		if name != instance {
+			sum += h.Want
+		}
 	}
 	return sum
 }
@@ -171,6 +158,7 @@
 	Number      int64            `json:"number"` // of the write, from 1 in each incarnation
 	Boot        string           `json:"boot"`   // id of the boot that Time belongs to, empty if unknown
 	Time        int64            `json:"time"`   // boot clock in milliseconds, read before the write was sent
+	Addr        string           `json:"addr"`   // where the instance lends tokens to others
 	Accounts    map[string]Limit `json:"accounts"`
 }
 
@@ -218,6 +206,11 @@
 // account is the state of one budget at this instance.
 type account struct {
 	prepaid  int64 // negative: not limited
+	budget   Budget
+	version  uint64  // of the budget
+	pending  []write // of the budget
+	fenced   bool    // this incarnation has written its part, so late writes of a former one are void
+	bound    int64   // most that a former process can have spent of a grant of any size
 	held     int64
 	lent     int64 // tokens that others gave from their grants, neither spent nor reserved
 	spent    int64
@@ -239,30 +232,39 @@
 
 func (a *account) used() int64 { return a.spent + a.reserved }
 
-// write is a write of the grants that may still be carried out.
+// write is a write of a budget that may still be carried out.
 type write struct {
 	version uint64 // condition
-	held    map[string]int64
+	held    int64
 }
 
-// Granter is the state of one instance for the budgets of one shard.
+// Granter is the state of one instance.
 type Granter struct {
-	name     string
-	self     Instance
-	boot     string
-	ready    bool
-	accounts map[string]*account
-	grants   Grants
-	version  uint64  // of the grants
-	pending  []write // of the grants
-	ledger   Ledger  // newest that is known to be written
-	sent     []Ledger
-	number   int64
-	stopping bool
+	name        string
+	addr        string
+	incarnation string
+	boot        string
+	ready       bool
+	accounts    map[string]*account
+	peers       map[string]string // addresses of the instances, this one included, by name
+	ledger      Ledger            // newest that is known to be written
+	sent        []Ledger          // may still be carried out
+	number      int64
+	stopping    bool
 }
 
-// New returns the state of an instance that has read nothing yet. The boot id is
-// empty if it is unknown.
-func New(name string, self Instance, boot string) *Granter {
-	return &Granter{name: name, self: self, boot: boot, accounts: make(map[string]*account)}
+// Self is the process that a [Granter] decides for.
+type Self struct {
+	Name        string // of the instance, the same for its former processes
+	Addr        string // where it lends tokens to others
+	Incarnation string // of this process
+	Boot        string // id of this boot, empty if unknown
+}
+
+// New returns the state of an instance that has read nothing yet.
+func New(self Self) *Granter {
+	return &Granter{
+		name: self.Name, addr: self.Addr, incarnation: self.Incarnation, boot: self.Boot,
+		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr},
+	}
 }
