--- /dev/null
+++ b/internal/receiver/receiver_test.go
@@ -0,0 +1,355 @@
+package receiver_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"daisylane/internal/chooser"
+	"daisylane/internal/follower"
+	"daisylane/internal/forwarder"
+	"daisylane/internal/granter"
+	"daisylane/internal/receiver"
+	"daisylane/internal/resolver"
+	"daisylane/internal/retrier"
+	"daisylane/platform"
+	"daisylane/platform/platformtest"
+)
+
+// budgets is an account with a number of tokens.
+type budgets struct {
+	mu      sync.Mutex
+	unready bool
+	outcome granter.Outcome // of the next reservation, empty: by the tokens
+	open    int64
+	used    int64
+}
+
+func (b *budgets) Ready() bool { return !b.unready }
+
+func (b *budgets) Reserve(_ context.Context, _ string, n int64, _ time.Duration) granter.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.outcome != "" {
+		return granter.Decision{Outcome: b.outcome, After: time.Second}
+	}
+	b.open += n
+	return granter.Decision{Outcome: granter.Reserved, Own: n}
+}
+
+func (b *budgets) Settle(_ string, d granter.Decision, used int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open -= d.Own
+	b.used += used
+}
+
+func (b *budgets) figures() (open, used int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open, b.used
+}
+
+// fixture is a receiver before runners of one service.
+type fixture struct {
+	*httptest.Server
+	receiver *receiver.Receiver
+	dispatch *receiver.Dispatch
+	budgets  *budgets
+	runners  []*platformtest.Runner
+}
+
+func table(t *testing.T, version int64) *resolver.Table {
+	t.Helper()
+	prefix := func(name string, kind resolver.Kind, attempts int, resumable bool) resolver.Route {
+		service := "booking"
+		if kind == resolver.Stream {
+			service = "engine"
+		}
+		return resolver.Route{
+			Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: kind, Shares: []resolver.Share{{Service: service, Weight: 1}},
+			Timeout: time.Second, Target: 200 * time.Millisecond, Attempts: attempts, Resumable: resumable, Priority: 3,
+		}
+	}
+	public := prefix("public", resolver.Idempotent, 2, false)
+	public.Public = true
+	tab, err := resolver.New(resolver.Config{
+		Version: version, Keyed: true,
+		Routes: []resolver.Route{
+			prefix("look", resolver.Idempotent, 2, false), prefix("book", resolver.NonIdempotent, 2, false),
+			prefix("plan", resolver.Stream, 2, false), prefix("summary", resolver.Stream, 2, true), public,
+		},
+		Services: []resolver.Service{
+			{Name: "booking", Connections: 10},
+			{Name: "engine", Connections: 10, Engine: &resolver.Engine{Slots: 8, Memory: 100_000, PerEvent: 4}},
+		},
+		Accounts: []resolver.Account{{Name: "rider-app", Keys: []string{"key-1"}, Prepaid: 1000}},
+		Limits:   resolver.Limits{BodyBytes: 100},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tab
+}
+
+func start(t *testing.T, scripts ...[]platformtest.Answer) *fixture {
+	t.Helper()
+	retries := retrier.New(rand.New(rand.NewPCG(1, 1)), retrier.WithRefusalsCounted(), retrier.WithShares(1, 1), retrier.WithBursts(5, 5))
+	f := &fixture{budgets: &budgets{}}
+	f.dispatch = receiver.NewDispatch(chooser.Place{Centre: "a", Region: "r"}, map[string]string{"a": "r"}, retries)
+	f.receiver = receiver.New(platform.Codec{}, f.dispatch, f.budgets, forwarder.New(platform.RequestID))
+	for i, script := range scripts {
+		r, err := platformtest.NewRunner("i-"+string(rune('0'+i)), script...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		f.runners = append(f.runners, r)
+		f.dispatch.Roster(func(ros *follower.Roster) {
+			for _, service := range []string{"engine", "booking"} {
+				// One runner answers for both services.
+				ros.Put(follower.Target{ID: r.ID + service, Service: service, Addr: r.Addr(), Centre: "a", Slots: 8})
+			}
+		})
+	}
+	f.receiver.Adopt(table(t, 1))
+	f.receiver.Contact(time.Now())
+	f.Server = httptest.NewServer(f.receiver)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fixture) runs() int {
+	n := 0
+	for _, r := range f.runners {
+		n += len(r.Seen())
+	}
+	return n
+}
+
+// call sends a request with the usual headers, changed by the given ones; an
+// empty value removes a header.
+func (f *fixture) call(t *testing.T, path, body string, change map[string]string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	for name, value := range map[string]string{
+		"Daisylane-Attempt-Id": "id-1", "Api-Key": "key-1", "Daisylane-Deadline-Ms": "900",
+		"Daisylane-Token-Usage": "80,20", "Daisylane-Prompt-Prefix": "a1:60,b2:20", "Daisylane-Model": "m",
+	} {
+		req.Header.Set(name, value)
+	}
+	for name, value := range change {
+		if req.Header.Del(name); value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return res, string(data), err
+}
+
+type answers = []platformtest.Answer
+
+// Guards against requests that run though they are refused, refusals without a
+// time to come back, and answers of targets that change on their way.
+func TestAnswers(t *testing.T) {
+	event := func(n int) string {
+		s := ""
+		for i := range n {
+			s += "id: " + string(rune('1'+i)) + "\ndata: piece " + string(rune('1'+i)) + " of i-0\n\n"
+		}
+		return s
+	}
+	tests := []struct {
+		name    string
+		path    string
+		body    string
+		change  map[string]string
+		scripts []answers
+		status  int
+		want    string
+		runs    int
+		broken  bool // the answer ends early
+		used    int64
+		after   bool // with a time to come back
+	}{
+		{name: "plain", path: "/look/7", scripts: []answers{{{Body: "hello"}}}, status: 200, want: "hello", runs: 1},
+		{name: "failure of the target", path: "/book/7", scripts: []answers{{{Status: 500, Body: "no"}}}, status: 500, want: "no", runs: 1},
+		{name: "no route", path: "/none/7", scripts: []answers{{{}}}, status: 404, want: "route\n"},
+		{name: "no key", path: "/look/7", change: map[string]string{"Api-Key": ""}, scripts: []answers{{{}}}, status: 401, want: "key\n"},
+		{name: "wrong key", path: "/look/7", change: map[string]string{"Api-Key": "key-2"}, scripts: []answers{{{}}}, status: 401, want: "key\n"},
+		{name: "public route", path: "/public/7", change: map[string]string{"Api-Key": ""}, scripts: []answers{{{Body: "x"}}}, status: 200, want: "x", runs: 1},
+		{name: "no id", path: "/look/7", change: map[string]string{"Daisylane-Attempt-Id": ""}, scripts: []answers{{{}}}, status: 400, want: "malformed\n"},
+		{name: "wrong deadline", path: "/look/7", change: map[string]string{"Daisylane-Deadline-Ms": "soon"}, scripts: []answers{{{}}}, status: 400, want: "malformed\n"},
+		{name: "wrong tokens", path: "/plan/7", change: map[string]string{"Daisylane-Token-Usage": "-5,1"}, scripts: []answers{{{}}}, status: 400, want: "malformed\n"},
+		{name: "wrong prefix", path: "/plan/7", change: map[string]string{"Daisylane-Prompt-Prefix": "a1"}, scripts: []answers{{{}}}, status: 400, want: "malformed\n"},
+		{name: "long body", path: "/look/7", body: strings.Repeat("x", 101), scripts: []answers{{{}}}, status: 413, want: "body\n"},
+		{name: "no target", path: "/look/7", status: 503, want: "notargets\n", after: true},
+		{name: "stream", path: "/plan/7", scripts: []answers{{{Events: 3}}}, status: 200, want: event(3), runs: 1, used: 92},
+		{name: "stream without a length", path: "/plan/7", scripts: []answers{{{Events: 2, Unframed: true}}}, status: 200, want: event(2), runs: 1, used: 88},
+		{name: "stream that breaks off", path: "/plan/7", scripts: []answers{{{Events: 3, Cut: 1}}}, status: 200, want: event(1), runs: 1, broken: true, used: 84},
+		{name: "stream torn within an event", path: "/plan/7", scripts: []answers{{{Events: 3, Cut: 2, Torn: true}}}, status: 200, want: event(2), runs: 1, broken: true, used: 88},
+		{name: "stream that goes on elsewhere", path: "/summary/7", scripts: []answers{{{Events: 3, Cut: 1}}, {{Events: 3, Cut: 1}}}, status: 200, runs: 2, used: 92},
+		{name: "reset, may not be repeated", path: "/book/7", scripts: []answers{{{Reset: true}}, {{Reset: true}}}, status: 502, want: "noanswer\n", runs: 1},
+		{name: "reset, may be repeated", path: "/look/7", scripts: []answers{{{Reset: true}}, {{Reset: true}}}, status: 502, want: "noanswer\n", runs: 2},
+		{name: "refused twice", path: "/book/7", scripts: []answers{{{Status: 503, NotRun: true}}, {{Status: 503, NotRun: true}}}, status: 503, want: "busy\n", runs: 2, after: true},
+		{name: "busy without a promise", path: "/book/7", scripts: []answers{{{Status: 503, Body: "busy"}}}, status: 502, want: "noanswer\n", runs: 1},
+		{name: "unsealed", path: "/book/7", scripts: []answers{{{Body: "x", Unsealed: true}}}, status: 502, want: "noanswer\n", runs: 1},
+		{name: "unsealed stream", path: "/plan/7", scripts: []answers{{{Events: 2, Unsealed: true}}}, status: 502, want: "noanswer\n", runs: 1},
+		{name: "answer to another request first", path: "/book/7", scripts: []answers{{{Body: "x", Stray: true}}}, status: 200, want: "x", runs: 1},
+		{name: "too late", path: "/book/7", change: map[string]string{"Daisylane-Deadline-Ms": "100"}, scripts: []answers{{{Body: "x", Delay: 400 * time.Millisecond}}}, status: 504, want: "timeout\n", runs: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, tt.scripts...)
+			res, body, err := f.call(t, tt.path, tt.body, tt.change)
+			if res == nil || (err != nil) != tt.broken {
+				t.Fatalf("got error %v", err)
+			}
+			if res.StatusCode != tt.status || tt.want != "" && body != tt.want {
+				t.Errorf("got %d %q, want %d %q", res.StatusCode, body, tt.status, tt.want)
+			}
+			if n := f.runs(); n != tt.runs {
+				t.Errorf("targets got %d requests, want %d", n, tt.runs)
+			}
+			if got := res.Header.Get("Retry-After") != ""; got != tt.after {
+				t.Errorf("time to come back: %v", got)
+			}
+			f.Close() // waits for the end of the request
+			if open, used := f.budgets.figures(); open != 0 || used != tt.used {
+				t.Errorf("%d tokens reserved, %d used, want %d", open, used, tt.used)
+			}
+		})
+	}
+}
+
+// Guards against callers that choose what only the system may set, and against
+// headers that are lost on the way.
+func TestForwardedHeaders(t *testing.T) {
+	f := start(t, answers{{Events: 1}})
+	_, _, err := f.call(t, "/plan/7?q=1", "body", map[string]string{
+		"Daisylane-Tenant": "other", "Daisylane-Hold": "h", "Daisylane-Pin-Ms": "9", "Daisylane-Kv-Backup": "1.2.3.4:5",
+		"Kv-From": "1.2.3.4:5/x", "Daisylane-Expect-Instance": "i-9", "Daisylane-Request-Priority": "0",
+		"Connection": "Daisylane-Model, X-Hop", "X-Hop": "1", "X-Kept": "2",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := f.runners[0].Seen()[0]
+	want := map[string]string{
+		"Daisylane-Attempt-Id": "id-1", "Daisylane-Model": "m", "Daisylane-Token-Usage": "80,20", "Daisylane-Prompt-Prefix": "a1:60,b2:20",
+		"Daisylane-Tenant": "rider-app", "Daisylane-Expect-Instance": "i-0engine", "Daisylane-Request-Priority": "3", "X-Kept": "2",
+		"Api-Key": "", "Daisylane-Hold": "", "Daisylane-Pin-Ms": "", "Daisylane-Kv-Backup": "", "Kv-From": "", "X-Hop": "",
+	}
+	for name, value := range want {
+		if got := seen.Header.Get(name); got != value {
+			t.Errorf("%s is %q, want %q", name, got, value)
+		}
+	}
+	if seen.URI != "/plan/7?q=1" || seen.Body != "body" || seen.Method != http.MethodPost {
+		t.Errorf("target got %s %s %q", seen.Method, seen.URI, seen.Body)
+	}
+}
+
+// Guards against refusals for lack of tokens that are not true or not final.
+func TestRefusedBudgets(t *testing.T) {
+	tests := []struct {
+		outcome granter.Outcome
+		status  int
+		after   bool
+	}{
+		{granter.Exhausted, 402, false}, {granter.Short, 503, true}, {granter.Limited, 503, true},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.outcome), func(t *testing.T) {
+			f := start(t, answers{{Events: 1}})
+			f.budgets.outcome = tt.outcome
+			res, _, err := f.call(t, "/plan/7", "", nil)
+			if err != nil || res.StatusCode != tt.status || (res.Header.Get("Retry-After") != "") != tt.after || f.runs() != 0 {
+				t.Errorf("got %v, %v after %d runs", res, err, f.runs())
+			}
+		})
+	}
+}
+
+// Guards against answers from a state that is not known: before the first
+// configuration, and for routes and keys that may have been added meanwhile.
+func TestUnknownState(t *testing.T) {
+	tests := []struct {
+		name   string
+		play   func(*fixture)
+		change map[string]string
+		path   string
+	}{
+		{"budgets not recovered", func(f *fixture) { f.budgets.unready = true }, nil, "/look/7"},
+		{"route, out of contact", func(f *fixture) { f.receiver.Contact(time.Now().Add(-time.Minute)) }, nil, "/new/7"},
+		{"key, out of contact", func(f *fixture) { f.receiver.Contact(time.Now().Add(-time.Minute)) }, map[string]string{"Api-Key": "new"}, "/look/7"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, answers{{}})
+			tt.play(f)
+			res, _, err := f.call(t, tt.path, "", tt.change)
+			if err != nil || res.StatusCode != 503 || res.Header.Get("Retry-After") == "" {
+				t.Errorf("got %v, %v", res, err)
+			}
+		})
+	}
+}
+
+// Guards against a target that is chosen again after its address answered as
+// another one: each such request counts as a repeat.
+func TestMovedTarget(t *testing.T) {
+	f := start(t, answers{{Moved: true}}, answers{{Body: "x"}})
+	for range 8 {
+		if res, body, err := f.call(t, "/look/7", "", nil); err != nil || res.StatusCode != 200 || body != "x" {
+			t.Fatalf("got %v %q, %v", res, body, err)
+		}
+	}
+	if n := len(f.runners[0].Seen()); n > 1 {
+		t.Errorf("the replaced target got %d requests", n)
+	}
+}
+
+// Guards against a target that goes on working after the caller has left, and
+// against billing what nobody got.
+func TestCallerLeaves(t *testing.T) {
+	f := start(t, answers{{Events: 1000, Pause: 5 * time.Millisecond}})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.URL+"/plan/7", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("Daisylane-Attempt-Id", "id-1")
+	req.Header.Set("Api-Key", "key-1")
+	res, err := http.DefaultClient.Do(req)
+	if err == nil {
+		_, err = io.ReadAll(res.Body)
+		_ = res.Body.Close()
+	}
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v", err)
+	}
+	for end := time.Now().Add(2 * time.Second); f.runners[0].Gone() == 0 || f.receiver.Inflight() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the target still works")
+		}
+	}
+}
--- /dev/null
+++ b/internal/tunneler/tunneler_test.go
@@ -0,0 +1,93 @@
+package tunneler
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Guards against a relay that changes bytes, keeps a side open that has ended,
+// or goes on after its stop.
+func TestRelay(t *testing.T) {
+	store, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	go func() {
+		for {
+			c, err := store.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				line, err := bufio.NewReader(c).ReadString('\n')
+				if err == nil {
+					fmt.Fprintf(c, "echo %s", line)
+				}
+			}()
+		}
+	}()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- New(store.Addr().String(), zerolog.Nop()).Serve(ctx, l) }()
+
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintln(c, "hello")
+	br := bufio.NewReader(c)
+	if line, err := br.ReadString('\n'); err != nil || line != "echo hello\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := br.ReadByte(); err == nil {
+		t.Error("the connection goes on after the store has ended it")
+	}
+	stop()
+	select {
+	case err := <-served:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the relay does not stop")
+	}
+}
+
+// Guards against a caller that hangs when the store cannot be reached.
+func TestUnreachable(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = New(closed.Addr().String(), zerolog.Nop()).Serve(t.Context(), l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("got bytes")
+	} else if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Error("the connection stays open")
+	}
+}
