Return the tokens of an instance that stops, count unused loans as left

Cause: a planned stop ended the watches, their cancelled calls marked the way to the store as failed, and that ended the last write: the tokens stayed with the stopped instance (TestEntry). Calls given up by their callers say nothing about a way now. Loans carry what a request lacks, may be lent on, and count as left of the budget; the home keeps no returned tokens to itself (TestShare).

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -59,9 +59,8 @@
 
 // Peers asks other instances for tokens.
 type Peers interface {
-	// Borrow asks for tokens, at least need and up to ask. It returns 0 if the
-	// peer has too few or does not answer.
-	Borrow(ctx context.Context, peer granter.Lender, account string, need, ask int64) (int64, error)
+	// Borrow asks for tokens. It returns 0 if the peer has too few.
+	Borrow(ctx context.Context, peer granter.Lender, l granter.Loan) (int64, error)
 	Return(ctx context.Context, peer granter.Lender, account string, tokens int64) error
 }
 
@@ -176,8 +175,8 @@
 	})
 }
 
-// Lend takes tokens for another instance, at least need and up to ask.
-func (a *Accountant) Lend(ctx context.Context, account string, need, ask int64) granter.Decision {
+// Lend takes tokens for another instance.
+func (a *Accountant) Lend(ctx context.Context, l granter.Loan) granter.Decision {
 	ctx, cancel := context.WithTimeout(ctx, lendTime)
 	defer cancel()
 	a.mu.Lock()
@@ -186,9 +185,9 @@
 		return granter.Decision{Outcome: granter.Unready}
 	}
 	now := a.clock()
-	a.state.Ask(now, account, need)
-	n := max(need, min(ask, a.state.Spare(account, need)))
-	return a.obtain(ctx, account, n, now+lendTime, a.state.Lend, func() {})
+	a.state.Ask(now, l.Account, l.Need)
+	n := max(l.Least, min(l.Ask, a.state.Spare(l.Account, l.Need)))
+	return a.obtain(ctx, l.Account, n, now+lendTime, a.state.Lend, func() {})
 }
 
 // Returned takes back tokens that were lent and not used.
@@ -209,7 +208,7 @@
 		}
 		need, ask := a.state.Borrow(now, account, n)
 		a.mu.Unlock()
-		got, err := a.peers.Borrow(ctx, lender, account, min(need, least), ask)
+		got, err := a.peers.Borrow(ctx, lender, granter.Loan{Account: account, Least: min(need, least), Need: need, Ask: ask})
 		a.mu.Lock()
 		if err != nil {
 			a.avoid[lender.Name] = a.clock() + avoidTime
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -110,18 +110,16 @@
 	return d
 }
 
-// Lend takes tokens for another instance from the own grant, for good.
+// Lend takes tokens for another instance, for good.
 func (g *Granter) Lend(now time.Duration, name string, n int64) Decision {
 	a := g.account(name)
 	if a.prepaid < 0 {
 		return Decision{Outcome: Short} // not limited here, or not known yet
 	}
-	lent := a.lent
-	a.lent = 0 // what was lent is not lent on
-	defer func() { a.lent = lent }()
 	d := g.judge(now, name, a, n)
 	if d.Outcome == Reserved {
-		a.spent += n
+		a.lent -= d.Lent
+		a.spent += d.Own
 	}
 	return d
 }
@@ -132,19 +130,20 @@
 // TakeSurplus removes lent tokens that the demand does not need, to give them back.
 func (g *Granter) TakeSurplus(now time.Duration, name string) int64 {
 	a := g.account(name)
-	n := a.lent - int64(a.local.reach(now, lentAhead, 0)+a.lump)
-	if n < int64(a.lump) || n <= 0 {
+	n := a.lent
+	if float64(a.prepaid-g.taken(a)) > scarceLumps*a.lump {
+		n -= int64(a.local.reach(now, lentAhead, 0) + a.lump)
+	}
+	if n <= 0 {
 		return 0
 	}
 	a.lent -= n
 	return n
 }
 
-// Returned adds tokens that were lent and come back unused.
-func (g *Granter) Returned(name string, n int64) {
-	a := g.account(name)
-	a.spent = max(0, a.spent-n)
-}
+// Returned adds tokens that were lent and come back unused. They do not lower
+// what counts as spent, since this instance may have been lent them itself.
+func (g *Granter) Returned(name string, n int64) { g.Lent(name, n) }
 
 // Ask counts the demand that the own grant has to cover.
 func (g *Granter) Ask(now time.Duration, name string, n int64) {
@@ -213,7 +212,7 @@
 // returns what exceeds the fair part or what others miss.
 func (g *Granter) part(now time.Duration, name string, a *account) Holding {
 	h := Holding{
-		Held: a.held, Spent: a.spent, Open: a.reserved, Rate: int64(a.asked.rate(now)), Large: int64(a.lump), By: g.incarnation,
+		Held: a.held, Spent: max(0, a.spent-a.lent), Open: a.reserved, Rate: int64(a.asked.rate(now)), Large: int64(a.lump), By: g.incarnation,
 	}
 	if !a.fenced {
 		return h
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -71,13 +71,12 @@
 	return max(0, min(a.certain(), limit)-a.used())
 }
 
-// Spare returns the tokens of the own grant that may be lent to a peer that needs
-// some, whether the ledger allows their use already or not. The scarcer the
+// Spare returns the tokens that may be lent to a peer that needs some, whether the ledger allows their use already or not. The scarcer the
 // budget, the less goes beyond the need, since lent tokens come back late.
 func (g *Granter) Spare(name string, need int64) int64 {
 	a := g.account(name)
 	left := max(0, a.prepaid-g.taken(a))
-	return max(0, min(a.certain()-a.used(), need+int64(float64(left)*extraShare)))
+	return max(0, min(a.lent+a.certain()-a.used(), need+int64(float64(left)*extraShare)))
 }
 
 // Holders returns the instances that seem to have tokens of an account to spare,
@@ -245,7 +244,7 @@
 // taken returns the tokens of an account that all instances are known to have
 // spent or reserved.
 func (g *Granter) taken(a *account) int64 {
-	sum := a.used()
+	sum := a.used() - a.lent
 	for instance, part := range a.budget.Parts {
 		if instance != g.name {
 			sum += min(part.Spent+part.Open, part.Held)
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -51,6 +51,7 @@
 	youngTime    = 10 * time.Second        // over which this part shrinks while demand is seen
 	lentAhead    = time.Second             // demand of the own callers that lent tokens cover beside the request
 	extraShare   = 0.01                    // of what is left of a budget that a loan may have beyond its need
+	scarceLumps  = 4.0                     // large requests that are left of a budget when unused loans go back whole
 	lumpDecay    = 0.9                     // of the remembered size of large requests, per smaller request
 	poolShare    = 0.1                     // of what is left that stays ungranted, for whoever runs short first
 	priorShare   = 0.2                     // of the mean demand of all instances that counts beside the own
@@ -134,6 +135,22 @@
 	return sum
 }
 
+// Loan asks another instance for tokens of an account, or gives them back.
+type Loan struct {
+	Account string `json:"account"`
+	Least   int64  `json:"least"` // tokens without which the loan is of no use
+	Need    int64  `json:"need"`  // tokens that the request lacks
+	Ask     int64  `json:"ask"`   // tokens wanted
+}
+
+// Check validates a loan.
+func (l Loan) Check() error {
+	var f checker.Faults
+	f.Require(l.Account != "", "account", "is empty")
+	f.Require(l.Least >= 0 && l.Least <= l.Need && l.Need <= l.Ask, "ask", "is %d, need is %d, least is %d, must not grow", l.Ask, l.Need, l.Least)
+	return f.Err()
+}
+
 // Limit bounds the tokens that an instance has used of one budget: Limit, and
 // Rate for each second after the ledger is [LimitHold] old.
 type Limit struct {
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -6,7 +6,7 @@
 //	http.Serve(l, lender.Handler(accountant))
 //
 //	c := lender.NewClient()
-//	got, err := c.Borrow(ctx, peer, "rider-app", 20_000, 25_000)
+//	got, err := c.Borrow(ctx, peer, granter.Loan{Account: "rider-app", Least: 20_000, Need: 20_000, Ask: 25_000})
 //
 // A call without an answer may have been carried out; then the tokens are lost,
 // never spent twice.
@@ -41,22 +41,6 @@
 // ErrRefused means that the peer has too few tokens or does not lend.
 var ErrRefused = errors.New("peer refused")
 
-// Loan asks for tokens of an account, or gives them back.
-type Loan struct {
-	Account string `json:"account"`
-	Need    int64  `json:"need"` // tokens without which the loan is of no use
-	Ask     int64  `json:"ask"`  // tokens wanted
-}
-
-// Check validates a loan.
-func (l Loan) Check() error {
-	var f checker.Faults
-	f.Require(l.Account != "", "account", "is empty")
-	checker.Range(&f, "need", l.Need, 0, maxTokens)
-	checker.Range(&f, "ask", l.Ask, l.Need, maxTokens)
-	return f.Err()
-}
-
 // Reply is the answer to a loan.
 type Reply struct {
 	Tokens  int64           `json:"tokens"`
@@ -72,21 +56,21 @@
 
 // Bank has tokens to lend.
 type Bank interface {
-	Lend(ctx context.Context, account string, need, ask int64) granter.Decision
+	Lend(ctx context.Context, l granter.Loan) granter.Decision
 	Returned(account string, tokens int64)
 }
 
 // Handler serves loans of a bank.
 func Handler(b Bank) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+lendPath, handle(func(ctx context.Context, l Loan) Reply {
-		d := b.Lend(ctx, l.Account, l.Need, l.Ask)
+	mux.HandleFunc("POST "+lendPath, handle(func(ctx context.Context, l granter.Loan) Reply {
+		d := b.Lend(ctx, l)
 		if d.Outcome != granter.Reserved {
 			return Reply{Outcome: d.Outcome}
 		}
-		return Reply{Tokens: d.Own, Outcome: d.Outcome}
+		return Reply{Tokens: d.Own + d.Lent, Outcome: d.Outcome}
 	}))
-	mux.HandleFunc("POST "+returnPath, handle(func(_ context.Context, l Loan) Reply {
+	mux.HandleFunc("POST "+returnPath, handle(func(_ context.Context, l granter.Loan) Reply {
 		b.Returned(l.Account, l.Ask)
 		return Reply{Tokens: l.Ask, Outcome: granter.Reserved}
 	}))
@@ -128,10 +112,9 @@
 	}}}
 }
 
-// Borrow asks for tokens, at least need and up to ask. It returns 0 if the peer
-// has too few.
-func (c *Client) Borrow(ctx context.Context, peer granter.Lender, account string, need, ask int64) (int64, error) {
-	r, err := call[Reply](ctx, c, peer.Addr+lendPath, Loan{account, need, ask})
+// Borrow asks for tokens. It returns 0 if the peer has too few.
+func (c *Client) Borrow(ctx context.Context, peer granter.Lender, l granter.Loan) (int64, error) {
+	r, err := call[Reply](ctx, c, peer.Addr+lendPath, l)
 	if err != nil {
 		return 0, err
 	}
@@ -143,11 +126,11 @@
 
 // Return gives tokens back.
 func (c *Client) Return(ctx context.Context, peer granter.Lender, account string, tokens int64) error {
-	_, err := call[Reply](ctx, c, peer.Addr+returnPath, Loan{account, 0, tokens})
+	_, err := call[Reply](ctx, c, peer.Addr+returnPath, granter.Loan{Account: account, Ask: tokens})
 	return err
 }
 
-func call[A checker.Checker](ctx context.Context, c *Client, url string, l Loan) (answer A, err error) {
+func call[A checker.Checker](ctx context.Context, c *Client, url string, l granter.Loan) (answer A, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	data, err := json.Marshal(l)
--- a/internal/starter/paths.go
+++ b/internal/starter/paths.go
@@ -27,6 +27,7 @@
 }
 
 type call struct {
+	caller context.Context
 	addr   string
 	cancel context.CancelCauseFunc
 }
@@ -52,8 +53,9 @@
 
 // open registers a call. The caller holds the lock.
 func (p *paths) open(ctx context.Context, addr string, limit time.Duration) platform.Way {
-	ctx, cancel := context.WithCancelCause(ctx)
-	c := &call{addr, cancel}
+	caller := ctx
+	ctx, cancel := context.WithCancelCause(caller)
+	c := &call{caller, addr, cancel}
 	p.calls[c] = true
 	return platform.Way{Context: ctx, Addr: addr, Limit: limit, Done: func(err error) { p.done(c, err) }}
 }
@@ -63,6 +65,9 @@
 	defer p.mu.Unlock()
 	delete(p.calls, c)
 	c.cancel(nil)
+	if err != nil && c.caller.Err() != nil {
+		return // given up by its caller, which says nothing about the way
+	}
 	if !errors.Is(err, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUncertain) {
 		p.state.Succeeded(c.addr)
 	} else if p.state.Failed(time.Now(), c.addr) {
