--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -10,6 +10,7 @@
 	"daisylane/internal/checker"
 	"daisylane/internal/granter"
 	"daisylane/internal/storer"
+	"daisylane/internal/waiter"
 )
 
 // recover reads the objects and writes both, which voids late writes of a
@@ -114,11 +115,11 @@
 		case errors.Is(err, ErrReplaced):
 			return err
 		case err != nil:
-			pause(ctx, retryPause)
+			waiter.Pause(ctx, retryPause)
 		case again:
 			wake(a.ledger)
 		default:
-			pause(ctx, ledgerGap)
+			waiter.Pause(ctx, ledgerGap)
 		}
 	}
 	return nil
@@ -201,7 +202,7 @@
 	a.mu.Lock()
 	a.notify()
 	a.mu.Unlock()
-	pause(ctx, gap)
+	waiter.Pause(ctx, gap)
 	a.mu.Lock()
 	delete(a.busy, account)
 	a.mu.Unlock()
@@ -254,7 +255,7 @@
 // not needed.
 func (a *Accountant) follow(ctx context.Context) {
 	for {
-		pause(ctx, pollTime/2+rand.N(pollTime))
+		waiter.Pause(ctx, pollTime/2+rand.N(pollTime))
 		if ctx.Err() != nil {
 			return
 		}
@@ -321,12 +322,3 @@
 	}
 	return item, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"daisylane/internal/storer"
+	"daisylane/internal/waiter"
 )
 
 const (
@@ -89,14 +90,14 @@
 		}
 		if err == nil || errors.Is(err, ErrHistory) {
 			pause = minPause
-			sleep(ctx, minCycle)
+			waiter.Pause(ctx, minCycle)
 			continue
 		}
 		if ctx.Err() == nil && !f.lost {
 			f.lost = true
 			f.handler.Lost(err)
 		}
-		sleep(ctx, pause/2+rand.N(pause))
+		waiter.Pause(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, maxPause)
 	}
 }
@@ -131,12 +132,3 @@
 		f.handler.Regained()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -40,7 +40,6 @@
 		{"leaving", func(r *Roster) { r.Put(leaving) }, "a "},
 		{"an old entry after leaving", func(r *Roster) { r.Put(leaving); r.Put(target("b")) }, "a "},
 		{"started again under its id", func(r *Roster) { r.Put(leaving); r.Put(reborn) }, "a b "},
-		{"said itself that it leaves", func(r *Roster) { r.Leave("a") }, "b "},
 		{"replaced at its address", func(r *Roster) { r.Gone("a") }, "b "},
 		{"lapsed in an outage", func(r *Roster) { r.Regained(start); r.List(start, nil) }, "a b "},
 		{"lapsed and still missing", func(r *Roster) {
--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -84,15 +84,6 @@
 	r.ready = nil
 }
 
-// Leave marks a target as leaving because it said so itself.
-func (r *Roster) Leave(id string) {
-	if t, ok := r.targets[id]; ok && !t.Leaving {
-		t.Leaving = true
-		r.targets[id] = t
-		r.ready = nil
-	}
-}
-
 // Gone drops a target whose address answers as another one. Only a new entry
 // brings it back.
 func (r *Roster) Gone(id string) {
@@ -139,6 +130,3 @@
 	}
 	return r.ready[service]
 }
-
-// Len returns the number of targets, leaving ones included.
-func (r *Roster) Len() int { return len(r.targets) }
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -34,7 +34,6 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*conn
-	dials  int64
 }
 
 type conn struct {
@@ -65,13 +64,6 @@
 	return nil
 }
 
-// Dials returns the number of connections made so far.
-func (p *Pool) Dials() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dials
-}
-
 // Forget closes the kept connections of an address.
 func (p *Pool) Forget(addr string) {
 	p.mu.Lock()
@@ -140,9 +132,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, addr, err)
 	}
-	p.mu.Lock()
-	p.dials++
-	p.mu.Unlock()
 	c := &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), addr: addr}
 	if sc, ok := nc.(syscall.Conn); ok {
 		if c.raw, err = sc.SyscallConn(); err != nil {
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -56,7 +56,7 @@
 	}
 	a.spent = min(part.Held, a.bound)
 	if a.asked.at == 0 {
-		a.asked, a.lump = formerAverage(now, part), float64(part.Large)
+		a.asked, a.large = formerAverage(now, part), float64(part.Large)
 	}
 	a.fenced = part.By == g.incarnation
 }
@@ -131,8 +131,8 @@
 func (g *Granter) TakeSurplus(now time.Duration, name string) int64 {
 	a := g.account(name)
 	n := a.lent
-	if float64(a.prepaid-g.taken(a)) > scarceLumps*a.lump {
-		n -= int64(a.local.reach(now, lentAhead, 0) + a.lump)
+	if float64(a.prepaid-g.taken(a)) > scarceLarge*a.large {
+		n -= int64(a.local.reach(now, lentAhead, 0) + a.large)
 	}
 	if n <= 0 {
 		return 0
@@ -155,7 +155,7 @@
 func (g *Granter) Arrived(now time.Duration, name string, n int64) {
 	a := g.account(name)
 	a.local = a.local.with(now, float64(n))
-	a.lump = max(float64(n), a.lump*lumpDecay)
+	a.large = max(float64(n), a.large*largeDecay)
 }
 
 // Wait counts a request that waits for tokens; the result ends it.
@@ -212,7 +212,7 @@
 // returns what exceeds the fair part or what others miss.
 func (g *Granter) part(now time.Duration, name string, a *account) Holding {
 	h := Holding{
-		Held: a.held, Spent: max(0, a.spent-a.lent), Open: a.reserved, Rate: int64(a.asked.rate(now)), Large: int64(a.lump), By: g.incarnation,
+		Held: a.held, Spent: max(0, a.spent-a.lent), Open: a.reserved, Rate: int64(a.asked.rate(now)), Large: int64(a.large), By: g.incarnation,
 	}
 	if !a.fenced {
 		return h
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -42,7 +42,7 @@
 const (
 	demandTime   = 15 * time.Second        // over which the demand of an account is averaged, two usual cuts
 	minDemandAge = 2 * time.Second         // demand seen for a shorter time is averaged over this one
-	grantAhead   = 1500 * time.Millisecond // demand that a grant covers: an outage of the store that no relay bridges takes 2 to 5 s
+	grantAhead   = 1500 * time.Millisecond // demand that the part of a home covers, some store calls long: more is lost with the power than is gained in outages
 	grantSpread  = 0.5                     // standard deviations of that demand that it covers beside the mean
 	limitAhead   = 700 * time.Millisecond  // demand that the limit covers, see LedgerInterval
 	limitSpread  = 0.2                     // standard deviations of that demand
@@ -51,8 +51,8 @@
 	youngTime    = 10 * time.Second        // over which this part shrinks while demand is seen
 	lentAhead    = time.Second             // demand of the own callers that lent tokens cover beside the request
 	extraShare   = 0.01                    // of what is left of a budget that a loan may have beyond its need
-	scarceLumps  = 4.0                     // large requests that are left of a budget when unused loans go back whole
-	lumpDecay    = 0.9                     // of the remembered size of large requests, per smaller request
+	scarceLarge  = 4.0                     // large requests that are left of a budget when unused loans go back whole
+	largeDecay   = 0.9                     // of the remembered size of large requests, per smaller request
 	poolShare    = 0.1                     // of what is left that stays ungranted, for whoever runs short first
 	priorShare   = 0.2                     // of the mean demand of all instances that counts beside the own
 	surplusShare = 0.2                     // of the fair part by which a grant may exceed it before it is returned
@@ -237,7 +237,7 @@
 	want     int64   // tokens of reservations that wait for a grant
 	asked    average // of the own grant
 	local    average // of the callers of this instance
-	lump     float64 // size of a large request
+	large    float64 // size of a large request
 }
 
 // average is the demand of late, decaying exponentially.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -9,6 +9,7 @@
 	"daisylane/internal/follower"
 	"daisylane/internal/forwarder"
 	"daisylane/internal/retrier"
+	"daisylane/internal/waiter"
 )
 
 // result is what became of one attempt.
@@ -57,7 +58,7 @@
 			return
 		case res.outcome == retrier.NotRun && !res.refused && j.dials < maxDials, verdict.Retry && j.dials < maxDials:
 			if verdict.Wait > 0 && !res.refused && res.outcome != retrier.NotRun {
-				pause(ctx, verdict.Wait)
+				waiter.Pause(ctx, verdict.Wait)
 			}
 			continue
 		}
@@ -201,12 +202,3 @@
 	}
 	return "noanswer"
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
