--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -31,6 +31,7 @@
 	table    atomic.Pointer[resolver.Table]
 	contact  atomic.Int64 // Unix nanoseconds of the last contact with the configuration
 	inflight atomic.Int64
+	closing  atomic.Bool
 }
 
 // Option changes a setting of a [Receiver].
@@ -60,6 +61,9 @@
 // Contact notes that the table was the newest one at a time.
 func (r *Receiver) Contact(now time.Time) { r.contact.Store(now.UnixNano()) }
 
+// Close refuses all later requests, as not run; those in flight go on.
+func (r *Receiver) Close() { r.closing.Store(true) }
+
 // Inflight returns the number of requests that are being served.
 func (r *Receiver) Inflight() int64 { return r.inflight.Load() }
 
@@ -123,6 +127,9 @@
 	meta, err := j.r.codec.Request(j.req.Header)
 	j.meta = meta
 	switch {
+	case j.r.closing.Load():
+		j.w.Header().Set("Connection", "close")
+		return j.refuse(http.StatusServiceUnavailable, "stopping", comeBack)
 	case j.table == nil || !j.r.budgets.Ready():
 		return j.refuse(http.StatusServiceUnavailable, "starting", comeBack)
 	case err != nil:
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -312,6 +312,31 @@
 	}
 }
 
+// Guards against requests that are taken near the end of a planned stop and cut
+// off by it (hunt of caprock, mix --seed 290857541653).
+func TestClose(t *testing.T) {
+	f := start(t, answers{{Events: 2, Pause: 100 * time.Millisecond}})
+	done := make(chan error, 1)
+	go func() {
+		res, body, err := f.call(t, "/plan/7", "", nil)
+		if err == nil && (res.StatusCode != 200 || strings.Count(body, "data:") != 2) {
+			err = errors.New("got " + res.Status + " " + body)
+		}
+		done <- err
+	}()
+	for f.runs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.receiver.Close()
+	res, _, err := f.call(t, "/plan/7", "", nil)
+	if err != nil || res.StatusCode != 503 || res.Header.Get("Retry-After") == "" || !res.Close || f.runs() != 1 {
+		t.Errorf("got %v, %v after %d runs", res, err, f.runs())
+	}
+	if err := <-done; err != nil {
+		t.Errorf("the request in flight: %v", err)
+	}
+}
+
 // Guards against a target that is chosen again after its address answered as
 // another one: each such request counts as a repeat.
 func TestMovedTarget(t *testing.T) {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -233,6 +233,7 @@
 	e.callers.SetKeepAlivesEnabled(false)
 	e.money.Stop()
 	end := began.Add(e.cfg.Grace() - endMargin)
+	time.AfterFunc(noticeTime, e.receiver.Close) // what comes later could not end in time
 	for time.Now().Before(end) && (time.Since(began) < noticeTime || e.receiver.Inflight() > 0) {
 		time.Sleep(tickTime / 5)
 	}
