--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -15,6 +15,7 @@
 	"daisylane/internal/chooser"
 	"daisylane/internal/forwarder"
 	"daisylane/internal/granter"
+	"daisylane/internal/reporter"
 	"daisylane/internal/resolver"
 )
 
@@ -264,8 +265,7 @@
 	if j.service != nil {
 		service = j.service.Name
 	}
-	scope := j.r.scope.Tagged(map[string]string{"service": service, "outcome": j.out.cause})
-	scope.Counter("requests_total").Inc(1)
+	j.measure(service, took)
 	e := j.r.log.Info().Str("id", j.meta.ID).Str("route", name).Str("account", account).Str("service", service).
 		Str("outcome", j.out.cause).Int("status", j.out.status).Int64("took", took.Milliseconds())
 	if j.table != nil {
@@ -288,3 +288,17 @@
 	}
 	e.Msg("request")
 }
+
+// measure counts the request.
+func (j *job) measure(service string, took time.Duration) {
+	scope := j.r.scope.Tagged(map[string]string{"service": service, "outcome": j.out.cause})
+	scope.Counter(reporter.Requests).Inc(1)
+	scope.Histogram(reporter.RequestSeconds, reporter.SecondsBuckets).RecordDuration(took)
+	if j.stream.events > 0 {
+		j.r.scope.Tagged(map[string]string{"model": j.meta.Model}).
+			Histogram(reporter.FirstTokenSeconds, reporter.SecondsBuckets).RecordDuration(j.out.first.Sub(j.arrived))
+	}
+	if promises[j.out.status] {
+		j.r.scope.Tagged(map[string]string{"reason": j.out.cause}).Counter(reporter.Refusals).Inc(1)
+	}
+}
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -43,6 +43,7 @@
 type Meta struct {
 	ID        string
 	Key       string
+	Model     string
 	Patience  time.Duration // how long the caller waits, 0: not said
 	Prompt    int64         // tokens
 	Output    int64         // tokens, at most
--- a/internal/starter/starter_test.go
+++ b/internal/starter/starter_test.go
@@ -137,6 +137,16 @@
 		t.Errorf("got %d %q, %v", status, body, err)
 	}
 
+	eventually(t, "metrics", func() bool {
+		res, err := http.Get("http://127.0.0.1:" + metricsPort + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		body, err := io.ReadAll(res.Body)
+		return err == nil && strings.Contains(string(body), "daisylane_requests_total") && strings.Contains(string(body), "daisylane_first_token_seconds_bucket")
+	})
+
 	done := make(chan error, 1)
 	go func() {
 		_, body, err := call()
