Mend what the last read-through found in the accountant, receiver and starter

The boot id that cannot be read is logged, since it decides whether a successor counts all granted tokens as spent. A refusal by a target that took over an address counts once, as a vain dial. The relays are listed again only when targets or table change, and the order of lenders is kept per account until an instance joins or moves, in place of ranking all instances on each wake. The stand-in store starts in one place for all tests.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -6,7 +6,7 @@
 //
 //	a := accountant.New(store, "entry-1", "10.0.0.4:7340", peers, log)
 //	go a.Run(ctx)
-//	a.Budgets(version, map[string]int64{"rider-app": 2_000_000})
+//	a.Budgets(map[string]int64{"rider-app": 2_000_000})
 //	d := a.Reserve(ctx, "rider-app", 20_000, time.Second)
 //	if d.Outcome == granter.Reserved {
 //		defer func() { a.Settle("rider-app", d, used) }()
@@ -92,7 +92,10 @@
 // machine at one address, so that two processes never use it at once. The
 // address is where it lends tokens to its peers.
 func New(store Store, name, addr string, peers Peers, log zerolog.Logger) *Accountant {
-	boot := bootID()
+	boot, err := bootID()
+	if err != nil {
+		log.Warn().Err(err).Msg("after a crash all granted tokens will count as spent")
+	}
 	self := granter.Self{Name: name, Addr: addr, Incarnation: strconv.FormatUint(rand.Uint64(), 36), Boot: boot}
 	return &Accountant{
 		store: store, name: name, peers: peers, log: log, clock: bootClock, boot: boot,
@@ -253,7 +256,7 @@
 // await waits for a change. It reports false when the wait is over.
 func (a *Accountant) await(ctx context.Context, account string, d granter.Decision) bool {
 	done := a.state.Wait(account, d.Own, d.Outcome == granter.Short)
-	defer func() { done() }()
+	defer done()
 	changed := a.changed
 	var grown <-chan time.Time
 	if d.Outcome == granter.Short {
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -22,13 +22,6 @@
 	wait    = 2 * time.Second
 )
 
-// direct always calls one address.
-type direct string
-
-func (d direct) Open(ctx context.Context) platform.Way {
-	return platform.Way{Context: ctx, Addr: string(d), Limit: 300 * time.Millisecond, Done: func(error) {}}
-}
-
 // bank is one running instance that lends to others.
 type bank struct {
 	*accountant.Accountant
@@ -46,12 +39,12 @@
 
 func (f forward) Returned(account string, tokens int64) { (*f.b).Returned(account, tokens) }
 
-func startBank(t *testing.T, store *httptest.Server, name string) *bank {
+func startBank(t *testing.T, addr, name string) *bank {
 	t.Helper()
 	b := &bank{ended: make(chan error, 1)}
 	b.peers = httptest.NewServer(lender.Handler(forward{&b}))
-	addr := strings.TrimPrefix(store.URL, "http://")
-	b.Accountant = accountant.New(platform.NewStore(addr, direct(addr)), name, strings.TrimPrefix(b.peers.URL, "http://"), lender.NewClient(), zerolog.Nop())
+	store := platform.NewStore(addr, platformtest.Direct{Addr: addr, Limit: 300 * time.Millisecond})
+	b.Accountant = accountant.New(store, name, strings.TrimPrefix(b.peers.URL, "http://"), lender.NewClient(), zerolog.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
 	b.cancel = cancel
 	b.Budgets(map[string]int64{"rider-app": prepaid})
@@ -71,15 +64,6 @@
 	b.peers.Close()
 }
 
-func startStore(t *testing.T) (*platformtest.Store, *httptest.Server) {
-	t.Helper()
-	s := platformtest.NewStore()
-	server := httptest.NewServer(s)
-	t.Cleanup(server.Close)
-	t.Cleanup(server.CloseClientConnections)
-	return s, server
-}
-
 func reserve(b *bank, n int64) granter.Decision {
 	return b.Reserve(context.Background(), "rider-app", n, wait)
 }
@@ -87,8 +71,8 @@
 // Guards against refusals while tokens are left, wherever they are granted, and
 // against serving more than there are.
 func TestShare(t *testing.T) {
-	_, server := startStore(t)
-	banks := []*bank{startBank(t, server, "entry-1"), startBank(t, server, "entry-2"), startBank(t, server, "entry-3")}
+	_, addr := platformtest.Start(t)
+	banks := []*bank{startBank(t, addr, "entry-1"), startBank(t, addr, "entry-2"), startBank(t, addr, "entry-3")}
 	var used int64
 	for i := range 20 {
 		n := int64(prepaid / 20)
@@ -116,8 +100,8 @@
 // Guards against an instance that needs the store for each request: it goes on
 // with what it holds, and never beyond.
 func TestOutage(t *testing.T) {
-	s, server := startStore(t)
-	b := startBank(t, server, "entry-1")
+	s, addr := platformtest.Start(t)
+	b := startBank(t, addr, "entry-1")
 	for range 10 {
 		b.Settle("rider-app", reserve(b, 1000), 1000)
 	}
@@ -146,8 +130,8 @@
 // Guards against a kill that costs more than the ledger allows, or less than was
 // spent.
 func TestKill(t *testing.T) {
-	_, server := startStore(t)
-	b := startBank(t, server, "entry-1")
+	_, addr := platformtest.Start(t)
+	b := startBank(t, addr, "entry-1")
 	var used int64
 	for range 30 {
 		d := reserve(b, 1000)
@@ -155,7 +139,7 @@
 		used += 1000
 	}
 	b.kill()
-	b = startBank(t, server, "entry-1")
+	b = startBank(t, addr, "entry-1")
 	left := int64(0)
 	for {
 		d := reserve(b, 1000)
@@ -175,8 +159,8 @@
 
 // Guards against tokens that stay with an instance after its planned stop.
 func TestClose(t *testing.T) {
-	_, server := startStore(t)
-	b := startBank(t, server, "entry-1")
+	_, addr := platformtest.Start(t)
+	b := startBank(t, addr, "entry-1")
 	d := reserve(b, 1000)
 	b.Settle("rider-app", d, 400)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
@@ -185,7 +169,7 @@
 		t.Fatal(err)
 	}
 	b.kill()
-	other := startBank(t, server, "entry-2")
+	other := startBank(t, addr, "entry-2")
 	if d := reserve(other, prepaid-400); d.Outcome != granter.Reserved {
 		t.Errorf("got %+v", d)
 	}
@@ -193,9 +177,9 @@
 
 // Guards against two processes that spend the same grant.
 func TestReplaced(t *testing.T) {
-	_, server := startStore(t)
-	first := startBank(t, server, "entry-1")
-	_ = startBank(t, server, "entry-1")
+	_, addr := platformtest.Start(t)
+	first := startBank(t, addr, "entry-1")
+	_ = startBank(t, addr, "entry-1")
 	_ = reserve(first, 5000) // makes it write its ledger
 	select {
 	case err := <-first.ended:
@@ -209,8 +193,8 @@
 
 // Guards against lost and late writes of the store that stop an instance for good.
 func TestUnreliableStore(t *testing.T) {
-	s, server := startStore(t)
-	b := startBank(t, server, "entry-1")
+	s, addr := platformtest.Start(t)
+	b := startBank(t, addr, "entry-1")
 	for _, f := range []platformtest.Faults{{Lost: true}, {Late: 500 * time.Millisecond}, {Status: 503}, {Status: 429}} {
 		s.Set(f)
 		_ = b.Reserve(t.Context(), "rider-app", 3000, 200*time.Millisecond)
--- a/internal/accountant/clock.go
+++ b/internal/accountant/clock.go
@@ -1,6 +1,7 @@
 package accountant
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"time"
@@ -20,12 +21,12 @@
 	return time.Duration(ts.Nano())
 }
 
-// bootID returns the id of this boot, or "" if it cannot be read; then a
-// successor counts all that this process may spend as spent.
-func bootID() string {
+// bootID returns the id of this boot. Without it a successor counts all that this
+// process may spend as spent.
+func bootID() (string, error) {
 	data, err := os.ReadFile(bootIDPath)
 	if err != nil {
-		return ""
+		return "", fmt.Errorf("read boot id: %w", err)
 	}
-	return strings.TrimSpace(string(data))
+	return strings.TrimSpace(string(data)), nil
 }
--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -32,6 +33,7 @@
 	lapsed  map[string]time.Time // end of use of targets that are missing from the list
 	ready   map[string][]Target  // by service, in order of ID; derived
 	back    time.Time            // when the store answered again
+	version int64                // grows with each change of the targets
 }
 
 // NewRoster returns an empty view.
@@ -39,6 +41,14 @@
 	return &Roster{targets: make(map[string]Target), lapsed: make(map[string]time.Time)}
 }
 
+// Version returns a number that grows with each change of the targets.
+func (r *Roster) Version() int64 { return r.version }
+
+func (r *Roster) changed() {
+	r.ready = nil
+	r.version++
+}
+
 // Regained says that the store answers again after an outage.
 func (r *Roster) Regained(now time.Time) { r.back = now }
 
@@ -63,7 +73,7 @@
 		t.Leaving = true // a target does not come back from leaving
 	}
 	r.targets[t.ID] = t
-	r.ready = nil
+	r.changed()
 }
 
 // Remove takes over that a target is not in the list. Right after an outage it
@@ -81,7 +91,7 @@
 	}
 	delete(r.targets, id)
 	delete(r.lapsed, id)
-	r.ready = nil
+	r.changed()
 }
 
 // Gone drops a target whose address answers as another one. Only a new entry
@@ -89,7 +99,7 @@
 func (r *Roster) Gone(id string) {
 	delete(r.targets, id)
 	delete(r.lapsed, id)
-	r.ready = nil
+	r.changed()
 }
 
 // Expire drops lapsed targets whose time is over and returns them.
@@ -100,7 +110,7 @@
 			gone = append(gone, r.targets[id])
 			delete(r.targets, id)
 			delete(r.lapsed, id)
-			r.ready = nil
+			r.changed()
 		}
 	}
 	return gone
@@ -117,15 +127,7 @@
 			}
 		}
 		for _, list := range r.ready {
-			slices.SortFunc(list, func(a, b Target) int {
-				switch {
-				case a.ID < b.ID:
-					return -1
-				case a.ID > b.ID:
-					return 1
-				}
-				return 0
-			})
+			slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 		}
 	}
 	return r.ready[service]
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -37,7 +37,13 @@
 }
 
 // Peer takes over the address of an instance.
-func (g *Granter) Peer(name, addr string) { g.peers[name] = addr }
+func (g *Granter) Peer(name, addr string) {
+	if known, ok := g.peers[name]; ok && known == addr {
+		return
+	}
+	g.peers[name] = addr
+	clear(g.lenders)
+}
 
 // Observe takes over the budget of an account as read from the store, or as it
 // is after a write of this process. Older versions are ignored.
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -42,6 +42,9 @@
 // home. Every instance comes to the same order by rendezvous hashing. The list
 // ends before this instance itself.
 func (g *Granter) Lenders(name string) []Lender {
+	if lenders, ok := g.lenders[name]; ok {
+		return lenders
+	}
 	type ranked struct {
 		Lender
 		rank uint64
@@ -58,6 +61,7 @@
 		}
 		lenders = append(lenders, r.Lender)
 	}
+	g.lenders[name] = lenders
 	return lenders
 }
 
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -264,9 +264,10 @@
 	boot        string
 	ready       bool
 	accounts    map[string]*account
-	peers       map[string]string // addresses of the instances, this one included, by name
-	ledger      Ledger            // newest that is known to be written
-	sent        []Ledger          // may still be carried out
+	peers       map[string]string   // addresses of the instances, this one included, by name
+	lenders     map[string][]Lender // by account; derived from the peers
+	ledger      Ledger              // newest that is known to be written
+	sent        []Ledger            // may still be carried out
 	number      int64
 	stopping    bool
 }
@@ -283,6 +284,6 @@
 func New(self Self) *Granter {
 	return &Granter{
 		name: self.Name, addr: self.Addr, incarnation: self.Incarnation, boot: self.Boot,
-		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr},
+		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr}, lenders: make(map[string][]Lender),
 	}
 }
--- a/internal/launcher/gate.go
+++ b/internal/launcher/gate.go
@@ -12,6 +12,7 @@
 	"daisylane/internal/bundler"
 	"daisylane/internal/limiter"
 	"daisylane/internal/router"
+	"daisylane/internal/waiter"
 )
 
 const (
@@ -37,18 +38,11 @@
 
 // run gives up queued requests that are too late until the context ends.
 func (g *gate) run(ctx context.Context) {
-	t := time.NewTicker(gateTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			g.mu.Lock()
-			g.dispatch(g.state.Tick(now))
-			g.mu.Unlock()
-		}
-	}
+	waiter.Every(ctx, gateTick, func(now time.Time) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.dispatch(g.state.Tick(now))
+	})
 }
 
 // resize changes how many requests may be in flight.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -101,20 +101,21 @@
 		j.dials++
 		return result{outcome: retrier.NotRun, err: err}
 	}
-	j.sends++
 	if err != nil {
+		j.sends++
 		j.out.ran = true
 		return result{outcome: retrier.Unknown, err: err}
 	}
 	defer answer.Close()
 	reply := j.r.codec.Answer(answer.Status, answer.Header)
 	j.r.dispatch.Reported(time.Now(), lane.Target.ID, reply.Load)
+	if reply.Moved {
+		j.dials++
+	} else {
+		j.sends++
+	}
 	if reply.NotRun {
-		_ = answer.Drain()
-		if reply.Moved {
-			j.sends--
-			j.dials++
-		}
+		_ = answer.Drain() // without it the connection is closed and the next request dials
 		return result{outcome: retrier.NotRun, refused: true, moved: reply.Moved, busy: !reply.Moved, status: answer.Status}
 	}
 	j.out.ran = true
--- /dev/null
+++ b/internal/receiver/record.go
@@ -0,0 +1,58 @@
+package receiver
+
+import (
+	"time"
+
+	"daisylane/internal/reporter"
+)
+
+// record writes the line and the metrics of the request.
+func (j *job) record() {
+	took := time.Since(j.arrived)
+	name, account, service := "", "", ""
+	if j.route != nil {
+		name = j.route.Name
+	}
+	if j.account != nil {
+		account = j.account.Name
+	}
+	if j.service != nil {
+		service = j.service.Name
+	}
+	j.measure(service, took)
+	e := j.r.log.Info().Str("id", j.meta.ID).Str("route", name).Str("account", account).Str("service", service).
+		Str("outcome", j.out.cause).Int("status", j.out.status).Int64("took", took.Milliseconds())
+	if j.table != nil {
+		e.Int64("config", j.table.Version())
+	}
+	if j.budget.Outcome != "" {
+		e.Str("budget", string(j.budget.Outcome)).Int64("lent", j.budget.Lent).Int64("held", j.budget.Held).Int64("used", j.budget.Used).
+			Int64("limit", j.budget.Limit).Int64("left", j.budget.Left).Int64("asked", j.meta.Prompt+j.meta.Output).
+			Int64("ledgerage", j.budget.Age.Milliseconds())
+	}
+	if j.sends+j.dials > 0 {
+		e.Str("target", j.last.Target.ID).Str("addr", j.last.Target.Addr).Str("reason", j.last.Pick.Reason).
+			Int64("expected", j.last.Pick.Wait.Milliseconds()).Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events)
+	}
+	if !j.out.first.IsZero() {
+		e.Int64("first", j.out.first.Sub(j.arrived).Milliseconds())
+	}
+	if j.out.detail != nil {
+		e.Str("error", j.out.detail.Error())
+	}
+	e.Msg("request")
+}
+
+// measure counts the request.
+func (j *job) measure(service string, took time.Duration) {
+	scope := j.r.scope.Tagged(map[string]string{"service": service, "outcome": j.out.cause})
+	scope.Counter(reporter.Requests).Inc(1)
+	scope.Histogram(reporter.RequestSeconds, reporter.SecondsBuckets).RecordDuration(took)
+	if j.stream.events > 0 {
+		j.r.scope.Tagged(map[string]string{"model": j.meta.Model}).
+			Histogram(reporter.FirstTokenSeconds, reporter.SecondsBuckets).RecordDuration(j.out.first.Sub(j.arrived))
+	}
+	if promises[j.out.status] {
+		j.r.scope.Tagged(map[string]string{"reason": j.out.cause}).Counter(reporter.Refusals).Inc(1)
+	}
+}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -22,7 +22,9 @@
 	"daisylane/internal/logger"
 	"daisylane/internal/receiver"
 	"daisylane/internal/reporter"
+	"daisylane/internal/resolver"
 	"daisylane/internal/retrier"
+	"daisylane/internal/waiter"
 	"daisylane/platform"
 )
 
@@ -58,6 +60,10 @@
 	callers  *http.Server
 	listed   atomic.Bool // the targets are known
 	stopping atomic.Bool
+	relayed  struct { // what the relays were listed from; used by tick only
+		roster int64
+		table  *resolver.Table
+	}
 }
 
 func newEntry(cfg platform.Settings, path string, log zerolog.Logger, lines *logger.Async) *entry {
@@ -154,36 +160,38 @@
 
 // tick does what is due from time to time.
 func (e *entry) tick(ctx context.Context) {
-	t := time.NewTicker(tickTime)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			var gone []follower.Target
-			e.dispatch.Roster(func(r *follower.Roster) { gone = r.Expire(now) })
-			for _, g := range gone {
-				e.forget(g, "lapsed")
-			}
-			n := e.money.Instances()
-			e.dispatch.Peers(n, e.cfg.Bounds.RetryReserve*retryPart/float64(max(1, n)))
-			e.pool.Sweep(now)
-			e.paths.setRelays(e.relays())
-			if way, due := e.paths.probe(ctx); due {
-				go func() { _ = e.store.Probe(way) }() // the way notes the result
-			}
+	waiter.Every(ctx, tickTime, func(now time.Time) {
+		var gone []follower.Target
+		e.dispatch.Roster(func(r *follower.Roster) { gone = r.Expire(now) })
+		for _, g := range gone {
+			e.forget(g, "lapsed")
+		}
+		n := e.money.Instances()
+		e.dispatch.Peers(n, e.cfg.Bounds.RetryReserve*retryPart/float64(max(1, n)))
+		e.pool.Sweep(now)
+		e.updateRelays()
+		if way, due := e.paths.probe(ctx); due {
+			go func() { _ = e.store.Probe(way) }() // the way notes the result
 		}
+	})
+}
+
+// updateRelays tells the paths the relays beside the targets when the targets or
+// the table have changed.
+func (e *entry) updateRelays() {
+	var version int64
+	e.dispatch.Roster(func(r *follower.Roster) { version = r.Version() })
+	table := e.receiver.Table()
+	if table == nil || version == e.relayed.roster && table == e.relayed.table {
+		return
 	}
+	e.relayed.roster, e.relayed.table = version, table
+	e.paths.setRelays(e.relays(table))
 }
 
 // relays returns the addresses of the relays beside the targets of engine
 // services, those of the own region first.
-func (e *entry) relays() []string {
-	table := e.receiver.Table()
-	if table == nil {
-		return nil
-	}
+func (e *entry) relays(table *resolver.Table) []string {
 	var near, far []string
 	e.dispatch.Roster(func(r *follower.Roster) {
 		for _, s := range table.Services() {
--- a/internal/waiter/waiter.go
+++ b/internal/waiter/waiter.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	waiter.Pause(ctx, 100*time.Millisecond)
+//	go waiter.Every(ctx, time.Second, func(now time.Time) { expire(now) })
 package waiter
 
 import (
@@ -19,3 +20,18 @@
 	case <-ctx.Done():
 	}
 }
+
+// Every calls a function at an interval until the context ends. A call that takes
+// longer than the interval delays the next one.
+func Every(ctx context.Context, interval time.Duration, call func(now time.Time)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			call(now)
+		}
+	}
+}
