Write log lines as JSON in place of decoding them for key=value pairs

Cause: the console writer of the log decodes each event and encodes it again, and the expression against bearer tokens ran over each line. Ruled out: fewer lines, since each tells of one decision. Change: events are JSON lines; the expression runs only on lines that hold the word bearer in any case.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -1,5 +1,5 @@
-// Package logger sets up zerolog, so that each event is one line of key=value
-// pairs, and keeps secrets out of it.
+// Package logger sets up zerolog, so that each event is one line with a JSON
+// object, and keeps secrets out of it.
 //
 // # Usage
 //
@@ -8,7 +8,7 @@
 //
 // writes
 //
-//	time=2026-01-02T15:04:05.000Z level=info msg=started instance=entry-1
+//	{"level":"info","instance":"entry-1","time":"2026-01-02T15:04:05.000Z","msg":"started"}
 //
 // Keys and tokens have the type [Secret], which no way of formatting reveals.
 // Headers are logged with [Headers]. As a last line of defence, a bearer token
@@ -16,10 +16,10 @@
 package logger
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"regexp"
-	"strconv"
 	"strings"
 	"time"
 
@@ -31,35 +31,22 @@
 // Levels are the accepted names of levels.
 var Levels = []string{"debug", "info", "warn", "error"}
 
+func init() {
+	zerolog.MessageFieldName = "msg"
+	zerolog.TimeFieldFormat = timeFormat
+	zerolog.TimestampFunc = func() time.Time { return time.Now().UTC() }
+}
+
 // New returns a logger that writes events of at least the given level.
 func New(w io.Writer, level string) (zerolog.Logger, error) {
 	l, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
 		return zerolog.Nop(), fmt.Errorf("level is %q, allowed is %s", level, strings.Join(Levels, ", "))
 	}
-	out := zerolog.ConsoleWriter{
-		Out:             zerolog.SyncWriter(redactor{w}),
-		NoColor:         true,
-		PartsOrder:      []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
-		FormatTimestamp: func(any) string { return "time=" + time.Now().UTC().Format(timeFormat) },
-		FormatLevel:     func(v any) string { return pair("level", v) },
-		FormatMessage:   func(v any) string { return pair("msg", v) },
-	}
-	return zerolog.New(out).Level(l).With().Timestamp().Logger(), nil
+	return zerolog.New(zerolog.SyncWriter(redactor{w})).Level(l).With().Timestamp().Logger(), nil
 }
 
-func pair(key string, v any) string {
-	if v == nil {
-		return ""
-	}
-	text := fmt.Sprint(v)
-	if text == "" || strings.ContainsFunc(text, special) {
-		text = strconv.Quote(text)
-	}
-	return key + "=" + text
-}
-
-func special(r rune) bool { return r <= ' ' || r > '~' || r == '"' || r == '\\' }
+var scheme = []byte("bearer")
 
 var bearer = regexp.MustCompile(`(?i)(bearer[ +]+)[^\s"\\,;]+`)
 
@@ -69,8 +56,23 @@
 }
 
 func (r redactor) Write(line []byte) (int, error) {
-	if _, err := r.w.Write(bearer.ReplaceAll(line, []byte("${1}"+redacted))); err != nil {
+	n := len(line)
+	if mayHoldBearer(line) {
+		line = bearer.ReplaceAll(line, []byte("${1}"+redacted))
+	}
+	if _, err := r.w.Write(line); err != nil {
 		return 0, fmt.Errorf("write log: %w", err)
 	}
-	return len(line), nil
+	return n, nil
+}
+
+// mayHoldBearer is a quick look before the expression, which costs more than
+// writing the line.
+func mayHoldBearer(line []byte) bool {
+	for i := range line {
+		if line[i]|0x20 == 'b' && i+len(scheme) <= len(line) && bytes.EqualFold(line[i:i+len(scheme)], scheme) {
+			return true
+		}
+	}
+	return false
 }
