Explain requests and sum refusals from the logs of entries

Causes are constants with a meaning each. Lines have the instance, an attempt that does not end a request has a line, and a request's line has its budget and the tokens settled.

--- /dev/null
+++ b/internal/analyzer/analyzer_test.go
@@ -0,0 +1,111 @@
+package analyzer
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"daisylane/internal/receiver"
+)
+
+const sample = `
+  1.0 entry-1 {"level":"info","instance":"entry-1","version":3,"time":"2026-01-02T15:04:01.000Z","msg":"configuration adopted"}
+{"level":"info","instance":"entry-2","version":4,"time":"2026-01-02T15:04:01.500Z","msg":"configuration adopted"}
+{"level":"warn","instance":"entry-1","time":"2026-01-02T15:04:02.000Z","msg":"budget store lost"}
+{"level":"info","instance":"entry-1","id":"r1","target":"i-1","outcome":"noanswer","time":"2026-01-02T15:04:03.500Z","msg":"attempt failed"}
+{"level":"info","instance":"entry-1","target":"i-9","time":"2026-01-02T15:04:03.600Z","msg":"target gone"}
+{"level":"info","instance":"entry-1","target":"i-2","time":"2026-01-02T15:04:03.700Z","msg":"target changed"}
+{"level":"info","instance":"entry-1","id":"r1","account":"a","service":"s","outcome":"whole","target":"i-2","took":2000,"budget":"reserved","asked":500,"prepaid":1000,"tokens":400,"left":1000,"time":"2026-01-02T15:04:04.000Z","msg":"request"}
+{"level":"info","instance":"entry-2","id":"r2","account":"a","service":"s","outcome":"tokensshort","took":100,"budget":"short","asked":600,"prepaid":1000,"left":100,"time":"2026-01-02T15:04:03.000Z","msg":"request"}
+{"level":"info","instance":"entry-2","id":"r3","account":"a","service":"s","outcome":"exhausted","took":100,"budget":"exhausted","asked":600,"prepaid":1000,"left":10,"time":"2026-01-02T15:04:05.000Z","msg":"request"}
+{"level":"info","instance":"entry-2","id":"r4","account":"a","service":"s","outcome":"exhausted","took":100,"budget":"exhausted","asked":601,"prepaid":1000,"left":10,"time":"2026-01-02T15:04:05.000Z","msg":"request"}
+{"level":"info","instance":"entry-2","id":"r5","service":"t","outcome":"whole","took":5,"time":"2026-01-02T15:04:05.000Z","msg":"request"}
+not an event
+{"torn
+{"time":"2026-01-02T15:04:05.000Z"}
+`
+
+func read(t *testing.T) *Log {
+	t.Helper()
+	log, err := Read(strings.NewReader(sample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return log
+}
+
+// Guards against a story that lacks a decision, mixes up instances, or shows
+// what the instance learned later or of other targets.
+func TestStory(t *testing.T) {
+	s, err := read(t).Story("r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []struct {
+		msg    string
+		before time.Duration
+	}{
+		{"configuration adopted", 3 * time.Second},
+		{"budget store lost", 2 * time.Second},
+		{"attempt failed", 500 * time.Millisecond},
+		{"target changed", 300 * time.Millisecond},
+		{"request", 0},
+	}
+	if len(s.Events) != len(want) {
+		t.Fatalf("events %+v, want %+v", s.Events, want)
+	}
+	for i, w := range want {
+		if e := s.Events[i]; e.Msg != w.msg || e.Before != w.before || e.Instance != "entry-1" {
+			t.Errorf("event %d is %s of %s at -%v, want %s at -%v", i, e.Msg, e.Instance, e.Before, w.msg, w.before)
+		}
+	}
+	const summary = "After 2000 ms request r1 was answered by a target; it asked for 500 tokens of account a, of whose 1000 prepaid tokens 1000 seemed left."
+	if s.Summary != summary {
+		t.Errorf("summary %q, want %q", s.Summary, summary)
+	}
+	if _, err := read(t).Story("r9"); !errors.Is(err, ErrUnknown) {
+		t.Errorf("unknown request: %v", err)
+	}
+}
+
+// Guards against refusals that count as founded though the tokens were there: of
+// 1,000 tokens 500 were reserved for r1 when r2 came, and 400 delivered when r3
+// and r4 came.
+func TestSums(t *testing.T) {
+	s := read(t).Sums()
+	if s.Requests != 5 || s.Skipped != 3 {
+		t.Errorf("%d requests, %d lines skipped, want 5 and 3", s.Requests, s.Skipped)
+	}
+	want := map[receiver.Cause]Count{
+		receiver.Whole:       {Service: "s", Cause: receiver.Whole, Count: 1},
+		receiver.TokensShort: {Service: "s", Cause: receiver.TokensShort, Count: 1},
+		receiver.Exhausted:   {Service: "s", Cause: receiver.Exhausted, Count: 2, Unfounded: 1},
+	}
+	for _, c := range s.Causes {
+		if c.Service == "s" && c != want[c.Cause] {
+			t.Errorf("sum %+v, want %+v", c, want[c.Cause])
+		}
+	}
+	account := Account{Name: "a", Prepaid: 1000, Delivered: 400, Refused: 3, Unfounded: 1, Withheld: 590}
+	if len(s.Accounts) != 1 || s.Accounts[0] != account {
+		t.Errorf("accounts %+v, want %+v", s.Accounts, account)
+	}
+}
+
+// Guards against a line that makes the whole log unreadable.
+func FuzzRead(f *testing.F) {
+	f.Add(sample)
+	f.Fuzz(func(t *testing.T, text string) {
+		log, err := Read(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		log.Sums()
+		for _, l := range log.Lines {
+			if _, err := log.Story(l.Text("id")); err != nil && !errors.Is(err, ErrUnknown) {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -15,15 +15,24 @@
 
 type explain struct {
 	env  *env
+	Log  string `long:"log" value-name:"FILE" description:"read the lines that entries on the users' platform wrote, - for standard input; without REQUEST print sums of refusals by cause"`
 	Args struct {
-		Request string `positional-arg-name:"REQUEST" required:"true" description:"request id, as in the answer to the caller"`
+		Request string `positional-arg-name:"REQUEST" description:"request id, as in the answer to the caller"`
 	} `positional-args:"true"`
 }
 
 func newExplain(env *env) any { return &explain{env: env} }
 
 // Execute implements [flags.Commander].
-func (c *explain) Execute([]string) error { return c.env.reach(c.run) }
+func (c *explain) Execute([]string) error {
+	switch {
+	case c.Log != "":
+		return c.fromLog()
+	case c.Args.Request == "":
+		return fmt.Errorf("%w: name a REQUEST, or a log with --log", errUsage)
+	}
+	return c.env.reach(c.run)
+}
 
 func (c *explain) run(ctx context.Context, pool *connector.Pool, list []watcher.Member) error {
 	var known []answer
--- /dev/null
+++ b/internal/operator/explain_log.go
@@ -0,0 +1,93 @@
+package operator
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"daisylane/internal/analyzer"
+)
+
+const stdinName = "-"
+
+// fromLog explains a request, or all refusals, by the lines of a log.
+func (c *explain) fromLog() error {
+	log, err := readLog(c.Log)
+	if err != nil {
+		return err
+	}
+	if c.Args.Request == "" {
+		sums := log.Sums()
+		return c.env.print(sums, func(w io.Writer) { printSums(w, sums) })
+	}
+	story, err := log.Story(c.Args.Request)
+	if errors.Is(err, analyzer.ErrUnknown) {
+		return fmt.Errorf("%w: %w; the lines of a killed process end early, others are dropped when the log is too slow", errAbsent, err)
+	}
+	if err != nil {
+		return err
+	}
+	return c.env.print(story, func(w io.Writer) { printStory(w, story) })
+}
+
+func readLog(name string) (*analyzer.Log, error) {
+	if name == stdinName {
+		return analyzer.Read(os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("%w: open log: %w", errUsage, err)
+	}
+	defer f.Close()
+	return analyzer.Read(f)
+}
+
+func printStory(w io.Writer, s analyzer.Story) {
+	line(w, "%s\n", s.Summary)
+	var rows [][]string
+	for _, e := range s.Events {
+		rows = append(rows, []string{"-" + e.Before.Round(time.Millisecond).String(), cmp.Or(e.Instance, "-"), e.Msg, cmp.Or(fields(e.Fields), "-")})
+	}
+	printTable(w, "BEFORE INSTANCE EVENT DETAILS", rows)
+}
+
+// fields returns fields as key=value in order of their keys.
+func fields(m map[string]any) string {
+	var list []string
+	for k, v := range m {
+		text := fmt.Sprint(v)
+		if strings.ContainsAny(text, " \t\"=") {
+			text = strconv.Quote(text)
+		}
+		list = append(list, k+"="+text)
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
+func printSums(w io.Writer, s analyzer.Sums) {
+	line(w, "%d requests, %d lines without an event\n", s.Requests, s.Skipped)
+	var rows [][]string
+	for _, c := range s.Causes {
+		rows = append(rows, []string{cmp.Or(c.Service, "-"), string(c.Cause), strconv.Itoa(c.Count), strconv.Itoa(c.Unfounded)})
+	}
+	printTable(w, "SERVICE CAUSE REQUESTS UNFOUNDED", rows)
+	if len(s.Accounts) == 0 {
+		return
+	}
+	line(w, "\nAccounts with refusals for tokens:\n")
+	rows = nil
+	for _, a := range s.Accounts {
+		rows = append(rows, []string{
+			a.Name, strconv.FormatInt(a.Prepaid, 10), strconv.FormatInt(a.Delivered, 10),
+			strconv.Itoa(a.Refused), strconv.Itoa(a.Unfounded), strconv.FormatInt(a.Withheld, 10),
+		})
+	}
+	printTable(w, "ACCOUNT PREPAID DELIVERED REFUSED UNFOUNDED WITHHELD", rows)
+}
--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -27,27 +27,27 @@
 	switch {
 	case j.r.closing.Load():
 		j.w.Header().Set("Connection", "close")
-		return j.refuse(http.StatusServiceUnavailable, "stopping", comeBack)
+		return j.refuse(http.StatusServiceUnavailable, Stopping, comeBack)
 	case j.table == nil || !j.r.budgets.Ready():
-		return j.refuse(http.StatusServiceUnavailable, "starting", comeBack)
+		return j.refuse(http.StatusServiceUnavailable, Starting, comeBack)
 	case err != nil:
 		j.out.detail = err
-		return j.refuse(http.StatusBadRequest, "malformed", 0)
+		return j.refuse(http.StatusBadRequest, Malformed, 0)
 	case !strings.HasPrefix(j.req.RequestURI, "/"):
-		return j.refuse(http.StatusBadRequest, "uri", 0)
+		return j.refuse(http.StatusBadRequest, WrongURI, 0)
 	}
 	route, ok := j.table.Route(j.req.Host, j.req.URL.EscapedPath())
 	if !ok {
-		return j.unknown(http.StatusNotFound, "route")
+		return j.unknown(http.StatusNotFound, NoRoute, StaleRoute)
 	}
 	j.route = route
 	if j.table.Keyed() && !route.Public {
 		if j.account, ok = j.table.Account(meta.Key); !ok {
-			return j.unknown(http.StatusUnauthorized, "key")
+			return j.unknown(http.StatusUnauthorized, NoKey, StaleKey)
 		}
 	}
 	if j.service, ok = j.table.Service(route.Pick(rand.IntN(max(1, route.Weight())))); !ok {
-		return j.refuse(http.StatusServiceUnavailable, "service", comeBack)
+		return j.refuse(http.StatusServiceUnavailable, NoService, comeBack)
 	}
 	patience := defaultPatience
 	if meta.Patience > 0 {
@@ -59,9 +59,9 @@
 
 // unknown refuses a request that the table does not allow. If a newer table may
 // allow it, the refusal is not final.
-func (j *job) unknown(status int, cause string) bool {
+func (j *job) unknown(status int, cause, stale Cause) bool {
 	if time.Since(time.Unix(0, j.r.contact.Load())) > staleTime {
-		return j.refuse(http.StatusServiceUnavailable, cause+"stale", comeBack)
+		return j.refuse(http.StatusServiceUnavailable, stale, comeBack)
 	}
 	return j.refuse(status, cause, 0)
 }
@@ -73,13 +73,13 @@
 		limit = maxBodyBytes
 	}
 	if j.req.ContentLength > limit {
-		return j.refuse(http.StatusRequestEntityTooLarge, "body", 0)
+		return j.refuse(http.StatusRequestEntityTooLarge, LargeBody, 0)
 	}
 	if j.req.ContentLength > 0 {
 		j.body = make([]byte, j.req.ContentLength)
 		if _, err := io.ReadFull(j.req.Body, j.body); err != nil {
 			j.out.detail = err
-			return j.abandon("unread")
+			return j.abandon(Unread)
 		}
 		return true
 	}
@@ -87,10 +87,10 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return j.refuse(http.StatusRequestEntityTooLarge, "body", 0)
+		return j.refuse(http.StatusRequestEntityTooLarge, LargeBody, 0)
 	case err != nil:
 		j.out.detail = err
-		return j.abandon("unread")
+		return j.abandon(Unread)
 	}
 	j.body = body
 	return true
@@ -108,10 +108,10 @@
 		j.reserved = n
 		return true
 	case granter.Exhausted:
-		return j.refuse(http.StatusPaymentRequired, "exhausted", 0)
+		return j.refuse(http.StatusPaymentRequired, Exhausted, 0)
 	}
 	after := jitter(min(max(j.budget.After, comeBack), time.Until(j.deadline)/3))
-	return j.refuse(http.StatusServiceUnavailable, "tokens"+string(j.budget.Outcome), after)
+	return j.refuse(http.StatusServiceUnavailable, tokenCauses[j.budget.Outcome], after)
 }
 
 // settle ends the reservation with what was delivered. A request of which the
@@ -120,9 +120,8 @@
 	if j.reserved == 0 {
 		return
 	}
-	var used int64
 	if j.stream.events > 0 {
-		used = j.meta.Prompt + min(j.meta.Output, int64(j.stream.events)*int64(j.service.Engine.PerEvent))
+		j.tokens = j.meta.Prompt + min(j.meta.Output, int64(j.stream.events)*int64(j.service.Engine.PerEvent))
 	}
-	j.r.budgets.Settle(j.account.Name, j.budget, used)
+	j.r.budgets.Settle(j.account.Name, j.budget, j.tokens)
 }
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -51,7 +51,7 @@
 	case a.Status >= http.StatusInternalServerError && j.mayRepeat():
 		return result{outcome: retrier.Unknown, status: a.Status, err: errors.New("target failed with status " + strconv.Itoa(a.Status))}
 	}
-	j.out.status, j.out.cause, j.out.first = a.Status, "whole", time.Now()
+	j.out.status, j.out.cause, j.out.first = a.Status, Whole, time.Now()
 	j.copyHeader(a.Header)
 	switch {
 	case !long && j.req.Method != http.MethodHead:
@@ -66,12 +66,12 @@
 	}
 	if err != nil {
 		j.out.detail = err
-		j.breakOff("interrupted")
+		j.breakOff(Interrupted)
 		return result{outcome: retrier.Interrupted, done: true, err: err}
 	}
 	outcome := retrier.Whole
 	if a.Status >= http.StatusInternalServerError {
-		outcome, j.out.cause = retrier.Unknown, "targetfailed"
+		outcome, j.out.cause = retrier.Unknown, TargetFailed
 	}
 	return result{outcome: outcome, done: true, status: a.Status}
 }
@@ -139,14 +139,14 @@
 	if !j.stream.started {
 		j.begin(a)
 	}
-	j.out.cause = "whole"
+	j.out.cause = Whole
 	return result{outcome: retrier.Whole, done: true, status: a.Status}
 }
 
 // left ends a stream whose caller takes no more.
 func (j *job) left(err error) result {
 	j.out.detail = err
-	j.breakOff("left")
+	j.breakOff(Left)
 	return result{done: true, err: err}
 }
 
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -40,13 +40,16 @@
 		}
 		lane, ok := j.r.dispatch.Choose(time.Now(), j.service, j.prompt(), j.tried)
 		if !ok {
-			j.giveUp("notargets", j.out.detail)
+			j.giveUp(NoTargets, j.out.detail)
 			return
 		}
 		j.last = lane
 		j.tried = append(j.tried, lane.Target.ID)
 		res := j.attempt(ctx, lane)
 		verdict := j.conclude(lane, res, account)
+		if !res.done {
+			j.recordFailure(res, verdict)
+		}
 		switch {
 		case res.done:
 			return
@@ -161,7 +164,7 @@
 }
 
 // giveUp ends a request whose last attempt failed and is not repeated.
-func (j *job) giveUp(cause string, err error) {
+func (j *job) giveUp(cause Cause, err error) {
 	j.out.detail = err
 	switch {
 	case j.stream.started:
@@ -177,29 +180,29 @@
 func (j *job) expire() {
 	switch {
 	case j.stream.started:
-		j.breakOff("timeout")
+		j.breakOff(TimedOut)
 	case j.out.ran:
-		j.refuse(http.StatusGatewayTimeout, "timeout", 0)
+		j.refuse(http.StatusGatewayTimeout, TimedOut, 0)
 	default:
-		j.refuse(http.StatusServiceUnavailable, "timeout", jitter(comeBack))
+		j.refuse(http.StatusServiceUnavailable, TimedOut, jitter(comeBack))
 	}
 }
 
 // breakOff lets the exchange end without a complete answer.
-func (j *job) breakOff(cause string) {
+func (j *job) breakOff(cause Cause) {
 	j.out.cause, j.broken = cause, true
 }
 
-func cause(res result) string {
+func cause(res result) Cause {
 	switch {
 	case res.busy:
-		return "busy"
+		return Busy
 	case res.refused:
-		return "refused"
+		return Refused
 	case res.outcome == retrier.NotRun:
-		return "unreachable"
+		return Unreachable
 	case res.outcome == retrier.Interrupted:
-		return "interrupted"
+		return Interrupted
 	}
-	return "noanswer"
+	return NoAnswer
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -78,6 +78,7 @@
 	deadline time.Time
 	budget   granter.Decision
 	reserved int64
+	tokens   int64 // settled of those reserved
 	tried    []string
 	sends    int // attempts that may have reached a target
 	dials    int // attempts that did not
@@ -90,7 +91,7 @@
 // outcome is how a request ended.
 type outcome struct {
 	status int
-	cause  string // short and stable, for logs and metrics
+	cause  Cause
 	detail error
 	ran    bool // a target may have run the request
 	first  time.Time
@@ -110,18 +111,18 @@
 }
 
 // refuse answers that the request is not served. It returns false.
-func (j *job) refuse(status int, cause string, after time.Duration) bool {
+func (j *job) refuse(status int, cause Cause, after time.Duration) bool {
 	j.out.status, j.out.cause = status, cause
 	h := j.w.Header()
 	j.r.codec.Refuse(h, j.meta.ID, after)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	j.w.WriteHeader(status)
-	_, _ = io.WriteString(j.w, cause+"\n") // the caller may be gone
+	_, _ = io.WriteString(j.w, string(cause)+"\n") // the caller may be gone
 	return false
 }
 
 // abandon ends the exchange without an answer. It returns false.
-func (j *job) abandon(cause string) bool {
+func (j *job) abandon(cause Cause) bool {
 	j.breakOff(cause)
 	return false
 }
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"daisylane/internal/reporter"
+	"daisylane/internal/retrier"
 )
 
 // record writes the line and the metrics of the request.
@@ -21,14 +22,14 @@
 	}
 	j.measure(service, took)
 	e := j.r.log.Info().Str("id", j.meta.ID).Str("route", name).Str("account", account).Str("service", service).
-		Str("outcome", j.out.cause).Int("status", j.out.status).Int64("took", took.Milliseconds())
+		Str("outcome", string(j.out.cause)).Int("status", j.out.status).Int64("took", took.Milliseconds())
 	if j.table != nil {
 		e.Int64("config", j.table.Version())
 	}
 	if j.budget.Outcome != "" {
 		e.Str("budget", string(j.budget.Outcome)).Int64("lent", j.budget.Lent).Int64("held", j.budget.Held).Int64("used", j.budget.Used).
 			Int64("limit", j.budget.Limit).Int64("left", j.budget.Left).Int64("asked", j.meta.Prompt+j.meta.Output).
-			Int64("ledgerage", j.budget.Age.Milliseconds())
+			Int64("ledgerage", j.budget.Age.Milliseconds()).Int64("prepaid", j.account.Prepaid).Int64("tokens", j.tokens)
 	}
 	if j.sends+j.dials > 0 {
 		e.Str("target", j.last.Target.ID).Str("addr", j.last.Target.Addr).Str("reason", j.last.Pick.Reason).
@@ -43,9 +44,22 @@
 	e.Msg("request")
 }
 
+// recordFailure writes the line of an attempt that did not end the request.
+func (j *job) recordFailure(res result, v retrier.Verdict) {
+	e := j.r.log.Info().Str("id", j.meta.ID).Str("target", j.last.Target.ID).Str("addr", j.last.Target.Addr).
+		Str("reason", j.last.Pick.Reason).Int64("expected", j.last.Pick.Wait.Milliseconds()).
+		Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events).
+		Str("outcome", string(cause(res))).Int("status", res.status).Bool("repeat", v.Retry).Str("verdict", v.Reason).
+		Int64("left", time.Until(j.deadline).Milliseconds())
+	if res.err != nil {
+		e.Str("error", res.err.Error())
+	}
+	e.Msg("attempt failed")
+}
+
 // measure counts the request.
 func (j *job) measure(service string, took time.Duration) {
-	scope := j.r.scope.Tagged(map[string]string{"service": service, "outcome": j.out.cause})
+	scope := j.r.scope.Tagged(map[string]string{"service": service, "outcome": string(j.out.cause)})
 	scope.Counter(reporter.Requests).Inc(1)
 	scope.Histogram(reporter.RequestSeconds, reporter.SecondsBuckets).RecordDuration(took)
 	if j.stream.events > 0 {
@@ -53,6 +67,6 @@
 			Histogram(reporter.FirstTokenSeconds, reporter.SecondsBuckets).RecordDuration(j.out.first.Sub(j.arrived))
 	}
 	if promises[j.out.status] {
-		j.r.scope.Tagged(map[string]string{"reason": j.out.cause}).Counter(reporter.Refusals).Inc(1)
+		j.r.scope.Tagged(map[string]string{"reason": string(j.out.cause)}).Counter(reporter.Refusals).Inc(1)
 	}
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -90,7 +90,7 @@
 
 // run serves until the context ends, then stops gracefully.
 func (e *entry) run(ctx context.Context, reload <-chan os.Signal) error {
-	e.log.Info().Str("instance", e.cfg.Name).Str("centre", e.cfg.Centre).Str("region", e.cfg.Region).
+	e.log.Info().Str("centre", e.cfg.Centre).Str("region", e.cfg.Region).
 		Str("store", e.cfg.Store.Addr).Msg("started")
 	failed := make(chan error, 4)
 	if err := e.listen(failed); err != nil {
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -105,6 +105,7 @@
 		_, _ = fmt.Fprintf(stderr, "%s: %v\n", p.name, err)
 		return invoker.Usage
 	}
+	log = log.With().Str("instance", cfg.Name).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err = p.run(ctx, cfg, opts, log, lines)
@@ -132,7 +133,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", addr, err)
 	}
-	log.Info().Str("instance", cfg.Name).Str("listen", addr).Str("store", cfg.Store.Addr).Msg("started")
+	log.Info().Str("listen", addr).Str("store", cfg.Store.Addr).Msg("started")
 	defer log.Info().Msg("stopped")
 	if err := tunneler.New(cfg.Store.Addr, log).Serve(ctx, l); err != nil {
 		return fmt.Errorf("relay: %w", err)
