Refuse requests that the engines cannot answer in time

Change: the wait counts reported waiting requests at the own mean prompt, corrected by what first tokens have taken at the engine; Admit refuses what is expected to start or end too late, strictly only behind a backlog that has stood for a second. Reading a shared part again counts four times.

--- a/internal/chooser/prefill.go
+++ b/internal/chooser/prefill.go
@@ -11,13 +11,14 @@
 	centreLatency = time.Millisecond        // one way between data centres of a region
 	cachedTime    = 30 * time.Second        // a part that was not used for longer counts as evicted
 	reportTime    = 1500 * time.Millisecond // after which a load report counts no more
-	waitingCost   = 40 * time.Millisecond   // of a request that waits at an engine, until it is admitted
+	waitingCost   = 40 * time.Millisecond   // of a request that waits at a target for a slot
 	// missPenalty is what reading a shared part again costs the requests behind it,
-	// as a multiple of its time: two wait on average at three times the usual load.
-	missPenalty = 2
+	// as a multiple of its time: about four wait at twice the usual load.
+	missPenalty = 4
 	runningCost = time.Millisecond     // by which each running request slows the prefill of another
 	rankCost    = 2 * time.Millisecond // breaks ties between targets that are equally idle
 	maxParts    = 8192                 // remembered parts of all targets
+	freshWeight = 0.1                  // of the newest request in a mean over some seconds at an engine
 )
 
 // Part is a piece of a prompt. Requests that begin with the same parts share
@@ -33,6 +34,11 @@
 	Tokens  int64  // of the whole prompt
 	Output  int64  // at most
 	Exclude []string
+
+	// What decides whether the request is worth sending, see [Prefill.Admit].
+	Aim      time.Duration // until the first token
+	Patience time.Duration // until the end of the answer
+	Events   int           // that the answer is expected to have
 }
 
 // Node is a target as the policy sees it.
@@ -52,11 +58,17 @@
 
 // Pick is a chosen target.
 type Pick struct {
-	Index  int // in the list of nodes
-	Scope  Scope
-	Reason string
-	Wait   time.Duration // estimated time until the first token
-	Cached int64         // prompt tokens that the target is expected to keep
+	Index    int // in the list of nodes
+	Scope    Scope
+	Reason   string
+	Wait     time.Duration // estimated time until the first token
+	Backlog  time.Duration // the part of it that passes before the prompt is read
+	Standing time.Duration // since when the backlog has not been low
+	Cached   int64         // prompt tokens that the target is expected to keep
+	Pause    time.Duration // between events of the target's answers of late
+	Load     Load          // as the target reported it last
+
+	plain time.Duration // the wait before it was corrected by what earlier ones took
 }
 
 // Ticket is a request in flight at a target.
@@ -65,6 +77,9 @@
 	fresh int64 // prompt tokens to read
 	whole int64 // tokens in memory
 	begun bool
+	sent  time.Time
+	plain time.Duration // see [Pick]
+	last  time.Time     // when the last event came
 }
 
 // Prefill chooses engines by the expected time to the first token: prompt tokens
@@ -74,30 +89,32 @@
 // long shared prompts make reading them the scarcest resource.
 type Prefill struct {
 	place   Place
-	peers   int
 	latency time.Duration // one way between regions
 	engines map[string]*engineState
 	parts   int
 }
 
 type engineState struct {
-	hash    uint64
-	pending int64 // prompt tokens of own requests without a first token
-	memory  int64 // tokens of own requests in flight
-	running int   // own requests in flight
-	report  Load
-	own     int // running when the report was made
-	cached  map[uint64]time.Time
+	hash     uint64
+	pending  int64   // prompt tokens of own requests without a first token
+	unbegun  int     // number of these
+	fresh    float64 // mean prompt tokens that own requests had to read
+	memory   int64   // tokens of own requests in flight
+	running  int     // own requests in flight
+	report   Load
+	own      int // running when the report was made
+	reported int // unbegun then
+	cached   map[uint64]time.Time
+	drained  time.Time // when the backlog was low last
+	pace     pace
+	slowness slowness
 }
 
 // NewPrefill returns the policy for a router at a place.
 func NewPrefill(place Place) *Prefill {
-	return &Prefill{place: place, peers: 1, latency: regionLatency, engines: make(map[string]*engineState)}
+	return &Prefill{place: place, latency: regionLatency, engines: make(map[string]*engineState)}
 }
 
-// SetPeers sets the number of routers that share the engines, this one included.
-func (p *Prefill) SetPeers(n int) { p.peers = max(1, n) }
-
 // Choose selects a node. It reports false if none has room or all are excluded.
 func (p *Prefill) Choose(now time.Time, r Prompt, nodes []Node) (Pick, bool) {
 	home := p.home(r, nodes)
@@ -108,7 +125,7 @@
 			continue
 		}
 		e := p.engine(n.Name)
-		if !e.fits(now, r, n, p.peers) {
+		if !e.fits(now, r, n) {
 			continue
 		}
 		cached := e.kept(now, r.Parts, n.Name == home)
@@ -116,7 +133,15 @@
 		if n.Name == home {
 			pick.Reason = ReasonPrefix
 		}
-		pick.Wait = e.wait(now, r.Tokens-cached, n.slots(), p.peers) + p.distance(pick.Scope)
+		pick.plain = e.wait(now, r.Tokens-cached, n.slots()) + p.distance(pick.Scope)
+		slow := e.slowness.at(now)
+		pick.Wait = time.Duration(float64(pick.plain) * slow)
+		pick.Backlog = pick.Wait - time.Duration(float64(readTime(float64(r.Tokens-cached)))*slow)
+		if pick.Backlog < lowBacklog || e.drained.IsZero() {
+			e.drained = now
+		}
+		pick.Standing = now.Sub(e.drained)
+		pick.Pause, pick.Load = e.pace.at(now), e.report
 		price := pick.Wait + missPenalty*readTime(float64(sharedTokens(r.Parts)-cached))
 		if !found || price < cost {
 			best, cost, found = pick, price, true
@@ -128,8 +153,10 @@
 // Sent records a request sent to a node.
 func (p *Prefill) Sent(now time.Time, name string, r Prompt, pick Pick) *Ticket {
 	e := p.engine(name)
-	t := &Ticket{node: e, fresh: max(0, r.Tokens-pick.Cached), whole: r.Tokens + r.Output}
+	t := &Ticket{node: e, fresh: max(0, r.Tokens-pick.Cached), whole: r.Tokens + r.Output, sent: now, plain: pick.plain}
+	e.fresh += (float64(t.fresh) - e.fresh) * freshWeight
 	e.pending += t.fresh
+	e.unbegun++
 	e.memory += t.whole
 	e.running++
 	if p.parts > maxParts {
@@ -144,17 +171,34 @@
 	return t
 }
 
-// Began records the first token of a request.
-func (p *Prefill) Began(t *Ticket) {
+// Began records the first event of an answer.
+func (p *Prefill) Began(now time.Time, t *Ticket) {
+	if t.begun {
+		return
+	}
+	t.read()
+	t.last = now
+	t.node.slowness = t.node.slowness.with(now, now.Sub(t.sent), t.plain)
+}
+
+// Went records a further event of an answer.
+func (p *Prefill) Went(now time.Time, t *Ticket) {
+	t.node.pace = t.node.pace.with(now, now.Sub(t.last))
+	t.last = now
+}
+
+// read ends the time in which the prompt of the request is read.
+func (t *Ticket) read() {
 	if !t.begun {
 		t.begun = true
 		t.node.pending -= t.fresh
+		t.node.unbegun--
 	}
 }
 
 // Done records the end of a request.
 func (p *Prefill) Done(t *Ticket) {
-	p.Began(t)
+	t.read()
 	t.node.memory -= t.whole
 	t.node.running--
 }
@@ -163,7 +207,7 @@
 func (p *Prefill) Reported(name string, l Load) {
 	e := p.engine(name)
 	if l.At.After(e.report.At) {
-		e.report, e.own = l, e.running
+		e.report, e.own, e.reported = l, e.running, e.unbegun
 	}
 }
 
@@ -293,20 +337,20 @@
 }
 
 // wait estimates the time until the first token of a request with the given
-// tokens to read. Other routers are assumed to send as much as this one.
-func (e *engineState) wait(now time.Time, fresh int64, slots, peers int) time.Duration {
+// tokens to read. Requests of other routers that wait are assumed to have as much
+// to read as the own ones.
+func (e *engineState) wait(now time.Time, fresh int64, slots int) time.Duration {
 	others, waiting := e.others(now)
-	pending := float64(e.pending)
-	if e.running > 0 && others > 0 {
-		pending *= 1 + min(float64(others)/float64(e.running), float64(peers-1))
+	read := float64(e.pending) + float64(fresh) + float64(max(0, waiting-e.reported))*e.fresh
+	queued := others + e.running + 1 - slots
+	if fresh == 0 {
+		queued = max(queued, waiting)
 	}
-	read := readTime(pending + float64(fresh))
-	queued := max(waiting, others+e.running+1-slots)
-	return read + time.Duration(queued)*waitingCost + time.Duration(others+e.running)*runningCost
+	return readTime(read) + time.Duration(max(0, queued))*waitingCost + time.Duration(others+e.running)*runningCost
 }
 
 // fits reports whether the engine has a slot and memory for a request.
-func (e *engineState) fits(now time.Time, r Prompt, n *Node, peers int) bool {
+func (e *engineState) fits(now time.Time, r Prompt, n *Node) bool {
 	others, _ := e.others(now)
 	if e.running+others >= 2*n.slots() {
 		return false
--- a/internal/chooser/prefill_test.go
+++ b/internal/chooser/prefill_test.go
@@ -95,7 +95,6 @@
 	routers := make([]*Prefill, 4)
 	for i := range routers {
 		routers[i] = NewPrefill(Place{"a", "r"})
-		routers[i].SetPeers(len(routers))
 	}
 	type sent struct {
 		router int
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -40,7 +40,7 @@
 		return result{outcome: retrier.Interrupted, status: a.Status, err: err}
 	}
 	long := len(body) == maxAnswerBytes
-	j.r.dispatch.Began(lane)
+	j.r.dispatch.Began(time.Now(), lane)
 	switch {
 	case a.Status < http.StatusMultipleChoices && !reply.Sealed:
 		return result{outcome: retrier.Unknown, status: a.Status, err: errUnsealed}
@@ -100,10 +100,12 @@
 			if j.stream.begun != nil {
 				j.stream.begun()
 			}
-			j.r.dispatch.Began(lane)
+			j.r.dispatch.Began(time.Now(), lane)
 			if j.stream.started && !follows(j.stream.last, id) {
 				return result{outcome: retrier.Interrupted, err: errors.New("stream goes on at event " + id + " after " + j.stream.last)}
 			}
+		} else {
+			j.r.dispatch.Went(time.Now(), lane)
 		}
 		if !j.stream.started {
 			j.begin(a)
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -38,12 +38,19 @@
 			j.expire()
 			return
 		}
-		lane, ok := j.r.dispatch.Choose(time.Now(), j.service, j.prompt(), j.tried)
+		prompt := j.prompt(left)
+		lane, ok := j.r.dispatch.Choose(time.Now(), j.service, prompt, j.tried)
 		if !ok {
 			j.giveUp(NoTargets, j.out.detail)
 			return
 		}
 		j.last = lane
+		if j.service.Engine != nil && j.sends == 0 {
+			if after, ok := j.r.dispatch.Admit(prompt, lane); !ok {
+				j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(after, comeBack), left/3)))
+				return
+			}
+		}
 		j.tried = append(j.tried, lane.Target.ID)
 		res := j.attempt(ctx, lane)
 		verdict := j.conclude(lane, res, account)
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -25,6 +25,7 @@
 	TokensLimited Cause = "tokenslimited"
 	TokensUnready Cause = "tokensunready"
 	NoTargets     Cause = "notargets"
+	Overloaded    Cause = "overloaded"
 	Busy          Cause = "busy"
 	Refused       Cause = "refused"
 	Unreachable   Cause = "unreachable"
@@ -54,6 +55,7 @@
 	TokensLimited: "refused for now, because the ledger could not be written in time to use the tokens held",
 	TokensUnready: "refused for now, because the budgets had not been recovered",
 	NoTargets:     "refused, because no target of the service was left to try",
+	Overloaded:    "refused, because the best target was expected to answer too late",
 	Busy:          "refused, because the targets were full",
 	Refused:       "refused, because the targets did not run it",
 	Unreachable:   "refused, because no target could be reached",
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -35,6 +35,7 @@
 type Lane struct {
 	Target follower.Target
 	Pick   chooser.Pick
+	Chosen time.Time
 	ticket *chooser.Ticket
 }
 
@@ -54,12 +55,10 @@
 	use(d.roster)
 }
 
-// Peers sets how many instances share the targets, and this instance's part of
-// the retry budget.
-func (d *Dispatch) Peers(n int, burst float64) {
+// SetBurst sets this instance's part of the retry budget.
+func (d *Dispatch) SetBurst(burst float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.policy.SetPeers(n)
 	d.retries.SetBurst(burst)
 }
 
@@ -96,7 +95,7 @@
 	}
 	t := n.targets[pick.Index]
 	d.retries.Admit(now, t.ID)
-	return Lane{Target: t, Pick: pick, ticket: d.policy.Sent(now, t.ID, p, pick)}, true
+	return Lane{Target: t, Pick: pick, Chosen: now, ticket: d.policy.Sent(now, t.ID, p, pick)}, true
 }
 
 // list returns the ready targets of a service. The caller holds the lock.
@@ -121,11 +120,30 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
+// Admit reports whether a request is worth sending on its lane. If not, the
+// request on the lane ends, and it returns after what time there may be room.
+func (d *Dispatch) Admit(p chooser.Prompt, l Lane) (after time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if after, ok = d.policy.Admit(p, l.Pick); !ok {
+		d.policy.Done(l.ticket)
+		d.retries.Cancelled(l.Target.ID)
+	}
+	return after, ok
+}
+
 // Began records the first event of an answer.
-func (d *Dispatch) Began(l Lane) {
+func (d *Dispatch) Began(now time.Time, l Lane) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.policy.Began(now, l.ticket)
+}
+
+// Went records a further event of an answer.
+func (d *Dispatch) Went(now time.Time, l Lane) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.policy.Began(l.ticket)
+	d.policy.Went(now, l.ticket)
 }
 
 // Reported records the load that an answer tells.
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -31,7 +31,12 @@
 			Int64("limit", j.budget.Limit).Int64("left", j.budget.Left).Int64("asked", j.meta.Prompt+j.meta.Output).
 			Int64("ledgerage", j.budget.Age.Milliseconds()).Int64("prepaid", j.account.Prepaid).Int64("tokens", j.tokens)
 	}
-	if j.sends+j.dials > 0 {
+	if j.last.Target.ID != "" {
+		load := j.last.Pick.Load
+		e.Int64("pause", j.last.Pick.Pause.Milliseconds()).Int64("backlog", j.last.Pick.Backlog.Milliseconds()).Int64("standing", j.last.Pick.Standing.Milliseconds()).Int("running", load.Running).Int("waiting", load.Waiting)
+		if !load.At.IsZero() {
+			e.Int64("loadage", j.last.Chosen.Sub(load.At).Milliseconds())
+		}
 		e.Str("target", j.last.Target.ID).Str("addr", j.last.Target.Addr).Str("reason", j.last.Pick.Reason).
 			Int64("expected", j.last.Pick.Wait.Milliseconds()).Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events)
 	}
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -33,6 +33,7 @@
 	silenceFactor   = 1.5                    // of the latency objective, after which a repeatable request goes elsewhere
 	streamFactor    = 2.5                    // of the objective of the first event
 	minSilence      = 250 * time.Millisecond // longest work of a plain service, from the users' sheet: 110 ms
+	outputShare     = 0.25                   // of the most output that an answer has on average, from the users' sheet
 	comeBack        = 400 * time.Millisecond // mean time to come back after a refusal for lack of targets
 )
 
@@ -47,6 +48,7 @@
 	Patience  time.Duration // how long the caller waits, 0: not said
 	Prompt    int64         // tokens
 	Output    int64         // tokens, at most
+	Expected  int64         // tokens of output by the caller's estimate, 0: none
 	Parts     []Part
 	LastEvent string // the stream goes on after this event
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -167,7 +167,7 @@
 			e.forget(g, "lapsed")
 		}
 		n := e.money.Instances()
-		e.dispatch.Peers(n, e.cfg.Bounds.RetryReserve*retryPart/float64(max(1, n)))
+		e.dispatch.SetBurst(e.cfg.Bounds.RetryReserve * retryPart / float64(max(1, n)))
 		e.pool.Sweep(now)
 		e.updateRelays()
 		if way, due := e.paths.probe(ctx); due {
