--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -63,7 +63,7 @@
 	a.notify()
 	wake(a.budgets)
 	a.log.Info().Str("former", old.Incarnation).Uint64("version", version).Dur("age", old.Age(started)).
-		Bool("same_boot", old.Boot == a.boot).Any("lost_tokens", a.state.Lost()).Msg("budgets recovered")
+		Bool("same_boot", old.Boot == a.boot && old.Age(started) > 0).Any("lost_tokens", a.state.Lost()).Msg("budgets recovered")
 	return nil
 }
 
--- a/internal/analyzer/analyzer_test.go
+++ b/internal/analyzer/analyzer_test.go
@@ -13,6 +13,8 @@
   1.0 entry-1 {"level":"info","instance":"entry-1","version":3,"time":"2026-01-02T15:04:01.000Z","msg":"configuration adopted"}
 {"level":"info","instance":"entry-2","version":4,"time":"2026-01-02T15:04:01.500Z","msg":"configuration adopted"}
 {"level":"warn","instance":"entry-1","time":"2026-01-02T15:04:02.000Z","msg":"budget store lost"}
+{"level":"warn","instance":"entry-1","time":"2026-01-02T15:04:00.000Z","msg":"peer lends nothing"}
+{"level":"info","instance":"entry-1","time":"2026-01-02T15:04:00.500Z","msg":"started"}
 {"level":"info","instance":"entry-1","id":"r1","target":"i-1","outcome":"noanswer","time":"2026-01-02T15:04:03.500Z","msg":"attempt failed"}
 {"level":"info","instance":"entry-1","target":"i-9","time":"2026-01-02T15:04:03.600Z","msg":"target gone"}
 {"level":"info","instance":"entry-1","target":"i-2","time":"2026-01-02T15:04:03.700Z","msg":"target changed"}
@@ -36,7 +38,8 @@
 }
 
 // Guards against a story that lacks a decision, mixes up instances, or shows
-// what the instance learned later or of other targets.
+// what the instance learned later, what a former process of it believed, or other
+// targets.
 func TestStory(t *testing.T) {
 	s, err := read(t).Story("r1")
 	if err != nil {
@@ -46,6 +49,7 @@
 		msg    string
 		before time.Duration
 	}{
+		{"started", 3500 * time.Millisecond},
 		{"configuration adopted", 3 * time.Second},
 		{"budget store lost", 2 * time.Second},
 		{"attempt failed", 500 * time.Millisecond},
--- a/internal/analyzer/story.go
+++ b/internal/analyzer/story.go
@@ -31,12 +31,15 @@
 	return s, nil
 }
 
-// before returns the latest change of each kind at the instance before the end
-// of a request. Of targets, only changes of the request's own one count.
+// before returns the latest change of each kind in the process before the end of
+// a request. Of targets, only changes of the request's own one count.
 func (l *Log) before(end Line) []Line {
 	latest := make(map[string]Line)
 	for _, line := range l.Lines {
 		kind, ok := beliefs[line.Msg]
+		if line.Msg == msgStarted && line.Instance == end.Instance && !line.Time.After(end.Time) {
+			clear(latest) // what a former process believed is gone
+		}
 		switch {
 		case !ok, line.Instance != end.Instance, line.Time.After(end.Time):
 		case line.Text("id") == end.Text("id"): // listed anyway
@@ -61,7 +64,7 @@
 	}
 	text := cmp.Or(receiver.Meanings[r.Outcome], "ended as "+string(r.Outcome))
 	var b strings.Builder
-	fmt.Fprintf(&b, "After %d ms request %s was %s", r.Took, r.ID, text)
+	fmt.Fprintf(&b, "After %d ms request %s %s", r.Took, r.ID, text)
 	if r.Budget != "" {
 		fmt.Fprintf(&b, "; it asked for %d tokens of account %s, of whose %d prepaid tokens %d seemed left", r.Asked, r.Account, r.Prepaid, r.Left)
 	}
--- a/internal/analyzer/types.go
+++ b/internal/analyzer/types.go
@@ -21,12 +21,13 @@
 // Messages that the analysis depends on.
 const (
 	msgRequest = "request"
+	msgStarted = "started"
 )
 
 // beliefs are the messages that change what an instance believes. The latest of
 // each kind before a request belongs to its story.
 var beliefs = map[string]string{ // kind by message
-	"started": "process", "stopping": "process",
+	msgStarted: "process", "stopping": "process",
 	"configuration adopted": "configuration", "configuration refused, the former one stays in force": "configuration",
 	"configuration is not followed": "follow", "configuration is followed again": "follow",
 	"targets listed": "list", "targets are not followed": "list", "targets are followed again": "list",
