Apply changed settings without a restart

Cause: SIGHUP read the settings and used none of them, and a change without a signal went unnoticed.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -46,7 +46,7 @@
 		{name: "after an answer to another request", answer: platformtest.Answer{Body: "hello", Stray: true}, want: "hello"},
 		{name: "extra bytes", answer: platformtest.Answer{Body: "hello", Extra: true}, want: "hello"},
 		{name: "reset", answer: platformtest.Answer{Reset: true}, err: io.EOF},
-		{name: "stream that breaks off", answer: platformtest.Answer{Events: 3, Cut: 1}, want: "id: 1\ndata: piece 1 of runner-1\n\n", broken: true},
+		{name: "stream that breaks off", answer: platformtest.Answer{Events: 3, Cut: 1}, want: "id: 1\ndata: piece 1 of runner-1 for id-1\n\n", broken: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -62,6 +62,13 @@
 	d.retries.SetBurst(burst)
 }
 
+// SetRetryShare sets how many retries each request allows.
+func (d *Dispatch) SetRetryShare(share float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retries.SetShare(share)
+}
+
 // Forget drops what is known of a target that is gone or has started anew.
 func (d *Dispatch) Forget(id string) {
 	d.mu.Lock()
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -171,7 +171,7 @@
 	event := func(n int) string {
 		s := ""
 		for i := range n {
-			s += "id: " + string(rune('1'+i)) + "\ndata: piece " + string(rune('1'+i)) + " of i-0\n\n"
+			s += "id: " + string(rune('1'+i)) + "\ndata: piece " + string(rune('1'+i)) + " of i-0 for id-1\n\n"
 		}
 		return s
 	}
--- a/internal/retrier/commands.go
+++ b/internal/retrier/commands.go
@@ -14,6 +14,9 @@
 	r.fleet.tokens = min(r.fleet.tokens, n)
 }
 
+// SetShare changes the retries of the fleet per first attempt.
+func (r *Retrier) SetShare(share float64) { r.fleet.share = share }
+
 // Admit reports whether a target may receive an attempt and, if its circuit
 // breaker waits for a trial, makes this attempt the trial. Call it only for the
 // target that then receives the attempt; [Retrier.Blocked] is for choosing.
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -46,7 +46,8 @@
 
 // entry is a process on the platform.
 type entry struct {
-	cfg      platform.Settings
+	cfg      platform.Settings                 // of the start
+	settings atomic.Pointer[platform.Settings] // in force
 	path     string
 	log      zerolog.Logger
 	lines    *logger.Async
@@ -68,17 +69,18 @@
 
 func newEntry(cfg platform.Settings, path string, log zerolog.Logger, lines *logger.Async) *entry {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.Memory) * (1 << 20)))
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	retries := retrier.New(source, retrier.WithRefusalsCounted(),
-		retrier.WithShares(cfg.Bounds.RetryShare*retryPart, 1), retrier.WithBursts(1, accountRetry))
+		retrier.WithShares(0, 1), retrier.WithBursts(1, accountRetry)) // the share is applied below
 	e := &entry{
 		cfg: cfg, path: path, log: log, lines: lines,
 		paths: newPaths(cfg.Store.Addr, log),
 		pool:  forwarder.New(platform.RequestID),
 	}
+	e.settings.Store(&cfg)
 	e.store = platform.NewStore(cfg.Store.Addr, e.paths)
 	e.dispatch = receiver.NewDispatch(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries)
+	e.apply(cfg)
 	e.money = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), lender.NewClient(), log)
 	e.metrics = reporter.New(map[string]string{"instance": cfg.Name}, reporter.FlushInterval, func(err error) {
 		log.Error().Err(err).Msg("metric dropped")
@@ -106,14 +108,13 @@
 	go follower.New(e.store, platform.KindConfig, &configHandler{e: e}).Run(work)
 	go follower.New(e.store, platform.KindRunners, &rosterHandler{e: e}).Run(work)
 	go e.tick(work)
+	go e.followSettings(work, reload)
 	for {
 		select {
 		case <-ctx.Done():
 			return e.stop(cancel)
 		case err := <-failed:
 			return err
-		case <-reload:
-			e.reload()
 		}
 	}
 }
@@ -167,7 +168,7 @@
 			e.forget(g, "lapsed")
 		}
 		n := e.money.Instances()
-		e.dispatch.SetBurst(e.cfg.Bounds.RetryReserve * retryPart / float64(max(1, n)))
+		e.dispatch.SetBurst(e.settings.Load().Bounds.RetryReserve * retryPart / float64(max(1, n)))
 		e.pool.Sweep(now)
 		e.updateRelays()
 		if way, due := e.paths.probe(ctx); due {
@@ -204,7 +205,7 @@
 					continue
 				}
 				addr := net.JoinHostPort(host, e.cfg.PeerPort())
-				if e.cfg.Regions[t.Centre] == e.cfg.Region {
+				if e.settings.Load().Regions[t.Centre] == e.cfg.Region {
 					near = append(near, addr)
 				} else {
 					far = append(far, addr)
@@ -222,16 +223,6 @@
 	e.log.Info().Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Str("reason", reason).Msg("target gone")
 }
 
-// reload reads the settings again. Addresses stay those of the start.
-func (e *entry) reload() {
-	cfg, err := platform.LoadSettings(e.path)
-	if err != nil {
-		e.log.Error().Err(err).Msg("settings not reloaded, the former ones stay in force")
-		return
-	}
-	e.log.Info().Bool("store_moved", cfg.Store.Addr != e.cfg.Store.Addr).Msg("settings reloaded")
-}
-
 // stop lets the balancer see that this instance is not ready, finishes the
 // requests in flight, then returns the tokens that are left.
 func (e *entry) stop(cancel func()) error {
@@ -240,12 +231,12 @@
 	e.log.Info().Int64("inflight", e.receiver.Inflight()).Msg("stopping")
 	e.callers.SetKeepAlivesEnabled(false)
 	e.money.Stop()
-	end := began.Add(e.cfg.Grace() - endMargin)
+	end := began.Add(e.settings.Load().Grace() - endMargin)
 	time.AfterFunc(noticeTime, e.receiver.Close) // what comes later could not end in time
 	for time.Now().Before(end) && (time.Since(began) < noticeTime || e.receiver.Inflight() > 0) {
 		time.Sleep(tickTime / 5)
 	}
-	ctx, done := context.WithDeadline(context.Background(), began.Add(e.cfg.Grace()-endMargin/2))
+	ctx, done := context.WithDeadline(context.Background(), began.Add(e.settings.Load().Grace()-endMargin/2))
 	defer done()
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.log.Warn().Int64("inflight", e.receiver.Inflight()).Err(err).Msg("requests did not finish in time")
