--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -60,6 +60,9 @@
 		e.Str("error", res.err.Error())
 	}
 	e.Msg("attempt failed")
+	if v.Retry {
+		j.count(reporter.Retries, "reason", string(cause(res)), 1)
+	}
 }
 
 // measure counts the request.
@@ -67,11 +70,25 @@
 	scope := j.r.scope.Tagged(map[string]string{"service": service, "outcome": string(j.out.cause)})
 	scope.Counter(reporter.Requests).Inc(1)
 	scope.Histogram(reporter.RequestSeconds, reporter.SecondsBuckets).RecordDuration(took)
+	if j.budget.Outcome != "" {
+		j.count(reporter.Reservations, "result", string(j.budget.Outcome), 1)
+	}
+	if j.tokens > 0 {
+		tokens := j.r.scope.Tagged(map[string]string{"model": j.meta.Model, "kind": "prompt"})
+		tokens.Counter(reporter.Tokens).Inc(j.meta.Prompt)
+		tokens = j.r.scope.Tagged(map[string]string{"model": j.meta.Model, "kind": "output"})
+		tokens.Counter(reporter.Tokens).Inc(j.tokens - j.meta.Prompt)
+	}
 	if j.stream.events > 0 {
 		j.r.scope.Tagged(map[string]string{"model": j.meta.Model}).
 			Histogram(reporter.FirstTokenSeconds, reporter.SecondsBuckets).RecordDuration(j.out.first.Sub(j.arrived))
 	}
 	if promises[j.out.status] {
-		j.r.scope.Tagged(map[string]string{"reason": string(j.out.cause)}).Counter(reporter.Refusals).Inc(1)
+		j.count(reporter.Refusals, "reason", string(j.out.cause), 1)
 	}
 }
+
+// count adds to a counter with one tag.
+func (j *job) count(name, tag, value string, n int64) {
+	j.r.scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(n)
+}
--- a/internal/reporter/transport.go
+++ b/internal/reporter/transport.go
@@ -24,7 +24,7 @@
 func (t transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	kind := "read"
 	switch {
-	case strings.HasPrefix(req.URL.Path, "/watch"):
+	case strings.HasPrefix(req.URL.Path, "/watch"), strings.HasPrefix(req.URL.RawQuery, "watch="):
 		kind = "watch"
 	case req.Method != http.MethodGet:
 		kind = "write"
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -78,13 +78,15 @@
 		pool:  forwarder.New(platform.RequestID),
 	}
 	e.settings.Store(&cfg)
-	e.store = platform.NewStore(cfg.Store.Addr, e.paths)
-	e.dispatch = receiver.NewDispatch(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries)
-	e.apply(cfg)
-	e.money = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), lender.NewClient(), log)
 	e.metrics = reporter.New(map[string]string{"instance": cfg.Name}, reporter.FlushInterval, func(err error) {
 		log.Error().Err(err).Msg("metric dropped")
 	})
+	e.store = platform.NewStore(cfg.Store.Addr, e.paths, platform.WithObserver(func(t http.RoundTripper) http.RoundTripper {
+		return reporter.Transport(e.metrics.Scope(), t)
+	}))
+	e.dispatch = receiver.NewDispatch(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries)
+	e.apply(cfg)
+	e.money = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), lender.NewClient(), log)
 	e.receiver = receiver.New(platform.Codec{}, e.dispatch, e.money, e.pool,
 		receiver.WithLog(log), receiver.WithScope(e.metrics.Scope()))
 	return e
--- a/internal/starter/starter_test.go
+++ b/internal/starter/starter_test.go
@@ -144,7 +144,8 @@
 		}
 		defer res.Body.Close()
 		body, err := io.ReadAll(res.Body)
-		return err == nil && strings.Contains(string(body), "daisylane_requests_total") && strings.Contains(string(body), "daisylane_first_token_seconds_bucket")
+		return err == nil && strings.Contains(string(body), "daisylane_requests_total") && strings.Contains(string(body), "daisylane_first_token_seconds_bucket") &&
+			strings.Contains(string(body), "daisylane_platform_calls_total") && strings.Contains(string(body), "daisylane_reservations_total")
 	})
 
 	done := make(chan error, 1)
