Write ledgers more slowly in a large fleet

Cause: 320 instances that each write a ledger every 0.7 s need 450 writes a second of a store that grants 400. The interval now grows so that all ledgers together take 200, from 140 instances on, and limits cover it: 1.6 s at 320. How long a limit holds is unchanged, since a successor has to know it. Small fleets are not affected. TestLedgerInterval fails without it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES = ./...
 RACE_PACKAGES = $(shell $(GO) list ./internal/... | grep -E "/(connector|storer|holder|router|executor|syncer|faker|launcher|relayer|locator|receiver|forwarder|follower|tunneler|accountant|starter)$$")
 
-.PHONY: build test race lint format generate try faults slopes days
+.PHONY: build test race lint format generate try faults slopes days soak
 
 build:
 	mkdir -p bin
@@ -36,6 +36,12 @@
 faults: build
 	./scripts/faults.sh
 
+# Plays the fault soak of the path on the platform with fresh seeds.
+SEEDS ?= 10
+FIRST ?= $(shell date +%s)
+soak:
+	$(GO) test ./internal/soaker -run TestSoak -count=1 -timeout $$(( $(SEEDS) * 60 + 60 ))s -soak.first $(FIRST) -soak.seeds $(SEEDS) -v
+
 BENCH = $(GO) test -run NONE
 
 # Prints the measured slopes that docs/CAPACITY.md uses.
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -200,7 +200,7 @@
 			l.Accounts[name] = Limit{Limit: a.spent}
 		default:
 			l.Accounts[name] = Limit{
-				Limit: a.used() + a.waiting + int64(a.asked.reach(now, limitAhead, limitSpread)),
+				Limit: a.used() + a.waiting + int64(a.asked.reach(now, max(limitAhead, g.ledgerInterval()), limitSpread)),
 				Rate:  max(1, int64(float64(a.held-a.used())/limitRamp.Seconds())),
 			}
 		}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -202,3 +203,40 @@
 		t.Error("tokens are lent of an account without a known budget")
 	}
 }
+
+// Guards against a fleet whose ledgers alone use up the writes of the store, and
+// against limits that don't last until the next ledger of a large fleet.
+func TestLedgerInterval(t *testing.T) {
+	tests := []struct {
+		peers    int
+		interval time.Duration
+	}{
+		{3, LedgerInterval},
+		{140, LedgerInterval},
+		{320, 1600 * time.Millisecond}, // at 200 ledgers a second
+	}
+	for _, tt := range tests {
+		peers := make([]string, tt.peers-1)
+		for i := range peers {
+			peers[i] = fmt.Sprint("entry-", i+2)
+		}
+		g := ready(t, "entry-1", Budget{}, 1, 1_000_000, peers...)
+		now := second
+		for range 100 { // 10,000 tokens a second
+			now += second / 10
+			g.Ask(now, "rider-app", 1000)
+			g.Arrived(now, "rider-app", 1000)
+		}
+		writeBoth(g, now)
+		writeBoth(g, now)
+		if g.LedgerDue(now + tt.interval - time.Millisecond) {
+			t.Errorf("%d instances: a ledger is due before %v", tt.peers, tt.interval)
+		}
+		if !g.LedgerDue(now + tt.interval) {
+			t.Errorf("%d instances: no ledger is due after %v", tt.peers, tt.interval)
+		}
+		if got, want := g.PlanLedger(now).Accounts["rider-app"].Limit, int64(9000*tt.interval.Seconds()); got < want {
+			t.Errorf("%d instances: the limit is %d, want the demand until the next ledger, %d", tt.peers, got, want)
+		}
+	}
+}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -112,7 +112,13 @@
 			return true
 		}
 	}
-	return g.exposed(now) && g.ledger.Age(now) >= LedgerInterval
+	return g.exposed(now) && g.ledger.Age(now) >= g.ledgerInterval()
+}
+
+// ledgerInterval grows with the fleet, so that its ledgers leave room for other
+// writes of the store.
+func (g *Granter) ledgerInterval() time.Duration {
+	return max(LedgerInterval, time.Duration(len(g.peers))*time.Second/ledgerWrites)
 }
 
 // exposed reports whether the limits of an old ledger would grow beyond what is used.
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -60,8 +60,10 @@
 	minComeBack  = 300 * time.Millisecond  // a store call and a round trip of the caller
 	maxComeBack  = 5 * time.Second         // a cut is often over by then
 
+	ledgerWrites = 200              // ledgers of all instances a second: half of the store's 400 writes on the users' sheet
 	idleInterval = 10 * time.Second // between two ledgers of an instance without tokens to lose
-	// LedgerInterval is the time between two writes of the ledger without need.
+	// LedgerInterval is the time between two writes of the ledger without need, in a
+	// small fleet.
 	LedgerInterval = 700 * time.Millisecond
 	// LimitHold is how old a ledger becomes before its limits grow. A killed
 	// process has its successor sooner, so nothing beyond the limit is lost.
--- a/internal/soaker/process_test.go
+++ b/internal/soaker/process_test.go
@@ -62,7 +62,11 @@
 		t.Fatal(err)
 	}
 	p.start(t)
-	t.Cleanup(func() { p.signal(syscall.SIGKILL); _ = p.log.Close() })
+	t.Cleanup(func() {
+		p.signal(syscall.SIGKILL)
+		p.wait(2 * time.Second) // its ports are used by the next seed
+		_ = p.log.Close()
+	})
 	return p
 }
 
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -120,7 +120,9 @@
 	if rng.IntN(8) == 0 {
 		p = w.side
 	}
+	w.mu.Lock()
 	link, target := pick(rng, w.links...), pick(rng, w.targets...)
+	w.mu.Unlock()
 	long := time.Duration(200+rng.IntN(3300)) * time.Millisecond
 	how := pick(rng, silent, oneWay, reset, slow)
 	once := func(do func()) func() {
@@ -158,7 +160,7 @@
 		}
 	case 8:
 		f := pick(rng, platformtest.Faults{Status: http.StatusServiceUnavailable}, platformtest.Faults{Silent: true},
-			platformtest.Faults{Lost: true}, platformtest.Faults{Late: time.Second}, platformtest.Faults{Slow: 200 * time.Millisecond})
+			platformtest.Faults{Lost: true}, platformtest.Faults{Late: time.Second}, platformtest.Faults{Slow: 200 * time.Millisecond}, platformtest.Faults{Stale: true})
 		return func() {
 			w.store.Set(f)
 			time.Sleep(long / 2)
@@ -170,11 +172,7 @@
 			w.store.Compact()
 		}
 	}
-	return func() {
-		w.register(target, "draining")
-		time.Sleep(long / 4)
-		w.register(target, "ready")
-	}
+	return func() { w.replace(target, long/4) }
 }
 
 func (w *world) kill(p *process, pause time.Duration) {
@@ -214,12 +212,11 @@
 	for _, l := range w.links {
 		l.set(pass)
 	}
+	w.store.Set(platformtest.Faults{})
+	w.mu.Lock()
 	for _, t := range w.targets {
 		t.link.set(pass)
-		w.register(t, "ready")
 	}
-	w.store.Set(platformtest.Faults{})
-	w.mu.Lock()
 	w.healthy = true
 	w.mu.Unlock()
 	time.Sleep(calmTime)
--- a/internal/soaker/world_test.go
+++ b/internal/soaker/world_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +20,8 @@
 	entryCount = 3
 	appCount   = 2 // runners of the plain service
 	poolCount  = 3 // of the engine service
+	// drainTime is how long a runner that left the list goes on, from the users' bounds.
+	drainTime = 2500 * time.Millisecond
 )
 
 // runs is what runners saw of one request.
@@ -38,9 +41,10 @@
 	links   []*proxy // of each entry to the store
 	entries []*process
 	side    *process
-	targets []*target
 
 	mu       sync.Mutex
+	targets  []*target
+	added    int
 	rng      *rand.Rand
 	calls    map[string]call
 	ran      map[string]runs
@@ -76,7 +80,7 @@
 		if i >= appCount {
 			service = "pool"
 		}
-		w.addTarget(fmt.Sprint("i-", i), service)
+		w.addTarget(service)
 	}
 	w.configure()
 	w.side = newProcess(t, dir, filepath.Join(binaries, "side"), "side-1", w.ip, addr)
@@ -117,7 +121,11 @@
 }
 
 // addTarget starts a runner and registers it.
-func (w *world) addTarget(id, service string) {
+func (w *world) addTarget(service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.added++
+	id := fmt.Sprint("i-", w.added)
 	r, err := platformtest.NewBehaving(id, func(s platformtest.Seen) platformtest.Answer { return w.behave(id, service, s) })
 	if err != nil {
 		w.t.Error(err)
@@ -129,6 +137,24 @@
 	w.register(t, "ready")
 }
 
+// replace drains a runner, lets it go and starts another one.
+func (w *world) replace(t *target, drain time.Duration) {
+	w.mu.Lock()
+	i := slices.Index(w.targets, t)
+	if i < 0 {
+		w.mu.Unlock()
+		return
+	}
+	w.targets = slices.Delete(w.targets, i, i+1)
+	w.mu.Unlock()
+	w.addTarget(t.service)
+	w.register(t, "draining")
+	time.Sleep(drain)
+	w.store.Delete(platform.KindRunners, t.runner.ID)
+	time.Sleep(drainTime) // it goes on serving for a while
+	t.runner.Close()
+}
+
 func (w *world) register(t *target, state string) {
 	entry := t.runner.Entry(t.service, "a")
 	entry["address"], entry["state"] = t.link.addr(), state
@@ -187,8 +213,8 @@
 		}
 	}
 	routes := []object{
-		route("/book/", "non_idempotent", "app", 1), route("/look/", "idempotent", "app", 2),
-		route("/plan/", "streaming", "pool", 1), route("/sum/", "streaming", "pool", 2),
+		route("/book/", "non_idempotent", "app", 2), route("/look/", "idempotent", "app", 2),
+		route("/plan/", "streaming", "pool", 2), route("/sum/", "streaming", "pool", 2),
 	}
 	for n := 1; n <= w.newest; n++ {
 		routes = append(routes, route(fmt.Sprintf("/v%d/", n), "idempotent", "app", 2))
