Leave no trace of refused requests in the policy

Cause: the target was chosen and the request counted as sent there before it was refused, so its parts counted as kept by that engine, and its prompt in the mean of what has to be read. Choosing and refusing are now one step, and only an admitted request counts (TestOverload).

--- a/internal/chooser/prefill.go
+++ b/internal/chooser/prefill.go
@@ -181,8 +181,8 @@
 	t.node.slowness = t.node.slowness.with(now, now.Sub(t.sent), t.plain)
 }
 
-// Went records a further event of an answer.
-func (p *Prefill) Went(now time.Time, t *Ticket) {
+// Progressed records a further event of an answer.
+func (p *Prefill) Progressed(now time.Time, t *Ticket) {
 	t.node.pace = t.node.pace.with(now, now.Sub(t.last))
 	t.last = now
 }
--- a/internal/chooser/stream_test.go
+++ b/internal/chooser/stream_test.go
@@ -166,7 +166,7 @@
 type placement interface {
 	place(router int, now time.Time, r Prompt) (engine int, t *Ticket, after time.Duration, ok bool)
 	began(router int, now time.Time, engine int, t *Ticket, l Load)
-	went(router int, now time.Time, t *Ticket)
+	progressed(router int, now time.Time, t *Ticket)
 	done(router int, t *Ticket)
 }
 
@@ -231,7 +231,7 @@
 		s.first, s.last = e.clock, e.clock
 		y.place.began(s.router, e.clock, i, s.ticket, Load{Running: len(e.active), Waiting: len(e.waiting), Slots: engineSlots, At: e.clock})
 	} else {
-		y.place.went(s.router, e.clock, s.ticket)
+		y.place.progressed(s.router, e.clock, s.ticket)
 	}
 	s.pause, s.last = max(s.pause, e.clock.Sub(s.last)), e.clock
 	if !s.ended {
@@ -363,7 +363,9 @@
 	p.routers[router].Reported(p.nodes[engine].Name, l)
 }
 
-func (p *fourRouters) went(router int, now time.Time, t *Ticket) { p.routers[router].Went(now, t) }
+func (p *fourRouters) progressed(router int, now time.Time, t *Ticket) {
+	p.routers[router].Progressed(now, t)
+}
 
 func (p *fourRouters) done(router int, t *Ticket) { p.routers[router].Done(t) }
 
@@ -393,7 +395,7 @@
 	p.loads[router][engine] = l.Running + l.Waiting
 }
 
-func (*byLoad) went(int, time.Time, *Ticket) {}
+func (*byLoad) progressed(int, time.Time, *Ticket) {}
 
 func (*byLoad) done(int, *Ticket) {}
 
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -105,7 +105,7 @@
 				return result{outcome: retrier.Interrupted, err: errors.New("stream goes on at event " + id + " after " + j.stream.last)}
 			}
 		} else {
-			j.r.dispatch.Went(time.Now(), lane)
+			j.r.dispatch.Progressed(time.Now(), lane)
 		}
 		if !j.stream.started {
 			j.begin(a)
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -38,19 +38,18 @@
 			j.expire()
 			return
 		}
-		prompt := j.prompt(left)
-		lane, ok := j.r.dispatch.Choose(time.Now(), j.service, prompt, j.tried)
-		if !ok {
+		lane, err := j.r.dispatch.Choose(time.Now(), j.service, j.prompt(left), j.tried, j.sends == 0)
+		var full overload
+		switch {
+		case errors.As(err, &full):
+			j.last = lane
+			j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(full.after, comeBack), left/3)))
+			return
+		case err != nil:
 			j.giveUp(NoTargets, j.out.detail)
 			return
 		}
 		j.last = lane
-		if j.service.Engine != nil && j.sends == 0 {
-			if after, ok := j.r.dispatch.Admit(prompt, lane); !ok {
-				j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(after, comeBack), left/3)))
-				return
-			}
-		}
 		j.tried = append(j.tried, lane.Target.ID)
 		res := j.attempt(ctx, lane)
 		verdict := j.conclude(lane, res, account)
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -1,6 +1,8 @@
 package receiver
 
 import (
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -84,8 +86,17 @@
 	d.retries.Begin(account)
 }
 
-// Choose selects a target that has not been tried. It reports false if there is none.
-func (d *Dispatch) Choose(now time.Time, service *resolver.Service, p chooser.Prompt, tried []string) (Lane, bool) {
+var errNoTargets = errors.New("no target is left")
+
+// overload is the refusal of a request that no target can answer in time.
+type overload struct{ after time.Duration } // until there may be room
+
+func (o overload) Error() string { return fmt.Sprintf("no room for %v", o.after) }
+
+// Choose selects a target that has not been tried, and counts the request as sent
+// there. If it has not been sent before, it is refused with an overload where that
+// is better for callers; the lane then tells what decided it.
+func (d *Dispatch) Choose(now time.Time, service *resolver.Service, p chooser.Prompt, tried []string, first bool) (Lane, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := d.list(service)
@@ -98,11 +109,17 @@
 		pick, ok = d.policy.Choose(now, p, n.list)
 	}
 	if !ok {
-		return Lane{}, false
+		return Lane{}, errNoTargets
 	}
-	t := n.targets[pick.Index]
-	d.retries.Admit(now, t.ID)
-	return Lane{Target: t, Pick: pick, Chosen: now, ticket: d.policy.Sent(now, t.ID, p, pick)}, true
+	lane := Lane{Target: n.targets[pick.Index], Pick: pick, Chosen: now}
+	if service.Engine != nil && first {
+		if after, ok := d.policy.Admit(p, pick); !ok {
+			return lane, overload{after}
+		}
+	}
+	d.retries.Admit(now, lane.Target.ID)
+	lane.ticket = d.policy.Sent(now, lane.Target.ID, p, pick)
+	return lane, nil
 }
 
 // list returns the ready targets of a service. The caller holds the lock.
@@ -127,18 +144,6 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// Admit reports whether a request is worth sending on its lane. If not, the
-// request on the lane ends, and it returns after what time there may be room.
-func (d *Dispatch) Admit(p chooser.Prompt, l Lane) (after time.Duration, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if after, ok = d.policy.Admit(p, l.Pick); !ok {
-		d.policy.Done(l.ticket)
-		d.retries.Cancelled(l.Target.ID)
-	}
-	return after, ok
-}
-
 // Began records the first event of an answer.
 func (d *Dispatch) Began(now time.Time, l Lane) {
 	d.mu.Lock()
@@ -146,11 +151,11 @@
 	d.policy.Began(now, l.ticket)
 }
 
-// Went records a further event of an answer.
-func (d *Dispatch) Went(now time.Time, l Lane) {
+// Progressed records a further event of an answer.
+func (d *Dispatch) Progressed(now time.Time, l Lane) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.policy.Went(now, l.ticket)
+	d.policy.Progressed(now, l.ticket)
 }
 
 // Reported records the load that an answer tells.
