Use one function for key=value details, drop what the change made dead

The story from a log formatted its fields by a copy of what the timeline had; both now call pairs, which also quotes values with an equals sign, as the copy did. The loop around the entry's select ended when reloading moved out of it. The sums checked the cause of requests whose budget was refused, which can only be a refusal for tokens. The pause and load of an engine are taken for the chosen one, not for each that was looked at. Names of settings that need a restart are a text, not an error. Checked by the tests of the four packages, unchanged; decisions are the same.

--- a/internal/analyzer/sums.go
+++ b/internal/analyzer/sums.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"daisylane/internal/granter"
-	"daisylane/internal/receiver"
 )
 
 // Sums counts how requests ended. A refusal for tokens is unfounded if what the
@@ -67,7 +66,7 @@
 		a.Refused++
 		room := r.Prepaid - used(list, r.end)
 		a.Withheld = max(a.Withheld, room-max(0, r.Left))
-		if room >= r.Asked && tokens(r.Outcome) {
+		if room >= r.Asked {
 			a.Unfounded++
 			s.Causes[s.index(r)].Unfounded++
 		}
@@ -90,12 +89,3 @@
 	}
 	return sum
 }
-
-// tokens reports whether a cause is a refusal for tokens.
-func tokens(c receiver.Cause) bool {
-	switch c {
-	case receiver.Exhausted, receiver.TokensShort, receiver.TokensLimited, receiver.TokensUnready:
-		return true
-	}
-	return false
-}
--- a/internal/chooser/prefill.go
+++ b/internal/chooser/prefill.go
@@ -141,12 +141,15 @@
 			e.drained = now
 		}
 		pick.Standing = now.Sub(e.drained)
-		pick.Pause, pick.Load = e.pace.at(now), e.report
 		price := pick.Wait + missPenalty*readTime(float64(sharedTokens(r.Parts)-cached))
 		if !found || price < cost {
 			best, cost, found = pick, price, true
 		}
 	}
+	if found {
+		e := p.engine(nodes[best.Index].Name)
+		best.Pause, best.Load = e.pace.at(now), e.report
+	}
 	return best, found
 }
 
--- a/internal/operator/explain_log.go
+++ b/internal/operator/explain_log.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"io"
 	"os"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"daisylane/internal/analyzer"
@@ -52,25 +50,11 @@
 	line(w, "%s\n", s.Summary)
 	var rows [][]string
 	for _, e := range s.Events {
-		rows = append(rows, []string{"-" + e.Before.Round(time.Millisecond).String(), cmp.Or(e.Instance, "-"), e.Msg, cmp.Or(fields(e.Fields), "-")})
+		rows = append(rows, []string{"-" + e.Before.Round(time.Millisecond).String(), cmp.Or(e.Instance, "-"), e.Msg, cmp.Or(pairs(e.Fields), "-")})
 	}
 	printTable(w, "BEFORE INSTANCE EVENT DETAILS", rows)
 }
 
-// fields returns fields as key=value in order of their keys.
-func fields(m map[string]any) string {
-	var list []string
-	for k, v := range m {
-		text := fmt.Sprint(v)
-		if strings.ContainsAny(text, " \t\"=") {
-			text = strconv.Quote(text)
-		}
-		list = append(list, k+"="+text)
-	}
-	slices.Sort(list)
-	return strings.Join(list, " ")
-}
-
 func printSums(w io.Writer, s analyzer.Sums) {
 	line(w, "%d requests, %d lines without an event\n", s.Requests, s.Skipped)
 	var rows [][]string
--- a/internal/operator/timeline.go
+++ b/internal/operator/timeline.go
@@ -94,12 +94,12 @@
 	return e
 }
 
-// details returns the details as key=value in order of their keys.
-func (e event) details() string {
+// pairs returns details as key=value in order of their keys.
+func pairs(details map[string]any) string {
 	var list []string
-	for _, key := range slices.Sorted(maps.Keys(e.Details)) {
-		value := fmt.Sprint(e.Details[key])
-		if strings.ContainsAny(value, " \t\n\"") {
+	for _, key := range slices.Sorted(maps.Keys(details)) {
+		value := fmt.Sprint(details[key])
+		if strings.ContainsAny(value, " \t\n\"=") {
 			value = fmt.Sprintf("%q", value)
 		}
 		list = append(list, key+"="+value)
--- a/internal/operator/timeline_print.go
+++ b/internal/operator/timeline_print.go
@@ -44,7 +44,7 @@
 	for _, e := range t.events {
 		offset := e.Time.Sub(t.events[0].Time).Round(offsetPrecision)
 		rows = append(rows, []string{
-			"+" + offset.String(), e.process, cmp.Or(e.Step, "-"), cmp.Or(e.Decision, "-"), e.because(), cmp.Or(e.details(), "-"),
+			"+" + offset.String(), e.process, cmp.Or(e.Step, "-"), cmp.Or(e.Decision, "-"), e.because(), cmp.Or(pairs(e.Details), "-"),
 		})
 	}
 	printTable(w, "OFFSET PROCESS STEP DECISION REASON DETAILS", rows)
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -34,7 +34,7 @@
 	gcPercent   = 300
 	memoryShare = 0.7 // of the instance's memory that the heap may fill before it is collected more often
 
-	tickTime      = 250 * time.Millisecond  // connections, lapsed targets, settings
+	tickTime      = 250 * time.Millisecond  // connections, lapsed targets, relays
 	retryPart     = 0.6                     // of the common retry budget that the instances use; the rest covers restarts and the sliding window
 	noticeTime    = 2500 * time.Millisecond // until the balancer has seen two failed probes of an instance that stops
 	endMargin     = 700 * time.Millisecond  // of the grace period, kept for the last writes
@@ -111,13 +111,11 @@
 	go follower.New(e.store, platform.KindRunners, &rosterHandler{e: e}).Run(work)
 	go e.tick(work)
 	go e.followSettings(work, reload)
-	for {
-		select {
-		case <-ctx.Done():
-			return e.stop(cancel)
-		case err := <-failed:
-			return err
-		}
+	select {
+	case <-ctx.Done():
+		return e.stop(cancel)
+	case err := <-failed:
+		return err
 	}
 }
 
--- a/internal/starter/reload.go
+++ b/internal/starter/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -71,8 +70,8 @@
 	former := e.settings.Swap(&cfg)
 	e.apply(cfg)
 	line := e.log.Info()
-	if fixed := fixedChanges(*former, cfg); fixed != nil {
-		line = e.log.Warn().Str("restart_needed_for", fixed.Error())
+	if fixed := fixedChanges(*former, cfg); fixed != "" {
+		line = e.log.Warn().Str("restart_needed_for", fixed)
 	}
 	line.Str("reason", reason).Float64("grace", cfg.Bounds.Grace).Float64("retry_share", cfg.Bounds.RetryShare).
 		Float64("retry_reserve", cfg.Bounds.RetryReserve).Int("memory", cfg.Limits.Memory).Msg("settings reloaded")
@@ -84,8 +83,8 @@
 	e.dispatch.SetRetryShare(cfg.Bounds.RetryShare * retryPart)
 }
 
-// fixedChanges names settings that differ and need a restart, or returns nil.
-func fixedChanges(old, cfg platform.Settings) error {
+// fixedChanges names settings that differ and need a restart.
+func fixedChanges(old, cfg platform.Settings) string {
 	var f checker.Faults
 	same := func(field, a, b string) { f.Require(a == b, field, "is %q, was %q", b, a) }
 	same("node_name", old.Name, cfg.Name)
@@ -98,7 +97,7 @@
 	same("port_range", fmt.Sprint(old.Ports), fmt.Sprint(cfg.Ports))
 	err := f.Err()
 	if err == nil {
-		return nil
+		return ""
 	}
-	return errors.New(strings.ReplaceAll(err.Error(), "\n", "; "))
+	return strings.ReplaceAll(err.Error(), "\n", "; ")
 }
