Name regions among the settings that need a restart

Half a change is worse than none, so both keep those of the start and the log names the setting. TestReload has the case, which fails without it.

--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -205,7 +205,7 @@
 					continue
 				}
 				addr := net.JoinHostPort(host, e.cfg.PeerPort())
-				if e.settings.Load().Regions[t.Centre] == e.cfg.Region {
+				if e.cfg.Regions[t.Centre] == e.cfg.Region {
 					near = append(near, addr)
 				} else {
 					far = append(far, addr)
--- a/internal/starter/reload.go
+++ b/internal/starter/reload.go
@@ -91,6 +91,7 @@
 	same("ip", old.Addr, cfg.Addr)
 	same("zone", old.Centre, cfg.Centre)
 	same("region", old.Region, cfg.Region)
+	same("zones", fmt.Sprint(old.Regions), fmt.Sprint(cfg.Regions))
 	same("listen.frontend", old.Listen.Callers, cfg.Listen.Callers)
 	same("listen.ready", old.Listen.Ready, cfg.Listen.Ready)
 	same("platform.address", old.Store.Addr, cfg.Store.Addr)
--- a/internal/starter/reload_test.go
+++ b/internal/starter/reload_test.go
@@ -72,6 +72,7 @@
 		{"no signal", false, func(m map[string]any) { m["bounds"].(map[string]any)["grace_s"] = 3 }, 3, `"reason":"change"`},
 		{"invalid", false, func(m map[string]any) { m["bounds"].(map[string]any)["grace_s"] = 0 }, 8, `settings refused`},
 		{"no object", false, func(m map[string]any) { m["bounds"] = "none" }, 8, `settings refused`},
+		{"regions", false, func(m map[string]any) { m["zones"] = map[string]any{"a": "r2"} }, 8, `restart_needed_for`},
 		{"fixed", false, func(m map[string]any) { m["ip"] = "127.0.0.9" }, 8, `restart_needed_for`},
 	}
 	for _, tt := range tests {
