--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,8 @@
 	$(BENCH) -bench 'Decision' -benchtime 2000x ./internal/chooser
 	$(BENCH) -bench . ./internal/watcher
 	$(BENCH) -bench 'Overhead' -benchtime 1000x ./internal/launcher
+	$(BENCH) -bench 'Path' -benchtime 2000x ./internal/receiver
+	$(BENCH) -bench 'RequestLine' ./internal/logger
 	$(BENCH) -bench 'IdleCalls' -benchtime 1x ./internal/launcher
 
 KIT ?= ../given/kit/more/system
