Follow the store again within the delay that a change may take

Cause: a watch is answered only at its end, and a watch that began shortly before a silence of the store, or during one, was noticed only after its whole wait and the timeout of a call, 4.4 to 5 s, twice the time in which a configuration has to be in force. Failed addresses were also avoided for 3 s although only one response was lost, and each idle connection that had gone silent was tried in turn.

Change: the wait of a watch follows from config_apply_ms and drain_ms. After an outage a watch returns at once until the store has answered. If every address has failed lately, the one that responded last is called.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -21,12 +21,20 @@
 )
 
 const (
-	// defaultWatchWait is how long the store holds a watch open without a change. A
-	// watch without a response is detected one second later.
-	defaultWatchWait = 4 * time.Second
-	minBackoff       = 100 * time.Millisecond
+	// maxWatchWait is the longest time that the store holds a watch open without a
+	// change.
+	maxWatchWait = 4 * time.Second
+	// minWatchWait limits the rate of watches, whatever delay is tolerated.
+	minWatchWait = time.Second
+	// resyncTime is how long it takes to notice that a watch which is over gets no
+	// response, and to read again: the timeout of a call, a pause and another call.
+	resyncTime = 1300 * time.Millisecond
+	// resyncWait is the wait of a watch after an outage. The store answers it at once,
+	// so that one that was sent while the store was still silent ends soon.
+	resyncWait = time.Millisecond
+	minBackoff = 100 * time.Millisecond
 	// maxBackoff lets the first read after an outage happen within half a second.
-	maxBackoff = 400 * time.Millisecond
+	maxBackoff = 250 * time.Millisecond
 	// minWatchInterval is the pause between watches, so that a burst of changes
 	// arrives in few responses.
 	minWatchInterval = 150 * time.Millisecond
@@ -68,12 +76,21 @@
 // Option changes a setting of a [Follower].
 type Option func(*Follower)
 
+// WatchWait returns how long a watch may wait so that a change is known within the
+// given delay although the response of the watch was lost. A delay of 0 is unlimited.
+func WatchWait(delay time.Duration) time.Duration {
+	if delay == 0 {
+		return maxWatchWait
+	}
+	return min(max(delay-resyncTime, minWatchWait), maxWatchWait)
+}
+
 // WithWait sets how long a watch waits for a change.
 func WithWait(d time.Duration) Option { return func(f *Follower) { f.watchWait = d } }
 
 // New returns a follower of the objects of a kind.
 func New(source Source, kind string, h Handler, opts ...Option) *Follower {
-	f := &Follower{source: source, kind: kind, handler: h, watchWait: defaultWatchWait}
+	f := &Follower{source: source, kind: kind, handler: h, watchWait: maxWatchWait}
 	for _, o := range opts {
 		o(f)
 	}
@@ -119,7 +136,11 @@
 }
 
 func (f *Follower) watch(ctx context.Context, after int64) (int64, error) {
-	changes, revision, err := f.source.Watch(ctx, f.kind, after, f.watchWait)
+	wait := f.watchWait
+	if f.disconnected {
+		wait = resyncWait
+	}
+	changes, revision, err := f.source.Watch(ctx, f.kind, after, wait)
 	if err != nil {
 		return after, err
 	}
--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -39,6 +39,7 @@
 	relays      []string
 	failedAt    map[string]time.Time
 	activeRelay string // relay in use while direct calls fail
+	lastGood    string // address that responded last, empty if none has
 	lastProbe   time.Time
 }
 
@@ -65,9 +66,28 @@
 			return r, p.callTimeout(now)
 		}
 	}
+	if addr := p.fallbackAddr(); addr != p.direct {
+		return addr, shortTimeout
+	}
 	return p.direct, longTimeout
 }
 
+// fallbackAddr returns the address to call when all have failed lately: the one that
+// responded last, since one lost response says little about it, or the one that failed
+// first if none has responded yet.
+func (p *Paths) fallbackAddr() string {
+	if p.lastGood == p.direct || slices.Contains(p.relays, p.lastGood) {
+		return p.lastGood
+	}
+	addr := p.direct
+	for _, r := range p.relays {
+		if p.failedAt[r].Before(p.failedAt[addr]) {
+			addr = r
+		}
+	}
+	return addr
+}
+
 // callTimeout returns the timeout of a call, which is short while a relay can be tried.
 func (p *Paths) callTimeout(now time.Time) time.Duration {
 	for _, r := range p.relays {
@@ -86,6 +106,7 @@
 // RecordSuccess records that a call got a response.
 func (p *Paths) RecordSuccess(addr string) {
 	delete(p.failedAt, addr)
+	p.lastGood = addr
 	if addr == p.direct {
 		p.activeRelay = ""
 	}
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -25,6 +25,17 @@
 			p.RecordFailure(startTime, "r1")
 			p.RecordFailure(startTime, "r2")
 		}, 0, "store", longTimeout},
+		{"all failed, a relay responded last", func(p *Paths) {
+			p.RecordFailure(startTime, "store")
+			p.RecordSuccess("r2")
+			p.RecordFailure(startTime, "r1")
+			p.RecordFailure(startTime, "r2")
+		}, 0, "r2", shortTimeout},
+		{"all failed, none has responded, a relay failed first", func(p *Paths) {
+			p.RecordFailure(startTime, "r2")
+			p.RecordFailure(startTime.Add(time.Millisecond), "store")
+			p.RecordFailure(startTime.Add(time.Millisecond), "r1")
+		}, time.Second, "r2", shortTimeout},
 		{"a relay is tried again", func(p *Paths) {
 			p.RecordFailure(startTime, "store")
 			p.RecordFailure(startTime, "r1")
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -119,8 +119,9 @@
 			failed <- err
 		}
 	}()
-	go follower.New(e.store, platform.KindConfig, &configHandler{e: e}).Run(work)
-	go follower.New(e.store, platform.KindRunners, &targetHandler{e: e}).Run(work)
+	wait := follower.WithWait(follower.WatchWait(e.cfg.ChangeDelay()))
+	go follower.New(e.store, platform.KindConfig, &configHandler{e: e}, wait).Run(work)
+	go follower.New(e.store, platform.KindRunners, &targetHandler{e: e}, wait).Run(work)
 	go e.tick(work)
 	go e.watchSettings(work, reload)
 	select {
