Bound responses without end, and end streams explicitly

Cause: the head of a response was read without a limit, so a faulty target could fill the memory of an instance until the deadline. A stream whose end the target marks by closing the connection was passed on in the same way, so a stream that this system broke off looked complete to its caller. Draining the body of a refusal could wait until the deadline.

Change: a head, with the 1xx responses before it, has at most 64 KB, an event 64 KB, the buffered part of a plain response 256 KB, a plain response 64 MB. Draining takes at most 100 ms. Streams always end with a last chunk. The clients of the store, the targets of the own interface and the peers limit heads, too.

--- a/internal/executor/engine.go
+++ b/internal/executor/engine.go
@@ -24,6 +24,7 @@
 	maxResponseBytes       = 64 << 20
 	maxEngineResponseBytes = 64 << 10
 	maxIdleConnsPerHost    = 64
+	maxHeadBytes           = 64 << 10 // of a response of the target, with the 1xx responses before it
 )
 
 var (
--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -150,6 +150,7 @@
 	t.DisableKeepAlives = singleUse
 	t.DisableCompression = true
 	t.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	t.MaxResponseHeaderBytes = maxHeadBytes
 	return &http.Client{
 		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -15,10 +15,18 @@
 const (
 	maxMismatched    = 2        // skipped responses to other requests per exchange
 	maxDiscardBytes  = 64 << 10 // body bytes read and discarded so that a connection can be reused
-	maxEventBytes    = 1 << 20  // size limit of an event
+	maxEventBytes    = 64 << 10 // size limit of an event
 	maxInformational = 8        // skipped 1xx responses
+	// maxHeadBytes limits the head of a response together with the 1xx responses before
+	// it.
+	maxHeadBytes = 64 << 10
+	// maxDrainTime limits the wait for the rest of a body that is only read to keep the
+	// connection, which costs less to open than the wait.
+	maxDrainTime = 100 * time.Millisecond
 )
 
+var errHeadTooLarge = fmt.Errorf("head of the response is over %d bytes", maxHeadBytes)
+
 // ErrMismatchedResponse means that the connection returned responses to other requests.
 var ErrMismatchedResponse = errors.New("responses belong to other requests")
 
@@ -102,6 +110,8 @@
 
 // readResponseHead reads the head of the next response, skipping 1xx responses.
 func (c *conn) readResponseHead(method string) (*http.Response, error) {
+	c.in.limit(maxHeadBytes)
+	defer c.in.limit(unlimited)
 	for range maxInformational {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
@@ -231,8 +241,11 @@
 }
 
 // Drain reads and discards the rest of the body so that the connection can be reused.
-// It fails if 64 KiB or more are left.
+// It fails if 64 KiB or more are left, or if they take too long to arrive. Close the
+// response after an error.
 func (a *Response) Drain() error {
+	timer := time.AfterFunc(maxDrainTime, func() { _ = a.conn.SetReadDeadline(time.Unix(1, 0)) })
+	defer timer.Stop()
 	n, err := io.Copy(io.Discard, io.LimitReader(readerFunc(a.Read), maxDiscardBytes))
 	if err != nil {
 		return fmt.Errorf("drain response: %w", err)
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -45,6 +46,7 @@
 
 type conn struct {
 	net.Conn
+	in       *limitedReader // read by br
 	raw      syscall.RawConn
 	br       *bufio.Reader
 	addr     string
@@ -52,6 +54,31 @@
 	expires  time.Time // the connection is not reused after this time
 }
 
+// unlimited is no limit of a [limitedReader].
+const unlimited = -1
+
+// limitedReader is a reader whose limit can change.
+type limitedReader struct {
+	r    io.Reader
+	left int64 // bytes that may be read, or unlimited
+}
+
+// limit sets how many more bytes may be read.
+func (l *limitedReader) limit(n int64) { l.left = n }
+
+// Read implements [io.Reader].
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if l.left == unlimited {
+		return l.r.Read(b)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // New returns a pool. requestID returns the request id from the headers of a response.
 func New(requestID func(http.Header) string) *Pool {
 	p := &Pool{requestID: requestID, idle: make(map[string][]*conn)}
@@ -142,7 +169,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, addr, err)
 	}
-	c := &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), addr: addr}
+	in := &limitedReader{r: nc, left: unlimited}
+	c := &conn{Conn: nc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), addr: addr}
 	if sc, ok := nc.(syscall.Conn); ok {
 		if c.raw, err = sc.SyscallConn(); err != nil {
 			_ = nc.Close()
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -112,7 +112,7 @@
 func NewClient() *Client {
 	d := net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerPeer, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerPeer, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxBodyBytes,
 	}}}
 }
 
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -18,7 +19,10 @@
 	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
 }
 
-var errNoSeal = errors.New("response of the target has no seal")
+var (
+	errNoSeal           = errors.New("response of the target has no seal")
+	errResponseTooLarge = fmt.Errorf("response of the target is over %d bytes", maxResponseBytes)
+)
 
 // streamState is the state of a streamed response over all attempts.
 type streamState struct {
@@ -62,7 +66,7 @@
 	j.w.WriteHeader(response.Status)
 	_, err = j.w.Write(body)
 	if err == nil && bufferFull {
-		_, err = io.Copy(j.w, response)
+		err = copyRest(j.w, response)
 	}
 	if err != nil {
 		j.summary.failure = err
@@ -76,6 +80,15 @@
 	return attemptResult{outcome: outcome, done: true, status: response.Status}
 }
 
+// copyRest copies the part of a response that was not buffered, up to the limit.
+func copyRest(w io.Writer, response io.Reader) error {
+	n, err := io.Copy(w, io.LimitReader(response, maxResponseBytes))
+	if err == nil && n == maxResponseBytes {
+		return errResponseTooLarge
+	}
+	return err
+}
+
 // mayRetry reports whether a failed request may be retried at another target.
 func (j *job) mayRetry() bool { return j.route.Retryable() && j.sends < j.route.MaxAttempts }
 
@@ -125,15 +138,13 @@
 }
 
 // startStream writes the response header of a stream. Later attempts that resume the
-// stream keep the header of the first target.
+// stream keep the header of the first target. The body is always sent in chunks: if it
+// ended with the connection, as it may at the target, a stream that is broken off would
+// look complete.
 func (j *job) startStream(response *forwarder.Response) {
 	j.stream.started = true
 	j.summary.status, j.summary.firstByteAt = response.Status, time.Now()
 	j.copyHeader(response.Header)
-	if !response.Delimited() {
-		// As in the response of the target, the end of the connection ends the body.
-		j.w.Header().Set("Transfer-Encoding", "identity")
-	}
 	j.w.WriteHeader(response.Status)
 }
 
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -26,7 +26,9 @@
 	// Limit of a request body if the configuration sets none.
 	maxBodyBytes = 4 << 20
 	// Part of a plain response that is buffered and checked before delivery.
-	maxBufferedBytes = 1 << 20
+	maxBufferedBytes = 256 << 10
+	// Limit of a plain response. A longer one is taken for a faulty target.
+	maxResponseBytes = 64 << 20
 	// Limit of the targets that one request tries to reach without success.
 	maxDials = 4
 	// Age from which the configuration counts as out of date. An unknown route or key
@@ -84,10 +86,12 @@
 // ResponseMeta holds the decoded headers of a response.
 type ResponseMeta struct {
 	ID             string
-	Sealed         bool  // the target confirms the response with a seal
-	NotRun         bool  // the target did not run the request
-	TargetReplaced bool  // the address now belongs to another target
-	Load           *Load // nil: none
+	Sealed         bool          // the target confirms the response with a seal
+	NotRun         bool          // the target did not run the request
+	TargetReplaced bool          // the address now belongs to another target
+	Leaving        bool          // the process that sent the response is leaving
+	Pause          time.Duration // how long the target wants no further request, 0: not said
+	Load           *Load         // nil: none
 }
 
 // Codec decodes and encodes the headers of requests and responses.
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -15,6 +15,7 @@
 const (
 	defaultTimeout      = 2 * time.Second
 	maxIdleConnsPerHost = 16
+	maxHeadBytes        = 64 << 10 // of a response, with the 1xx responses before it
 )
 
 // Client calls the platform. It is safe for concurrent use.
@@ -52,6 +53,7 @@
 func New(url string, opts ...Option) *Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	t.MaxResponseHeaderBytes = maxHeadBytes
 	t.Proxy = nil
 	c := &Client{
 		baseURL: strings.TrimSuffix(url, "/"),
