Stop sending to targets that say they leave or ask for a pause

Cause: a target was known to leave only from its registration, and its removal was forgotten when an older list named it again. A Retry-After of a target was ignored.

Change: a response that says the target leaves, of any status, marks its incarnation for good; a 421 marks the other targets at the address. A 503 with Retry-After keeps requests away from the target for that time, at most a minute, also as a retry, a trial or the last target left. Callers whose targets are all paused are told when the first pause ends.

--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -11,6 +11,10 @@
 // is available again.
 const missingGrace = 2200 * time.Millisecond
 
+// maxDeparted limits the incarnations that are remembered as leaving after they have
+// left the list.
+const maxDeparted = 4096
+
 // Target is one incarnation of a process that serves the requests of a service.
 type Target struct {
 	ID          string // the ID that the target sends in its responses
@@ -32,6 +36,7 @@
 type Roster struct {
 	targets       map[string]Target
 	missing       map[string]time.Time // when use of a target that is missing from the list ends, by ID
+	departed      map[string]Target    // the last incarnation of each ID that was leaving, also after its removal
 	ready         map[string][]Target  // by service, sorted by ID; derived from targets, nil if outdated
 	reconnectedAt time.Time            // when the last outage of the store ended
 	version       int64                // incremented by each change of the targets
@@ -39,7 +44,7 @@
 
 // NewRoster returns an empty view.
 func NewRoster() *Roster {
-	return &Roster{targets: make(map[string]Target), missing: make(map[string]time.Time)}
+	return &Roster{targets: make(map[string]Target), missing: make(map[string]time.Time), departed: make(map[string]Target)}
 }
 
 // Version returns a number that increases with each change of the targets.
@@ -70,13 +75,54 @@
 // Put adds or replaces one target.
 func (r *Roster) Put(t Target) {
 	delete(r.missing, t.ID)
-	if old, ok := r.targets[t.ID]; ok && old.SameIncarnation(t) && old.Leaving {
+	if old, ok := r.departed[t.ID]; ok && old.SameIncarnation(t) {
 		t.Leaving = true // an incarnation that is leaving cannot become active again
 	}
 	r.targets[t.ID] = t
+	if t.Leaving {
+		r.recordDeparture(t)
+	}
 	r.changed()
 }
 
+// MarkLeaving records that a target says itself that it is leaving, which may be long
+// before its registration does. It reports whether this is news.
+func (r *Roster) MarkLeaving(id string) bool {
+	t, ok := r.targets[id]
+	if !ok || t.Leaving {
+		return false
+	}
+	t.Leaving = true
+	r.Put(t)
+	return true
+}
+
+// MarkAddrLeaving does the same for the targets at an address, except for one that no
+// longer has it. It returns the IDs of those that were not known to leave.
+func (r *Roster) MarkAddrLeaving(addr, except string) []string {
+	var marked []string
+	for id, t := range r.targets {
+		if t.Addr == addr && id != except && r.MarkLeaving(id) {
+			marked = append(marked, id)
+		}
+	}
+	return marked
+}
+
+// recordDeparture remembers a leaving incarnation.
+func (r *Roster) recordDeparture(t Target) {
+	r.departed[t.ID] = t
+	if len(r.departed) <= maxDeparted {
+		return
+	}
+	for id := range r.departed {
+		if _, listed := r.targets[id]; !listed {
+			delete(r.departed, id)
+			return
+		}
+	}
+}
+
 // Remove drops a target that is no longer in the list. Within missingGrace after an
 // outage it only marks the target as missing, because the registration of a live target
 // may have expired during the outage.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -41,11 +42,16 @@
 		}
 		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.prefillRequest(left), j.tried, j.sends == 0)
 		var overloaded overloadError
+		var paused pausedError
 		switch {
 		case errors.As(err, &overloaded):
 			j.lastTarget = chosen
 			j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(overloaded.retryAfter, meanRetryDelay), left/3)))
 			return
+		case errors.As(err, &paused) && !j.summary.mayHaveRun:
+			// Also if this is later than the caller can wait: no earlier attempt helps.
+			j.refuse(http.StatusServiceUnavailable, Paused, paused.resumesIn+rand.N(meanRetryDelay))
+			return
 		case err != nil:
 			j.fail(NoTargets, j.summary.failure)
 			return
@@ -120,7 +126,7 @@
 	}
 	defer response.Close()
 	meta := j.r.codec.DecodeResponse(response.Status, response.Header)
-	j.r.dispatcher.RecordLoad(time.Now(), chosen.Target.ID, meta.Load)
+	j.recordResponse(chosen.Target, meta)
 	if meta.TargetReplaced {
 		j.dials++
 	} else {
@@ -137,6 +143,16 @@
 	return j.deliverPlain(response, chosen, meta)
 }
 
+// recordResponse passes on what the head of a response says about its target.
+func (j *job) recordResponse(t follower.Target, meta ResponseMeta) {
+	for _, id := range j.r.dispatcher.RecordResponse(time.Now(), t, meta) {
+		j.r.log.Info().Str("id", j.meta.ID).Str("target", id).Str("addr", t.Addr).Msg("target says that it is leaving")
+	}
+	if meta.Pause > 0 {
+		j.r.log.Info().Str("id", j.meta.ID).Str("target", t.ID).Dur("pause", meta.Pause).Msg("target asks for a pause")
+	}
+}
+
 // firstByteTimeout returns the time after which a retryable request is retried at
 // another target if the response has not started, or 0 for no timeout.
 func (j *job) firstByteTimeout() time.Duration {
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -27,6 +27,7 @@
 	NoTargets          Cause = "notargets"
 	Overloaded         Cause = "overloaded"
 	Busy               Cause = "busy"
+	Paused             Cause = "paused"
 	Refused            Cause = "refused"
 	Unreachable        Cause = "unreachable"
 	NoAnswer           Cause = "noanswer"
@@ -58,6 +59,7 @@
 	NoTargets:          "was refused, because no target of the service was left to try",
 	Overloaded:         "was refused, because the best target was expected to answer too late",
 	Busy:               "was refused, because the targets were full",
+	Paused:             "was refused, because each target left to try had asked for a pause",
 	Refused:            "was refused, because the targets did not run it",
 	Unreachable:        "was refused, because no target could be reached",
 	NoAnswer:           "failed, because the target did not answer and the request may not run again",
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,6 +99,13 @@
 	return fmt.Sprintf("targets overloaded; capacity expected in %v", e.retryAfter)
 }
 
+// pausedError means that each target left to try has asked for a pause.
+type pausedError struct{ resumesIn time.Duration }
+
+func (e pausedError) Error() string {
+	return fmt.Sprintf("targets have asked for a pause that ends in %v", e.resumesIn)
+}
+
 // Choose selects a target that has not been tried and records the request as sent
 // to it. It may refuse the first attempt of a request to an engine with an
 // overloadError, see [chooser.PrefillPolicy.Admit]; the returned target is then the
@@ -106,17 +114,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := d.readyNodes(service)
-	d.exclude = d.retries.AppendBlocked(append(d.exclude[:0], tried...), now)
+	unavailable := d.retries.AppendPaused(append(d.exclude[:0], tried...), now)
+	d.exclude = d.retries.AppendBlocked(unavailable, now)
 	p.Exclude = d.exclude
 	choice, ok := d.policy.Choose(now, p, n.list)
-	if !ok && len(d.exclude) > len(tried) {
+	if !ok && len(d.exclude) > len(unavailable) {
 		// The circuit breakers of all remaining targets are open. A target that failed
 		// recently is better than none.
-		p.Exclude = tried
+		p.Exclude = unavailable
 		choice, ok = d.policy.Choose(now, p, n.list)
 	}
 	if !ok {
-		return ChosenTarget{}, errNoTargets
+		return ChosenTarget{}, d.noTargetError(now, n.targets, tried)
 	}
 	chosen := ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}
 	if service.Engine != nil && first {
@@ -129,6 +138,41 @@
 	return chosen, nil
 }
 
+// noTargetError returns the reason why no target is left. The caller must hold the
+// lock.
+func (d *Dispatcher) noTargetError(now time.Time, ready []follower.Target, tried []string) error {
+	var resumesIn time.Duration
+	for _, t := range ready {
+		if left := d.retries.PauseLeft(now, t.ID); left > 0 && (resumesIn == 0 || left < resumesIn) && !slices.Contains(tried, t.ID) {
+			resumesIn = left
+		}
+	}
+	if resumesIn > 0 {
+		return pausedError{resumesIn}
+	}
+	return errNoTargets
+}
+
+// RecordResponse records what the head of a response says about the targets at its
+// address. It returns the IDs of targets that are now known to leave.
+func (d *Dispatcher) RecordResponse(now time.Time, t follower.Target, m ResponseMeta) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m.Load != nil {
+		d.policy.RecordLoad(t.ID, chooser.Load{Running: m.Load.Running, Waiting: m.Load.Waiting, Slots: m.Load.Slots, At: now})
+	}
+	if m.Pause > 0 {
+		d.retries.Pause(now, t.ID, m.Pause)
+	}
+	switch {
+	case m.Leaving && m.TargetReplaced:
+		return d.roster.MarkAddrLeaving(t.Addr, t.ID)
+	case m.Leaving && d.roster.MarkLeaving(t.ID):
+		return []string{t.ID}
+	}
+	return nil
+}
+
 // readyNodes returns the ready targets of a service. The caller must hold the lock.
 func (d *Dispatcher) readyNodes(service *resolver.Service) serviceNodes {
 	ready := d.roster.Ready(service.Name)
@@ -165,16 +209,6 @@
 	d.policy.RecordEvent(now, t.inFlight)
 }
 
-// RecordLoad records the load report of a response. Without one, it does nothing.
-func (d *Dispatcher) RecordLoad(now time.Time, id string, l *Load) {
-	if l == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.policy.RecordLoad(id, chooser.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, At: now})
-}
-
 // FinishAttempt ends an attempt and decides about a retry. A nil attempt leaves the
 // circuit breaker of the target unchanged, for example because the caller has
 // disconnected.
