Raise the grants of homes ahead and confirm them through any peer

Cause: with a store that tells its era, a grant is used only after peers have confirmed it, and requests waited for that. A peer that had not lent tokens was not asked to confirm either, so a home cut off from one peer could stand still for 2 s.

Change: a home raises its grant when half of its fair share is left. Peers that failed lately are asked last instead of not at all; a lender may take 220 ms.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -59,10 +59,10 @@
 	// so that a slow one does not delay it.
 	extraWitnesses = 1
 	// confirmTimeout is three round trips between regions.
-	confirmTimeout = 150 * time.Millisecond
+	confirmTimeout = 400 * time.Millisecond
 	// lendTimeout is how long a lender may wait for more tokens. It covers a ledger
 	// write and a budget write.
-	lendTimeout = 150 * time.Millisecond
+	lendTimeout = 220 * time.Millisecond
 	// maxBorrowRounds is how often one request asks other instances with unused tokens,
 	// each time according to the newest known grants.
 	maxBorrowRounds = 3
@@ -238,6 +238,11 @@
 	a.syncEra()
 	now := a.clock()
 	a.state.AddGrantDemand(now, l.Account, l.Need)
+	defer func() {
+		if a.state.RunsLow(a.clock(), l.Account) {
+			sendSignal(a.budgetsSignal)
+		}
+	}()
 	n := max(l.Minimum, min(l.Requested, a.state.LendableTokens(l.Account, l.Need)))
 	return a.takeOrWait(ctx, l.Account, n, now+lendTimeout, a.state.Lend, func() {})
 }
--- a/internal/accountant/eras.go
+++ b/internal/accountant/eras.go
@@ -1,7 +1,9 @@
 package accountant
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -92,12 +94,11 @@
 	a.mu.Lock()
 	now := a.clock()
 	needed := a.state.WitnessesNeeded(now)
-	var peers []granter.Lender
-	for _, p := range a.state.Witnesses(n.Account) {
-		if now >= a.peerBackoffUntil[p.Name] && len(peers) < needed+extraWitnesses {
-			peers = append(peers, p)
-		}
-	}
+	peers := a.state.Witnesses(n.Account)
+	slices.SortStableFunc(peers, func(p, q granter.Lender) int {
+		return cmp.Compare(max(now, a.peerBackoffUntil[p.Name]), max(now, a.peerBackoffUntil[q.Name]))
+	})
+	peers = peers[:min(len(peers), needed+extraWitnesses)]
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -335,3 +335,28 @@
 		t.Error("budget cannot be composed because of instances that were long gone")
 	}
 }
+
+// Guards against requests that wait at the home for a grant that others have to confirm
+// first, although it was clear that the tokens would be needed.
+func TestHomeRaisesAhead(t *testing.T) {
+	f := newFleet(t, 4)
+	home := f.home()
+	g := f.granters[home]
+	for range 20 {
+		f.pass(100 * time.Millisecond)
+		g.AddGrantDemand(f.now, "rider-app", 2000)
+	}
+	f.raise(home, 2000)
+	f.note(home, "entry-0", "entry-1", "entry-2", "entry-3")
+	f.confirm(home)
+	if g.RunsLow(f.now, "rider-app") {
+		t.Fatal("grant runs low right after it was raised")
+	}
+	a := g.account("rider-app")
+	if !f.use(home, (a.granted-a.used())*7/10) {
+		t.Fatal("the grant cannot be used")
+	}
+	if !g.RunsLow(f.now, "rider-app") || !slices.Contains(g.BudgetsDue(f.now, false), "rider-app") {
+		t.Error("grant is not raised before requests wait for it")
+	}
+}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -204,12 +204,29 @@
 	switch {
 	case next.Wanted > grant.Wanted, ungranted < 0 && next.Granted < a.granted:
 		return true
+	case g.runsLow(now, name, a) && next.Granted > a.granted:
+		return true
 	case a.waitingForGrant > 0 && next.Granted > a.granted, g.stopping && next.Granted < a.granted:
 		return true
 	}
 	return a.budget.wanted(g.name) > max(0, ungranted) && next.Granted < a.granted
 }
 
+// RunsLow reports whether the grant of an account should be raised ahead.
+func (g *Granter) RunsLow(now time.Duration, name string) bool {
+	a := g.account(name)
+	return a.fenced && a.prepaid >= 0 && g.runsLow(now, name, a)
+}
+
+// runsLow reports whether a grant should be raised before requests wait for it, because
+// others have to confirm it first.
+func (g *Granter) runsLow(now time.Duration, name string, a *account) bool {
+	if g.era.number == 0 || g.stopping || !g.isHome(name) {
+		return false
+	}
+	return float64(a.granted-a.used()) < lowGrantShare*float64(g.fairShare(now, name, a))
+}
+
 // budgetStale reports whether the published figures differ from the current ones
 // by more than the stale threshold.
 func (g *Granter) budgetStale(now time.Duration, name string, a *account) bool {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -50,6 +50,8 @@
 	// long. A longer horizon loses more tokens in power failures than it saves
 	// requests in store outages.
 	grantHorizon = 1500 * time.Millisecond
+	// lowGrantShare is the share of the fair grant below which a home raises its grant.
+	lowGrantShare = 0.5
 	// grantStdDevs is how many standard deviations above the mean demand a grant covers.
 	grantStdDevs = 0.5
 	// limitHorizon is the demand that a ledger limit covers; see [LedgerInterval].
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -39,7 +39,7 @@
 	dialTimeout = 150 * time.Millisecond
 	// callTimeout is a dial, a round trip and the time that the lender itself waits
 	// for tokens.
-	callTimeout      = 300 * time.Millisecond
+	callTimeout      = 380 * time.Millisecond
 	maxBodyBytes     = 4 << 10
 	idleConnsPerPeer = 4
 	idleConnTimeout  = 20 * time.Second
