Write off what nobody can account for, so that an account can be used again

Cause: if too many instances were lost with the latest state of the store, the budgets were never composed, and not even tokens that are prepaid later could be used.

Change: after 10 s all tokens that nobody can account for count as spent. A composing instance without memory claims no grant of its own.

--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -10,7 +10,10 @@
 const unbounded = math.MaxInt64 / 4
 
 // SetPrepaid sets the prepaid tokens of an account; negative means unlimited.
-func (g *Granter) SetPrepaid(name string, tokens int64) { g.account(name).prepaid = tokens }
+func (g *Granter) SetPrepaid(name string, tokens int64) {
+	a := g.account(name)
+	a.prepaid, a.maxPrepaid = tokens, max(a.maxPrepaid, tokens)
+}
 
 // SetConfigVersion sets the version of the configuration in force.
 func (g *Granter) SetConfigVersion(version int64) { g.configVersion = version }
@@ -257,7 +260,12 @@
 func (g *Granter) PlanBudget(now time.Duration, name string) (Budget, uint64) {
 	a := g.account(name)
 	if a.version == 0 && g.era.number > 0 {
-		a.budget = g.compose(name).WithGrant(g.name, a.budget.Grants[g.name])
+		own := a.budget.Grants[g.name]
+		own.Granted = a.granted
+		a.budget = g.compose(name).WithGrant(g.name, own)
+		if g.era.writeOff {
+			a.budget = a.budget.withWriteOff(a.maxPrepaid)
+		}
 	}
 	return a.budget.WithGrant(g.name, g.planGrant(now, name, a)), a.version
 }
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -23,7 +23,9 @@
 // of these grants. Until then nothing is granted, but each instance may spend what it
 // has. For an instance that does not respond, the others record what they remember.
 // This is enough because a grant is used only after other instances have confirmed
-// that they know it, see [Granter.WitnessesNeeded].
+// that they know it, see [Granter.WitnessesNeeded]. If too many are lost for that, all
+// tokens that nobody can account for are written off; what is prepaid later can be
+// used.
 
 const (
 	// testimonyDelay is how long instances may take to write their first ledger of an
@@ -36,6 +38,11 @@
 	// may not have read its first ledger yet. It is several times the interval at which
 	// ledgers are read.
 	newcomerTime = 15 * time.Second
+	// writeOffDelay is how long instances may take to tell of their grants before all
+	// tokens that nobody can account for count as spent. It covers most cuts and freezes.
+	writeOffDelay = 10 * time.Second
+	// writtenOff is the entry of these tokens in a budget. It is no name of an instance.
+	writtenOff = "(written off)"
 )
 
 // Memory is what a process knows of the eras before its current one.
@@ -102,6 +109,7 @@
 	sightings map[string]sighting
 	lastRead  time.Duration // of the ledgers
 	complete  bool          // the budgets of the era can be composed
+	writeOff  bool          // and count what nobody can account for as spent
 	// composedAt is when this process found all budgets of the era composed, 0: not yet.
 	// From then on it knows the grants of an instance that does not write.
 	composedAt time.Duration
@@ -225,7 +233,9 @@
 			g.era.sightings[name] = sighting{l.Incarnation, l.Number, changed}
 		}
 	}
-	g.era.complete = g.canCompose()
+	known := g.canCompose()
+	g.era.writeOff = !known && now-max(g.era.began, g.startedAt) >= writeOffDelay
+	g.era.complete = known || g.era.writeOff
 	g.checkComposed(now)
 }
 
@@ -286,7 +296,7 @@
 	}
 	lost := 0
 	for name := range missing {
-		if !g.isIdle(name) {
+		if name != writtenOff && !g.isIdle(name) {
 			lost++
 		}
 		for other, l := range g.era.ledgers {
@@ -349,6 +359,17 @@
 	return b
 }
 
+// withWriteOff returns a budget that grants all that is prepaid. Only tokens that are
+// prepaid later can be granted then.
+func (b Budget) withWriteOff(prepaid int64) Budget {
+	lost := prepaid - b.granted()
+	if lost <= 0 {
+		return b
+	}
+	lost += b.Grants[writtenOff].Granted
+	return b.WithGrant(writtenOff, Grant{Granted: lost, Spent: lost})
+}
+
 // ownGrants returns the grants to record in the ledger of a process that knows them.
 func (g *Granter) ownGrants() map[string]Grant {
 	grants := make(map[string]Grant)
--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -292,6 +292,46 @@
 	}
 }
 
+// Guards against an account that can never be used again after too many instances were
+// lost: what is prepaid later must be usable, and nothing else.
+func TestWriteOff(t *testing.T) {
+	f := newFleet(t, 4)
+	f.raise("entry-0", 10_000)
+	f.restore()
+	names := slices.Sorted(maps.Keys(f.granters))
+	for _, name := range names {
+		f.kill(name)
+	}
+	for _, name := range names {
+		f.start(name)
+	}
+	f.register(names...)
+	if f.granters["entry-1"].Complete() {
+		t.Fatal("budget is composed although nothing is known")
+	}
+	f.pass(writeOffDelay)
+	f.readAll()
+	f.writeBudget("entry-1")
+	f.raise("entry-2", 1000)
+	f.note("entry-2", "entry-0", "entry-1", "entry-3")
+	f.confirm("entry-2")
+	if f.use("entry-2", 1) {
+		t.Error("a token that was written off is used")
+	}
+	for _, g := range f.granters {
+		g.SetPrepaid("rider-app", fleetPrepaid+5000)
+	}
+	f.raise("entry-2", 1000)
+	f.note("entry-2", "entry-0", "entry-1", "entry-3")
+	f.confirm("entry-2")
+	if !f.use("entry-2", 1000) {
+		t.Error("a token that was prepaid later cannot be used")
+	}
+	if got := f.budget.value.granted(); got > fleetPrepaid+5000 {
+		t.Errorf("%d tokens are granted", got)
+	}
+}
+
 // Guards against instances that stop serving while the store has been restored, and
 // against tokens that are granted again.
 func TestSpendingGoesOnAfterRestore(t *testing.T) {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -274,6 +274,7 @@
 // account is the state of one account at this instance.
 type account struct {
 	prepaid       int64 // negative if unlimited
+	maxPrepaid    int64 // highest value so far
 	budget        Budget
 	version       uint64 // of budget
 	pendingWrites []pendingWrite
