Cut off no request at the start of a graceful shutdown

Cause: at SIGTERM the server closed the connections that it took for idle, also one on which a request had just been read: the request ran and its caller got no answer. Tokens were given up at the same time, so later requests on open connections were refused for lack of tokens although the budget had them.

Change: responses announce the end of the connection; idle connections stay open until requests are no longer passed on. Tokens are returned then.

TestEntry sends a request on an idle connection after SIGTERM; it failed with the connection closed, and then with tokensshort.

--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -28,7 +28,6 @@
 	j.meta = meta
 	switch {
 	case j.r.closing.Load():
-		j.w.Header().Set("Connection", "close")
 		return j.refuse(http.StatusServiceUnavailable, Stopping, meanRetryDelay)
 	case j.table == nil || !j.r.budgets.Ready():
 		return j.refuse(http.StatusServiceUnavailable, Starting, meanRetryDelay)
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -63,7 +63,7 @@
 	case response.ContentLength() >= 0:
 		j.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength(), 10))
 	}
-	j.w.WriteHeader(response.Status)
+	j.writeHead(response.Status)
 	_, err = j.w.Write(body)
 	if err == nil && bufferFull {
 		err = copyRest(j.w, response)
@@ -145,7 +145,7 @@
 	j.stream.started = true
 	j.summary.status, j.summary.firstByteAt = response.Status, time.Now()
 	j.copyHeader(response.Header)
-	j.w.WriteHeader(response.Status)
+	j.writeHead(response.Status)
 }
 
 // finishStream ends a complete stream.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -27,6 +27,7 @@
 	table       atomic.Pointer[resolver.Table]
 	lastContact atomic.Int64 // Unix time in ns at which the table was last known to be current
 	inFlight    atomic.Int64
+	draining    atomic.Bool
 	closing     atomic.Bool
 }
 
@@ -57,6 +58,10 @@
 // RecordContact records that the routing table was current at the given time.
 func (r *Receiver) RecordContact(now time.Time) { r.lastContact.Store(now.UnixNano()) }
 
+// Drain makes the receiver announce with each response that it closes the connection.
+// Idle connections stay open until then: the caller may have sent a request already.
+func (r *Receiver) Drain() { r.draining.Store(true) }
+
 // Close makes the receiver refuse all new requests as not run. Requests in flight
 // continue.
 func (r *Receiver) Close() { r.closing.Store(true) }
@@ -117,11 +122,19 @@
 	h := j.w.Header()
 	j.r.codec.EncodeRefusal(h, j.meta.ID, after)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	j.w.WriteHeader(status)
+	j.writeHead(status)
 	_, _ = io.WriteString(j.w, string(cause)+"\n") // the caller may be gone
 	return false
 }
 
+// writeHead writes the status and the headers of the response.
+func (j *job) writeHead(status int) {
+	if j.r.draining.Load() {
+		j.w.Header().Set("Connection", "close")
+	}
+	j.w.WriteHeader(status)
+}
+
 // abort ends the exchange without a response. It returns false, for use as a result
 // by callers.
 func (j *job) abort(cause Cause) bool {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -246,16 +246,22 @@
 	started := time.Now()
 	e.stopping.Store(true)
 	e.log.Info().Int64("inflight", e.receiver.InFlight()).Msg("stopping")
-	e.callers.SetKeepAlivesEnabled(false)
-	e.accounting.Stop()
+	// http.Server.SetKeepAlivesEnabled would close idle connections at once, also one on
+	// which a request is just being read.
+	e.receiver.Drain()
 	deadline := started.Add(e.settings.Load().Grace() - shutdownMargin)
-	// A request that arrives later could not finish within the grace period.
-	time.AfterFunc(drainDelay, e.receiver.Close)
+	// A request that arrives later could not finish within the grace period. Until then
+	// requests on open connections need tokens, and peers may borrow them.
+	time.AfterFunc(drainDelay, func() {
+		e.receiver.Close()
+		e.accounting.Stop()
+	})
 	for time.Now().Before(deadline) && (time.Since(started) < drainDelay || e.receiver.InFlight() > 0) {
 		time.Sleep(tickInterval / 5)
 	}
 	ctx, cancelShutdown := context.WithDeadline(context.Background(), started.Add(e.settings.Load().Grace()-shutdownMargin/2))
 	defer cancelShutdown()
+	e.receiver.Close() // nothing is passed on from a connection that Shutdown takes for idle
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.log.Warn().Int64("inflight", e.receiver.InFlight()).Err(err).Msg("requests did not finish in time")
 	}
--- a/internal/starter/starter_test.go
+++ b/internal/starter/starter_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -76,9 +78,41 @@
 	}
 }
 
+// singleConnection returns a function that sends requests on one connection and fails
+// once that is closed.
+func singleConnection(t *testing.T) func(port int) (*http.Response, string, error) {
+	t.Helper()
+	dialed := false
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if dialed {
+			return nil, errors.New("connection was closed")
+		}
+		dialed = true
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}}
+	t.Cleanup(transport.CloseIdleConnections)
+	return func(port int) (*http.Response, string, error) {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d/plan/7", port), strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "a.example"
+		for name, value := range map[string]string{"Daisylane-Attempt-Id": "id-1", "Api-Key": "k1", "Daisylane-Token-Usage": "80,20"} {
+			req.Header.Set(name, value)
+		}
+		res, err := transport.RoundTrip(req)
+		if err != nil {
+			return nil, "", err
+		}
+		defer res.Body.Close()
+		body, err := io.ReadAll(res.Body)
+		return res, string(body), err
+	}
+}
+
 // Guards against an entry that reports ready or serves requests before it has a
-// configuration, cuts off requests in flight at a graceful shutdown, or keeps unused
-// tokens after it.
+// configuration, cuts off requests in flight at a graceful shutdown, closes connections
+// on which a request may have arrived already, or keeps unused tokens after it.
 func TestEntry(t *testing.T) {
 	s := platformtest.NewStore()
 	server := httptest.NewServer(s)
@@ -149,6 +183,10 @@
 			strings.Contains(string(body), "daisylane_platform_calls_total") && strings.Contains(string(body), "daisylane_reservations_total")
 	})
 
+	keptAlive := singleConnection(t)
+	if _, _, err := keptAlive(callers); err != nil {
+		t.Fatal(err)
+	}
 	done := make(chan error, 1)
 	go func() {
 		_, body, err := call()
@@ -157,11 +195,14 @@
 		}
 		done <- err
 	}()
-	eventually(t, "second request", func() bool { return len(runner.Requests()) == 2 })
+	eventually(t, "second request", func() bool { return len(runner.Requests()) == 3 })
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "entry becomes unready", func() bool { return probe() != http.StatusOK })
+	if res, body, err := keptAlive(callers); err != nil || strings.Count(body, "data:") != 3 || !res.Close {
+		t.Errorf("request on an open connection during a graceful shutdown: %v, %q, %v", res, body, err)
+	}
 	if err := <-done; err != nil {
 		t.Errorf("a request in flight was cut off by a graceful shutdown: %v", err)
 	}
@@ -184,7 +225,7 @@
 	if err := json.Unmarshal(s.Get("budgets", "t1"), &budget); err != nil {
 		t.Fatal(err)
 	}
-	if p := budget.Parts["edge-a-1-127.0.0.1"]; p.Held != p.Spent || p.Spent != 2*(80+12) {
+	if p := budget.Parts["edge-a-1-127.0.0.1"]; p.Held != p.Spent || p.Spent != 4*(80+12) {
 		t.Errorf("after the shutdown %d tokens are granted, %d spent; log:\n%s", p.Held, p.Spent, out.String())
 	}
 }
