Write budgets at a start only if something is to be taken or returned

A successor also wrote each budget in which it ever had a grant: 679 writes in the two seconds after the loss of all processes.

Change: a home waits until it has read the ledgers again, unless requests come; a successor writes a budget if something is left of its grant, a request waits, or a write is open. The ledgers are read in every third poll.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -52,6 +52,9 @@
 	// pollInterval is the mean time between reads of the budgets, which change little
 	// while instances borrow from homes.
 	pollInterval = 3 * time.Second
+	// pollsPerLedgers is how many polls there are for each that reads the ledgers too. They
+	// tell which instances there are, and so change little.
+	pollsPerLedgers = 3
 	// composePollInterval applies until the budgets can be composed after the store was
 	// restored from an older copy.
 	composePollInterval = 300 * time.Millisecond
@@ -121,6 +124,7 @@
 	budgetWrites     map[string]bool // accounts whose budget is being written
 	notesSignal      chan struct{}
 	pollSignal       chan struct{}
+	polls            int             // used by pollLoop only
 	confirming       map[string]bool // accounts whose grants are being confirmed
 }
 
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -81,6 +81,13 @@
 	if err := a.readBudgets(ctx, era); err != nil {
 		return err
 	}
+	a.polls++
+	a.mu.Lock()
+	due := !a.state.Settled() || a.polls%pollsPerLedgers == 1
+	a.mu.Unlock()
+	if !due {
+		return nil
+	}
 	ledgers, err := a.readLedgers(ctx)
 	if err != nil {
 		return err
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -233,6 +233,9 @@
 			g.era.sightings[name] = sighting{l.Incarnation, l.Number, changed}
 		}
 	}
+	if _, written := ledgers[g.name]; written {
+		g.peersKnown = true
+	}
 	known := g.canCompose()
 	g.era.writeOff = !known && now-max(g.era.began, g.startedAt) >= writeOffDelay
 	g.era.complete = known || g.era.writeOff
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -244,3 +244,44 @@
 		}
 	}
 }
+
+// Guards against store calls that multiply while many instances start: all of them
+// would take grants of all accounts before they know each other, and a successor would
+// write budgets in which nothing is left of its grant.
+func TestNoNeedlessBudgetWrites(t *testing.T) {
+	spent := Budget{}.WithGrant("entry-1", Grant{Granted: 500, Spent: 500, WrittenBy: "entry-1-0"})
+	left := Budget{}.WithGrant("entry-1", Grant{Granted: 500, Spent: 100, WrittenBy: "entry-1-0"})
+	tests := []struct {
+		name    string
+		budget  Budget
+		ledger  Ledger
+		prepare func(*Granter)
+		want    bool
+	}{
+		{"start of the fleet", Budget{}, Ledger{}, func(*Granter) {}, false},
+		{"other instances are known", Budget{}, Ledger{}, func(g *Granter) { g.ObserveLedgers(second, map[string]Ledger{"entry-1": {}}, nil) }, true},
+		{"demand at the start", Budget{}, Ledger{}, func(g *Granter) { g.AddGrantDemand(second, "rider-app", 10) }, true},
+		{"request waits", Budget{}, Ledger{}, func(g *Granter) { g.AddWaiting("rider-app", 10, true) }, true},
+		{"all spent by the predecessor", spent, Ledger{Incarnation: "entry-1-0", Accounts: map[string]Limit{"rider-app": {Limit: 500}}}, func(*Granter) {}, false},
+		{"some left by the predecessor", left, Ledger{Incarnation: "entry-1-0", Accounts: map[string]Limit{"rider-app": {Limit: 100}}}, func(*Granter) {}, true},
+		{"first write without a response", Budget{}, Ledger{}, func(g *Granter) {
+			b, _ := g.PlanBudget(second, "rider-app")
+			g.BudgetSent("rider-app", b)
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := New(Identity{Name: "entry-1", Addr: "entry-1", Incarnation: "entry-1-1", Boot: "boot"})
+			g.SetPrepaid("rider-app", 1000)
+			g.Recover(second, tt.ledger)
+			if len(tt.budget.Grants) > 0 {
+				g.ObserveBudget(second, "rider-app", tt.budget, 5)
+			}
+			g.SetReady()
+			tt.prepare(g)
+			if got := slices.Contains(g.BudgetsDue(second, false), "rider-app"); got != tt.want {
+				t.Errorf("due: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -109,6 +109,12 @@
 // isHome reports whether this instance is the home of an account.
 func (g *Granter) isHome(name string) bool { return len(g.Lenders(name)) == 0 }
 
+// actsAsHome reports whether this instance takes a grant ahead of requests. While a fleet
+// starts, each instance would do so for all accounts, because it knows no other one yet.
+func (g *Granter) actsAsHome(name string, a *account) bool {
+	return g.isHome(name) && (g.peersKnown || a.grantDemand.last > 0)
+}
+
 // LedgerDue reports whether the ledger should be written, either for requests that
 // wait for a higher limit or because of its age.
 func (g *Granter) LedgerDue(now time.Duration) bool {
@@ -191,13 +197,13 @@
 func (g *Granter) budgetDue(now time.Duration, name string, a *account) bool {
 	grant := a.budget.Grants[g.name]
 	if a.version == 0 && g.era.number > 0 {
-		return g.era.complete && (g.isHome(name) || a.waitingForGrant > 0)
+		return g.era.complete && (a.waitingForGrant > 0 || g.actsAsHome(name, a))
 	}
 	if a.carried {
 		return true
 	}
 	if !a.fenced {
-		return grant.Granted > 0 || a.waitingForGrant > 0 || g.isHome(name)
+		return a.granted > a.spent || a.waitingForGrant > 0 || len(a.pendingWrites) > 0 || g.actsAsHome(name, a)
 	}
 	next := g.planGrant(now, name, a)
 	ungranted := a.prepaid - a.budget.granted()
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -332,6 +332,7 @@
 	ledgerEra      int64         // of the newest ledger known to be written
 	startedAt      time.Duration // of this process
 	priorUnknown   bool          // what a predecessor has spent is not known
+	peersKnown     bool          // the ledgers were read again after the own one was written
 	newcomer       bool          // the instance has no ledger of a former process
 	configVersion  int64         // in force
 	era            eraState
