Recover from an unreadable ledger without trusting it, and smaller faults

Cause: an instance whose stored ledger could not be read retried its recovery without end.

Change: an unreadable own ledger counts as one that nothing is known of, and that holds for all accounts.

--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -245,3 +245,21 @@
 		inst.Settle("rider-app", d, 1000)
 	}
 }
+
+// Guards against an instance that never recovers because its stored ledger cannot be
+// read, and against one that then spends what its predecessor may have spent.
+func TestInvalidLedger(t *testing.T) {
+	s, addr := platformtest.Start(t)
+	first := startInstance(t, addr, "entry-1")
+	first.Settle("rider-app", reserve(first, 1000), 1000)
+	first.kill()
+	s.Put(accountant.KindLedgers, "entry-1", map[string]any{"incarnation": "", "time": -1})
+	second := startInstance(t, addr, "entry-1")
+	var got int64
+	for d := reserve(second, 1000); d.Outcome == granter.Reserved; d = reserve(second, 1000) {
+		got += d.Own + d.Borrowed
+	}
+	if got == 0 || got > prepaid-1000 {
+		t.Errorf("%d of %d tokens can be reserved after 1000 were spent", got, prepaid)
+	}
+}
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -147,15 +147,17 @@
 			former[name] = true
 			continue
 		}
+		if name == a.name {
+			list.ownVersion = item.Version
+		}
 		l, err := decode[granter.Ledger](item)
 		if err != nil {
+			// The instance exists, but how much it has spent is not known.
 			a.log.Error().Err(err).Msg("stored ledger is invalid; ignoring it")
+			former[name] = true
 			continue
 		}
 		list.current[name] = l
-		if name == a.name {
-			list.ownVersion = item.Version
-		}
 	}
 	for name := range former {
 		if _, ok := list.current[name]; !ok {
--- a/internal/adopter/adopter_test.go
+++ b/internal/adopter/adopter_test.go
@@ -314,7 +314,7 @@
 		{name: "lost messages", loss: 0.1},
 		{name: "altered messages", tamper: true},
 		{name: "restarts", loss: 0.05, restarts: true},
-		{name: "watchers partition off from the platform", partition: true},
+		{name: "watchers partitioned off from the platform", partition: true},
 		{name: "all", loss: 0.05, tamper: true, restarts: true, partition: true},
 	}
 	for _, tt := range tests {
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -31,7 +31,9 @@
 		g.era.memory = LostMemory
 	}
 	g.era.grants, g.era.others = old.Grants, old.Others
-	g.priorUnknown = old.Memory != NoMemory
+	if old.Memory != NoMemory {
+		g.distrustPriors()
+	}
 	for name := range old.Accounts {
 		g.account(name).maxPriorSpend = g.maxPriorSpend(now, old, name)
 	}
@@ -42,8 +44,17 @@
 // granted counts as spent.
 func (g *Granter) RecoverLost(now time.Duration) {
 	g.startedAt, g.newcomer = now, false
-	g.era.memory, g.priorUnknown = LostMemory, true
-	g.era.grants, g.era.others = nil, nil
+	g.era.memory, g.era.grants, g.era.others = LostMemory, nil, nil
+	g.distrustPriors()
+}
+
+// distrustPriors makes all tokens that a predecessor was granted count as spent, unless
+// a limit is known.
+func (g *Granter) distrustPriors() {
+	g.priorUnknown = true
+	for _, a := range g.accounts {
+		a.maxPriorSpend = unbounded
+	}
 }
 
 // maxPriorSpend returns the most that the previous process can have spent, before
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -236,7 +236,7 @@
 	if _, written := ledgers[g.name]; written {
 		g.peersKnown = true
 	}
-	known := g.canCompose()
+	known := g.era.number == 0 || g.canCompose()
 	g.era.writeOff = !known && now-max(g.era.began, g.startedAt) >= writeOffDelay
 	g.era.complete = known || g.era.writeOff
 	g.checkComposed(now)
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -285,3 +285,24 @@
 		})
 	}
 }
+
+// Guards against stored figures without sense that are taken for real.
+func TestCheckGrant(t *testing.T) {
+	tests := []struct {
+		name  string
+		grant Grant
+		ok    bool
+	}{
+		{"valid", Grant{Granted: 5, Spent: 3, LargeRequest: 2}, true},
+		{"negative grant", Grant{Granted: -1}, false},
+		{"negative spend", Grant{Spent: -1}, false},
+		{"negative size of a request", Grant{LargeRequest: -1}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if err := tt.grant.Check(); (err == nil) != tt.ok {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -53,7 +53,7 @@
 			j.refuse(http.StatusServiceUnavailable, Paused, paused.resumesIn+rand.N(meanRetryDelay))
 			return
 		case err != nil:
-			j.fail(NoTargets, j.summary.failure)
+			j.fail(NoTargets, errors.Join(j.summary.failure, err))
 			return
 		}
 		j.lastTarget = chosen
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -64,7 +64,10 @@
 
 // Close makes the receiver refuse all new requests as not run. Requests in flight
 // continue.
-func (r *Receiver) Close() { r.closing.Store(true) }
+func (r *Receiver) Close() {
+	r.Drain()
+	r.closing.Store(true)
+}
 
 // InFlight returns the number of requests in flight.
 func (r *Receiver) InFlight() int64 { return r.inFlight.Load() }
