--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -61,7 +61,7 @@
 	// extraWitnesses is how many more peers are asked to confirm a grant than have to,
 	// so that a slow one does not delay it.
 	extraWitnesses = 1
-	// confirmTimeout is three round trips between regions.
+	// confirmTimeout leaves a slow peer several round trips between regions.
 	confirmTimeout = 400 * time.Millisecond
 	// lendTimeout is how long a lender may wait for more tokens. It covers a ledger
 	// write and a budget write.
