Notice a restored store at once, and have every instance counted by its peers

Cause, from the logs: an instance that made no call to the store during the outage learned of the new era only from its next poll, up to 4.5 s later, and the others waited for its ledger.

Change: any response that shows a new era (in the product that of the watch of the configuration) triggers a poll, and while the store does not answer the budgets are read every 0.6 s. The test's instances now keep a watch open, as the product's do; its bounds are the same.

The budgets were composed with one instance lost, on the assumption that it had known nearly all others. Instances now greet each other, read the budgets after that, and tell which lost instance had counted them; the number that may be lost follows from that. TestInstanceThatKnowsNobody.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -58,9 +58,14 @@
 	// composePollInterval applies until the budgets can be composed after the store was
 	// restored from an older copy.
 	composePollInterval = 300 * time.Millisecond
+	// lostPollInterval is the mean time between reads while the store does not respond. It
+	// bounds how late an instance learns that the store is back.
+	lostPollInterval = 600 * time.Millisecond
 	// extraWitnesses is how many more peers are asked to confirm a grant than have to,
 	// so that a slow one does not delay it.
 	extraWitnesses = 1
+	// maxGreetings is how many peers are greeted at once.
+	maxGreetings = 32
 	// confirmTimeout leaves a slow peer several round trips between regions.
 	confirmTimeout = 400 * time.Millisecond
 	// lendTimeout is how long a lender may wait for more tokens. It covers a ledger
@@ -80,6 +85,9 @@
 type Store interface {
 	// Era increases each time that the store is restored from an older copy.
 	Era() int64
+	// EraChanged receives a value when any response, also to a call of another package,
+	// shows a new era.
+	EraChanged() <-chan struct{}
 	List(ctx context.Context, kind string) ([]storer.Item, follower.Position, error)
 	Put(ctx context.Context, kind, name string, body []byte, version uint64) (storer.Item, error)
 }
@@ -92,6 +100,8 @@
 	// Remember tells a peer about a grant. It returns an error if the peer does not
 	// confirm that it remembers the grant.
 	Remember(ctx context.Context, peer granter.Lender, n granter.Note) error
+	// Greet makes a peer count this instance, or returns an error.
+	Greet(ctx context.Context, peer granter.Lender, m granter.Greeting) error
 }
 
 // Accountant reserves and settles tokens for one instance. It is safe for
@@ -272,8 +282,7 @@
 		got, err := a.peers.Borrow(ctx, lender, granter.Loan{Account: account, Minimum: min(need, minimum), Need: need, Requested: requested})
 		a.mu.Lock()
 		if err != nil {
-			a.peerBackoffUntil[lender.Name] = a.clock() + peerFailureBackoff
-			a.log.Warn().Str("peer", lender.Name).Err(err).Msg("peer lends nothing")
+			a.recordPeerFailure(lender, err, "peer lends nothing")
 			continue
 		}
 		a.state.AddBorrowed(account, got)
@@ -283,6 +292,12 @@
 	}
 }
 
+// recordPeerFailure keeps calls away from a peer for a while. The caller holds the lock.
+func (a *Accountant) recordPeerFailure(p granter.Lender, err error, msg string) {
+	a.peerBackoffUntil[p.Name] = a.clock() + peerFailureBackoff
+	a.log.Warn().Str("peer", p.Name).Err(err).Msg(msg)
+}
+
 // takeOrWait tries to take tokens until it succeeds, cannot succeed or the context
 // ends. While the grant is too small it calls borrowMore before waiting. The caller
 // holds the lock.
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"daisylane/internal/accountant"
+	"daisylane/internal/follower"
 	"daisylane/internal/granter"
 	"daisylane/internal/lender"
 	"daisylane/platform"
@@ -26,6 +27,7 @@
 // testInstance is a running instance that lends tokens to others.
 type testInstance struct {
 	*accountant.Accountant
+	store  *platform.Store
 	cancel context.CancelFunc
 	result chan error
 	peers  *httptest.Server
@@ -44,16 +46,19 @@
 
 func (f lateBoundLender) RecordNote(n granter.Note) bool { return (*f.inst).RecordNote(n) }
 
+func (f lateBoundLender) RecordGreeting(m granter.Greeting) bool { return (*f.inst).RecordGreeting(m) }
+
 func startInstance(t *testing.T, addr, name string) *testInstance {
 	t.Helper()
 	inst := &testInstance{result: make(chan error, 1)}
 	inst.peers = httptest.NewServer(lender.Handler(lateBoundLender{&inst}))
-	store := platform.NewStore(addr, platformtest.Direct{Addr: addr, Limit: 300 * time.Millisecond})
-	inst.Accountant = accountant.New(store, name, strings.TrimPrefix(inst.peers.URL, "http://"), lender.NewClient(), zerolog.Nop())
+	inst.store = platform.NewStore(addr, platformtest.Direct{Addr: addr, Limit: 300 * time.Millisecond})
+	inst.Accountant = accountant.New(inst.store, name, strings.TrimPrefix(inst.peers.URL, "http://"), lender.NewClient(), zerolog.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
 	inst.cancel = cancel
 	inst.SetPrepaid(1, map[string]int64{"rider-app": prepaid})
 	go func() { inst.result <- inst.Run(ctx) }()
+	go inst.watchConfig(ctx)
 	t.Cleanup(func() { inst.kill() })
 	for end := time.Now().Add(5 * time.Second); !inst.Ready(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -63,6 +68,18 @@
 	return inst
 }
 
+// watchConfig keeps a call to the store open, as each instance does to follow its
+// configuration.
+func (inst *testInstance) watchConfig(ctx context.Context) {
+	for at := (follower.Position{}); ctx.Err() == nil; {
+		_, next, err := inst.store.Watch(ctx, platform.KindConfig, at, time.Second)
+		if at = next; err != nil {
+			at = follower.Position{Era: inst.store.Era()}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
 func (inst *testInstance) kill() {
 	inst.cancel()
 	inst.peers.CloseClientConnections()
--- a/internal/accountant/eras.go
+++ b/internal/accountant/eras.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 
+	"golang.org/x/sync/errgroup"
+
 	"daisylane/internal/granter"
 	"daisylane/internal/waiter"
 )
@@ -107,7 +109,9 @@
 		go func() {
 			err := a.peers.Remember(ctx, p, n)
 			if err != nil && ctx.Err() == nil {
-				a.recordPeerFailure(p, err)
+				a.mu.Lock()
+				a.recordPeerFailure(p, err, "peer does not confirm a grant")
+				a.mu.Unlock()
 			}
 			results <- err
 		}()
@@ -124,10 +128,41 @@
 	return confirmed >= needed
 }
 
-// recordPeerFailure keeps calls away from a peer for a while.
-func (a *Accountant) recordPeerFailure(p granter.Lender, err error) {
+// RecordGreeting counts a peer that this instance may not have read of yet.
+func (a *Accountant) RecordGreeting(m granter.Greeting) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.peerBackoffUntil[p.Name] = a.clock() + peerFailureBackoff
-	a.log.Warn().Str("peer", p.Name).Err(err).Msg("peer does not confirm a grant")
+	a.syncEra()
+	return a.state.RecordGreeting(m)
+}
+
+// greet tells peers about this instance and returns the names of those that count it.
+func (a *Accountant) greet(ctx context.Context) []string {
+	a.mu.Lock()
+	m := a.state.Greeting()
+	now := a.clock()
+	due := slices.DeleteFunc(a.state.GreetingsDue(), func(p granter.Lender) bool { return now < a.peerBackoffUntil[p.Name] })
+	a.mu.Unlock()
+	results := make(chan string, len(due))
+	var calls errgroup.Group
+	calls.SetLimit(maxGreetings)
+	for _, p := range due {
+		calls.Go(func() error {
+			if err := a.peers.Greet(ctx, p, m); err != nil {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				a.recordPeerFailure(p, err, "peer does not accept a greeting")
+				return nil // it is greeted again before the next poll
+			}
+			results <- p.Name
+			return nil
+		})
+	}
+	_ = calls.Wait() // no call returns an error
+	close(results)
+	var met []string
+	for name := range results {
+		met = append(met, name)
+	}
+	return met
 }
--- a/internal/accountant/eras_test.go
+++ b/internal/accountant/eras_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"daisylane/internal/accountant"
 	"daisylane/internal/granter"
 	"daisylane/platform/platformtest"
 )
@@ -125,3 +126,29 @@
 		})
 	}
 }
+
+// Guards against an idle instance that learns only from its next read of the budgets
+// that the store was restored, while all others wait for what it was granted.
+func TestIdleInstanceNoticesEra(t *testing.T) {
+	s, addr := platformtest.Start(t)
+	s.StartEras()
+	var instances []*testInstance
+	for i := range 4 {
+		instances = append(instances, startInstance(t, addr, fmt.Sprintf("entry-%d", i)))
+	}
+	time.Sleep(time.Second) // until all are idle
+	s.Restore(s.Copy())
+	end := time.Now().Add(time.Second)
+	for i, inst := range instances {
+		for {
+			_, err := inst.store.Get(t.Context(), accountant.KindLedgers, fmt.Sprintf("entry-%d@2", i))
+			if err == nil {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("ledger of entry-%d in the new era: %v", i, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -78,11 +78,13 @@
 // poll reads all budgets and ledgers from the store.
 func (a *Accountant) poll(ctx context.Context) error {
 	era := a.store.Era()
+	met := a.greet(ctx)
 	if err := a.readBudgets(ctx, era); err != nil {
 		return err
 	}
 	a.polls++
 	a.mu.Lock()
+	a.state.Met(era, met)
 	due := !a.state.Settled() || a.polls%pollsPerLedgers == 1
 	a.mu.Unlock()
 	if !due {
@@ -347,6 +349,7 @@
 		select {
 		case <-ctx.Done():
 		case <-a.pollSignal:
+		case <-a.store.EraChanged():
 		case <-time.After(a.pollPause()):
 		}
 		if ctx.Err() != nil {
@@ -367,7 +370,10 @@
 func (a *Accountant) pollPause() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.state.Settled() {
+	switch {
+	case a.storeLost:
+		return lostPollInterval/2 + rand.N(lostPollInterval)
+	case !a.state.Settled():
 		return composePollInterval
 	}
 	return pollInterval/2 + rand.N(pollInterval)
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -67,9 +67,28 @@
 type Testimony struct {
 	Idle   bool             `json:"idle,omitempty"`   // it had written no ledger for a long time
 	Active bool             `json:"active,omitempty"` // it was seen to write ledgers
+	Met    bool             `json:"met,omitempty"`    // it counted the process as a peer, see [Greeting]
 	Held   map[string]int64 `json:"held,omitempty"`   // tokens granted to it at most, by account
 }
 
+// Greeting tells another instance about the sender, which it may not have seen in the
+// store yet. Only an instance that counts all its peers has enough of them confirm its
+// grants.
+type Greeting struct {
+	Era      int64  `json:"era"`
+	Instance string `json:"instance"`
+	Addr     string `json:"addr"` // at which the sender lends tokens
+}
+
+// Check validates the greeting.
+func (m Greeting) Check() error {
+	var f checker.Validator
+	f.Require(m.Era > 0, "era", "is %d, must be positive", m.Era)
+	f.Require(m.Instance != "", "instance", "is empty")
+	f.Require(m.Addr != "", "addr", "is empty")
+	return f.Err()
+}
+
 // Note tells another instance about a grant, so that the grant is known if the store
 // loses it.
 type Note struct {
@@ -90,11 +109,12 @@
 	return f.Err()
 }
 
-// sighting is the last change of an instance's ledger that this process has seen.
+// sighting is the newest ledger of an instance that this process has seen.
 type sighting struct {
 	incarnation string
 	number      int64
-	changed     time.Duration // 0: seen only once
+	since       time.Duration // when it was first read
+	replaced    bool          // an older ledger was read before
 }
 
 // eraState is the part of a [Granter] that belongs to the current era of the store.
@@ -106,6 +126,7 @@
 	ledgers   map[string]Ledger // of all instances, by name
 	absent    []string          // instances that have ledgers of former eras only
 	memories  map[string]Testimony
+	met       map[string]bool // instances that count this one as a peer
 	sightings map[string]sighting
 	lastRead  time.Duration // of the ledgers
 	complete  bool          // the budgets of the era can be composed
@@ -136,7 +157,7 @@
 	}
 	next := eraState{
 		number: era, began: now, former: g.era.number, memory: LostMemory,
-		ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), sightings: g.era.sightings, lastRead: g.era.lastRead,
+		ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), sightings: g.era.sightings, lastRead: g.era.lastRead,
 	}
 	if g.knowsItself() {
 		next.memory = FullMemory
@@ -148,9 +169,8 @@
 	for name := range g.peers {
 		if name != g.name {
 			t := next.memories[name]
-			seen := g.era.sightings[name]
-			t.Active = seen.changed > 0 && g.era.lastRead-seen.changed < idleAge
-			t.Idle = !t.Active && g.era.composedAt > 0 && g.era.lastRead-g.era.composedAt >= idleAge
+			t.Met = g.era.met[name]
+			t.Active, t.Idle = g.activity(name)
 			next.memories[name] = t
 		}
 	}
@@ -159,6 +179,14 @@
 	return true
 }
 
+// activity reports whether an instance is seen to write ledgers, and whether it has
+// certainly written none for a long time.
+func (g *Granter) activity(name string) (active, idle bool) {
+	seen, known := g.era.sightings[name]
+	recent := !known || g.era.lastRead-max(seen.since, g.era.composedAt) < idleAge
+	return recent && seen.replaced, !recent && g.era.composedAt > 0
+}
+
 // knowsItself reports whether this process knows all grants of its instance. One that
 // took itself for a new instance has learned of a predecessor when the budgets of the
 // era are composed.
@@ -226,11 +254,7 @@
 		g.SetPeer(name, l.Addr)
 		seen, known := g.era.sightings[name]
 		if !known || seen.incarnation != l.Incarnation || seen.number != l.Number {
-			changed := now
-			if !known {
-				changed = 0
-			}
-			g.era.sightings[name] = sighting{l.Incarnation, l.Number, changed}
+			g.era.sightings[name] = sighting{l.Incarnation, l.Number, now, known}
 		}
 	}
 	if _, written := ledgers[g.name]; written {
@@ -316,7 +340,23 @@
 			lost++ // its predecessor may have been a witness
 		}
 	}
-	return lost <= tolerableLosses(len(g.peers))
+	for name := range missing {
+		if name != writtenOff && !g.isIdle(name) && lost > g.witnessesOf(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// witnessesOf returns how many others knew each grant of a missing instance at least.
+func (g *Granter) witnessesOf(name string) int {
+	met := 0
+	for _, l := range g.era.ledgers {
+		if l.Memory == FullMemory && l.Others[name].Met {
+			met++
+		}
+	}
+	return witnesses(met + 1)
 }
 
 // anyMemory reports whether an instance has lived in a former era. Then a new instance
@@ -426,23 +466,9 @@
 	return 3
 }
 
-// tolerableLosses returns how many instances may be lost so that one witness of each
-// grant is left. It is what [witnesses] returned while the fleet was a little smaller.
-func tolerableLosses(instances int) int {
-	switch {
-	case instances < 2:
-		return 0
-	case instances < 7:
-		return 1
-	case instances < 20:
-		return 2
-	}
-	return 3
-}
-
 // WitnessesNeeded returns how many other instances have to confirm that they know a
-// grant before it is used. If the store is restored from an older copy and a tolerable
-// number of instances is lost, one of them is left and tells.
+// grant before it is used. If the store is restored from an older copy and no more
+// instances are lost, one of them is left and tells.
 func (g *Granter) WitnessesNeeded(now time.Duration) int {
 	if g.era.number == 0 {
 		return 0
@@ -474,6 +500,7 @@
 			due = append(due, Note{Era: g.era.number, Account: name, Instance: g.name, Version: a.version, Granted: a.granted})
 		}
 	}
+	slices.SortFunc(due, func(m, n Note) int { return cmp.Compare(m.Account, n.Account) })
 	return due
 }
 
@@ -491,6 +518,48 @@
 	return list
 }
 
+// GreetingsDue returns the instances that may not count this one as a peer yet. They are
+// greeted after the own ledger is written, so that their successors read it.
+func (g *Granter) GreetingsDue() []Lender {
+	if g.era.number == 0 || g.ledgerEra != g.era.number {
+		return nil
+	}
+	var list []Lender
+	for name := range g.era.ledgers {
+		if _, idle := g.activity(name); name != g.name && !g.era.met[name] && !idle {
+			list = append(list, Lender{name, g.peers[name]})
+		}
+	}
+	slices.SortFunc(list, func(p, q Lender) int { return cmp.Compare(p.Name, q.Name) })
+	return list
+}
+
+// Greeting returns the greeting of this instance.
+func (g *Granter) Greeting() Greeting {
+	return Greeting{Era: g.era.number, Instance: g.name, Addr: g.addr}
+}
+
+// RecordGreeting counts another instance as a peer. It reports false if the greeting
+// belongs to another era.
+func (g *Granter) RecordGreeting(m Greeting) bool {
+	if m.Era != g.era.number || m.Instance == g.name {
+		return false
+	}
+	g.SetPeer(m.Instance, m.Addr)
+	return true
+}
+
+// Met records that instances of an era have accepted a greeting. The budgets must have
+// been read since, so that this process knows the grants that were confirmed before.
+func (g *Granter) Met(era int64, names []string) {
+	if era != g.era.number {
+		return
+	}
+	for _, name := range names {
+		g.era.met[name] = true
+	}
+}
+
 // RecordNote remembers the grant of another instance. It reports false if the note
 // belongs to another era, and so may come too late to be told to others.
 func (g *Granter) RecordNote(n Note) bool {
--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -19,6 +19,7 @@
 	ledgers  map[string]Ledger
 	former   []string // instances with ledgers of former eras
 	granters map[string]*Granter
+	deaf     string // instance that no greeting reaches
 }
 
 const fleetPrepaid = 1_000_000
@@ -86,6 +87,13 @@
 			absent = append(absent, former)
 		}
 	}
+	var met []string
+	for _, p := range g.GreetingsDue() {
+		if other, ok := f.granters[p.Name]; ok && p.Name != f.deaf && other.RecordGreeting(g.Greeting()) {
+			met = append(met, p.Name)
+		}
+	}
+	defer g.Met(f.era, met)
 	if f.budget.version > 0 {
 		g.ObserveBudget(f.now, "rider-app", f.budget.value, f.budget.version)
 	}
@@ -137,6 +145,13 @@
 	return accepted
 }
 
+// confirmIfEnough confirms the grants of an instance that needs no witnesses.
+func (f *fleet) confirmIfEnough(name string) {
+	if f.granters[name].WitnessesNeeded(f.now) == 0 {
+		f.confirm(name)
+	}
+}
+
 func (f *fleet) confirm(name string) {
 	for _, n := range f.granters[name].NotesDue() {
 		f.granters[name].Confirm(n)
@@ -214,6 +229,35 @@
 	}
 }
 
+// Guards against an instance that started before the others, has not learned of them and
+// uses grants that none of them knows: the tokens must not be granted again.
+func TestInstanceThatKnowsNobody(t *testing.T) {
+	for _, deaf := range []string{"", "entry-0"} {
+		f := &fleet{t: t, now: time.Hour, era: 1, ledgers: make(map[string]Ledger), granters: make(map[string]*Granter), deaf: deaf}
+		f.start("entry-0")
+		f.pass(newcomerTime)
+		f.read("entry-0")
+		f.writeBudget("entry-0")
+		for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+			f.start(name)
+			f.read(name)
+		}
+		done := f.granters["entry-0"].AddWaiting("rider-app", 10_000, true)
+		f.writeBudget("entry-0")
+		done()
+		f.confirmIfEnough("entry-0")
+		used := f.use("entry-0", 10_000)
+		f.restore()
+		f.kill("entry-0")
+		f.register("entry-1", "entry-2", "entry-3")
+		if complete := f.granters["entry-2"].Complete(); used && complete {
+			t.Errorf("deaf %q: budgets are composed without the lost instance's tokens", deaf)
+		} else if !used && !complete {
+			t.Errorf("deaf %q: budgets are not composed although all tokens are known", deaf)
+		}
+	}
+}
+
 // Guards against a witness that answers after it has told what it remembers.
 func TestNoteOfFormerEra(t *testing.T) {
 	f := newFleet(t, 4)
@@ -376,6 +420,27 @@
 	}
 }
 
+// Guards against new instances that count as long gone because their ledgers were read
+// only once.
+func TestNewInstancesAreWaitedFor(t *testing.T) {
+	f := newFleet(t, 4)
+	f.pass(idleAge)
+	f.readAll()
+	for _, name := range []string{"entry-4", "entry-5", "entry-6"} {
+		f.start(name)
+	}
+	f.readAll()
+	f.restore()
+	for _, name := range []string{"entry-4", "entry-5", "entry-6"} {
+		f.kill(name)
+	}
+	left := slices.Sorted(maps.Keys(f.granters))
+	f.register(left...)
+	if f.granters[left[0]].Complete() {
+		t.Error("budgets are composed although the witnesses of a lost instance may be lost too")
+	}
+}
+
 // Guards against requests that wait at the home for a grant that others have to confirm
 // first, although it was clear that the tokens would be needed.
 func TestHomeRaisesAhead(t *testing.T) {
--- a/internal/granter/property_test.go
+++ b/internal/granter/property_test.go
@@ -12,6 +12,9 @@
 	testPrepaid = 400_000
 	// scarcePrepaid is used up early, so that any token that is granted twice counts.
 	scarcePrepaid = 40_000
+	// startup is the time in which a fleet is restored more often, while its instances
+	// still learn of each other.
+	startup = 10 * time.Second
 )
 
 // flaw is a safeguard that a simulation omits, to verify that the checks detect it.
@@ -164,7 +167,9 @@
 	h.starts++
 	h.granter = New(Identity{Name: h.name, Addr: h.name, Incarnation: fmt.Sprintf("%s-%d", h.name, h.starts), Boot: h.boot})
 	for _, other := range w.hosts {
-		h.granter.SetPeer(other.name, other.name)
+		if !w.drills { // with drills, an instance learns of others from ledgers and greetings
+			h.granter.SetPeer(other.name, other.name)
+		}
 	}
 	for _, name := range testAccounts {
 		h.granter.SetPrepaid(name, w.prepaid)
@@ -235,11 +240,16 @@
 			absent = append(absent, other.name)
 		}
 	}
+	met := w.greet(h)
 	for _, name := range testAccounts {
 		if b, ok := w.budgets[w.key(name, era)]; ok {
 			h.observeBudget(w, name, b)
 		}
 	}
+	h.granter.Met(era, met)
+	if h.granter.ready && h.granter.Settled() && w.randomBool(0.67) {
+		return // the ledgers are read less often than the budgets
+	}
 	h.granter.ObserveLedgers(w.clock(h), ledgers, absent)
 	if w.flaw == composeEarly && h.granter.era.memory != LostMemory {
 		h.granter.era.complete = true
@@ -250,19 +260,29 @@
 	h.granter.ObserveBudget(w.clock(h), name, b.value, b.version)
 }
 
+// greet makes an instance greet others and returns those that accept it.
+func (w *simulation) greet(h *simHost) []string {
+	var met []string
+	for _, p := range h.granter.GreetingsDue() {
+		for _, other := range w.hosts {
+			if other.name == p.Name && other.granter != nil && !w.randomBool(0.1) && other.granter.RecordGreeting(h.granter.Greeting()) {
+				met = append(met, p.Name)
+			}
+		}
+	}
+	return met
+}
+
 // exchangeNotes asks other instances to confirm the grants of one.
 func (w *simulation) exchangeNotes(h *simHost) {
 	for _, n := range h.granter.NotesDue() {
-		confirmed := 0
-		for _, other := range w.hosts {
-			if other == h || other.granter == nil || w.randomBool(0.3) {
-				continue
-			}
-			if other.granter.RecordNote(n) {
-				confirmed++
+		needed := h.granter.WitnessesNeeded(w.clock(h))
+		for _, i := range w.rng.Perm(len(w.hosts)) {
+			if other := w.hosts[i]; needed > 0 && other != h && other.granter != nil && !w.randomBool(0.3) && other.granter.RecordNote(n) {
+				needed--
 			}
 		}
-		if confirmed >= h.granter.WitnessesNeeded(w.clock(h)) {
+		if needed <= 0 {
 			h.granter.Confirm(n)
 		}
 	}
@@ -288,8 +308,8 @@
 func (w *simulation) putLedger(h *simHost, l Ledger, version uint64) bool {
 	g := h.granter
 	if w.flaw == omitTestimony {
-		for name := range l.Others {
-			l.Others[name] = Testimony{}
+		for name, told := range l.Others {
+			l.Others[name] = Testimony{Met: told.Met}
 		}
 	}
 	key := w.key(h.name, g.Era())
@@ -407,7 +427,7 @@
 		switch p := w.rng.Float64(); {
 		case p < 0.02:
 			w.keepCopy()
-		case p < 0.021:
+		case p < 0.021, w.now < time.Hour+startup && p < 0.03:
 			w.restore()
 		case p < 0.022:
 			h.cutSteps = w.rng.IntN(400)
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -351,6 +351,6 @@
 	return &Granter{
 		name: self.Name, addr: self.Addr, incarnation: self.Incarnation, bootID: self.Boot,
 		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr}, lenders: make(map[string][]Lender),
-		era: eraState{ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), sightings: make(map[string]sighting)},
+		era: eraState{ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), sightings: make(map[string]sighting)},
 	}
 }
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -35,6 +35,7 @@
 	lendPath   = "/lend"
 	returnPath = "/return"
 	notePath   = "/note"
+	greetPath  = "/greet"
 	// dialTimeout is three round trips between regions.
 	dialTimeout = 150 * time.Millisecond
 	// callTimeout is a dial, a round trip and the time that the lender itself waits
@@ -67,6 +68,7 @@
 	Lend(ctx context.Context, l granter.Loan) granter.Decision
 	AddReturned(account string, tokens int64)
 	RecordNote(n granter.Note) bool
+	RecordGreeting(m granter.Greeting) bool
 }
 
 // Handler serves loan and return requests of peers.
@@ -83,15 +85,19 @@
 		tl.AddReturned(l.Account, l.Requested)
 		return Reply{Tokens: l.Requested, Outcome: granter.Reserved}
 	}))
-	mux.HandleFunc("POST "+notePath, handleJSON(func(_ context.Context, n granter.Note) Reply {
-		if !tl.RecordNote(n) {
-			return Reply{Outcome: granter.Unready}
-		}
-		return Reply{Outcome: granter.Reserved}
-	}))
+	mux.HandleFunc("POST "+notePath, handleJSON(func(_ context.Context, n granter.Note) Reply { return replyTo(tl.RecordNote(n)) }))
+	mux.HandleFunc("POST "+greetPath, handleJSON(func(_ context.Context, m granter.Greeting) Reply { return replyTo(tl.RecordGreeting(m)) }))
 	return mux
 }
 
+// replyTo returns the reply to a message, which says whether it was accepted.
+func replyTo(accepted bool) Reply {
+	if !accepted {
+		return Reply{Outcome: granter.Unready}
+	}
+	return Reply{Outcome: granter.Reserved}
+}
+
 // handleJSON decodes and validates the request of a peer and encodes the response.
 func handleJSON[Req checker.Checker, Res checker.Checker](serve func(context.Context, Req) Res) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -149,9 +155,20 @@
 // Remember tells a peer about a grant. If the peer does not remember it, the error is
 // [ErrRefused].
 func (c *Client) Remember(ctx context.Context, peer granter.Lender, n granter.Note) error {
-	r, err := post[Reply](ctx, c, peer.Addr+notePath, n)
+	return c.tell(ctx, peer, notePath, n)
+}
+
+// Greet tells a peer about this instance. If the peer does not count it, the error is
+// [ErrRefused].
+func (c *Client) Greet(ctx context.Context, peer granter.Lender, m granter.Greeting) error {
+	return c.tell(ctx, peer, greetPath, m)
+}
+
+// tell sends a message that a peer accepts or refuses.
+func (c *Client) tell(ctx context.Context, peer granter.Lender, path string, v any) error {
+	r, err := post[Reply](ctx, c, peer.Addr+path, v)
 	if err == nil && r.Outcome != granter.Reserved {
-		return fmt.Errorf("note to %s: %w", peer.Name, ErrRefused)
+		return fmt.Errorf("%s to %s: %w", path, peer.Name, ErrRefused)
 	}
 	return err
 }
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -35,6 +35,8 @@
 
 func (fake *fakeLender) RecordNote(n granter.Note) bool { return n.Era == 1 }
 
+func (fake *fakeLender) RecordGreeting(m granter.Greeting) bool { return m.Era == 1 }
+
 func (fake *fakeLender) AddReturned(account string, tokens int64) {
 	fake.mu.Lock()
 	defer fake.mu.Unlock()
