--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -49,6 +49,17 @@
 func (f lateBoundLender) RecordGreeting(m granter.Greeting) bool { return (*f.inst).RecordGreeting(m) }
 
 func startInstance(t *testing.T, addr, name string) *testInstance {
+	t.Helper()
+	inst := runInstance(t, addr, name)
+	for end := time.Now().Add(5 * time.Second); !inst.Ready(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the instance is not ready after 5 s")
+		}
+	}
+	return inst
+}
+
+func runInstance(t *testing.T, addr, name string) *testInstance {
 	t.Helper()
 	inst := &testInstance{result: make(chan error, 1)}
 	inst.peers = httptest.NewServer(lender.Handler(lateBoundLender{&inst}))
@@ -60,11 +71,6 @@
 	go func() { inst.result <- inst.Run(ctx) }()
 	go inst.watchConfig(ctx)
 	t.Cleanup(func() { inst.kill() })
-	for end := time.Now().Add(5 * time.Second); !inst.Ready(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the instance is not ready after 5 s")
-		}
-	}
 	return inst
 }
 
--- a/internal/accountant/eras_test.go
+++ b/internal/accountant/eras_test.go
@@ -152,3 +152,31 @@
 		}
 	}
 }
+
+// Guards against an instance that starts after a restore of the store and serves by a
+// configuration older than the one that others have in force.
+func TestStartWithOldConfig(t *testing.T) {
+	s, addr := platformtest.Start(t)
+	s.StartEras()
+	first := startInstance(t, addr, "entry-1")
+	first.SetPrepaid(2, map[string]int64{"rider-app": prepaid})
+	s.Restore(s.Copy())
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if _, err := first.store.Get(t.Context(), accountant.KindLedgers, "entry-1@2"); err == nil {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	second := runInstance(t, addr, "entry-2")
+	time.Sleep(500 * time.Millisecond)
+	if second.Ready() {
+		t.Error("the instance is ready with version 1, others have version 2 in force")
+	}
+	second.SetPrepaid(2, map[string]int64{"rider-app": prepaid})
+	for end := time.Now().Add(2 * time.Second); !second.Ready(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the instance is not ready with the newest version")
+		}
+	}
+}
--- a/internal/adopter/adopter_test.go
+++ b/internal/adopter/adopter_test.go
@@ -244,19 +244,19 @@
 			return
 		}
 		if s.tamper && len(answer.Head) > 0 && s.rnd.IntN(4) == 0 {
-			answer.Head = withForgedVersion(s.t, answer.Head)
+			answer.Head = withForgedVersion(s.t, answer.Head, answer.Version+1000)
 		}
 		s.deliver(n, s.delay(), func() []Action { return n.HandleAnswer(s.now, sent, answer) })
 	})
 }
 
-// withForgedVersion raises the version of a head and keeps the old signature.
-func withForgedVersion(t testing.TB, head []byte) []byte {
+// withForgedVersion changes the version of a head and keeps the old signature.
+func withForgedVersion(t testing.TB, head []byte, version uint64) []byte {
 	h, err := bundler.DecodeHead(head)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.Version += 1000
+	h.Version = version
 	if head, err = checker.Encode(h); err != nil {
 		t.Fatal(err)
 	}
@@ -417,3 +417,27 @@
 		t.Errorf("not active after the outage: %v", late)
 	}
 }
+
+// Guards against a process that never gets ready because the platform offers a forged
+// head, and against one that takes it as a proof that its version is the newest.
+func TestStartWithForgedHead(t *testing.T) {
+	for _, forged := range []uint64{1, 1000} {
+		s := newSimulation(t, forged, 8)
+		s.publish(2)
+		for _, name := range s.names[1:] {
+			s.start(name)
+		}
+		s.runUntil(s.now.Add(5 * time.Second))
+		s.head = withForgedVersion(t, s.head, forged)
+		s.start("p0")
+		start := s.now
+		s.runUntil(start.Add(RoundInterval))
+		if n := s.nodes["p0"]; n.Ready() {
+			t.Errorf("forged version %d: is ready %v after the start", forged, n.readyAt.Sub(start))
+		}
+		s.runUntil(start.Add(spreadLimit))
+		if n := s.nodes["p0"]; !n.Ready() || n.activeVersion != 2 || n.rejections == 0 {
+			t.Errorf("forged version %d: ready = %v, version = %d, %d rejections, want version 2", forged, n.Ready(), n.activeVersion, n.rejections)
+		}
+	}
+}
--- a/internal/adopter/commands.go
+++ b/internal/adopter/commands.go
@@ -83,7 +83,8 @@
 }
 
 // HandlePlatformHead handles the result of a read or watch. The head is empty if the
-// object is absent or unchanged.
+// object is absent or unchanged. During startup, a head that cannot be verified is
+// handled like a failed read: the peers are asked.
 func (a *Adopter) HandlePlatformHead(now time.Time, head []byte, err error) []Action {
 	if err != nil {
 		if a.ready || a.rounds > 0 {
@@ -95,7 +96,11 @@
 	if len(head) == 0 {
 		return nil
 	}
-	return a.handleHead(now, "", head)
+	acts := a.handleHead(now, "", head)
+	if !a.ready && a.rounds == 0 && slices.ContainsFunc(acts, isRejection) {
+		return a.askCentre(now, acts)
+	}
+	return acts
 }
 
 // HandleNotice handles a notice from a peer and returns the answer.
@@ -223,15 +228,15 @@
 	if err != nil {
 		return []Action{ReportRejection{From: from, Err: fmt.Errorf("decode head: %w", err)}}
 	}
-	if from == "" && head.Version <= a.head.Version {
-		return a.markReady(nil)
-	}
-	if head.Version <= a.head.Version || head.Version == a.invalidVersion {
+	if (from != "" || a.ready) && head.Version <= a.head.Version || head.Version == a.invalidVersion {
 		return nil
 	}
 	if err := bundler.Verify(head, a.cfg.Trust); err != nil {
 		return []Action{ReportRejection{From: from, Err: err}}
 	}
+	if head.Version <= a.head.Version {
+		return a.markReady(nil) // the platform has no newer version than the peers
+	}
 	if a.next != nil && head.Version <= a.next.head.Version {
 		if head.Version == a.next.head.Version {
 			a.next.addSource(from)
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -211,7 +211,9 @@
 
 func callPeer[A any](ctx context.Context, c *Client, p peer, call func(context.Context) (A, error)) (A, error) {
 	res, err := call(ctx)
-	c.recordCallResult(p.name, err)
+	if !errors.Is(ctx.Err(), context.Canceled) { // a caller that leaves says nothing about the peer
+		c.recordCallResult(p.name, err)
+	}
 	return res, err
 }
 
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -337,3 +337,18 @@
 		t.Errorf("got %v, want a refusal with reason stopping", err)
 	}
 }
+
+// Guards against a holder that is avoided because callers left while it worked.
+func TestCallerThatLeavesIsNoFailure(t *testing.T) {
+	c := NewClient(nil, nil, nil)
+	for range maxUnanswered {
+		ctx, cancel := context.WithCancel(t.Context())
+		_, err := callPeer(ctx, c, peer{name: "entry-2"}, func(ctx context.Context) (struct{}, error) {
+			cancel()
+			return struct{}{}, ctx.Err()
+		})
+		if err == nil || c.isUnresponsive("entry-2") {
+			t.Fatalf("error %v, unresponsive: %v", err, c.isUnresponsive("entry-2"))
+		}
+	}
+}
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -253,6 +253,8 @@
 func (t *takeover) replayJournal(now time.Time, a recoverer.ReplayJournal) {
 	actions, err := t.ha.budgets.ReplayFormer(a.Shard, a.Log)
 	if err != nil {
+		// An invalid entry stays invalid, so there is no retry. The former holder keeps its
+		// grants, and what it may have charged is not spent again.
 		t.ha.h.log.Error().Err(err).Msg("replaying journal failed")
 		return
 	}
--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -55,6 +55,9 @@
 		timeout = meta.Timeout
 	}
 	j.deadline = j.arrived.Add(min(timeout, route.Timeout))
+	if writeEnd := j.deadline.Add(lateWriteTime); writeEnd.After(j.arrived.Add(defaultTimeout)) {
+		_ = http.NewResponseController(j.w).SetWriteDeadline(writeEnd)
+	}
 	return j.readBody()
 }
 
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -80,11 +80,13 @@
 	}
 	public := prefix("public", resolver.Idempotent, 2, false)
 	public.Public = true
+	long := prefix("long", resolver.Stream, 2, false)
+	long.Timeout = 50 * time.Second
 	tab, err := resolver.New(resolver.Config{
 		Version: version, KeyRequired: true,
 		Routes: []resolver.Route{
 			prefix("look", resolver.Idempotent, 2, false), prefix("book", resolver.NonIdempotent, 2, false),
-			prefix("plan", resolver.Stream, 2, false), prefix("summary", resolver.Stream, 2, true), public,
+			prefix("plan", resolver.Stream, 2, false), prefix("summary", resolver.Stream, 2, true), public, long,
 		},
 		Services: []resolver.Service{
 			{Name: "booking", MaxConnections: 10},
@@ -361,7 +363,8 @@
 }
 
 // Guards against a target that continues to work after the caller has disconnected,
-// because the disconnect is not propagated.
+// because the disconnect is not propagated, and against a bill for more than the caller
+// may have received.
 func TestCallerLeaves(t *testing.T) {
 	f := start(t, script{{Events: 1000, Pause: 5 * time.Millisecond}})
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
@@ -373,6 +376,7 @@
 	req.Host = "a.example"
 	req.Header.Set("Daisylane-Attempt-Id", "id-1")
 	req.Header.Set("Api-Key", "key-1")
+	req.Header.Set("Daisylane-Token-Usage", "80,900")
 	res, err := http.DefaultClient.Do(req)
 	if err == nil {
 		_, err = io.ReadAll(res.Body)
@@ -386,4 +390,34 @@
 			t.Fatal("target still works after the caller disconnected")
 		}
 	}
+	if open, used := f.budgets.totals(); open != 0 || used <= 80 || used >= 980 {
+		t.Errorf("%d tokens are reserved and %d billed, want 0, and the 80 of the prompt and a part of the output", open, used)
+	}
+}
+
+// deadlineRecorder records the write deadline of a response.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	end time.Time
+}
+
+func (w *deadlineRecorder) SetWriteDeadline(end time.Time) error {
+	w.end = end
+	return nil
+}
+
+// Guards against a response that is cut off although its request may take longer than
+// the default.
+func TestWriteDeadline(t *testing.T) {
+	f := start(t, script{{Events: 2}})
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	req := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/long/7", nil)
+	req.Host = "a.example"
+	for name, value := range map[string]string{"Daisylane-Attempt-Id": "id-1", "Api-Key": "key-1", "Daisylane-Deadline-Ms": "45000"} {
+		req.Header.Set(name, value)
+	}
+	f.receiver.ServeHTTP(w, req)
+	if left := time.Until(w.end); w.Code != http.StatusOK || left < 44*time.Second {
+		t.Errorf("status %d, %v left to write the response of a request with 45 s", w.Code, left)
+	}
 }
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -36,6 +36,8 @@
 	configStaleTime = 4 * time.Second
 	// Timeout of a request whose caller sets none.
 	defaultTimeout = 30 * time.Second
+	// Time after the deadline in which a ready response is still written.
+	lateWriteTime = 5 * time.Second
 	// Share of the latency objective that a request may wait for tokens.
 	reserveWaitShare = 0.6
 	// A request with less time left cannot be served.
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// Guards against a service that gets more or fewer requests than its weight.
+// Guards against a service that gets more or fewer requests than its weight, and against
+// one that gets any if all weights are 0.
 func TestServiceWeights(t *testing.T) {
 	r := route("split", "a.example", "/", WeightedService{"old", 90}, WeightedService{"off", 0}, WeightedService{"new", 10})
 	counts := map[string]int{}
@@ -57,6 +58,9 @@
 	if counts["old"] != 90 || counts["new"] != 10 || counts["off"] != 0 {
 		t.Errorf("got %v", counts)
 	}
+	if off := route("off", "a.example", "/", WeightedService{"old", 0}).ServiceAt(0); off != "" {
+		t.Errorf("got %q although all weights are 0", off)
+	}
 }
 
 // Guards against a configuration that is accepted although requests of one of its
--- a/internal/resolver/types.go
+++ b/internal/resolver/types.go
@@ -83,14 +83,14 @@
 }
 
 // ServiceAt returns the service for a number n from 0 to [Route.TotalWeight]-1. Each
-// service has as many of these numbers as its weight.
+// service has as many of these numbers as its weight. It returns "" if all weights are 0.
 func (r Route) ServiceAt(n int) string {
 	for _, s := range r.Shares {
 		if n -= s.Weight; n < 0 {
 			return s.Service
 		}
 	}
-	return r.Shares[len(r.Shares)-1].Service
+	return ""
 }
 
 // Engine describes the capacity of each model engine of a service.
