Cancel loans whose response was lost

Cause: an instance that got no response to its request for tokens gave the loan up, but the lender may have made it, and its tokens were nobody's.

Change: a loan has an ID, and its borrower cancels it after a failed call: the lender takes the tokens back, or refuses the request if it comes later. The property test cancels each lost loan twice.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -18,6 +18,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -27,7 +28,9 @@
 	"daisylane/internal/checker"
 	"daisylane/internal/follower"
 	"daisylane/internal/granter"
+	"daisylane/internal/lender"
 	"daisylane/internal/storer"
+	"daisylane/internal/waiter"
 )
 
 // Kinds of the stored objects.
@@ -74,6 +77,10 @@
 	// maxBorrowRounds is how often one request asks other instances with unused tokens,
 	// each time according to the newest known grants.
 	maxBorrowRounds = 3
+	// cancelDelay is the time before a loan without a response is cancelled. It doubles
+	// with each attempt up to maxCancelDelay.
+	cancelDelay    = 150 * time.Millisecond
+	maxCancelDelay = 5 * time.Second
 	// peerFailureBackoff is how long a peer is not asked after a failed call.
 	peerFailureBackoff = 2 * time.Second
 )
@@ -96,6 +103,8 @@
 type Peers interface {
 	// Borrow returns the number of tokens lent, 0 if the peer has too few.
 	Borrow(ctx context.Context, peer granter.Lender, l granter.Loan) (int64, error)
+	// Cancel makes a peer take back or never make a loan whose response was lost.
+	Cancel(ctx context.Context, peer granter.Lender, l granter.Loan) (int64, error)
 	Return(ctx context.Context, peer granter.Lender, account string, tokens int64) error
 	// Remember tells a peer about a grant. It returns an error if the peer does not
 	// confirm that it remembers the grant.
@@ -258,7 +267,20 @@
 		}
 	}()
 	n := max(l.Minimum, min(l.Requested, a.state.LendableTokens(l.Account, l.Need)))
-	return a.takeOrWait(ctx, l.Account, n, now+lendTimeout, a.state.Lend, func() {})
+	d := a.takeOrWait(ctx, l.Account, n, now+lendTimeout, a.state.Lend, func() {})
+	if d.Outcome == granter.Reserved && !a.state.RecordLoan(a.clock(), l, n) {
+		a.state.AddReturned(l.Account, n)
+		return granter.Decision{Outcome: granter.Unready}
+	}
+	return d
+}
+
+// CancelLoan takes back a loan that the borrower does not use, and returns its tokens.
+func (a *Accountant) CancelLoan(id string) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	defer a.notifyWaiters()
+	return a.state.CancelLoan(a.clock(), id)
 }
 
 // AddReturned adds lent tokens that a borrower returns unused.
@@ -279,9 +301,13 @@
 		}
 		need, requested := a.state.BorrowAmounts(now, account, n)
 		a.mu.Unlock()
-		got, err := a.peers.Borrow(ctx, lender, granter.Loan{Account: account, Minimum: min(need, minimum), Need: need, Requested: requested})
+		loan := granter.Loan{ID: strconv.FormatUint(rand.Uint64(), 36), Account: account, Minimum: min(need, minimum), Need: need, Requested: requested}
+		got, err := a.peers.Borrow(ctx, lender, loan)
 		a.mu.Lock()
 		if err != nil {
+			if mayHaveRun(err) {
+				go a.cancelLoan(context.WithoutCancel(ctx), lender, loan)
+			}
 			a.recordPeerFailure(lender, err, "peer lends nothing")
 			continue
 		}
@@ -292,6 +318,29 @@
 	}
 }
 
+// mayHaveRun reports whether a peer may have executed, or may still execute, a call that
+// failed.
+func mayHaveRun(err error) bool {
+	var op *net.OpError
+	notSent := errors.As(err, &op) && op.Op == "dial"
+	return !notSent && !errors.Is(err, lender.ErrRefused)
+}
+
+// cancelLoan cancels a loan without a response. If the lender does not confirm that, the
+// tokens may be lost.
+func (a *Accountant) cancelLoan(ctx context.Context, p granter.Lender, l granter.Loan) {
+	var err error
+	for delay := cancelDelay; delay <= maxCancelDelay; delay *= 2 {
+		waiter.Sleep(ctx, delay)
+		var tokens int64
+		if tokens, err = a.peers.Cancel(ctx, p, l); err == nil {
+			a.log.Info().Str("peer", p.Name).Str("account", l.Account).Int64("tokens", tokens).Msg("loan cancelled")
+			return
+		}
+	}
+	a.log.Warn().Str("peer", p.Name).Str("account", l.Account).Int64("tokens", l.Requested).Err(err).Msg("loan not cancelled")
+}
+
 // recordPeerFailure keeps calls away from a peer for a while. The caller holds the lock.
 func (a *Accountant) recordPeerFailure(p granter.Lender, err error, msg string) {
 	a.peerBackoffUntil[p.Name] = a.clock() + peerFailureBackoff
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,15 +32,20 @@
 	cancel context.CancelFunc
 	result chan error
 	peers  *httptest.Server
+	lag    atomic.Int64 // nanoseconds between a loan and its response
 }
 
 // lateBoundLender forwards to an instance that is created after its server.
 type lateBoundLender struct{ inst **testInstance }
 
 func (f lateBoundLender) Lend(ctx context.Context, l granter.Loan) granter.Decision {
-	return (*f.inst).Lend(ctx, l)
+	d := (*f.inst).Lend(ctx, l)
+	time.Sleep(time.Duration((*f.inst).lag.Load()))
+	return d
 }
 
+func (f lateBoundLender) CancelLoan(id string) int64 { return (*f.inst).CancelLoan(id) }
+
 func (f lateBoundLender) AddReturned(account string, tokens int64) {
 	(*f.inst).AddReturned(account, tokens)
 }
@@ -125,6 +131,26 @@
 	}
 }
 
+// Guards against tokens that are lost with the response to a loan: nobody could spend
+// them.
+func TestLostLoanIsTakenBack(t *testing.T) {
+	_, addr := platformtest.Start(t)
+	instances := []*testInstance{startInstance(t, addr, "entry-1"), startInstance(t, addr, "entry-2"), startInstance(t, addr, "entry-3")}
+	for _, inst := range instances {
+		inst.lag.Store(int64(time.Second))
+	}
+	for _, inst := range instances {
+		reserve(inst, prepaid/10) // two of them ask a home, which responds too late
+	}
+	for _, inst := range instances {
+		inst.lag.Store(0)
+	}
+	time.Sleep(time.Second)
+	if used := spend(instances, 4*time.Second); used < prepaid*7/10-1000 || used > prepaid {
+		t.Errorf("%d of %d tokens can be spent", used, prepaid)
+	}
+}
+
 // Guards against an instance that refuses all requests while the store does not
 // respond, although its grant has tokens left, and against refusals that continue
 // after the outage.
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -306,3 +306,24 @@
 		})
 	}
 }
+
+// Guards against a loan that is cancelled twice or used after it was cancelled, which
+// would spend its tokens twice, and against records that are kept forever.
+func TestCancelledLoan(t *testing.T) {
+	g := New(Identity{Name: "entry-1"})
+	l := Loan{ID: "loan-1", Account: "rider-app"}
+	if !g.RecordLoan(second, l, 500) || g.RecordLoan(second, l, 500) {
+		t.Error("a loan can be made other than once")
+	}
+	if first, again := g.CancelLoan(second, l.ID), g.CancelLoan(second, l.ID); first != 500 || again != 0 || g.account("rider-app").borrowed != 500 {
+		t.Errorf("cancelling returned %d, then %d tokens, %d are left to lend", first, again, g.account("rider-app").borrowed)
+	}
+	l.ID = "loan-2"
+	if g.CancelLoan(second, l.ID) != 0 || g.RecordLoan(2*second, l, 500) {
+		t.Error("a loan is made after it was cancelled")
+	}
+	g.CancelLoan(second+2*loanMemory, "loan-3")
+	if len(g.loans) != 1 || len(g.recentLoans) != 1 {
+		t.Errorf("%d loans are remembered", len(g.loans))
+	}
+}
--- a/internal/granter/property_test.go
+++ b/internal/granter/property_test.go
@@ -42,6 +42,7 @@
 	flaw  flaw
 	now   time.Duration
 	boots int
+	loans int
 	simStore
 	delayed  []func()
 	hosts    []*simHost
@@ -530,11 +531,18 @@
 	}
 	n := 1 + w.rng.Int64N(8_000)
 	lender.granter.AddGrantDemand(w.clock(lender), name, n)
+	w.loans++
+	l := Loan{ID: fmt.Sprint(w.loans), Account: name}
 	if d := lender.granter.Lend(w.clock(lender), name, n); d.Outcome == Reserved {
+		lender.granter.RecordLoan(w.clock(lender), l, n)
 		lender.usedOrLent[name] += d.Own
 		w.lent[name] += d.Own
 		if !w.randomBool(0.1) {
 			h.granter.AddBorrowed(name, n)
+			return
+		}
+		for range 2 { // the first response may be lost
+			lender.granter.CancelLoan(w.clock(lender), l.ID)
 		}
 	}
 }
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -95,6 +95,7 @@
 	// maxRetryAfter is a time after which a store outage is often over.
 	maxRetryAfter = 5 * time.Second
 
+	maxLoanIDBytes = 64
 	// maxLedgerWritesPerSecond is the limit for the ledgers of all instances. It is
 	// half of the 400 writes per second that the store is specified for.
 	maxLedgerWritesPerSecond = 200
@@ -178,6 +179,7 @@
 
 // Loan asks another instance for tokens of an account, or returns them.
 type Loan struct {
+	ID        string `json:"id"` // chosen by the borrower to cancel the loan, unique
 	Account   string `json:"account"`
 	Minimum   int64  `json:"least"` // smallest useful loan in tokens
 	Need      int64  `json:"need"`  // tokens that the request is short of
@@ -188,6 +190,7 @@
 func (l Loan) Check() error {
 	var f checker.Validator
 	f.Require(l.Account != "", "account", "is empty")
+	checker.Range(&f, "id", len(l.ID), 0, maxLoanIDBytes)
 	f.Require(l.Minimum >= 0 && l.Minimum <= l.Need && l.Need <= l.Requested, "ask", "is %d, need is %d, least is %d, must not grow", l.Requested, l.Need, l.Minimum)
 	return f.Err()
 }
@@ -329,12 +332,14 @@
 	pendingLedgers []Ledger            // ledger writes that may still take effect
 	ledgerNumber   int64
 	stopping       bool
-	ledgerEra      int64         // of the newest ledger known to be written
-	startedAt      time.Duration // of this process
-	priorUnknown   bool          // what a predecessor has spent is not known
-	peersKnown     bool          // the ledgers were read again after the own one was written
-	newcomer       bool          // the instance has no ledger of a former process
-	configVersion  int64         // in force
+	ledgerEra      int64                 // of the newest ledger known to be written
+	startedAt      time.Duration         // of this process
+	priorUnknown   bool                  // what a predecessor has spent is not known
+	peersKnown     bool                  // the ledgers were read again after the own one was written
+	newcomer       bool                  // the instance has no ledger of a former process
+	configVersion  int64                 // in force
+	loans          map[string]loanRecord // recent loans to others, by ID
+	recentLoans    []recentLoan          // the same in the order in which they were made
 	era            eraState
 }
 
@@ -350,7 +355,7 @@
 func New(self Identity) *Granter {
 	return &Granter{
 		name: self.Name, addr: self.Addr, incarnation: self.Incarnation, bootID: self.Boot,
-		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr}, lenders: make(map[string][]Lender),
+		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr}, lenders: make(map[string][]Lender), loans: make(map[string]loanRecord),
 		era: eraState{ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), sightings: make(map[string]sighting)},
 	}
 }
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -12,8 +12,9 @@
 // After the store was restored from an older copy, peers tell what they remember of each
 // other's grants. For this, each grant is announced to some of them before it is used.
 //
-// A call without a response may have been executed. Its tokens are then lost, but
-// never spent twice.
+// A loan whose response is lost is cancelled: the lender takes its tokens back, or refuses
+// the request if it arrives later. Tokens that are returned without a response may be
+// lost, but are never spent twice.
 package lender
 
 import (
@@ -34,6 +35,7 @@
 const (
 	lendPath   = "/lend"
 	returnPath = "/return"
+	cancelPath = "/cancel"
 	notePath   = "/note"
 	greetPath  = "/greet"
 	// dialTimeout is three round trips between regions.
@@ -66,6 +68,7 @@
 // TokenLender lends tokens to other instances and accepts returned ones.
 type TokenLender interface {
 	Lend(ctx context.Context, l granter.Loan) granter.Decision
+	CancelLoan(id string) int64
 	AddReturned(account string, tokens int64)
 	RecordNote(n granter.Note) bool
 	RecordGreeting(m granter.Greeting) bool
@@ -85,6 +88,9 @@
 		tl.AddReturned(l.Account, l.Requested)
 		return Reply{Tokens: l.Requested, Outcome: granter.Reserved}
 	}))
+	mux.HandleFunc("POST "+cancelPath, handleJSON(func(_ context.Context, l granter.Loan) Reply {
+		return Reply{Tokens: tl.CancelLoan(l.ID), Outcome: granter.Reserved}
+	}))
 	mux.HandleFunc("POST "+notePath, handleJSON(func(_ context.Context, n granter.Note) Reply { return replyTo(tl.RecordNote(n)) }))
 	mux.HandleFunc("POST "+greetPath, handleJSON(func(_ context.Context, m granter.Greeting) Reply { return replyTo(tl.RecordGreeting(m)) }))
 	return mux
@@ -146,6 +152,13 @@
 	return r.Tokens, nil
 }
 
+// Cancel makes a lender take back a loan without a response, or never make it. It returns
+// the tokens taken back.
+func (c *Client) Cancel(ctx context.Context, peer granter.Lender, l granter.Loan) (int64, error) {
+	r, err := post[Reply](ctx, c, peer.Addr+cancelPath, granter.Loan{ID: l.ID, Account: l.Account})
+	return r.Tokens, err
+}
+
 // Return returns unused borrowed tokens to their lender.
 func (c *Client) Return(ctx context.Context, peer granter.Lender, account string, tokens int64) error {
 	_, err := post[Reply](ctx, c, peer.Addr+returnPath, granter.Loan{Account: account, Requested: tokens})
