Answer a request whose deadline passes while it waits for tokens

Cause: the time to retry is at most a third of what is left of the deadline. If that was negative, the random part panicked and the connection was closed without a response.

Change: no jitter below zero. TestDeadlinePassesDuringReservation got EOF before.

--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -225,5 +225,11 @@
 }
 
 // jitter returns a random duration between 0.5 and 1.5 times d, so that callers that
-// were refused at the same time do not retry at the same time.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d+1) }
+// were refused at the same time do not retry at the same time. It returns 0 if d is
+// negative, which is what is left of a deadline that has passed.
+func jitter(d time.Duration) time.Duration {
+	if d < 0 {
+		return 0
+	}
+	return d/2 + rand.N(d+1)
+}
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	unready bool
 	outcome granter.Outcome // of the next reservation, empty: reserved
+	delay   time.Duration   // of each reservation
 	open    int64
 	used    int64
 }
@@ -35,6 +36,7 @@
 func (b *budgets) Ready() bool { return !b.unready }
 
 func (b *budgets) Reserve(_ context.Context, _ string, n int64, _ time.Duration) granter.Decision {
+	time.Sleep(b.delay)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.outcome != "" {
@@ -421,3 +423,14 @@
 		t.Errorf("status %d, %v left to write the response of a request with 45 s", w.Code, left)
 	}
 }
+
+// Guards against a request that is cut off without a response because its deadline passes
+// while it waits for tokens.
+func TestDeadlinePassesDuringReservation(t *testing.T) {
+	f := start(t, script{{Events: 2}})
+	f.budgets.outcome, f.budgets.delay = granter.Limited, 60*time.Millisecond
+	res, _, err := f.call(t, "/plan/7", "", map[string]string{"Daisylane-Deadline-Ms": "30"})
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %v, %v", res, err)
+	}
+}
