Return small grants that only the home would use

Cause: an instance that is not the home of an account kept what it had once been granted (it started first, or the home did not answer) as long as that was below 4% of the prepaid tokens.

Change: an instance other than the home returns what it does not need from 0.25% on. TestStrayGrantIsReturned failed before.

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -327,3 +327,25 @@
 		t.Errorf("%d loans are remembered", len(g.loans))
 	}
 }
+
+// Guards against a small grant that an instance keeps for good although another one is
+// the home of the account: nobody uses it, and it is lost with the instance.
+func TestStrayGrantIsReturned(t *testing.T) {
+	const prepaid = 2_000_000
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		g := newReadyGranter(t, name, Budget{}, 1, prepaid) // acts as home while it is alone
+		done := g.AddWaiting("rider-app", 30_000, true)
+		writeLedgerAndBudget(g, second)
+		done()
+		g.SetPeer("entry-1", "entry-1")
+		g.SetPeer("entry-2", "entry-2")
+		g.SetPeer("entry-3", "entry-3")
+		now := second + demandWindow
+		due := slices.Contains(g.BudgetsDue(now, true), "rider-app")
+		next, _ := g.PlanBudget(now, "rider-app")
+		returned := due && next.Grants[name].Granted == 0
+		if returned == g.isHome("rider-app") {
+			t.Errorf("%s is home: %v, returns its grant: %v", name, g.isHome("rider-app"), returned)
+		}
+	}
+}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -234,13 +234,17 @@
 }
 
 // budgetStale reports whether the published figures differ from the current ones
-// by more than the stale threshold.
+// by more than the stale threshold, or the instance holds tokens that only the home of
+// the account would use.
 func (g *Granter) budgetStale(now time.Duration, name string, a *account) bool {
 	if a.version == 0 && g.era.number > 0 {
 		return false
 	}
 	grant := a.budget.Grants[g.name]
 	next := g.planGrant(now, name, a)
+	if !g.isHome(name) && float64(a.granted-next.Granted) > float64(a.prepaid)*strayThreshold {
+		return true
+	}
 	threshold := float64(a.prepaid) * staleThreshold
 	return math.Abs(float64(next.Granted-grant.Granted)) > threshold || math.Abs(float64(next.Spent-grant.Spent)) > threshold
 }
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -90,6 +90,9 @@
 	// staleThreshold is the share of the prepaid budget by which the published
 	// figures may differ from the current ones.
 	staleThreshold = 0.04
+	// strayThreshold is the share of the prepaid budget above which an instance other than
+	// the home returns tokens that it does not need.
+	strayThreshold = 0.0025
 	// minRetryAfter is the time of a store call and a round trip of the caller.
 	minRetryAfter = 300 * time.Millisecond
 	// maxRetryAfter is a time after which a store outage is often over.
