Borrow only what is missing, and shorten the pause of a budget that requests wait for

And a home that had just written a budget waited 250 ms before it could raise its grant again, which is longer than it makes a borrower wait (220 ms), so the borrower went on to the next instance, which took a grant of its own.

Change: no loan if the own grant covers the request; 50 ms instead of 250 ms between two writes of a budget while requests wait for tokens.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -46,6 +46,8 @@
 	// minBudgetInterval is the minimum time between two writes of one budget by one
 	// instance.
 	minBudgetInterval = 250 * time.Millisecond
+	// urgentBudgetInterval is the same while requests wait for a larger grant.
+	urgentBudgetInterval = 50 * time.Millisecond
 	// staleCheckInterval is how often budgets with outdated figures are written.
 	staleCheckInterval = 4 * time.Second
 	retryDelay         = 150 * time.Millisecond
@@ -140,13 +142,20 @@
 	changed          chan struct{}
 	ledgerSignal     chan struct{}
 	budgetsSignal    chan struct{}
-	budgetWrites     map[string]bool // accounts whose budget is being written
+	budgetWrites     map[string]budgetWrite // last write of each budget, by account
 	notesSignal      chan struct{}
 	pollSignal       chan struct{}
 	polls            int             // used by pollLoop only
 	confirming       map[string]bool // accounts whose grants are being confirmed
 }
 
+// budgetWrite is the last write of a budget.
+type budgetWrite struct {
+	running bool
+	failed  bool
+	ended   time.Duration
+}
+
 // New returns the accountant of an instance. The name must identify one machine and
 // address, so that no two processes use it at the same time. The instance lends
 // tokens to its peers at addr.
@@ -159,7 +168,7 @@
 	return &Accountant{
 		store: store, name: name, peers: peers, log: log, clock: bootClock, boot: boot, started: bootClock(),
 		state:            granter.New(self),
-		peerBackoffUntil: make(map[string]time.Duration), changed: make(chan struct{}), ledgerSignal: make(chan struct{}, 1), budgetsSignal: make(chan struct{}, 1), budgetWrites: make(map[string]bool),
+		peerBackoffUntil: make(map[string]time.Duration), changed: make(chan struct{}), ledgerSignal: make(chan struct{}, 1), budgetsSignal: make(chan struct{}, 1), budgetWrites: make(map[string]budgetWrite),
 		notesSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1), confirming: make(map[string]bool),
 	}
 }
@@ -234,7 +243,7 @@
 	a.syncEra()
 	a.state.AddLocalDemand(a.clock(), account, n)
 	end := a.clock() + wait
-	if a.ready && !a.state.NeedsNoGrant(account, n) {
+	if a.ready && !a.state.CanReserve(a.clock(), account, n) {
 		a.borrow(ctx, account, n, n, a.state.Lenders(account))
 	}
 	if !a.state.NeedsNoGrant(account, n) {
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -264,9 +264,10 @@
 		}
 		a.mu.Lock()
 		if a.configured && a.ready {
-			for _, account := range a.state.BudgetsDue(a.clock(), stale) {
-				if !a.budgetWrites[account] {
-					a.budgetWrites[account] = true
+			now := a.clock()
+			for _, account := range a.state.BudgetsDue(now, stale) {
+				if a.mayWriteBudget(now, account) {
+					a.budgetWrites[account] = budgetWrite{running: true}
 					go a.writeDueBudget(ctx, account)
 				}
 			}
@@ -275,20 +276,36 @@
 	}
 }
 
-// writeDueBudget writes one budget, then signals another check after a pause.
-func (a *Accountant) writeDueBudget(ctx context.Context, account string) {
+// mayWriteBudget reports whether a budget may be written again. Requests that wait for
+// tokens shorten the pause. The caller holds the lock.
+func (a *Accountant) mayWriteBudget(now time.Duration, account string) bool {
+	w, written := a.budgetWrites[account]
+	if !written {
+		return true
+	}
 	pause := minBudgetInterval
-	if err := a.writeBudget(ctx, account); err != nil {
+	if w.failed {
 		pause = retryDelay
+	} else if a.state.WaitsForGrant(account) {
+		pause = urgentBudgetInterval
 	}
+	return !w.running && now-w.ended >= pause
+}
+
+// writeDueBudget writes one budget, then signals other checks after the pauses.
+func (a *Accountant) writeDueBudget(ctx context.Context, account string) {
+	err := a.writeBudget(ctx, account)
 	a.mu.Lock()
+	a.budgetWrites[account] = budgetWrite{ended: a.clock(), failed: err != nil}
 	a.notifyWaiters()
 	a.mu.Unlock()
-	waiter.Sleep(ctx, pause)
-	a.mu.Lock()
-	delete(a.budgetWrites, account)
-	a.mu.Unlock()
-	sendSignal(a.budgetsSignal)
+	pauses := []time.Duration{urgentBudgetInterval, minBudgetInterval}
+	if err != nil {
+		pauses = []time.Duration{retryDelay}
+	}
+	for _, pause := range pauses {
+		time.AfterFunc(pause, func() { sendSignal(a.budgetsSignal) })
+	}
 }
 
 // writeBudget writes a budget and retries after conflicts.
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -349,3 +349,13 @@
 		}
 	}
 }
+
+// Guards against a loan for a request whose tokens are there.
+func TestOwnTokensNeedNoLoan(t *testing.T) {
+	g := newReadyGranter(t, "entry-1", Budget{}, 1, 10_000, "entry-2", "entry-3")
+	g.AddGrantDemand(second, "rider-app", 2000)
+	writeLedgerAndBudget(g, second)
+	if !g.CanReserve(second, "rider-app", 500) || g.CanReserve(second, "rider-app", 9000) {
+		t.Errorf("%d own tokens are available", g.AvailableTokens(second, "rider-app"))
+	}
+}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -174,6 +174,15 @@
 	return a.prepaid < 0 || a.borrowed >= n
 }
 
+// CanReserve reports whether this instance has the tokens for a request already.
+func (g *Granter) CanReserve(now time.Duration, name string, n int64) bool {
+	need, _ := g.BorrowAmounts(now, name, n)
+	return need == 0 || g.NeedsNoGrant(name, n)
+}
+
+// WaitsForGrant reports whether requests wait for a larger grant.
+func (g *Granter) WaitsForGrant(name string) bool { return g.account(name).waitingForGrant > 0 }
+
 // CanWriteBudget reports whether a budget may be written. The first one of an era has
 // to wait until it can be composed.
 func (g *Granter) CanWriteBudget(name string) bool {
