Ask a home that is short of tokens again before others

Cause: if a home answered that it lacks the tokens at the moment, the borrower asked the next instance by rank, which then wrote a grant of its own for the account: a conflict for the home, which was raising its grant, and tokens that lie idle afterwards.

Change: further instances are asked only if the home does not answer. If it does, it is asked once more before the instances that hold unused tokens and the store. TestShortHomeIsAskedAgain failed before.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -243,17 +243,22 @@
 	a.syncEra()
 	a.state.AddLocalDemand(a.clock(), account, n)
 	end := a.clock() + wait
+	homeIsShort := false
 	if a.ready && !a.state.CanReserve(a.clock(), account, n) {
-		a.borrow(ctx, account, n, n, a.state.Lenders(account))
+		homeIsShort = a.borrow(ctx, account, n, n, true, a.state.Lenders(account))
 	}
 	if !a.state.NeedsNoGrant(account, n) {
 		a.state.AddGrantDemand(a.clock(), account, n)
 	}
 	rounds := 0
 	return a.takeOrWait(ctx, account, n, end, a.state.Reserve, func() {
-		// Borrowing from instances with unused tokens is faster than the store.
-		if rounds++; rounds <= maxBorrowRounds {
-			a.borrow(ctx, account, n, 1, a.state.Holders(account))
+		// Borrowing is faster than the store. A home that is short of tokens raises its
+		// grant meanwhile.
+		switch rounds++; {
+		case rounds == 1 && homeIsShort:
+			a.borrow(ctx, account, n, n, true, a.state.Lenders(account))
+		case rounds <= maxBorrowRounds:
+			a.borrow(ctx, account, n, 1, false, a.state.Holders(account))
 		}
 	})
 }
@@ -300,9 +305,10 @@
 }
 
 // borrow asks lenders in turn for the tokens that a request of n is short of. Loans
-// smaller than minimum are not useful. The caller holds the lock, which is released
-// during calls to peers.
-func (a *Accountant) borrow(ctx context.Context, account string, n, minimum int64, lenders []granter.Lender) {
+// smaller than minimum are not useful. With firstAnswer, further lenders are asked only
+// if one does not answer, and it reports whether the one that did was short of tokens.
+// The caller holds the lock, which is released during calls to peers.
+func (a *Accountant) borrow(ctx context.Context, account string, n, minimum int64, firstAnswer bool, lenders []granter.Lender) (short bool) {
 	for _, lender := range lenders {
 		now := a.clock()
 		if now < a.peerBackoffUntil[lender.Name] {
@@ -321,10 +327,11 @@
 			continue
 		}
 		a.state.AddBorrowed(account, got)
-		if got >= need {
-			return
+		if got >= need || firstAnswer {
+			return got < need
 		}
 	}
+	return false
 }
 
 // mayHaveRun reports whether a peer may have executed, or may still execute, a call that
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -151,6 +153,57 @@
 	}
 }
 
+// shortHomes answers as homes do that have no tokens at the first request for them.
+type shortHomes struct {
+	accountant.Peers
+	mu    sync.Mutex
+	asked map[string][]string // names of the lenders asked, by account
+}
+
+func (s *shortHomes) Borrow(_ context.Context, p granter.Lender, l granter.Loan) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked[l.Account] = append(s.asked[l.Account], p.Name)
+	if len(s.asked[l.Account]) == 1 {
+		return 0, nil
+	}
+	return l.Need, nil
+}
+
+// Guards against a request that makes another instance take a grant although the home
+// answers and is about to raise its own.
+func TestShortHomeIsAskedAgain(t *testing.T) {
+	_, addr := platformtest.Start(t)
+	startInstance(t, addr, "entry-2")
+	startInstance(t, addr, "entry-3")
+	peers := &shortHomes{Peers: lender.NewClient(), asked: make(map[string][]string)}
+	a := accountant.New(platform.NewStore(addr, platformtest.Direct{Addr: addr, Limit: 300 * time.Millisecond}), "entry-1", "127.0.0.1:1", peers, zerolog.Nop())
+	accounts := make(map[string]int64)
+	for i := range 8 {
+		accounts[fmt.Sprintf("app-%d", i)] = prepaid
+	}
+	a.SetPrepaid(1, accounts)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = a.Run(ctx) }()
+	for !a.Ready() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	for name := range accounts {
+		if d := a.Reserve(t.Context(), name, 100, wait); d.Outcome != granter.Reserved {
+			t.Errorf("%s: %+v", name, d)
+		}
+	}
+	if len(peers.asked) == 0 {
+		t.Error("no account has its home elsewhere")
+	}
+	for name, asked := range peers.asked {
+		if len(asked) != 2 || asked[0] != asked[1] {
+			t.Errorf("%s: asked %v, want the same instance twice", name, asked)
+		}
+	}
+}
+
 // Guards against tokens that are lost with the response to a loan: nobody could spend
 // them.
 func TestLostLoanIsTakenBack(t *testing.T) {
