--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -68,7 +68,7 @@
 	coldStartDecayTime = 10 * time.Second
 	// loanHorizon is the demand of local callers that borrowed tokens cover in
 	// addition to the current request.
-	loanHorizon = time.Second
+	loanHorizon = 300 * time.Millisecond
 	// extraLoanShare is the share of the remaining budget that a loan may have
 	// beyond its need.
 	extraLoanShare = 0.01
