Greet peers only in the era that the budgets are read in

Cause, from reading the diff: a greeting accepted in one era could count in the next, in which a new process of the peer has not read this instance's ledger yet. Then a lost instance could be taken for one that had enough witnesses. No test plays this order.

Change: the era is followed first, and without agreement nobody is greeted.

--- a/internal/accountant/eras.go
+++ b/internal/accountant/eras.go
@@ -136,13 +136,18 @@
 	return a.state.RecordGreeting(m)
 }
 
-// greet tells peers about this instance and returns the names of those that count it.
-func (a *Accountant) greet(ctx context.Context) []string {
+// greet tells peers in an era about this instance and returns the names of those that
+// count it.
+func (a *Accountant) greet(ctx context.Context, era int64) []string {
 	a.mu.Lock()
+	a.syncEra()
 	m := a.state.Greeting()
 	now := a.clock()
 	due := slices.DeleteFunc(a.state.GreetingsDue(), func(p granter.Lender) bool { return now < a.peerBackoffUntil[p.Name] })
 	a.mu.Unlock()
+	if m.Era != era {
+		return nil
+	}
 	results := make(chan string, len(due))
 	var calls errgroup.Group
 	calls.SetLimit(maxGreetings)
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -78,7 +78,7 @@
 // poll reads all budgets and ledgers from the store.
 func (a *Accountant) poll(ctx context.Context) error {
 	era := a.store.Era()
-	met := a.greet(ctx)
+	met := a.greet(ctx, era)
 	if err := a.readBudgets(ctx, era); err != nil {
 		return err
 	}
