Share listeners, waits and repeated steps between tests

- platformtest.Listen replaces four accept loops (receiver's two, starter's, tunneler's).

TestIdleInstanceNoticesEra failed once while it read the fake store directly: it is the call on the instance's own client that shows the era, as before, which the test now says. A watch alone shows it only when it returns.

--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -59,12 +59,18 @@
 func startInstance(t *testing.T, addr, name string) *testInstance {
 	t.Helper()
 	inst := runInstance(t, addr, name)
-	for end := time.Now().Add(5 * time.Second); !inst.Ready(); time.Sleep(5 * time.Millisecond) {
+	waitFor(t, 5*time.Second, "the instance is ready", inst.Ready)
+	return inst
+}
+
+// waitFor waits until a condition holds and fails the test if it takes too long.
+func waitFor(t *testing.T, limit time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal("the instance is not ready after 5 s")
+			t.Fatalf("not after %v: %s", limit, what)
 		}
 	}
-	return inst
 }
 
 func runInstance(t *testing.T, addr, name string) *testInstance {
@@ -77,18 +83,18 @@
 	inst.cancel = cancel
 	inst.SetPrepaid(1, map[string]int64{"rider-app": prepaid})
 	go func() { inst.result <- inst.Run(ctx) }()
-	go inst.watchConfig(ctx)
+	go watchConfig(ctx, inst.store)
 	t.Cleanup(func() { inst.kill() })
 	return inst
 }
 
 // watchConfig keeps a call to the store open, as each instance does to follow its
 // configuration.
-func (inst *testInstance) watchConfig(ctx context.Context) {
+func watchConfig(ctx context.Context, store *platform.Store) {
 	for at := (follower.Position{}); ctx.Err() == nil; {
-		_, next, err := inst.store.Watch(ctx, platform.KindConfig, at, time.Second)
+		_, next, err := store.Watch(ctx, platform.KindConfig, at, time.Second)
 		if at = next; err != nil {
-			at = follower.Position{Era: inst.store.Era()}
+			at = follower.Position{Era: store.Era()}
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
@@ -166,9 +172,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go func() { _ = a.Run(ctx) }()
-	for !a.Ready() {
-		time.Sleep(5 * time.Millisecond)
-	}
+	waitFor(t, 5*time.Second, "the instance is ready", a.Ready)
 	for name := range accounts {
 		if d := a.Reserve(t.Context(), name, 100, wait); d.Outcome != granter.Reserved {
 			t.Errorf("%s: %+v", name, d)
--- a/internal/accountant/eras_test.go
+++ b/internal/accountant/eras_test.go
@@ -128,7 +128,8 @@
 }
 
 // Guards against an idle instance that learns only from its next read of the budgets
-// that the store was restored, while all others wait for what it was granted.
+// that the store was restored, although another call of its process has shown it, while
+// all others wait for what it was granted.
 func TestIdleInstanceNoticesEra(t *testing.T) {
 	s, addr := platformtest.Start(t)
 	s.StartEras()
@@ -138,19 +139,15 @@
 	}
 	time.Sleep(time.Second) // until all are idle
 	s.Restore(s.Copy())
-	end := time.Now().Add(time.Second)
-	for i, inst := range instances {
-		for {
-			_, err := inst.store.Get(t.Context(), accountant.KindLedgers, fmt.Sprintf("entry-%d@2", i))
-			if err == nil {
-				break
+	waitFor(t, time.Second, "all have written a ledger of the new era", func() bool {
+		for i, inst := range instances {
+			// The call shows the era, like one of another part of the process.
+			if _, err := inst.store.Get(t.Context(), accountant.KindLedgers, fmt.Sprintf("entry-%d@2", i)); err != nil {
+				return false
 			}
-			if time.Now().After(end) {
-				t.Fatalf("ledger of entry-%d in the new era: %v", i, err)
-			}
-			time.Sleep(20 * time.Millisecond)
 		}
-	}
+		return true
+	})
 }
 
 // Guards against an instance that starts after a restore of the store and serves by a
@@ -161,22 +158,15 @@
 	first := startInstance(t, addr, "entry-1")
 	first.SetPrepaid(2, map[string]int64{"rider-app": prepaid})
 	s.Restore(s.Copy())
-	for end := time.Now().Add(2 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		if _, err := first.store.Get(t.Context(), accountant.KindLedgers, "entry-1@2"); err == nil {
-			break
-		} else if time.Now().After(end) {
-			t.Fatal(err)
-		}
-	}
+	waitFor(t, 2*time.Second, "the first has written a ledger of the new era", func() bool {
+		_, err := first.store.Get(t.Context(), accountant.KindLedgers, "entry-1@2")
+		return err == nil
+	})
 	second := runInstance(t, addr, "entry-2")
 	time.Sleep(500 * time.Millisecond)
 	if second.Ready() {
 		t.Error("the instance is ready with version 1, others have version 2 in force")
 	}
 	second.SetPrepaid(2, map[string]int64{"rider-app": prepaid})
-	for end := time.Now().Add(2 * time.Second); !second.Ready(); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the instance is not ready with the newest version")
-		}
-	}
+	waitFor(t, 2*time.Second, "the instance is ready with the newest version", second.Ready)
 }
--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// raiseConfirmed grants tokens to an instance and has others confirm the grant.
+func (f *fleet) raiseConfirmed(name string, n int64, witnesses ...string) {
+	f.t.Helper()
+	f.raise(name, n)
+	f.note(name, witnesses...)
+	f.confirm(name)
+}
+
 // use makes an instance spend tokens, and reports whether it may.
 func (f *fleet) use(name string, n int64) bool {
 	g := f.granters[name]
@@ -196,6 +204,13 @@
 	}
 }
 
+// registerAll makes all running instances do so and returns one of them.
+func (f *fleet) registerAll() *Granter {
+	names := slices.Sorted(maps.Keys(f.granters))
+	f.register(names...)
+	return f.granters[names[len(names)-1]]
+}
+
 // Guards against a grant that is used although only its holder knows it: if the holder
 // is lost together with the store's latest state, the tokens would be granted again.
 func TestGrantNeedsWitnesses(t *testing.T) {
@@ -273,9 +288,7 @@
 // that others remember of it, part of which it has returned since.
 func TestLateInstanceKeepsItsGrant(t *testing.T) {
 	f := newFleet(t, 4)
-	f.raise("entry-0", 10_000)
-	f.note("entry-0", "entry-1")
-	f.confirm("entry-0")
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
 	f.readAll()
 	f.granters["entry-0"].Stop() // returns what is unused, which only it knows
 	f.writeBudget("entry-0")
@@ -327,9 +340,7 @@
 			for _, name := range tt.restart {
 				f.start(name)
 			}
-			left := slices.Sorted(maps.Keys(f.granters))
-			f.register(left...)
-			if got := f.granters[left[len(left)-1]].Complete(); got != tt.want {
+			if got := f.registerAll().Complete(); got != tt.want {
 				t.Errorf("complete: %v, want %v", got, tt.want)
 			}
 		})
@@ -356,18 +367,14 @@
 	f.pass(writeOffDelay)
 	f.readAll()
 	f.writeBudget("entry-1")
-	f.raise("entry-2", 1000)
-	f.note("entry-2", "entry-0", "entry-1", "entry-3")
-	f.confirm("entry-2")
+	f.raiseConfirmed("entry-2", 1000, "entry-0", "entry-1", "entry-3")
 	if f.use("entry-2", 1) {
 		t.Error("a token that was written off is used")
 	}
 	for _, g := range f.granters {
 		g.SetPrepaid("rider-app", fleetPrepaid+5000)
 	}
-	f.raise("entry-2", 1000)
-	f.note("entry-2", "entry-0", "entry-1", "entry-3")
-	f.confirm("entry-2")
+	f.raiseConfirmed("entry-2", 1000, "entry-0", "entry-1", "entry-3")
 	if !f.use("entry-2", 1000) {
 		t.Error("a token that was prepaid later cannot be used")
 	}
@@ -380,15 +387,13 @@
 // against tokens that are granted again.
 func TestSpendingGoesOnAfterRestore(t *testing.T) {
 	f := newFleet(t, 4)
-	f.raise("entry-0", 10_000)
-	f.note("entry-0", "entry-1")
-	f.confirm("entry-0")
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
 	f.restore()
 	f.granters["entry-0"].SetEra(f.now, f.era)
 	if !f.use("entry-0", 4000) {
 		t.Error("instance does not spend what it holds before the budget is composed")
 	}
-	f.register(slices.Sorted(maps.Keys(f.granters))...)
+	f.registerAll()
 	f.writeBudget(f.home())
 	f.readAll()
 	if !f.use("entry-0", 6000) {
@@ -413,9 +418,7 @@
 		f.readAll()
 	}
 	f.restore()
-	left := slices.Sorted(maps.Keys(f.granters))
-	f.register(left...)
-	if !f.granters[left[0]].Complete() {
+	if !f.registerAll().Complete() {
 		t.Error("budget cannot be composed because of instances that were long gone")
 	}
 }
@@ -434,9 +437,7 @@
 	for _, name := range []string{"entry-4", "entry-5", "entry-6"} {
 		f.kill(name)
 	}
-	left := slices.Sorted(maps.Keys(f.granters))
-	f.register(left...)
-	if f.granters[left[0]].Complete() {
+	if f.registerAll().Complete() {
 		t.Error("budgets are composed although the witnesses of a lost instance may be lost too")
 	}
 }
@@ -451,9 +452,7 @@
 		f.pass(100 * time.Millisecond)
 		g.AddGrantDemand(f.now, "rider-app", 2000)
 	}
-	f.raise(home, 2000)
-	f.note(home, "entry-0", "entry-1", "entry-2", "entry-3")
-	f.confirm(home)
+	f.raiseConfirmed(home, 2000, "entry-0", "entry-1", "entry-2", "entry-3")
 	if g.RunsLow(f.now, "rider-app") {
 		t.Fatal("grant runs low right after it was raised")
 	}
--- a/internal/receiver/endless_test.go
+++ b/internal/receiver/endless_test.go
@@ -19,6 +19,7 @@
 	"daisylane/internal/receiver"
 	"daisylane/internal/retrier"
 	"daisylane/platform"
+	"daisylane/platform/platformtest"
 )
 
 // startEndless serves a target that sends a head, in which ID is replaced by the id of
@@ -26,42 +27,28 @@
 // the address and the number of connections that are still open.
 func startEndless(t *testing.T, head, piece string) (addr string, open *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	open = new(atomic.Int64)
 	pieces := []byte(strings.Repeat(piece, 1+4096/len(piece)))
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			open.Add(1)
-			go func() {
-				defer open.Add(-1)
-				defer c.Close()
-				buf := make([]byte, 4096)
-				n, err := c.Read(buf)
-				if err != nil {
-					return
-				}
-				id := "none"
-				if _, rest, ok := strings.Cut(string(buf[:n]), "Daisylane-Attempt-Id: "); ok {
-					id, _, _ = strings.Cut(rest, "\r\n")
-				}
-				if _, err := io.WriteString(c, strings.ReplaceAll(head, "ID", id)); err != nil {
-					return
-				}
-				for err == nil {
-					_, err = c.Write(pieces)
-				}
-			}()
+	addr = platformtest.Listen(t, func(c net.Conn) {
+		open.Add(1)
+		defer open.Add(-1)
+		buf := make([]byte, 4096)
+		n, err := c.Read(buf)
+		if err != nil {
+			return
+		}
+		id := "none"
+		if _, rest, ok := strings.Cut(string(buf[:n]), "Daisylane-Attempt-Id: "); ok {
+			id, _, _ = strings.Cut(rest, "\r\n")
+		}
+		if _, err := io.WriteString(c, strings.ReplaceAll(head, "ID", id)); err != nil {
+			return
 		}
-	}()
-	return l.Addr().String(), open
+		for err == nil {
+			_, err = c.Write(pieces)
+		}
+	})
+	return addr, open
 }
 
 // Guards against a faulty target that sends bytes without end: they must not fill the
--- a/internal/receiver/slow_test.go
+++ b/internal/receiver/slow_test.go
@@ -31,28 +31,14 @@
 // Guards against a stream that never ends because its target still sends a byte now and
 // then.
 func TestStalledStream(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nDaisylane-Attempt-Id: id-1\r\nDaisylane-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: ")
-				for err == nil {
-					_, err = io.WriteString(c, "a")
-					time.Sleep(30 * time.Millisecond)
-				}
-			}()
+	addr := platformtest.Listen(t, func(c net.Conn) {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nDaisylane-Attempt-Id: id-1\r\nDaisylane-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: ")
+		for err == nil {
+			_, err = io.WriteString(c, "a")
+			time.Sleep(30 * time.Millisecond)
 		}
-	}()
-	url := startFor(t, l.Addr().String())
+	})
+	url := startFor(t, addr)
 	began := time.Now()
 	if succeeds(t, url+"/plan/7") {
 		t.Error("stalled stream looks complete")
--- a/internal/starter/silence_test.go
+++ b/internal/starter/silence_test.go
@@ -62,21 +62,7 @@
 // silentListener accepts connections and never responds.
 func silentListener(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = c.Close() })
-		}
-	}()
-	return l.Addr().String()
+	return platformtest.Listen(t, func(net.Conn) { <-t.Context().Done() })
 }
 
 // startTunnel serves a relay to an address until the test ends.
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -9,38 +9,26 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"daisylane/platform/platformtest"
 )
 
 // Guards against a relay that changes bytes, keeps the client connection open after the
 // server has closed its own, or does not stop when its context ends.
 func TestRelay(t *testing.T) {
-	store, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer store.Close()
-	go func() {
-		for {
-			c, err := store.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				line, err := bufio.NewReader(c).ReadString('\n')
-				if err == nil {
-					fmt.Fprintf(c, "echo %s", line)
-				}
-			}()
+	store := platformtest.Listen(t, func(c net.Conn) {
+		line, err := bufio.NewReader(c).ReadString('\n')
+		if err == nil {
+			fmt.Fprintf(c, "echo %s", line)
 		}
-	}()
+	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	served := make(chan error, 1)
-	go func() { served <- New(store.Addr().String(), zerolog.Nop()).Serve(ctx, l) }()
+	go func() { served <- New(store, zerolog.Nop()).Serve(ctx, l) }()
 
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
