--- /dev/null
+++ b/internal/receiver/slow_test.go
@@ -0,0 +1,63 @@
+package receiver_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"daisylane/internal/follower"
+	"daisylane/platform/platformtest"
+)
+
+// Guards against cutting a slow but sound stream, also while its target is missing from
+// the list because it was only silent for a while.
+func TestSlowStream(t *testing.T) {
+	f := start(t, []platformtest.Response{{Events: 4, Pause: 200 * time.Millisecond}})
+	time.AfterFunc(300*time.Millisecond, func() {
+		f.dispatcher.WithRoster(func(r *follower.Roster) { r.SetList(time.Now(), nil) })
+	})
+	res, body, err := f.call(t, "/plan/7", "x", map[string]string{"Daisylane-Deadline-Ms": "2000"})
+	if err != nil || res.StatusCode != http.StatusOK || strings.Count(body, "data:") != 4 {
+		t.Errorf("got %v, %q, %v", res, body, err)
+	}
+	if f.runs() != 1 {
+		t.Errorf("the request ran %d times", f.runs())
+	}
+}
+
+// Guards against a stream that never ends because its target still sends a byte now and
+// then.
+func TestStalledStream(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nDaisylane-Attempt-Id: id-1\r\nDaisylane-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: ")
+				for err == nil {
+					_, err = io.WriteString(c, "a")
+					time.Sleep(30 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+	url := startFor(t, l.Addr().String())
+	began := time.Now()
+	if succeeds(t, url+"/plan/7") {
+		t.Error("stalled stream looks complete")
+	}
+	if took := time.Since(began); took < 800*time.Millisecond || took > 1400*time.Millisecond {
+		t.Errorf("stalled stream ended after %v, the deadline is 900 ms", took)
+	}
+}
