Log the prompt parts and the crash of a target with a failed attempt

An attempt that broke off before a second event now asks whether the address still takes connections; the line has crashed and parts, and crashes_total counts them. No decision depends on it yet.

--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -20,6 +20,8 @@
 const (
 	// A connect takes one round trip, which is 40 ms between regions.
 	dialTimeout = 700 * time.Millisecond
+	// probeTimeout limits a connect that only asks whether the target is there.
+	probeTimeout = 200 * time.Millisecond
 	// userTimeout is the time for which sent data may stay unacknowledged before the
 	// peer is considered dead.
 	userTimeout = 1500 * time.Millisecond
@@ -110,6 +112,19 @@
 	}
 }
 
+// Refuses reports whether addr refuses connections, as it does after the process that
+// served it has ended. It reports false if that can't be told within a short time.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return false
+}
+
 // CloseExpired closes the idle connections that have expired.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -98,18 +98,16 @@
 		return attemptResult{outcome: retrier.Unknown, status: response.Status, err: errNoSeal}
 	}
 	controller := http.NewResponseController(j.w)
-	first := true
-	for {
+	for n := 0; ; n++ {
 		event, err := response.NextEvent()
 		if errors.Is(err, io.EOF) {
 			return j.finishStream(response)
 		}
 		if err != nil {
-			return attemptResult{outcome: retrier.Interrupted, status: response.Status, err: err}
+			return attemptResult{outcome: retrier.Interrupted, status: response.Status, events: n, err: err}
 		}
 		id := forwarder.EventID(event)
-		if first {
-			first = false
+		if n == 0 {
 			if j.stream.onFirstEvent != nil {
 				j.stream.onFirstEvent()
 			}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -9,6 +9,7 @@
 
 	"daisylane/internal/follower"
 	"daisylane/internal/forwarder"
+	"daisylane/internal/reporter"
 	"daisylane/internal/retrier"
 	"daisylane/internal/waiter"
 )
@@ -19,8 +20,10 @@
 	refused  bool // the target refused and did not run the request
 	replaced bool // the address now belongs to another target
 	full     bool // the target is full
+	crashed  bool // the target ended before it had answered more than one event
 	done     bool // the response was delivered, or the exchange has ended
-	status   int  // of the response of the target
+	status   int  // of the response of the target, 0: none
+	events   int  // of this attempt
 	err      error
 }
 
@@ -59,6 +62,7 @@
 		j.lastTarget = chosen
 		j.tried = append(j.tried, chosen.Target.ID)
 		res := j.attempt(ctx, chosen)
+		res.crashed = j.crashed(chosen, res)
 		verdict := j.finishAttempt(chosen, res, account)
 		if !res.done {
 			j.logFailedAttempt(res, verdict)
@@ -101,6 +105,20 @@
 	})
 }
 
+// crashed reports whether the target of a failed attempt ended when it was about to
+// answer. It asks only about prompts with parts that other requests may have too.
+func (j *job) crashed(chosen ChosenTarget, res attemptResult) bool {
+	broken := res.outcome == retrier.Unknown || res.outcome == retrier.Interrupted
+	if !broken || res.done || res.status >= http.StatusMultipleChoices || res.events > 1 || len(j.meta.Parts) < 2 || j.service.Engine == nil {
+		return false
+	}
+	if !j.r.pool.Refuses(j.req.Context(), chosen.Target.Addr) {
+		return false
+	}
+	j.r.scope.Tagged(map[string]string{"service": j.service.Name}).Counter(reporter.Crashes).Inc(1)
+	return true
+}
+
 // attempt sends the request to one target and delivers its response. A response
 // that allows a retry is not delivered.
 func (j *job) attempt(ctx context.Context, chosen ChosenTarget) attemptResult {
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"strconv"
 	"time"
 
 	"daisylane/internal/reporter"
@@ -56,6 +57,9 @@
 		Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events).
 		Str("outcome", string(causeOf(res))).Int("status", res.status).Bool("repeat", v.Retry).Str("verdict", v.Reason).
 		Int64("left", time.Until(j.deadline).Milliseconds())
+	if len(j.meta.Parts) > 0 && res.outcome != retrier.NotRun {
+		e.Bool("crashed", res.crashed).Strs("parts", partNames(j.meta.Parts))
+	}
 	if res.err != nil {
 		e.Str("error", res.err.Error())
 	}
@@ -65,6 +69,15 @@
 	}
 }
 
+// partNames returns the IDs of prompt parts as in logs.
+func partNames(parts []Part) []string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = strconv.FormatUint(p.ID, 16)
+	}
+	return names
+}
+
 // updateMetrics updates the metrics of the request.
 func (j *job) updateMetrics(service string, took time.Duration) {
 	scope := j.r.scope.Tagged(map[string]string{"service": service, "outcome": string(j.summary.cause)})
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -31,6 +31,7 @@
 	BundleDelaySeconds   = "bundle_delay_seconds"
 	Orders               = "orders_total"
 	Drains               = "drains_total"
+	Crashes              = "crashes_total"
 )
 
 // Kind is the type of a metric.
@@ -83,4 +84,5 @@
 	{BundleDelaySeconds, Histogram, "seconds", nil, "Time from acceptance of a bundle until it is in force here."},
 	{Orders, Counter, "orders", []string{"result"}, "Orders to engines."},
 	{Drains, Counter, "drains", nil, "Drains begun."},
+	{Crashes, Counter, "crashes", []string{"service"}, "Requests under which a target crashed before it had answered them."},
 }
