--- /dev/null
+++ b/internal/starter/fleet_test.go
@@ -0,0 +1,169 @@
+package starter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"daisylane/internal/logger"
+	"daisylane/platform"
+	"daisylane/platform/platformtest"
+)
+
+// stableWindow is stable_window_ms in the settings of a fleet.
+const stableWindow = 2 * time.Second
+
+// fleet is several entries in front of the runners of one service, with their store.
+type fleet struct {
+	t       *testing.T
+	store   *platformtest.Store
+	addr    string // of the store
+	runners []*fleetRunner
+	callers []string // addresses of the entries
+	logs    []*syncBuffer
+	nextID  atomic.Int64
+	nextIP  int
+}
+
+// fleetRunner is a runner that can start again under another ID.
+type fleetRunner struct {
+	runner *platformtest.Runner
+	mu     sync.Mutex
+	id     string
+	down   bool // crashed and not started again yet
+}
+
+func (r *fleetRunner) currentID() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.id
+}
+
+// lastNetwork is the third byte of the addresses of the last fleet.
+var lastNetwork atomic.Int64
+
+// startFleet starts a fleet. The function computes the responses of the runners.
+func startFleet(t *testing.T, entries, runners int, respond func(runner int, req platformtest.Request) platformtest.Response) *fleet {
+	t.Helper()
+	f := &fleet{t: t, nextIP: int(lastNetwork.Add(1)) << 8}
+	f.store, f.addr = platformtest.Start(t)
+	for i := range runners {
+		fr := &fleetRunner{id: fmt.Sprintf("i-%d-0", i)}
+		r, err := platformtest.NewRunnerFunc(fr.id, func(req platformtest.Request) platformtest.Response {
+			if req.Header.Get("Daisylane-Expect-Instance") != fr.currentID() {
+				return platformtest.Response{Moved: true}
+			}
+			return respond(i, req)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		fr.runner = r
+		f.runners = append(f.runners, fr)
+		f.store.Put(platform.KindRunners, fr.id, r.Registration("s1", "a"))
+	}
+	f.store.Put(platform.KindConfig, platform.ConfigName, json.RawMessage(`{"version":3,"routes":[{"name":"r1","hostname":"a.example","path_prefix":"/plan/","route_type":"streaming",
+		"timeout_ms":5000,"target_latency_ms":1000,"service":"s1","max_attempts":2,"resumable":true}],
+		"services":[{"name":"s1","max_conns":90,"engine_name":{"slots":64,"kv_capacity":99999,"stride":4}}],
+		"limits":{"max_body_bytes":4096},"tenants":[{"name":"t1","api_keys":["k1"],"prepaid":100000000}]}`))
+	for range entries {
+		f.startEntry()
+	}
+	return f
+}
+
+// startEntry adds an entry and waits until it is ready.
+func (f *fleet) startEntry() {
+	f.t.Helper()
+	f.nextIP++
+	ip := fmt.Sprintf("127.9.%d.%d", f.nextIP>>8, f.nextIP&255)
+	path := editedSettings(f.t, f.addr, ip)
+	cfg, err := platform.LoadSettings(path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	out := &syncBuffer{}
+	lines := logger.NewAsyncWriter(out, logQueueLines)
+	log := zerolog.New(lines).With().Str("instance", cfg.Name).Timestamp().Logger()
+	e := newEntry(cfg, path, log, lines)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.run(ctx, nil) }()
+	f.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			f.t.Errorf("%s: %v", cfg.Name, err)
+		}
+		lines.Close()
+	})
+	f.callers, f.logs = append(f.callers, cfg.Listen.Callers), append(f.logs, out)
+	eventually(f.t, cfg.Name+" becomes ready", func() bool {
+		res, err := http.Get("http://" + cfg.Listen.Ready + platform.ReadyPath)
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+// editedSettings writes the settings of an entry of a fleet.
+func editedSettings(t *testing.T, store, ip string) string {
+	t.Helper()
+	path := writeSettings(t, store, freePort(t), freePort(t), freePort(t))
+	editSettings(t, path, func(s map[string]any) {
+		s["node_name"], s["ip"] = "edge-"+ip, ip
+		for _, name := range []string{"frontend", "ready"} {
+			listen := s["listen"].(map[string]any)
+			listen[name] = strings.Replace(listen[name].(string), "127.0.0.1", ip, 1)
+		}
+		s["bounds"].(map[string]any)["stable_window_ms"] = stableWindow.Milliseconds()
+	})
+	return path
+}
+
+// fleetCall is a request to an entry and what became of it.
+type fleetCall struct {
+	id     string
+	sentAt time.Time
+	status int
+	after  string // Retry-After
+	events int
+}
+
+// send sends a request whose prompt has the given parts and a last one of its own.
+func (f *fleet) send(entry int, parts ...string) fleetCall {
+	n := f.nextID.Add(1)
+	c := fleetCall{id: "id-" + strconv.FormatInt(n, 10), sentAt: time.Now()}
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.callers[entry]+"/plan/7", strings.NewReader("body"))
+	if err != nil {
+		f.t.Error(err)
+		return c
+	}
+	req.Host = "a.example"
+	prefix := strings.Join(append(parts, strconv.FormatInt(1<<40+n, 16)), ":30,") + ":20"
+	for name, value := range map[string]string{"Daisylane-Attempt-Id": c.id, "Api-Key": "k1", "Daisylane-Token-Usage": "120,20", "Daisylane-Prompt-Prefix": prefix} {
+		req.Header.Set(name, value)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return c
+	}
+	defer res.Body.Close()
+	c.status, c.after = res.StatusCode, res.Header.Get("Retry-After")
+	if body, err := io.ReadAll(res.Body); err == nil && res.StatusCode == http.StatusOK {
+		c.events = strings.Count(string(body), "data:")
+	}
+	return c
+}
