Quarantine prompt parts under which targets crash

Cause: a crash was a matter of the target alone. Nothing related it to the requests that the target was about to answer, so requests with the same deadly prompt part went on to the next target, from each instance, and on resumable routes by a retry of the same request.

The shared state is in the store, so it outlives a restart.

--- /dev/null
+++ b/internal/quarantiner/quarantine.go
@@ -0,0 +1,420 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// entry is the state of one suspected part.
+type entry struct {
+	record  Record // as stored, with the changes below
+	version uint64 // of the stored record, 0: none
+	dirty   bool   // record has crashes that are not stored
+	marking bool   // record is to be stored as that of a known part
+	writeAt time.Time
+	cleared bool // the part was answered; the stored record is to be removed
+	sending bool // a write is in progress
+	trying  bool // a trial is being claimed
+
+	crashedAt time.Time // when the last crash was learned of
+	changedAt time.Time // when crashes or trials last changed
+}
+
+// Quarantine holds the suspected parts of one process. It is not safe for concurrent use.
+type Quarantine struct {
+	entries     map[Key]*entry
+	quarantined map[Key]bool
+	answered    [2]map[Key]time.Time // newer and older half of the remembered parts
+}
+
+// New returns an empty quarantine.
+func New() *Quarantine {
+	return &Quarantine{entries: make(map[Key]*entry), quarantined: make(map[Key]bool), answered: [2]map[Key]time.Time{{}, {}}}
+}
+
+// Quarantined returns the keys of the parts in quarantine.
+func (q *Quarantine) Quarantined() []Key { return slices.Collect(maps.Keys(q.quarantined)) }
+
+// Check says whether a request with the given parts may be sent to a target. The last
+// part belongs to the request alone.
+func (q *Quarantine) Check(now time.Time, service string, parts []uint64) Verdict {
+	if len(q.quarantined) == 0 {
+		return Verdict{Outcome: Allowed}
+	}
+	v := Verdict{Outcome: Allowed}
+	for _, p := range shared(parts) {
+		k := Key{service, p}
+		if !q.quarantined[k] {
+			continue
+		}
+		e := q.entries[k]
+		left := e.record.pause() - now.Sub(e.changedAt)
+		if left > 0 || e.trying || v.Outcome != Allowed {
+			return Verdict{Quarantined, k, max(left, v.RetryAfter, sameMoment)}
+		}
+		v = Verdict{Outcome: TrialDue, Key: k}
+	}
+	return v
+}
+
+// shared returns the parts that other requests may have too.
+func shared(parts []uint64) []uint64 { return parts[:max(0, len(parts)-1)] }
+
+// RecordAnswer records that a target has answered a request, which makes its parts sound.
+// It returns whether a record is to be written.
+func (q *Quarantine) RecordAnswer(now time.Time, service string, parts []uint64) bool {
+	changed := false
+	for _, p := range shared(parts) {
+		k := Key{service, p}
+		q.remember(now, k)
+		e, ok := q.entries[k]
+		if !ok || e.cleared {
+			continue
+		}
+		changed = true
+		if q.quarantined[k] {
+			q.clearExplained(e)
+		}
+		q.clear(k, e)
+	}
+	if changed {
+		q.judge()
+	}
+	return changed
+}
+
+// remember records when a part was last answered.
+func (q *Quarantine) remember(now time.Time, k Key) {
+	if _, ok := q.answered[0][k]; !ok && len(q.answered[0]) >= maxAnswered {
+		q.answered = [2]map[Key]time.Time{{}, q.answered[0]}
+	}
+	q.answered[0][k] = now
+}
+
+// answeredAt returns when a part was last answered at this instance.
+func (q *Quarantine) answeredAt(k Key) (at time.Time, ok bool) {
+	if at, ok = q.answered[0][k]; !ok {
+		at, ok = q.answered[1][k]
+	}
+	return at, ok
+}
+
+// clear ends the suspicion against a part.
+func (q *Quarantine) clear(k Key, e *entry) {
+	if e.version == 0 && !e.sending {
+		delete(q.entries, k)
+		return
+	}
+	e.cleared = true
+}
+
+// clearExplained ends the suspicion against the parts that were at the same crashes as a
+// quarantined one.
+func (q *Quarantine) clearExplained(by *entry) {
+	for k, e := range q.entries {
+		if e != by && e.record.Service == by.record.Service && containsAll(by.record.Crashes, e.record.Crashes) {
+			q.clear(k, e)
+		}
+	}
+}
+
+// RecordCrash counts a crash against the parts of a request. It returns whether a record
+// is to be written.
+func (q *Quarantine) RecordCrash(now time.Time, r Report) bool {
+	type candidate struct {
+		key   Key
+		depth int
+		known bool
+	}
+	var candidates []candidate
+	for depth, p := range shared(r.Parts) {
+		k := Key{r.Service, p}
+		at, known := q.answeredAt(k)
+		if known && now.Sub(at) < answeredRecently {
+			continue
+		}
+		candidates = append(candidates, candidate{k, depth, known})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.known != b.known {
+			if b.known {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.depth, a.depth)
+	})
+	candidates = candidates[:min(len(candidates), maxPartsPerCrash)]
+	changed := false
+	for _, s := range candidates {
+		e, ok := q.entries[s.key]
+		if !ok || e.cleared {
+			if !ok && len(q.entries) >= maxRecords {
+				continue
+			}
+			e = &entry{version: q.version(s.key), record: Record{Service: r.Service, Part: strconv.FormatUint(s.key.Part, 16), Depth: s.depth, Known: s.known}}
+			q.entries[s.key] = e
+		}
+		c := Crash{Target: r.Target, Incarnation: r.Incarnation, Begun: r.Begun, Trial: r.Trial}
+		before := len(e.record.Crashes)
+		next := e.record.WithCrash(c, now.Sub(e.crashedAt) < sameMoment)
+		if before > 0 && slices.Equal(next.Crashes, e.record.Crashes) {
+			continue
+		}
+		e.record, e.dirty, e.writeAt, e.crashedAt, e.changedAt = next, true, now, now, now
+		changed = true
+	}
+	if changed {
+		q.judge()
+	}
+	return changed
+}
+
+// version returns the version of the stored record of a part.
+func (q *Quarantine) version(k Key) uint64 {
+	if e, ok := q.entries[k]; ok {
+		return e.version
+	}
+	return 0
+}
+
+// suspect is a record during a judgement.
+type suspect struct {
+	record Record
+	over   int // moments of crashes that are not explained yet, beyond the threshold
+}
+
+// judge derives the parts in quarantine from the records. Of the parts that crashes have
+// in common, the most suspect one explains these crashes, and the others are judged by
+// the rest.
+func (q *Quarantine) judge() {
+	clear(q.quarantined)
+	var left []suspect
+	explained := make(map[string]map[target]bool) // by service
+	for _, e := range q.entries {
+		if s := (suspect{e.record, e.record.over(nil)}); !e.cleared && s.over >= 0 {
+			left = append(left, s)
+		}
+	}
+	for len(left) > 0 {
+		at := 0
+		for i := range left {
+			if compareSuspects(left[i], left[at]) > 0 {
+				at = i
+			}
+		}
+		s := &left[at]
+		known := explained[s.record.Service]
+		switch over := s.record.over(known); {
+		case over < 0:
+			left = slices.Delete(left, at, at+1)
+		case over < s.over:
+			s.over = over
+		default:
+			if known == nil {
+				known = make(map[target]bool)
+				explained[s.record.Service] = known
+			}
+			for _, c := range s.record.Crashes {
+				known[c.target()] = true
+			}
+			q.quarantined[s.record.Key()] = true
+			left = slices.Delete(left, at, at+1)
+		}
+	}
+}
+
+// compareSuspects orders records by how far they are above their threshold, then by how
+// special the part is.
+func compareSuspects(a, b suspect) int {
+	return cmp.Or(
+		cmp.Compare(a.over, b.over),
+		cmp.Compare(a.record.Depth, b.record.Depth),
+		cmp.Compare(b.record.Part, a.record.Part),
+		cmp.Compare(b.record.Service, a.record.Service),
+	)
+}
+
+// BeginTrial returns the write that claims a trial for one request. The caller must then
+// call EndClaim.
+func (q *Quarantine) BeginTrial(k Key) (Write, bool) {
+	e, ok := q.entries[k]
+	if !ok || e.trying || e.version == 0 {
+		return Write{}, false
+	}
+	e.trying = true
+	return Write{Key: k, Record: e.record.WithTrial(), Version: e.version}, true
+}
+
+// EndClaim ends the claim of a trial. If it was stored, Observe has to be called before.
+func (q *Quarantine) EndClaim(k Key) {
+	if e, ok := q.entries[k]; ok {
+		e.trying = false
+	}
+}
+
+// Observe takes over a stored record.
+func (q *Quarantine) Observe(now time.Time, version uint64, r Record) {
+	k := r.Key()
+	e, ok := q.entries[k]
+	if !ok {
+		e = &entry{}
+		q.entries[k] = e
+	}
+	if version <= e.version {
+		return
+	}
+	e.version = version
+	if e.cleared && len(r.Crashes) > 0 && !containsAll(e.record.Crashes, r.Crashes) {
+		e.cleared = false // a target has crashed since
+	}
+	old := e.record
+	merged := r
+	if e.dirty {
+		for _, c := range old.Crashes {
+			merged = merged.WithCrash(c, now.Sub(e.crashedAt) < sameMoment)
+		}
+		e.dirty = !slices.Equal(merged.Crashes, r.Crashes)
+	}
+	if !containsAll(old.Crashes, merged.Crashes) || old.Trials != merged.Trials {
+		e.changedAt = now
+	}
+	if !containsAll(old.Crashes, merged.Crashes) {
+		e.crashedAt = now
+	}
+	e.record = merged
+	_, known := q.answeredAt(k)
+	if marking := known && !merged.Known; marking {
+		e.record = merged.WithKnown()
+		if !e.marking {
+			e.writeAt = now.Add(rand.N(maxKnownDelay))
+		}
+		e.marking = true
+	} else {
+		e.marking = false
+	}
+	q.judge()
+}
+
+// containsAll reports whether all crashes of b are among those of a.
+func containsAll(a, b []Crash) bool {
+	return !slices.ContainsFunc(b, func(c Crash) bool { return !slices.ContainsFunc(a, c.sameTarget) })
+}
+
+// ObserveRemoved takes over the removal of a stored record.
+func (q *Quarantine) ObserveRemoved(k Key, version uint64) {
+	e, ok := q.entries[k]
+	if !ok || version < e.version {
+		return
+	}
+	if e.dirty && !e.cleared {
+		e.version = 0 // crashes that were not stored yet are stored anew
+		return
+	}
+	delete(q.entries, k)
+	q.judge()
+}
+
+// Stored is a stored record with its version.
+type Stored struct {
+	Record  Record
+	Version uint64
+}
+
+// ObserveList takes over the list of all stored records. If the store was restored from
+// an older copy, records that it lacks now are stored again.
+func (q *Quarantine) ObserveList(now time.Time, list []Stored, restored bool) {
+	listed := make(map[Key]bool, len(list))
+	for _, s := range list {
+		k := s.Record.Key()
+		listed[k] = true
+		if e, ok := q.entries[k]; ok && restored {
+			e.version, e.dirty, e.writeAt = 0, true, now // its versions are given out again
+		}
+		q.Observe(now, s.Version, s.Record)
+	}
+	for k, e := range q.entries {
+		switch {
+		case listed[k]:
+		case restored && !e.cleared:
+			e.version, e.dirty, e.writeAt = 0, true, now.Add(rand.N(maxKnownDelay))
+		case e.version > 0 && !e.dirty || e.cleared:
+			delete(q.entries, k)
+		default:
+			e.version = 0
+		}
+	}
+	q.judge()
+}
+
+// Due returns the changes that are to be stored now. The caller must call Written, Failed
+// or Conflict for each.
+func (q *Quarantine) Due(now time.Time) []Write {
+	q.expire(now)
+	var due []Write
+	for k, e := range q.entries {
+		switch {
+		case e.sending:
+		case e.cleared:
+			e.sending = true
+			due = append(due, Write{Key: k, Record: e.record, Version: e.version, Remove: true})
+		case (e.dirty || e.marking) && !now.Before(e.writeAt):
+			e.sending = true
+			due = append(due, Write{Key: k, Record: e.record, Version: e.version})
+		}
+	}
+	return due
+}
+
+// expire ends old suspicions, and the oldest ones if there are too many.
+func (q *Quarantine) expire(now time.Time) {
+	for k, e := range q.entries {
+		if !q.quarantined[k] && !e.cleared && now.Sub(e.changedAt) > suspicionTime {
+			q.clear(k, e)
+		}
+	}
+	if len(q.entries) <= maxRecords {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(q.entries), func(a, b Key) int { return q.entries[a].changedAt.Compare(q.entries[b].changedAt) })
+	for _, k := range keys[:len(keys)-maxRecords] {
+		q.clear(k, q.entries[k])
+	}
+	q.judge()
+}
+
+// Written records that a change is stored, with its new version.
+func (q *Quarantine) Written(now time.Time, w Write, version uint64) {
+	e, ok := q.entries[w.Key]
+	if !ok {
+		return
+	}
+	e.sending = false
+	if w.Remove {
+		if e.cleared {
+			delete(q.entries, w.Key)
+			q.judge()
+		} else {
+			e.version = 0
+		}
+		return
+	}
+	q.Observe(now, version, w.Record)
+}
+
+// Failed records that a change was not stored, or that this is not known.
+func (q *Quarantine) Failed(w Write) {
+	if e, ok := q.entries[w.Key]; ok {
+		e.sending = false
+	}
+}
+
+// Gone records that the record to be changed does not exist.
+func (q *Quarantine) Gone(w Write) {
+	q.Failed(w)
+	q.ObserveRemoved(w.Key, w.Version)
+}
--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"daisylane/internal/granter"
+	"daisylane/internal/quarantiner"
 )
 
 // serve handles the request from admission to settlement.
@@ -29,7 +30,7 @@
 	switch {
 	case j.r.closing.Load():
 		return j.refuse(http.StatusServiceUnavailable, Stopping, meanRetryDelay)
-	case j.table == nil || !j.r.budgets.Ready():
+	case j.table == nil || !j.r.budgets.Ready() || !j.r.guard.Ready():
 		return j.refuse(http.StatusServiceUnavailable, Starting, meanRetryDelay)
 	case err != nil:
 		j.summary.failure = err
@@ -50,6 +51,11 @@
 	if j.service, ok = j.table.Service(route.ServiceAt(rand.IntN(max(1, route.TotalWeight())))); !ok {
 		return j.refuse(http.StatusServiceUnavailable, NoService, meanRetryDelay)
 	}
+	j.sharedParts = j.partsAtRisk()
+	if v := j.r.guard.Check(j.service.Name, j.sharedParts); v.Outcome == quarantiner.Quarantined {
+		j.quarantined = v.Key.Part
+		return j.refuse(http.StatusServiceUnavailable, Crashing, v.RetryAfter+rand.N(meanRetryDelay))
+	}
 	timeout := defaultTimeout
 	if meta.Timeout > 0 {
 		timeout = meta.Timeout
@@ -61,6 +67,19 @@
 	return j.readBody()
 }
 
+// partsAtRisk returns the IDs of the prompt parts if engines serve the request and other
+// requests may have a part too.
+func (j *job) partsAtRisk() []uint64 {
+	if j.service.Engine == nil || len(j.meta.Parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, len(j.meta.Parts))
+	for i, p := range j.meta.Parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // refuseUnknown refuses a request that the routing table does not allow. If the
 // table may be out of date, the refusal is temporary and has the stale cause.
 func (j *job) refuseUnknown(status int, cause, stale Cause) bool {
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -101,6 +101,9 @@
 	for n := 0; ; n++ {
 		event, err := response.NextEvent()
 		if errors.Is(err, io.EOF) {
+			if n == 1 {
+				j.r.guard.RecordAnswer(j.service.Name, j.sharedParts)
+			}
 			return j.finishStream(response)
 		}
 		if err != nil {
@@ -118,6 +121,9 @@
 		} else {
 			j.r.dispatcher.RecordEvent(time.Now(), chosen)
 		}
+		if n == 1 {
+			j.r.guard.RecordAnswer(j.service.Name, j.sharedParts)
+		}
 		if !j.stream.started {
 			j.startStream(response)
 		}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -9,6 +9,7 @@
 
 	"daisylane/internal/follower"
 	"daisylane/internal/forwarder"
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/reporter"
 	"daisylane/internal/retrier"
 	"daisylane/internal/waiter"
@@ -43,6 +44,9 @@
 			j.timeOut()
 			return
 		}
+		if !j.admit(ctx) {
+			return
+		}
 		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.prefillRequest(left), j.tried, j.sends == 0)
 		var overloaded overloadError
 		var paused pausedError
@@ -62,7 +66,7 @@
 		j.lastTarget = chosen
 		j.tried = append(j.tried, chosen.Target.ID)
 		res := j.attempt(ctx, chosen)
-		res.crashed = j.crashed(chosen, res)
+		j.recordCrash(chosen, &res)
 		verdict := j.finishAttempt(chosen, res, account)
 		if !res.done {
 			j.logFailedAttempt(res, verdict)
@@ -100,25 +104,49 @@
 		j.r.log.Warn().Str("id", j.meta.ID).Str("target", chosen.Target.ID).Str("addr", chosen.Target.Addr).Msg("target replaced at its address")
 	}
 	return j.r.dispatcher.FinishAttempt(now, chosen, &retrier.Attempt{
-		Account: account, Outcome: res.outcome, Refused: res.refused, Idempotent: j.route.Retryable(),
-		Number: j.sends, MaxAttempts: j.route.MaxAttempts, Deadline: j.deadline,
+		Account: account, Outcome: res.outcome, Refused: res.refused,
+		// What may have crashed one target is not sent to the next one.
+		Idempotent: j.route.Retryable() && !(res.crashed && res.begun()),
+		Number:     j.sends, MaxAttempts: j.route.MaxAttempts, Deadline: j.deadline,
 	})
 }
 
-// crashed reports whether the target of a failed attempt ended when it was about to
-// answer. It asks only about prompts with parts that other requests may have too.
-func (j *job) crashed(chosen ChosenTarget, res attemptResult) bool {
-	broken := res.outcome == retrier.Unknown || res.outcome == retrier.Interrupted
-	if !broken || res.done || res.status >= http.StatusMultipleChoices || res.events > 1 || len(j.meta.Parts) < 2 || j.service.Engine == nil {
-		return false
+// admit asks whether the request may be sent to a target now. If not, it ends the request
+// and returns false.
+func (j *job) admit(ctx context.Context) bool {
+	v := j.r.guard.Admit(ctx, j.service.Name, j.sharedParts)
+	j.trial = v.Outcome == quarantiner.TrialDue
+	if v.Outcome != quarantiner.Quarantined {
+		return true
 	}
-	if !j.r.pool.Refuses(j.req.Context(), chosen.Target.Addr) {
+	j.quarantined = v.Key.Part
+	if j.stream.started || j.summary.mayHaveRun {
+		j.fail(Crashing, j.summary.failure)
 		return false
 	}
+	return j.refuse(http.StatusServiceUnavailable, Crashing, v.RetryAfter+rand.N(meanRetryDelay))
+}
+
+// recordCrash records whether the target of a failed attempt ended when it was about to
+// answer.
+func (j *job) recordCrash(chosen ChosenTarget, res *attemptResult) {
+	broken := res.outcome == retrier.Unknown || res.outcome == retrier.Interrupted
+	if !broken || res.done || res.status >= http.StatusMultipleChoices || res.events > 1 || len(j.sharedParts) == 0 {
+		return
+	}
+	if res.crashed = j.r.pool.Refuses(j.req.Context(), chosen.Target.Addr); !res.crashed {
+		return
+	}
 	j.r.scope.Tagged(map[string]string{"service": j.service.Name}).Counter(reporter.Crashes).Inc(1)
-	return true
+	j.r.guard.RecordCrash(quarantiner.Report{
+		Service: j.service.Name, Target: chosen.Target.ID, Incarnation: chosen.Target.Incarnation,
+		Begun: res.begun(), Trial: j.trial, Parts: j.sharedParts,
+	})
 }
 
+// begun reports whether the target had begun to answer.
+func (res attemptResult) begun() bool { return res.status != 0 }
+
 // attempt sends the request to one target and delivers its response. A response
 // that allows a retry is not delivered.
 func (j *job) attempt(ctx context.Context, chosen ChosenTarget) attemptResult {
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -28,6 +28,7 @@
 	Overloaded         Cause = "overloaded"
 	Busy               Cause = "busy"
 	Paused             Cause = "paused"
+	Crashing           Cause = "crashing"
 	Refused            Cause = "refused"
 	Unreachable        Cause = "unreachable"
 	NoAnswer           Cause = "noanswer"
@@ -60,6 +61,7 @@
 	Overloaded:         "was refused, because the best target was expected to answer too late",
 	Busy:               "was refused, because the targets were full",
 	Paused:             "was refused, because each target left to try had asked for a pause",
+	Crashing:           "was not sent to a target, because targets crash under a part of its prompt",
 	Refused:            "was refused, because the targets did not run it",
 	Unreachable:        "was refused, because no target could be reached",
 	NoAnswer:           "failed, because the target did not answer and the request may not run again",
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -21,6 +21,7 @@
 	dispatcher *Dispatcher
 	budgets    Budgets
 	pool       *forwarder.Pool
+	guard      Guard
 	log        zerolog.Logger
 	scope      tally.Scope
 
@@ -37,12 +38,15 @@
 // WithLog sets the log. Each request adds one line, plus one per failed attempt.
 func WithLog(log zerolog.Logger) Option { return func(r *Receiver) { r.log = log } }
 
+// WithGuard sets what keeps requests away from targets that they would crash.
+func WithGuard(g Guard) Option { return func(r *Receiver) { r.guard = g } }
+
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(r *Receiver) { r.scope = s } }
 
 // New returns a receiver. It refuses all requests until [Receiver.SetTable] is called.
 func New(codec Codec, d *Dispatcher, b Budgets, p *forwarder.Pool, opts ...Option) *Receiver {
-	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, log: zerolog.Nop(), scope: tally.NoopScope}
+	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: noGuard{}, log: zerolog.Nop(), scope: tally.NoopScope}
 	for _, o := range opts {
 		o(r)
 	}
@@ -94,7 +98,10 @@
 	summary        requestSummary
 	stream         streamState
 	lastTarget     ChosenTarget
-	aborted        bool // the connection is closed without a complete response
+	sharedParts    []uint64 // IDs of the prompt parts, if targets may crash under one
+	quarantined    uint64   // the part for which the request was refused
+	trial          bool     // the present attempt is a trial of a quarantined part
+	aborted        bool     // the connection is closed without a complete response
 }
 
 // requestSummary describes how a request ended, for the log and the metrics.
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -41,6 +41,9 @@
 		e.Str("target", j.lastTarget.Target.ID).Str("addr", j.lastTarget.Target.Addr).Str("reason", j.lastTarget.Choice.Reason).
 			Int64("expected", j.lastTarget.Choice.Wait.Milliseconds()).Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events)
 	}
+	if j.summary.cause == Crashing {
+		e.Str("part", partName(j.quarantined))
+	}
 	if !j.summary.firstByteAt.IsZero() {
 		e.Int64("first", j.summary.firstByteAt.Sub(j.arrived).Milliseconds())
 	}
@@ -73,11 +76,14 @@
 func partNames(parts []Part) []string {
 	names := make([]string, len(parts))
 	for i, p := range parts {
-		names[i] = strconv.FormatUint(p.ID, 16)
+		names[i] = partName(p.ID)
 	}
 	return names
 }
 
+// partName returns the ID of a prompt part as in logs.
+func partName(id uint64) string { return strconv.FormatUint(id, 16) }
+
 // updateMetrics updates the metrics of the request.
 func (j *job) updateMetrics(service string, took time.Duration) {
 	scope := j.r.scope.Tagged(map[string]string{"service": service, "outcome": string(j.summary.cause)})
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -20,6 +20,7 @@
 
 	"daisylane/internal/chooser"
 	"daisylane/internal/granter"
+	"daisylane/internal/quarantiner"
 )
 
 const (
@@ -105,6 +106,35 @@
 	IsEndToEnd(name string) bool // reports whether a header is end-to-end, not hop-by-hop
 }
 
+// Guard knows which prompt parts crash targets, on behalf of the fleet.
+type Guard interface {
+	Ready() bool
+	// Check says whether a request may be sent to a target.
+	Check(service string, parts []uint64) quarantiner.Verdict
+	// Admit is Check right before a request is sent. It makes the request a trial if one
+	// is due.
+	Admit(ctx context.Context, service string, parts []uint64) quarantiner.Verdict
+	RecordAnswer(service string, parts []uint64)
+	RecordCrash(r quarantiner.Report)
+}
+
+// noGuard allows all requests.
+type noGuard struct{}
+
+func (noGuard) Ready() bool { return true }
+
+func (noGuard) Check(string, []uint64) quarantiner.Verdict {
+	return quarantiner.Verdict{Outcome: quarantiner.Allowed}
+}
+
+func (g noGuard) Admit(_ context.Context, service string, parts []uint64) quarantiner.Verdict {
+	return g.Check(service, parts)
+}
+
+func (noGuard) RecordAnswer(string, []uint64) {}
+
+func (noGuard) RecordCrash(quarantiner.Report) {}
+
 // Budgets reserves prepaid tokens of client accounts.
 type Budgets interface {
 	Ready() bool
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -32,6 +32,7 @@
 	Orders               = "orders_total"
 	Drains               = "drains_total"
 	Crashes              = "crashes_total"
+	QuarantinedParts     = "quarantined_parts"
 )
 
 // Kind is the type of a metric.
@@ -85,4 +86,5 @@
 	{Orders, Counter, "orders", []string{"result"}, "Orders to engines."},
 	{Drains, Counter, "drains", nil, "Drains begun."},
 	{Crashes, Counter, "crashes", []string{"service"}, "Requests under which a target crashed before it had answered them."},
+	{QuarantinedParts, Gauge, "parts", nil, "Prompt parts that are kept away from targets."},
 }
--- a/internal/starter/crashing_test.go
+++ b/internal/starter/crashing_test.go
@@ -133,6 +133,9 @@
 		t.Errorf("sound requests served at the first attempt: %d of %d before the first crash, %d of %d after the last one that counts", before, ofBefore, after, ofAfter)
 	}
 	for i, c := range bad {
+		if len(a.at[c.id]) > 1 {
+			t.Errorf("request %d with the deadly part was sent to %d targets", i, len(a.at[c.id]))
+		}
 		if c.status == 503 && c.after == "" {
 			t.Errorf("request %d with the deadly part was refused without a time to come back", i)
 		}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -25,6 +25,7 @@
 	"daisylane/internal/resolver"
 	"daisylane/internal/retrier"
 	"daisylane/internal/waiter"
+	"daisylane/internal/warden"
 	"daisylane/platform"
 )
 
@@ -65,6 +66,7 @@
 	store         *platform.Store
 	paths         *paths
 	accounting    *accountant.Accountant
+	warnings      *warden.Warden
 	dispatcher    *receiver.Dispatcher
 	receiver      *receiver.Receiver
 	pool          *forwarder.Pool
@@ -99,8 +101,9 @@
 	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries)
 	e.applyLimits(cfg)
 	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), lender.NewClient(), log)
+	e.warnings = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()))
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool,
-		receiver.WithLog(log), receiver.WithScope(e.metrics.Scope()))
+		receiver.WithLog(log), receiver.WithGuard(e.warnings), receiver.WithScope(e.metrics.Scope()))
 	return e
 }
 
@@ -122,6 +125,8 @@
 	wait := follower.WithWait(follower.WatchWait(e.cfg.ChangeDelay()))
 	go follower.New(e.store, platform.KindConfig, &configHandler{e: e}, wait).Run(work)
 	go follower.New(e.store, platform.KindRunners, &targetHandler{e: e}, wait).Run(work)
+	go follower.New(e.store, warden.Kind, e.warnings, follower.WithWait(follower.WatchWait(e.cfg.WarningDelay()))).Run(work)
+	go e.warnings.Run(work)
 	go e.tick(work)
 	go e.watchSettings(work, reload)
 	select {
@@ -169,7 +174,7 @@
 // handleReadiness responds to the load balancer's readiness probe: 503 while this
 // instance takes no new connections.
 func (e *entry) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || !e.targetsListed.Load() || e.receiver.Table() == nil || !e.accounting.Ready() {
+	if e.stopping.Load() || !e.targetsListed.Load() || e.receiver.Table() == nil || !e.accounting.Ready() || !e.warnings.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
