Take the end of an undelimited stream without an event for a broken one

A target that crashes after the head of a stream without length and chunks closes the connection, which ended the stream as complete: the caller got 200 with an empty body. Now the attempt counts as interrupted. TestCrashAfterUndelimitedHead failed before.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -20,6 +20,7 @@
 }
 
 var (
+	errNoEvent          = errors.New("connection of the target ended before the first event")
 	errNoSeal           = errors.New("response of the target has no seal")
 	errResponseTooLarge = fmt.Errorf("response of the target is over %d bytes", maxResponseBytes)
 )
@@ -100,6 +101,9 @@
 	controller := http.NewResponseController(j.w)
 	for n := 0; ; n++ {
 		event, err := response.NextEvent()
+		if errors.Is(err, io.EOF) && n == 0 && !response.Delimited() {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			if n == 1 {
 				j.r.guard.RecordAnswer(j.service.Name, j.sharedParts)
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -434,3 +434,17 @@
 		t.Errorf("got %v, %v", res, err)
 	}
 }
+
+// Guards against an empty answer that looks complete because the target crashed after the
+// head of a stream that has neither a length nor chunks.
+func TestCrashAfterUndelimitedHead(t *testing.T) {
+	f := start(t, []platformtest.Response{{Events: 2, Crash: true, CloseDelimited: true}})
+	f.onlyTarget(0, "engine")
+	res, body, err := f.call(t, "/plan/7", "x", nil)
+	if err == nil && res.StatusCode == http.StatusOK {
+		t.Errorf("got status %d with body %q, want no success", res.StatusCode, body)
+	}
+	if open, used := f.budgets.totals(); open != 0 || used != 0 {
+		t.Errorf("%d tokens reserved and %d billed after the crash", open, used)
+	}
+}
