--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -194,6 +194,9 @@
 	for _, id := range j.r.dispatcher.RecordResponse(time.Now(), t, meta) {
 		j.r.log.Info().Str("id", j.meta.ID).Str("target", id).Str("addr", t.Addr).Msg("target says that it is leaving")
 	}
+	if meta.Limit != nil && !meta.TargetReplaced {
+		j.r.log.Debug().Str("id", j.meta.ID).Str("target", t.ID).Float64("persecond", *meta.Limit).Msg("target names a limit")
+	}
 	if meta.Pause > 0 {
 		j.r.log.Info().Str("id", j.meta.ID).Str("target", t.ID).Dur("pause", meta.Pause).Msg("target asks for a pause")
 	}
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -95,6 +95,7 @@
 	Leaving        bool          // the process that sent the response is leaving
 	Pause          time.Duration // how long the target wants no further request, 0: not said
 	Load           *Load         // nil: none
+	Limit          *float64      // requests a second that the target takes from the whole fleet, nil: it names none
 }
 
 // Codec decodes and encodes the headers of requests and responses.
