Keep the limits that targets name, by permits of one instance for all

Cause: the header was not read; and nothing in the fleet could divide such a limit, since instances share knowledge of targets only through the list.

The limit is a shared record now, so one response is enough for all instances to know it, a started one included, and one response ends it. The home of a limited target gives out permits at that rate, by demand; a target without a permit is left out of each choice: first attempt, retry, trial of a breaker, resumed stream. A request that finds nothing else waits for a permit for a part of its latency objective, or is refused with a time to come back.

The shared records move from warden to recorder, which serves both kinds.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -231,6 +231,14 @@
 	return a.state.InstanceCount()
 }
 
+// Rank returns the other instances in the order in which they are the home of a key, and
+// how many of them come before this instance.
+func (a *Accountant) Rank(key string) (peers []granter.Lender, before int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Rank(key)
+}
+
 // Reserve reserves the maximum number of tokens of a request. Missing tokens are
 // requested from the account's home, then from the store, for up to the given time.
 // It does not wait if waiting is known not to help.
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -69,6 +69,24 @@
 	return lenders
 }
 
+// Rank returns the other instances in the order in which they are the home of a key, and
+// how many of them come before this instance.
+func (g *Granter) Rank(key string) (peers []Lender, before int) {
+	rank := func(name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
+	own := rank(g.name)
+	for name, addr := range g.peers {
+		if name == g.name {
+			continue
+		}
+		peers = append(peers, Lender{name, addr})
+		if rank(name) > own {
+			before++
+		}
+	}
+	slices.SortFunc(peers, func(a, b Lender) int { return cmp.Compare(rank(b.Name), rank(a.Name)) })
+	return peers, before
+}
+
 // AvailableTokens returns the tokens of the own grant that can be reserved now.
 func (g *Granter) AvailableTokens(now time.Duration, name string) int64 {
 	a := g.account(name)
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -30,6 +30,7 @@
 
 	"daisylane/internal/checker"
 	"daisylane/internal/granter"
+	"daisylane/internal/throttler"
 )
 
 const (
@@ -38,6 +39,7 @@
 	cancelPath = "/cancel"
 	notePath   = "/note"
 	greetPath  = "/greet"
+	permitPath = "/permit"
 	// dialTimeout is three round trips between regions.
 	dialTimeout = 150 * time.Millisecond
 	// callTimeout is a dial, a round trip and the time that the lender itself waits
@@ -82,8 +84,21 @@
 	RecordGreeting(m granter.Greeting) bool
 }
 
+// PermitGranter gives out permits for targets with a limit.
+type PermitGranter interface {
+	GrantPermits(ctx context.Context, a throttler.Ask) throttler.Grant
+}
+
+// HandlerOption adds to what [Handler] serves.
+type HandlerOption func(*http.ServeMux)
+
+// WithPermits also serves requests for permits.
+func WithPermits(pg PermitGranter) HandlerOption {
+	return func(mux *http.ServeMux) { mux.HandleFunc("POST "+permitPath, handleJSON(pg.GrantPermits)) }
+}
+
 // Handler serves loan and return requests of peers.
-func Handler(tl TokenLender) http.Handler {
+func Handler(tl TokenLender, opts ...HandlerOption) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+lendPath, handleJSON(func(ctx context.Context, l granter.Loan) Reply {
 		d := tl.Lend(ctx, l)
@@ -101,6 +116,9 @@
 	}))
 	mux.HandleFunc("POST "+notePath, handleJSON(func(_ context.Context, n granter.Note) Reply { return replyTo(tl.RecordNote(n)) }))
 	mux.HandleFunc("POST "+greetPath, handleJSON(func(_ context.Context, m granter.Greeting) Reply { return replyTo(tl.RecordGreeting(m)) }))
+	for _, o := range opts {
+		o(mux)
+	}
 	return mux
 }
 
@@ -185,6 +203,11 @@
 	return c.tell(ctx, peer, greetPath, m)
 }
 
+// AskPermits asks a peer for permits to send requests to a target.
+func (c *Client) AskPermits(ctx context.Context, peer granter.Lender, a throttler.Ask) (throttler.Grant, error) {
+	return post[throttler.Grant](ctx, c, peer.Addr+permitPath, a)
+}
+
 // tell sends a message that a peer accepts or refuses.
 func (c *Client) tell(ctx context.Context, peer granter.Lender, path string, v any) error {
 	r, err := post[Reply](ctx, c, peer.Addr+path, v)
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -28,6 +28,7 @@
 type Quarantine struct {
 	entries     map[Key]*entry
 	quarantined map[Key]bool
+	listed      bool
 	answered    [2]map[Key]time.Time // newer and older half of the remembered parts
 }
 
@@ -39,6 +40,9 @@
 // Quarantined returns the keys of the parts in quarantine.
 func (q *Quarantine) Quarantined() []Key { return slices.Collect(maps.Keys(q.quarantined)) }
 
+// Listed reports whether the stored records were taken over.
+func (q *Quarantine) Listed() bool { return q.listed }
+
 // Check says whether a request with the given parts may be sent to a target. The last
 // part belongs to the request alone.
 func (q *Quarantine) Check(now time.Time, service string, parts []uint64) Verdict {
@@ -247,7 +251,7 @@
 		return Write{}, false
 	}
 	e.trying = true
-	return Write{Key: k, Record: e.record.WithTrial(), Version: e.version}, true
+	return Write{Name: k.Name(), Record: e.record.WithTrial(), Version: e.version}, true
 }
 
 // EndClaim ends the claim of a trial. If it was stored, Observe has to be called before.
@@ -306,7 +310,8 @@
 }
 
 // ObserveRemoved takes over the removal of a stored record.
-func (q *Quarantine) ObserveRemoved(k Key, version uint64) {
+func (q *Quarantine) ObserveRemoved(name string, version uint64) {
+	k, _ := parseName(name)
 	e, ok := q.entries[k]
 	if !ok || version < e.version {
 		return
@@ -319,15 +324,10 @@
 	q.judge()
 }
 
-// Stored is a stored record with its version.
-type Stored struct {
-	Record  Record
-	Version uint64
-}
-
 // ObserveList takes over the list of all stored records. If the store was restored from
 // an older copy, records that it lacks now are stored again.
 func (q *Quarantine) ObserveList(now time.Time, list []Stored, restored bool) {
+	q.listed = true
 	listed := make(map[Key]bool, len(list))
 	for _, s := range list {
 		k := s.Record.Key()
@@ -361,10 +361,10 @@
 		case e.sending:
 		case e.cleared:
 			e.sending = true
-			due = append(due, Write{Key: k, Record: e.record, Version: e.version, Remove: true})
+			due = append(due, Write{Name: k.Name(), Record: e.record, Version: e.version, Remove: true})
 		case (e.dirty || e.marking) && !now.Before(e.writeAt):
 			e.sending = true
-			due = append(due, Write{Key: k, Record: e.record, Version: e.version})
+			due = append(due, Write{Name: k.Name(), Record: e.record, Version: e.version})
 		}
 	}
 	return due
@@ -389,14 +389,14 @@
 
 // Written records that a change is stored, with its new version.
 func (q *Quarantine) Written(now time.Time, w Write, version uint64) {
-	e, ok := q.entries[w.Key]
+	e, ok := q.entries[w.Record.Key()]
 	if !ok {
 		return
 	}
 	e.sending = false
 	if w.Remove {
 		if e.cleared {
-			delete(q.entries, w.Key)
+			delete(q.entries, w.Record.Key())
 			q.judge()
 		} else {
 			e.version = 0
@@ -408,7 +408,7 @@
 
 // Failed records that a change was not stored, or that this is not known.
 func (q *Quarantine) Failed(w Write) {
-	if e, ok := q.entries[w.Key]; ok {
+	if e, ok := q.entries[w.Record.Key()]; ok {
 		e.sending = false
 	}
 }
@@ -416,5 +416,5 @@
 // Gone records that the record to be changed does not exist.
 func (q *Quarantine) Gone(w Write) {
 	q.Failed(w)
-	q.ObserveRemoved(w.Key, w.Version)
+	q.ObserveRemoved(w.Name, w.Version)
 }
--- a/internal/quarantiner/quarantine_test.go
+++ b/internal/quarantiner/quarantine_test.go
@@ -27,7 +27,7 @@
 // event is a change of a record on its way to the instances.
 type event struct {
 	at      time.Time
-	key     Key
+	name    string
 	stored  Stored
 	removed bool
 }
@@ -43,15 +43,15 @@
 // put makes a conditional write and reports whether it was done.
 func (f *fleet) put(w Write) (Stored, bool) {
 	f.writes++
-	if current := f.records[w.Key]; current.Version != w.Version {
+	if current := f.records[w.Record.Key()]; current.Version != w.Version {
 		return current, false
 	}
 	f.version++
-	s := Stored{w.Record, f.version}
-	if f.records[w.Key] = s; w.Remove {
-		delete(f.records, w.Key)
+	s := Stored{Record: w.Record, Version: f.version}
+	if f.records[w.Record.Key()] = s; w.Remove {
+		delete(f.records, w.Record.Key())
 	}
-	f.inFlight = append(f.inFlight, event{f.now.Add(f.delay), w.Key, s, w.Remove})
+	f.inFlight = append(f.inFlight, event{f.now.Add(f.delay), w.Name, s, w.Remove})
 	return s, true
 }
 
@@ -63,7 +63,7 @@
 			f.inFlight = f.inFlight[1:]
 			for _, q := range f.instances {
 				if e.removed {
-					q.ObserveRemoved(e.key, e.stored.Version)
+					q.ObserveRemoved(e.name, e.stored.Version)
 				} else {
 					q.Observe(f.now, e.stored.Version, e.stored.Record)
 				}
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"daisylane/internal/checker"
+	"daisylane/internal/recorder"
 )
 
 const (
@@ -70,8 +71,8 @@
 // Name returns the name of the record.
 func (k Key) Name() string { return k.Service + "." + strconv.FormatUint(k.Part, 16) }
 
-// ParseName returns the key of the record with a name.
-func ParseName(name string) (Key, bool) {
+// parseName returns the key of the record with a name.
+func parseName(name string) (Key, bool) {
 	i := strings.LastIndexByte(name, '.')
 	if i < 0 {
 		return Key{}, false
@@ -121,6 +122,9 @@
 	return f.Err()
 }
 
+// Name returns the name of the record.
+func (r Record) Name() string { return r.Key().Name() }
+
 // Key returns the key of a valid record.
 func (r Record) Key() Key {
 	id, _ := strconv.ParseUint(r.Part, 16, 64) // checked on decoding
@@ -215,9 +219,7 @@
 }
 
 // Write is a change of a stored record.
-type Write struct {
-	Key     Key
-	Record  Record
-	Version uint64 // of the stored record, 0: there is none
-	Remove  bool
-}
+type Write = recorder.Write[Record]
+
+// Stored is a stored record with its version.
+type Stored = recorder.Stored[Record]
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -37,7 +37,7 @@
 	if j.account != nil {
 		account = j.account.Name
 	}
-	j.r.dispatcher.RecordRequest(account)
+	j.r.dispatcher.RecordRequest(account, j.service.Name)
 	for {
 		left := time.Until(j.deadline)
 		if left < minRemainingTime {
@@ -50,7 +50,13 @@
 		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.prefillRequest(left), j.tried, j.sends == 0)
 		var overloaded overloadError
 		var paused pausedError
+		var limited limitedError
 		switch {
+		case errors.As(err, &limited) && j.awaitPermit(ctx, limited.opensIn):
+			continue
+		case errors.As(err, &limited) && !j.summary.mayHaveRun:
+			j.refuse(http.StatusServiceUnavailable, Limited, limited.opensIn+rand.N(meanRetryDelay))
+			return
 		case errors.As(err, &overloaded):
 			j.lastTarget = chosen
 			j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(overloaded.retryAfter, meanRetryDelay), left/3)))
@@ -111,6 +117,19 @@
 	})
 }
 
+// awaitPermit waits for a permit that is expected after the given time. It returns false
+// if the request may not wait for so long.
+func (j *job) awaitPermit(ctx context.Context, opensIn time.Duration) bool {
+	if j.permitWaitEnd.IsZero() {
+		j.permitWaitEnd = time.Now().Add(time.Duration(permitWaitShare * float64(j.route.LatencyTarget)))
+	}
+	if opensIn > time.Until(j.permitWaitEnd) || ctx.Err() != nil {
+		return false
+	}
+	j.r.dispatcher.limits.Await(ctx, opensIn)
+	return true
+}
+
 // admit asks whether the request may be sent to a target now. If not, it ends the request
 // and returns false.
 func (j *job) admit(ctx context.Context) bool {
@@ -172,7 +191,7 @@
 	}
 	defer response.Close()
 	meta := j.r.codec.DecodeResponse(response.Status, response.Header)
-	j.recordResponse(chosen.Target, meta)
+	j.recordResponse(chosen, meta)
 	if meta.TargetReplaced {
 		j.dials++
 	} else {
@@ -190,13 +209,11 @@
 }
 
 // recordResponse passes on what the head of a response says about its target.
-func (j *job) recordResponse(t follower.Target, meta ResponseMeta) {
-	for _, id := range j.r.dispatcher.RecordResponse(time.Now(), t, meta) {
+func (j *job) recordResponse(chosen ChosenTarget, meta ResponseMeta) {
+	t := chosen.Target
+	for _, id := range j.r.dispatcher.RecordResponse(time.Now(), chosen.ChosenAt, t, meta) {
 		j.r.log.Info().Str("id", j.meta.ID).Str("target", id).Str("addr", t.Addr).Msg("target says that it is leaving")
 	}
-	if meta.Limit != nil && !meta.TargetReplaced {
-		j.r.log.Debug().Str("id", j.meta.ID).Str("target", t.ID).Float64("persecond", *meta.Limit).Msg("target names a limit")
-	}
 	if meta.Pause > 0 {
 		j.r.log.Info().Str("id", j.meta.ID).Str("target", t.ID).Dur("pause", meta.Pause).Msg("target asks for a pause")
 	}
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -29,6 +29,7 @@
 	Busy               Cause = "busy"
 	Paused             Cause = "paused"
 	Crashing           Cause = "crashing"
+	Limited            Cause = "limited"
 	Refused            Cause = "refused"
 	Unreachable        Cause = "unreachable"
 	NoAnswer           Cause = "noanswer"
@@ -61,6 +62,7 @@
 	Overloaded:         "was refused, because the best target was expected to answer too late",
 	Busy:               "was refused, because the targets were full",
 	Paused:             "was refused, because each target left to try had asked for a pause",
+	Limited:            "was refused, because the limits that the targets name were used up",
 	Crashing:           "was not sent to a target, because targets crash under a part of its prompt",
 	Refused:            "was refused, because the targets did not run it",
 	Unreachable:        "was refused, because no target could be reached",
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -12,12 +12,14 @@
 	"daisylane/internal/follower"
 	"daisylane/internal/resolver"
 	"daisylane/internal/retrier"
+	"daisylane/internal/throttler"
 )
 
 // Dispatcher chooses targets from the roster and decides about retries. It holds no
 // connections and does not read the clock. It is safe for concurrent use.
 type Dispatcher struct {
 	regions map[string]string // region by data centre
+	limits  Limits
 
 	mu      sync.Mutex
 	roster  *follower.Roster
@@ -42,13 +44,23 @@
 	inFlight *chooser.InFlightRequest
 }
 
+// DispatcherOption changes a setting of a [Dispatcher].
+type DispatcherOption func(*Dispatcher)
+
+// WithLimits sets what knows the limits of targets.
+func WithLimits(l Limits) DispatcherOption { return func(d *Dispatcher) { d.limits = l } }
+
 // NewDispatcher returns a Dispatcher for an instance at a place. It takes ownership of
 // retries.
-func NewDispatcher(place chooser.Place, regions map[string]string, retries *retrier.Retrier) *Dispatcher {
-	return &Dispatcher{
-		regions: regions, roster: follower.NewRoster(), policy: chooser.NewPrefillPolicy(place), retries: retries,
+func NewDispatcher(place chooser.Place, regions map[string]string, retries *retrier.Retrier, opts ...DispatcherOption) *Dispatcher {
+	d := &Dispatcher{
+		regions: regions, limits: noLimits{}, roster: follower.NewRoster(), policy: chooser.NewPrefillPolicy(place), retries: retries,
 		nodes: make(map[string]serviceNodes),
 	}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
 }
 
 // WithRoster calls a function with the roster while it holds the lock. The function
@@ -76,14 +88,16 @@
 
 // Forget removes the state of a target that no longer exists or has restarted.
 func (d *Dispatcher) Forget(id string) {
+	d.limits.Forget(id)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.policy.Forget(id)
 	d.retries.RemoveTarget(id)
 }
 
-// RecordRequest counts a new request for the retry budget.
-func (d *Dispatcher) RecordRequest(account string) {
+// RecordRequest counts a new request for the retry budget and for the limits of targets.
+func (d *Dispatcher) RecordRequest(account, service string) {
+	d.limits.RecordRequest(service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.retries.CountRequest(account)
@@ -106,6 +120,13 @@
 	return fmt.Sprintf("targets have asked for a pause that ends in %v", e.resumesIn)
 }
 
+// limitedError means that each target left to try has a limit that is used up.
+type limitedError struct{ opensIn time.Duration }
+
+func (e limitedError) Error() string {
+	return fmt.Sprintf("limits of the targets are used up for %v", e.opensIn)
+}
+
 // Choose selects a target that has not been tried and records the request as sent
 // to it. It may refuse the first attempt of a request to an engine with an
 // overloadError, see [chooser.PrefillPolicy.Admit]; the returned target is then the
@@ -115,6 +136,7 @@
 	defer d.mu.Unlock()
 	n := d.readyNodes(service)
 	unavailable := d.retries.AppendPaused(append(d.exclude[:0], tried...), now)
+	unavailable = d.limits.AppendClosed(unavailable, now, service.Name, len(n.targets))
 	d.exclude = d.retries.AppendBlocked(unavailable, now)
 	p.Exclude = d.exclude
 	choice, ok := d.policy.Choose(now, p, n.list)
@@ -134,6 +156,7 @@
 		}
 	}
 	d.retries.Admit(now, chosen.Target.ID)
+	d.limits.Take(now, chosen.Target.ID)
 	chosen.inFlight = d.policy.RecordSent(now, chosen.Target.ID, p, choice)
 	return chosen, nil
 }
@@ -147,15 +170,25 @@
 			resumesIn = left
 		}
 	}
-	if resumesIn > 0 {
+	var limited []string
+	for _, t := range ready {
+		if !slices.Contains(tried, t.ID) && d.retries.PauseLeft(now, t.ID) == 0 {
+			limited = append(limited, t.ID)
+		}
+	}
+	switch opensIn := d.limits.OpensIn(now, limited); {
+	case opensIn > 0:
+		return limitedError{opensIn}
+	case resumesIn > 0:
 		return pausedError{resumesIn}
 	}
 	return errNoTargets
 }
 
 // RecordResponse records what the head of a response says about the targets at its
-// address. It returns the IDs of targets that are now known to leave.
-func (d *Dispatcher) RecordResponse(now time.Time, t follower.Target, m ResponseMeta) []string {
+// address, to a request sent at sentAt. It returns the IDs of targets that are now known
+// to leave.
+func (d *Dispatcher) RecordResponse(now, sentAt time.Time, t follower.Target, m ResponseMeta) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if m.Load != nil {
@@ -164,6 +197,9 @@
 	if m.Pause > 0 {
 		d.retries.Pause(now, t.ID, m.Pause)
 	}
+	if !m.TargetReplaced {
+		d.limits.RecordLimit(throttler.Target{Service: t.Service, ID: t.ID, Incarnation: t.Incarnation}, sentAt, m.Limit)
+	}
 	switch {
 	case m.Leaving && m.TargetReplaced:
 		return d.roster.MarkAddrLeaving(t.Addr, t.ID)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -98,10 +98,11 @@
 	summary        requestSummary
 	stream         streamState
 	lastTarget     ChosenTarget
-	sharedParts    []uint64 // IDs of the prompt parts, if targets may crash under one
-	quarantined    uint64   // the part for which the request was refused
-	trial          bool     // the present attempt is a trial of a quarantined part
-	aborted        bool     // the connection is closed without a complete response
+	sharedParts    []uint64  // IDs of the prompt parts, if targets may crash under one
+	quarantined    uint64    // the part for which the request was refused
+	permitWaitEnd  time.Time // when the wait for a permit ends, zero: not begun
+	trial          bool      // the present attempt is a trial of a quarantined part
+	aborted        bool      // the connection is closed without a complete response
 }
 
 // requestSummary describes how a request ended, for the log and the metrics.
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -21,6 +21,7 @@
 	"daisylane/internal/chooser"
 	"daisylane/internal/granter"
 	"daisylane/internal/quarantiner"
+	"daisylane/internal/throttler"
 )
 
 const (
@@ -53,6 +54,9 @@
 	minFirstByteTimeout = 250 * time.Millisecond
 	// Mean output as a share of its limit, by the users' data sheet.
 	expectedOutputShare = 0.25
+	// Share of the latency objective that a request may wait for a permit to send it to a
+	// target with a limit.
+	permitWaitShare = 0.4
 	// Mean delay after which a caller should retry if no target has capacity.
 	meanRetryDelay = 400 * time.Millisecond
 )
@@ -136,6 +140,34 @@
 
 func (noGuard) RecordCrash(quarantiner.Report) {}
 
+// Limits keeps the requests of all instances within the limits that targets name.
+type Limits interface {
+	// AppendClosed appends the targets of a service that may get no request now. ready is
+	// the number of its ready targets.
+	AppendClosed(list []string, now time.Time, service string, ready int) []string
+	// Take uses a permit for a request to a target, if the target has a limit.
+	Take(now time.Time, id string)
+	// OpensIn returns the shortest time until one of the targets may get a request, 0 if
+	// none of them has a limit.
+	OpensIn(now time.Time, ids []string) time.Duration
+	// Await waits until permits come, at most for the given time.
+	Await(ctx context.Context, d time.Duration)
+	RecordRequest(service string)
+	RecordLimit(t throttler.Target, sentAt time.Time, perSecond *float64)
+	Forget(id string)
+}
+
+// noLimits knows no limits.
+type noLimits struct{}
+
+func (noLimits) AppendClosed(list []string, _ time.Time, _ string, _ int) []string { return list }
+func (noLimits) Take(time.Time, string)                                            {}
+func (noLimits) OpensIn(time.Time, []string) time.Duration                         { return 0 }
+func (noLimits) Await(context.Context, time.Duration)                              {}
+func (noLimits) RecordRequest(string)                                              {}
+func (noLimits) RecordLimit(throttler.Target, time.Time, *float64)                 {}
+func (noLimits) Forget(string)                                                     {}
+
 // Budgets reserves prepaid tokens of client accounts.
 type Budgets interface {
 	Ready() bool
--- /dev/null
+++ b/internal/recorder/recorder.go
@@ -0,0 +1,277 @@
+// Package recorder keeps records that all instances share, as objects in the store. Each
+// record is changed on condition of its version. What the records mean is decided by the
+// package that has them in a [Records].
+//
+// # Usage
+//
+//	parts := recorder.NewBook("part", func(use func(recorder.Records[quarantiner.Record])) { ... })
+//	r := recorder.New(store, log, parts, limits)
+//	go r.Run(ctx)
+//	go follower.New(store, recorder.Kind, r).Run(ctx)
+package recorder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"daisylane/internal/checker"
+	"daisylane/internal/follower"
+	"daisylane/internal/storer"
+	"daisylane/internal/waiter"
+)
+
+// Kind is the kind of the stored objects.
+const Kind = "warnings"
+
+const (
+	// retryDelay is the pause after a write that failed.
+	retryDelay = 150 * time.Millisecond
+	// sweepInterval is how often writes without a signal are looked for.
+	sweepInterval = time.Second
+)
+
+// Record is a record with a name that is unique among those of its type.
+type Record interface {
+	checker.Checker
+	Name() string
+}
+
+// Write is a change of a stored record.
+type Write[R Record] struct {
+	Name    string
+	Record  R
+	Version uint64 // of the stored record, 0: there is none
+	Remove  bool
+}
+
+// Stored is a stored record with its version.
+type Stored[R Record] struct {
+	Record  R
+	Version uint64
+}
+
+// Records decides about the records of one type.
+type Records[R Record] interface {
+	// Due returns the changes to be stored now. Written, Failed or Gone follows for each.
+	Due(now time.Time) []Write[R]
+	Written(now time.Time, w Write[R], version uint64)
+	Failed(w Write[R])
+	Gone(w Write[R]) // the record to be changed does not exist
+	Observe(now time.Time, version uint64, r R)
+	ObserveRemoved(name string, version uint64)
+	// ObserveList takes over all records, also after the store went back to an older copy.
+	ObserveList(now time.Time, list []Stored[R], restored bool)
+}
+
+// Store holds the records. Both writes are conditional on the version; with
+// [storer.ErrConflict] they return the current object.
+type Store interface {
+	Put(ctx context.Context, kind, name string, body []byte, version uint64) (storer.Item, error)
+	Remove(ctx context.Context, kind, name string, version uint64) (storer.Item, error)
+}
+
+// Shelf is the part of a [Recorder] for one type of records.
+type Shelf interface {
+	prefix() string
+	store(ctx context.Context, s Store) (failed error, again bool)
+	list(items []storer.Item, restored bool, log zerolog.Logger)
+	change(c follower.Change, log zerolog.Logger)
+}
+
+// Book is the shelf of records of type R.
+type Book[R Record] struct {
+	kind string
+	with func(use func(Records[R]))
+}
+
+// NewBook returns a shelf. The names of its objects begin with kind. with calls a function
+// with the records while it holds their lock.
+func NewBook[R Record](kind string, with func(use func(Records[R]))) *Book[R] {
+	return &Book[R]{kind: kind, with: with}
+}
+
+func (b *Book[R]) prefix() string { return b.kind + "." }
+
+// Put makes one write. With [storer.ErrConflict] it returns the current record, if the
+// store sent it.
+func (b *Book[R]) Put(ctx context.Context, s Store, w Write[R]) (Stored[R], error) {
+	var item storer.Item
+	var err error
+	if w.Remove {
+		item, err = s.Remove(ctx, Kind, b.prefix()+w.Name, w.Version)
+	} else {
+		var body []byte
+		if body, err = checker.Encode(w.Record); err != nil {
+			return Stored[R]{}, fmt.Errorf("encode warning %s: %w", w.Name, err)
+		}
+		item, err = s.Put(ctx, Kind, b.prefix()+w.Name, body, w.Version)
+	}
+	switch {
+	case err == nil:
+		return Stored[R]{w.Record, item.Version}, nil
+	case errors.Is(err, storer.ErrConflict) && len(item.Body) > 0:
+		r, decodeErr := b.decode(item)
+		if decodeErr != nil {
+			return Stored[R]{}, errors.Join(err, decodeErr)
+		}
+		return Stored[R]{r, item.Version}, err
+	}
+	return Stored[R]{}, err
+}
+
+func (b *Book[R]) decode(item storer.Item) (R, error) {
+	r, err := checker.Decode[R](item.Body)
+	if err == nil && b.prefix()+r.Name() != item.Key {
+		err = fmt.Errorf("warning %s is stored as %s", r.Name(), item.Key)
+	}
+	return r, err
+}
+
+// store makes the writes that are due. A conflict is no failure: the current record is
+// taken over, and the change is due again if it still matters.
+func (b *Book[R]) store(ctx context.Context, s Store) (failed error, again bool) {
+	var due []Write[R]
+	b.with(func(records Records[R]) { due = records.Due(time.Now()) })
+	for _, w := range due {
+		stored, err := b.Put(ctx, s, w)
+		b.with(func(records Records[R]) {
+			switch {
+			case err == nil:
+				records.Written(time.Now(), w, stored.Version)
+			case errors.Is(err, storer.ErrAbsent):
+				records.Gone(w)
+				again = true
+			case errors.Is(err, storer.ErrConflict) && stored.Version > 0:
+				records.Failed(w)
+				records.Observe(time.Now(), stored.Version, stored.Record)
+				again = true
+			default:
+				records.Failed(w)
+				failed = errors.Join(failed, err)
+			}
+		})
+	}
+	return failed, again
+}
+
+func (b *Book[R]) list(items []storer.Item, restored bool, log zerolog.Logger) {
+	var list []Stored[R]
+	for _, item := range items {
+		if !strings.HasPrefix(item.Key, b.prefix()) {
+			continue
+		}
+		r, err := b.decode(item)
+		if err != nil {
+			logInvalid(log, item, err)
+			continue
+		}
+		list = append(list, Stored[R]{r, item.Version})
+	}
+	b.with(func(records Records[R]) { records.ObserveList(time.Now(), list, restored) })
+}
+
+func (b *Book[R]) change(c follower.Change, log zerolog.Logger) {
+	name, ok := strings.CutPrefix(c.Item.Key, b.prefix())
+	if !ok {
+		return
+	}
+	if c.Deleted {
+		b.with(func(records Records[R]) { records.ObserveRemoved(name, c.Item.Version) })
+		return
+	}
+	r, err := b.decode(c.Item)
+	if err != nil {
+		logInvalid(log, c.Item, err)
+		return
+	}
+	b.with(func(records Records[R]) { records.Observe(time.Now(), c.Item.Version, r) })
+}
+
+func logInvalid(log zerolog.Logger, item storer.Item, err error) {
+	log.Error().Err(err).Str("name", item.Key).Uint64("version", item.Version).Msg("stored warning is invalid; ignoring it")
+}
+
+// Recorder reads and writes the records of its shelves. It implements [follower.Handler].
+type Recorder struct {
+	store    Store
+	log      zerolog.Logger
+	shelves  []Shelf
+	signal   chan struct{}
+	restored bool // used by the calls of the follower only
+}
+
+// New returns a recorder.
+func New(store Store, log zerolog.Logger, shelves ...Shelf) *Recorder {
+	return &Recorder{store: store, log: log, shelves: shelves, signal: make(chan struct{}, 1)}
+}
+
+// Wake makes Run look for changes that are due.
+func (r *Recorder) Wake() {
+	select {
+	case r.signal <- struct{}{}:
+	default:
+	}
+}
+
+// Run stores changes of the records until the context ends.
+func (r *Recorder) Run(ctx context.Context) {
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.signal:
+		case <-sweep.C:
+		}
+		for _, s := range r.shelves {
+			failed, again := s.store(ctx, r.store)
+			if failed != nil && ctx.Err() == nil {
+				r.log.Warn().Err(failed).Msg("warning not stored; retrying")
+				waiter.Sleep(ctx, retryDelay)
+			}
+			if failed != nil || again {
+				r.Wake()
+			}
+		}
+	}
+}
+
+// Listed implements [follower.Handler].
+func (r *Recorder) Listed(items []storer.Item) {
+	for _, s := range r.shelves {
+		s.list(items, r.restored, r.log)
+	}
+	r.restored = false
+	r.Wake()
+}
+
+// Changed implements [follower.Handler].
+func (r *Recorder) Changed(changes []follower.Change) {
+	for _, c := range changes {
+		for _, s := range r.shelves {
+			s.change(c, r.log)
+		}
+	}
+	r.Wake()
+}
+
+// Disconnected implements [follower.Handler].
+func (r *Recorder) Disconnected(err error) { r.log.Warn().Err(err).Msg("warnings are not followed") }
+
+// Reconnected implements [follower.Handler].
+func (r *Recorder) Reconnected() { r.log.Info().Msg("warnings are followed again") }
+
+// Restored implements [follower.Handler].
+func (r *Recorder) Restored() {
+	r.restored = true
+	r.log.Warn().Msg("store was restored from an older copy; warnings are stored again")
+}
+
+// Synced implements [follower.Handler].
+func (r *Recorder) Synced() {}
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -33,6 +33,7 @@
 	Drains               = "drains_total"
 	Crashes              = "crashes_total"
 	QuarantinedParts     = "quarantined_parts"
+	LimitedTargets       = "limited_targets"
 )
 
 // Kind is the type of a metric.
@@ -87,4 +88,5 @@
 	{Drains, Counter, "drains", nil, "Drains begun."},
 	{Crashes, Counter, "crashes", []string{"service"}, "Requests under which a target crashed before it had answered them."},
 	{QuarantinedParts, Gauge, "parts", nil, "Prompt parts that are kept away from targets."},
+	{LimitedTargets, Gauge, "targets", nil, "Targets that name a limit of requests."},
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -20,7 +20,9 @@
 	"daisylane/internal/forwarder"
 	"daisylane/internal/lender"
 	"daisylane/internal/logger"
+	"daisylane/internal/permitter"
 	"daisylane/internal/receiver"
+	"daisylane/internal/recorder"
 	"daisylane/internal/reporter"
 	"daisylane/internal/resolver"
 	"daisylane/internal/retrier"
@@ -66,7 +68,9 @@
 	store         *platform.Store
 	paths         *paths
 	accounting    *accountant.Accountant
-	warnings      *warden.Warden
+	warnings      *recorder.Recorder
+	guard         *warden.Warden
+	permits       *permitter.Permitter
 	dispatcher    *receiver.Dispatcher
 	receiver      *receiver.Receiver
 	pool          *forwarder.Pool
@@ -98,12 +102,18 @@
 	e.store = platform.NewStore(cfg.Store.Addr, e.paths, platform.WithObserver(func(t http.RoundTripper) http.RoundTripper {
 		return reporter.Transport(e.metrics.Scope(), t)
 	}))
-	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries)
+	peers := lender.NewClient()
+	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), peers, log)
+	e.permits = permitter.New(cfg.Name+"-"+cfg.Addr, e.accounting, peers,
+		permitter.WithLog(log), permitter.WithScope(e.metrics.Scope()))
+	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries, receiver.WithLimits(e.permits))
 	e.applyLimits(cfg)
-	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), lender.NewClient(), log)
-	e.warnings = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()))
+	e.guard = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()))
+	e.warnings = recorder.New(e.store, log, e.guard.Book(), e.permits.Book())
+	e.guard.OnChange(e.warnings.Wake)
+	e.permits.OnChange(e.warnings.Wake)
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool,
-		receiver.WithLog(log), receiver.WithGuard(e.warnings), receiver.WithScope(e.metrics.Scope()))
+		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithScope(e.metrics.Scope()))
 	return e
 }
 
@@ -125,8 +135,9 @@
 	wait := follower.WithWait(follower.WatchWait(e.cfg.ChangeDelay()))
 	go follower.New(e.store, platform.KindConfig, &configHandler{e: e}, wait).Run(work)
 	go follower.New(e.store, platform.KindRunners, &targetHandler{e: e}, wait).Run(work)
-	go follower.New(e.store, warden.Kind, e.warnings, follower.WithWait(follower.WatchWait(e.cfg.WarningDelay()))).Run(work)
+	go follower.New(e.store, recorder.Kind, e.warnings, follower.WithWait(follower.WatchWait(e.cfg.WarningDelay()))).Run(work)
 	go e.warnings.Run(work)
+	go e.permits.Run(work)
 	go e.tick(work)
 	go e.watchSettings(work, reload)
 	select {
@@ -154,7 +165,7 @@
 	}{
 		{e.cfg.Listen.Callers, e.callers},
 		{e.cfg.Listen.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: readHeaderTimeout}},
-		{net.JoinHostPort(e.cfg.Addr, e.cfg.PeerPort()), &http.Server{Handler: lender.Handler(e.accounting), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}},
+		{net.JoinHostPort(e.cfg.Addr, e.cfg.PeerPort()), &http.Server{Handler: lender.Handler(e.accounting, lender.WithPermits(e.permits)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}},
 		{net.JoinHostPort(e.cfg.Addr, metricsPort), &http.Server{Handler: metrics, ReadHeaderTimeout: readHeaderTimeout}},
 	}
 	for _, s := range list {
@@ -174,7 +185,7 @@
 // handleReadiness responds to the load balancer's readiness probe: 503 while this
 // instance takes no new connections.
 func (e *entry) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || !e.targetsListed.Load() || e.receiver.Table() == nil || !e.accounting.Ready() || !e.warnings.Ready() {
+	if e.stopping.Load() || !e.targetsListed.Load() || e.receiver.Table() == nil || !e.accounting.Ready() || !e.guard.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
