Show in a request's timeline the crashes that it was refused for

The timeline has the quarantine of the part now, however old it is, and the latest crashes under it at any instance; for a limited request the latest limit. TestTimelineOfQuarantine failed before.

--- a/internal/analyzer/analyzer_test.go
+++ b/internal/analyzer/analyzer_test.go
@@ -114,3 +114,33 @@
 		}
 	})
 }
+
+// Guards against a refusal whose timeline does not lead to the crashes behind it, because
+// they were logged by other instances, long before, or for other requests.
+func TestTimelineOfQuarantine(t *testing.T) {
+	log, err := Read(strings.NewReader(`
+{"instance":"entry-2","id":"r1","target":"i-1","crashed":true,"parts":["a1","dead","7"],"time":"2026-01-02T15:00:01Z","msg":"attempt failed"}
+{"instance":"entry-2","id":"r2","target":"i-2","crashed":true,"parts":["a1","b1","8"],"time":"2026-01-02T15:00:02Z","msg":"attempt failed"}
+{"instance":"entry-2","id":"r3","target":"i-3","crashed":false,"parts":["a1","dead","9"],"time":"2026-01-02T15:00:03Z","msg":"attempt failed"}
+{"instance":"entry-1","service":"s","part":"dead","time":"2026-01-02T15:00:04Z","msg":"prompt part quarantined; targets crash under it"}
+{"instance":"entry-1","service":"s","part":"b1","time":"2026-01-02T15:00:05Z","msg":"prompt part quarantined; targets crash under it"}
+{"instance":"entry-1","id":"r4","service":"s","outcome":"crashing","part":"dead","took":1,"time":"2026-01-02T15:04:00Z","msg":"request"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := log.Timeline("r4")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, e := range s.Events {
+		got = append(got, e.Text("id")+e.Text("part"))
+	}
+	if want := "r1 dead r4dead"; strings.Join(got, " ") != want {
+		t.Errorf("events %q, want %q", strings.Join(got, " "), want)
+	}
+	if !strings.Contains(s.Summary, "targets crash under a part of its prompt") {
+		t.Errorf("summary %q", s.Summary)
+	}
+}
--- a/internal/analyzer/timeline.go
+++ b/internal/analyzer/timeline.go
@@ -23,6 +23,7 @@
 	}
 	last := own[len(own)-1]
 	lines := append(l.stateBefore(last), own...)
+	lines = append(lines, l.crashesBefore(last)...)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	s := Timeline{ID: id, Summary: summary(last)}
 	for _, line := range lines {
@@ -43,7 +44,8 @@
 		switch {
 		case !ok, line.Instance != end.Instance, line.Time.After(end.Time):
 		case line.Text("id") == end.Text("id"): // already included as a line of the request
-		case kind != "configuration" && kind != "process" && end.Time.Sub(line.Time) > maxStateAge:
+		case !lastingKinds[kind] && end.Time.Sub(line.Time) > maxStateAge:
+		case (kind == "part" || kind == "trial") && (end.Text("part") == "" || line.Text("part") != end.Text("part")):
 		case kind == "target" && line.Text("target") != end.Text("target"):
 		default:
 			latest[kind] = line
@@ -56,6 +58,23 @@
 	return lines
 }
 
+// crashesBefore returns the latest attempts of any instance under which a target crashed
+// and whose prompt has the part for which a request was refused.
+func (l *Log) crashesBefore(end Line) []Line {
+	part := end.Text("part")
+	if part == "" {
+		return nil
+	}
+	var lines []Line
+	for _, line := range l.Lines {
+		parts, _ := line.Fields["parts"].([]any)
+		if crashed, _ := line.Fields["crashed"].(bool); crashed && slices.Contains(parts, any(part)) && !line.Time.After(end.Time) {
+			lines = append(lines, line)
+		}
+	}
+	return lines[max(0, len(lines)-maxCrashes):]
+}
+
 // summary returns a sentence that describes the outcome of the request.
 func summary(end Line) string {
 	r, ok := end.request()
--- a/internal/analyzer/types.go
+++ b/internal/analyzer/types.go
@@ -34,6 +34,8 @@
 	"targets listed": "list", "targets are not followed": "list", "targets are followed again": "list",
 	"way to the store changed": "way", "budget store lost": "store", "budget store regained": "store",
 	"budgets recovered": "budgets", "peer lends nothing": "peer",
+	"prompt part quarantined; targets crash under it": "part", "prompt part released": "part", "trial of a quarantined prompt part begins": "trial",
+	"target limited": "limit", "target no longer limited": "limit", "peer gives no permits": "permit",
 	"target changed": "target", "target gone": "target", "target replaced at its address": "target",
 }
 
@@ -42,6 +44,12 @@
 // time of a recovery.
 const maxStateAge = 20 * time.Second
 
+// lastingKinds are the kinds of state that are part of a timeline however old they are.
+var lastingKinds = map[string]bool{"configuration": true, "process": true, "part": true, "trial": true}
+
+// maxCrashes limits the crashes in the timeline of a request that was refused for them.
+const maxCrashes = 8
+
 // ErrUnknown means that no log line has the id of the request.
 var ErrUnknown = errors.New("no line of the log has this id")
 
