Blame parts of requests that targets had begun to answer before those that waited

Requests that wait at a target when it crashes have parts too. With as many crashes, the more special part won, and sound requests with it were refused. What had begun decides first now, and a part whose requests only waited needs five crashes. TestWaitingPartIsNotBlamed failed before.

--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -232,11 +232,12 @@
 	}
 }
 
-// compareSuspects orders records by how far they are above their threshold, then by how
-// special the part is.
+// compareSuspects orders records by how far they are above their threshold, then by the
+// targets that had begun to answer, then by how special the part is.
 func compareSuspects(a, b suspect) int {
 	return cmp.Or(
 		cmp.Compare(a.over, b.over),
+		cmp.Compare(a.record.begun(), b.record.begun()),
 		cmp.Compare(a.record.Depth, b.record.Depth),
 		cmp.Compare(b.record.Part, a.record.Part),
 		cmp.Compare(b.record.Service, a.record.Service),
--- a/internal/quarantiner/quarantine_test.go
+++ b/internal/quarantiner/quarantine_test.go
@@ -226,6 +226,23 @@
 	}
 }
 
+// Guards against blaming a part of requests that only waited at the targets that crashed,
+// even if they are as many and the part is the more special one.
+func TestWaitingPartIsNotBlamed(t *testing.T) {
+	f := newFleet(2, 50*time.Millisecond)
+	for range crashThreshold {
+		f.run(time.Second)
+		f.crash(0, false, common, deadly)
+		f.instances[1].RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Parts: []uint64{common, fourth, other, f.own()}})
+	}
+	f.run(time.Second)
+	for i := range f.instances {
+		if f.check(i, common, deadly) == Allowed || f.check(i, common, fourth, other) != Allowed {
+			t.Errorf("instance %d: deadly part %s, waiting part %s", i, f.check(i, common, deadly), f.check(i, common, fourth, other))
+		}
+	}
+}
+
 // Guards against a quarantine that never ends, trials by several instances at once, trials
 // that come as often although they fail, and a quarantine that ends at one instance only.
 func TestTrials(t *testing.T) {
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -38,8 +38,9 @@
 	// crashThreshold is the number of crashes that quarantine a part which no instance
 	// has seen answered.
 	crashThreshold = 3
-	// knownThreshold is the same for a part that was answered before.
-	knownThreshold = 5
+	// highThreshold is the same for a part that was answered before, or whose requests
+	// only waited at the targets.
+	highThreshold = 5
 	// maxCrashes limits the crashes of a record. The oldest ones are dropped.
 	maxCrashes = 8
 	// A part that was answered so shortly before a crash did not cause it.
@@ -174,12 +175,22 @@
 
 // threshold returns the number of crashes that quarantine the part.
 func (r Record) threshold() int {
-	if r.Known {
-		return knownThreshold
+	if r.Known || r.begun() == 0 {
+		return highThreshold
 	}
 	return crashThreshold
 }
 
+// begun returns the number of targets that had begun to answer a request with the part.
+func (r Record) begun() (n int) {
+	for _, c := range r.Crashes {
+		if c.Begun {
+			n++
+		}
+	}
+	return n
+}
+
 // pause returns the time without a request to a target before the next trial.
 func (r Record) pause() time.Duration {
 	pause := firstPause
