Drop what is remembered of each target that leaves the list

Only targets that lapsed in an outage of the store were forgotten, so placement state, circuit breakers and idle connections of all others that left stayed for good: memory grew with the targets that came and went. The roster reports each removed target once now. Found while looking for when a limit of a target ends. TestTakeGone failed before (it did not compile; the list was of lapsed ones).

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -188,3 +189,31 @@
 		})
 	}
 }
+
+// Guards against state about targets that grows as they come and go, because a target
+// that was removed, replaced or missing for too long is not reported as gone.
+func TestTakeGone(t *testing.T) {
+	r, now := NewRoster(), time.Now()
+	r.SetList(now, []Target{{ID: "removed"}, {ID: "dropped"}, {ID: "missing"}, {ID: "stays"}})
+	r.Remove(now, "removed")
+	r.Drop("dropped")
+	r.Drop("dropped")
+	r.RecordReconnect(now)
+	r.Remove(now, "missing")
+	ids := func() (ids []string) {
+		for _, t := range r.TakeGone() {
+			ids = append(ids, t.ID)
+		}
+		return ids
+	}
+	if got := ids(); !slices.Equal(got, []string{"removed", "dropped"}) {
+		t.Errorf("gone are %v", got)
+	}
+	r.Expire(now.Add(missingGrace))
+	if got := ids(); !slices.Equal(got, []string{"missing"}) {
+		t.Errorf("gone after the grace period are %v", got)
+	}
+	if got := ids(); len(got) > 0 {
+		t.Errorf("%v are reported twice", got)
+	}
+}
--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -47,6 +47,7 @@
 	unproven      map[string]Target    // listed after a restore of the store, but removed before it
 	restoredAt    time.Time            // when the store was last restored from an older copy
 	ready         map[string][]Target  // by service, sorted by ID; derived from targets, nil if outdated
+	gone          []Target             // removed since the last call of TakeGone
 	reconnectedAt time.Time            // when the last outage of the store ended
 	version       int64                // incremented by each change of the targets
 }
@@ -167,6 +168,7 @@
 	}
 	delete(r.targets, id)
 	delete(r.missing, id)
+	r.gone = append(r.gone, t)
 	r.removed[id] = t
 	r.trim(r.removed)
 	r.changed()
@@ -175,15 +177,18 @@
 // Drop drops a target whose address now belongs to another target. Only a new registration
 // adds it again.
 func (r *Roster) Drop(id string) {
+	if t, ok := r.targets[id]; ok {
+		r.gone = append(r.gone, t)
+	}
 	delete(r.targets, id)
 	delete(r.missing, id)
 	r.changed()
 }
 
-// Expire drops the missing targets whose grace period has ended, and returns them.
+// Expire drops the missing targets whose grace period has ended.
 // After a restore of the store it takes up targets that are still listed although they
 // had been removed before.
-func (r *Roster) Expire(now time.Time) []Target {
+func (r *Roster) Expire(now time.Time) {
 	if !r.restoredAt.IsZero() && now.Sub(r.restoredAt) >= restoreGrace {
 		r.restoredAt = time.Time{}
 		for id, t := range r.unproven {
@@ -191,16 +196,21 @@
 			r.Put(t)
 		}
 	}
-	var expired []Target
 	for id, end := range r.missing {
 		if !now.Before(end) {
-			expired = append(expired, r.targets[id])
+			r.gone = append(r.gone, r.targets[id])
 			delete(r.targets, id)
 			delete(r.missing, id)
 			r.changed()
 		}
 	}
-	return expired
+}
+
+// TakeGone returns the targets that were removed since the last call.
+func (r *Roster) TakeGone() []Target {
+	gone := r.gone
+	r.gone = nil
+	return gone
 }
 
 // Ready returns the targets of a service that accept requests, sorted by ID. It
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -194,10 +194,13 @@
 // relay updates and probes of the direct path to the store.
 func (e *entry) tick(ctx context.Context) {
 	waiter.Every(ctx, tickInterval, func(now time.Time) {
-		var expired []follower.Target
-		e.dispatcher.WithRoster(func(r *follower.Roster) { expired = r.Expire(now) })
-		for _, target := range expired {
-			e.forgetTarget(target, "lapsed")
+		var gone []follower.Target
+		e.dispatcher.WithRoster(func(r *follower.Roster) {
+			r.Expire(now)
+			gone = r.TakeGone()
+		})
+		for _, target := range gone {
+			e.forgetTarget(target)
 		}
 		instances := e.accounting.InstanceCount()
 		e.dispatcher.SetBurst(e.settings.Load().Bounds.RetryReserve * usableRetryRatio / float64(max(1, instances)))
@@ -250,10 +253,10 @@
 }
 
 // forgetTarget removes the dispatcher's state and the connections of a removed target.
-func (e *entry) forgetTarget(t follower.Target, reason string) {
+func (e *entry) forgetTarget(t follower.Target) {
 	e.dispatcher.Forget(t.ID)
 	e.pool.CloseIdle(t.Addr)
-	e.log.Info().Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Str("reason", reason).Msg("target gone")
+	e.log.Info().Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("target gone")
 }
 
 // stop fails the readiness probes so that the load balancer sends no new
