Keep the limit of a target for a while after it has left the list

A registration can lapse and come back while the target lives. Its limit was dropped at once, and until it named it again every instance sent freely. It is kept for 10 s now, and the record is removed then by the first instance. TestLimitLasts/gone failed before.

--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -222,9 +222,11 @@
 	})
 }
 
-// Forget removes the limit of a target that is gone or has started again.
+// Forget records that a target is gone or has started again.
 func (p *Permitter) Forget(id string) {
-	p.update(func(s *throttler.Throttle) bool { return s.Forget(time.Now(), id) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Forget(time.Now(), id)
 }
 
 // RecordRequest counts a request to a service.
--- a/internal/throttler/throttle.go
+++ b/internal/throttler/throttle.go
@@ -16,6 +16,7 @@
 	writeAt   time.Time
 	storedAt  time.Time
 	learnedAt time.Time // when the limit was last confirmed
+	goneAt    time.Time // when the target was removed from the list, zero: it is listed
 
 	permits      int
 	permitsUntil time.Time
@@ -88,7 +89,7 @@
 		t.targets[target.ID] = l
 		return true
 	}
-	l.learnedAt = now
+	l.learnedAt, l.goneAt = now, time.Time{}
 	old := l.record.PerSecond
 	l.record.PerSecond = *perSecond
 	if math.Abs(*perSecond-old) <= minLimitChange*old || l.dirty {
@@ -106,25 +107,22 @@
 	return 0
 }
 
-// lift ends a limit. The stored record is removed at the given time.
-func (t *Throttle) lift(l *limited, removeAt time.Time) {
+// lift ends a limit.
+func (t *Throttle) lift(l *limited, now time.Time) {
 	if l.version == 0 && !l.sending {
 		delete(t.targets, l.record.Target)
 		return
 	}
-	l.lifted, l.dirty, l.writeAt = true, false, removeAt
+	l.lifted, l.dirty, l.writeAt = true, false, now
 }
 
-// Forget removes the limit of a target that is gone or has started again. It returns
-// whether there was one.
-func (t *Throttle) Forget(now time.Time, id string) bool {
+// Forget records that a target is gone or has started again. The registration of one that
+// lives on may come back, so its limit stays in force for a while.
+func (t *Throttle) Forget(now time.Time, id string) {
 	delete(t.buckets, id)
-	l, ok := t.targets[id]
-	if !ok || l.lifted {
-		return false
+	if l, ok := t.targets[id]; ok && l.goneAt.IsZero() {
+		l.goneAt = now.Add(rand.N(removeDelay)) // one instance is the first to remove the record
 	}
-	t.lift(l, now.Add(rand.N(removeDelay)))
-	return true
 }
 
 // RecordRequest counts a request to a service.
@@ -362,6 +360,9 @@
 func (t *Throttle) Due(now time.Time) []Write {
 	var due []Write
 	for id, l := range t.targets {
+		if !l.goneAt.IsZero() && !l.lifted && now.Sub(l.goneAt) > keepGone {
+			t.lift(l, now)
+		}
 		if l.sending || now.Before(l.writeAt) || !l.dirty && !l.lifted {
 			continue
 		}
--- a/internal/throttler/throttle_test.go
+++ b/internal/throttler/throttle_test.go
@@ -246,10 +246,23 @@
 	})
 	t.Run("gone", func(t *testing.T) {
 		f, in := start()
+		wait := func(d time.Duration) {
+			for range int(d / step) {
+				f.tick()
+			}
+		}
 		in.Forget(f.now, "i-0")
-		for range int((removeDelay + time.Second) / step) {
-			f.tick()
+		wait(keepGone - time.Second)
+		if in.Limits()["i-0"] != 1 {
+			t.Error("the limit of a target whose registration may come back has ended")
+		}
+		in.RecordLimit(f.now, pool(1)[0], f.now, &one)
+		wait(keepGone + removeDelay)
+		if in.Limits()["i-0"] != 1 {
+			t.Error("the limit of a target that has come back has ended")
 		}
+		in.Forget(f.now, "i-0")
+		wait(keepGone + removeDelay + time.Second)
 		if len(f.stored) > 0 || len(f.instances[1].targets) > 0 {
 			t.Error("the limit of a target that is gone is left")
 		}
--- a/internal/throttler/types.go
+++ b/internal/throttler/types.go
@@ -60,6 +60,9 @@
 	minLimitChange = 0.1
 	// MaxWriteDelay spreads the writes of instances that learn the same at once.
 	MaxWriteDelay = 300 * time.Millisecond
+	// keepGone is how long the limit of a target that is not listed any more is kept. It
+	// covers a registration that lapses and comes back.
+	keepGone = 10 * time.Second
 	// removeDelay spreads the removals of records of targets that are gone.
 	removeDelay = 3 * time.Second
 	// maxTargets limits the limited targets, maxAskers the instances that a home counts
