Make room for a new suspect when all records are taken

After a large loss of targets the records of the fleet are full of parts with one crash, for ten minutes. A deadly part that came then was not recorded at all. The least suspect part gives way now. TestFullRecords failed before.

--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -157,7 +157,7 @@
 	for _, s := range candidates {
 		e, ok := q.entries[s.key]
 		if !ok || e.cleared {
-			if !ok && len(q.entries) >= maxRecords {
+			if !ok && !q.makeRoom() {
 				continue
 			}
 			e = &entry{version: q.version(s.key), record: Record{Service: r.Service, Part: strconv.FormatUint(s.key.Part, 16), Depth: s.depth, Known: s.known}}
@@ -178,6 +178,30 @@
 	return changed
 }
 
+// makeRoom makes sure that there is room for one more record. It drops the least suspect
+// part if there are too many, and returns false if all are quarantined.
+func (q *Quarantine) makeRoom() bool {
+	n := 0
+	var least *entry
+	for k, e := range q.entries {
+		if e.cleared {
+			continue
+		}
+		n++
+		if !q.quarantined[k] && (least == nil || cmp.Or(cmp.Compare(len(e.record.Crashes), len(least.record.Crashes)), e.changedAt.Compare(least.changedAt)) < 0) {
+			least = e
+		}
+	}
+	if n < maxRecords {
+		return true
+	}
+	if least == nil {
+		return false
+	}
+	q.clear(least.record.Key(), least)
+	return true
+}
+
 // version returns the version of the stored record of a part.
 func (q *Quarantine) version(k Key) uint64 {
 	if e, ok := q.entries[k]; ok {
@@ -371,21 +395,15 @@
 	return due
 }
 
-// expire ends old suspicions, and the oldest ones if there are too many.
+// expire ends old suspicions, and the least ones if there are too many.
 func (q *Quarantine) expire(now time.Time) {
 	for k, e := range q.entries {
 		if !q.quarantined[k] && !e.cleared && now.Sub(e.changedAt) > suspicionTime {
 			q.clear(k, e)
 		}
 	}
-	if len(q.entries) <= maxRecords {
-		return
-	}
-	keys := slices.SortedFunc(maps.Keys(q.entries), func(a, b Key) int { return q.entries[a].changedAt.Compare(q.entries[b].changedAt) })
-	for _, k := range keys[:len(keys)-maxRecords] {
-		q.clear(k, q.entries[k])
+	for n := len(q.entries); n > maxRecords && q.makeRoom(); n-- {
 	}
-	q.judge()
 }
 
 // Written records that a change is stored, with its new version.
--- a/internal/quarantiner/quarantine_test.go
+++ b/internal/quarantiner/quarantine_test.go
@@ -371,6 +371,27 @@
 	}
 }
 
+// Guards against a deadly part that is not recorded because a large loss of targets, or
+// callers with ever new parts, have filled all records.
+func TestFullRecords(t *testing.T) {
+	f := newFleet(2, 10*time.Millisecond)
+	for i := range maxRecords {
+		f.instances[0].RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("junk-", i), Begun: true, Parts: []uint64{f.own(), f.own()}})
+	}
+	f.run(time.Second)
+	for range crashThreshold {
+		f.run(time.Second)
+		f.crash(0, false, common, deadly)
+	}
+	f.run(time.Second)
+	if f.check(0, common, deadly) == Allowed || f.check(1, common, deadly) == Allowed {
+		t.Error("a deadly part is not in quarantine")
+	}
+	if n := len(f.records); n > maxRecords {
+		t.Errorf("%d records, allowed are %d", n, maxRecords)
+	}
+}
+
 // Guards against a stored record that an instance of this or a later version cannot use.
 func TestRecordCheck(t *testing.T) {
 	valid := Record{Service: service, Part: "dead", Depth: 1}
