Test four safeguards of a restored store that could be taken out unnoticed

Each was taken out and the tests of granter and accountant stayed green: a greeting of a former era that counts in the next one, a replaced witness that does not count as lost, a raised grant that an older confirmation covers, and budgets that are composed before all living instances have told. Each has a schedule now that fails without it and ends in tokens that are granted twice; tried one by one: TestGreetingOfFormerEra, TestReplacedWitnessIsLost, TestRaisedGrantIsConfirmedAgain, TestTestimonyIsWaitedFor.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -464,3 +464,102 @@
 		t.Error("grant is not raised before requests wait for it")
 	}
 }
+
+// Guards against budgets that are composed without the grants of a lost instance, whose
+// only witness has been replaced by a new process since it registered.
+func TestReplacedWitnessIsLost(t *testing.T) {
+	f := newFleet(t, 4)
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
+	if !f.use("entry-0", 10_000) {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.restore()
+	f.kill("entry-0")
+	f.writeLedger("entry-1") // registers, but has not told of entry-0 yet
+	f.kill("entry-1")
+	f.start("entry-1")
+	f.register("entry-1", "entry-2", "entry-3")
+	if f.granters["entry-2"].Complete() {
+		t.Error("budgets are composed without the tokens that the lost instance has used")
+	}
+}
+
+// Guards against budgets that are composed before a living instance, the only witness of
+// a lost one, has told what it remembers.
+func TestTestimonyIsWaitedFor(t *testing.T) {
+	f := newFleet(t, 4)
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
+	if !f.use("entry-0", 10_000) {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.restore()
+	f.kill("entry-0")
+	f.writeLedger("entry-1")
+	f.register("entry-2", "entry-3")
+	if f.granters["entry-2"].Complete() {
+		t.Error("budgets are composed before the witness has told of the lost instance")
+	}
+	f.register("entry-1", "entry-2", "entry-3")
+	if !f.granters["entry-2"].Complete() {
+		t.Fatal("budgets cannot be composed although the witness has told")
+	}
+	f.writeBudget("entry-2")
+	if got := f.budget.value.Grants["entry-0"].Granted; got < 10_000 {
+		t.Errorf("composed with %d tokens of the lost instance, which used 10000", got)
+	}
+}
+
+// Guards against using a grant that was lowered and raised again on the strength of the
+// first confirmation: the witnesses have seen the lower one since.
+func TestRaisedGrantIsConfirmedAgain(t *testing.T) {
+	f := newFleet(t, 4)
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
+	f.granters["entry-0"].Stop() // returns what is unused
+	f.writeBudget("entry-0")
+	f.granters["entry-0"].stopping = false
+	f.readAll()
+	f.raise("entry-0", 10_000)
+	if used := f.use("entry-0", 10_000); !used {
+		return
+	}
+	f.restore()
+	f.kill("entry-0")
+	f.register("entry-1", "entry-2", "entry-3")
+	f.writeBudget("entry-2")
+	t.Errorf("10000 tokens are used, the composed budget has %d of them", f.budget.value.Grants["entry-0"].Granted)
+}
+
+// Guards against a greeting that was accepted in a former era and counts in the next one,
+// in which the greeted instance has started again and knows nobody.
+func TestGreetingOfFormerEra(t *testing.T) {
+	others := []string{"entry-1", "entry-2", "entry-3"}
+	f := newFleet(t, 4)
+	f.restore()
+	f.kill("entry-0")
+	f.deaf = "entry-0"
+	f.start("entry-0") // reads no ledger of another instance
+	f.register(others...)
+	for _, name := range others {
+		f.granters[name].Met(f.era-1, []string{"entry-0"}) // accepted before the restore
+	}
+	f.writeBudget("entry-1")
+	for _, name := range others {
+		f.read(name)
+	}
+	g := f.granters["entry-0"]
+	g.ObserveBudget(f.now, "rider-app", f.budget.value, f.budget.version)
+	f.writeBudget("entry-0")
+	done := g.AddWaiting("rider-app", 10_000, true)
+	f.writeBudget("entry-0")
+	done()
+	f.confirmIfEnough("entry-0")
+	if !f.use("entry-0", 10_000) {
+		t.Fatal("the instance that knows nobody uses no grant")
+	}
+	f.restore()
+	f.kill("entry-0")
+	f.register(others...)
+	if f.granters["entry-2"].Complete() {
+		t.Error("budgets are composed without the tokens that the lost instance has used")
+	}
+}
