Claim a trial only for a request that has a target

The trial of a quarantined part was claimed before a target was chosen, so a request that was then refused for overload, limits or want of targets used the trial up for half a minute. Plain answers of engines count as answers, too. TestGuardedPaths failed before in that case; it goes through the paths to a target: first attempt, wait, retry, trial, crash and break.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -75,6 +75,9 @@
 		return attemptResult{outcome: retrier.Interrupted, done: true, err: err}
 	}
 	outcome := retrier.Complete
+	if response.Status < http.StatusMultipleChoices {
+		j.recordAnswer()
+	}
 	if response.Status >= http.StatusInternalServerError {
 		outcome, j.summary.cause = retrier.Unknown, TargetFailed
 	}
@@ -106,7 +109,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			if n == 1 {
-				j.r.guard.RecordAnswer(j.service.Name, j.sharedParts)
+				j.recordAnswer()
 			}
 			return j.finishStream(response)
 		}
@@ -126,7 +129,7 @@
 			j.r.dispatcher.RecordEvent(time.Now(), chosen)
 		}
 		if n == 1 {
-			j.r.guard.RecordAnswer(j.service.Name, j.sharedParts)
+			j.recordAnswer()
 		}
 		if !j.stream.started {
 			j.startStream(response)
@@ -145,6 +148,14 @@
 	}
 }
 
+// recordAnswer records that a target has answered, so that no part of the prompt crashes
+// targets. One event is not enough: a target may crash right after it.
+func (j *job) recordAnswer() {
+	if len(j.sharedParts) > 0 {
+		j.r.guard.RecordAnswer(j.service.Name, j.sharedParts)
+	}
+}
+
 // startStream writes the response header of a stream. Later attempts that resume the
 // stream keep the header of the first target. The body is always sent in chunks: if it
 // ended with the connection, as it may at the target, a stream that is broken off would
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -44,9 +44,6 @@
 			j.timeOut()
 			return
 		}
-		if !j.admit(ctx) {
-			return
-		}
 		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.prefillRequest(left), j.tried, j.sends == 0)
 		var overloaded overloadError
 		var paused pausedError
@@ -70,6 +67,10 @@
 			return
 		}
 		j.lastTarget = chosen
+		if !j.admit(ctx) {
+			j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
+			return
+		}
 		j.tried = append(j.tried, chosen.Target.ID)
 		res := j.attempt(ctx, chosen)
 		j.recordCrash(chosen, &res)
@@ -131,7 +132,7 @@
 }
 
 // admit asks whether the request may be sent to a target now. If not, it ends the request
-// and returns false.
+// and returns false. A trial is claimed only for a request that has a target.
 func (j *job) admit(ctx context.Context) bool {
 	v := j.r.guard.Admit(ctx, j.service.Name, j.sharedParts)
 	j.trial = v.Outcome == quarantiner.TrialDue
--- /dev/null
+++ b/internal/receiver/guard_test.go
@@ -0,0 +1,109 @@
+package receiver_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"daisylane/internal/follower"
+	"daisylane/internal/quarantiner"
+	"daisylane/internal/receiver"
+	"daisylane/platform/platformtest"
+)
+
+// guard is a fake of [receiver.Guard] that records its calls.
+type guard struct {
+	mu       sync.Mutex
+	check    quarantiner.Outcome
+	admit    quarantiner.Outcome
+	admitted int
+	answered int
+	reports  []quarantiner.Report
+}
+
+func (g *guard) Ready() bool { return true }
+
+func (g *guard) Check(string, []uint64) quarantiner.Verdict {
+	return quarantiner.Verdict{Outcome: g.check, RetryAfter: time.Second}
+}
+
+func (g *guard) Admit(context.Context, string, []uint64) quarantiner.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admitted++
+	return quarantiner.Verdict{Outcome: g.admit, RetryAfter: time.Second}
+}
+
+func (g *guard) RecordAnswer(string, []uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answered++
+}
+
+func (g *guard) RecordCrash(r quarantiner.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reports = append(g.reports, r)
+}
+
+// Guards against a path to a target on which a quarantine is not asked about, a trial
+// that is claimed for a request without a target, an answer that does not count as one,
+// crashes of which nobody learns, and a request that is sent on after it may have crashed
+// a target.
+func TestGuardedPaths(t *testing.T) {
+	allowed, quarantined, due := quarantiner.Allowed, quarantiner.Quarantined, quarantiner.TrialDue
+	crash := platformtest.Response{Events: 3, Crash: true}
+	tests := []struct {
+		name         string
+		path         string
+		check, admit quarantiner.Outcome
+		script       platformtest.Response
+		noTarget     bool
+		status       int // 0: any
+		runs         int
+		admitted     int
+		answered     int
+		crashes      int
+		trial        bool
+	}{
+		{name: "allowed", path: "/plan/7", check: allowed, admit: allowed, script: platformtest.Response{Events: 3}, status: 200, runs: 1, admitted: 1, answered: 1},
+		{name: "one event", path: "/plan/7", check: allowed, admit: allowed, script: platformtest.Response{Events: 1}, status: 200, runs: 1, admitted: 1, answered: 1},
+		{name: "refused at once", path: "/plan/7", check: quarantined, admit: quarantined, script: platformtest.Response{Events: 3}, status: 503},
+		{name: "refused after a wait", path: "/plan/7", check: allowed, admit: quarantined, script: platformtest.Response{Events: 3}, status: 503, admitted: 1},
+		{name: "crash", path: "/plan/7", check: allowed, admit: allowed, script: crash, status: 502, runs: 1, admitted: 1, crashes: 1},
+		{name: "crash of a stream that may be repeated", path: "/summary/7", check: allowed, admit: allowed, script: crash, status: 502, runs: 1, admitted: 1, crashes: 1},
+		{name: "trial crashes", path: "/plan/7", check: due, admit: due, script: crash, status: 502, runs: 1, admitted: 1, crashes: 1, trial: true},
+		{name: "trial is answered", path: "/plan/7", check: due, admit: due, script: platformtest.Response{Events: 3}, status: 200, runs: 1, admitted: 1, answered: 1},
+		{name: "no target for a trial", path: "/plan/7", check: due, admit: due, noTarget: true, status: 503},
+		{name: "broken, but no crash", path: "/plan/7", check: allowed, admit: allowed, script: platformtest.Response{Events: 3, CutAfter: 1}, runs: 1, admitted: 1},
+		{name: "plain service", path: "/look/7", check: allowed, admit: allowed, script: platformtest.Response{Body: "a"}, status: 200, runs: 1, admitted: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := &guard{check: tt.check, admit: tt.admit}
+			f := startWith(t, []receiver.Option{receiver.WithGuard(g)}, []platformtest.Response{tt.script}, []platformtest.Response{tt.script})
+			switch {
+			case tt.noTarget:
+				f.dispatcher.WithRoster(func(r *follower.Roster) { r.SetList(time.Now(), nil) })
+			case tt.name == "crash of a stream that may be repeated": // both targets could get it
+			case tt.path == "/look/7":
+				f.onlyTarget(0, "booking")
+			default:
+				f.onlyTarget(0, "engine")
+			}
+			res, _, err := f.call(t, tt.path, "x", map[string]string{"Daisylane-Prompt-Prefix": "a1:10,b1:10,c1:10"})
+			if tt.status > 0 && (err != nil || res.StatusCode != tt.status) {
+				t.Errorf("response %v, %v, want status %d", res, err, tt.status)
+			}
+			if f.runs() != tt.runs || g.admitted != tt.admitted || g.answered != tt.answered || len(g.reports) != tt.crashes {
+				t.Errorf("%d runs, %d admitted, %d answered, %d crashes, want %d, %d, %d, %d", f.runs(), g.admitted, g.answered, len(g.reports), tt.runs, tt.admitted, tt.answered, tt.crashes)
+			}
+			for _, r := range g.reports {
+				if !r.Begun || r.Trial != tt.trial || len(r.Parts) != 3 || r.Service != "engine" {
+					t.Errorf("report %+v", r)
+				}
+			}
+		})
+	}
+}
