Quarantine a part at a further service after one crash

Records belong to a service, since a prompt that crashes one may be answered by another. A route that moved to a new service took its deadly requests along, and these needed three crashes again. A part in quarantine elsewhere that the new service has not answered needs one now. TestOtherService failed before.

--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -254,6 +254,21 @@
 			left = slices.Delete(left, at, at+1)
 		}
 	}
+	q.judgeOtherServices()
+}
+
+// judgeOtherServices puts parts in quarantine under which a target of a further service
+// has crashed. A route that moves to it takes the requests along.
+func (q *Quarantine) judgeOtherServices() {
+	parts := make(map[uint64]bool, len(q.quarantined))
+	for k := range q.quarantined {
+		parts[k.Part] = true
+	}
+	for k, e := range q.entries {
+		if parts[k.Part] && !e.cleared && !e.record.Known && e.record.begun() > 0 {
+			q.quarantined[k] = true
+		}
+	}
 }
 
 // compareSuspects orders records by how far they are above their threshold, then by the
--- a/internal/quarantiner/quarantine_test.go
+++ b/internal/quarantiner/quarantine_test.go
@@ -243,6 +243,35 @@
 	}
 }
 
+// Guards against as many crashes again when a route moves to another service whose targets
+// crash under the part as well, and against a quarantine at a service that answers it.
+func TestOtherService(t *testing.T) {
+	const second, third = "second", "third"
+	f := newFleet(2, 50*time.Millisecond)
+	f.instances[1].RecordAnswer(f.now, third, []uint64{deadly, f.own()})
+	for range crashThreshold {
+		f.run(time.Second)
+		f.crash(0, false, common, deadly)
+	}
+	f.run(time.Second)
+	outcome := func(service string, parts ...uint64) Outcome {
+		return f.instances[0].Check(f.now, service, append(parts, f.own())).Outcome
+	}
+	if outcome(second, common, deadly) != Allowed {
+		t.Error("the part is in quarantine at a service whose targets it has not crashed")
+	}
+	for _, service := range []string{second, third} {
+		f.instances[1].RecordCrash(f.now, Report{Service: service, Target: "i-" + service, Begun: true, Parts: []uint64{common, deadly, f.own()}})
+	}
+	f.run(time.Second)
+	if outcome(second, common, deadly) == Allowed || outcome(second, common, other) != Allowed {
+		t.Errorf("after one crash at another service: deadly part %s, other %s", outcome(second, common, deadly), outcome(second, common, other))
+	}
+	if outcome(third, common, deadly) != Allowed {
+		t.Error("the part is in quarantine at a service that has answered it")
+	}
+}
+
 // Guards against a quarantine that never ends, trials by several instances at once, trials
 // that come as often although they fail, and a quarantine that ends at one instance only.
 func TestTrials(t *testing.T) {
