Test three more conditions that keep budgets after a restore from being composed too early

Found by taking out each condition of eras.go and commands.go, one at a time: a greeting of another era that is accepted, an instance that one peer has seen at work and another takes for gone, and a late older read of a budget. Each test fails without its condition.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -563,3 +563,78 @@
 		t.Error("budgets are composed without the tokens that the lost instance has used")
 	}
 }
+
+// Guards against a greeting that an instance accepts after it has learned of a new era:
+// what it used before was confirmed by nobody, so it must not pass for one that counts
+// its peers.
+func TestGreetingAfterRestore(t *testing.T) {
+	others := []string{"entry-1", "entry-2", "entry-3"}
+	f := &fleet{t: t, now: time.Hour, era: 1, ledgers: make(map[string]Ledger), granters: make(map[string]*Granter), deaf: "entry-0"}
+	f.start("entry-0")
+	f.pass(newcomerTime)
+	f.read("entry-0")
+	f.writeBudget("entry-0")
+	for _, name := range others {
+		f.start(name)
+		f.read(name)
+	}
+	done := f.granters["entry-0"].AddWaiting("rider-app", 10_000, true)
+	f.writeBudget("entry-0")
+	done()
+	f.confirmIfEnough("entry-0")
+	if !f.use("entry-0", 10_000) {
+		t.Fatal("the instance that knows nobody uses no grant")
+	}
+	f.restore()
+	f.granters["entry-0"].SetEra(f.now, f.era)
+	for _, name := range others {
+		if g := f.granters[name]; f.granters["entry-0"].RecordGreeting(g.Greeting()) {
+			g.Met(f.era-1, []string{"entry-0"})
+		}
+	}
+	f.kill("entry-0")
+	f.register(others...)
+	if f.granters["entry-2"].Complete() {
+		t.Error("budgets are composed without the tokens that the lost instance has used")
+	}
+}
+
+// Guards against an instance that counts as long gone because one that has read no
+// ledgers lately says so, although another one has seen it at work.
+func TestActiveInstanceIsWaitedFor(t *testing.T) {
+	f := newFleet(t, 4)
+	for range 12 {
+		f.pass(idleAge / 10)
+		for _, name := range []string{"entry-1", "entry-2"} {
+			f.writeLedger(name)
+			f.read(name)
+		}
+	}
+	for _, name := range []string{"entry-0", "entry-3"} {
+		f.writeLedger(name)
+	}
+	f.read("entry-2")
+	f.restore()
+	f.kill("entry-0")
+	f.kill("entry-3")
+	f.register("entry-1", "entry-2")
+	if f.granters["entry-2"].Complete() || f.granters["entry-1"].Complete() {
+		t.Error("budgets are composed although the witnesses of a lost instance may be lost too")
+	}
+}
+
+// Guards against an older read of a budget that arrives late and restores a grant which
+// has been returned since.
+func TestOlderBudgetIsIgnored(t *testing.T) {
+	f := newFleet(t, 4)
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
+	older := f.budget
+	f.granters["entry-0"].Stop() // returns what is unused
+	f.writeBudget("entry-0")
+	f.granters["entry-0"].stopping = false
+	held := f.granters["entry-0"].account("rider-app").granted
+	f.granters["entry-0"].ObserveBudget(f.now, "rider-app", older.value, older.version)
+	if got := f.granters["entry-0"].account("rider-app").granted; got != held {
+		t.Errorf("%d tokens are granted after an older read, want %d", got, held)
+	}
+}
