Spread the load evenly in the test of a target's limit

Requests shared eight prompts, so most of them had another target that kept their prompt, and the limited one got 5 to 8 of 13 requests that its limit allows, with 5 as the least: near enough to fail by chance.

--- a/internal/starter/limit_test.go
+++ b/internal/starter/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -62,7 +63,8 @@
 		for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
 			time.Sleep(25 * time.Millisecond)
 			wg.Go(func() {
-				c := f.send(i%len(f.callers), "a1", string(rune('0'+i%8)))
+				// Parts that differ spread the requests evenly over the targets.
+				c := f.send(i%len(f.callers), "a1", strconv.FormatInt(f.nextID.Add(1), 16))
 				mu.Lock()
 				defer mu.Unlock()
 				calls = append(calls, c)
