Forget the limits of targets that left while no instance ran, and name the records' groups plainly

A limit is removed from the store when an instance sees its target go. If the whole fleet was down meanwhile, the record stayed for good: limits of targets that are not listed are forgotten now (TestUnlistedTargetIsForgotten). Book and Shelf are called groups.

--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -213,6 +213,12 @@
 	return gone
 }
 
+// Has reports whether a target is known, whatever its state.
+func (r *Roster) Has(id string) bool {
+	_, ok := r.targets[id]
+	return ok
+}
+
 // Ready returns the targets of a service that accept requests, sorted by ID. It
 // returns the same slice until the view changes; the caller must not modify it.
 func (r *Roster) Ready(service string) []Target {
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -229,6 +229,18 @@
 	p.state.Forget(time.Now(), id)
 }
 
+// ForgetUnlisted does the same for all targets that are not listed: one may have left
+// while no instance was running that knew it.
+func (p *Permitter) ForgetUnlisted(listed func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.state.Limits() {
+		if !listed(id) {
+			p.state.Forget(time.Now(), id)
+		}
+	}
+}
+
 // RecordRequest counts a request to a service.
 func (p *Permitter) RecordRequest(service string) {
 	p.mu.Lock()
@@ -280,9 +292,9 @@
 	}
 }
 
-// Book returns the shared records.
-func (p *Permitter) Book() *recorder.Book[throttler.Record] {
-	return recorder.NewBook("limit", func(use func(recorder.Records[throttler.Record])) {
+// Group returns the shared records.
+func (p *Permitter) Group() *recorder.GroupOf[throttler.Record] {
+	return recorder.NewGroup("limit", func(use func(recorder.Records[throttler.Record])) {
 		p.update(func(s *throttler.Throttle) bool { use(s); return true })
 	})
 }
--- a/internal/permitter/permitter_test.go
+++ b/internal/permitter/permitter_test.go
@@ -132,3 +132,21 @@
 	}
 	p.Take(time.Now(), "i-0")
 }
+
+// Guards against the limits of targets that left while the whole fleet was down, which
+// would stay in the store for good.
+func TestUnlistedTargetIsForgotten(t *testing.T) {
+	f := newFleet(1, func(int) time.Time { return time.Now() })
+	p, now := f.instances[0], time.Now()
+	p.state.ObserveList(now, []throttler.Stored{
+		{Record: throttler.Record{Service: "pool", Target: "i-gone", PerSecond: 1}, Version: 1},
+		{Record: throttler.Record{Service: "pool", Target: "i-here", PerSecond: 1}, Version: 2},
+	}, false)
+	for range 3 {
+		p.ForgetUnlisted(func(id string) bool { return id == "i-here" })
+	}
+	due := p.state.Due(now.Add(time.Minute))
+	if len(due) != 1 || due[0].Name != "i-gone" || !due[0].Remove {
+		t.Errorf("writes %+v, want the removal of i-gone", due)
+	}
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	parts := recorder.NewBook("part", func(use func(recorder.Records[quarantiner.Record])) { ... })
+//	parts := recorder.NewGroup("part", func(use func(recorder.Records[quarantiner.Record])) { ... })
 //	r := recorder.New(store, log, parts, limits)
 //	go r.Run(ctx)
 //	go follower.New(store, recorder.Kind, r).Run(ctx)
@@ -75,47 +75,47 @@
 	Remove(ctx context.Context, kind, name string, version uint64) (storer.Item, error)
 }
 
-// Shelf is the part of a [Recorder] for one type of records.
-type Shelf interface {
+// Group is the part of a [Recorder] for one type of records.
+type Group interface {
 	prefix() string
 	store(ctx context.Context, s Store) (failed error, again bool)
 	list(items []storer.Item, restored bool, log zerolog.Logger)
 	change(c follower.Change, log zerolog.Logger)
 }
 
-// Book is the shelf of records of type R.
-type Book[R Record] struct {
+// GroupOf is the group of the records of type R.
+type GroupOf[R Record] struct {
 	kind string
 	with func(use func(Records[R]))
 }
 
-// NewBook returns a shelf. The names of its objects begin with kind. with calls a function
+// NewGroup returns a group. The names of its objects begin with kind. with calls a function
 // with the records while it holds their lock.
-func NewBook[R Record](kind string, with func(use func(Records[R]))) *Book[R] {
-	return &Book[R]{kind: kind, with: with}
+func NewGroup[R Record](kind string, with func(use func(Records[R]))) *GroupOf[R] {
+	return &GroupOf[R]{kind: kind, with: with}
 }
 
-func (b *Book[R]) prefix() string { return b.kind + "." }
+func (g *GroupOf[R]) prefix() string { return g.kind + "." }
 
 // Put makes one write. With [storer.ErrConflict] it returns the current record, if the
 // store sent it.
-func (b *Book[R]) Put(ctx context.Context, s Store, w Write[R]) (Stored[R], error) {
+func (g *GroupOf[R]) Put(ctx context.Context, s Store, w Write[R]) (Stored[R], error) {
 	var item storer.Item
 	var err error
 	if w.Remove {
-		item, err = s.Remove(ctx, Kind, b.prefix()+w.Name, w.Version)
+		item, err = s.Remove(ctx, Kind, g.prefix()+w.Name, w.Version)
 	} else {
 		var body []byte
 		if body, err = checker.Encode(w.Record); err != nil {
 			return Stored[R]{}, fmt.Errorf("encode warning %s: %w", w.Name, err)
 		}
-		item, err = s.Put(ctx, Kind, b.prefix()+w.Name, body, w.Version)
+		item, err = s.Put(ctx, Kind, g.prefix()+w.Name, body, w.Version)
 	}
 	switch {
 	case err == nil:
 		return Stored[R]{w.Record, item.Version}, nil
 	case errors.Is(err, storer.ErrConflict) && len(item.Body) > 0:
-		r, decodeErr := b.decode(item)
+		r, decodeErr := g.decode(item)
 		if decodeErr != nil {
 			return Stored[R]{}, errors.Join(err, decodeErr)
 		}
@@ -124,9 +124,9 @@
 	return Stored[R]{}, err
 }
 
-func (b *Book[R]) decode(item storer.Item) (R, error) {
+func (g *GroupOf[R]) decode(item storer.Item) (R, error) {
 	r, err := checker.Decode[R](item.Body)
-	if err == nil && b.prefix()+r.Name() != item.Key {
+	if err == nil && g.prefix()+r.Name() != item.Key {
 		err = fmt.Errorf("warning %s is stored as %s", r.Name(), item.Key)
 	}
 	return r, err
@@ -134,12 +134,12 @@
 
 // store makes the writes that are due. A conflict is no failure: the current record is
 // taken over, and the change is due again if it still matters.
-func (b *Book[R]) store(ctx context.Context, s Store) (failed error, again bool) {
+func (g *GroupOf[R]) store(ctx context.Context, s Store) (failed error, again bool) {
 	var due []Write[R]
-	b.with(func(records Records[R]) { due = records.Due(time.Now()) })
+	g.with(func(records Records[R]) { due = records.Due(time.Now()) })
 	for _, w := range due {
-		stored, err := b.Put(ctx, s, w)
-		b.with(func(records Records[R]) {
+		stored, err := g.Put(ctx, s, w)
+		g.with(func(records Records[R]) {
 			switch {
 			case err == nil:
 				records.Written(time.Now(), w, stored.Version)
@@ -159,55 +159,55 @@
 	return failed, again
 }
 
-func (b *Book[R]) list(items []storer.Item, restored bool, log zerolog.Logger) {
+func (g *GroupOf[R]) list(items []storer.Item, restored bool, log zerolog.Logger) {
 	var list []Stored[R]
 	for _, item := range items {
-		if !strings.HasPrefix(item.Key, b.prefix()) {
+		if !strings.HasPrefix(item.Key, g.prefix()) {
 			continue
 		}
-		r, err := b.decode(item)
+		r, err := g.decode(item)
 		if err != nil {
 			logInvalid(log, item, err)
 			continue
 		}
 		list = append(list, Stored[R]{r, item.Version})
 	}
-	b.with(func(records Records[R]) { records.ObserveList(time.Now(), list, restored) })
+	g.with(func(records Records[R]) { records.ObserveList(time.Now(), list, restored) })
 }
 
-func (b *Book[R]) change(c follower.Change, log zerolog.Logger) {
-	name, ok := strings.CutPrefix(c.Item.Key, b.prefix())
+func (g *GroupOf[R]) change(c follower.Change, log zerolog.Logger) {
+	name, ok := strings.CutPrefix(c.Item.Key, g.prefix())
 	if !ok {
 		return
 	}
 	if c.Deleted {
-		b.with(func(records Records[R]) { records.ObserveRemoved(name, c.Item.Version) })
+		g.with(func(records Records[R]) { records.ObserveRemoved(name, c.Item.Version) })
 		return
 	}
-	r, err := b.decode(c.Item)
+	r, err := g.decode(c.Item)
 	if err != nil {
 		logInvalid(log, c.Item, err)
 		return
 	}
-	b.with(func(records Records[R]) { records.Observe(time.Now(), c.Item.Version, r) })
+	g.with(func(records Records[R]) { records.Observe(time.Now(), c.Item.Version, r) })
 }
 
 func logInvalid(log zerolog.Logger, item storer.Item, err error) {
 	log.Error().Err(err).Str("name", item.Key).Uint64("version", item.Version).Msg("stored warning is invalid; ignoring it")
 }
 
-// Recorder reads and writes the records of its shelves. It implements [follower.Handler].
+// Recorder reads and writes the records of its groups. It implements [follower.Handler].
 type Recorder struct {
 	store    Store
 	log      zerolog.Logger
-	shelves  []Shelf
+	groups   []Group
 	signal   chan struct{}
 	restored bool // used by the calls of the follower only
 }
 
 // New returns a recorder.
-func New(store Store, log zerolog.Logger, shelves ...Shelf) *Recorder {
-	return &Recorder{store: store, log: log, shelves: shelves, signal: make(chan struct{}, 1)}
+func New(store Store, log zerolog.Logger, groups ...Group) *Recorder {
+	return &Recorder{store: store, log: log, groups: groups, signal: make(chan struct{}, 1)}
 }
 
 // Wake makes Run look for changes that are due.
@@ -229,7 +229,7 @@
 		case <-r.signal:
 		case <-sweep.C:
 		}
-		for _, s := range r.shelves {
+		for _, s := range r.groups {
 			failed, again := s.store(ctx, r.store)
 			if failed != nil && ctx.Err() == nil {
 				r.log.Warn().Err(failed).Msg("warning not stored; retrying")
@@ -244,7 +244,7 @@
 
 // Listed implements [follower.Handler].
 func (r *Recorder) Listed(items []storer.Item) {
-	for _, s := range r.shelves {
+	for _, s := range r.groups {
 		s.list(items, r.restored, r.log)
 	}
 	r.restored = false
@@ -254,7 +254,7 @@
 // Changed implements [follower.Handler].
 func (r *Recorder) Changed(changes []follower.Change) {
 	for _, c := range changes {
-		for _, s := range r.shelves {
+		for _, s := range r.groups {
 			s.change(c, r.log)
 		}
 	}
--- a/internal/throttler/throttle.go
+++ b/internal/throttler/throttle.go
@@ -23,7 +23,7 @@
 	asking       bool
 	askAt        time.Time // not before
 	wantedAt     time.Time // of the last request that could use the target
-	peers        int       // ready targets of the service then
+	ready        int       // ready targets of the service then
 }
 
 // bucket gives out permits of one target, at its home.
@@ -146,7 +146,7 @@
 		if l.lifted || l.record.Service != service {
 			continue
 		}
-		l.wantedAt, l.peers = now, ready
+		l.wantedAt, l.ready = now, ready
 		if !l.open(now) {
 			list = append(list, id)
 		}
@@ -195,7 +195,7 @@
 			continue
 		}
 		l.asking = true
-		demand := rate / float64(max(1, l.peers))
+		demand := rate / float64(max(1, l.ready))
 		n := int(math.Ceil(demand * askHorizon.Seconds()))
 		due = append(due, Ask{
 			Service: l.record.Service, Target: id, Incarnation: l.record.Incarnation, PerSecond: l.record.PerSecond, Permits: min(max(n, 1), maxPermits), Demand: demand,
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	w := warden.New(store, warden.WithLog(log))
-//	r := recorder.New(store, log, w.Book())
+//	r := recorder.New(store, log, w.Group())
 //	w.OnChange(r.Wake)
 //	if v := w.Check("pool", parts); v.Outcome == quarantiner.Quarantined {
 //		// refuse the request
@@ -34,7 +34,7 @@
 // use.
 type Warden struct {
 	store    recorder.Store
-	book     *recorder.Book[quarantiner.Record]
+	group    *recorder.GroupOf[quarantiner.Record]
 	log      zerolog.Logger
 	scope    tally.Scope
 	onChange func()
@@ -59,7 +59,7 @@
 		store: store, log: zerolog.Nop(), scope: tally.NoopScope, onChange: func() {},
 		state: quarantiner.New(), shown: make(map[quarantiner.Key]bool),
 	}
-	w.book = recorder.NewBook("part", func(use func(recorder.Records[quarantiner.Record])) {
+	w.group = recorder.NewGroup("part", func(use func(recorder.Records[quarantiner.Record])) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		use(w.state)
@@ -71,8 +71,8 @@
 	return w
 }
 
-// Book returns the shared records.
-func (w *Warden) Book() *recorder.Book[quarantiner.Record] { return w.book }
+// Group returns the shared records.
+func (w *Warden) Group() *recorder.GroupOf[quarantiner.Record] { return w.group }
 
 // OnChange sets what is called when records are to be stored. It must be called before
 // the warden is used.
@@ -108,7 +108,7 @@
 	if !ok {
 		return refusal
 	}
-	stored, err := w.book.Put(ctx, w.store, claim)
+	stored, err := w.group.Put(ctx, w.store, claim)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if stored.Version > 0 {
--- /dev/null
+++ b/internal/warden/warden_test.go
@@ -0,0 +1,93 @@
+package warden_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"daisylane/internal/follower"
+	"daisylane/internal/quarantiner"
+	"daisylane/internal/recorder"
+	"daisylane/internal/warden"
+	"daisylane/platform"
+	"daisylane/platform/platformtest"
+)
+
+// start starts an instance that shares its records through a store.
+func start(t *testing.T, addr string) *warden.Warden {
+	t.Helper()
+	store := platform.NewStore(addr, platformtest.Direct{Addr: addr, Limit: 300 * time.Millisecond})
+	w := warden.New(store)
+	r := recorder.New(store, zerolog.Nop(), w.Group())
+	w.OnChange(r.Wake)
+	go r.Run(t.Context())
+	go follower.New(store, recorder.Kind, r).Run(t.Context())
+	eventually(t, "records are read", w.Ready)
+	return w
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within 8 s", what)
+		}
+	}
+}
+
+// Guards against crashes that get lost when instances write the same record at the same
+// time, when responses of the store are lost or it is away for a moment, and when it is
+// restored from a copy without them; against an answer that only one instance notices,
+// and against an object that cannot be read.
+func TestSharedQuarantine(t *testing.T) {
+	parts := []uint64{1, 0xdead, 3}
+	tests := []struct {
+		name   string
+		faults platformtest.Faults // while the crashes are recorded
+	}{
+		{name: "store in order"},
+		{name: "lost responses", faults: platformtest.Faults{DropWriteResponse: true}},
+		{name: "late writes", faults: platformtest.Faults{WriteDelay: 500 * time.Millisecond}},
+		{name: "silent store", faults: platformtest.Faults{Unresponsive: true}},
+		{name: "refusing store", faults: platformtest.Faults{Status: 503}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, addr := platformtest.Start(t)
+			s.StartEras()
+			s.Put(recorder.Kind, "part.pool.zzz", map[string]any{"service": 7})
+			empty := s.Copy()
+			instances := []*warden.Warden{start(t, addr), start(t, addr), start(t, addr)}
+			outcomes := func(want quarantiner.Outcome) func() bool {
+				return func() bool {
+					for _, w := range instances {
+						if w.Check("pool", parts).Outcome != want {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			s.SetFaults(tt.faults)
+			var wg sync.WaitGroup
+			for i, w := range instances {
+				wg.Go(func() {
+					w.RecordCrash(quarantiner.Report{Service: "pool", Target: fmt.Sprint("i-", i), Begun: true, Parts: parts})
+				})
+			}
+			wg.Wait()
+			time.AfterFunc(time.Second, func() { s.SetFaults(platformtest.Faults{}) })
+			eventually(t, "three crashes, one at each instance, quarantine the part", outcomes(quarantiner.Quarantined))
+			s.Restore(empty)
+			time.Sleep(500 * time.Millisecond)
+			instances = append(instances, start(t, addr))
+			eventually(t, "the quarantine outlasts a restore of the store", outcomes(quarantiner.Quarantined))
+			instances[1].RecordAnswer("pool", parts)
+			eventually(t, "one answer releases the part everywhere", outcomes(quarantiner.Allowed))
+			eventually(t, "the record is removed", func() bool { return len(s.Get(recorder.Kind, "part.pool.dead")) == 0 })
+		})
+	}
+}
