Keep a part released when an older write of its record is done late

A write that was sent before the answer, or the record that an instance stores again since it has noticed a restore of the store late, brought the record back, and with it the quarantine for half a minute. The instance that got the answer remembers for a minute which crashes it has made void and removes such a record. TestReleaseLasts failed before.

--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -30,11 +30,19 @@
 	quarantined map[Key]bool
 	listed      bool
 	answered    [2]map[Key]time.Time // newer and older half of the remembered parts
+	released    map[Key]release
+}
+
+// release remembers the crashes that an answer has made void. A write from before it may
+// be done later.
+type release struct {
+	crashes []Crash
+	at      time.Time
 }
 
 // New returns an empty quarantine.
 func New() *Quarantine {
-	return &Quarantine{entries: make(map[Key]*entry), quarantined: make(map[Key]bool), answered: [2]map[Key]time.Time{{}, {}}}
+	return &Quarantine{entries: make(map[Key]*entry), quarantined: make(map[Key]bool), answered: [2]map[Key]time.Time{{}, {}}, released: make(map[Key]release)}
 }
 
 // Quarantined returns the keys of the parts in quarantine.
@@ -81,9 +89,9 @@
 		}
 		changed = true
 		if q.quarantined[k] {
-			q.clearExplained(e)
+			q.clearExplained(now, e)
 		}
-		q.clear(k, e)
+		q.release(now, k, e)
 	}
 	if changed {
 		q.judge()
@@ -116,12 +124,21 @@
 	e.cleared = true
 }
 
+// release ends the suspicion against a part because of an answer.
+func (q *Quarantine) release(now time.Time, k Key, e *entry) {
+	maps.DeleteFunc(q.released, func(_ Key, r release) bool { return now.Sub(r.at) > releaseTime })
+	if len(q.released) < maxRecords {
+		q.released[k] = release{e.record.Crashes, now}
+	}
+	q.clear(k, e)
+}
+
 // clearExplained ends the suspicion against the parts that were at the same crashes as a
 // quarantined one.
-func (q *Quarantine) clearExplained(by *entry) {
+func (q *Quarantine) clearExplained(now time.Time, by *entry) {
 	for k, e := range q.entries {
 		if e != by && e.record.Service == by.record.Service && containsAll(by.record.Crashes, e.record.Crashes) {
-			q.clear(k, e)
+			q.release(now, k, e)
 		}
 	}
 }
@@ -331,6 +348,9 @@
 		e.crashedAt = now
 	}
 	e.record = merged
+	if r, ok := q.released[k]; ok && now.Sub(r.at) < releaseTime && containsAll(r.crashes, merged.Crashes) {
+		e.cleared, e.dirty = true, false
+	}
 	_, known := q.answeredAt(k)
 	if marking := known && !merged.Known; marking {
 		e.record = merged.WithKnown()
--- a/internal/quarantiner/quarantine_test.go
+++ b/internal/quarantiner/quarantine_test.go
@@ -370,6 +370,42 @@
 	})
 }
 
+// Guards against a quarantine that ends and comes back, because a write from before the
+// answer is done late, or an instance that has not noticed a restore of the store yet
+// stores the record again.
+func TestReleaseLasts(t *testing.T) {
+	f := newFleet(3, 50*time.Millisecond)
+	for i := range 3 {
+		f.run(time.Second)
+		f.crash(i, false, common, deadly)
+	}
+	f.run(time.Second)
+	k := Key{service, deadly}
+	late := Write{Name: k.Name(), Record: f.records[k].Record}
+	f.answer(1, common, deadly)
+	f.run(time.Second)
+	if _, ok := f.put(late); !ok {
+		t.Fatal("the record was not removed")
+	}
+	f.run(time.Second)
+	for i := range f.instances {
+		if f.check(i, common, deadly) != Allowed {
+			t.Errorf("instance %d keeps the part in quarantine", i)
+		}
+	}
+	if len(f.records) > 0 {
+		t.Error("the record is left")
+	}
+	for range highThreshold {
+		f.run(time.Second)
+		f.crash(0, false, common, deadly)
+	}
+	f.run(time.Second)
+	if f.check(0, common, deadly) == Allowed {
+		t.Error("new crashes do not count after a release")
+	}
+}
+
 // Guards against memory and records that grow with callers who vary everything.
 func TestBoundedState(t *testing.T) {
 	f := newFleet(2, 10*time.Millisecond)
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -53,6 +53,8 @@
 	maxPause   = 10 * time.Minute
 	// A part without a further crash is no longer suspected after this time.
 	suspicionTime = 10 * time.Minute
+	// releaseTime is how long the crashes that an answer has made void are remembered.
+	releaseTime = time.Minute
 	// maxRecords limits the records of the fleet, maxPartsPerCrash those that one crash
 	// can add.
 	maxRecords       = 256
