Rank instances in one place, and forget limits by one way

Found in the last read of the change; behaviour is meant to be the same. Lenders and Rank ordered the instances by the same hash in two copies, one of them hashing again in each comparison; Lenders takes the first of Rank now. The limits of targets that left were forgotten by the dispatcher and by ForgetUnlisted in the same tick; the second one covers both. Observe compared the same crashes twice.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -145,6 +145,31 @@
 	return accepted
 }
 
+// startedFirst starts an instance that takes a grant before it knows any other one, and
+// three more. deaf is an instance that no greeting reaches, empty: none.
+func startedFirst(t *testing.T, deaf string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, now: time.Hour, era: 1, ledgers: make(map[string]Ledger), granters: make(map[string]*Granter), deaf: deaf}
+	f.start("entry-0")
+	f.pass(newcomerTime)
+	f.read("entry-0")
+	f.writeBudget("entry-0")
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		f.start(name)
+		f.read(name)
+	}
+	return f
+}
+
+// raiseAlone grants tokens to an instance that reads nothing before it uses them.
+func (f *fleet) raiseAlone(name string, n int64) {
+	f.t.Helper()
+	done := f.granters[name].AddWaiting("rider-app", n, true)
+	f.writeBudget(name)
+	done()
+	f.confirmIfEnough(name)
+}
+
 // confirmIfEnough confirms the grants of an instance that needs no witnesses.
 func (f *fleet) confirmIfEnough(name string) {
 	if f.granters[name].WitnessesNeeded(f.now) == 0 {
@@ -248,19 +273,8 @@
 // uses grants that none of them knows: the tokens must not be granted again.
 func TestInstanceThatKnowsNobody(t *testing.T) {
 	for _, deaf := range []string{"", "entry-0"} {
-		f := &fleet{t: t, now: time.Hour, era: 1, ledgers: make(map[string]Ledger), granters: make(map[string]*Granter), deaf: deaf}
-		f.start("entry-0")
-		f.pass(newcomerTime)
-		f.read("entry-0")
-		f.writeBudget("entry-0")
-		for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
-			f.start(name)
-			f.read(name)
-		}
-		done := f.granters["entry-0"].AddWaiting("rider-app", 10_000, true)
-		f.writeBudget("entry-0")
-		done()
-		f.confirmIfEnough("entry-0")
+		f := startedFirst(t, deaf)
+		f.raiseAlone("entry-0", 10_000)
 		used := f.use("entry-0", 10_000)
 		f.restore()
 		f.kill("entry-0")
@@ -549,10 +563,7 @@
 	g := f.granters["entry-0"]
 	g.ObserveBudget(f.now, "rider-app", f.budget.value, f.budget.version)
 	f.writeBudget("entry-0")
-	done := g.AddWaiting("rider-app", 10_000, true)
-	f.writeBudget("entry-0")
-	done()
-	f.confirmIfEnough("entry-0")
+	f.raiseAlone("entry-0", 10_000)
 	if !f.use("entry-0", 10_000) {
 		t.Fatal("the instance that knows nobody uses no grant")
 	}
@@ -569,19 +580,8 @@
 // its peers.
 func TestGreetingAfterRestore(t *testing.T) {
 	others := []string{"entry-1", "entry-2", "entry-3"}
-	f := &fleet{t: t, now: time.Hour, era: 1, ledgers: make(map[string]Ledger), granters: make(map[string]*Granter), deaf: "entry-0"}
-	f.start("entry-0")
-	f.pass(newcomerTime)
-	f.read("entry-0")
-	f.writeBudget("entry-0")
-	for _, name := range others {
-		f.start(name)
-		f.read(name)
-	}
-	done := f.granters["entry-0"].AddWaiting("rider-app", 10_000, true)
-	f.writeBudget("entry-0")
-	done()
-	f.confirmIfEnough("entry-0")
+	f := startedFirst(t, "entry-0")
+	f.raiseAlone("entry-0", 10_000)
 	if !f.use("entry-0", 10_000) {
 		t.Fatal("the instance that knows nobody uses no grant")
 	}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -49,41 +49,31 @@
 	if lenders, ok := g.lenders[name]; ok {
 		return lenders
 	}
+	peers, before := g.Rank(name)
+	lenders := slices.Clone(peers[:min(before, maxHomesAsked)]) // kept for each account, without the rest
+	g.lenders[name] = lenders
+	return lenders
+}
+
+// Rank returns the other instances in the order in which they are the home of a key, by
+// rendezvous hashing, and how many of them come before this instance.
+func (g *Granter) Rank(key string) (peers []Lender, before int) {
 	type ranked struct {
 		Lender
 		rank uint64
 	}
 	list := make([]ranked, 0, len(g.peers))
 	for instance, addr := range g.peers {
-		list = append(list, ranked{Lender{instance, addr}, xxhash.Sum64String(name + "\x00" + instance)})
+		list = append(list, ranked{Lender{instance, addr}, xxhash.Sum64String(key + "\x00" + instance)})
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	var lenders []Lender
-	for _, r := range list[:min(len(list), maxHomesAsked)] {
+	for i, r := range list {
 		if r.Name == g.name {
-			break
-		}
-		lenders = append(lenders, r.Lender)
-	}
-	g.lenders[name] = lenders
-	return lenders
-}
-
-// Rank returns the other instances in the order in which they are the home of a key, and
-// how many of them come before this instance.
-func (g *Granter) Rank(key string) (peers []Lender, before int) {
-	rank := func(name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
-	own := rank(g.name)
-	for name, addr := range g.peers {
-		if name == g.name {
+			before = i
 			continue
 		}
-		peers = append(peers, Lender{name, addr})
-		if rank(name) > own {
-			before++
-		}
+		peers = append(peers, r.Lender)
 	}
-	slices.SortFunc(peers, func(a, b Lender) int { return cmp.Compare(rank(b.Name), rank(a.Name)) })
 	return peers, before
 }
 
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -222,15 +222,8 @@
 	})
 }
 
-// Forget records that a target is gone or has started again.
-func (p *Permitter) Forget(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.state.Forget(time.Now(), id)
-}
-
-// ForgetUnlisted does the same for all targets that are not listed: one may have left
-// while no instance was running that knew it.
+// ForgetUnlisted forgets the limits of the targets that are not listed, also of those that
+// left while no instance was running.
 func (p *Permitter) ForgetUnlisted(listed func(id string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -341,10 +341,11 @@
 		}
 		e.dirty = !slices.Equal(merged.Crashes, r.Crashes)
 	}
-	if !containsAll(old.Crashes, merged.Crashes) || old.Trials != merged.Trials {
+	crashed := !containsAll(old.Crashes, merged.Crashes)
+	if crashed || old.Trials != merged.Trials {
 		e.changedAt = now
 	}
-	if !containsAll(old.Crashes, merged.Crashes) {
+	if crashed {
 		e.crashedAt = now
 	}
 	e.record = merged
@@ -352,14 +353,12 @@
 		e.cleared, e.dirty = true, false
 	}
 	_, known := q.answeredAt(k)
-	if marking := known && !merged.Known; marking {
+	wasMarking := e.marking
+	if e.marking = known && !merged.Known; e.marking {
 		e.record = merged.WithKnown()
-		if !e.marking {
+		if !wasMarking {
 			e.writeAt = now.Add(rand.N(maxKnownDelay))
 		}
-		e.marking = true
-	} else {
-		e.marking = false
 	}
 	q.judge()
 }
@@ -412,7 +411,7 @@
 }
 
 // Due returns the changes that are to be stored now. The caller must call Written, Failed
-// or Conflict for each.
+// or Gone for each.
 func (q *Quarantine) Due(now time.Time) []Write {
 	q.expire(now)
 	var due []Write
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -17,7 +17,7 @@
 //	q := quarantiner.New()
 //	q.RecordCrash(now, quarantiner.Report{Service: "pool", Target: "i-1", Begun: true, Parts: parts})
 //	for _, w := range q.Due(now) {
-//		// write it on condition of w.Version, then call q.Written or q.Conflict
+//		// write it on condition of w.Version, then call q.Written, q.Failed or q.Gone
 //	}
 //	if v := q.Check(now, "pool", parts); v.Outcome == quarantiner.Quarantined {
 //		// refuse the request until v.RetryAfter
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -88,7 +88,6 @@
 
 // Forget removes the state of a target that no longer exists or has restarted.
 func (d *Dispatcher) Forget(id string) {
-	d.limits.Forget(id)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.policy.Forget(id)
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -154,7 +154,6 @@
 	Await(ctx context.Context, d time.Duration)
 	RecordRequest(service string)
 	RecordLimit(t throttler.Target, sentAt time.Time, perSecond *float64)
-	Forget(id string)
 }
 
 // noLimits knows no limits.
@@ -166,7 +165,6 @@
 func (noLimits) Await(context.Context, time.Duration)                              {}
 func (noLimits) RecordRequest(string)                                              {}
 func (noLimits) RecordLimit(throttler.Target, time.Time, *float64)                 {}
-func (noLimits) Forget(string)                                                     {}
 
 // Budgets reserves prepaid tokens of client accounts.
 type Budgets interface {
--- a/internal/throttler/throttle.go
+++ b/internal/throttler/throttle.go
@@ -116,8 +116,8 @@
 	l.lifted, l.dirty, l.writeAt = true, false, now
 }
 
-// Forget records that a target is gone or has started again. The registration of one that
-// lives on may come back, so its limit stays in force for a while.
+// Forget records that a target is not listed. The registration of one that lives on may
+// come back, so its limit stays in force for a while.
 func (t *Throttle) Forget(now time.Time, id string) {
 	delete(t.buckets, id)
 	if l, ok := t.targets[id]; ok && l.goneAt.IsZero() {
