Read the entries of a test fleet before another one is added

Both sides are the test's own; no product code was involved. The address is taken before the request is started now, in all three tests of that fleet.

--- a/internal/starter/crashing_test.go
+++ b/internal/starter/crashing_test.go
@@ -82,8 +82,9 @@
 				if isBad && (!withDeadly || i%2 > 0) {
 					continue
 				}
+				to := f.callers[i%len(f.callers)] // read before another entry is added
 				wg.Go(func() {
-					c := f.send(i%len(f.callers), parts...)
+					c := f.send(to, parts...)
 					mu.Lock()
 					defer mu.Unlock()
 					if isBad {
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -142,11 +142,12 @@
 	events int
 }
 
-// send sends a request whose prompt has the given parts and a last one of its own.
-func (f *fleet) send(entry int, parts ...string) fleetCall {
+// send sends a request to the address of an entry. Its prompt has the given parts and a
+// last one of its own.
+func (f *fleet) send(to string, parts ...string) fleetCall {
 	n := f.nextID.Add(1)
 	c := fleetCall{id: "id-" + strconv.FormatInt(n, 10), sentAt: time.Now()}
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.callers[entry]+"/plan/7", strings.NewReader("body"))
+	req, err := http.NewRequest(http.MethodPost, "http://"+to+"/plan/7", strings.NewReader("body"))
 	if err != nil {
 		f.t.Error(err)
 		return c
--- a/internal/starter/limit_test.go
+++ b/internal/starter/limit_test.go
@@ -62,9 +62,10 @@
 	phase := func(d time.Duration) {
 		for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
 			time.Sleep(25 * time.Millisecond)
+			to := f.callers[i%len(f.callers)] // read before another entry is added
 			wg.Go(func() {
 				// Parts that differ spread the requests evenly over the targets.
-				c := f.send(i%len(f.callers), "a1", strconv.FormatInt(f.nextID.Add(1), 16))
+				c := f.send(to, "a1", strconv.FormatInt(f.nextID.Add(1), 16))
 				mu.Lock()
 				defer mu.Unlock()
 				calls = append(calls, c)
@@ -148,8 +149,9 @@
 		var wg sync.WaitGroup
 		for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
 			time.Sleep(time.Second / time.Duration(perSecond))
+			to := f.callers[i%len(f.callers)] // read before another entry is added
 			wg.Go(func() {
-				c := f.send(i%len(f.callers), "a1", string(rune('0'+i%8)))
+				c := f.send(to, "a1", string(rune('0'+i%8)))
 				mu.Lock()
 				defer mu.Unlock()
 				calls = append(calls, c)
