--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -21,7 +21,7 @@
 	refused  bool // the target refused and did not run the request
 	replaced bool // the address now belongs to another target
 	full     bool // the target is full
-	crashed  bool // the target ended before it had answered more than one event
+	crashed  bool // the target has ended
 	done     bool // the response was delivered, or the exchange has ended
 	status   int  // of the response of the target, 0: none
 	events   int  // of this attempt
@@ -113,7 +113,7 @@
 	return j.r.dispatcher.FinishAttempt(now, chosen, &retrier.Attempt{
 		Account: account, Outcome: res.outcome, Refused: res.refused,
 		// What may have crashed one target is not sent to the next one.
-		Idempotent: j.route.Retryable() && !(res.crashed && res.begun()),
+		Idempotent: j.route.Retryable() && !(res.crashed && res.aboutToAnswer() && len(j.sharedParts) > 0),
 		Number:     j.sends, MaxAttempts: j.route.MaxAttempts, Deadline: j.deadline,
 	})
 }
@@ -147,25 +147,29 @@
 	return j.refuse(http.StatusServiceUnavailable, Crashing, v.RetryAfter+rand.N(meanRetryDelay))
 }
 
-// recordCrash records whether the target of a failed attempt ended when it was about to
-// answer.
+// recordCrash records whether the target of a failed attempt has ended.
 func (j *job) recordCrash(chosen ChosenTarget, res *attemptResult) {
 	broken := res.outcome == retrier.Unknown || res.outcome == retrier.Interrupted
-	if !broken || res.done || res.status >= http.StatusMultipleChoices || res.events > 1 || len(j.sharedParts) == 0 {
+	if !broken || res.done || res.status >= http.StatusMultipleChoices || j.req.Context().Err() != nil {
 		return
 	}
-	if res.crashed = j.r.pool.Refuses(j.req.Context(), chosen.Target.Addr); !res.crashed {
+	// What is learned outlasts the caller.
+	ctx := context.WithoutCancel(j.req.Context())
+	if res.crashed = j.r.pool.Refuses(ctx, chosen.Target.Addr); !res.crashed {
 		return
 	}
 	j.r.scope.Tagged(map[string]string{"service": j.service.Name}).Counter(reporter.Crashes).Inc(1)
+	if res.events > 1 || len(j.sharedParts) == 0 {
+		return
+	}
 	j.r.guard.RecordCrash(quarantiner.Report{
 		Service: j.service.Name, Target: chosen.Target.ID, Incarnation: chosen.Target.Incarnation,
-		Begun: res.begun(), Trial: j.trial, Parts: j.sharedParts,
+		Begun: res.status != 0, Trial: j.trial, Parts: j.sharedParts,
 	})
 }
 
-// begun reports whether the target had begun to answer.
-func (res attemptResult) begun() bool { return res.status != 0 }
+// aboutToAnswer reports whether the target had begun to answer, but not gone on.
+func (res attemptResult) aboutToAnswer() bool { return res.status != 0 && res.events <= 1 }
 
 // attempt sends the request to one target and delivers its response. A response
 // that allows a retry is not delivered.
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -60,8 +60,11 @@
 		Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events).
 		Str("outcome", string(causeOf(res))).Int("status", res.status).Bool("repeat", v.Retry).Str("verdict", v.Reason).
 		Int64("left", time.Until(j.deadline).Milliseconds())
+	if res.outcome != retrier.NotRun {
+		e.Bool("crashed", res.crashed).Stringer("fingerprint", j.fingerprint())
+	}
 	if len(j.meta.Parts) > 0 && res.outcome != retrier.NotRun {
-		e.Bool("crashed", res.crashed).Strs("parts", partNames(j.meta.Parts))
+		e.Strs("parts", partNames(j.meta.Parts))
 	}
 	if res.err != nil {
 		e.Str("error", res.err.Error())
