--- a/internal/starter/crashing_test.go
+++ b/internal/starter/crashing_test.go
@@ -50,7 +50,7 @@
 		}
 		f.store.Delete(platform.KindRunners, r.id)
 		r.id = fmt.Sprintf("i-%d-%d", runner, n)
-		f.store.Put(platform.KindRunners, r.id, r.runner.Registration("s1", "a"))
+		f.store.Put(platform.KindRunners, r.id, r.runner.Registration(r.service, "a"))
 	})
 }
 
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -23,13 +23,14 @@
 // stableWindow is stable_window_ms in the settings of a fleet.
 const stableWindow = 2 * time.Second
 
-// fleet is several entries in front of the runners of one service, with their store.
+// fleet is several entries in front of the runners of two services, with their store.
 type fleet struct {
 	t       *testing.T
 	store   *platformtest.Store
 	addr    string // of the store
 	runners []*fleetRunner
-	callers []string // addresses of the entries
+	callers []string          // addresses of the entries
+	stops   map[string]func() // by address of the entry
 	logs    []*syncBuffer
 	nextID  atomic.Int64
 	nextIP  int
@@ -37,10 +38,11 @@
 
 // fleetRunner is a runner that can start again under another ID.
 type fleetRunner struct {
-	runner *platformtest.Runner
-	mu     sync.Mutex
-	id     string
-	down   bool // crashed and not started again yet
+	runner  *platformtest.Runner
+	service string
+	mu      sync.Mutex
+	id      string
+	down    bool // crashed and not started again yet
 }
 
 func (r *fleetRunner) currentID() string {
@@ -52,30 +54,19 @@
 // lastNetwork is the third byte of the addresses of the last fleet.
 var lastNetwork atomic.Int64
 
-// startFleet starts a fleet. The function computes the responses of the runners.
+// startFleet starts a fleet with runners of the engine service. The function computes their
+// responses.
 func startFleet(t *testing.T, entries, runners int, respond func(runner int, req platformtest.Request) platformtest.Response) *fleet {
 	t.Helper()
-	f := &fleet{t: t, nextIP: int(lastNetwork.Add(1)) << 8}
+	f := &fleet{t: t, stops: make(map[string]func()), nextIP: int(lastNetwork.Add(1)) << 8}
 	f.store, f.addr = platformtest.Start(t)
-	for i := range runners {
-		fr := &fleetRunner{id: fmt.Sprintf("i-%d-0", i)}
-		r, err := platformtest.NewRunnerFunc(fr.id, func(req platformtest.Request) platformtest.Response {
-			if req.Header.Get("Daisylane-Expect-Instance") != fr.currentID() {
-				return platformtest.Response{Moved: true}
-			}
-			return respond(i, req)
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(r.Close)
-		fr.runner = r
-		f.runners = append(f.runners, fr)
-		f.store.Put(platform.KindRunners, fr.id, r.Registration("s1", "a"))
+	for range runners {
+		f.addRunner("s1", respond)
 	}
 	f.store.Put(platform.KindConfig, platform.ConfigName, json.RawMessage(`{"version":3,"routes":[{"name":"r1","hostname":"a.example","path_prefix":"/plan/","route_type":"streaming",
-		"timeout_ms":5000,"target_latency_ms":1000,"service":"s1","max_attempts":2,"resumable":true}],
-		"services":[{"name":"s1","max_conns":90,"engine_name":{"slots":64,"kv_capacity":99999,"stride":4}}],
+		"timeout_ms":5000,"target_latency_ms":1000,"service":"s1","max_attempts":2,"resumable":true},
+		{"name":"r2","hostname":"a.example","path_prefix":"/lookup/","route_type":"idempotent","timeout_ms":1500,"target_latency_ms":250,"service":"s2","max_attempts":2}],
+		"services":[{"name":"s1","max_conns":90,"engine_name":{"slots":64,"kv_capacity":99999,"stride":4}},{"name":"s2","max_conns":90}],
 		"limits":{"max_body_bytes":4096},"tenants":[{"name":"t1","api_keys":["k1"],"prepaid":100000000}]}`))
 	for range entries {
 		f.startEntry()
@@ -83,6 +74,26 @@
 	return f
 }
 
+// addRunner adds a runner to a service. The function computes its responses.
+func (f *fleet) addRunner(service string, respond func(runner int, req platformtest.Request) platformtest.Response) {
+	f.t.Helper()
+	i := len(f.runners)
+	fr := &fleetRunner{id: fmt.Sprintf("i-%d-0", i), service: service}
+	r, err := platformtest.NewRunnerFunc(fr.id, func(req platformtest.Request) platformtest.Response {
+		if req.Header.Get("Daisylane-Expect-Instance") != fr.currentID() {
+			return platformtest.Response{Moved: true}
+		}
+		return respond(i, req)
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Close)
+	fr.runner = r
+	f.runners = append(f.runners, fr)
+	f.store.Put(platform.KindRunners, fr.id, r.Registration(service, "a"))
+}
+
 // startEntry adds an entry and waits until it is ready.
 func (f *fleet) startEntry() {
 	f.t.Helper()
@@ -100,13 +111,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- e.run(ctx, nil) }()
-	f.t.Cleanup(func() {
+	stop := sync.OnceFunc(func() {
 		cancel()
 		if err := <-done; err != nil {
 			f.t.Errorf("%s: %v", cfg.Name, err)
 		}
 		lines.Close()
 	})
+	f.t.Cleanup(stop)
+	f.stops[cfg.Listen.Callers] = stop
 	f.callers, f.logs = append(f.callers, cfg.Listen.Callers), append(f.logs, out)
 	eventually(f.t, cfg.Name+" becomes ready", func() bool {
 		res, err := http.Get("http://" + cfg.Listen.Ready + platform.ReadyPath)
@@ -118,6 +131,15 @@
 	})
 }
 
+// stop stops entries and waits until they have gone.
+func (f *fleet) stop(callers ...string) {
+	var wg sync.WaitGroup
+	for _, addr := range callers {
+		wg.Go(f.stops[addr])
+	}
+	wg.Wait()
+}
+
 // editedSettings writes the settings of an entry of a fleet.
 func editedSettings(t *testing.T, store, ip string) string {
 	t.Helper()
@@ -140,22 +162,29 @@
 	status int
 	after  string // Retry-After
 	events int
+	whole  bool // answered with success
 }
 
 // send sends a request to the address of an entry. Its prompt has the given parts and a
 // last one of its own.
 func (f *fleet) send(to string, parts ...string) fleetCall {
-	n := f.nextID.Add(1)
-	c := fleetCall{id: "id-" + strconv.FormatInt(n, 10), sentAt: time.Now()}
-	req, err := http.NewRequest(http.MethodPost, "http://"+to+"/plan/7", strings.NewReader("body"))
+	return f.post(to, "/plan/7", "body", append(parts, strconv.FormatInt(1<<40+f.nextID.Add(1), 16))...)
+}
+
+// post sends a request whose prompt has the given parts, if any.
+func (f *fleet) post(to, path, body string, parts ...string) fleetCall {
+	c := fleetCall{id: "id-" + strconv.FormatInt(f.nextID.Add(1), 10), sentAt: time.Now()}
+	req, err := http.NewRequest(http.MethodPost, "http://"+to+path, strings.NewReader(body))
 	if err != nil {
 		f.t.Error(err)
 		return c
 	}
 	req.Host = "a.example"
-	prefix := strings.Join(append(parts, strconv.FormatInt(1<<40+n, 16)), ":30,") + ":20"
-	for name, value := range map[string]string{"Daisylane-Attempt-Id": c.id, "Api-Key": "k1", "Daisylane-Token-Usage": "120,20", "Daisylane-Prompt-Prefix": prefix} {
-		req.Header.Set(name, value)
+	req.Header.Set("Daisylane-Attempt-Id", c.id)
+	req.Header.Set("Api-Key", "k1")
+	if len(parts) > 0 {
+		req.Header.Set("Daisylane-Token-Usage", "120,20")
+		req.Header.Set("Daisylane-Prompt-Prefix", strings.Join(parts, ":30,")+":20")
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -163,8 +192,8 @@
 	}
 	defer res.Body.Close()
 	c.status, c.after = res.StatusCode, res.Header.Get("Retry-After")
-	if body, err := io.ReadAll(res.Body); err == nil && res.StatusCode == http.StatusOK {
-		c.events = strings.Count(string(body), "data:")
+	if content, err := io.ReadAll(res.Body); err == nil && res.StatusCode == http.StatusOK {
+		c.events, c.whole = strings.Count(string(content), "data:"), true
 	}
 	return c
 }
