--- a/internal/analyzer/analyzer_test.go
+++ b/internal/analyzer/analyzer_test.go
@@ -124,23 +124,28 @@
 {"instance":"entry-2","id":"r3","target":"i-3","crashed":false,"parts":["a1","dead","9"],"time":"2026-01-02T15:00:03Z","msg":"attempt failed"}
 {"instance":"entry-1","service":"s","part":"dead","time":"2026-01-02T15:00:04Z","msg":"prompt part quarantined; targets crash under it"}
 {"instance":"entry-1","service":"s","part":"b1","time":"2026-01-02T15:00:05Z","msg":"prompt part quarantined; targets crash under it"}
+{"instance":"entry-2","id":"r5","target":"i-4","crashed":true,"fingerprints":["f1","f2"],"time":"2026-01-02T15:00:06Z","msg":"attempt failed"}
+{"instance":"entry-1","fingerprint":"f2","time":"2026-01-02T15:00:07Z","msg":"request quarantined; targets crash under it"}
+{"instance":"entry-1","id":"r6","service":"s","outcome":"crashing","fingerprint":"f2","took":1,"time":"2026-01-02T15:03:00Z","msg":"request"}
 {"instance":"entry-1","id":"r4","service":"s","outcome":"crashing","part":"dead","took":1,"time":"2026-01-02T15:04:00Z","msg":"request"}
 `))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := log.Timeline("r4")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var got []string
-	for _, e := range s.Events {
-		got = append(got, e.Text("id")+e.Text("part"))
-	}
-	if want := "r1 dead r4dead"; strings.Join(got, " ") != want {
-		t.Errorf("events %q, want %q", strings.Join(got, " "), want)
-	}
-	if !strings.Contains(s.Summary, "targets crash under a part of its prompt") {
-		t.Errorf("summary %q", s.Summary)
+	for _, tt := range []struct{ id, want string }{{"r4", "r1 dead r4dead"}, {"r6", "r5 f2 r6f2"}} {
+		s, err := log.Timeline(tt.id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, e := range s.Events {
+			got = append(got, e.Text("id")+e.Text("part")+e.Text("fingerprint"))
+		}
+		if strings.Join(got, " ") != tt.want {
+			t.Errorf("events %q, want %q", strings.Join(got, " "), tt.want)
+		}
+		if !strings.Contains(s.Summary, "targets crash under a part of its prompt") {
+			t.Errorf("summary %q", s.Summary)
+		}
 	}
 }
--- a/internal/analyzer/timeline.go
+++ b/internal/analyzer/timeline.go
@@ -45,7 +45,7 @@
 		case !ok, line.Instance != end.Instance, line.Time.After(end.Time):
 		case line.Text("id") == end.Text("id"): // already included as a line of the request
 		case !lastingKinds[kind] && end.Time.Sub(line.Time) > maxStateAge:
-		case (kind == "part" || kind == "trial") && (end.Text("part") == "" || line.Text("part") != end.Text("part")):
+		case quarantineFields[kind] != "" && !line.sharesField(end, quarantineFields[kind]):
 		case kind == "target" && line.Text("target") != end.Text("target"):
 		default:
 			latest[kind] = line
@@ -58,17 +58,25 @@
 	return lines
 }
 
+// sharesField reports whether two lines have a field with the same text.
+func (l Line) sharesField(other Line, name string) bool {
+	return l.Text(name) != "" && l.Text(name) == other.Text(name)
+}
+
 // crashesBefore returns the latest attempts of any instance under which a target crashed
-// and whose prompt has the part for which a request was refused.
+// and that have the prompt part or the fingerprint for which a request was refused.
 func (l *Log) crashesBefore(end Line) []Line {
-	part := end.Text("part")
-	if part == "" {
+	list, reason := "parts", end.Text(fieldPart)
+	if reason == "" {
+		list, reason = "fingerprints", end.Text(fieldFingerprint)
+	}
+	if reason == "" {
 		return nil
 	}
 	var lines []Line
 	for _, line := range l.Lines {
-		parts, _ := line.Fields["parts"].([]any)
-		if crashed, _ := line.Fields["crashed"].(bool); crashed && slices.Contains(parts, any(part)) && !line.Time.After(end.Time) {
+		values, _ := line.Fields[list].([]any)
+		if crashed, _ := line.Fields["crashed"].(bool); crashed && slices.Contains(values, any(reason)) && !line.Time.After(end.Time) {
 			lines = append(lines, line)
 		}
 	}
--- a/internal/analyzer/types.go
+++ b/internal/analyzer/types.go
@@ -24,6 +24,12 @@
 	msgStarted = "started"
 )
 
+// Fields that say why a request was refused as crashing targets.
+const (
+	fieldPart        = "part"
+	fieldFingerprint = "fingerprint"
+)
+
 // stateKinds maps the messages that report a change of an instance's state to the kind
 // of state. The latest message of each kind before the end of a request is part of
 // its timeline.
@@ -35,6 +41,7 @@
 	"way to the store changed": "way", "budget store lost": "store", "budget store regained": "store",
 	"budgets recovered": "budgets", "peer lends nothing": "peer",
 	"prompt part quarantined; targets crash under it": "part", "prompt part released": "part", "trial of a quarantined prompt part begins": "trial",
+	"request quarantined; targets crash under it": "suspected", "request released": "suspected", "trial of a quarantined request begins": "requesttrial",
 	"target limited": "limit", "target no longer limited": "limit", "peer gives no permits": "permit",
 	"target changed": "target", "target gone": "target", "target replaced at its address": "target",
 }
@@ -45,7 +52,11 @@
 const maxStateAge = 20 * time.Second
 
 // lastingKinds are the kinds of state that are part of a timeline however old they are.
-var lastingKinds = map[string]bool{"configuration": true, "process": true, "part": true, "trial": true}
+var lastingKinds = map[string]bool{"configuration": true, "process": true, "part": true, "trial": true, "suspected": true, "requesttrial": true}
+
+// quarantineFields are the fields by which the kinds of state of a quarantine belong to the
+// requests that were refused for it.
+var quarantineFields = map[string]string{"part": fieldPart, "trial": fieldPart, "suspected": fieldFingerprint, "requesttrial": fieldFingerprint}
 
 // maxCrashes limits the crashes in the timeline of a request that was refused for them.
 const maxCrashes = 8
--- /dev/null
+++ b/internal/quarantiner/crashes_test.go
@@ -0,0 +1,354 @@
+package quarantiner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// crashFleet is several instances that share the crashes of targets.
+type crashFleet struct {
+	model[CrashRecord, *Crashes]
+}
+
+func newCrashFleet(n int, delay time.Duration) *crashFleet {
+	return &crashFleet{newModel[CrashRecord](n, delay, NewCrashes)}
+}
+
+// request returns the fingerprints of a plain request.
+func request(body string) []Fingerprint {
+	return Fingerprints(Content{Account: "t1", Method: "POST", URI: "/a", Body: []byte(body)})
+}
+
+// crash ends a target with requests of instances, by the number of the instance.
+func (f *crashFleet) crash(requests map[int][]string) {
+	f.crashed++
+	for instance, list := range requests {
+		for _, body := range list {
+			f.instances[instance].RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Requests: request(body)})
+		}
+	}
+}
+
+// admit sends a request if that is allowed, and reports whether it is a trial.
+func (f *crashFleet) admit(instance int, ids []Fingerprint) (sent, trial bool) {
+	q := f.instances[instance]
+	v := q.Check(f.now, ids)
+	if v.Outcome != TrialDue {
+		return v.Outcome == Allowed, false
+	}
+	w, ok := q.BeginTrial(v.Fingerprint)
+	if !ok {
+		return false, false
+	}
+	ok = f.claim(q, w, func() { q.EndClaim(v.Fingerprint) })
+	return ok, ok
+}
+
+func (f *crashFleet) outcome(instance int, body string) Outcome {
+	return f.instances[instance].Check(f.now, request(body)).Outcome
+}
+
+// Guards against an equal request that ends target after target because each instance sees
+// few of the crashes, and against refusing popular equal requests, or others that were at
+// the same targets. Sizes of the fleet are 2, 4 and 300; requests come at any instance.
+func TestEqualRequest(t *testing.T) {
+	for _, n := range []int{2, 4, 300} {
+		for _, perSecond := range []int{2, 10} {
+			t.Run(fmt.Sprintf("%d instances, %d a second", n, perSecond), func(t *testing.T) {
+				f := newCrashFleet(n, 200*time.Millisecond)
+				soundRefused, soundSent, late := 0, 0, 0
+				var third time.Time
+				for i := range 600 { // a minute
+					f.run(100 * time.Millisecond)
+					at := rand.IntN(n)
+					bodies := []string{"popular", "popular", fmt.Sprint("other", i%50), fmt.Sprint("own", i)}
+					var sent []string
+					for _, body := range bodies {
+						soundSent++
+						if ok, _ := f.admit(at, request(body)); ok {
+							sent = append(sent, body)
+						} else {
+							soundRefused++
+						}
+					}
+					if ok, _ := f.admit(at, request("deadly")); i%(10/perSecond) == 0 && ok {
+						if f.crash(map[int][]string{at: append([]string{"deadly"}, sent...)}); f.crashed == 3 {
+							third = f.now
+						} else if f.crashed > 3 && f.now.Sub(third) > 4*time.Second {
+							late++
+						}
+						continue
+					}
+					for _, body := range sent {
+						f.instances[at].RecordAnswer(f.now, request(body))
+					}
+				}
+				if f.crashed > 9 || late > 2 {
+					t.Errorf("%d targets crashed, %d of them later than 4 s after the third", f.crashed, late)
+				}
+				if soundRefused > soundSent/100 {
+					t.Errorf("%d of %d sound requests refused", soundRefused, soundSent)
+				}
+				t.Logf("%d crashes, %d late, %d writes of the fleet, %d of %d sound requests refused", f.crashed, late, f.writes, soundRefused, soundSent)
+			})
+		}
+	}
+}
+
+// Guards against refusing sound requests because targets crash by chance, one after the
+// other or all at once, and against records that stay after their requests were answered.
+func TestCrashesByChance(t *testing.T) {
+	t.Run("one after the other", func(t *testing.T) {
+		f := newCrashFleet(4, 100*time.Millisecond)
+		for i := range 200 {
+			f.run(200 * time.Millisecond)
+			at := i % 4
+			if f.outcome(at, "popular") != Allowed || f.outcome(at, fmt.Sprint("rare", i%20)) != Allowed {
+				t.Fatalf("step %d: a sound request is in quarantine", i)
+			}
+			if i%2 == 0 {
+				f.crash(map[int][]string{at: {"popular", fmt.Sprint("rare", i%20)}, (at + 1) % 4: {"popular"}})
+				continue
+			}
+			for _, body := range []string{"popular", fmt.Sprint("rare", (i-1)%20)} { // the retry
+				f.instances[at].RecordAnswer(f.now, request(body))
+			}
+		}
+		f.run(10 * time.Second)
+		if len(f.records) > 0 {
+			t.Errorf("%d records are left of requests that were answered", len(f.records))
+		}
+	})
+	t.Run("all at once", func(t *testing.T) {
+		f := newCrashFleet(4, 100*time.Millisecond)
+		for range 40 {
+			f.crash(map[int][]string{0: {"popular"}, 1: {"popular"}, 2: {"popular"}})
+		}
+		f.run(time.Second)
+		f.instances[3].RecordAnswer(f.now, request("popular"))
+		f.run(time.Second)
+		for i := range f.instances {
+			if f.outcome(i, "popular") != Allowed {
+				t.Errorf("instance %d refuses a request that was answered since", i)
+			}
+		}
+	})
+}
+
+// Guards against taking requests with different prompts for equal ones, and against missing
+// a deadly one whose prompt changes.
+func TestPrompts(t *testing.T) {
+	f := newCrashFleet(2, 50*time.Millisecond)
+	prompt := func(parts ...uint64) []Fingerprint {
+		return Fingerprints(Content{Account: "t1", Method: "POST", URI: "/a", Body: []byte("deadly"), Parts: parts})
+	}
+	crash := func(ids []Fingerprint) {
+		f.run(time.Second)
+		f.crashed++
+		f.instances[f.crashed%2].RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Requests: ids})
+	}
+	for range crashThreshold {
+		crash(prompt(common, deadly))
+	}
+	f.run(time.Second)
+	if f.instances[0].Check(f.now, prompt(common, deadly)).Outcome == Allowed || f.instances[0].Check(f.now, prompt(common, other)).Outcome != Allowed {
+		t.Error("a request with another prompt is not told from the deadly one")
+	}
+	for range highThreshold {
+		crash(prompt(common, rand.Uint64()))
+	}
+	f.run(time.Second)
+	if f.instances[0].Check(f.now, prompt(common, other)).Outcome == Allowed {
+		t.Error("the request comes with a prompt of its own each time and is not in quarantine")
+	}
+}
+
+// Guards against trials by several instances at once, trials that come as often although
+// they fail, more than three of them in ten minutes, and a quarantine that never ends or
+// ends at one instance only.
+func TestTrialsOfRequests(t *testing.T) {
+	f := newCrashFleet(5, 50*time.Millisecond)
+	for i := range 3 {
+		f.run(time.Second)
+		f.crash(map[int][]string{i: {"deadly"}})
+	}
+	f.run(time.Second)
+	trials := func(d time.Duration, fails bool) (n int) {
+		for end := f.now.Add(d); f.now.Before(end); f.run(time.Second) {
+			for i := range f.instances {
+				sent, trial := f.admit(i, request("deadly"))
+				switch {
+				case trial && fails:
+					f.crash(map[int][]string{i: {"deadly"}})
+				case trial:
+					f.instances[i].RecordAnswer(f.now, request("deadly"))
+				case sent && fails:
+					t.Fatal("a request was sent that is no trial")
+				}
+				if trial {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	f.step = 50 * time.Millisecond
+	for i, tt := range []struct {
+		d    time.Duration
+		want int
+	}{{firstPause - 3*time.Second, 0}, {5 * time.Second, 1}, {4*firstPause - 6*time.Second, 0}, {10 * time.Second, 1}, {7 * time.Minute, 0}} {
+		if got := trials(tt.d, true); got != tt.want {
+			t.Errorf("phase %d: %d trials, want %d", i, got, tt.want)
+		}
+	}
+	if got := trials(2*time.Minute, false); got != 1 {
+		t.Errorf("%d trials until one was answered, want 1", got)
+	}
+	for i := range f.instances {
+		if f.outcome(i, "deadly") != Allowed {
+			t.Errorf("instance %d keeps the request in quarantine after an answer", i)
+		}
+	}
+	if len(f.records) > 0 {
+		t.Errorf("%d records are left in the store", len(f.records))
+	}
+}
+
+// Guards against a quarantine that a start of all instances, a store that goes back to an
+// older copy or a list of its records ends.
+func TestRequestQuarantineLasts(t *testing.T) {
+	start := func() *crashFleet {
+		f := newCrashFleet(3, 50*time.Millisecond)
+		for i := range 3 {
+			f.run(time.Second)
+			f.crash(map[int][]string{i: {"deadly"}})
+		}
+		f.run(time.Second)
+		return f
+	}
+	tests := []struct {
+		name   string
+		change func(f *crashFleet)
+	}{
+		{"all instances start again", func(f *crashFleet) {
+			for i := range f.instances {
+				f.instances[i] = NewCrashes()
+				f.instances[i].ObserveList(f.now, f.list(), false)
+			}
+		}},
+		{"restore", func(f *crashFleet) {
+			f.records, f.version = make(map[string]StoredCrash), 1
+			for _, q := range f.instances {
+				q.ObserveList(f.now, nil, true)
+			}
+			f.run(2 * time.Second)
+			f.instances[0] = NewCrashes()
+			f.instances[0].ObserveList(f.now, f.list(), false)
+		}},
+		{"list", func(f *crashFleet) { f.instances[0].ObserveList(f.now, f.list(), false) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start()
+			tt.change(f)
+			for i := range f.instances {
+				if f.outcome(i, "deadly") == Allowed || f.outcome(i, "other") != Allowed {
+					t.Errorf("instance %d: deadly request %s, other one %s", i, f.outcome(i, "deadly"), f.outcome(i, "other"))
+				}
+			}
+		})
+	}
+}
+
+// Guards against memory and records that grow with callers who vary everything, and against
+// a deadly request that is not recorded because such callers have filled all records.
+func TestBoundedCrashes(t *testing.T) {
+	f := newCrashFleet(2, 10*time.Millisecond)
+	q := f.instances[0]
+	for i := range 3 * maxCrashRecords {
+		for j := range 2 * maxRequestsPerCrash {
+			q.RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("junk-", i), Requests: request(fmt.Sprint(i, j))})
+		}
+		if i%50 == 0 {
+			f.run(50 * time.Millisecond)
+		}
+	}
+	f.run(time.Second)
+	if n := len(f.records); n > maxCrashRecords || len(q.suspicions) > maxCrashRecords*maxRequestsPerCrash {
+		t.Errorf("%d records of %d requests, allowed are %d of %d", n, len(q.suspicions), maxCrashRecords, maxCrashRecords*maxRequestsPerCrash)
+	}
+	for range crashThreshold {
+		f.run(time.Second)
+		f.crashed++
+		for j := range 2 * maxRequestsPerCrash {
+			q.RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Requests: request(fmt.Sprint("junk", f.crashed, j))})
+			if j == maxRequestsPerCrash/2 {
+				q.RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Requests: request("deadly")})
+			}
+		}
+	}
+	f.run(time.Second)
+	for i := range f.instances {
+		if f.outcome(i, "deadly") == Allowed {
+			t.Errorf("instance %d: a deadly request is not in quarantine", i)
+		}
+	}
+	f.step = time.Second
+	f.run(2*suspicionTime + time.Minute)
+	if len(f.records) > crashThreshold {
+		t.Errorf("%d records are left after %v", len(f.records), 2*suspicionTime)
+	}
+	f.step = time.Minute
+	f.run(requestQuarantineTime)
+	if len(f.records)+len(q.crashes)+len(q.suspicions)+len(q.quarantined) > 0 {
+		t.Errorf("%d records, %d crashes and %d requests are left after %v", len(f.records), len(q.crashes), len(q.suspicions), requestQuarantineTime)
+	}
+}
+
+// Guards against requests of different accounts, or that differ in one thing, with the same
+// fingerprint.
+func TestFingerprints(t *testing.T) {
+	seen := make(map[Fingerprint]int)
+	for i, c := range []Content{
+		{Account: "a", Method: "GET", URI: "/x"},
+		{Account: "b", Method: "GET", URI: "/x"},
+		{Account: "a", Method: "DELETE", URI: "/x"},
+		{Account: "a", Method: "GET", URI: "/x?y"},
+		{Account: "a", Method: "GET", URI: "/x", Body: []byte("y")},
+		{Account: "a", Method: "GET", URI: "/", Body: []byte("x")},
+		{Account: "a", Method: "GET", URI: "/x", Body: []byte("z"), Parts: []uint64{1, 2}},
+		{Account: "a", Method: "GET", URI: "/x", Body: []byte("w"), Parts: []uint64{1, 3}},
+	} {
+		for _, id := range Fingerprints(c) {
+			if former, ok := seen[id]; ok {
+				t.Errorf("requests %d and %d have the same fingerprint", former, i)
+			}
+			seen[id] = i
+		}
+	}
+}
+
+// Guards against a stored crash that an instance of this or a later version cannot use.
+func TestCrashRecordCheck(t *testing.T) {
+	valid := CrashRecord{Service: service, Target: "i-1", Requests: request("a")}
+	if err := valid.Check(); err != nil {
+		t.Error(err)
+	}
+	for _, r := range []CrashRecord{
+		{Target: "i-1"},
+		{Service: service},
+		valid.WithRequests(slices.Repeat(request("a"), 2)),
+		valid.WithRequests(make([]Fingerprint, maxRequestsPerCrash+1)),
+	} {
+		if r.Check() == nil {
+			t.Errorf("%+v passes", r)
+		}
+	}
+	if name := valid.Name(); !strings.HasPrefix(name, service+".i-1.") {
+		t.Errorf("name %q", name)
+	}
+}
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -66,7 +66,7 @@
 		e := q.entries[k]
 		left := e.record.pause() - now.Sub(e.changedAt)
 		if left > 0 || e.trying || v.Outcome != Allowed {
-			return Verdict{Quarantined, k, max(left, v.RetryAfter, sameMoment)}
+			return Verdict{Outcome: Quarantined, Key: k, RetryAfter: max(left, v.RetryAfter, sameMoment)}
 		}
 		v = Verdict{Outcome: TrialDue, Key: k}
 	}
--- a/internal/quarantiner/quarantine_test.go
+++ b/internal/quarantiner/quarantine_test.go
@@ -10,80 +10,13 @@
 
 const service = "pool"
 
-// fleet is several instances that share records through a store. Records reach the other
-// instances with a delay.
+// fleet is several instances that share the records of prompt parts.
 type fleet struct {
-	now       time.Time
-	delay     time.Duration
-	instances []*Quarantine
-	records   map[Key]Stored
-	version   uint64
-	inFlight  []event
-	step      time.Duration
-	crashed   int // targets that have crashed
-	writes    int
-}
-
-// event is a change of a record on its way to the instances.
-type event struct {
-	at      time.Time
-	name    string
-	stored  Stored
-	removed bool
+	model[Record, *Quarantine]
 }
 
 func newFleet(n int, delay time.Duration) *fleet {
-	f := &fleet{now: time.Now(), delay: delay, step: 10 * time.Millisecond, records: make(map[Key]Stored)}
-	for range n {
-		f.instances = append(f.instances, New())
-	}
-	return f
-}
-
-// put makes a conditional write and reports whether it was done.
-func (f *fleet) put(w Write) (Stored, bool) {
-	f.writes++
-	if current := f.records[w.Record.Key()]; current.Version != w.Version {
-		return current, false
-	}
-	f.version++
-	s := Stored{Record: w.Record, Version: f.version}
-	if f.records[w.Record.Key()] = s; w.Remove {
-		delete(f.records, w.Record.Key())
-	}
-	f.inFlight = append(f.inFlight, event{f.now.Add(f.delay), w.Name, s, w.Remove})
-	return s, true
-}
-
-// run lets time pass.
-func (f *fleet) run(d time.Duration) {
-	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(f.step) {
-		for len(f.inFlight) > 0 && !f.inFlight[0].at.After(f.now) {
-			e := f.inFlight[0]
-			f.inFlight = f.inFlight[1:]
-			for _, q := range f.instances {
-				if e.removed {
-					q.ObserveRemoved(e.name, e.stored.Version)
-				} else {
-					q.Observe(f.now, e.stored.Version, e.stored.Record)
-				}
-			}
-		}
-		for _, q := range f.instances {
-			for _, w := range q.Due(f.now) {
-				s, ok := f.put(w)
-				switch {
-				case ok:
-					q.Written(f.now, w, s.Version)
-				case s.Version == 0:
-					q.Gone(w)
-				default:
-					q.Failed(w)
-					q.Observe(f.now, s.Version, s.Record)
-				}
-			}
-		}
-	}
+	return &fleet{newModel[Record](n, delay, New)}
 }
 
 // crash ends a target that was about to answer a request of an instance.
@@ -116,11 +49,7 @@
 	if !ok {
 		return false, false
 	}
-	s, ok := f.put(w)
-	if s.Version > 0 {
-		q.Observe(f.now, s.Version, s.Record)
-	}
-	q.EndClaim(v.Key)
+	ok = f.claim(q, w, func() { q.EndClaim(v.Key) })
 	return ok, ok
 }
 
@@ -334,36 +263,30 @@
 		f.run(time.Second)
 		return f
 	}
-	list := func(f *fleet) (l []Stored) {
-		for _, s := range f.records {
-			l = append(l, s)
-		}
-		return l
-	}
 	t.Run("restart", func(t *testing.T) {
 		f := start(t)
 		f.instances[1] = New()
-		f.instances[1].ObserveList(f.now, list(f), false)
+		f.instances[1].ObserveList(f.now, f.list(), false)
 		if f.check(1, common, deadly) == Allowed {
 			t.Error("the part is not in quarantine at a new process")
 		}
 	})
 	t.Run("restore", func(t *testing.T) {
 		f := start(t)
-		f.records, f.version = make(map[Key]Stored), 1
+		f.records, f.version = make(map[string]Stored), 1
 		for _, q := range f.instances {
 			q.ObserveList(f.now, nil, true)
 		}
 		f.run(2 * time.Second)
 		f.instances[0] = New()
-		f.instances[0].ObserveList(f.now, list(f), false)
+		f.instances[0].ObserveList(f.now, f.list(), false)
 		if f.check(0, common, deadly) == Allowed || f.check(1, common, deadly) == Allowed {
 			t.Error("a restore of the store ended the quarantine")
 		}
 	})
 	t.Run("list", func(t *testing.T) {
 		f := start(t)
-		f.instances[0].ObserveList(f.now, list(f), false)
+		f.instances[0].ObserveList(f.now, f.list(), false)
 		if f.check(0, common, deadly) == Allowed {
 			t.Error("a list ended the quarantine")
 		}
@@ -381,7 +304,7 @@
 	}
 	f.run(time.Second)
 	k := Key{service, deadly}
-	late := Write{Name: k.Name(), Record: f.records[k].Record}
+	late := Write{Name: k.Name(), Record: f.records[k.Name()].Record}
 	f.answer(1, common, deadly)
 	f.run(time.Second)
 	if _, ok := f.put(late); !ok {
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -1,5 +1,10 @@
-// Package quarantiner decides which parts of prompts are kept away from targets because
-// targets crash under them.
+// Package quarantiner decides which parts of prompts and which requests are kept away from
+// targets because targets crash under them.
+//
+// A crash counts against all requests that the target had not answered. A request that
+// comes again and again and is never answered is quarantined after three crashes, unless
+// another one explains them, see [Crashes]. Of requests that differ, the parts of their
+// prompts are judged, see [Quarantine]:
 //
 // A crash counts against the parts of those requests that the target was about to answer.
 // A part whose requests are answered is sound, so only one that is never answered between
@@ -8,9 +13,9 @@
 // comes to the same verdict, whichever of them saw the crashes. After a pause one request
 // of the whole fleet is let through as a trial. If it is answered, the quarantine ends.
 //
-// The package does not read the clock and does no I/O. It answers one load: callers that
-// send requests with a part that ends each target it reaches, at any instance, no two of
-// them alike.
+// The package does not read the clock and does no I/O. It answers two loads: callers that
+// send one request again and again that ends each target it reaches, at any instance, and
+// callers that send requests with such a part, no two of them alike.
 //
 // # Usage
 //
@@ -212,6 +217,14 @@
 	Begun       bool // the target had begun to answer the request
 	Trial       bool // the request was a trial
 	Parts       []uint64
+	Requests    []Fingerprint // of the request
+}
+
+// Subject is what a request is judged by.
+type Subject struct {
+	Service  string
+	Parts    []uint64      // of the prompt, if other requests may have one too
+	Requests []Fingerprint // empty: no request is suspected
 }
 
 // Outcome says what may be done with a request.
@@ -226,9 +239,10 @@
 
 // Verdict is the result of a check.
 type Verdict struct {
-	Outcome    Outcome
-	Key        Key           // of the quarantined part
-	RetryAfter time.Duration // until the next trial
+	Outcome     Outcome
+	Key         Key           // of the quarantined part, if it is a part
+	Fingerprint Fingerprint   // of the quarantined request, if it is not
+	RetryAfter  time.Duration // until the next trial
 }
 
 // Write is a change of a stored record.
--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -52,10 +52,6 @@
 		return j.refuse(http.StatusServiceUnavailable, NoService, meanRetryDelay)
 	}
 	j.sharedParts = j.partsAtRisk()
-	if v := j.r.guard.Check(j.service.Name, j.sharedParts); v.Outcome == quarantiner.Quarantined {
-		j.quarantined = v.Key.Part
-		return j.refuse(http.StatusServiceUnavailable, Crashing, v.RetryAfter+rand.N(meanRetryDelay))
-	}
 	timeout := defaultTimeout
 	if meta.Timeout > 0 {
 		timeout = meta.Timeout
@@ -64,7 +60,20 @@
 	if writeEnd := j.deadline.Add(lateWriteTime); writeEnd.After(j.arrived.Add(defaultTimeout)) {
 		_ = http.NewResponseController(j.w).SetWriteDeadline(writeEnd)
 	}
-	return j.readBody()
+	if !j.readBody() {
+		return false
+	}
+	if v := j.r.guard.Check(j.subject()); v.Outcome == quarantiner.Quarantined {
+		return j.refuseCrashing(v)
+	}
+	return true
+}
+
+// refuseCrashing refuses a request under which targets crash. It returns false, for use as
+// a result by callers.
+func (j *job) refuseCrashing(v quarantiner.Verdict) bool {
+	j.quarantined = v
+	return j.refuse(http.StatusServiceUnavailable, Crashing, v.RetryAfter+rand.N(meanRetryDelay))
 }
 
 // partsAtRisk returns the IDs of the prompt parts if engines serve the request and other
@@ -73,11 +82,7 @@
 	if j.service.Engine == nil || len(j.meta.Parts) < 2 {
 		return nil
 	}
-	ids := make([]uint64, len(j.meta.Parts))
-	for i, p := range j.meta.Parts {
-		ids[i] = p.ID
-	}
-	return ids
+	return partIDs(j.meta.Parts)
 }
 
 // refuseUnknown refuses a request that the routing table does not allow. If the
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -80,6 +80,8 @@
 	}
 	if response.Status >= http.StatusInternalServerError {
 		outcome, j.summary.cause = retrier.Unknown, TargetFailed
+	} else {
+		j.recordWhole()
 	}
 	return attemptResult{outcome: outcome, done: true, status: response.Status}
 }
@@ -111,6 +113,7 @@
 			if n == 1 {
 				j.recordAnswer()
 			}
+			j.recordWhole()
 			return j.finishStream(response)
 		}
 		if err != nil {
@@ -152,7 +155,15 @@
 // targets. One event is not enough: a target may crash right after it.
 func (j *job) recordAnswer() {
 	if len(j.sharedParts) > 0 {
-		j.r.guard.RecordAnswer(j.service.Name, j.sharedParts)
+		j.r.guard.RecordAnswer(j.subject())
+	}
+}
+
+// recordWhole records that a target has answered to the end, so that the request does not
+// crash targets.
+func (j *job) recordWhole() {
+	if j.r.guard.Suspects() {
+		j.r.guard.RecordWhole(j.subject())
 	}
 }
 
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -134,17 +134,17 @@
 // admit asks whether the request may be sent to a target now. If not, it ends the request
 // and returns false. A trial is claimed only for a request that has a target.
 func (j *job) admit(ctx context.Context) bool {
-	v := j.r.guard.Admit(ctx, j.service.Name, j.sharedParts)
+	v := j.r.guard.Admit(ctx, j.subject())
 	j.trial = v.Outcome == quarantiner.TrialDue
 	if v.Outcome != quarantiner.Quarantined {
 		return true
 	}
-	j.quarantined = v.Key.Part
 	if j.stream.started || j.summary.mayHaveRun {
+		j.quarantined = v
 		j.fail(Crashing, j.summary.failure)
 		return false
 	}
-	return j.refuse(http.StatusServiceUnavailable, Crashing, v.RetryAfter+rand.N(meanRetryDelay))
+	return j.refuseCrashing(v)
 }
 
 // recordCrash records whether the target of a failed attempt has ended.
@@ -159,13 +159,11 @@
 		return
 	}
 	j.r.scope.Tagged(map[string]string{"service": j.service.Name}).Counter(reporter.Crashes).Inc(1)
-	if res.events > 1 || len(j.sharedParts) == 0 {
-		return
-	}
-	j.r.guard.RecordCrash(quarantiner.Report{
+	report := quarantiner.Report{
 		Service: j.service.Name, Target: chosen.Target.ID, Incarnation: chosen.Target.Incarnation,
-		Begun: res.status != 0, Trial: j.trial, Parts: j.sharedParts,
-	})
+		Begun: res.status != 0, Trial: j.trial, Parts: j.sharedParts, Requests: j.identity(),
+	}
+	j.r.guard.RecordCrash(report, res.events <= 1 && len(j.sharedParts) > 0)
 }
 
 // aboutToAnswer reports whether the target had begun to answer, but not gone on.
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -63,7 +63,7 @@
 	Busy:               "was refused, because the targets were full",
 	Paused:             "was refused, because each target left to try had asked for a pause",
 	Limited:            "was refused, because the limits that the targets name were used up",
-	Crashing:           "was not sent to a target, because targets crash under a part of its prompt",
+	Crashing:           "was not sent to a target, because targets crash under a part of its prompt or under equal requests",
 	Refused:            "was refused, because the targets did not run it",
 	Unreachable:        "was refused, because no target could be reached",
 	NoAnswer:           "failed, because the target did not answer and the request may not run again",
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -79,32 +79,32 @@
 
 // job is the state of one request in flight.
 type job struct {
-	r                *Receiver
-	w                http.ResponseWriter
-	req              *http.Request
-	meta             RequestMeta
-	table            *resolver.Table
-	route            *resolver.Route
-	account          *resolver.Account
-	service          *resolver.Service
-	body             []byte
-	arrived          time.Time
-	deadline         time.Time
-	reservation      granter.Decision
-	reservedTokens   int64
-	settledTokens    int64    // billed part of the reserved tokens
-	tried            []string // IDs of the chosen targets
-	sends            int      // attempts that may have reached their target
-	dials            int      // attempts that did not reach it
-	summary          requestSummary
-	stream           streamState
-	lastTarget       ChosenTarget
-	sharedParts      []uint64                // IDs of the prompt parts, if targets may crash under one
-	knownFingerprint quarantiner.Fingerprint // 0: not computed yet
-	quarantined      uint64                  // the part for which the request was refused
-	permitWaitEnd    time.Time               // when the wait for a permit ends, zero: not begun
-	trial            bool                    // the present attempt is a trial of a quarantined part
-	aborted          bool                    // the connection is closed without a complete response
+	r              *Receiver
+	w              http.ResponseWriter
+	req            *http.Request
+	meta           RequestMeta
+	table          *resolver.Table
+	route          *resolver.Route
+	account        *resolver.Account
+	service        *resolver.Service
+	body           []byte
+	arrived        time.Time
+	deadline       time.Time
+	reservation    granter.Decision
+	reservedTokens int64
+	settledTokens  int64    // billed part of the reserved tokens
+	tried          []string // IDs of the chosen targets
+	sends          int      // attempts that may have reached their target
+	dials          int      // attempts that did not reach it
+	summary        requestSummary
+	stream         streamState
+	lastTarget     ChosenTarget
+	sharedParts    []uint64                  // IDs of the prompt parts, if targets may crash under one
+	fingerprints   []quarantiner.Fingerprint // nil: not computed yet
+	quarantined    quarantiner.Verdict       // why the request was refused as crashing
+	permitWaitEnd  time.Time                 // when the wait for a permit ends, zero: not begun
+	trial          bool                      // the present attempt is a trial of what is quarantined
+	aborted        bool                      // the connection is closed without a complete response
 }
 
 // requestSummary describes how a request ended, for the log and the metrics.
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -41,8 +42,12 @@
 		e.Str("target", j.lastTarget.Target.ID).Str("addr", j.lastTarget.Target.Addr).Str("reason", j.lastTarget.Choice.Reason).
 			Int64("expected", j.lastTarget.Choice.Wait.Milliseconds()).Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events)
 	}
-	if j.summary.cause == Crashing {
-		e.Str("part", partName(j.quarantined))
+	switch {
+	case j.summary.cause != Crashing:
+	case j.quarantined.Fingerprint != 0:
+		e.Stringer("fingerprint", j.quarantined.Fingerprint)
+	default:
+		e.Str("part", partName(j.quarantined.Key.Part))
 	}
 	if !j.summary.firstByteAt.IsZero() {
 		e.Int64("first", j.summary.firstByteAt.Sub(j.arrived).Milliseconds())
@@ -61,7 +66,7 @@
 		Str("outcome", string(causeOf(res))).Int("status", res.status).Bool("repeat", v.Retry).Str("verdict", v.Reason).
 		Int64("left", time.Until(j.deadline).Milliseconds())
 	if res.outcome != retrier.NotRun {
-		e.Bool("crashed", res.crashed).Stringer("fingerprint", j.fingerprint())
+		e.Bool("crashed", res.crashed).Stringers("fingerprints", stringers(j.identity()))
 	}
 	if len(j.meta.Parts) > 0 && res.outcome != retrier.NotRun {
 		e.Strs("parts", partNames(j.meta.Parts))
@@ -75,6 +80,15 @@
 	}
 }
 
+// stringers returns the elements of a list as [fmt.Stringer].
+func stringers[T fmt.Stringer](list []T) []fmt.Stringer {
+	out := make([]fmt.Stringer, len(list))
+	for i, v := range list {
+		out[i] = v
+	}
+	return out
+}
+
 // partNames returns the IDs of prompt parts as in logs.
 func partNames(parts []Part) []string {
 	names := make([]string, len(parts))
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -111,34 +111,41 @@
 	IsEndToEnd(name string) bool // reports whether a header is end-to-end, not hop-by-hop
 }
 
-// Guard knows which prompt parts crash targets, on behalf of the fleet.
+// Guard knows which requests crash targets, on behalf of the fleet.
 type Guard interface {
 	Ready() bool
+	// Suspects reports whether the fingerprints of requests matter.
+	Suspects() bool
 	// Check says whether a request may be sent to a target.
-	Check(service string, parts []uint64) quarantiner.Verdict
+	Check(s quarantiner.Subject) quarantiner.Verdict
 	// Admit is Check right before a request is sent. It makes the request a trial if one
 	// is due.
-	Admit(ctx context.Context, service string, parts []uint64) quarantiner.Verdict
-	RecordAnswer(service string, parts []uint64)
-	RecordCrash(r quarantiner.Report)
+	Admit(ctx context.Context, s quarantiner.Subject) quarantiner.Verdict
+	// RecordAnswer records that a target goes on answering, RecordWhole that it has
+	// answered to the end.
+	RecordAnswer(s quarantiner.Subject)
+	RecordWhole(s quarantiner.Subject)
+	// RecordCrash records the end of a target. about says that it was about to answer.
+	RecordCrash(r quarantiner.Report, about bool)
 }
 
 // noGuard allows all requests.
 type noGuard struct{}
 
-func (noGuard) Ready() bool { return true }
+func (noGuard) Ready() bool    { return true }
+func (noGuard) Suspects() bool { return false }
 
-func (noGuard) Check(string, []uint64) quarantiner.Verdict {
+func (noGuard) Check(quarantiner.Subject) quarantiner.Verdict {
 	return quarantiner.Verdict{Outcome: quarantiner.Allowed}
 }
 
-func (g noGuard) Admit(_ context.Context, service string, parts []uint64) quarantiner.Verdict {
-	return g.Check(service, parts)
+func (g noGuard) Admit(_ context.Context, s quarantiner.Subject) quarantiner.Verdict {
+	return g.Check(s)
 }
 
-func (noGuard) RecordAnswer(string, []uint64) {}
-
-func (noGuard) RecordCrash(quarantiner.Report) {}
+func (noGuard) RecordAnswer(quarantiner.Subject)     {}
+func (noGuard) RecordWhole(quarantiner.Subject)      {}
+func (noGuard) RecordCrash(quarantiner.Report, bool) {}
 
 // Limits keeps the requests of all instances within the limits that targets name.
 type Limits interface {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -32,7 +32,7 @@
 	// retryDelay is the pause after a write that failed.
 	retryDelay = 150 * time.Millisecond
 	// sweepInterval is how often writes without a signal are looked for.
-	sweepInterval = time.Second
+	sweepInterval = 100 * time.Millisecond
 )
 
 // Record is a record with a name that is unique among those of its type.
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -33,6 +33,7 @@
 	Drains               = "drains_total"
 	Crashes              = "crashes_total"
 	QuarantinedParts     = "quarantined_parts"
+	QuarantinedRequests  = "quarantined_requests"
 	LimitedTargets       = "limited_targets"
 )
 
@@ -86,7 +87,8 @@
 	{BundleDelaySeconds, Histogram, "seconds", nil, "Time from acceptance of a bundle until it is in force here."},
 	{Orders, Counter, "orders", []string{"result"}, "Orders to engines."},
 	{Drains, Counter, "drains", nil, "Drains begun."},
-	{Crashes, Counter, "crashes", []string{"service"}, "Requests under which a target crashed before it had answered them."},
+	{Crashes, Counter, "crashes", []string{"service"}, "Requests under which a target crashed before it had answered them whole."},
 	{QuarantinedParts, Gauge, "parts", nil, "Prompt parts that are kept away from targets."},
+	{QuarantinedRequests, Gauge, "requests", nil, "Requests that are kept away from targets."},
 	{LimitedTargets, Gauge, "targets", nil, "Targets that name a limit of requests."},
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -109,7 +109,7 @@
 	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries, receiver.WithLimits(e.permits))
 	e.applyLimits(cfg)
 	e.guard = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()))
-	e.warnings = recorder.New(e.store, log, e.guard.Group(), e.permits.Group())
+	e.warnings = recorder.New(e.store, log, append(e.guard.Groups(), e.permits.Group())...)
 	e.guard.OnChange(e.warnings.Wake)
 	e.permits.OnChange(e.warnings.Wake)
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool,
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -4,9 +4,9 @@
 // # Usage
 //
 //	w := warden.New(store, warden.WithLog(log))
-//	r := recorder.New(store, log, w.Group())
+//	r := recorder.New(store, log, w.Groups()...)
 //	w.OnChange(r.Wake)
-//	if v := w.Check("pool", parts); v.Outcome == quarantiner.Quarantined {
+//	if v := w.Check(subject); v.Outcome == quarantiner.Quarantined {
 //		// refuse the request
 //	}
 package warden
@@ -30,18 +30,21 @@
 // claimPause is the time to come back for a request that could not become the trial.
 const claimPause = time.Second
 
-// Warden keeps the quarantine of prompt parts of one instance. It is safe for concurrent
-// use.
+// Warden keeps the quarantine of prompt parts and requests of one instance. It is safe for
+// concurrent use.
 type Warden struct {
-	store    recorder.Store
-	group    *recorder.GroupOf[quarantiner.Record]
-	log      zerolog.Logger
-	scope    tally.Scope
-	onChange func()
+	store      recorder.Store
+	partGroup  *recorder.GroupOf[quarantiner.Record]
+	crashGroup *recorder.GroupOf[quarantiner.CrashRecord]
+	log        zerolog.Logger
+	scope      tally.Scope
+	onChange   func()
 
-	mu    sync.Mutex
-	state *quarantiner.Quarantine
-	shown map[quarantiner.Key]bool // quarantined parts that were logged
+	mu            sync.Mutex
+	parts         *quarantiner.Quarantine
+	crashes       *quarantiner.Crashes
+	shownParts    map[quarantiner.Key]bool // quarantined parts that were logged
+	shownRequests map[quarantiner.Fingerprint]bool
 }
 
 // Option changes a setting of a [Warden].
@@ -57,13 +60,13 @@
 func New(store recorder.Store, opts ...Option) *Warden {
 	w := &Warden{
 		store: store, log: zerolog.Nop(), scope: tally.NoopScope, onChange: func() {},
-		state: quarantiner.New(), shown: make(map[quarantiner.Key]bool),
+		parts: quarantiner.New(), crashes: quarantiner.NewCrashes(), shownParts: make(map[quarantiner.Key]bool), shownRequests: make(map[quarantiner.Fingerprint]bool),
 	}
-	w.group = recorder.NewGroup("part", func(use func(recorder.Records[quarantiner.Record])) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		use(w.state)
-		w.logChanges()
+	w.partGroup = recorder.NewGroup("part", func(use func(recorder.Records[quarantiner.Record])) {
+		w.locked(func() { use(w.parts) })
+	})
+	w.crashGroup = recorder.NewGroup("crash", func(use func(recorder.Records[quarantiner.CrashRecord])) {
+		w.locked(func() { use(w.crashes) })
 	})
 	for _, o := range opts {
 		o(w)
@@ -71,8 +74,16 @@
 	return w
 }
 
-// Group returns the shared records.
-func (w *Warden) Group() *recorder.GroupOf[quarantiner.Record] { return w.group }
+// locked calls a function that changes the state.
+func (w *Warden) locked(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+	w.logChanges()
+}
+
+// Groups returns the shared records.
+func (w *Warden) Groups() []recorder.Group { return []recorder.Group{w.partGroup, w.crashGroup} }
 
 // OnChange sets what is called when records are to be stored. It must be called before
 // the warden is used.
@@ -82,92 +93,187 @@
 func (w *Warden) Ready() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.state.Listed()
+	return w.parts.Listed() && w.crashes.Listed()
 }
 
-// Check says whether a request may be sent to a target of a service, without beginning a
-// trial.
-func (w *Warden) Check(service string, parts []uint64) quarantiner.Verdict {
+// Suspects reports whether any request is suspected, so that fingerprints matter.
+func (w *Warden) Suspects() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.state.Check(time.Now(), service, parts)
+	return w.crashes.Suspects()
+}
+
+// Check says whether a request may be sent to a target, without beginning a trial.
+func (w *Warden) Check(s quarantiner.Subject) quarantiner.Verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	part, request := w.verdicts(s)
+	return stricter(part, request)
+}
+
+// verdicts returns what is known of the parts of a request and of the request itself. The
+// caller holds the lock.
+func (w *Warden) verdicts(s quarantiner.Subject) (part, request quarantiner.Verdict) {
+	now := time.Now()
+	return w.parts.Check(now, s.Service, s.Parts), w.crashes.Check(now, s.Requests)
+}
+
+// stricter returns the verdict that allows less.
+func stricter(part, request quarantiner.Verdict) quarantiner.Verdict {
+	switch {
+	case part.Outcome == quarantiner.Quarantined && request.Outcome == quarantiner.Quarantined:
+		request.RetryAfter = max(part.RetryAfter, request.RetryAfter)
+		return request
+	case request.Outcome == quarantiner.Quarantined, part.Outcome == quarantiner.Allowed:
+		return request
+	}
+	return part
 }
 
 // Admit is Check for a request that is sent at once. If a trial is due and no other
 // instance begins it, the request is the trial and the outcome is TrialDue.
-func (w *Warden) Admit(ctx context.Context, service string, parts []uint64) quarantiner.Verdict {
+func (w *Warden) Admit(ctx context.Context, s quarantiner.Subject) quarantiner.Verdict {
 	w.mu.Lock()
-	v := w.state.Check(time.Now(), service, parts)
+	part, request := w.verdicts(s)
+	w.mu.Unlock()
+	v := stricter(part, request)
 	if v.Outcome != quarantiner.TrialDue {
-		w.mu.Unlock()
 		return v
 	}
-	claim, ok := w.state.BeginTrial(v.Key)
+	claimed := true
+	if request.Outcome == quarantiner.TrialDue {
+		claimed = claim[quarantiner.CrashRecord]{
+			what: "request", log: w.logRequest(request.Fingerprint), group: w.crashGroup, records: w.crashes,
+			begin: func() (quarantiner.CrashWrite, bool) { return w.crashes.BeginTrial(request.Fingerprint) },
+			end:   func() { w.crashes.EndClaim(request.Fingerprint) },
+		}.store(ctx, w)
+	}
+	if claimed && part.Outcome == quarantiner.TrialDue {
+		claimed = claim[quarantiner.Record]{
+			what: "prompt part", log: w.logPart(part.Key), group: w.partGroup, records: w.parts,
+			begin: func() (quarantiner.Write, bool) { return w.parts.BeginTrial(part.Key) },
+			end:   func() { w.parts.EndClaim(part.Key) },
+		}.store(ctx, w)
+	}
+	if !claimed {
+		v.Outcome, v.RetryAfter = quarantiner.Quarantined, claimPause
+	}
+	return v
+}
+
+// claim is the claim of a trial by a write to a record of type R.
+type claim[R recorder.Record] struct {
+	what    string // what is tried
+	log     zerolog.Logger
+	group   *recorder.GroupOf[R]
+	records recorder.Records[R]
+	begin   func() (recorder.Write[R], bool)
+	end     func()
+}
+
+// store makes the write. It returns false if the trial is not this instance's to make.
+func (c claim[R]) store(ctx context.Context, w *Warden) bool {
+	w.mu.Lock()
+	write, ok := c.begin()
 	w.mu.Unlock()
-	refusal := quarantiner.Verdict{Outcome: quarantiner.Quarantined, Key: v.Key, RetryAfter: claimPause}
 	if !ok {
-		return refusal
+		return false
 	}
-	stored, err := w.group.Put(ctx, w.store, claim)
+	stored, err := c.group.Put(ctx, w.store, write)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if stored.Version > 0 {
-		w.state.Observe(time.Now(), stored.Version, stored.Record)
+		c.records.Observe(time.Now(), stored.Version, stored.Record)
 	}
-	w.state.EndClaim(v.Key)
-	if err != nil {
-		if !errors.Is(err, storer.ErrConflict) {
-			w.logKey(v.Key).Err(err).Msg("trial of a quarantined prompt part not claimed")
-		}
-		return refusal
+	c.end()
+	switch {
+	case err == nil:
+		c.log.Warn().Msg("trial of a quarantined " + c.what + " begins")
+	case !errors.Is(err, storer.ErrConflict):
+		c.log.Warn().Err(err).Msg("trial of a quarantined " + c.what + " not claimed")
 	}
-	w.logKey(v.Key).Int("trial", claim.Record.Trials).Msg("trial of a quarantined prompt part begins")
-	return v
+	return err == nil
 }
 
-// RecordAnswer records that a target has answered a request.
-func (w *Warden) RecordAnswer(service string, parts []uint64) {
-	w.update(func() bool { return w.state.RecordAnswer(time.Now(), service, parts) })
+// RecordAnswer records that a target has answered a request, so that no part of its prompt
+// crashes targets.
+func (w *Warden) RecordAnswer(s quarantiner.Subject) {
+	w.update(0, func() bool { return w.parts.RecordAnswer(time.Now(), s.Service, s.Parts) })
 }
 
-// RecordCrash records the end of a target that was about to answer a request.
-func (w *Warden) RecordCrash(r quarantiner.Report) {
-	w.update(func() bool { return w.state.RecordCrash(time.Now(), r) })
+// RecordWhole records that a target has answered a request whole.
+func (w *Warden) RecordWhole(s quarantiner.Subject) {
+	w.update(0, func() bool { return w.crashes.RecordAnswer(time.Now(), s.Requests) })
 }
 
-// update changes the state, which says whether records are to be stored.
-func (w *Warden) update(change func() bool) {
-	w.mu.Lock()
-	changed := change()
-	if changed {
-		w.logChanges()
+// RecordCrash records the end of a target that had not answered a request. about says that
+// it was about to answer, so that a part of the prompt may be the cause.
+func (w *Warden) RecordCrash(r quarantiner.Report, about bool) {
+	w.update(quarantiner.CrashWriteDelay, func() bool { return w.crashes.RecordCrash(time.Now(), r) })
+	if about {
+		w.update(0, func() bool { return w.parts.RecordCrash(time.Now(), r) })
 	}
-	w.mu.Unlock()
-	if changed {
+}
+
+// update changes the state. The change says whether records are to be stored, which is
+// done after a delay.
+func (w *Warden) update(delay time.Duration, change func() bool) {
+	changed := false
+	w.locked(func() { changed = change() })
+	switch {
+	case changed && delay > 0:
+		time.AfterFunc(delay, w.onChange)
+	case changed:
 		w.onChange()
 	}
 }
 
-// logChanges logs which parts have come into quarantine or out of it. The caller holds
-// the lock.
+// logChanges logs what has come into quarantine or out of it. The caller holds the lock.
 func (w *Warden) logChanges() {
-	now := make(map[quarantiner.Key]bool)
-	for _, k := range w.state.Quarantined() {
-		now[k] = true
-		if !w.shown[k] {
-			w.logKey(k).Msg("prompt part quarantined; targets crash under it")
+	logDifference(w.shownParts, w.parts.Quarantined(), func(k quarantiner.Key, in bool) {
+		log := w.logPart(k)
+		if in {
+			log.Warn().Msg("prompt part quarantined; targets crash under it")
+		} else {
+			log.Warn().Msg("prompt part released")
+		}
+	})
+	logDifference(w.shownRequests, w.crashes.Quarantined(), func(f quarantiner.Fingerprint, in bool) {
+		log := w.logRequest(f)
+		if in {
+			log.Warn().Msg("request quarantined; targets crash under it")
+		} else {
+			log.Warn().Msg("request released")
+		}
+	})
+	w.scope.Gauge(reporter.QuarantinedParts).Update(float64(len(w.shownParts)))
+	w.scope.Gauge(reporter.QuarantinedRequests).Update(float64(len(w.shownRequests)))
+}
+
+// logDifference calls a function for what is new in a list or no longer in it, and changes
+// shown to the list.
+func logDifference[K comparable](shown map[K]bool, list []K, log func(k K, in bool)) {
+	now := make(map[K]bool, len(list))
+	for _, k := range list {
+		if now[k] = true; !shown[k] {
+			shown[k] = true
+			log(k, true)
 		}
 	}
-	for k := range w.shown {
+	for k := range shown {
 		if !now[k] {
-			w.logKey(k).Msg("prompt part released")
+			delete(shown, k)
+			log(k, false)
 		}
 	}
-	w.shown = now
-	w.scope.Gauge(reporter.QuarantinedParts).Update(float64(len(now)))
 }
 
-// logKey returns a log line about a part.
-func (w *Warden) logKey(k quarantiner.Key) *zerolog.Event {
-	return w.log.Warn().Str("service", k.Service).Str("part", strconv.FormatUint(k.Part, 16))
+// logPart returns a log about a part.
+func (w *Warden) logPart(k quarantiner.Key) zerolog.Logger {
+	return w.log.With().Str("service", k.Service).Str("part", strconv.FormatUint(k.Part, 16)).Logger()
+}
+
+// logRequest returns a log about a request.
+func (w *Warden) logRequest(f quarantiner.Fingerprint) zerolog.Logger {
+	return w.log.With().Stringer("fingerprint", f).Logger()
 }
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	store := platform.NewStore(addr, platformtest.Direct{Addr: addr, Limit: 300 * time.Millisecond})
 	w := warden.New(store)
-	r := recorder.New(store, zerolog.Nop(), w.Group())
+	r := recorder.New(store, zerolog.Nop(), w.Groups()...)
 	w.OnChange(r.Wake)
 	go r.Run(t.Context())
 	go follower.New(store, recorder.Kind, r).Run(t.Context())
@@ -46,8 +46,16 @@
 // restored from a copy without them; against an answer that only one instance notices,
 // and against an object that cannot be read.
 func TestSharedQuarantine(t *testing.T) {
-	parts := []uint64{1, 0xdead, 3}
-	tests := []struct {
+	type quarantined struct {
+		name    string
+		subject quarantiner.Subject
+		answer  func(*warden.Warden, quarantiner.Subject)
+	}
+	kinds := []quarantined{
+		{"part", quarantiner.Subject{Service: "pool", Parts: []uint64{1, 0xdead, 3}}, (*warden.Warden).RecordAnswer},
+		{"request", quarantiner.Subject{Service: "pool", Requests: []quarantiner.Fingerprint{2, 4}}, (*warden.Warden).RecordWhole},
+	}
+	faults := []struct {
 		name   string
 		faults platformtest.Faults // while the crashes are recorded
 	}{
@@ -57,49 +65,55 @@
 		{name: "silent store", faults: platformtest.Faults{Unresponsive: true}},
 		{name: "refusing store", faults: platformtest.Faults{Status: 503}},
 	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
-			s, addr := platformtest.Start(t)
-			s.StartEras()
-			s.Put(recorder.Kind, "part.pool.zzz", map[string]any{"service": 7})
-			empty := s.Copy()
-			instances := []*warden.Warden{start(t, addr), start(t, addr), start(t, addr)}
-			outcomes := func(want quarantiner.Outcome) func() bool {
-				return func() bool {
-					for _, w := range instances {
-						if w.Check("pool", parts).Outcome != want {
-							return false
-						}
-					}
-					return true
-				}
-			}
-			s.SetFaults(tt.faults)
-			var wg sync.WaitGroup
-			for i, w := range instances {
-				wg.Go(func() {
-					w.RecordCrash(quarantiner.Report{Service: "pool", Target: fmt.Sprint("i-", i), Begun: true, Parts: parts})
-				})
-			}
-			wg.Wait()
-			time.AfterFunc(time.Second, func() { s.SetFaults(platformtest.Faults{}) })
-			eventually(t, "three crashes, one at each instance, quarantine the part", outcomes(quarantiner.Quarantined))
-			s.Restore(empty)
-			time.Sleep(500 * time.Millisecond)
-			instances = append(instances, start(t, addr))
-			eventually(t, "the quarantine outlasts a restore of the store", outcomes(quarantiner.Quarantined))
-			removed := func() bool { return len(s.Get(recorder.Kind, "part.pool.dead")) == 0 }
-			eventually(t, "answers at one instance release the part everywhere", func() bool {
-				// One answer counts against the crashes that the instance knows then.
-				instances[1].RecordAnswer("pool", parts)
-				return outcomes(quarantiner.Allowed)() && removed()
+	for _, tt := range faults {
+		for _, kind := range kinds {
+			t.Run(kind.name+", "+tt.name, func(t *testing.T) {
+				t.Parallel()
+				testSharedQuarantine(t, tt.faults, kind.subject, kind.answer)
 			})
-			time.Sleep(watchWait) // until the last instance has noticed the restore
-			if !outcomes(quarantiner.Allowed)() {
-				t.Error("the part is in quarantine again")
+		}
+	}
+}
+
+func testSharedQuarantine(t *testing.T, faults platformtest.Faults, subject quarantiner.Subject, answer func(*warden.Warden, quarantiner.Subject)) {
+	s, addr := platformtest.Start(t)
+	s.StartEras()
+	s.Put(recorder.Kind, "part.pool.zzz", map[string]any{"service": 7})
+	empty := s.Copy()
+	instances := []*warden.Warden{start(t, addr), start(t, addr), start(t, addr)}
+	outcomes := func(want quarantiner.Outcome) func() bool {
+		return func() bool {
+			for _, w := range instances {
+				if w.Check(subject).Outcome != want {
+					return false
+				}
 			}
-			eventually(t, "the record stays removed", removed)
+			return true
+		}
+	}
+	s.SetFaults(faults)
+	var wg sync.WaitGroup
+	for i, w := range instances {
+		wg.Go(func() {
+			w.RecordCrash(quarantiner.Report{Service: "pool", Target: fmt.Sprint("i-", i), Begun: true, Parts: subject.Parts, Requests: subject.Requests}, true)
 		})
 	}
+	wg.Wait()
+	time.AfterFunc(time.Second, func() { s.SetFaults(platformtest.Faults{}) })
+	eventually(t, "three crashes, one at each instance, lead to a quarantine", outcomes(quarantiner.Quarantined))
+	s.Restore(empty)
+	time.Sleep(500 * time.Millisecond)
+	instances = append(instances, start(t, addr))
+	eventually(t, "the quarantine outlasts a restore of the store", outcomes(quarantiner.Quarantined))
+	removed := func() bool { return s.Count(recorder.Kind) == 1 } // the one that cannot be read
+	eventually(t, "answers at one instance end it everywhere", func() bool {
+		// One answer counts against the crashes that the instance knows then.
+		answer(instances[1], subject)
+		return outcomes(quarantiner.Allowed)() && removed()
+	})
+	time.Sleep(watchWait) // until the last instance has noticed the restore
+	if !outcomes(quarantiner.Allowed)() {
+		t.Error("the quarantine is back")
+	}
+	eventually(t, "the records stay removed", removed)
 }
