--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -27,6 +27,7 @@
 	Service     string
 	Addr        string
 	Centre      string
+	Version     string // of its software, empty if it does not say
 	Slots       int
 	Incarnation int64         // distinguishes incarnations that share an ID
 	Warmup      time.Duration // warm-up time that was left when the registration was written
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -39,7 +39,7 @@
 		if !load.At.IsZero() {
 			e.Int64("loadage", j.lastTarget.ChosenAt.Sub(load.At).Milliseconds())
 		}
-		e.Str("target", j.lastTarget.Target.ID).Str("addr", j.lastTarget.Target.Addr).Str("reason", j.lastTarget.Choice.Reason).
+		e.Str("version", j.lastTarget.Target.Version).Str("target", j.lastTarget.Target.ID).Str("addr", j.lastTarget.Target.Addr).Str("reason", j.lastTarget.Choice.Reason).
 			Int64("expected", j.lastTarget.Choice.Wait.Milliseconds()).Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events)
 	}
 	switch {
@@ -49,6 +49,9 @@
 	default:
 		e.Str("part", partName(j.quarantined.Key.Part))
 	}
+	if j.meta.FirstAttempt != "" {
+		e.Str("resumes", j.meta.FirstAttempt).Str("after", j.meta.LastEventID)
+	}
 	if !j.summary.firstByteAt.IsZero() {
 		e.Int64("first", j.summary.firstByteAt.Sub(j.arrived).Milliseconds())
 	}
@@ -60,7 +63,7 @@
 
 // logFailedAttempt logs an attempt without a delivered response and counts its retry.
 func (j *job) logFailedAttempt(res attemptResult, v retrier.Verdict) {
-	e := j.r.log.Info().Str("id", j.meta.ID).Str("target", j.lastTarget.Target.ID).Str("addr", j.lastTarget.Target.Addr).
+	e := j.r.log.Info().Str("id", j.meta.ID).Str("target", j.lastTarget.Target.ID).Str("addr", j.lastTarget.Target.Addr).Str("version", j.lastTarget.Target.Version).
 		Str("reason", j.lastTarget.Choice.Reason).Int64("expected", j.lastTarget.Choice.Wait.Milliseconds()).
 		Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events).
 		Str("outcome", string(causeOf(res))).Int("status", res.status).Bool("repeat", v.Retry).Str("verdict", v.Reason).
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -75,6 +75,7 @@
 	ExpectedOutputTokens int64 // estimate of the caller, 0: none
 	Parts                []Part
 	LastEventID          string // ID of the event after which the stream resumes
+	FirstAttempt         string // ID of the caller's attempt that brought the first event of the stream, empty: not said
 }
 
 // ForwardMeta holds the headers that are added to a request to a target.
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -96,7 +96,7 @@
 				r.Remove(time.Now(), t.ID)
 			}
 		})
-		h.e.log.Info().Str("target", c.Item.Key).Str("service", t.Service).Str("addr", t.Addr).Bool("leaving", t.Leaving).
+		h.e.log.Info().Str("target", c.Item.Key).Str("service", t.Service).Str("addr", t.Addr).Str("version", t.Version).Bool("leaving", t.Leaving).
 			Bool("listed", ok).Uint64("revision", c.Item.Version).Msg("target changed")
 	}
 }
