--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -58,6 +58,8 @@
 	accountRetryBurst = 10
 )
 
+var errAborted = errors.New("aborted")
+
 // entry is an entry process on the platform.
 type entry struct {
 	cfg           platform.Settings                 // as loaded at the start
@@ -76,7 +78,9 @@
 	pool          *forwarder.Pool
 	metrics       *reporter.Reporter
 	callers       *http.Server
-	targetsListed atomic.Bool // the targets were listed at least once
+	targetsListed atomic.Bool   // the targets were listed at least once
+	aborted       chan struct{} // closed to end without a graceful shutdown, as in a crash
+	servers       []*http.Server
 	stopping      atomic.Bool
 	relayInputs   struct { // inputs of the last relay list; used by tick only
 		rosterVersion int64
@@ -91,7 +95,7 @@
 	retries := retrier.New(source, retrier.WithRefusalsCounted(),
 		retrier.WithRatios(0, 1), retrier.WithBursts(1, accountRetryBurst))
 	e := &entry{
-		cfg: cfg, path: path, log: log, logWriter: lines,
+		cfg: cfg, path: path, log: log, logWriter: lines, aborted: make(chan struct{}),
 		paths: newPaths(cfg.Store.Addr, log),
 		pool:  forwarder.New(platform.RequestID),
 	}
@@ -143,11 +147,21 @@
 	select {
 	case <-ctx.Done():
 		return e.stop(cancel)
+	case <-e.aborted:
+		e.closeAbruptly()
+		return errAborted
 	case err := <-failed:
 		return err
 	}
 }
 
+// closeAbruptly closes all listeners and connections.
+func (e *entry) closeAbruptly() {
+	for _, s := range e.servers {
+		_ = s.Close()
+	}
+}
+
 // listen opens the listeners for callers, readiness probes, peers and metrics, and
 // starts their servers.
 func (e *entry) listen(failed chan<- error) error {
@@ -173,6 +187,7 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", s.addr, err)
 		}
+		e.servers = append(e.servers, s.server)
 		go func() {
 			if err := s.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("serve %s: %w", s.addr, err)
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,6 +32,7 @@
 	runners []*fleetRunner
 	callers []string          // addresses of the entries
 	stops   map[string]func() // by address of the entry
+	kills   map[string]func() // the same without a graceful shutdown
 	logs    []*syncBuffer
 	nextID  atomic.Int64
 	nextIP  int
@@ -58,7 +60,7 @@
 // responses.
 func startFleet(t *testing.T, entries, runners int, respond func(runner int, req platformtest.Request) platformtest.Response) *fleet {
 	t.Helper()
-	f := &fleet{t: t, stops: make(map[string]func()), nextIP: int(lastNetwork.Add(1)) << 8}
+	f := &fleet{t: t, stops: make(map[string]func()), kills: make(map[string]func()), nextIP: int(lastNetwork.Add(1)) << 8}
 	f.store, f.addr = platformtest.Start(t)
 	for range runners {
 		f.addRunner("s1", respond)
@@ -113,13 +115,14 @@
 	go func() { done <- e.run(ctx, nil) }()
 	stop := sync.OnceFunc(func() {
 		cancel()
-		if err := <-done; err != nil {
+		if err := <-done; err != nil && !errors.Is(err, errAborted) {
 			f.t.Errorf("%s: %v", cfg.Name, err)
 		}
 		lines.Close()
 	})
 	f.t.Cleanup(stop)
 	f.stops[cfg.Listen.Callers] = stop
+	f.kills[cfg.Listen.Callers] = func() { close(e.aborted); stop() }
 	f.callers, f.logs = append(f.callers, cfg.Listen.Callers), append(f.logs, out)
 	eventually(f.t, cfg.Name+" becomes ready", func() bool {
 		res, err := http.Get("http://" + cfg.Listen.Ready + platform.ReadyPath)
@@ -140,6 +143,16 @@
 	wg.Wait()
 }
 
+// kill ends all entries at once, as a loss of power does. Nobody is told of it.
+func (f *fleet) kill() {
+	var wg sync.WaitGroup
+	for _, addr := range f.callers {
+		wg.Go(f.kills[addr])
+	}
+	f.callers = nil
+	wg.Wait()
+}
+
 // editedSettings writes the settings of an entry of a fleet.
 func editedSettings(t *testing.T, store, ip string) string {
 	t.Helper()
