--- a/internal/logger/async.go
+++ b/internal/logger/async.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -11,6 +12,9 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
+
+	mu     sync.RWMutex // held by writes, and exclusively while the buffer is closed
+	closed bool
 }
 
 // NewAsyncWriter returns a writer to w that buffers up to n lines.
@@ -25,8 +29,14 @@
 	return a
 }
 
-// Write queues a line. It drops the line if the buffer is full.
+// Write queues a line. It drops the line if the buffer is full or closed.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.closed {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
@@ -38,9 +48,14 @@
 // Dropped returns the number of lines dropped so far.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
-// Close writes the buffered lines and waits until it is done. Write must not be
-// called afterwards.
+// Close writes the buffered lines and waits until it is done. Lines that are written
+// afterwards, by requests that outlast a shutdown, are dropped.
 func (a *AsyncWriter) Close() {
-	close(a.lines)
+	a.mu.Lock()
+	if !a.closed {
+		a.closed = true
+		close(a.lines)
+	}
+	a.mu.Unlock()
 	<-a.done
 }
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -88,3 +88,16 @@
 		}
 	}
 }
+
+// Guards against a panic of a request that ends after the log was closed at a shutdown.
+func TestWriteAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out, 4)
+	_, _ = w.Write([]byte("a\n"))
+	w.Close()
+	_, _ = w.Write([]byte("b\n"))
+	w.Close()
+	if out.String() != "a\n" || w.Dropped() != 1 {
+		t.Errorf("wrote %q, dropped %d lines", out.String(), w.Dropped())
+	}
+}
