Go on with a stream only at the software version that began it

Cause: a target was chosen by what had been tried, not by what had written the first events, and where a stream began was known to no one but the instance that served it. The class: state that outlives a process (a stream of several client attempts) kept only in that process, and targets taken for interchangeable that are not.

Change: a list of versions in the store, written before the first stream at a version; while it has several, notes of where each stream began; a stream whose origin is unknown or no longer serves is refused as not run.

Evidence: TestStreamKeepsVersion failed before (76 of 559 streams joined) and passes, with 41 of 41 streams gone on with that were taken up while two versions serve. TestOriginOfStreams with 2, 4 and 300 instances: none wrong.

--- a/internal/analyzer/types.go
+++ b/internal/analyzer/types.go
@@ -42,7 +42,8 @@
 	"budgets recovered": "budgets", "peer lends nothing": "peer",
 	"prompt part quarantined; targets crash under it": "part", "prompt part released": "part", "trial of a quarantined prompt part begins": "trial",
 	"request quarantined; targets crash under it": "suspected", "request released": "suspected", "trial of a quarantined request begins": "requesttrial",
-	"target limited": "limit", "target no longer limited": "limit", "peer gives no permits": "permit",
+	"versions of streams changed": "versions",
+	"target limited":              "limit", "target no longer limited": "limit", "peer gives no permits": "permit",
 	"target changed": "target", "target gone": "target", "target replaced at its address": "target",
 }
 
--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -16,6 +16,7 @@
 func (j *job) serve() {
 	// Replaces the write deadline that the previous request set on this connection.
 	_ = http.NewResponseController(j.w).SetWriteDeadline(j.arrived.Add(defaultTimeout))
+	defer j.endOrigin()
 	if j.prepare() && j.reserve() {
 		j.run()
 		j.settle()
@@ -30,7 +31,7 @@
 	switch {
 	case j.r.closing.Load():
 		return j.refuse(http.StatusServiceUnavailable, Stopping, meanRetryDelay)
-	case j.table == nil || !j.r.budgets.Ready() || !j.r.guard.Ready():
+	case j.table == nil || !j.r.budgets.Ready() || !j.r.guard.Ready() || !j.r.streams.Ready():
 		return j.refuse(http.StatusServiceUnavailable, Starting, meanRetryDelay)
 	case err != nil:
 		j.summary.failure = err
@@ -66,7 +67,7 @@
 	if v := j.r.guard.Check(j.subject()); v.Outcome == quarantiner.Quarantined {
 		return j.refuseCrashing(v)
 	}
-	return true
+	return j.findOrigin()
 }
 
 // refuseCrashing refuses a request under which targets crash. It returns false, for use as
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -29,6 +29,8 @@
 	Busy               Cause = "busy"
 	Paused             Cause = "paused"
 	Crashing           Cause = "crashing"
+	VersionUnknown     Cause = "versionunknown"
+	VersionGone        Cause = "versiongone"
 	Limited            Cause = "limited"
 	Refused            Cause = "refused"
 	Unreachable        Cause = "unreachable"
@@ -64,6 +66,8 @@
 	Paused:             "was refused, because each target left to try had asked for a pause",
 	Limited:            "was refused, because the limits that the targets name were used up",
 	Crashing:           "was not sent to a target, because targets crash under a part of its prompt or under equal requests",
+	VersionUnknown:     "was refused, because the fleet does not know which software version began its stream",
+	VersionGone:        "was refused, because no target has the software version that began its stream",
 	Refused:            "was refused, because the targets did not run it",
 	Unreachable:        "was refused, because no target could be reached",
 	NoAnswer:           "failed, because the target did not answer and the request may not run again",
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -34,6 +34,7 @@
 	targets []follower.Target
 	service *resolver.Service
 	list    []chooser.Node
+	mixed   bool // the targets have different software versions
 }
 
 // ChosenTarget is the target of one attempt.
@@ -126,15 +127,15 @@
 	return fmt.Sprintf("limits of the targets are used up for %v", e.opensIn)
 }
 
-// Choose selects a target that has not been tried and records the request as sent
-// to it. It may refuse the first attempt of a request to an engine with an
+// Choose selects a target that has not been tried and has one of the software versions,
+// if any are given, and records the request as sent to it. It may refuse the first attempt of a request to an engine with an
 // overloadError, see [chooser.PrefillPolicy.Admit]; the returned target is then the
 // one that was considered.
-func (d *Dispatcher) Choose(now time.Time, service *resolver.Service, p chooser.PrefillRequest, tried []string, first bool) (ChosenTarget, error) {
+func (d *Dispatcher) Choose(now time.Time, service *resolver.Service, p chooser.PrefillRequest, tried, versions []string, first bool) (ChosenTarget, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := d.readyNodes(service)
-	unavailable := d.retries.AppendPaused(append(d.exclude[:0], tried...), now)
+	unavailable := d.retries.AppendPaused(n.appendUnfit(append(d.exclude[:0], tried...), versions), now)
 	unavailable = d.limits.AppendClosed(unavailable, now, service.Name, len(n.targets))
 	d.exclude = d.retries.AppendBlocked(unavailable, now)
 	p.Exclude = d.exclude
@@ -146,7 +147,7 @@
 		choice, ok = d.policy.Choose(now, p, n.list)
 	}
 	if !ok {
-		return ChosenTarget{}, d.noTargetError(now, n.targets, tried)
+		return ChosenTarget{}, d.noTargetError(now, n.fitting(versions), tried)
 	}
 	chosen := ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}
 	if service.Engine != nil && first {
@@ -216,6 +217,7 @@
 	}
 	n := serviceNodes{targets: ready, service: service, list: make([]chooser.Node, len(ready))}
 	for i, t := range ready {
+		n.mixed = n.mixed || t.Version != ready[0].Version
 		n.list[i] = chooser.Node{Name: t.ID, Place: chooser.Place{Centre: t.Centre, Region: d.regions[t.Centre]}, Slots: t.Slots}
 		if service.Engine != nil {
 			n.list[i].Memory = service.Engine.KVCapacity
@@ -225,6 +227,45 @@
 	return n
 }
 
+// appendUnfit appends the targets that have none of the versions. nil is any version.
+func (n serviceNodes) appendUnfit(list, versions []string) []string {
+	if versions == nil || !n.mixed && len(n.targets) > 0 && slices.Contains(versions, n.targets[0].Version) {
+		return list
+	}
+	for _, t := range n.targets {
+		if !slices.Contains(versions, t.Version) {
+			list = append(list, t.ID)
+		}
+	}
+	return list
+}
+
+// fitting returns the targets that have one of the versions.
+func (n serviceNodes) fitting(versions []string) []follower.Target {
+	if versions == nil {
+		return n.targets
+	}
+	return slices.DeleteFunc(slices.Clone(n.targets), func(t follower.Target) bool { return !slices.Contains(versions, t.Version) })
+}
+
+// Serves reports whether a service has a ready target of a software version.
+func (d *Dispatcher) Serves(service *resolver.Service, version string) bool {
+	return slices.Contains(d.Versions(service), version)
+}
+
+// Versions returns the software versions of the ready targets of a service.
+func (d *Dispatcher) Versions(service *resolver.Service) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var versions []string
+	for _, t := range d.readyNodes(service).targets {
+		if !slices.Contains(versions, t.Version) {
+			versions = append(versions, t.Version)
+		}
+	}
+	return versions
+}
+
 // sameSlice reports whether two slices share their elements.
 func sameSlice(a, b []follower.Target) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
--- /dev/null
+++ b/internal/receiver/lineage.go
@@ -0,0 +1,81 @@
+package receiver
+
+import (
+	"net/http"
+	"time"
+
+	"daisylane/internal/registrar"
+	"daisylane/internal/reporter"
+)
+
+// Results of streams that callers take up, as in metrics.
+const (
+	takeUpKnown   = "known"
+	takeUpUnknown = "unknown"
+	takeUpGone    = "gone"
+)
+
+// resumable reports whether the response is a stream that may be gone on with at another
+// target.
+func (j *job) resumable() bool { return j.route.Resumable }
+
+// takesUp reports whether the caller takes up a stream that has begun.
+func (j *job) takesUp() bool { return j.resumable() && j.meta.LastEventID != "" }
+
+// findOrigin restricts the targets to those whose software version fits the stream. It
+// returns false if it refused the request.
+func (j *job) findOrigin() bool {
+	if !j.resumable() {
+		return true
+	}
+	if !j.takesUp() {
+		j.versions = j.r.streams.Versions(j.req.Context(), j.service.Name)
+		return true
+	}
+	wait := min(time.Duration(originWaitShare*float64(j.route.LatencyTarget)), time.Until(j.deadline)/3)
+	o, err := j.r.streams.Origin(j.req.Context(), j.service.Name, j.meta.FirstAttempt, wait)
+	if err != nil {
+		j.summary.failure = err
+		j.countTakeUp(takeUpUnknown)
+		return j.refuse(http.StatusServiceUnavailable, VersionUnknown, jitter(meanRetryDelay))
+	}
+	return j.useOrigin(o)
+}
+
+// useOrigin makes the stream go on where it began. It returns false if it refused the
+// request.
+func (j *job) useOrigin(o registrar.Origin) bool {
+	service, ok := j.table.Service(o.Service)
+	if !ok || !j.route.Uses(o.Service) || !j.r.dispatcher.Serves(service, o.Version) {
+		j.countTakeUp(takeUpGone)
+		return j.refuse(http.StatusServiceUnavailable, VersionGone, jitter(versionGoneDelay))
+	}
+	j.countTakeUp(takeUpKnown)
+	j.service, j.versions, j.origin = service, []string{o.Version}, o
+	j.r.streams.Begin(j.meta.FirstAttempt, o)
+	return true
+}
+
+func (j *job) countTakeUp(result string) { j.incCounter(reporter.TakeUps, "result", result, 1) }
+
+// fixOrigin records where the stream begins. It is called before its first event is
+// delivered.
+func (j *job) fixOrigin(chosen ChosenTarget) {
+	if !j.resumable() || j.origin.Service != "" {
+		return
+	}
+	j.origin = registrar.Origin{Service: j.service.Name, Version: chosen.Target.Version}
+	j.versions = []string{j.origin.Version}
+	j.r.streams.Begin(j.meta.ID, j.origin)
+}
+
+// endOrigin records how the stream has ended.
+func (j *job) endOrigin() {
+	switch {
+	case j.origin.Service == "":
+	case j.takesUp():
+		j.r.streams.End(j.meta.FirstAttempt, j.summary.cause != Complete)
+	default:
+		j.r.streams.End(j.meta.ID, j.summary.cause != Complete)
+	}
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -13,6 +13,7 @@
 	"daisylane/internal/forwarder"
 	"daisylane/internal/granter"
 	"daisylane/internal/quarantiner"
+	"daisylane/internal/registrar"
 	"daisylane/internal/resolver"
 )
 
@@ -23,6 +24,7 @@
 	budgets    Budgets
 	pool       *forwarder.Pool
 	guard      Guard
+	streams    Streams
 	log        zerolog.Logger
 	scope      tally.Scope
 
@@ -42,12 +44,15 @@
 // WithGuard sets what keeps requests away from targets that they would crash.
 func WithGuard(g Guard) Option { return func(r *Receiver) { r.guard = g } }
 
+// WithStreams sets what knows where streams began. Without it, none is taken up.
+func WithStreams(s Streams) Option { return func(r *Receiver) { r.streams = s } }
+
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(r *Receiver) { r.scope = s } }
 
 // New returns a receiver. It refuses all requests until [Receiver.SetTable] is called.
 func New(codec Codec, d *Dispatcher, b Budgets, p *forwarder.Pool, opts ...Option) *Receiver {
-	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: noGuard{}, log: zerolog.Nop(), scope: tally.NoopScope}
+	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: noGuard{}, streams: noStreams{}, log: zerolog.Nop(), scope: tally.NoopScope}
 	for _, o := range opts {
 		o(r)
 	}
@@ -98,6 +103,8 @@
 	dials          int      // attempts that did not reach it
 	summary        requestSummary
 	stream         streamState
+	versions       []string         // software versions that targets may have, nil: any
+	origin         registrar.Origin // of the stream, if it is resumable and has begun
 	lastTarget     ChosenTarget
 	sharedParts    []uint64                  // IDs of the prompt parts, if targets may crash under one
 	fingerprints   []quarantiner.Fingerprint // nil: not computed yet
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -15,12 +15,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"daisylane/internal/chooser"
 	"daisylane/internal/granter"
 	"daisylane/internal/quarantiner"
+	"daisylane/internal/registrar"
 	"daisylane/internal/throttler"
 )
 
@@ -57,6 +59,12 @@
 	// Share of the latency objective that a request may wait for a permit to send it to a
 	// target with a limit.
 	permitWaitShare = 0.4
+	// Share of the latency objective that a caller may wait until the fleet knows where its
+	// stream began.
+	originWaitShare = 0.8
+	// Mean delay after which a caller should retry if no target has the software version of
+	// its stream. A crashed target needs some seconds to be back.
+	versionGoneDelay = 2 * time.Second
 	// Mean delay after which a caller should retry if no target has capacity.
 	meanRetryDelay = 400 * time.Millisecond
 )
@@ -174,6 +182,35 @@
 func (noLimits) RecordRequest(string)                                              {}
 func (noLimits) RecordLimit(throttler.Target, time.Time, *float64)                 {}
 
+// Streams knows at which software version streams began, on behalf of the fleet.
+type Streams interface {
+	Ready() bool
+	// Versions returns the versions at which a stream of a service may begin, nil for any.
+	Versions(ctx context.Context, service string) []string
+	// Origin returns where a stream began, given the ID of the caller's first attempt.
+	Origin(ctx context.Context, service, id string, wait time.Duration) (registrar.Origin, error)
+	// Begin records the origin of a stream before its first event is delivered, End that
+	// it has ended, completely or not.
+	Begin(id string, o registrar.Origin)
+	End(id string, broken bool)
+}
+
+// errNoStreams means that nothing is known about streams.
+var errNoStreams = errors.New("origins of streams are not kept")
+
+// noStreams lets new streams begin anywhere.
+type noStreams struct{}
+
+func (noStreams) Ready() bool                               { return true }
+func (noStreams) Versions(context.Context, string) []string { return nil }
+
+func (noStreams) Origin(context.Context, string, string, time.Duration) (registrar.Origin, error) {
+	return registrar.Origin{}, errNoStreams
+}
+
+func (noStreams) Begin(string, registrar.Origin) {}
+func (noStreams) End(string, bool)               {}
+
 // Budgets reserves prepaid tokens of client accounts.
 type Budgets interface {
 	Ready() bool
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -75,6 +75,11 @@
 	Remove(ctx context.Context, kind, name string, version uint64) (storer.Item, error)
 }
 
+// Reader reads single records.
+type Reader interface {
+	Get(ctx context.Context, kind, name string) (storer.Item, error)
+}
+
 // Group is the part of a [Recorder] for one type of records.
 type Group interface {
 	prefix() string
@@ -97,6 +102,19 @@
 
 func (g *GroupOf[R]) prefix() string { return g.kind + "." }
 
+// Get reads one record.
+func (g *GroupOf[R]) Get(ctx context.Context, s Reader, name string) (Stored[R], error) {
+	item, err := s.Get(ctx, Kind, g.prefix()+name)
+	if err != nil {
+		return Stored[R]{}, fmt.Errorf("read warning %s: %w", name, err)
+	}
+	r, err := g.decode(item)
+	if err != nil {
+		return Stored[R]{}, fmt.Errorf("decode warning %s: %w", name, err)
+	}
+	return Stored[R]{r, item.Version}, nil
+}
+
 // Put makes one write. With [storer.ErrConflict] it returns the current record, if the
 // store sent it.
 func (g *GroupOf[R]) Put(ctx context.Context, s Store, w Write[R]) (Stored[R], error) {
@@ -203,11 +221,12 @@
 	groups   []Group
 	signal   chan struct{}
 	restored bool // used by the calls of the follower only
+	onSync   func(now time.Time)
 }
 
 // New returns a recorder.
 func New(store Store, log zerolog.Logger, groups ...Group) *Recorder {
-	return &Recorder{store: store, log: log, groups: groups, signal: make(chan struct{}, 1)}
+	return &Recorder{store: store, log: log, groups: groups, signal: make(chan struct{}, 1), onSync: func(time.Time) {}}
 }
 
 // Wake makes Run look for changes that are due.
@@ -273,5 +292,9 @@
 	r.log.Warn().Msg("store was restored from an older copy; warnings are stored again")
 }
 
+// OnSync sets what is called when the view matched the store at a time. It must be called
+// before the recorder is used.
+func (r *Recorder) OnSync(f func(now time.Time)) { r.onSync = f }
+
 // Synced implements [follower.Handler].
-func (r *Recorder) Synced() {}
+func (r *Recorder) Synced() { r.onSync(time.Now()) }
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -34,6 +34,7 @@
 	Crashes              = "crashes_total"
 	QuarantinedParts     = "quarantined_parts"
 	QuarantinedRequests  = "quarantined_requests"
+	TakeUps              = "takeups_total"
 	LimitedTargets       = "limited_targets"
 )
 
@@ -90,5 +91,6 @@
 	{Crashes, Counter, "crashes", []string{"service"}, "Requests under which a target crashed before it had answered them whole."},
 	{QuarantinedParts, Gauge, "parts", nil, "Prompt parts that are kept away from targets."},
 	{QuarantinedRequests, Gauge, "requests", nil, "Requests that are kept away from targets."},
+	{TakeUps, Counter, "streams", []string{"result"}, "Streams that callers take up again, by whether their origin is known and still serves."},
 	{LimitedTargets, Gauge, "targets", nil, "Targets that name a limit of requests."},
 }
--- a/internal/resolver/queries.go
+++ b/internal/resolver/queries.go
@@ -68,6 +68,9 @@
 	return nil, false
 }
 
+// Routes returns all routes.
+func (t *Table) Routes() []Route { return t.cfg.Routes }
+
 // Services returns all services. The caller must not modify the slice.
 func (t *Table) Services() []Service { return t.cfg.Services }
 
--- a/internal/resolver/types.go
+++ b/internal/resolver/types.go
@@ -12,6 +12,7 @@
 package resolver
 
 import (
+	"slices"
 	"time"
 
 	"daisylane/internal/checker"
@@ -82,6 +83,11 @@
 	return sum
 }
 
+// Uses reports whether requests of the route may go to a service.
+func (r Route) Uses(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // ServiceAt returns the service for a number n from 0 to [Route.TotalWeight]-1. Each
 // service has as many of these numbers as its weight. It returns "" if all weights are 0.
 func (r Route) ServiceAt(n int) string {
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"daisylane/internal/accountant"
+	"daisylane/internal/archiver"
 	"daisylane/internal/chooser"
 	"daisylane/internal/follower"
 	"daisylane/internal/forwarder"
@@ -72,6 +73,7 @@
 	accounting    *accountant.Accountant
 	warnings      *recorder.Recorder
 	guard         *warden.Warden
+	streams       *archiver.Archiver
 	permits       *permitter.Permitter
 	dispatcher    *receiver.Dispatcher
 	receiver      *receiver.Receiver
@@ -113,11 +115,14 @@
 	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries, receiver.WithLimits(e.permits))
 	e.applyLimits(cfg)
 	e.guard = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()))
-	e.warnings = recorder.New(e.store, log, append(e.guard.Groups(), e.permits.Group())...)
+	e.streams = archiver.New(e.store, cfg.Name+"-"+cfg.Addr, archiver.WithLog(log), archiver.WithFleetSize(e.accounting.InstanceCount))
+	e.warnings = recorder.New(e.store, log, append(e.guard.Groups(), e.permits.Group(), e.streams.Group())...)
 	e.guard.OnChange(e.warnings.Wake)
 	e.permits.OnChange(e.warnings.Wake)
+	e.streams.OnChange(e.warnings.Wake)
+	e.warnings.OnSync(e.streams.RecordContact)
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool,
-		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithScope(e.metrics.Scope()))
+		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()))
 	return e
 }
 
@@ -142,6 +147,7 @@
 	go follower.New(e.store, recorder.Kind, e.warnings, follower.WithWait(follower.WatchWait(e.cfg.WarningDelay()))).Run(work)
 	go e.warnings.Run(work)
 	go e.permits.Run(work)
+	go e.streams.Run(work)
 	go e.tick(work)
 	go e.watchSettings(work, reload)
 	select {
@@ -200,7 +206,7 @@
 // handleReadiness responds to the load balancer's readiness probe: 503 while this
 // instance takes no new connections.
 func (e *entry) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || !e.targetsListed.Load() || e.receiver.Table() == nil || !e.accounting.Ready() || !e.guard.Ready() {
+	if e.stopping.Load() || !e.targetsListed.Load() || e.receiver.Table() == nil || !e.accounting.Ready() || !e.guard.Ready() || !e.streams.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -224,6 +230,7 @@
 		e.dispatcher.SetBurst(e.settings.Load().Bounds.RetryReserve * usableRetryRatio / float64(max(1, instances)))
 		e.pool.CloseExpired(now)
 		e.updateRelays()
+		e.updateStreams()
 		if path, due := e.paths.probe(ctx); due {
 			// The Done function of the path records the result.
 			go func() { _ = e.store.Probe(path) }()
@@ -244,6 +251,32 @@
 	e.paths.setRelays(e.relayAddrs(table))
 }
 
+// updateStreams tells which software versions serve the routes whose streams may be
+// resumed.
+func (e *entry) updateStreams() {
+	table := e.receiver.Table()
+	if table == nil || !e.targetsListed.Load() {
+		return
+	}
+	services := make(map[string]bool)
+	var longest time.Duration
+	for _, r := range table.Routes() {
+		if !r.Resumable {
+			continue
+		}
+		longest = max(longest, r.Timeout)
+		for _, s := range r.Shares {
+			services[s.Service] = true
+		}
+	}
+	e.streams.SetLifetime(longest)
+	for name := range services {
+		if s, ok := table.Service(name); ok {
+			e.streams.SetServing(name, e.dispatcher.Versions(s))
+		}
+	}
+}
+
 // relayAddrs returns the addresses of the relays beside the targets of engine
 // services, those of this instance's region first.
 func (e *entry) relayAddrs(table *resolver.Table) []string {
@@ -303,6 +336,9 @@
 		e.log.Warn().Int64("inflight", e.receiver.InFlight()).Err(err).Msg("requests did not finish in time")
 	}
 	cancel()
+	if err := e.streams.Close(ctx); err != nil {
+		e.log.Warn().Err(err).Msg("notes of streams not stored; callers cannot take these streams up while versions are mixed")
+	}
 	if err := e.accounting.Close(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("tokens not returned; the next process of this instance takes them over")
 	}
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -36,6 +36,9 @@
 	logs    []*syncBuffer
 	nextID  atomic.Int64
 	nextIP  int
+
+	mu       sync.Mutex
+	versions map[string]string // software versions by name of the runner
 }
 
 // fleetRunner is a runner that can start again under another ID.
@@ -60,7 +63,7 @@
 // responses.
 func startFleet(t *testing.T, entries, runners int, respond func(runner int, req platformtest.Request) platformtest.Response) *fleet {
 	t.Helper()
-	f := &fleet{t: t, stops: make(map[string]func()), kills: make(map[string]func()), nextIP: int(lastNetwork.Add(1)) << 8}
+	f := &fleet{t: t, stops: make(map[string]func()), kills: make(map[string]func()), versions: make(map[string]string), nextIP: int(lastNetwork.Add(1)) << 8}
 	f.store, f.addr = platformtest.Start(t)
 	for range runners {
 		f.addRunner("s1", respond)
@@ -78,6 +81,12 @@
 
 // addRunner adds a runner to a service. The function computes its responses.
 func (f *fleet) addRunner(service string, respond func(runner int, req platformtest.Request) platformtest.Response) {
+	f.t.Helper()
+	f.addRunnerAt(service, "v1", respond)
+}
+
+// addRunnerAt adds a runner of a software version.
+func (f *fleet) addRunnerAt(service, version string, respond func(runner int, req platformtest.Request) platformtest.Response) {
 	f.t.Helper()
 	i := len(f.runners)
 	fr := &fleetRunner{id: fmt.Sprintf("i-%d-0", i), service: service}
@@ -91,8 +100,11 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(r.Close)
-	fr.runner = r
+	fr.runner, r.Version = r, version
 	f.runners = append(f.runners, fr)
+	f.mu.Lock()
+	f.versions[fr.id] = version
+	f.mu.Unlock()
 	f.store.Put(platform.KindRunners, fr.id, r.Registration(service, "a"))
 }
 
--- a/internal/starter/version_test.go
+++ b/internal/starter/version_test.go
@@ -32,7 +32,8 @@
 	answers  []int       // statuses
 }
 
-var pieceVersion = regexp.MustCompile(`^data: piece (\d+) of \S+ at (\S+) for`)
+// piece has the number of an event and the name of the runner that wrote it.
+var piece = regexp.MustCompile(`^data: piece (\d+) of (\S+) for`)
 
 // takeStream requests a stream and takes it up again at another entry when it breaks off.
 func (f *fleet) takeStream(callers func() []string) takenStream {
@@ -95,7 +96,7 @@
 	}
 	lines := bufio.NewScanner(res.Body)
 	for lines.Scan() {
-		m := pieceVersion.FindStringSubmatch(lines.Text())
+		m := piece.FindStringSubmatch(lines.Text())
 		if m == nil {
 			continue
 		}
@@ -103,13 +104,20 @@
 		if n != *last+1 {
 			f.t.Errorf("event %d follows event %d", n, *last)
 		}
-		if *last = n; !slices.Contains(s.versions, m[2]) {
-			s.versions = append(s.versions, m[2])
+		if *last = n; !slices.Contains(s.versions, f.version(m[2])) {
+			s.versions = append(s.versions, f.version(m[2]))
 		}
 	}
 	return res.StatusCode, lines.Err() == nil
 }
 
+// version returns the software version of a runner.
+func (f *fleet) version(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.versions[name]
+}
+
 // versionTrial is the traffic of streams over a fleet whose runners change their version.
 type versionTrial struct {
 	f       *fleet
@@ -157,10 +165,7 @@
 // release adds runners of a version.
 func (v *versionTrial) release(n int, version string) {
 	for range n {
-		v.f.addRunner("s1", v.respond)
-		fr := v.f.runners[len(v.f.runners)-1]
-		fr.runner.Version = version
-		v.f.store.Put(platform.KindRunners, fr.id, fr.runner.Registration("s1", "a"))
+		v.f.addRunnerAt("s1", version, v.respond)
 	}
 }
 
