--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -12,6 +12,7 @@
 
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
+	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
 )
 
@@ -55,6 +56,9 @@
 		if run.GetClaim() != "" {
 			end.Outcome = outcomeUnknown
 		}
+		if ctx.Err() == nil {
+			end.Crash = s.detectCrash(ctx, j.id)
+		}
 		s.abortEngineRun(j.id, &res)
 		end.Usage = &wirepb.Usage{Prompt: res.usage.Prompt, Output: res.usage.Output}
 	}
@@ -71,6 +75,17 @@
 		Dur("took", time.Since(started)).AnErr("cause", res.err).Msg("request ended")
 }
 
+// detectCrash returns when the target ended in Unix milliseconds, 0 if it has not.
+func (s *Side) detectCrash(ctx context.Context, id string) uint64 {
+	at := s.crashes.detect(ctx)
+	if at.IsZero() {
+		return 0
+	}
+	s.scope.Tagged(map[string]string{"service": s.cfg.Target.Name}).Counter(reporter.Crashes).Inc(1)
+	s.log.Warn().Str("request", id).Time("crash", at).Msg("target ended under a request")
+	return uint64(at.UnixMilli())
+}
+
 // abortEngineRun cancels an interrupted run at the engine to free its slot. The
 // engine's token counts, if it reports any, replace those of the side in res.
 func (s *Side) abortEngineRun(id string, res *result) {
@@ -94,6 +109,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) {
 			if !sent.Swap(true) {
+				s.crashes.recordConnection()
 				j.markAccepted()
 			}
 		},
--- a/internal/executor/side.go
+++ b/internal/executor/side.go
@@ -82,6 +82,7 @@
 	accessPolicy   AccessPolicy   // nil: all accounts may use the target
 	engineFencing  EngineFencing  // nil: no engine enforces fencing numbers
 	orderFencer    *fencer.Fencer // used by the admission actor
+	crashes        *crashDetector
 	extraHandlers  func(*connector.Server)
 
 	tasks   sync.WaitGroup // running requests, charge deliveries and the deregistration
@@ -125,6 +126,7 @@
 		unpooledClient: newClient(true),
 		admission:      newAdmission(admitter.Limits{Slots: cfg.Limits.Slots, Queue: cfg.Limits.Queue, Settle: cfg.Limits.SettleDelay.Std()}),
 		orderFencer:    fencer.New(),
+		crashes:        newCrashDetector(cfg.Target.URL),
 		jobs:           make(map[string]*job),
 	}
 	for _, opt := range opts {
--- a/internal/launcher/fixture_test.go
+++ b/internal/launcher/fixture_test.go
@@ -234,6 +234,12 @@
 	f.t.Helper()
 	backend := httptest.NewServer(target)
 	f.t.Cleanup(backend.Close)
+	return f.startSideAt(name, backend.URL, cfg, func() { _ = backend.Config.Close() })
+}
+
+// startSideAt starts a side of a target at a URL. crash ends the target.
+func (f *fixture) startSideAt(name, url string, cfg executor.Target, crash func()) *testProcess {
+	f.t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.t.Fatal(err)
@@ -241,7 +247,7 @@
 	settings := executor.Defaults()
 	settings.Name, settings.Centre, settings.Region = name, "north-1", "north"
 	settings.Platform, settings.Listen = f.platformServer.URL, ln.Addr().String()
-	settings.Target, settings.Target.URL = cfg, backend.URL
+	settings.Target, settings.Target.URL = cfg, url
 	settings.TLS.DisableTLS = true
 	settings.Trust = map[string]string{"operator": base64.StdEncoding.EncodeToString(f.publicKey)}
 	settings.Limits.FlushTimeout, settings.Limits.SettleDelay = loader.Duration(time.Second), f.settleDelay
@@ -280,7 +286,7 @@
 	r.crash = func() {
 		deps.killed.Store(true)
 		proxy.close()
-		_ = backend.Config.Close()
+		crash()
 	}
 	f.sides = append(f.sides, r)
 	return r
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -17,12 +17,14 @@
 	"daisylane/internal/holder"
 	"daisylane/internal/locator"
 	"daisylane/internal/logger"
+	"daisylane/internal/recorder"
 	"daisylane/internal/relayer"
 	"daisylane/internal/reporter"
 	"daisylane/internal/router"
 	"daisylane/internal/storer"
 	"daisylane/internal/syncer"
 	"daisylane/internal/tracer"
+	"daisylane/internal/warden"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
 )
@@ -58,6 +60,8 @@
 	router      *router.Router
 	balancer    *balancer
 	admission   *admissionController
+	guard       *warden.Warden
+	warnings    *recorder.Recorder
 	decisionLog *decisionLog
 
 	httpServer *http.Server
@@ -145,7 +149,10 @@
 func (p *process) setUpSessions(context.Context, io.Writer) error {
 	p.platform = storer.New(p.cfg.Platform, storer.WithName(p.cfg.Name),
 		storer.WithObserver(func(t http.RoundTripper) http.RoundTripper { return reporter.Transport(p.metrics.Scope(), t) }))
-	p.members = locator.New(p.platform, p.self(), locator.WithLogger(p.log))
+	p.guard = warden.New(warningStore{p.platform}, warden.WithLog(p.log), warden.WithScope(p.metrics.Scope()))
+	p.warnings = recorder.New(warningStore{p.platform}, p.log, p.guard.Groups()...)
+	p.guard.OnChange(p.warnings.Wake)
+	p.members = locator.New(p.platform, p.self(), locator.WithLogger(p.log), locator.WithWarnings(p.warnings))
 	for _, peer := range p.cfg.Peers {
 		p.members.Add(watcher.Member{Name: peer.Name, Role: watcher.Entry, Centre: peer.Centre, Region: peer.Region, Addr: peer.Addr})
 	}
@@ -195,7 +202,7 @@
 	p.balancer = newBalancer(p.members)
 	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), p.balancer, p.pool, p.index,
 		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithTracer(p.trace),
-		router.WithAdmissionController(p.admission), router.WithDecisionLog(p.decisionLog),
+		router.WithAdmissionController(p.admission), router.WithDecisionLog(p.decisionLog), router.WithGuard(p.guard),
 		// Until the registrations are read, no target is known and every request
 		// would be refused.
 		router.WithReady(p.members.Ready),
@@ -215,6 +222,7 @@
 	loops.Go(func() { p.reportFailure(p.peerServer.Serve(runCtx, p.peerLn)) })
 	loops.Go(func() { p.reportFailure(p.httpServer.Serve(p.httpLn)) })
 	loops.Go(func() { p.members.Run(runCtx) })
+	loops.Go(func() { p.warnings.Run(runCtx) })
 	loops.Go(func() { p.register(runCtx) })
 	loops.Go(func() { p.reportFailure(p.bundles.Run(runCtx)) })
 	loops.Go(func() { p.updatePeers(runCtx) })
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -24,6 +24,7 @@
 	"github.com/rs/zerolog"
 
 	"daisylane/internal/checker"
+	"daisylane/internal/follower"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
 )
@@ -58,8 +59,22 @@
 	addrs               map[string]string               // address to full instance name
 	instanceList        []storer.Instance
 	registrationsListed bool // the registrations were listed at least once
+
+	warnings WarningHandler
+}
+
+// WarningHandler receives the warnings about requests that end targets, which are stored
+// beside the registrations. The calls are sequential.
+type WarningHandler interface {
+	Listed(items []storer.Item)
+	Changed(changes []follower.Change)
 }
 
+type noWarnings struct{}
+
+func (noWarnings) Listed([]storer.Item)      {}
+func (noWarnings) Changed([]follower.Change) {}
+
 // Option configures a locator.
 type Option func(*Locator)
 
@@ -69,6 +84,10 @@
 // WithListInterval sets the interval between reads of the instance list.
 func WithListInterval(d time.Duration) Option { return func(l *Locator) { l.interval = d } }
 
+// WithWarnings sets what receives the stored warnings. Their keys are passed on without
+// [watcher.WarningPrefix].
+func WithWarnings(h WarningHandler) Option { return func(l *Locator) { l.warnings = h } }
+
 // New returns a locator for the process that self describes.
 func New(platform Platform, self watcher.Member, opts ...Option) *Locator {
 	l := &Locator{
@@ -80,6 +99,7 @@
 		view:     watcher.New(),
 		members:  make(map[string]watcher.Registration),
 		addrs:    make(map[string]string),
+		warnings: noWarnings{},
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -162,8 +182,14 @@
 	}
 	after := uint64(1)
 	var list []watcher.Registration
+	var warnings []storer.Item
 	for _, item := range items {
 		after = max(after, item.Version)
+		if name, ok := strings.CutPrefix(item.Key, watcher.WarningPrefix); ok {
+			item.Key = name
+			warnings = append(warnings, item)
+			continue
+		}
 		m, err := watcher.ParseMember(item.Body)
 		if err != nil {
 			l.log.Warn().Str("key", item.Key).Err(err).Msg("invalid registration ignored")
@@ -172,6 +198,7 @@
 		list = append(list, watcher.Registration{Member: m, Version: item.Version})
 	}
 	l.replaceRegistrations(list)
+	l.warnings.Listed(warnings)
 	return after, nil
 }
 
@@ -196,9 +223,22 @@
 	if err != nil {
 		return after, fmt.Errorf("watch registrations: %w", err)
 	}
+	var warnings []follower.Change
 	for _, item := range items {
+		if name, ok := strings.CutPrefix(item.Key, watcher.WarningPrefix); ok {
+			deleted := item.Version == 0
+			if deleted {
+				item.Version = revision
+			}
+			item.Key = name
+			warnings = append(warnings, follower.Change{Item: item, Deleted: deleted})
+			continue
+		}
 		l.applyRegistration(item)
 	}
+	if len(warnings) > 0 {
+		l.warnings.Changed(warnings)
+	}
 	return revision, nil
 }
 
--- a/internal/operator/processes.go
+++ b/internal/operator/processes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	}
 	var list []watcher.Member
 	for _, item := range items {
+		if strings.HasPrefix(item.Key, watcher.WarningPrefix) {
+			continue
+		}
 		m, err := decodeMember(item)
 		if err != nil {
 			return nil, err
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -10,6 +10,7 @@
 	"daisylane/internal/assembler"
 	"daisylane/internal/connector"
 	"daisylane/internal/explainer"
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
 )
@@ -29,6 +30,14 @@
 			break
 		}
 		r.recordDecision(req.id, "choose", choice.Name, choice.Reason, explainer.Name("scope", choice.Scope), explainer.Int("attempt", int64(n)))
+		if v := r.guard.Admit(ctx, r.subject(req, j)); v.Outcome == quarantiner.Quarantined {
+			r.balancer.Done(choice, AttemptResult{Outcome: Canceled})
+			r.recordDecision(req.id, "refuse", reasonCrashing, v.Fingerprint.String())
+			if mayHaveRun {
+				return result{failure: unknownError()}
+			}
+			return result{failure: crashingError(v)}
+		}
 		a := &attempt{r: r, req: req, choice: choice, response: assembler.NewResponse(req.id), out: out, buffered: j.buffer != nil}
 		if a.buffered {
 			j.buffer.Reset()
@@ -38,6 +47,7 @@
 		m.Bundle = r.version()
 		outcome, err = a.execute(ctx, m)
 		r.recordAttempt(req.id, choice, outcome, err)
+		r.recordEnd(req, j, a, outcome)
 		decision = r.balancer.Done(choice, a.attemptResult(outcome, n, j.idempotent))
 		last = a
 		mayHaveRun = mayHaveRun || outcome == Unknown
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -9,6 +9,7 @@
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
 	"daisylane/internal/explainer"
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
 )
@@ -67,6 +68,10 @@
 // runJob runs a job. If sides refuse it because the holder of its reservation
 // died, it is run once more with a reservation from the successor.
 func (r *Router) runJob(ctx context.Context, req request, j job, out sink) result {
+	if v := r.guard.Check(r.subject(req, j)); v.Outcome == quarantiner.Quarantined {
+		r.recordDecision(req.id, "refuse", reasonCrashing, v.Fingerprint.String())
+		return result{failure: crashingError(v)}
+	}
 	res := r.runWithReservation(ctx, req, j, out)
 	if res.failure != nil && res.failure.Type == typeNotRun && res.failure.Reason == reasonHolderClosed {
 		r.recordDecision(req.id, "reserve", "again", reasonHolderClosed)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 
 	"daisylane/internal/bundler"
 	"daisylane/internal/connector"
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
 )
@@ -44,6 +45,32 @@
 	Conclude(ctx context.Context, id string, m *wirepb.Conclude, home string) error
 }
 
+// Guard knows which requests end targets, on behalf of the fleet.
+type Guard interface {
+	Suspects() bool
+	Check(s quarantiner.Subject) quarantiner.Verdict
+	// Admit is Check right before a request is sent. It makes the request a trial if one
+	// is due.
+	Admit(ctx context.Context, s quarantiner.Subject) quarantiner.Verdict
+	RecordWhole(s quarantiner.Subject)
+	RecordCrash(r quarantiner.Report, about bool)
+}
+
+type noGuard struct{}
+
+func (noGuard) Suspects() bool { return false }
+
+func (noGuard) Check(quarantiner.Subject) quarantiner.Verdict {
+	return quarantiner.Verdict{Outcome: quarantiner.Allowed}
+}
+
+func (g noGuard) Admit(_ context.Context, s quarantiner.Subject) quarantiner.Verdict {
+	return g.Check(s)
+}
+
+func (noGuard) RecordWhole(quarantiner.Subject)      {}
+func (noGuard) RecordCrash(quarantiner.Report, bool) {}
+
 // Tracer starts the tracing spans of a request.
 type Tracer interface {
 	Start(ctx context.Context, name string, attrs ...attribute.KeyValue) (context.Context, trace.Span)
@@ -65,6 +92,7 @@
 	version   func() uint64
 	ready     func() bool
 	admission AdmissionController
+	guard     Guard
 	decisions DecisionLog
 	log       zerolog.Logger
 	scope     tally.Scope
@@ -90,6 +118,9 @@
 // WithTracer sets the tracer. By default no spans are recorded.
 func WithTracer(t Tracer) Option { return func(r *Router) { r.tracer = t } }
 
+// WithGuard sets what keeps requests away from targets that end under them.
+func WithGuard(g Guard) Option { return func(r *Router) { r.guard = g } }
+
 // WithVersion sets the function that returns the version of the active bundle.
 // Each request to a side carries it.
 func WithVersion(f func() uint64) Option { return func(r *Router) { r.version = f } }
@@ -113,6 +144,7 @@
 		version:   func() uint64 { return 0 },
 		ready:     func() bool { return true },
 		admission: unlimitedAdmission{},
+		guard:     noGuard{},
 		decisions: nopDecisionLog{},
 		log:       zerolog.Nop(),
 		scope:     tally.NoopScope,
--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -64,6 +64,10 @@
 // key prefix of all registrations of a role.
 func Key(role, name string) string { return KeyPrefix + role + "/" + name }
 
+// WarningPrefix is the key prefix of the warnings about requests that end targets. They lie
+// below KeyPrefix, so that the watch of the registrations brings them too.
+const WarningPrefix = KeyPrefix + "warning/"
+
 // Registration is a registration with its object version.
 type Registration struct {
 	Member  Member
