Read the notes of streams as often as their callers can wait

Callers whose stream was noted got 'versionunknown': after a restart of all instances other callers had used up the five reads a second, and one that arrived during a read waited for the next longer than its share of the objective. TestKnownAmongUnknown failed before.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -46,8 +46,8 @@
 	retryDelay   = 150 * time.Millisecond
 	// maxListRate limits the lists of notes of all instances together, maxInstanceListRate
 	// those of one, per second.
-	maxListRate         = 100
-	maxInstanceListRate = 5
+	maxListRate         = 600
+	maxInstanceListRate = 20
 	listBurst           = 5
 	// firstPause is the pause before the notes are read again. It doubles.
 	firstPause = 50 * time.Millisecond
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -138,6 +138,32 @@
 	}
 }
 
+// Guards against a stream that is refused although it is noted, because callers with
+// unknown ones have used up the reads.
+func TestKnownAmongUnknown(t *testing.T) {
+	_, addr := platformtest.Start(t)
+	a, b := start(t, addr, "e1", "v1", "v1.1"), start(t, addr, "e2", "v1", "v1.1")
+	for i := range 8 {
+		b.Begin(fmt.Sprint(i), registrar.Origin{Service: pool, Version: "v1.1"})
+	}
+	time.Sleep(time.Second)
+	var wg sync.WaitGroup
+	for i := range 80 {
+		time.Sleep(25 * time.Millisecond)
+		wg.Go(func() { _, _ = a.Origin(t.Context(), pool, fmt.Sprint("unknown", i), 320*time.Millisecond) })
+		if i%10 < 8 {
+			continue
+		}
+		a.locked(func() { a.state.ObserveNotes(nil) })
+		wg.Go(func() {
+			if o, err := a.Origin(t.Context(), pool, fmt.Sprint(i/10), 320*time.Millisecond); err != nil || o.Version != "v1.1" {
+				t.Errorf("origin of a noted stream: %v, %v", o, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // Guards against a read of all notes for each caller that names an unknown stream.
 func TestSharedReads(t *testing.T) {
 	s, addr := platformtest.Start(t)
