--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -44,7 +44,7 @@
 			j.timeOut()
 			return
 		}
-		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.prefillRequest(left), j.tried, j.versions, j.sends == 0)
+		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.prefillRequest(left), j.tried, j.versions, j.mayBeTurnedAway())
 		var overloaded overloadError
 		var paused pausedError
 		var limited limitedError
--- a/internal/receiver/dispatch_test.go
+++ b/internal/receiver/dispatch_test.go
@@ -50,3 +50,26 @@
 		t.Errorf("choice without a target left: %v", err)
 	}
 }
+
+// Guards against a stream that is refused for an overload when its caller takes it up,
+// although it has begun.
+func TestTurnedAway(t *testing.T) {
+	tests := []struct {
+		name      string
+		resumable bool
+		after     string // last event that the caller has
+		sends     int
+		want      bool
+	}{
+		{name: "new stream", resumable: true, want: true},
+		{name: "sent before", resumable: true, sends: 1},
+		{name: "taken up", resumable: true, after: "7"},
+		{name: "stream that may not be resumed", after: "7", want: true},
+	}
+	for _, tt := range tests {
+		j := &job{route: &resolver.Route{Resumable: tt.resumable}, meta: RequestMeta{LastEventID: tt.after}, sends: tt.sends}
+		if got := j.mayBeTurnedAway(); got != tt.want {
+			t.Errorf("%s: %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/receiver/lineage.go
+++ b/internal/receiver/lineage.go
@@ -22,6 +22,10 @@
 // takesUp reports whether the caller takes up a stream that has begun.
 func (j *job) takesUp() bool { return j.resumable() && j.meta.LastEventID != "" }
 
+// mayBeTurnedAway reports whether the request may be refused because targets are
+// overloaded. What was done for a stream that is taken up would be in vain.
+func (j *job) mayBeTurnedAway() bool { return j.sends == 0 && !j.takesUp() }
+
 // findOrigin restricts the targets to those whose software version fits the stream. It
 // returns false if it refused the request.
 func (j *job) findOrigin() bool {
