--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -39,7 +39,7 @@
 const (
 	// minNoteInterval is the time between two writes of the notes of an instance. All
 	// instances together make at most maxNoteRate writes a second.
-	minNoteInterval = 500 * time.Millisecond
+	minNoteInterval = 200 * time.Millisecond
 	maxNoteRate     = 80
 	// tickInterval is how often notes that are due are looked for.
 	tickInterval = 50 * time.Millisecond
@@ -210,14 +210,14 @@
 	}
 }
 
-// Begin records the origin of a stream whose first event is about to be delivered.
+// Begin records the origin of a stream that is about to be sent to a target.
 func (a *Archiver) Begin(id string, o registrar.Origin) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.state.Begin(id, o)
 }
 
-// End records that a stream has ended, completely or not.
+// End records that a stream has ended, and whether its caller may take it up.
 func (a *Archiver) End(id string, broken bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -135,7 +135,6 @@
 			j.recordAnswer()
 		}
 		if !j.stream.started {
-			j.fixOrigin(chosen)
 			j.startStream(response)
 		}
 		// Counted before the write, as a failed write may still have reached the caller.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -71,6 +71,7 @@
 			j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
 			return
 		}
+		j.fixOrigin(chosen)
 		j.tried = append(j.tried, chosen.Target.ID)
 		res := j.attempt(ctx, chosen)
 		j.recordCrash(chosen, &res)
--- a/internal/receiver/lineage.go
+++ b/internal/receiver/lineage.go
@@ -49,6 +49,7 @@
 // useOrigin makes the stream go on where it began. It returns false if it refused the
 // request.
 func (j *job) useOrigin(o registrar.Origin) bool {
+	j.summary.origin = o.Version
 	service, ok := j.table.Service(o.Service)
 	if !ok || !j.route.Uses(o.Service) || !j.r.dispatcher.Serves(service, o.Version) {
 		j.countTakeUp(takeUpGone)
@@ -62,8 +63,9 @@
 
 func (j *job) countTakeUp(result string) { j.incCounter(reporter.TakeUps, "result", result, 1) }
 
-// fixOrigin records where the stream begins. It is called before its first event is
-// delivered.
+// fixOrigin records where the stream begins. It is called before the request is sent, so
+// that the origin is mostly stored when the first event is delivered. Later attempts have
+// the same version, because the note of another one may be stored already.
 func (j *job) fixOrigin(chosen ChosenTarget) {
 	if !j.resumable() || j.origin.Service != "" {
 		return
@@ -73,13 +75,13 @@
 	j.r.streams.Begin(j.meta.ID, j.origin)
 }
 
-// endOrigin records how the stream has ended.
+// endOrigin records how the stream has ended. One without an event can't be taken up.
 func (j *job) endOrigin() {
 	switch {
 	case j.origin.Service == "":
 	case j.takesUp():
 		j.r.streams.End(j.meta.FirstAttempt, j.summary.cause != Complete)
 	default:
-		j.r.streams.End(j.meta.ID, j.summary.cause != Complete)
+		j.r.streams.End(j.meta.ID, j.stream.events > 0 && j.summary.cause != Complete)
 	}
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -119,7 +119,8 @@
 	status      int
 	cause       Cause
 	failure     error
-	mayHaveRun  bool // a target may have run the request
+	mayHaveRun  bool   // a target may have run the request
+	origin      string // software version that began a stream that is taken up, empty: not known
 	firstByteAt time.Time
 }
 
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -50,7 +50,7 @@
 		e.Str("part", partName(j.quarantined.Key.Part))
 	}
 	if j.meta.FirstAttempt != "" {
-		e.Str("resumes", j.meta.FirstAttempt).Str("after", j.meta.LastEventID)
+		e.Str("resumes", j.meta.FirstAttempt).Str("after", j.meta.LastEventID).Str("origin", j.summary.origin)
 	}
 	if !j.summary.firstByteAt.IsZero() {
 		e.Int64("first", j.summary.firstByteAt.Sub(j.arrived).Milliseconds())
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -189,8 +189,8 @@
 	Versions(ctx context.Context, service string) []string
 	// Origin returns where a stream began, given the ID of the caller's first attempt.
 	Origin(ctx context.Context, service, id string, wait time.Duration) (registrar.Origin, error)
-	// Begin records the origin of a stream before its first event is delivered, End that
-	// it has ended, completely or not.
+	// Begin records the origin of a stream before the request is sent, End that it has
+	// ended, and whether its caller may take it up.
 	Begin(id string, o registrar.Origin)
 	End(id string, broken bool)
 }
--- a/internal/registrar/notes.go
+++ b/internal/registrar/notes.go
@@ -19,8 +19,8 @@
 	return !ok
 }
 
-// Begin records the origin of a stream whose first event is about to be delivered, or that
-// is gone on with.
+// Begin records the origin of a stream that is about to be sent to a target, or that is
+// gone on with.
 func (r *Registrar) Begin(id string, o Origin) {
 	if id == "" || len(id) > maxIDBytes {
 		return
