--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -39,7 +39,7 @@
 const (
 	// minNoteInterval is the time between two writes of the notes of an instance. All
 	// instances together make at most maxNoteRate writes a second.
-	minNoteInterval = 200 * time.Millisecond
+	minNoteInterval = 100 * time.Millisecond
 	maxNoteRate     = 80
 	// tickInterval is how often notes that are due are looked for.
 	tickInterval = 50 * time.Millisecond
