Begin no stream at a version while the store has no list of versions

Without a stored list the limit was nil, which stands for any version, so a stream could begin at one that nobody else knows of, for instance if a starting fleet can't write. Found by reading; TestNoList failed before.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -187,7 +187,7 @@
 	defer cancel()
 	for {
 		a.mu.Lock()
-		versions := a.state.Versions(service)
+		versions := append([]string{}, a.state.Versions(service)...) // nil would be any
 		unlisted, stale, changed := a.state.Hasten(time.Now(), service), time.Since(a.syncedAt) > registrar.StaleTime, a.changed
 		a.mu.Unlock()
 		switch {
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -138,6 +138,18 @@
 	}
 }
 
+// Guards against a stream that begins at any version because no list is stored yet, which
+// is not the same as no limit.
+func TestNoList(t *testing.T) {
+	s, addr := platformtest.Start(t)
+	a := start(t, addr, "e1")
+	s.SetFaults(platformtest.Faults{Status: 503})
+	a.SetServing(pool, []string{"v1"})
+	if versions := a.Versions(t.Context(), pool); versions == nil || len(versions) > 0 {
+		t.Errorf("streams may begin at %#v while the store takes no list", versions)
+	}
+}
+
 // Guards against a stream that is refused although it is noted, because callers with
 // unknown ones have used up the reads.
 func TestKnownAmongUnknown(t *testing.T) {
