Judge again when crashes expire

Between the expiry of a quarantined request's crashes and the removal of their records, an equal request met a quarantine without a suspicion: a nil pointer. Found by reading; TestExpiringQuarantine panicked before.

--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -479,14 +479,19 @@
 
 // expire ends old crashes. Those of a request in quarantine stay.
 func (c *Crashes) expire(now time.Time) {
+	changed := false
 	for _, e := range c.crashes {
-		if !e.expired && now.After(e.expires) {
-			if e.expires = c.heldUntil(e); !now.Before(e.expires) {
-				e.expired = true
-				c.replace(now, e, e.record.WithRequests(nil))
-			}
+		if e.expired || !now.After(e.expires) {
+			continue
+		}
+		if e.expires = c.heldUntil(e); !now.Before(e.expires) {
+			e.expired, changed = true, true
+			c.replace(now, e, e.record.WithRequests(nil))
 		}
 	}
+	if changed {
+		c.judge()
+	}
 }
 
 // heldUntil returns how long a crash is kept because of a request in quarantine.
@@ -521,6 +526,7 @@
 	}
 	oldest.expired = true
 	c.replace(now, oldest, oldest.record.WithRequests(nil))
+	c.judge()
 	return true
 }
 
--- a/internal/quarantiner/crashes_test.go
+++ b/internal/quarantiner/crashes_test.go
@@ -309,6 +309,27 @@
 	}
 }
 
+// Guards against a panic of a request that comes when its quarantine has expired, and the
+// removal of the records is not done yet.
+func TestExpiringQuarantine(t *testing.T) {
+	f := newCrashFleet(1, 10*time.Millisecond)
+	for range crashThreshold {
+		f.run(time.Second)
+		f.crash(map[int][]string{0: {"deadly"}})
+	}
+	f.run(time.Second)
+	q := f.instances[0]
+	f.now = f.now.Add(2*suspicionTime + requestQuarantineTime)
+	q.Due(f.now)
+	f.now = f.now.Add(requestQuarantineTime)
+	if due := q.Due(f.now); len(due)+len(f.records) == 0 {
+		t.Error("nothing is left to remove, the test needs that")
+	}
+	if got := f.outcome(0, "deadly"); got != Allowed {
+		t.Errorf("outcome %s after the quarantine has expired", got)
+	}
+}
+
 // Guards against requests of different accounts, or that differ in one thing, with the same
 // fingerprint.
 func TestFingerprints(t *testing.T) {
