Note the origins of streams where a route leads to several services

A stream that began at one service could be taken up at another one of its route, as each had only one version listed. Found by reading; TestSharedRoute covers the decision. The least wait for an origin is 0.2 s, also on routes without a latency objective.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -168,9 +168,21 @@
 	a.locked(func() { a.state.SetLifetime(attempt) })
 }
 
-// SetServing sets the versions of the targets of a service.
-func (a *Archiver) SetServing(service string, versions []string) {
-	a.locked(func() { a.state.SetServing(time.Now(), service, versions) })
+// SetServing sets the versions of the targets of a service. shared says that a route leads
+// to other services too, or did lately.
+func (a *Archiver) SetServing(service string, versions []string, shared bool) {
+	a.locked(func() {
+		a.state.SetServing(time.Now(), service, versions)
+		a.state.SetShared(service, shared)
+	})
+}
+
+// KeepTime returns how long a stream may last after a change, over all attempts of its
+// caller.
+func (a *Archiver) KeepTime() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.KeepTime()
 }
 
 // Ready reports whether the lists of versions were read.
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -38,7 +38,7 @@
 	go a.Run(ctx)
 	go follower.New(store, recorder.Kind, r, follower.WithWait(time.Second)).Run(ctx)
 	eventually(t, "records are read", a.Ready)
-	a.SetServing(pool, versions)
+	a.SetServing(pool, versions, false)
 	eventually(t, "the versions are listed", func() bool { return len(a.Versions(ctx, pool)) >= len(versions) })
 	return instance{a, cancel}
 }
@@ -144,7 +144,7 @@
 	s, addr := platformtest.Start(t)
 	a := start(t, addr, "e1")
 	s.SetFaults(platformtest.Faults{Status: 503})
-	a.SetServing(pool, []string{"v1"})
+	a.SetServing(pool, []string{"v1"}, false)
 	if versions := a.Versions(t.Context(), pool); versions == nil || len(versions) > 0 {
 		t.Errorf("streams may begin at %#v while the store takes no list", versions)
 	}
--- a/internal/receiver/origin.go
+++ b/internal/receiver/origin.go
@@ -36,7 +36,7 @@
 		j.versions = j.r.streams.Versions(j.req.Context(), j.service.Name)
 		return true
 	}
-	wait := min(time.Duration(originWaitShare*float64(j.route.LatencyTarget)), time.Until(j.deadline)/3)
+	wait := min(max(minOriginWait, time.Duration(originWaitShare*float64(j.route.LatencyTarget))), time.Until(j.deadline)/3)
 	o, err := j.r.streams.Origin(j.req.Context(), j.service.Name, j.meta.FirstAttempt, wait)
 	if err != nil {
 		j.summary.failure = err
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -62,6 +62,8 @@
 	// Share of the latency objective that a caller may wait until the fleet knows where its
 	// stream began.
 	originWaitShare = 0.8
+	// Lower limit of that wait, which takes two reads of the store.
+	minOriginWait = 200 * time.Millisecond
 	// Mean delay after which a caller should retry if no target has the software version of
 	// its stream. A crashed target needs some seconds to be back.
 	versionGoneDelay = 2 * time.Second
--- a/internal/registrar/notes.go
+++ b/internal/registrar/notes.go
@@ -113,7 +113,7 @@
 // prune forgets streams that broke off long ago.
 func (r *Registrar) prune(now time.Time) {
 	for id, s := range r.streams {
-		if !s.endedAt.IsZero() && now.Sub(s.endedAt) > r.keepTime() {
+		if !s.endedAt.IsZero() && now.Sub(s.endedAt) > r.KeepTime() {
 			delete(r.streams, id)
 		}
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -303,6 +303,23 @@
 	}
 }
 
+// Guards against a stream that goes on at another service, because each of the services
+// that a route leads to has one version only.
+func TestSharedRoute(t *testing.T) {
+	f := newFleet(2, "v1")
+	for _, r := range f.instances {
+		r.SetShared(pool, true)
+	}
+	if o, ok := f.find(1, "unknown"); ok {
+		t.Errorf("origin of an unknown stream: %v", o)
+	}
+	want, _ := f.begin(0, "a")
+	f.run(time.Second)
+	if got, ok := f.find(1, "a"); !ok || got != want {
+		t.Errorf("origin %v, %t, want %v", got, ok, want)
+	}
+}
+
 // Guards against a version that is taken off the list while streams may still run at it,
 // and against one that stays for good.
 func TestVersionLeaves(t *testing.T) {
@@ -367,7 +384,7 @@
 	if len(r.streams) > maxNotes || f.notes[0].Check() != nil {
 		t.Errorf("%d streams, notes: %v", len(r.streams), f.notes[0].Check())
 	}
-	f.run(r.keepTime() + time.Second)
+	f.run(r.KeepTime() + time.Second)
 	if len(r.streams) > 0 {
 		t.Errorf("%d streams are left", len(r.streams))
 	}
--- a/internal/registrar/versions.go
+++ b/internal/registrar/versions.go
@@ -16,6 +16,7 @@
 	serving    map[string]bool      // versions of the listed targets
 	lastServed map[string]time.Time // of listed versions that no longer serve
 	carried    map[string]bool      // listed before a restore of the store
+	shared     bool                 // a route leads to other services too, or did lately
 }
 
 // Registrar holds the state of one process. It is not safe for concurrent use.
@@ -61,9 +62,9 @@
 // SetLifetime sets how long one attempt at a stream may last.
 func (r *Registrar) SetLifetime(attempt time.Duration) { r.lifetime = max(minLifetime, 2*attempt) }
 
-// keepTime is how long a version is listed after its last target has left, and an origin
+// KeepTime is how long a version is listed after its last target has left, and an origin
 // is known after its stream has broken off.
-func (r *Registrar) keepTime() time.Duration { return StaleTime + r.lifetime }
+func (r *Registrar) KeepTime() time.Duration { return StaleTime + r.lifetime }
 
 // SetServing sets the versions of the targets of a service.
 func (r *Registrar) SetServing(now time.Time, name string, versions []string) {
@@ -82,6 +83,15 @@
 	}
 }
 
+// SetShared sets whether a route leads to other services than this one too, or did lately.
+// A stream that is taken up may then have begun at one of them.
+func (r *Registrar) SetShared(name string, shared bool) {
+	if s := r.service(name); s.shared != shared {
+		s.shared = shared
+		r.countUnstored()
+	}
+}
+
 // Versions returns the versions at which a stream of a service may begin.
 func (r *Registrar) Versions(name string) []string { return r.service(name).record.Versions }
 
@@ -101,10 +111,11 @@
 	return true
 }
 
-// Only returns the version at which all streams of a service have begun, if there is one.
+// Only returns the version at which all streams of the routes to a service have begun, if
+// there is one.
 func (r *Registrar) Only(name string) (string, bool) {
 	s, ok := r.services[name]
-	if !ok || s.version == 0 || s.record.Era != r.era || len(s.record.Versions) != 1 {
+	if !ok || s.shared || s.version == 0 || s.record.Era != r.era || len(s.record.Versions) != 1 {
 		return "", false
 	}
 	v := s.record.Versions[0]
@@ -123,7 +134,7 @@
 	set := make(map[string]bool)
 	for _, v := range s.record.Versions {
 		end, ended := s.lastServed[v]
-		if s.serving[v] || !ended || now.Sub(end) < r.keepTime() || r.begunAt(s.record.Service, v) {
+		if s.serving[v] || !ended || now.Sub(end) < r.KeepTime() || r.begunAt(s.record.Service, v) {
 			set[v] = true
 		}
 	}
@@ -145,7 +156,7 @@
 // begun in the present era of the store: it has known the list before, the list is new, or
 // no stream is older than the instance.
 func (r *Registrar) knowsEra(now time.Time, s *service) bool {
-	return r.knownEra == r.era || s.version == 0 || now.Sub(r.startedAt) > r.keepTime()
+	return r.knownEra == r.era || s.version == 0 || now.Sub(r.startedAt) > r.KeepTime()
 }
 
 // begunAt reports whether this instance has a stream that began at a version.
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -63,28 +64,29 @@
 
 // entry is an entry process on the platform.
 type entry struct {
-	cfg           platform.Settings                 // as loaded at the start
-	settings      atomic.Pointer[platform.Settings] // current, replaced by reloads
-	path          string
-	log           zerolog.Logger
-	logWriter     *logger.AsyncWriter
-	store         *platform.Store
-	paths         *paths
-	accounting    *accountant.Accountant
-	warnings      *recorder.Recorder
-	guard         *warden.Warden
-	streams       *archiver.Archiver
-	permits       *permitter.Permitter
-	dispatcher    *receiver.Dispatcher
-	receiver      *receiver.Receiver
-	pool          *forwarder.Pool
-	metrics       *reporter.Reporter
-	callers       *http.Server
-	targetsListed atomic.Bool   // the targets were listed at least once
-	aborted       chan struct{} // closed to end without a graceful shutdown, as in a crash
-	servers       []*http.Server
-	stopping      atomic.Bool
-	relayInputs   struct { // inputs of the last relay list; used by tick only
+	cfg            platform.Settings                 // as loaded at the start
+	settings       atomic.Pointer[platform.Settings] // current, replaced by reloads
+	path           string
+	log            zerolog.Logger
+	logWriter      *logger.AsyncWriter
+	store          *platform.Store
+	paths          *paths
+	accounting     *accountant.Accountant
+	warnings       *recorder.Recorder
+	guard          *warden.Warden
+	streams        *archiver.Archiver
+	permits        *permitter.Permitter
+	dispatcher     *receiver.Dispatcher
+	receiver       *receiver.Receiver
+	pool           *forwarder.Pool
+	metrics        *reporter.Reporter
+	callers        *http.Server
+	targetsListed  atomic.Bool   // the targets were listed at least once
+	aborted        chan struct{} // closed to end without a graceful shutdown, as in a crash
+	servers        []*http.Server
+	stopping       atomic.Bool
+	streamServices map[string]map[string]time.Time // services of each route with streams that may be resumed; used by tick only
+	relayInputs    struct {                        // inputs of the last relay list; used by tick only
 		rosterVersion int64
 		table         *resolver.Table
 	}
@@ -97,7 +99,7 @@
 	retries := retrier.New(source, retrier.WithRefusalsCounted(),
 		retrier.WithRatios(0, 1), retrier.WithBursts(1, accountRetryBurst))
 	e := &entry{
-		cfg: cfg, path: path, log: log, logWriter: lines, aborted: make(chan struct{}),
+		cfg: cfg, path: path, log: log, logWriter: lines, aborted: make(chan struct{}), streamServices: make(map[string]map[string]time.Time),
 		paths: newPaths(cfg.Store.Addr, log),
 		pool:  forwarder.New(platform.RequestID),
 	}
@@ -258,23 +260,45 @@
 	if table == nil || !e.targetsListed.Load() {
 		return
 	}
-	services := make(map[string]bool)
+	now, keep, shared := time.Now(), e.streams.KeepTime(), make(map[string]bool)
+	maps.DeleteFunc(e.streamServices, func(_ string, services map[string]time.Time) bool {
+		maps.DeleteFunc(services, func(_ string, at time.Time) bool { return now.Sub(at) > keep })
+		return len(services) == 0
+	})
 	var longest time.Duration
 	for _, r := range table.Routes() {
 		if !r.Resumable {
 			continue
 		}
 		longest = max(longest, r.Timeout)
-		for _, s := range r.Shares {
-			services[s.Service] = true
+		services := e.servicesLately(now, r)
+		for name := range services {
+			shared[name] = shared[name] || len(services) > 1
 		}
 	}
 	e.streams.SetLifetime(longest)
-	for name := range services {
+	for name, shared := range shared {
 		if s, ok := table.Service(name); ok {
-			e.streams.SetServing(name, e.dispatcher.Versions(s))
+			e.streams.SetServing(name, e.dispatcher.Versions(s), shared)
+		}
+	}
+}
+
+// servicesLately returns the services at which streams of a route may have begun, with the
+// time when the route last led there.
+func (e *entry) servicesLately(now time.Time, r resolver.Route) map[string]time.Time {
+	key := r.Host + r.Prefix
+	services, ok := e.streamServices[key]
+	if !ok {
+		services = make(map[string]time.Time)
+		e.streamServices[key] = services
+	}
+	for _, s := range r.Shares {
+		if s.Weight > 0 {
+			services[s.Service] = now
 		}
 	}
+	return services
 }
 
 // relayAddrs returns the addresses of the relays beside the targets of engine
