Look for streams to be noted only when notes may be due

It is derived now when notes are looked for, every 50 ms at most. The notes that are due are the same, but for a change of the served versions or the era, which the kept count learned of later.

--- a/internal/registrar/notes.go
+++ b/internal/registrar/notes.go
@@ -34,7 +34,6 @@
 		r.streams[id] = s
 	}
 	s.endedAt = time.Time{}
-	r.countUnstored()
 }
 
 // End records that a stream has ended. If it broke off, its caller may take it up at any
@@ -50,7 +49,6 @@
 		s.endedAt = now
 		r.urgent = r.urgent || !s.stored && r.Mixed(s.origin.Service)
 	}
-	r.countUnstored()
 }
 
 // dropOldest drops the stream that broke off first. It returns false if all run.
@@ -65,14 +63,14 @@
 	return oldest != ""
 }
 
-// countUnstored counts the streams that are to be noted.
-func (r *Registrar) countUnstored() {
-	r.unstored = 0
+// hasUnstored reports whether a stream is to be noted and is not.
+func (r *Registrar) hasUnstored() bool {
 	for _, s := range r.streams {
 		if !s.stored && r.Mixed(s.origin.Service) {
-			r.unstored++
+			return true
 		}
 	}
+	return false
 }
 
 // Lookup returns the origin of a stream, if it is known.
@@ -91,7 +89,7 @@
 	if r.urgent {
 		interval = min(interval, urgentInterval)
 	}
-	if r.unstored == 0 || now.Sub(r.notedAt) < interval {
+	if now.Sub(r.notedAt) < interval || !r.hasUnstored() {
 		return Notes{}, false
 	}
 	r.notedAt, r.urgent = now, false
@@ -126,7 +124,6 @@
 			s.stored = true
 		}
 	}
-	r.countUnstored()
 }
 
 // noteAgain makes the notes of all streams due, which the store may have lost.
@@ -134,7 +131,6 @@
 	for _, s := range r.streams {
 		s.stored = false
 	}
-	r.countUnstored()
 }
 
 // NotesFailed records that notes were not stored, or that this is not known.
@@ -148,7 +144,6 @@
 			r.streams[note.ID] = &stream{origin: note.Origin, endedAt: now}
 		}
 	}
-	r.countUnstored()
 }
 
 // ObserveNotes takes over the notes of all instances.
--- a/internal/registrar/versions.go
+++ b/internal/registrar/versions.go
@@ -28,11 +28,10 @@
 	listed    bool
 	services  map[string]*service
 
-	streams  map[string]*stream
-	found    map[string]Origin
-	unstored int // streams that are to be noted and are not
-	urgent   bool
-	notedAt  time.Time
+	streams map[string]*stream
+	found   map[string]Origin
+	urgent  bool
+	notedAt time.Time
 }
 
 // New returns a registrar without records.
@@ -86,10 +85,7 @@
 // SetShared sets whether a route leads to other services than this one too, or did lately.
 // A stream that is taken up may then have begun at one of them.
 func (r *Registrar) SetShared(name string, shared bool) {
-	if s := r.service(name); s.shared != shared {
-		s.shared = shared
-		r.countUnstored()
-	}
+	r.service(name).shared = shared
 }
 
 // Versions returns the versions at which a stream of a service may begin.
@@ -208,7 +204,6 @@
 	if !r.missing(s) {
 		s.writeAt = time.Time{}
 	}
-	r.countUnstored()
 }
 
 // missing reports whether a version that serves is not listed.
