--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -163,8 +163,7 @@
 		if !c.makeRoom(now) {
 			return false
 		}
-		e = &crash{record: record, added: make(map[Fingerprint]bool), answered: make(map[Fingerprint]bool), seenAt: now, expires: expiry(now)}
-		c.crashes[record.Name()] = e
+		e = c.add(now, record)
 	}
 	list := e.record.Requests
 	for _, id := range r.Requests {
@@ -184,6 +183,13 @@
 	return true
 }
 
+// add adds a crash without requests.
+func (c *Crashes) add(now time.Time, r CrashRecord) *crash {
+	e := &crash{record: r, added: make(map[Fingerprint]bool), answered: make(map[Fingerprint]bool), seenAt: now, expires: expiry(now)}
+	c.crashes[r.Name()] = e
+	return e
+}
+
 // withRequest adds a request to those of a crash. If there are too many, it takes the
 // place of one that was at no other crash.
 func (c *Crashes) withRequest(list []Fingerprint, id Fingerprint) ([]Fingerprint, bool) {
@@ -358,8 +364,7 @@
 func (c *Crashes) Observe(now time.Time, version uint64, r CrashRecord) {
 	e, ok := c.crashes[r.Name()]
 	if !ok {
-		e = &crash{record: r.WithRequests(nil), added: make(map[Fingerprint]bool), answered: make(map[Fingerprint]bool), seenAt: now, expires: expiry(now)}
-		c.crashes[r.Name()] = e
+		e = c.add(now, r.WithRequests(nil))
 	}
 	if version <= e.version {
 		return
