Keep answered requests out of crashes that are stored late

Cause: a response was lost, so that the instance stores the record of a crash again, or its write is done only after another instance has removed the record for an answered request. The answer was forgotten with the record. The same happens with an instance that notices a restore of the store late.

TestAnswerLasts failed first (three instances refused the answered request).

--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -89,6 +89,13 @@
 	expired  bool // the stored record is to be removed
 }
 
+// voided are the requests of a crash that were answered. A write from before the answers may
+// be done later.
+type voided struct {
+	requests map[Fingerprint]bool
+	at       time.Time // when the last one was answered
+}
+
 // suspicion is what is known of one request.
 type suspicion struct {
 	crashes   map[*crash]bool
@@ -107,12 +114,13 @@
 	suspicions  map[Fingerprint]*suspicion
 	suspected   map[Fingerprint]bool // requests with enough crashes for a quarantine
 	quarantined map[Fingerprint]bool
+	voided      map[string]voided // by name of the crash
 	listed      bool
 }
 
 // NewCrashes returns an empty state.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint]bool)}
+	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint]bool), voided: make(map[string]voided)}
 }
 
 // Quarantined returns the requests in quarantine.
@@ -167,7 +175,7 @@
 	}
 	list := e.record.Requests
 	for _, id := range r.Requests {
-		if slices.Contains(list, id) || e.answered[id] {
+		if slices.Contains(list, id) || e.answered[id] || c.isVoid(now, e, id) {
 			continue
 		}
 		if more, ok := c.withRequest(list, id); ok {
@@ -233,8 +241,10 @@
 	default:
 		at = now.Add(answerWriteDelay + rand.N(answerWriteDelay))
 	}
+	maps.DeleteFunc(c.voided, func(_ string, v voided) bool { return now.Sub(v.at) > releaseTime })
 	for e := range maps.Clone(s.crashes) {
 		delete(e.added, id)
+		c.void(now, e, id)
 		if e.version > 0 || e.sending {
 			e.answered[id] = true
 			c.scheduleWrite(e, at)
@@ -243,6 +253,29 @@
 	}
 }
 
+// void remembers that a request of a crash was answered.
+func (c *Crashes) void(now time.Time, e *crash, id Fingerprint) {
+	name := e.record.Name()
+	v, ok := c.voided[name]
+	if !ok && len(c.voided) >= maxCrashRecords {
+		return
+	}
+	if !ok {
+		v.requests = make(map[Fingerprint]bool)
+	}
+	if len(v.requests) < maxRequestsPerCrash {
+		v.requests[id] = true
+	}
+	v.at = now
+	c.voided[name] = v
+}
+
+// isVoid reports whether a request of a crash was answered lately.
+func (c *Crashes) isVoid(now time.Time, e *crash, id Fingerprint) bool {
+	v, ok := c.voided[e.record.Name()]
+	return ok && now.Sub(v.at) <= releaseTime && v.requests[id]
+}
+
 // without returns a list without one request.
 func without(list []Fingerprint, id Fingerprint) []Fingerprint {
 	return slices.DeleteFunc(slices.Clone(list), func(other Fingerprint) bool { return other == id })
@@ -376,7 +409,12 @@
 		}
 	}
 	for _, id := range r.Requests {
-		if !slices.Contains(e.record.Requests, id) {
+		switch {
+		case e.answered[id]:
+		case c.isVoid(now, e, id):
+			e.answered[id] = true
+			c.scheduleWrite(e, now.Add(rand.N(hastenedDelay)))
+		case !slices.Contains(e.record.Requests, id):
 			c.hastenAnswers(now, id)
 		}
 	}
--- a/internal/quarantiner/crashes_test.go
+++ b/internal/quarantiner/crashes_test.go
@@ -264,6 +264,57 @@
 	}
 }
 
+// Guards against crashes that count again although the request was answered since, because
+// a write from before the answer is done late, or an instance that has not noticed a restore
+// of the store yet stores them again.
+func TestAnswerLasts(t *testing.T) {
+	tests := []struct {
+		name   string
+		others []string // requests at the same crashes that are not answered
+	}{
+		{name: "removed records"},
+		{name: "records of other requests", others: []string{"other"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFleet(3, 50*time.Millisecond)
+			for i := range 3 {
+				f.run(time.Second)
+				f.crash(map[int][]string{i: append([]string{"sound"}, tt.others...)})
+			}
+			f.run(time.Second)
+			before := f.list()
+			f.instances[1].RecordAnswer(f.now, request("sound"))
+			f.run(time.Second)
+			for _, s := range before {
+				name := s.Record.Name()
+				if _, ok := f.put(CrashWrite{Name: name, Record: s.Record, Version: f.records[name].Version}); !ok {
+					t.Fatalf("late write to %s was not done", name)
+				}
+			}
+			f.run(time.Second)
+			for i := range f.instances {
+				if f.outcome(i, "sound") != Allowed {
+					t.Errorf("instance %d refuses a request that was answered since", i)
+				}
+			}
+			for name, s := range f.records {
+				if len(s.Record.Requests) == 0 || slices.Contains(s.Record.Requests, request("sound")[0]) {
+					t.Errorf("record %s has requests %v", name, s.Record.Requests)
+				}
+			}
+			for range crashThreshold {
+				f.run(time.Second)
+				f.crash(map[int][]string{0: {"sound"}})
+			}
+			f.run(time.Second)
+			if f.outcome(0, "sound") == Allowed {
+				t.Error("new crashes do not count after an answer")
+			}
+		})
+	}
+}
+
 // Guards against memory and records that grow with callers who vary everything, and against
 // a deadly request that is not recorded because such callers have filled all records.
 func TestBoundedCrashes(t *testing.T) {
