Do not take the pause between two polls for an outage of the store

Cause: an instance that holds no tokens of its own calls the store every 1.5 to 4.5 s only, but after 3 s without a response the store counted as unreachable. Its requests that were short of tokens were refused at once with tokensshort then, instead of waiting for a larger grant, and refusals because a budget is used up became refusals to come back.

Change: the time is longer than the longest pause and a slow call. A call without a response is noticed as soon as before.

TestIdleInstanceReachesStore failed first; the tests of accountant pass.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -51,8 +51,10 @@
 	staleCheckInterval = 4 * time.Second
 	retryDelay         = 150 * time.Millisecond
 	// contactTimeout is the time since the last response of the store after which
-	// the store counts as unreachable.
-	contactTimeout = 3 * time.Second
+	// the store counts as unreachable. An idle instance makes its next call within it.
+	contactTimeout = 6 * time.Second
+	// lostRetryAfter is when to come back while the store is unreachable.
+	lostRetryAfter = 3 * time.Second
 	// pollInterval is the mean time between reads of the budgets, which change little
 	// while instances borrow from homes.
 	pollInterval = 3 * time.Second
@@ -377,14 +379,14 @@
 			d = take(a.clock(), account, n)
 		}
 		now := a.clock()
-		storeReachable := !a.storeLost && now-a.lastContact < contactTimeout
+		storeReachable := a.storeReachable(now)
 		switch {
 		case d.Outcome == granter.Reserved, d.Outcome == granter.Unready:
 			return d
 		case d.Outcome == granter.Exhausted && storeReachable:
 			return d
 		case d.Outcome == granter.Exhausted:
-			d.Outcome, d.RetryAfter = granter.Short, contactTimeout
+			d.Outcome, d.RetryAfter = granter.Short, lostRetryAfter
 			return d
 		case !storeReachable && (d.Outcome == granter.Short || now+d.RetryAfter > end):
 			return d
@@ -395,6 +397,11 @@
 	}
 }
 
+// storeReachable reports whether the store is thought to respond.
+func (a *Accountant) storeReachable(now time.Duration) bool {
+	return !a.storeLost && now-a.lastContact < contactTimeout
+}
+
 // waitForChange waits until the state changes or the ledger limit has grown enough.
 // It reports false if the context ends first. The caller holds the lock, which is
 // released during the wait.
--- a/internal/accountant/loops_test.go
+++ b/internal/accountant/loops_test.go
@@ -7,6 +7,22 @@
 	"github.com/rs/zerolog"
 )
 
+// Guards against refusals by an idle instance that takes the pause between its calls to the
+// store for an outage.
+func TestIdleInstanceReachesStore(t *testing.T) {
+	const call = time.Second // to a slow store
+	a := New(nil, "entry-1", "127.0.0.1:1", nil, zerolog.Nop())
+	for range 1000 {
+		if pause := a.pollPause(); !a.storeReachable(pause + call) {
+			t.Fatalf("the store counts as lost after a pause of %v", pause)
+		}
+	}
+	a.storeLost = true
+	if a.storeReachable(0) {
+		t.Error("the store counts as reachable after a call without a response")
+	}
+}
+
 // Guards against requests that wait for the long pause after a write of a budget although
 // tokens are left, and against writes without a pause.
 func TestPauseOfBudget(t *testing.T) {
