Tell borrowers what their lenders have left of a budget

Cause: whether a budget is used up was judged by the published figures of the other instances, which may be off by 4% of what is prepaid.

Change: the reply to a loan says what the lender has been granted and uses. The borrower counts that for 3 s beside the published figures, and asks no instance that has just said that nothing is left. A lender waits for a larger grant only if tokens are left to take it from and the borrower wants all of them there. A request that does not fit is refused as exhausted also by an instance that has not written its grant yet, and borrowed tokens are no longer counted twice in that.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -104,8 +104,8 @@
 
 // Peers borrows tokens from other instances and returns them.
 type Peers interface {
-	// Borrow returns the number of tokens lent, 0 if the peer has too few.
-	Borrow(ctx context.Context, peer granter.Lender, l granter.Loan) (int64, error)
+	// Borrow asks a peer for tokens. It returns an error if the peer does not lend any.
+	Borrow(ctx context.Context, peer granter.Lender, l granter.Loan) (lender.Reply, error)
 	// Cancel makes a peer take back or never make a loan whose response was lost.
 	Cancel(ctx context.Context, peer granter.Lender, l granter.Loan) (int64, error)
 	Return(ctx context.Context, peer granter.Lender, account string, tokens int64) error
@@ -260,26 +260,28 @@
 		a.state.AddGrantDemand(a.clock(), account, n)
 	}
 	rounds := 0
-	return a.takeOrWait(ctx, account, n, end, a.state.Reserve, func() {
+	return a.takeOrWait(ctx, account, n, end, a.state.Reserve, func() bool {
 		// Borrowing is faster than the store. A home that is short of tokens raises its
-		// grant meanwhile.
+		// grant meanwhile, if there is something left for that.
 		switch rounds++; {
-		case rounds == 1 && homeIsShort:
+		case rounds == 1 && homeIsShort && a.state.HasUngranted(account):
 			a.borrow(ctx, account, n, n, true, a.state.Lenders(account))
 		case rounds <= maxBorrowRounds:
 			a.borrow(ctx, account, n, 1, false, a.state.Holders(account))
 		}
+		return true
 	})
 }
 
-// Lend takes tokens for another instance.
-func (a *Accountant) Lend(ctx context.Context, l granter.Loan) granter.Decision {
+// Lend takes tokens for another instance. It waits for a larger grant only if there may be
+// one and the borrower needs all of the tokens from here.
+func (a *Accountant) Lend(ctx context.Context, l granter.Loan) lender.Reply {
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.stopped {
-		return granter.Decision{Outcome: granter.Unready}
+		return lender.Reply{Outcome: granter.Unready}
 	}
 	a.syncEra()
 	now := a.clock()
@@ -290,12 +292,17 @@
 		}
 	}()
 	n := max(l.Minimum, min(l.Requested, a.state.LendableTokens(l.Account, l.Need)))
-	d := a.takeOrWait(ctx, l.Account, n, now+lendTimeout, a.state.Lend, func() {})
-	if d.Outcome == granter.Reserved && !a.state.RecordLoan(a.clock(), l, n) {
+	d := a.takeOrWait(ctx, l.Account, n, now+lendTimeout, a.state.Lend, func() bool {
+		return l.Minimum == l.Need && a.state.HasUngranted(l.Account)
+	})
+	if d.Outcome != granter.Reserved {
+		return lender.Reply{Outcome: d.Outcome, Usage: a.state.Usage(l.Account)}
+	}
+	if !a.state.RecordLoan(a.clock(), l, n) {
 		a.state.AddReturned(l.Account, n)
-		return granter.Decision{Outcome: granter.Unready}
+		return lender.Reply{Outcome: granter.Unready}
 	}
-	return d
+	return lender.Reply{Tokens: n, Outcome: d.Outcome, Usage: a.state.Usage(l.Account)}
 }
 
 // CancelLoan takes back a loan that the borrower does not use, and returns its tokens.
@@ -326,7 +333,7 @@
 		need, requested := a.state.BorrowAmounts(now, account, n)
 		a.mu.Unlock()
 		loan := granter.Loan{ID: strconv.FormatUint(rand.Uint64(), 36), Account: account, Minimum: min(need, minimum), Need: need, Requested: requested}
-		got, err := a.peers.Borrow(ctx, p, loan)
+		reply, err := a.peers.Borrow(ctx, p, loan)
 		if err != nil {
 			a.recordPeerFailure(p, err, "peer lends nothing")
 			if lender.MayHaveRun(err) {
@@ -337,9 +344,10 @@
 		if err != nil {
 			continue
 		}
-		a.state.AddBorrowed(account, got)
-		if got >= need || firstAnswer {
-			return got < need
+		a.state.AddBorrowed(account, reply.Tokens)
+		a.state.ObserveUsage(a.clock(), account, p.Name, reply.Usage)
+		if reply.Tokens >= need || firstAnswer {
+			return reply.Tokens < need
 		}
 	}
 	return false
@@ -369,13 +377,14 @@
 }
 
 // takeOrWait tries to take tokens until it succeeds, cannot succeed or the context
-// ends. While the grant is too small it calls borrowMore before waiting. The caller
-// holds the lock.
-func (a *Accountant) takeOrWait(ctx context.Context, account string, n int64, end time.Duration, take func(time.Duration, string, int64) granter.Decision, borrowMore func()) granter.Decision {
+// ends. While the grant is too small it calls getMore, which reports whether the grant may
+// still grow, before waiting. The caller holds the lock.
+func (a *Accountant) takeOrWait(ctx context.Context, account string, n int64, end time.Duration, take func(time.Duration, string, int64) granter.Decision, getMore func() bool) granter.Decision {
 	for {
 		d := take(a.clock(), account, n)
+		mayGrow := true
 		if d.Outcome == granter.Short {
-			borrowMore()
+			mayGrow = getMore()
 			d = take(a.clock(), account, n)
 		}
 		now := a.clock()
@@ -388,6 +397,8 @@
 		case d.Outcome == granter.Exhausted:
 			d.Outcome, d.RetryAfter = granter.Short, lostRetryAfter
 			return d
+		case d.Outcome == granter.Short && !mayGrow:
+			return d
 		case !storeReachable && (d.Outcome == granter.Short || now+d.RetryAfter > end):
 			return d
 		}
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -40,10 +40,10 @@
 // lateBoundLender forwards to an instance that is created after its server.
 type lateBoundLender struct{ inst **testInstance }
 
-func (f lateBoundLender) Lend(ctx context.Context, l granter.Loan) granter.Decision {
-	d := (*f.inst).Lend(ctx, l)
+func (f lateBoundLender) Lend(ctx context.Context, l granter.Loan) lender.Reply {
+	r := (*f.inst).Lend(ctx, l)
 	time.Sleep(time.Duration((*f.inst).lag.Load()))
-	return d
+	return r
 }
 
 func (f lateBoundLender) CancelLoan(id string) int64 { return (*f.inst).CancelLoan(id) }
@@ -139,6 +139,36 @@
 	}
 }
 
+// Guards against refusals that tell callers to come back although the budget is used up,
+// because what the other instances have used since they last published it is not known.
+func TestUsedUpBudget(t *testing.T) {
+	_, addr := platformtest.Start(t)
+	instances := []*testInstance{startInstance(t, addr, "entry-1"), startInstance(t, addr, "entry-2"), startInstance(t, addr, "entry-3")}
+	for _, inst := range instances {
+		waitFor(t, 20*time.Second, "all instances know each other", func() bool { return inst.InstanceCount() == len(instances) })
+	}
+	const n, quick = prepaid / 200, 240 * time.Millisecond
+	var used int64
+	for ok := true; ok; {
+		ok = false
+		for _, inst := range instances {
+			if d := inst.Reserve(t.Context(), "rider-app", n, quick); d.Outcome == granter.Reserved {
+				inst.Settle("rider-app", d, n)
+				used, ok = used+n, true
+			}
+		}
+	}
+	if used < prepaid*9/10 {
+		t.Fatalf("%d tokens of %d were used", used, prepaid)
+	}
+	for i, inst := range instances {
+		start := time.Now()
+		if d := inst.Reserve(t.Context(), "rider-app", prepaid-used+1, quick); d.Outcome != granter.Exhausted || time.Since(start) > quick/2 {
+			t.Errorf("instance %d after %d tokens and %v: %+v", i, used, time.Since(start).Round(time.Millisecond), d)
+		}
+	}
+}
+
 // shortHomes answers as homes do that have no tokens at the first request for them.
 type shortHomes struct {
 	accountant.Peers
@@ -146,14 +176,14 @@
 	asked map[string][]string // names of the lenders asked, by account
 }
 
-func (s *shortHomes) Borrow(_ context.Context, p granter.Lender, l granter.Loan) (int64, error) {
+func (s *shortHomes) Borrow(_ context.Context, p granter.Lender, l granter.Loan) (lender.Reply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asked[l.Account] = append(s.asked[l.Account], p.Name)
 	if len(s.asked[l.Account]) == 1 {
-		return 0, nil
+		return lender.Reply{Outcome: granter.Short}, nil
 	}
-	return l.Need, nil
+	return lender.Reply{Tokens: l.Need, Outcome: granter.Reserved}, nil
 }
 
 // Guards against a request that makes another instance take a grant although the home
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -87,6 +87,7 @@
 	if version < a.version {
 		return
 	}
+	a.forgetReported(now)
 	a.budget, a.version = b, version
 	g.checkComposed(now)
 	// Conditional writes on older versions can no longer take effect.
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -235,7 +235,7 @@
 // startEra drops what refers to objects of the former era. With full memory the
 // account keeps the tokens whose use was permitted.
 func (a *account) startEra(inForce int64, m Memory) {
-	a.pendingWrites, a.version, a.confirmVersion = nil, 0, 0
+	a.pendingWrites, a.version, a.confirmVersion, a.reported = nil, 0, 0, nil
 	if m == FullMemory {
 		if a.carried = true; a.fenced {
 			a.granted = max(inForce, a.used()) // a predecessor may have used more
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -97,12 +97,13 @@
 }
 
 // Holders returns the instances that have unused tokens of an account according to
-// their published grants, those with the most first.
+// what they reported or published, those with the most first.
 func (g *Granter) Holders(name string) []Lender {
 	var list []Lender
 	free := make(map[string]int64)
-	for instance, grant := range g.account(name).budget.Grants {
-		n := grant.Granted - grant.Spent - grant.ReservedTokens
+	a := g.account(name)
+	for instance, grant := range a.budget.Grants {
+		n := max(grant.Granted, a.reported[instance].Granted) - a.usedBy(instance)
 		if addr, ok := g.peers[instance]; ok && instance != g.name && n > 0 {
 			free[instance] = n
 			list = append(list, Lender{instance, addr})
@@ -114,6 +115,12 @@
 	return list[:min(len(list), maxOthersAsked)]
 }
 
+// HasUngranted reports whether a budget has tokens that no instance holds.
+func (g *Granter) HasUngranted(name string) bool {
+	a := g.account(name)
+	return a.budget.granted() < a.prepaid
+}
+
 // isHome reports whether this instance is the home of an account.
 func (g *Granter) isHome(name string) bool { return len(g.Lenders(name)) == 0 }
 
@@ -284,10 +291,10 @@
 		d.Outcome = Reserved
 	case !g.ready:
 		d.Outcome, d.RetryAfter = Unready, minRetryAfter
+	case n > d.Remaining && (a.fenced || a.version > 0 || g.era.number == 0):
+		d.Outcome = Exhausted
 	case !a.fenced:
 		d.Outcome, d.RetryAfter = Short, maxRetryAfter
-	case d.Own > d.Remaining:
-		d.Outcome = Exhausted
 	case after > d.Granted || a.budget.granted() > a.prepaid:
 		d.Outcome, d.RetryAfter = Short, maxRetryAfter
 	case after > limit:
@@ -327,9 +334,14 @@
 // to have spent or reserved.
 func (g *Granter) usedByAll(a *account) int64 {
 	sum := a.used() - a.borrowed
-	for instance, grant := range a.budget.Grants {
+	for instance := range a.budget.Grants {
 		if instance != g.name {
-			sum += min(grant.Spent+grant.ReservedTokens, grant.Granted)
+			sum += a.usedBy(instance)
+		}
+	}
+	for instance, r := range a.reported {
+		if _, published := a.budget.Grants[instance]; !published {
+			sum += r.Used
 		}
 	}
 	return sum
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -301,11 +301,12 @@
 	borrowed        int64           // tokens lent by other instances, neither spent nor reserved
 	spent           int64
 	reserved        int64
-	waitingForLimit int64         // tokens of reservations waiting for a higher ledger limit
-	waitingForGrant int64         // tokens of reservations waiting for a larger grant
-	grantDemand     demandAverage // demand on the own grant
-	localDemand     demandAverage // demand of this instance's callers
-	largeRequest    float64       // size of a large request in tokens
+	waitingForLimit int64                    // tokens of reservations waiting for a higher ledger limit
+	waitingForGrant int64                    // tokens of reservations waiting for a larger grant
+	reported        map[string]reportedUsage // of other instances, by name
+	grantDemand     demandAverage            // demand on the own grant
+	localDemand     demandAverage            // demand of this instance's callers
+	largeRequest    float64                  // size of a large request in tokens
 }
 
 // demandAverage is an exponentially decaying average of the demand.
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -7,7 +7,7 @@
 //
 //	c := lender.NewClient()
 //	loan := granter.Loan{Account: "rider-app", Minimum: 20_000, Need: 20_000, Requested: 25_000}
-//	got, err := c.Borrow(ctx, peer, loan)
+//	reply, err := c.Borrow(ctx, peer, loan)
 //
 // After the store was restored from an older copy, peers tell what they remember of each
 // other's grants. For this, each grant is announced to some of them before it is used.
@@ -64,20 +64,22 @@
 
 // Reply is the response to a [granter.Loan].
 type Reply struct {
-	Tokens  int64           `json:"tokens"`
+	Tokens  int64           `json:"tokens"` // tokens lent
 	Outcome granter.Outcome `json:"outcome"`
+	Usage   granter.Usage   `json:"usage,omitzero"` // of the lender, including the loan
 }
 
-// Check validates the number of tokens.
+// Check validates the numbers of tokens.
 func (r Reply) Check() error {
 	var f checker.Validator
 	checker.Range(&f, "tokens", r.Tokens, 0, maxTokens)
+	f.AddNested("usage", r.Usage.Check())
 	return f.Err()
 }
 
 // TokenLender lends tokens to other instances and accepts returned ones.
 type TokenLender interface {
-	Lend(ctx context.Context, l granter.Loan) granter.Decision
+	Lend(ctx context.Context, l granter.Loan) Reply
 	CancelLoan(id string) int64
 	AddReturned(account string, tokens int64)
 	RecordNote(n granter.Note) bool
@@ -100,13 +102,7 @@
 // Handler serves loan and return requests of peers.
 func Handler(tl TokenLender, opts ...HandlerOption) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+lendPath, handleJSON(func(ctx context.Context, l granter.Loan) Reply {
-		d := tl.Lend(ctx, l)
-		if d.Outcome != granter.Reserved {
-			return Reply{Outcome: d.Outcome}
-		}
-		return Reply{Tokens: d.Own + d.Borrowed, Outcome: d.Outcome}
-	}))
+	mux.HandleFunc("POST "+lendPath, handleJSON(tl.Lend))
 	mux.HandleFunc("POST "+returnPath, handleJSON(func(_ context.Context, l granter.Loan) Reply {
 		tl.AddReturned(l.Account, l.Requested)
 		return Reply{Tokens: l.Requested, Outcome: granter.Reserved}
@@ -165,17 +161,16 @@
 	}}}
 }
 
-// Borrow returns the number of tokens lent, 0 if the peer has too few. If the peer
-// does not lend, the error is [ErrRefused].
-func (c *Client) Borrow(ctx context.Context, peer granter.Lender, l granter.Loan) (int64, error) {
+// Borrow asks a peer for tokens. If the peer does not lend, the error is [ErrRefused].
+func (c *Client) Borrow(ctx context.Context, peer granter.Lender, l granter.Loan) (Reply, error) {
 	r, err := post[Reply](ctx, c, peer.Addr+lendPath, l)
 	if err != nil {
-		return 0, err
+		return Reply{}, err
 	}
 	if r.Outcome == granter.Unready {
-		return 0, fmt.Errorf("borrow from %s: %w", peer.Name, ErrRefused)
+		return Reply{}, fmt.Errorf("borrow from %s: %w", peer.Name, ErrRefused)
 	}
-	return r.Tokens, nil
+	return r, nil
 }
 
 // Cancel makes a lender take back a loan without a response, or never make it. It returns
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -19,25 +19,25 @@
 // fakeLender responds to loan requests with a fixed decision and records loans and
 // returns.
 type fakeLender struct {
-	decision granter.Decision
+	reply lender.Reply
 
 	mu       sync.Mutex
 	loans    []granter.Loan
 	returned map[string]int64
 }
 
-func (fake *fakeLender) Lend(_ context.Context, l granter.Loan) granter.Decision {
+func (fake *fakeLender) Lend(_ context.Context, l granter.Loan) lender.Reply {
 	fake.mu.Lock()
 	defer fake.mu.Unlock()
 	fake.loans = append(fake.loans, l)
-	return fake.decision
+	return fake.reply
 }
 
 func (fake *fakeLender) RecordNote(n granter.Note) bool { return n.Era == 1 }
 
 func (fake *fakeLender) RecordGreeting(m granter.Greeting) bool { return m.Era == 1 }
 
-func (fake *fakeLender) CancelLoan(string) int64 { return fake.decision.Own }
+func (fake *fakeLender) CancelLoan(string) int64 { return fake.reply.Tokens }
 
 func (fake *fakeLender) AddReturned(account string, tokens int64) {
 	fake.mu.Lock()
@@ -57,24 +57,27 @@
 // as spent. More would spend tokens twice.
 func TestBorrowReturnsLentAmount(t *testing.T) {
 	tests := []struct {
-		name     string
-		decision granter.Decision
-		want     int64
-		refused  bool
+		name    string
+		reply   lender.Reply
+		refused bool
 	}{
-		{"own and lent tokens", granter.Decision{Outcome: granter.Reserved, Own: 900, Borrowed: 100}, 1000, false},
-		{"too few", granter.Decision{Outcome: granter.Short, Own: 900}, 0, false},
-		{"limited", granter.Decision{Outcome: granter.Limited, Own: 900}, 0, false},
-		{"exhausted", granter.Decision{Outcome: granter.Exhausted, Own: 900}, 0, false},
-		{"not ready", granter.Decision{Outcome: granter.Unready}, 0, true},
+		{"lent", lender.Reply{Outcome: granter.Reserved, Tokens: 1000, Usage: granter.Usage{Granted: 5000, Used: 1000}}, false},
+		{"too few", lender.Reply{Outcome: granter.Short, Usage: granter.Usage{Granted: 700, Used: 700}}, false},
+		{"limited", lender.Reply{Outcome: granter.Limited}, false},
+		{"exhausted", lender.Reply{Outcome: granter.Exhausted}, false},
+		{"not ready", lender.Reply{Outcome: granter.Unready}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			fake := &fakeLender{decision: tt.decision}
+			fake := &fakeLender{reply: tt.reply}
 			loan := granter.Loan{Account: "rider-app", Minimum: 800, Need: 900, Requested: 1000}
 			got, err := lender.NewClient().Borrow(t.Context(), startPeer(t, lender.Handler(fake)), loan)
-			if got != tt.want || errors.Is(err, lender.ErrRefused) != tt.refused || (err != nil) != tt.refused {
-				t.Errorf("got %d, %v, want %d", got, err, tt.want)
+			want := tt.reply
+			if tt.refused {
+				want = lender.Reply{}
+			}
+			if got != want || errors.Is(err, lender.ErrRefused) != tt.refused || (err != nil) != tt.refused {
+				t.Errorf("got %+v, %v, want %+v", got, err, want)
 			}
 			if len(fake.loans) != 1 || fake.loans[0] != loan {
 				t.Errorf("the lender got the loans %+v, want %+v once", fake.loans, loan)
@@ -118,6 +121,7 @@
 		{"error status", startPeer(t, respond(http.StatusInternalServerError, `{"tokens":5,"outcome":"reserved"}`))},
 		{"not an object", startPeer(t, respond(http.StatusOK, "5"))},
 		{"negative", startPeer(t, respond(http.StatusOK, `{"tokens":-5,"outcome":"reserved"}`))},
+		{"negative usage", startPeer(t, respond(http.StatusOK, `{"tokens":5,"outcome":"reserved","usage":{"used":-5}}`))},
 		{"too many", startPeer(t, respond(http.StatusOK, `{"tokens":99999999999999,"outcome":"reserved"}`))},
 		{"unknown field", startPeer(t, respond(http.StatusOK, `{"tokens":5,"outcome":"reserved","more":1}`))},
 		{"connection refused", granter.Lender{Name: "entry-2", Addr: strings.TrimPrefix(closed.URL, "http://")}},
@@ -127,8 +131,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			began := time.Now()
 			got, err := lender.NewClient().Borrow(t.Context(), tt.peer, granter.Loan{Account: "rider-app", Need: 5, Requested: 5})
-			if got != 0 || err == nil {
-				t.Errorf("got %d, %v, want an error", got, err)
+			if got != (lender.Reply{}) || err == nil {
+				t.Errorf("got %+v, %v, want an error", got, err)
 			}
 			if took := time.Since(began); took > time.Second {
 				t.Errorf("took %v", took)
@@ -140,7 +144,7 @@
 // Guards against executing loan requests that are not valid, such as those of a peer
 // of another version or of an unknown client.
 func TestHandlerRejectsInvalidLoans(t *testing.T) {
-	fake := &fakeLender{decision: granter.Decision{Outcome: granter.Reserved, Own: 5}}
+	fake := &fakeLender{reply: lender.Reply{Outcome: granter.Reserved, Tokens: 5}}
 	peer := startPeer(t, lender.Handler(fake))
 	tests := []struct{ name, body string }{
 		{"no account", `{"least":5,"need":5,"ask":5}`},
