Ask one more witness for the grants of an instance that was away for long

Cause: an instance whose ledger is 30 s old counts as gone when the store is restored, so that nobody waits for its witnesses. If it came back since the others last read the ledgers (every 9 s or so) and was granted tokens, and it and the witness are lost with the store's state, the budgets are composed without these tokens, and they are granted again.

Change: an instance that has written no ledger for 20 s, or cannot know that after a reboot, has one more witness for 15 s, as new instances do.

TestReturnedInstanceNeedsOneMoreWitness writes the schedule out, for an instance that was cut off and for one that starts again; both failed first. Tests of granter pass.

--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -25,7 +25,7 @@
 // recovery must be restarted. If the instance has no ledger of this era but one of a
 // former era, use [Granter.RecoverLost] instead.
 func (g *Granter) Recover(now time.Duration, old Ledger) {
-	g.startedAt, g.newcomer = now, old.Incarnation == ""
+	g.startedAt, g.newcomer, g.newcomerSince = now, !g.sameBoot(now, old) || old.Age(now) >= absenceAge, now
 	// What the predecessor knew of former eras is gone, except for what it has recorded.
 	if g.era.memory = old.Memory; old.Memory == FullMemory {
 		g.era.memory = LostMemory
@@ -61,16 +61,20 @@
 // it is capped by the grant.
 func (g *Granter) maxPriorSpend(now time.Duration, old Ledger, name string) int64 {
 	limit := old.Accounts[name]
-	sameBoot := old.Boot != "" && old.Boot == g.bootID && now >= time.Duration(old.Time)*time.Millisecond
 	switch {
 	case limit.Rate == 0:
 		return limit.Limit
-	case !sameBoot:
+	case !g.sameBoot(now, old):
 		return unbounded
 	}
 	return limit.after(old.Age(now))
 }
 
+// sameBoot reports whether the age of a ledger is known.
+func (g *Granter) sameBoot(now time.Duration, l Ledger) bool {
+	return l.Boot != "" && l.Boot == g.bootID && now >= time.Duration(l.Time)*time.Millisecond
+}
+
 // SetPeer sets the address of an instance.
 func (g *Granter) SetPeer(name, addr string) {
 	if known, ok := g.peers[name]; ok && known == addr {
@@ -146,6 +150,9 @@
 	if l.Number <= g.ledger.Number && l.Incarnation == g.ledger.Incarnation {
 		return
 	}
+	if written := time.Duration(l.Time) * time.Millisecond; g.ledger.Incarnation == l.Incarnation && g.ledger.Age(written) >= absenceAge {
+		g.newcomer, g.newcomerSince = true, written
+	}
 	g.ledger, g.ledgerEra = l, g.era.number
 	g.pendingLedgers = slices.DeleteFunc(g.pendingLedgers, func(s Ledger) bool { return s.Number <= l.Number })
 }
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -34,6 +34,9 @@
 	// idleAge is the time without a new ledger after which an instance counts as gone.
 	// It is three times the interval of an idle instance.
 	idleAge = 3 * idleLedgerInterval
+	// absenceAge is the time without a new ledger after which an instance that writes one
+	// again counts as new: others may take it for gone.
+	absenceAge = 2 * idleLedgerInterval
 	// newcomerTime is how long a new instance needs one more witness, because others
 	// may not have read its first ledger yet. It is several times the interval at which
 	// ledgers are read.
@@ -474,7 +477,7 @@
 		return 0
 	}
 	n := witnesses(len(g.peers))
-	if g.newcomer && now-g.startedAt < newcomerTime {
+	if g.newcomer && now-g.newcomerSince < newcomerTime || g.ledger.Age(now) >= absenceAge {
 		n++
 	}
 	return min(n, len(g.peers)-1)
--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -623,6 +623,47 @@
 	}
 }
 
+// Guards against an instance that comes back after the others took it for long gone, and
+// uses a grant that is known only to one that is lost with it: the others would compose the
+// budgets without it.
+func TestReturnedInstanceNeedsOneMoreWitness(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		f := newFleet(t, 4)
+		if restarted {
+			f.kill("entry-0")
+		}
+		others := []string{"entry-1", "entry-2", "entry-3"}
+		for range 12 {
+			f.pass(idleAge / 10)
+			for _, name := range others {
+				f.writeLedger(name)
+				f.read(name)
+			}
+		}
+		if restarted {
+			f.start("entry-0")
+		}
+		f.writeLedger("entry-0")
+		f.raise("entry-0", 10_000)
+		f.note("entry-0", others[:f.granters["entry-0"].WitnessesNeeded(f.now)]...)
+		f.confirm("entry-0")
+		if !f.use("entry-0", 10_000) {
+			t.Fatalf("restarted %v: confirmed grant is not used", restarted)
+		}
+		f.restore()
+		f.kill("entry-0")
+		f.kill("entry-1")
+		f.register("entry-2", "entry-3")
+		if !f.granters["entry-2"].Complete() {
+			continue
+		}
+		f.writeBudget("entry-2")
+		if got := f.budget.value.Grants["entry-0"].Granted; got < 10_000 {
+			t.Errorf("restarted %v: composed with %d tokens of an instance that has used 10000", restarted, got)
+		}
+	}
+}
+
 // Guards against an older read of a budget that arrives late and restores a grant which
 // has been returned since.
 func TestOlderBudgetIsIgnored(t *testing.T) {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -339,11 +339,12 @@
 	pendingLedgers []Ledger            // ledger writes that may still take effect
 	ledgerNumber   int64
 	stopping       bool
-	ledgerEra      int64                 // of the newest ledger known to be written
-	startedAt      time.Duration         // of this process
-	priorUnknown   bool                  // what a predecessor has spent is not known
-	peersKnown     bool                  // the ledgers were read again after the own one was written
-	newcomer       bool                  // the instance has no ledger of a former process
+	ledgerEra      int64         // of the newest ledger known to be written
+	startedAt      time.Duration // of this process
+	priorUnknown   bool          // what a predecessor has spent is not known
+	peersKnown     bool          // the ledgers were read again after the own one was written
+	newcomer       bool          // others may not count the instance at newcomerSince
+	newcomerSince  time.Duration
 	configVersion  int64                 // in force
 	loans          map[string]loanRecord // recent loans to others, by ID
 	recentLoans    []recentLoan          // the same in the order in which they were made
