Compose budgets only after the others have told what they remember

Cause: after a restore of the store an instance composed a budget as soon as those it knew of had registered. What only others remember was not waited for: instances that it had never heard of, and tokens that were written off in an era which it has missed. These tokens were granted again.

Change: a ledger says whether its writer has told all it remembers. It does so as soon as all that it remembers have registered, else after a second. Budgets are composed when all others have told. After 3 s those that have not count as lost, and no more may be lost than grants have witnesses.

--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -256,7 +256,7 @@
 		Memory: g.era.memory, Grants: g.era.grants, Others: g.era.others,
 	}
 	if g.era.memory == FullMemory {
-		l.Grants, l.Others = g.ownGrants(), g.testimonies(now)
+		l.Grants, l.Others, l.Told = g.ownGrants(), g.testimonies(now), g.hasTold(now)
 	}
 	for name, a := range g.accounts {
 		switch {
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -31,6 +31,9 @@
 	// testimonyDelay is how long instances may take to write their first ledger of an
 	// era before the others record what they remember of them.
 	testimonyDelay = time.Second
+	// tellTimeout is how long an instance may take to tell what it remembers before it
+	// counts as lost.
+	tellTimeout = 3 * testimonyDelay
 	// idleAge is the time without a new ledger after which an instance counts as gone.
 	// It is three times the interval of an idle instance.
 	idleAge = 3 * idleLedgerInterval
@@ -263,7 +266,7 @@
 	if _, written := ledgers[g.name]; written {
 		g.peersKnown = true
 	}
-	known := g.era.number == 0 || g.canCompose()
+	known := g.era.number == 0 || g.canCompose(now)
 	g.era.writeOff = !known && now-max(g.era.began, g.startedAt) >= writeOffDelay
 	g.era.complete = known || g.era.writeOff
 	g.checkComposed(now)
@@ -316,7 +319,7 @@
 
 // canCompose reports whether the grants of all instances are known. The grants of one
 // that has not registered are known if not all of its witnesses can be missing.
-func (g *Granter) canCompose() bool {
+func (g *Granter) canCompose(now time.Duration) bool {
 	if g.era.memory == LostMemory {
 		return false // another instance has to tell what the predecessor was granted
 	}
@@ -343,6 +346,11 @@
 			lost++ // its predecessor may have been a witness
 		}
 	}
+	if untold := g.untold(); untold > 0 {
+		if lost += untold; now-max(g.era.began, g.startedAt) < tellTimeout || lost > witnesses(len(g.peers)) {
+			return false // they may know of instances that this one has not heard of
+		}
+	}
 	for name := range missing {
 		if name != writtenOff && !g.isIdle(name) && lost > g.witnessesOf(name) {
 			return false
@@ -351,6 +359,17 @@
 	return true
 }
 
+// untold returns how many others have not told all that they remember.
+func (g *Granter) untold() int {
+	n := 0
+	for name, l := range g.era.ledgers {
+		if l.Memory == FullMemory && !l.Told && name != g.name {
+			n++
+		}
+	}
+	return n
+}
+
 // witnessesOf returns how many others knew each grant of a missing instance at least.
 func (g *Granter) witnessesOf(name string) int {
 	met := 0
@@ -445,8 +464,19 @@
 	return told
 }
 
+// hasTold reports whether the testimonies name all instances that have not registered.
+func (g *Granter) hasTold(now time.Duration) bool {
+	if g.era.memory != FullMemory || g.era.lastRead < g.era.began {
+		return false
+	}
+	return now-g.era.began >= testimonyDelay || len(g.unregistered()) == 0
+}
+
 // testimonyDue reports whether the ledger lacks the testimony on an instance.
 func (g *Granter) testimonyDue(now time.Duration) bool {
+	if g.hasTold(now) && !g.ledger.Told {
+		return true
+	}
 	for name := range g.testimonies(now) {
 		if _, told := g.ledger.Others[name]; !told {
 			return true
--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -664,6 +664,40 @@
 	}
 }
 
+// Guards against budgets that are composed before those who know of a lost instance, which
+// the composing one has not heard of, could tell of it.
+func TestTestimonyOnUnknownInstance(t *testing.T) {
+	f := newFleet(t, 3)
+	f.deaf = "entry-2"
+	f.start("entry-3")
+	for _, name := range []string{"entry-3", "entry-0", "entry-1", "entry-0", "entry-1"} {
+		f.read(name) // and greet those who were seen at the last time
+	}
+	f.raiseConfirmed("entry-3", 10_000, "entry-0", "entry-1")
+	if !f.use("entry-3", 10_000) {
+		t.Fatal("confirmed grant is not used")
+	}
+	delete(f.ledgers, "entry-3") // the copy is older than its start
+	f.restore()
+	f.kill("entry-3")
+	names := []string{"entry-0", "entry-1", "entry-2"}
+	for _, name := range names {
+		f.writeLedger(name)
+	}
+	f.read("entry-2")
+	if f.granters["entry-2"].Complete() {
+		t.Error("budgets are composed before all others have told what they remember")
+	}
+	f.register(names...)
+	if !f.granters["entry-2"].Complete() {
+		t.Fatal("budgets cannot be composed although all others have told what they remember")
+	}
+	f.writeBudget("entry-2")
+	if got := f.budget.value.Grants["entry-3"].Granted; got < 10_000 {
+		t.Errorf("composed with %d tokens of an instance that has used 10000", got)
+	}
+}
+
 // Guards against an older read of a budget that arrives late and restores a grant which
 // has been returned since.
 func TestOlderBudgetIsIgnored(t *testing.T) {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -234,6 +234,7 @@
 	Memory Memory               `json:"memory,omitempty"` // of the process
 	Grants map[string]Grant     `json:"grants,omitempty"` // of the instance at the start of the era, by account
 	Others map[string]Testimony `json:"others,omitempty"` // what the process remembers of other instances
+	Told   bool                 `json:"told,omitempty"`   // Others has all that have not registered
 }
 
 func (l Ledger) Check() error {
