List the new instance as only witness, which an overspend can follow, with its test

TestUnknownInstanceIsNoWitness writes it out and is red.

A trial, not committed: an instance refuses to be a witness until it has greeted all others.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -664,6 +664,27 @@
 	}
 }
 
+// Guards against a grant that is known only to a new instance which those that are left have
+// not heard of: they would not know that the witness is lost too.
+func TestUnknownInstanceIsNoWitness(t *testing.T) {
+	f := newFleet(t, 3)
+	f.start("entry-3")
+	f.granters["entry-0"].RecordGreeting(f.granters["entry-3"].Greeting()) // the others miss it
+	f.raise("entry-0", 10_000)
+	if f.note("entry-0", "entry-3") >= f.granters["entry-0"].WitnessesNeeded(f.now) {
+		f.confirm("entry-0")
+	}
+	used := f.use("entry-0", 10_000)
+	delete(f.ledgers, "entry-3") // the copy is older than its start
+	f.restore()
+	f.kill("entry-0")
+	f.kill("entry-3")
+	f.register("entry-1", "entry-2")
+	if used && f.granters["entry-2"].Complete() {
+		t.Error("budgets are composed without what a lost instance has used")
+	}
+}
+
 // Guards against budgets that are composed before those who know of a lost instance, which
 // the composing one has not heard of, could tell of it.
 func TestTestimonyOnUnknownInstance(t *testing.T) {
