Compare the quarantines with what was logged only after a change

Before, this was done after a change only.

Change: update does so again. Tests of warden and quarantiner pass; not measured.

--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -218,8 +218,12 @@
 // update changes the state. The change says whether records are to be stored, which is
 // done after a delay.
 func (w *Warden) update(delay time.Duration, change func() bool) {
-	changed := false
-	w.locked(func() { changed = change() })
+	w.mu.Lock()
+	changed := change()
+	if changed {
+		w.logChanges()
+	}
+	w.mu.Unlock()
 	switch {
 	case changed && delay > 0:
 		time.AfterFunc(delay, w.onChange)
