Compute what is not granted of a budget in one place

The ledger loop asks first whether the ledger has told already, which costs nothing, before it looks who has not registered. A comment is wrapped.

--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -303,7 +303,7 @@
 		next.Granted = min(a.granted, a.used()+a.waitingForLimit)
 		return next
 	}
-	ungranted := a.prepaid - a.budget.granted()
+	ungranted := a.ungranted()
 	need := max(0, a.used()+a.waitingForLimit+a.waitingForGrant-a.granted)
 	fair := a.used() + g.fairShare(now, name, a)
 	wantedByOthers := a.budget.wanted(g.name)
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -474,7 +474,7 @@
 
 // testimonyDue reports whether the ledger lacks the testimony on an instance.
 func (g *Granter) testimonyDue(now time.Duration) bool {
-	if g.hasTold(now) && !g.ledger.Told {
+	if !g.ledger.Told && g.hasTold(now) {
 		return true
 	}
 	for name := range g.testimonies(now) {
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -116,10 +116,7 @@
 }
 
 // HasUngranted reports whether a budget has tokens that no instance holds.
-func (g *Granter) HasUngranted(name string) bool {
-	a := g.account(name)
-	return a.budget.granted() < a.prepaid
-}
+func (g *Granter) HasUngranted(name string) bool { return g.account(name).ungranted() > 0 }
 
 // isHome reports whether this instance is the home of an account.
 func (g *Granter) isHome(name string) bool { return len(g.Lenders(name)) == 0 }
@@ -230,7 +227,7 @@
 		return a.granted > a.spent || a.waitingForGrant > 0 || len(a.pendingWrites) > 0 || g.actsAsHome(name, a)
 	}
 	next := g.planGrant(now, name, a)
-	ungranted := a.prepaid - a.budget.granted()
+	ungranted := a.ungranted()
 	switch {
 	case next.Wanted > grant.Wanted, ungranted < 0 && next.Granted < a.granted:
 		return true
@@ -295,7 +292,7 @@
 		d.Outcome = Exhausted
 	case !a.fenced:
 		d.Outcome, d.RetryAfter = Short, maxRetryAfter
-	case after > d.Granted || a.budget.granted() > a.prepaid:
+	case after > d.Granted || a.ungranted() < 0:
 		d.Outcome, d.RetryAfter = Short, maxRetryAfter
 	case after > limit:
 		d.Outcome = Limited
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -320,6 +320,10 @@
 
 func (a *account) used() int64 { return a.spent + a.reserved }
 
+// ungranted returns the prepaid tokens that no instance holds, negative if too many are
+// granted.
+func (a *account) ungranted() int64 { return a.prepaid - a.budget.granted() }
+
 // pendingWrite is a budget write that may still take effect.
 type pendingWrite struct {
 	version uint64 // budget version that the write is conditional on
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -128,9 +128,9 @@
 }
 
 // Choose selects a target that has not been tried and has one of the software versions,
-// if any are given, and records the request as sent to it. It may refuse the first attempt of a request to an engine with an
-// overloadError, see [chooser.PrefillPolicy.Admit]; the returned target is then the
-// one that was considered.
+// if any are given, and records the request as sent to it. It may refuse the first
+// attempt of a request to an engine with an overloadError, see
+// [chooser.PrefillPolicy.Admit]; the returned target is then the one that was considered.
 func (d *Dispatcher) Choose(now time.Time, service *resolver.Service, p chooser.PrefillRequest, tried, versions []string, first bool) (ChosenTarget, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
