Have one guard that allows all requests

receiver and router had one each, since the own interface got the quarantine of requests. quarantiner.NoGuard serves both. Behaviour is unchanged; the tests of receiver and router pass.

--- /dev/null
+++ b/internal/quarantiner/noguard.go
@@ -0,0 +1,27 @@
+package quarantiner
+
+import "context"
+
+// NoGuard allows all requests and records nothing, for processes without a quarantine.
+type NoGuard struct{}
+
+// Ready always reports true.
+func (NoGuard) Ready() bool { return true }
+
+// Suspects always reports false.
+func (NoGuard) Suspects() bool { return false }
+
+// Check allows the request.
+func (NoGuard) Check(Subject) Verdict { return Verdict{Outcome: Allowed} }
+
+// Admit allows the request.
+func (g NoGuard) Admit(_ context.Context, s Subject) Verdict { return g.Check(s) }
+
+// RecordAnswer does nothing.
+func (NoGuard) RecordAnswer(Subject) {}
+
+// RecordWhole does nothing.
+func (NoGuard) RecordWhole(Subject) {}
+
+// RecordCrash does nothing.
+func (NoGuard) RecordCrash(Report, bool) {}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -52,7 +52,7 @@
 
 // New returns a receiver. It refuses all requests until [Receiver.SetTable] is called.
 func New(codec Codec, d *Dispatcher, b Budgets, p *forwarder.Pool, opts ...Option) *Receiver {
-	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: noGuard{}, streams: noStreams{}, log: zerolog.Nop(), scope: tally.NoopScope}
+	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: quarantiner.NoGuard{}, streams: noStreams{}, log: zerolog.Nop(), scope: tally.NoopScope}
 	for _, o := range opts {
 		o(r)
 	}
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -140,24 +140,6 @@
 	RecordCrash(r quarantiner.Report, about bool)
 }
 
-// noGuard allows all requests.
-type noGuard struct{}
-
-func (noGuard) Ready() bool    { return true }
-func (noGuard) Suspects() bool { return false }
-
-func (noGuard) Check(quarantiner.Subject) quarantiner.Verdict {
-	return quarantiner.Verdict{Outcome: quarantiner.Allowed}
-}
-
-func (g noGuard) Admit(_ context.Context, s quarantiner.Subject) quarantiner.Verdict {
-	return g.Check(s)
-}
-
-func (noGuard) RecordAnswer(quarantiner.Subject)     {}
-func (noGuard) RecordWhole(quarantiner.Subject)      {}
-func (noGuard) RecordCrash(quarantiner.Report, bool) {}
-
 // Limits keeps the requests of all instances within the limits that targets name.
 type Limits interface {
 	// AppendClosed appends the targets of a service that may get no request now. ready is
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,21 +56,6 @@
 	RecordCrash(r quarantiner.Report, about bool)
 }
 
-type noGuard struct{}
-
-func (noGuard) Suspects() bool { return false }
-
-func (noGuard) Check(quarantiner.Subject) quarantiner.Verdict {
-	return quarantiner.Verdict{Outcome: quarantiner.Allowed}
-}
-
-func (g noGuard) Admit(_ context.Context, s quarantiner.Subject) quarantiner.Verdict {
-	return g.Check(s)
-}
-
-func (noGuard) RecordWhole(quarantiner.Subject)      {}
-func (noGuard) RecordCrash(quarantiner.Report, bool) {}
-
 // Tracer starts the tracing spans of a request.
 type Tracer interface {
 	Start(ctx context.Context, name string, attrs ...attribute.KeyValue) (context.Context, trace.Span)
@@ -144,7 +129,7 @@
 		version:   func() uint64 { return 0 },
 		ready:     func() bool { return true },
 		admission: unlimitedAdmission{},
-		guard:     noGuard{},
+		guard:     quarantiner.NoGuard{},
 		decisions: nopDecisionLog{},
 		log:       zerolog.Nop(),
 		scope:     tally.NoopScope,
