--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -37,21 +37,12 @@
 	go r.Run(ctx)
 	go a.Run(ctx)
 	go follower.New(store, recorder.Kind, r, follower.WithWait(time.Second)).Run(ctx)
-	eventually(t, "records are read", a.Ready)
+	platformtest.Eventually(t, "records are read", a.Ready)
 	a.SetServing(pool, versions, false)
-	eventually(t, "the versions are listed", func() bool { return len(a.Versions(ctx, pool)) >= len(versions) })
+	platformtest.Eventually(t, "the versions are listed", func() bool { return len(a.Versions(ctx, pool)) >= len(versions) })
 	return instance{a, cancel}
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%s: not within 8 s", what)
-		}
-	}
-}
-
 // Guards against an origin that is lost because the responses of the store are, the store
 // is away for a moment or the instance dies, and against one that is made up.
 func TestOrigin(t *testing.T) {
@@ -131,7 +122,7 @@
 		t.Errorf("origin after another instance has listed a version: %v, %v", o, err)
 	}
 	s.Put(recorder.Kind, "versions."+pool, registrar.Versions{Service: pool, Versions: []string{"v1"}})
-	eventually(t, "the list is read", func() bool { return len(a.Versions(t.Context(), pool)) == 1 })
+	platformtest.Eventually(t, "the list is read", func() bool { return len(a.Versions(t.Context(), pool)) == 1 })
 	s.SetFaults(platformtest.Faults{Unresponsive: true})
 	if o, err := a.Origin(t.Context(), pool, "x", 300*time.Millisecond); !errors.Is(err, ErrUnknown) {
 		t.Errorf("origin while the store does not answer: %v, %v", o, err)
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -136,7 +136,7 @@
 	f.stops[cfg.Listen.Callers] = stop
 	f.kills[cfg.Listen.Callers] = func() { close(e.aborted); stop() }
 	f.callers, f.logs = append(f.callers, cfg.Listen.Callers), append(f.logs, out)
-	eventually(f.t, cfg.Name+" becomes ready", func() bool {
+	platformtest.Eventually(f.t, cfg.Name+" becomes ready", func() bool {
 		res, err := http.Get("http://" + cfg.Listen.Ready + platform.ReadyPath)
 		if err != nil {
 			return false
--- a/internal/starter/reload_test.go
+++ b/internal/starter/reload_test.go
@@ -12,6 +12,7 @@
 
 	"daisylane/internal/logger"
 	"daisylane/platform"
+	"daisylane/platform/platformtest"
 )
 
 // startWatchingSettings returns an entry that watches a settings file, its log, and
@@ -85,7 +86,7 @@
 			if tt.signal {
 				reload <- syscall.SIGHUP
 			}
-			eventually(t, tt.log, func() bool { return strings.Contains(out.String(), tt.log) })
+			platformtest.Eventually(t, tt.log, func() bool { return strings.Contains(out.String(), tt.log) })
 			if got := e.settings.Load().Bounds.Grace; got != tt.grace {
 				t.Errorf("grace %v is in force, want %v", got, tt.grace)
 			}
--- a/internal/starter/starter_test.go
+++ b/internal/starter/starter_test.go
@@ -69,15 +69,6 @@
 	return path
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%s: not within 8 s", what)
-		}
-	}
-}
-
 // singleConnection returns a function that sends requests on one connection and fails
 // once that is closed.
 func singleConnection(t *testing.T) func(port int) (*http.Response, string, error) {
@@ -154,7 +145,7 @@
 		body, err := io.ReadAll(res.Body)
 		return res.StatusCode, string(body), err
 	}
-	eventually(t, "entry listens", func() bool { return probe() != 0 })
+	platformtest.Eventually(t, "entry listens", func() bool { return probe() != 0 })
 	if got := probe(); got != http.StatusServiceUnavailable {
 		t.Errorf("ready without a configuration: %d", got)
 	}
@@ -167,12 +158,12 @@
 		"limits":{"max_body_bytes":4096},"tenants":[{"name":"t1","api_keys":["k1"],"prepaid":1000}]}`))
 	s.Put("servers", "i-1", runner.Registration("s1", "a"))
 	s.Put("servers", "i-broken", "not an entry")
-	eventually(t, "entry becomes ready", func() bool { return probe() == http.StatusOK })
+	platformtest.Eventually(t, "entry becomes ready", func() bool { return probe() == http.StatusOK })
 	if status, body, err := call(); err != nil || status != http.StatusOK || strings.Count(body, "data:") != 3 {
 		t.Errorf("got %d %q, %v", status, body, err)
 	}
 
-	eventually(t, "metrics", func() bool {
+	platformtest.Eventually(t, "metrics", func() bool {
 		res, err := http.Get("http://127.0.0.1:" + metricsPort + "/metrics")
 		if err != nil {
 			return false
@@ -195,11 +186,11 @@
 		}
 		done <- err
 	}()
-	eventually(t, "second request", func() bool { return len(runner.Requests()) == 3 })
+	platformtest.Eventually(t, "second request", func() bool { return len(runner.Requests()) == 3 })
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "entry becomes unready", func() bool { return probe() != http.StatusOK })
+	platformtest.Eventually(t, "entry becomes unready", func() bool { return probe() != http.StatusOK })
 	if res, body, err := keptAlive(callers); err != nil || strings.Count(body, "data:") != 3 || !res.Close {
 		t.Errorf("request on an open connection during a graceful shutdown: %v, %q, %v", res, body, err)
 	}
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -28,19 +28,10 @@
 	w.OnChange(r.Wake)
 	go r.Run(t.Context())
 	go follower.New(store, recorder.Kind, r).Run(t.Context())
-	eventually(t, "records are read", w.Ready)
+	platformtest.Eventually(t, "records are read", w.Ready)
 	return w
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%s: not within 8 s", what)
-		}
-	}
-}
-
 // Guards against crashes that get lost when instances write the same record at the same
 // time, when responses of the store are lost or it is away for a moment, and when it is
 // restored from a copy without them; against an answer that only one instance notices,
@@ -100,13 +91,13 @@
 	}
 	wg.Wait()
 	time.AfterFunc(time.Second, func() { s.SetFaults(platformtest.Faults{}) })
-	eventually(t, "three crashes, one at each instance, lead to a quarantine", outcomes(quarantiner.Quarantined))
+	platformtest.Eventually(t, "three crashes, one at each instance, lead to a quarantine", outcomes(quarantiner.Quarantined))
 	s.Restore(empty)
 	time.Sleep(500 * time.Millisecond)
 	instances = append(instances, start(t, addr))
-	eventually(t, "the quarantine outlasts a restore of the store", outcomes(quarantiner.Quarantined))
+	platformtest.Eventually(t, "the quarantine outlasts a restore of the store", outcomes(quarantiner.Quarantined))
 	removed := func() bool { return s.Count(recorder.Kind) == 1 } // the one that cannot be read
-	eventually(t, "answers at one instance end it everywhere", func() bool {
+	platformtest.Eventually(t, "answers at one instance end it everywhere", func() bool {
 		// One answer counts against the crashes that the instance knows then.
 		answer(instances[1], subject)
 		return outcomes(quarantiner.Allowed)() && removed()
@@ -115,5 +106,5 @@
 	if !outcomes(quarantiner.Allowed)() {
 		t.Error("the quarantine is back")
 	}
-	eventually(t, "the records stay removed", removed)
+	platformtest.Eventually(t, "the records stay removed", removed)
 }
