--- a/review/stand/drill.go
+++ b/review/stand/drill.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -15,17 +16,20 @@
 	drillPrepaid  = 3_000_000
 	drillPrompt   = 500
 	drillOutput   = 40
-	// copyAge is how old the copy is from which the store comes back, awayFor how long the
-	// store is away before that.
-	copyAge = 3 * time.Second
-	awayFor = time.Second
+	// copyAge is how old the copy of the store is when the rolling restart begins, rollLead
+	// how much later the store goes away, awayFor how long it is away.
+	copyAge  = time.Second
+	rollLead = 3 * time.Second
+	awayFor  = time.Second
+	// rollGap is the time between two SIGTERMs.
+	rollGap = time.Second
 	// stableWindow is the bound stable_window_ms.
 	stableWindow = 4 * time.Second
 )
 
-// drill plays a store that comes back from a copy of some seconds ago. While it is away,
-// two of four entries are killed and started again. Two tenants use a small part of what
-// they have prepaid.
+// drill plays a rolling restart of four entries. With trouble, the store goes away in the
+// midst of it and comes back from a copy of some seconds ago. Two tenants use a small part of
+// what they have prepaid.
 func drill(w *world) error {
 	for n := range 9 {
 		if _, err := w.addRunner(fmt.Sprintf("i-pool-%d", n+1), pool, "v1", func(r *run) bool {
@@ -82,30 +86,36 @@
 	time.Sleep(17 * time.Second)
 	c := w.store.copyState()
 	time.Sleep(copyAge)
+	var rolling sync.WaitGroup
+	rolling.Go(func() {
+		for n, m := range w.machines {
+			time.Sleep(min(1, time.Duration(n)) * rollGap)
+			rolling.Go(func() {
+				w.note("%s gets SIGTERM", m.name)
+				m.signal(syscall.SIGTERM)
+				<-m.exited
+				time.Sleep(100 * time.Millisecond)
+				if err := m.start(); err != nil {
+					w.note("%v", err)
+				}
+				w.note("%s starts again", m.name)
+			})
+		}
+	})
 	if w.trouble {
+		time.Sleep(rollLead)
 		w.note("the store is away")
 		w.store.setAway(true)
-		time.Sleep(awayFor / 2)
-		killed := w.machines[:drillMachines/2]
-		for _, m := range killed {
-			m.kill()
-			w.note("%s is killed", m.name)
-		}
-		time.Sleep(awayFor / 2)
-		for _, m := range killed {
-			if err := m.start(); err != nil {
-				return err
-			}
-			w.note("%s starts again", m.name)
-		}
+		time.Sleep(awayFor)
 		w.store.restore(c)
 		w.store.setAway(false)
-		w.note("the store is back from a copy that is %v old", copyAge+awayFor)
+		w.note("the store is back from a copy that is %v old", copyAge+rollLead+awayFor)
 	}
+	rolling.Wait()
 	mu.Lock()
 	touchFrom = w.now() + stableWindow
 	mu.Unlock()
-	time.Sleep(40 * time.Second)
+	time.Sleep(35 * time.Second)
 	close(stop)
 	wg.Wait()
 	w.note("tokens used %v of %d each; %d requests, %d of them sent when all machines were in touch again: %d served, %d ended with a 4xx", used, drillPrepaid, sent, after, served, denied)
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -111,12 +111,6 @@
 	_ = m.cmd.Process.Signal(s) // it may have ended
 }
 
-// kill ends the entry and waits until it has ended.
-func (m *machine) kill() {
-	m.signal(syscall.SIGKILL)
-	<-m.exited
-}
-
 // ready reports whether the entry takes new connections.
 func (m *machine) ready() bool {
 	c := http.Client{Timeout: time.Second}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,16 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	stop     chan struct{}
+	places   chan struct{} // one for each request that runs
+	waiting  atomic.Int64
+}
+
+// slots returns how many requests a runner of a service runs at once.
+func slots(service string) int {
+	if service == app {
+		return 6
+	}
+	return 64
 }
 
 // newRunner returns a runner at a free address. It does not run yet.
@@ -46,7 +57,7 @@
 		return nil, err
 	}
 	defer l.Close()
-	return &runner{id: id, service: service, version: version, state: "ready", addr: l.Addr().String(), store: s, serve: serve}, nil
+	return &runner{id: id, service: service, version: version, state: "ready", addr: l.Addr().String(), store: s, serve: serve, places: make(chan struct{}, slots(service))}, nil
 }
 
 // start begins to serve and to write the registration, once at once and then at each
@@ -71,7 +82,7 @@
 			sequence++
 			r.mu.Lock()
 			entry := map[string]any{
-				"service": r.service, "address": r.addr, "zone": "a", "version": r.version, "slots": 64, "state": r.state,
+				"service": r.service, "address": r.addr, "zone": "a", "version": r.version, "slots": slots(r.service), "state": r.state,
 				"cold_left_ms": 0, "sequence": sequence, "born": r.born,
 			}
 			r.mu.Unlock()
@@ -133,7 +144,12 @@
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nDaisylane-Attempt-Id: %s\r\nDaisylane-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Daisylane-Attempt-Id"), r.id)
 			continue
 		}
-		if !r.serve(&run{w: c, req: req, body: body, id: req.Header.Get("Daisylane-Attempt-Id"), runner: r, version: version}) {
+		r.waiting.Add(1)
+		r.places <- struct{}{}
+		r.waiting.Add(-1)
+		kept := r.serve(&run{w: c, req: req, body: body, id: req.Header.Get("Daisylane-Attempt-Id"), runner: r, version: version})
+		<-r.places
+		if !kept {
 			return
 		}
 	}
@@ -142,7 +158,10 @@
 // head writes the head of an answer with a seal.
 func (r *run) head(status int, header ...string) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nDaisylane-Attempt-Id: %s\r\nDaisylane-Response-Seal: seal-%s\r\nDaisylane-Instance-Load: 1,0,64\r\n", status, http.StatusText(status), r.id, r.id)
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nDaisylane-Attempt-Id: %s\r\nDaisylane-Response-Seal: seal-%s\r\n", status, http.StatusText(status), r.id, r.id)
+	if r.runner.service == pool { // the other service does not tell its load
+		fmt.Fprintf(&b, "Daisylane-Instance-Load: %d,%d,%d\r\n", len(r.runner.places), r.runner.waiting.Load(), cap(r.runner.places))
+	}
 	for _, h := range header {
 		b.WriteString(h + "\r\n")
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -12,6 +13,9 @@
 	"time"
 )
 
+// metricsPort is the port at which entries serve metrics, by the deploy file.
+const metricsPort = 9464
+
 // host is the host of all routes.
 const host = "desk.example"
 
@@ -45,11 +49,23 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{trouble: trouble, record: record, dir: dir, began: time.Now(), octet: 20 + rand.IntN(200), prepaid: map[string]int64{"t1": 100_000_000, "t2": 100_000_000}}
+	w := &world{trouble: trouble, record: record, dir: dir, began: time.Now(), octet: freeOctet(), prepaid: map[string]int64{"t1": 100_000_000, "t2": 100_000_000}}
 	w.store, err = startStore()
 	return w, err
 }
 
+// freeOctet returns a second part of loopback addresses that no other fleet uses.
+func freeOctet() int {
+	for {
+		octet := 20 + rand.IntN(200)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", octet, metricsPort))
+		if err == nil {
+			_ = l.Close()
+			return octet
+		}
+	}
+}
+
 // close ends all processes.
 func (w *world) close() {
 	w.mu.Lock()
