--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -49,6 +49,7 @@
 	restoredAt    time.Time            // when the store was last restored from an older copy
 	ready         map[string][]Target  // by service, sorted by ID; derived from targets, nil if outdated
 	gone          []Target             // removed since the last call of TakeGone
+	ended         []Target             // that have started again since the last call of TakeEnded
 	reconnectedAt time.Time            // when the last outage of the store ended
 	version       int64                // incremented by each change of the targets
 }
@@ -102,6 +103,9 @@
 	if old, ok := r.departed[t.ID]; ok && old.SameIncarnation(t) {
 		t.Leaving = true // an incarnation that is leaving cannot become active again
 	}
+	if old, ok := r.targets[t.ID]; ok && !old.SameIncarnation(t) {
+		r.ended = append(r.ended, old)
+	}
 	r.targets[t.ID] = t
 	if t.Leaving {
 		r.recordDeparture(t)
@@ -207,6 +211,20 @@
 	}
 }
 
+// TakeEnded returns the former incarnations of targets that have started again under their
+// ID since the last call.
+func (r *Roster) TakeEnded() []Target {
+	ended := r.ended
+	r.ended = nil
+	return ended
+}
+
+// IsReplaced reports whether another incarnation has the ID of a target.
+func (r *Roster) IsReplaced(t Target) bool {
+	now, ok := r.targets[t.ID]
+	return ok && !now.SameIncarnation(t)
+}
+
 // TakeGone returns the targets that were removed since the last call.
 func (r *Roster) TakeGone() []Target {
 	gone := r.gone
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -147,6 +147,10 @@
 	return a.res.ContentLength >= 0 || len(a.res.TransferEncoding) > 0
 }
 
+// KeepsConnection reports whether the connection outlasts the response. If not, its end says
+// nothing about the target.
+func (a *Response) KeepsConnection() bool { return a.Delimited() && !a.res.Close }
+
 // Read reads from the body. It returns [io.EOF] once the body is complete.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.res.Body.Read(b)
@@ -167,7 +171,7 @@
 		return
 	}
 	a.closed = true
-	if !a.stop() || !a.complete || a.res.Close || !a.Delimited() {
+	if !a.stop() || !a.complete || !a.KeepsConnection() {
 		_ = a.conn.Close()
 		return
 	}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -115,16 +116,55 @@
 // Refuses reports whether addr refuses connections, as it does after the process that
 // served it has ended. It reports false if that can't be told within a short time.
 func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	c, refused := p.probe(ctx, addr)
+	if c != nil {
+		_ = c.Close()
+	}
+	return refused
+}
+
+// RefusesNext is Refuses for a target that has answered and closed the connection. The one
+// that it opens is kept for the next request.
+func (p *Pool) RefusesNext(ctx context.Context, addr string) bool {
+	c, refused := p.probe(ctx, addr)
+	if c != nil {
+		p.keep(c, defaultIdleTimeout)
+	}
+	return refused
+}
+
+func (p *Pool) probe(ctx context.Context, addr string) (c *conn, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	c, err := p.dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	c, err := p.dial(ctx, addr)
+	return c, IsRefused(err)
+}
+
+// DropClosed closes the idle connections to addr that the target has closed. It reports
+// whether there were any.
+func (p *Pool) DropClosed(addr string) bool {
+	p.mu.Lock()
+	var closed []*conn
+	p.idle[addr] = slices.DeleteFunc(p.idle[addr], func(c *conn) bool {
+		if c.isIdle() {
+			return false
+		}
+		closed = append(closed, c)
+		return true
+	})
+	if len(p.idle[addr]) == 0 {
+		delete(p.idle, addr)
+	}
+	p.mu.Unlock()
+	for _, c := range closed {
+		_ = c.Close()
 	}
-	_ = c.Close()
-	return false
+	return len(closed) > 0
 }
 
+// IsRefused reports whether an error means that an address refuses connections.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // CloseExpired closes the idle connections that have expired.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
@@ -206,6 +246,11 @@
 		_ = c.Close()
 		return
 	}
+	p.keep(c, timeout)
+}
+
+// keep adds a connection to the idle ones, or closes it if there are too many.
+func (p *Pool) keep(c *conn, timeout time.Duration) {
 	c.expires = time.Now().Add(timeout)
 	p.mu.Lock()
 	full := len(p.idle[c.addr]) >= maxIdlePerTarget
--- /dev/null
+++ b/internal/quarantiner/attempts.go
@@ -0,0 +1,127 @@
+package quarantiner
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// survivalTime is how long a target has to outlive an answer before the answer shows
+	// that the parts of the prompt are sound.
+	survivalTime = 500 * time.Millisecond
+	// suspicionDelay is how long after a failed attempt its target may be found to have
+	// ended. The registration of a silent one lapses within some seconds.
+	suspicionDelay = 15 * time.Second
+	// maxFailures limits the failed attempts that are remembered.
+	maxFailures = 4096
+)
+
+// Failure is an attempt under which a target may have ended.
+type Failure struct {
+	Report
+	About    bool // the target was about to answer, see [Quarantine]
+	Answered bool // it was answered whole all the same, see [Crashes.RecordFatal]
+	at       time.Time
+}
+
+// answer is a whole answer whose target may still end.
+type answer struct {
+	target Target
+	report Report
+	at     time.Time
+}
+
+// Attempts remembers attempts until it is known whether their target has ended: the end of
+// a connection does not tell, and one that is back at once refuses none. It is not safe for
+// concurrent use.
+type Attempts struct {
+	failures []Failure // oldest first
+	answers  []answer  // oldest first
+	ended    map[Target]time.Time
+}
+
+// NewAttempts returns an empty memory.
+func NewAttempts() *Attempts { return &Attempts{ended: make(map[Target]time.Time)} }
+
+// AddFailure remembers an attempt that was not answered whole. It reports whether its
+// target is known to have ended; then the attempt is not remembered.
+func (a *Attempts) AddFailure(now time.Time, f Failure) (ended bool) {
+	if _, ok := a.ended[f.target()]; ok {
+		return true
+	}
+	f.at = now
+	old := slices.IndexFunc(a.failures, func(f Failure) bool { return now.Sub(f.at) <= suspicionDelay })
+	if old < 0 {
+		old = len(a.failures)
+	}
+	a.failures = append(a.failures[old:], f)
+	a.failures = a.failures[max(0, len(a.failures)-maxFailures):]
+	return false
+}
+
+// AddAnswer remembers a whole answer to a request with parts that others may have too. If its
+// target is known to have ended, it returns the answer as an attempt that it ended under: the
+// end of a connection may look like the end of an answer.
+func (a *Attempts) AddAnswer(now time.Time, t Target, s Subject) []Failure {
+	if len(shared(s.Parts)) == 0 {
+		return nil
+	}
+	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, Begun: true, Parts: s.Parts}
+	if _, ended := a.ended[t]; ended {
+		return []Failure{{Report: r}}
+	}
+	a.answers = append(a.answers, answer{t, r, now})
+	return nil
+}
+
+// End records that a target has ended. It returns the attempts that it may have ended under.
+func (a *Attempts) End(now time.Time, t Target) []Failure {
+	maps.DeleteFunc(a.ended, func(_ Target, at time.Time) bool { return now.Sub(at) > suspicionDelay })
+	if _, known := a.ended[t]; known {
+		return nil
+	}
+	a.ended[t] = now
+	under := a.Lapse(now, t)
+	a.answers = slices.DeleteFunc(a.answers, func(w answer) bool {
+		if w.target == t && now.Sub(w.at) < survivalTime {
+			under = append(under, Failure{Report: w.report, Answered: true})
+		}
+		return w.target == t
+	})
+	return under
+}
+
+// Lapse returns the failed attempts at a target whose registration has lapsed. It may have
+// ended under them, or serve on.
+func (a *Attempts) Lapse(now time.Time, t Target) []Failure {
+	var under []Failure
+	a.failures = slices.DeleteFunc(a.failures, func(f Failure) bool {
+		if f.target() == t && now.Sub(f.at) <= suspicionDelay {
+			under = append(under, f)
+		}
+		return f.target() == t
+	})
+	return under
+}
+
+// Survived returns the parts of the answers that their targets have outlived, once for each
+// answer.
+func (a *Attempts) Survived(now time.Time) []Fingerprint {
+	n := 0
+	var parts []Fingerprint
+	for ; n < len(a.answers) && now.Sub(a.answers[n].at) >= survivalTime; n++ {
+		parts = append(parts, partFingerprints(a.answers[n].report.Parts)...)
+	}
+	a.answers = a.answers[n:]
+	return parts
+}
+
+// NextSurvival returns when the next answer is due for [Attempts.Survived]. It reports
+// false if there is none.
+func (a *Attempts) NextSurvival() (time.Time, bool) {
+	if len(a.answers) == 0 {
+		return time.Time{}, false
+	}
+	return a.answers[0].at.Add(survivalTime), true
+}
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -21,9 +22,9 @@
 	// quarantine.
 	requestQuarantineTime = 2 * maxRequestPause
 	// maxCrashRecords limits the crashes that the fleet remembers, maxRequestsPerCrash the
-	// requests of one.
+	// requests of one and the parts of their prompts: an engine with 64 slots and a queue.
 	maxCrashRecords     = 256
-	maxRequestsPerCrash = 128
+	maxRequestsPerCrash = 384
 	maxTrialsPerCrash   = 64
 	// CrashWriteDelay collects the requests that a crash ends at one instance.
 	CrashWriteDelay = 20 * time.Millisecond
@@ -80,6 +81,7 @@
 type crash struct {
 	record   CrashRecord // as stored, with the changes below
 	version  uint64      // of the stored record, 0: none
+	apart    bool        // it was not learned of when it happened
 	added    map[Fingerprint]bool
 	answered map[Fingerprint]bool // to be removed from the stored record
 	writeAt  time.Time
@@ -101,26 +103,37 @@
 	crashes   map[*crash]bool
 	changedAt time.Time // when the last crash or trial was learned of
 	trying    bool      // a trial is being claimed
+	depth     int       // position of a part in the prompt, unknownDepth if it was not seen here
 }
 
+// unknownDepth is deeper than any: a part that this instance has not seen is no popular one.
+const unknownDepth = math.MaxInt
+
 // Crashes holds the recent crashes of one process and derives from them the requests under
 // which targets end. It is not safe for concurrent use.
 //
 // A request that crashes its targets is never answered, so each answer takes the request
 // out of the crashes. Sound requests that are at the same targets are told apart by the
 // crashes that they have no part in.
+//
+// The same is true of the parts of prompts. As many requests have a popular part, it is at
+// all targets that crash together, so crashes of one moment count once for a part that was
+// answered before, and an answer shortly before a crash clears it. Of several parts that are
+// at the same crashes, one that was never answered explains them before one that was.
 type Crashes struct {
 	crashes     map[string]*crash // by name
 	suspicions  map[Fingerprint]*suspicion
 	suspected   map[Fingerprint]bool // requests with enough crashes for a quarantine
 	quarantined map[Fingerprint]bool
-	voided      map[string]voided // by name of the crash
+	voided      map[string]voided   // by name of the crash
+	answered    memory[Fingerprint] // when targets last outlived answers to parts at this instance
+	pending     map[Fingerprint]int // answers to parts that targets may not outlive
 	listed      bool
 }
 
 // NewCrashes returns an empty state.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint]bool), voided: make(map[string]voided)}
+	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint]bool), voided: make(map[string]voided), answered: newMemory[Fingerprint](), pending: make(map[Fingerprint]int)}
 }
 
 // Quarantined returns the requests in quarantine.
@@ -135,6 +148,7 @@
 // Check says whether a request with the given fingerprints may be sent to a target.
 func (c *Crashes) Check(now time.Time, ids []Fingerprint) Verdict {
 	v := Verdict{Outcome: Allowed}
+	c.recordDepths(ids)
 	for _, id := range ids {
 		if !c.quarantined[id] {
 			continue
@@ -149,6 +163,20 @@
 	return v
 }
 
+// recordDepths records the positions of the suspected parts of a prompt.
+func (c *Crashes) recordDepths(ids []Fingerprint) {
+	depth := 0
+	for _, id := range ids {
+		if !id.IsPart() {
+			continue
+		}
+		if s, ok := c.suspicions[id]; ok {
+			s.depth = depth
+		}
+		depth++
+	}
+}
+
 // pause returns the time without a request to a target before the next trial.
 func (c *Crashes) pause(id Fingerprint) time.Duration {
 	pause := firstPause
@@ -173,9 +201,9 @@
 		}
 		e = c.add(now, record)
 	}
-	list := e.record.Requests
-	for _, id := range r.Requests {
-		if slices.Contains(list, id) || e.answered[id] || c.isVoid(now, e, id) {
+	list, suspects := e.record.Requests, r.suspects()
+	for _, id := range suspects {
+		if slices.Contains(list, id) || e.answered[id] || c.isVoid(now, e, id) || c.answeredLately(now, id) {
 			continue
 		}
 		if more, ok := c.withRequest(list, id); ok {
@@ -187,10 +215,60 @@
 	}
 	c.scheduleWrite(e, now.Add(CrashWriteDelay))
 	c.replace(now, e, e.record.WithRequests(list))
+	c.recordDepths(suspects)
 	c.judge()
 	return true
 }
 
+// answeredLately reports whether a part was answered so shortly ago that it did not cause a
+// crash.
+func (c *Crashes) answeredLately(now time.Time, id Fingerprint) bool {
+	at, ok := c.answered.at(id)
+	return c.pending[id] > 0 || ok && now.Sub(at) < answeredRecently
+}
+
+// isKnown reports whether a part was answered before at this instance.
+func (c *Crashes) isKnown(id Fingerprint) bool {
+	_, ok := c.answered.at(id)
+	return ok || c.pending[id] > 0
+}
+
+// RecordAnswered records an answer to a request with the parts. It counts for them until
+// RecordSurvived or RecordFatal says whether the target has outlived it.
+func (c *Crashes) RecordAnswered(parts []Fingerprint) {
+	for _, id := range parts {
+		c.pending[id]++
+	}
+}
+
+// RecordSurvived records that targets have outlived answers to requests with the parts, so
+// that the parts do not crash targets. It returns whether a record is to be written.
+func (c *Crashes) RecordSurvived(now time.Time, parts []Fingerprint) bool {
+	c.RecordFatal(parts)
+	for _, id := range parts {
+		c.answered.add(now, id)
+	}
+	return c.RecordAnswer(now, parts)
+}
+
+// RecordFatal takes back answers that targets have not outlived.
+func (c *Crashes) RecordFatal(parts []Fingerprint) {
+	for _, id := range parts {
+		if c.pending[id]--; c.pending[id] <= 0 {
+			delete(c.pending, id)
+		}
+	}
+}
+
+// Repeated reports whether a request, or a part of it, was at more than one crash and not
+// answered since.
+func (c *Crashes) Repeated(r Report) bool {
+	return slices.ContainsFunc(r.suspects(), func(id Fingerprint) bool {
+		s, ok := c.suspicions[id]
+		return ok && len(s.crashes) > 1
+	})
+}
+
 // add adds a crash without requests.
 func (c *Crashes) add(now time.Time, r CrashRecord) *crash {
 	e := &crash{record: r, added: make(map[Fingerprint]bool), answered: make(map[Fingerprint]bool), seenAt: now, expires: expiry(now)}
@@ -303,7 +381,7 @@
 	for _, id := range r.Requests {
 		s, ok := c.suspicions[id]
 		if !ok {
-			s = &suspicion{crashes: make(map[*crash]bool)}
+			s = &suspicion{crashes: make(map[*crash]bool), depth: unknownDepth}
 			c.suspicions[id] = s
 		}
 		s.crashes[e] = true
@@ -340,32 +418,86 @@
 	return more
 }
 
-// judge derives the requests in quarantine. The request with most crashes explains these,
-// and the others are judged by the rest.
+// suspectRequest is a request, or a part, during a judgement.
+type suspectRequest struct {
+	id      Fingerprint
+	known   bool // a part that was answered before at this instance
+	crashes int
+	depth   int // of a part
+}
+
+// judge derives the requests and parts in quarantine. The one with most crashes explains
+// these, and the others are judged by the rest.
 func (c *Crashes) judge() {
 	clear(c.quarantined)
-	left := slices.Collect(maps.Keys(c.suspected))
-	slices.SortFunc(left, func(a, b Fingerprint) int {
-		return cmp.Or(cmp.Compare(len(c.suspicions[b].crashes), len(c.suspicions[a].crashes)), compareFingerprints(a, b))
-	})
 	explained := make(map[*crash]bool)
-	for _, id := range left {
-		n := 0
-		for e := range c.suspicions[id].crashes {
-			if !explained[e] {
-				n++
-			}
-		}
-		if n < id.threshold() {
+	var left []suspectRequest
+	for id := range c.suspected {
+		s := suspectRequest{id: id, depth: c.suspicions[id].depth, known: c.isKnown(id)}
+		s.crashes = c.count(s, explained)
+		left = append(left, s)
+	}
+	slices.SortFunc(left, compareRequests)
+	for _, s := range left {
+		if c.count(s, explained) < s.threshold() {
 			continue
 		}
-		c.quarantined[id] = true
-		for e := range c.suspicions[id].crashes {
+		c.quarantined[s.id] = true
+		for e := range c.suspicions[s.id].crashes {
 			explained[e] = true
 		}
 	}
 }
 
+// compareRequests orders known parts last, then by crashes, exact requests first, then by how
+// special a part is.
+func compareRequests(a, b suspectRequest) int {
+	switch {
+	case a.known != b.known && a.known:
+		return 1
+	case a.known != b.known:
+		return -1
+	}
+	return cmp.Or(
+		cmp.Compare(b.crashes, a.crashes),
+		cmp.Compare(a.id&kindBits, b.id&kindBits),
+		cmp.Compare(b.depth, a.depth),
+		cmp.Compare(a.id, b.id),
+	)
+}
+
+// threshold returns the number of crashes that quarantine the request or part.
+func (s suspectRequest) threshold() int {
+	if s.known {
+		return highThreshold
+	}
+	return s.id.threshold()
+}
+
+// count returns the number of crashes of a request that are not explained. For a known part,
+// those that came together count once.
+func (c *Crashes) count(s suspectRequest, explained map[*crash]bool) int {
+	n := 0
+	var moments []time.Time
+	for e := range c.suspicions[s.id].crashes {
+		switch {
+		case explained[e]:
+		case s.known && !e.apart:
+			moments = append(moments, e.seenAt)
+		default:
+			n++
+		}
+	}
+	slices.SortFunc(moments, time.Time.Compare)
+	var last time.Time
+	for _, at := range moments {
+		if last.IsZero() || at.Sub(last) >= sameMoment {
+			n, last = n+1, at
+		}
+	}
+	return n
+}
+
 // BeginTrial returns the write that claims a trial of a request. The caller must then call
 // EndClaim.
 func (c *Crashes) BeginTrial(id Fingerprint) (CrashWrite, bool) {
@@ -398,6 +530,7 @@
 	e, ok := c.crashes[r.Name()]
 	if !ok {
 		e = c.add(now, r.WithRequests(nil))
+		e.apart = !c.listed
 	}
 	if version <= e.version {
 		return
@@ -463,7 +596,7 @@
 // ObserveList takes over the list of all stored records. If the store was restored from
 // an older copy, records that it lacks now are stored again.
 func (c *Crashes) ObserveList(now time.Time, list []StoredCrash, restored bool) {
-	c.listed = true
+	defer func() { c.listed = true }()
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.Record.Name()] = true
--- a/internal/quarantiner/crashes_test.go
+++ b/internal/quarantiner/crashes_test.go
@@ -12,10 +12,11 @@
 // crashFleet is several instances that share the crashes of targets.
 type crashFleet struct {
 	model[CrashRecord, *Crashes]
+	parts uint64 // that one request has alone
 }
 
 func newCrashFleet(n int, delay time.Duration) *crashFleet {
-	return &crashFleet{newModel[CrashRecord](n, delay, NewCrashes)}
+	return &crashFleet{model: newModel[CrashRecord](n, delay, NewCrashes)}
 }
 
 // request returns the fingerprints of a plain request.
@@ -23,6 +24,9 @@
 	return Fingerprints(Content{Account: "t1", Method: "POST", URI: "/a", Body: []byte(body)})
 }
 
+// own returns the ID of a part that no other request has.
+func (f *crashFleet) own() uint64 { f.parts++; return 1<<40 + f.parts }
+
 // crash ends a target with requests of instances, by the number of the instance.
 func (f *crashFleet) crash(requests map[int][]string) {
 	f.crashed++
@@ -424,3 +428,76 @@
 		t.Errorf("name %q", name)
 	}
 }
+
+// Guards against taking a part for sound because its targets end only when they have begun to
+// answer, and against refusing the popular and the rare parts of sound requests that were at
+// the same targets. Sizes of the fleet are 2, 4 and 300; requests come at any instance.
+func TestDeadlyPartAfterEvents(t *testing.T) {
+	for _, n := range []int{2, 4, 300} {
+		for _, perSecond := range []int{1, 5} {
+			t.Run(fmt.Sprintf("%d instances, %d a second", n, perSecond), func(t *testing.T) {
+				f := newCrashFleet(n, 200*time.Millisecond)
+				refused, sent, late := 0, 0, 0
+				var fifth time.Time
+				for i := range 600 { // a minute
+					f.run(100 * time.Millisecond)
+					at := rand.IntN(n)
+					q := f.instances[at]
+					var running [][]uint64
+					for _, parts := range [][]uint64{{1, 2, f.own()}, {1, 3, f.own()}, {1, uint64(100 + i%50), f.own()}} {
+						if sent++; q.Check(f.now, partFingerprints(parts)).Outcome == Quarantined {
+							refused++
+							continue
+						}
+						running = append(running, parts)
+					}
+					ids := partFingerprints([]uint64{1, 0xdead, 2, f.own()})
+					if ok, _ := f.admit(at, ids); i > 50 && i%(10/perSecond) == 0 && ok {
+						if f.crashed++; f.crashed == 5 {
+							fifth = f.now
+						} else if f.crashed > 5 && f.now.Sub(fifth) > 4*time.Second {
+							late++
+						}
+						for _, parts := range append(running, []uint64{1, 0xdead, 2, f.own()}) {
+							q.RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Begun: true, Parts: parts})
+						}
+						continue
+					}
+					for _, parts := range running {
+						f.instances[at].RecordAnswered(partFingerprints(parts))
+						f.instances[at].RecordSurvived(f.now, partFingerprints(parts))
+					}
+				}
+				if late > 2 {
+					t.Errorf("%d targets crashed, %d of them later than 4 s after the fifth", f.crashed, late)
+				}
+				if refused > sent/100 {
+					t.Errorf("%d of %d sound requests refused", refused, sent)
+				}
+				t.Logf("%d crashes, %d late, %d writes of the fleet, %d of %d sound requests refused", f.crashed, late, f.writes, refused, sent)
+			})
+		}
+	}
+}
+
+// Guards against a quarantine of a popular part that is at all targets of a loss of power.
+func TestPopularPartAtLossOfPower(t *testing.T) {
+	f := newCrashFleet(4, 100*time.Millisecond)
+	parts := []uint64{1, 2, 3}
+	for _, q := range f.instances {
+		q.ObserveList(f.now, nil, false)
+		q.RecordAnswered(partFingerprints(parts))
+		q.RecordSurvived(f.now, partFingerprints(parts))
+	}
+	f.run(2 * answeredRecently)
+	for i := range 40 {
+		f.crashed++
+		f.instances[i%4].RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Begun: true, Parts: parts})
+	}
+	f.run(time.Second)
+	for i, q := range f.instances {
+		if q.Check(f.now, partFingerprints(parts)).Outcome != Allowed {
+			t.Errorf("instance %d refuses the part", i)
+		}
+	}
+}
--- a/internal/quarantiner/fingerprint.go
+++ b/internal/quarantiner/fingerprint.go
@@ -1,18 +1,25 @@
 package quarantiner
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
 	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Fingerprint identifies equal requests of one account. 0 identifies none.
 type Fingerprint uint64
 
-// looseBit marks fingerprints that leave out the prompt of the request.
-const looseBit Fingerprint = 1
+const (
+	// looseBit marks fingerprints that leave out the prompt of the request.
+	looseBit Fingerprint = 1
+	// partBit marks fingerprints of a part of the prompt alone.
+	partBit Fingerprint = 2
+	// kindBits tells the kinds apart.
+	kindBits = looseBit | partBit
+)
 
 // Content is what makes requests equal.
 type Content struct {
@@ -33,7 +40,7 @@
 		h.Write(n[:])
 		h.Write(b)
 	}
-	sum := func() Fingerprint { return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil))) &^ looseBit }
+	sum := func() Fingerprint { return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil))) &^ kindBits }
 	for _, b := range [][]byte{[]byte(c.Account), []byte(c.Method), []byte(c.URI), c.Body} {
 		write(b)
 	}
@@ -49,8 +56,21 @@
 	return []Fingerprint{sum(), plain | looseBit}
 }
 
-// threshold returns the number of crashes that quarantine the request. It is higher for a
-// loose fingerprint, as sound requests may have the same one.
+// partFingerprints returns the fingerprints of the parts that other requests may have too,
+// in the order of the prompt. They are the same for all accounts and services.
+func partFingerprints(parts []uint64) []Fingerprint {
+	list := make([]Fingerprint, len(shared(parts)))
+	for i, p := range shared(parts) {
+		list[i] = Fingerprint(xxhash.Sum64(binary.BigEndian.AppendUint64(nil, p)))&^kindBits | partBit
+	}
+	return list
+}
+
+// IsPart reports whether the fingerprint is that of a part of a prompt.
+func (f Fingerprint) IsPart() bool { return f&partBit != 0 }
+
+// threshold returns the number of crashes that quarantine the request, or the requests with
+// the part. It is higher for a loose fingerprint, as sound requests may have the same one.
 func (f Fingerprint) threshold() int {
 	if f&looseBit != 0 {
 		return highThreshold
@@ -58,11 +78,6 @@
 	return crashThreshold
 }
 
-// compareFingerprints orders exact ones first.
-func compareFingerprints(a, b Fingerprint) int {
-	return cmp.Or(cmp.Compare(a&looseBit, b&looseBit), cmp.Compare(a, b))
-}
-
 // String returns the fingerprint in hexadecimal, as in logs and records.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
--- a/internal/quarantiner/noguard.go
+++ b/internal/quarantiner/noguard.go
@@ -21,7 +21,16 @@
 func (NoGuard) RecordAnswer(Subject) {}
 
 // RecordWhole does nothing.
-func (NoGuard) RecordWhole(Subject) {}
+func (NoGuard) RecordWhole(Target, Subject) {}
 
 // RecordCrash does nothing.
 func (NoGuard) RecordCrash(Report, bool) {}
+
+// RecordFailure does nothing.
+func (NoGuard) RecordFailure(Report, bool) {}
+
+// RecordEnd does nothing.
+func (NoGuard) RecordEnd(Target) {}
+
+// Repeated always reports false.
+func (NoGuard) Repeated(Report) bool { return false }
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -29,7 +29,7 @@
 	entries     map[Key]*entry
 	quarantined map[Key]bool
 	listed      bool
-	answered    [2]map[Key]time.Time // newer and older half of the remembered parts
+	answered    memory[Key] // when parts were last answered at this instance
 	released    map[Key]release
 }
 
@@ -42,7 +42,7 @@
 
 // New returns an empty quarantine.
 func New() *Quarantine {
-	return &Quarantine{entries: make(map[Key]*entry), quarantined: make(map[Key]bool), answered: [2]map[Key]time.Time{{}, {}}, released: make(map[Key]release)}
+	return &Quarantine{entries: make(map[Key]*entry), quarantined: make(map[Key]bool), answered: newMemory[Key](), released: make(map[Key]release)}
 }
 
 // Quarantined returns the keys of the parts in quarantine.
@@ -82,7 +82,7 @@
 	changed := false
 	for _, p := range shared(parts) {
 		k := Key{service, p}
-		q.remember(now, k)
+		q.answered.add(now, k)
 		e, ok := q.entries[k]
 		if !ok || e.cleared {
 			continue
@@ -99,22 +99,6 @@
 	return changed
 }
 
-// remember records when a part was last answered.
-func (q *Quarantine) remember(now time.Time, k Key) {
-	if _, ok := q.answered[0][k]; !ok && len(q.answered[0]) >= maxAnswered {
-		q.answered = [2]map[Key]time.Time{{}, q.answered[0]}
-	}
-	q.answered[0][k] = now
-}
-
-// answeredAt returns when a part was last answered at this instance.
-func (q *Quarantine) answeredAt(k Key) (at time.Time, ok bool) {
-	if at, ok = q.answered[0][k]; !ok {
-		at, ok = q.answered[1][k]
-	}
-	return at, ok
-}
-
 // clear ends the suspicion against a part.
 func (q *Quarantine) clear(k Key, e *entry) {
 	if e.version == 0 && !e.sending {
@@ -154,7 +138,7 @@
 	var candidates []candidate
 	for depth, p := range shared(r.Parts) {
 		k := Key{r.Service, p}
-		at, known := q.answeredAt(k)
+		at, known := q.answered.at(k)
 		if known && now.Sub(at) < answeredRecently {
 			continue
 		}
@@ -239,7 +223,7 @@
 func (q *Quarantine) judge() {
 	clear(q.quarantined)
 	var left []suspect
-	explained := make(map[string]map[target]bool) // by service
+	explained := make(map[string]map[Target]bool) // by service
 	for _, e := range q.entries {
 		if s := (suspect{e.record, e.record.over(nil)}); !e.cleared && s.over >= 0 {
 			left = append(left, s)
@@ -261,7 +245,7 @@
 			s.over = over
 		default:
 			if known == nil {
-				known = make(map[target]bool)
+				known = make(map[Target]bool)
 				explained[s.record.Service] = known
 			}
 			for _, c := range s.record.Crashes {
@@ -352,7 +336,7 @@
 	if r, ok := q.released[k]; ok && now.Sub(r.at) < releaseTime && containsAll(r.crashes, merged.Crashes) {
 		e.cleared, e.dirty = true, false
 	}
-	_, known := q.answeredAt(k)
+	_, known := q.answered.at(k)
 	wasMarking := e.marking
 	if e.marking = known && !merged.Known; e.marking {
 		e.record = merged.WithKnown()
--- a/internal/quarantiner/quarantine_test.go
+++ b/internal/quarantiner/quarantine_test.go
@@ -343,7 +343,7 @@
 	}
 	f.step = time.Second
 	f.run(suspicionTime + time.Minute)
-	if n := len(q.answered[0]) + len(q.answered[1]); n > 2*maxAnswered {
+	if n := len(q.answered.newer) + len(q.answered.older); n > 2*maxAnswered {
 		t.Errorf("%d parts are remembered as answered, allowed are %d", n, 2*maxAnswered)
 	}
 	if len(q.entries) > 0 || len(f.records) > 0 {
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -13,6 +13,11 @@
 // comes to the same verdict, whichever of them saw the crashes. After a pause one request
 // of the whole fleet is let through as a trial. If it is answered, the quarantine ends.
 //
+// A target may also end later, after any event of an answer. So a crash counts against the
+// parts of all requests that the target had begun to answer, too, until one with the part is
+// answered whole and its target outlives the answer, see [Crashes]. Whether a target has
+// ended may be known only after the attempt, see [Attempts].
+//
 // The package does not read the clock and does no I/O. It answers two loads: callers that
 // send one request again and again that ends each target it reaches, at any instance, and
 // callers that send requests with such a part, no two of them alike.
@@ -98,13 +103,13 @@
 	Moment      int    `json:"moment"` // equal for crashes that came together
 }
 
-// target identifies the target that ended.
-type target struct {
-	id          string
-	incarnation int64
+// Target identifies a target that may have ended.
+type Target struct {
+	ID          string
+	Incarnation int64
 }
 
-func (c Crash) target() target { return target{c.Target, c.Incarnation} }
+func (c Crash) target() Target { return Target{c.Target, c.Incarnation} }
 
 func (c Crash) sameTarget(d Crash) bool { return c.target() == d.target() }
 
@@ -164,7 +169,7 @@
 
 // over returns the number of moments of crashes beyond the threshold, without the
 // explained ones.
-func (r Record) over(explained map[target]bool) int {
+func (r Record) over(explained map[Target]bool) int {
 	n, last := 0, -1
 	for _, c := range r.Crashes {
 		if c.Moment != last && !explained[c.target()] {
@@ -220,6 +225,17 @@
 	Requests    []Fingerprint // of the request
 }
 
+func (r Report) target() Target { return Target{r.Target, r.Incarnation} }
+
+// suspects returns what the crash counts against, besides the records of parts. A request
+// that only waited at the target tells nothing about its parts.
+func (r Report) suspects() []Fingerprint {
+	if !r.Begun {
+		return r.Requests
+	}
+	return append(slices.Clip(r.Requests), partFingerprints(r.Parts)...)
+}
+
 // Subject is what a request is judged by.
 type Subject struct {
 	Service  string
@@ -227,6 +243,14 @@
 	Requests []Fingerprint // empty: no request is suspected
 }
 
+// Fingerprints returns those of the request and of the parts that others may have too.
+func (s Subject) Fingerprints() []Fingerprint {
+	return append(slices.Clip(s.Requests), s.PartFingerprints()...)
+}
+
+// PartFingerprints returns those of the parts alone.
+func (s Subject) PartFingerprints() []Fingerprint { return partFingerprints(s.Parts) }
+
 // Outcome says what may be done with a request.
 type Outcome string
 
@@ -241,7 +265,7 @@
 type Verdict struct {
 	Outcome     Outcome
 	Key         Key           // of the quarantined part, if it is a part
-	Fingerprint Fingerprint   // of the quarantined request, if it is not
+	Fingerprint Fingerprint   // of the quarantined request, or of the part
 	RetryAfter  time.Duration // until the next trial
 }
 
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -81,7 +82,7 @@
 	if response.Status >= http.StatusInternalServerError {
 		outcome, j.summary.cause = retrier.Unknown, TargetFailed
 	} else {
-		j.recordWhole()
+		j.recordWhole(response, chosen)
 	}
 	return attemptResult{outcome: outcome, done: true, status: response.Status}
 }
@@ -113,7 +114,7 @@
 			if n == 1 {
 				j.recordAnswer()
 			}
-			j.recordWhole()
+			j.recordWhole(response, chosen)
 			return j.finishStream(response)
 		}
 		if err != nil {
@@ -160,10 +161,60 @@
 }
 
 // recordWhole records that a target has answered to the end, so that the request does not
-// crash targets.
-func (j *job) recordWhole() {
-	if j.r.guard.Suspects() {
-		j.r.guard.RecordWhole(j.subject())
+// crash targets, unless the target ends with its answer.
+func (j *job) recordWhole(response *forwarder.Response, chosen ChosenTarget) {
+	if len(j.sharedParts) > 0 {
+		j.r.guard.RecordWhole(chosen.process(), j.subject())
+		j.r.watchEnd(context.WithoutCancel(j.req.Context()), chosen, response.KeepsConnection())
+	} else if j.r.guard.Suspects() {
+		j.r.guard.RecordWhole(chosen.process(), j.subject())
+	}
+}
+
+// watchEnd finds out whether a target ends right after an answer. A kept connection shows
+// it; without one, the target has to be asked.
+func (r *Receiver) watchEnd(ctx context.Context, chosen ChosenTarget, kept bool) {
+	addr := chosen.Target.Addr
+	if !kept {
+		go r.checkEnd(ctx, chosen)
+		return
+	}
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	if _, watched := r.watched[addr]; watched {
+		r.watched[addr] = true
+		return
+	}
+	r.watched[addr] = false
+	time.AfterFunc(endWatchTime, func() { r.endWatch(ctx, chosen) })
+}
+
+// endWatch ends the watch of a target, or goes on with it if the target has answered since.
+func (r *Receiver) endWatch(ctx context.Context, chosen ChosenTarget) {
+	addr := chosen.Target.Addr
+	r.watchMu.Lock()
+	again := r.watched[addr]
+	if again {
+		r.watched[addr] = false
+	} else {
+		delete(r.watched, addr)
+	}
+	r.watchMu.Unlock()
+	switch {
+	case r.pool.DropClosed(addr):
+		r.checkEnd(ctx, chosen)
+		r.watchMu.Lock()
+		delete(r.watched, addr)
+		r.watchMu.Unlock()
+	case again:
+		time.AfterFunc(endWatchTime, func() { r.endWatch(ctx, chosen) })
+	}
+}
+
+// checkEnd finds out whether a target has ended.
+func (r *Receiver) checkEnd(ctx context.Context, chosen ChosenTarget) {
+	if !r.dispatcher.Lives(chosen.Target) || r.pool.RefusesNext(ctx, chosen.Target.Addr) {
+		r.guard.RecordEnd(chosen.process())
 	}
 }
 
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -10,7 +10,6 @@
 	"daisylane/internal/follower"
 	"daisylane/internal/forwarder"
 	"daisylane/internal/quarantiner"
-	"daisylane/internal/reporter"
 	"daisylane/internal/retrier"
 	"daisylane/internal/waiter"
 )
@@ -22,6 +21,7 @@
 	replaced bool // the address now belongs to another target
 	full     bool // the target is full
 	crashed  bool // the target has ended
+	repeated bool // the request, or a part of its prompt, was at an earlier crash too
 	done     bool // the response was delivered, or the exchange has ended
 	status   int  // of the response of the target, 0: none
 	events   int  // of this attempt
@@ -113,9 +113,7 @@
 	}
 	return j.r.dispatcher.FinishAttempt(now, chosen, &retrier.Attempt{
 		Account: account, Outcome: res.outcome, Refused: res.refused,
-		// What may have crashed one target is not sent to the next one.
-		Idempotent: j.route.Retryable() && !(res.crashed && res.aboutToAnswer() && len(j.sharedParts) > 0),
-		Number:     j.sends, MaxAttempts: j.route.MaxAttempts, Deadline: j.deadline,
+		Idempotent: j.mayRepeat(res), Number: j.sends, MaxAttempts: j.route.MaxAttempts, Deadline: j.deadline,
 	})
 }
 
@@ -150,21 +148,34 @@
 
 // recordCrash records whether the target of a failed attempt has ended.
 func (j *job) recordCrash(chosen ChosenTarget, res *attemptResult) {
-	broken := res.outcome == retrier.Unknown || res.outcome == retrier.Interrupted
-	if !broken || res.done || res.status >= http.StatusMultipleChoices || j.req.Context().Err() != nil {
+	if res.replaced || forwarder.IsRefused(res.err) {
+		j.r.guard.RecordEnd(chosen.process())
 		return
 	}
-	// What is learned outlasts the caller.
-	ctx := context.WithoutCancel(j.req.Context())
-	if res.crashed = j.r.pool.Refuses(ctx, chosen.Target.Addr); !res.crashed {
+	broken := res.outcome == retrier.Unknown || res.outcome == retrier.Interrupted
+	if !broken || res.done || res.status >= http.StatusMultipleChoices || j.req.Context().Err() != nil {
 		return
 	}
-	j.r.scope.Tagged(map[string]string{"service": j.service.Name}).Counter(reporter.Crashes).Inc(1)
 	report := quarantiner.Report{
 		Service: j.service.Name, Target: chosen.Target.ID, Incarnation: chosen.Target.Incarnation,
 		Begun: res.status != 0, Trial: j.trial, Parts: j.sharedParts, Requests: j.identity(),
 	}
-	j.r.guard.RecordCrash(report, res.events <= 1 && len(j.sharedParts) > 0)
+	about := res.events <= 1 && len(j.sharedParts) > 0
+	// What is learned outlasts the caller.
+	ctx := context.WithoutCancel(j.req.Context())
+	if res.crashed = !j.r.dispatcher.Lives(chosen.Target) || j.r.pool.Refuses(ctx, chosen.Target.Addr); !res.crashed {
+		j.r.guard.RecordFailure(report, about)
+		return
+	}
+	j.r.guard.RecordCrash(report, about)
+	res.repeated = j.r.guard.Repeated(report)
+}
+
+// mayRepeat reports whether the request may be sent to another target after an attempt. What
+// may have crashed one target is not sent to the next one.
+func (j *job) mayRepeat(res attemptResult) bool {
+	mayCrash := res.crashed && len(j.sharedParts) > 0 && (res.repeated || res.aboutToAnswer())
+	return j.route.Retryable() && !mayCrash
 }
 
 // aboutToAnswer reports whether the target had begun to answer, but not gone on.
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -10,6 +10,7 @@
 
 	"daisylane/internal/chooser"
 	"daisylane/internal/follower"
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/resolver"
 	"daisylane/internal/retrier"
 	"daisylane/internal/throttler"
@@ -45,6 +46,11 @@
 	inFlight *chooser.InFlightRequest
 }
 
+// process identifies the process of the target.
+func (t ChosenTarget) process() quarantiner.Target {
+	return quarantiner.Target{ID: t.Target.ID, Incarnation: t.Target.Incarnation}
+}
+
 // DispatcherOption changes a setting of a [Dispatcher].
 type DispatcherOption func(*Dispatcher)
 
@@ -209,6 +215,14 @@
 	return nil
 }
 
+// Lives reports whether the process of a target may still run. One that has registered
+// again under its ID has ended before.
+func (d *Dispatcher) Lives(t follower.Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.roster.IsReplaced(t)
+}
+
 // readyNodes returns the ready targets of a service. The caller must hold the lock.
 func (d *Dispatcher) readyNodes(service *resolver.Service) serviceNodes {
 	ready := d.roster.Ready(service.Name)
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -22,6 +22,9 @@
 	whole    int
 	about    int // reports of targets that were about to answer
 	reports  []quarantiner.Report
+	failures int // attempts whose target may have ended
+	ends     int // reports of targets that have ended
+	repeated bool
 }
 
 func (g *guard) Ready() bool { return true }
@@ -45,7 +48,7 @@
 	g.answered++
 }
 
-func (g *guard) RecordWhole(quarantiner.Subject) {
+func (g *guard) RecordWhole(quarantiner.Target, quarantiner.Subject) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.whole++
@@ -60,6 +63,20 @@
 	g.reports = append(g.reports, r)
 }
 
+func (g *guard) RecordFailure(quarantiner.Report, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failures++
+}
+
+func (g *guard) RecordEnd(quarantiner.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ends++
+}
+
+func (g *guard) Repeated(quarantiner.Report) bool { return g.repeated }
+
 // Guards against a path to a target on which a quarantine is not asked about, a trial
 // that is claimed for a request without a target, an answer that does not count as one,
 // crashes of which nobody learns, and a request that is sent on after it may have crashed
@@ -124,3 +141,38 @@
 		})
 	}
 }
+
+// Guards against an end of a target that nobody reports because the stream had gone on or
+// looked whole, or because it ended while nothing was sent to it; and against a stream that
+// ends one target after the other.
+func TestEndsOfTargets(t *testing.T) {
+	tests := []struct {
+		name     string
+		script   platformtest.Response
+		repeated bool // the prompt was at another crash
+		crashes  int
+		failures int
+		ends     int
+		runs     int
+	}{
+		{name: "after the second event", script: platformtest.Response{Events: 4, Crash: true, CrashAfter: 2}, crashes: 2, runs: 2},
+		{name: "after the second event, not the first time", script: platformtest.Response{Events: 4, Crash: true, CrashAfter: 2}, repeated: true, crashes: 1, runs: 1},
+		{name: "after the last event", script: platformtest.Response{Events: 4, Crash: true, CrashAfter: 4}, crashes: 1, runs: 2},
+		{name: "unframed, after the second event", script: platformtest.Response{Events: 4, Crash: true, CrashAfter: 2, CloseDelimited: true}, ends: 1, runs: 1},
+		{name: "unframed, whole", script: platformtest.Response{Events: 4, CloseDelimited: true}, runs: 1},
+		{name: "broken", script: platformtest.Response{Events: 4, CutAfter: 2}, failures: 1, runs: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := &guard{check: quarantiner.Allowed, admit: quarantiner.Allowed, repeated: tt.repeated}
+			f := startWith(t, []receiver.Option{receiver.WithGuard(g)}, []platformtest.Response{tt.script}, []platformtest.Response{tt.script})
+			_, _, _ = f.call(t, "/summary/7", "x", map[string]string{"Daisylane-Prompt-Prefix": "a1:10,b1:10,c1:10"}) // may break off
+			time.Sleep(100 * time.Millisecond)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if len(g.reports) != tt.crashes || g.failures != tt.failures || g.ends != tt.ends || f.runs() != tt.runs {
+				t.Errorf("%d crashes, %d failures, %d ends, %d runs, want %d, %d, %d, %d", len(g.reports), g.failures, g.ends, f.runs(), tt.crashes, tt.failures, tt.ends, tt.runs)
+			}
+		})
+	}
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,9 @@
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	closing     atomic.Bool
+
+	watchMu sync.Mutex
+	watched map[string]bool // addresses whose target is watched; true if it has answered since
 }
 
 // Option changes a setting of a [Receiver].
@@ -52,7 +56,7 @@
 
 // New returns a receiver. It refuses all requests until [Receiver.SetTable] is called.
 func New(codec Codec, d *Dispatcher, b Budgets, p *forwarder.Pool, opts ...Option) *Receiver {
-	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: quarantiner.NoGuard{}, streams: noStreams{}, log: zerolog.Nop(), scope: tally.NoopScope}
+	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: quarantiner.NoGuard{}, streams: noStreams{}, log: zerolog.Nop(), scope: tally.NoopScope, watched: make(map[string]bool)}
 	for _, o := range opts {
 		o(r)
 	}
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/reporter"
 	"daisylane/internal/retrier"
 )
@@ -44,10 +45,10 @@
 	}
 	switch {
 	case j.summary.cause != Crashing:
-	case j.quarantined.Fingerprint != 0:
-		e.Stringer("fingerprint", j.quarantined.Fingerprint)
-	default:
+	case j.quarantined.Key.Part != 0:
 		e.Str("part", partName(j.quarantined.Key.Part))
+	default:
+		e.Stringer("fingerprint", j.quarantined.Fingerprint)
 	}
 	if j.meta.FirstAttempt != "" {
 		e.Str("resumes", j.meta.FirstAttempt).Str("after", j.meta.LastEventID).Str("origin", j.summary.origin)
@@ -69,7 +70,8 @@
 		Str("outcome", string(causeOf(res))).Int("status", res.status).Bool("repeat", v.Retry).Str("verdict", v.Reason).
 		Int64("left", time.Until(j.deadline).Milliseconds())
 	if res.outcome != retrier.NotRun {
-		e.Bool("crashed", res.crashed).Stringers("fingerprints", stringers(j.identity()))
+		ids := quarantiner.Subject{Parts: j.sharedParts, Requests: j.identity()}.Fingerprints()
+		e.Bool("crashed", res.crashed).Stringers("fingerprints", stringers(ids))
 	}
 	if len(j.meta.Parts) > 0 && res.outcome != retrier.NotRun {
 		e.Strs("parts", partNames(j.meta.Parts))
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -56,6 +56,9 @@
 	minFirstByteTimeout = 250 * time.Millisecond
 	// Mean output as a share of its limit, by the users' data sheet.
 	expectedOutputShare = 0.25
+	// Time after an answer in which the end of a target counts against the prompt. A target
+	// that has to outlive its answers has twice as long.
+	endWatchTime = 250 * time.Millisecond
 	// Share of the latency objective that a request may wait for a permit to send it to a
 	// target with a limit.
 	permitWaitShare = 0.4
@@ -135,9 +138,16 @@
 	// RecordAnswer records that a target goes on answering, RecordWhole that it has
 	// answered to the end.
 	RecordAnswer(s quarantiner.Subject)
-	RecordWhole(s quarantiner.Subject)
-	// RecordCrash records the end of a target. about says that it was about to answer.
+	RecordWhole(t quarantiner.Target, s quarantiner.Subject)
+	// RecordCrash records the end of a target under a request, RecordFailure an attempt
+	// whose target may yet be found to have ended. about says that it was about to answer.
 	RecordCrash(r quarantiner.Report, about bool)
+	RecordFailure(r quarantiner.Report, about bool)
+	// RecordEnd records that a target has ended, whatever it was doing.
+	RecordEnd(t quarantiner.Target)
+	// Repeated reports whether a request, or a part of its prompt, was at more than one
+	// crash and not answered since.
+	Repeated(r quarantiner.Report) bool
 }
 
 // Limits keeps the requests of all instances within the limits that targets name.
--- a/internal/router/guard.go
+++ b/internal/router/guard.go
@@ -29,7 +29,7 @@
 	switch {
 	case outcome == Complete && a.end.GetStatus() < http.StatusInternalServerError:
 		if r.guard.Suspects() {
-			r.guard.RecordWhole(r.subject(req, j))
+			r.guard.RecordWhole(quarantiner.Target{ID: a.choice.Name}, r.subject(req, j))
 		}
 	case outcome != Complete && a.end.GetCrash() > 0:
 		ids := fingerprints(req, j)
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -23,6 +23,7 @@
 	"daisylane/internal/lender"
 	"daisylane/internal/logger"
 	"daisylane/internal/permitter"
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/receiver"
 	"daisylane/internal/recorder"
 	"daisylane/internal/reporter"
@@ -331,6 +332,9 @@
 func (e *entry) forgetTarget(t follower.Target) {
 	e.dispatcher.Forget(t.ID)
 	e.pool.CloseIdle(t.Addr)
+	if !t.Leaving {
+		e.guard.RecordLapse(quarantiner.Target{ID: t.ID, Incarnation: t.Incarnation})
+	}
 	e.log.Info().Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).Msg("target gone")
 }
 
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"daisylane/internal/follower"
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/resolver"
 	"daisylane/internal/storer"
 	"daisylane/platform"
@@ -78,7 +79,7 @@
 			list = append(list, t)
 		}
 	}
-	h.e.dispatcher.WithRoster(func(r *follower.Roster) { r.SetList(time.Now(), list) })
+	h.changeRoster(func(r *follower.Roster) { r.SetList(time.Now(), list) })
 	h.e.targetsListed.Store(true)
 	h.e.log.Info().Int("targets", len(list)).Msg("targets listed")
 }
@@ -89,7 +90,7 @@
 		if !c.Deleted {
 			t, ok = h.decode(c.Item)
 		}
-		h.e.dispatcher.WithRoster(func(r *follower.Roster) {
+		h.changeRoster(func(r *follower.Roster) {
 			if ok {
 				r.Put(t)
 			} else {
@@ -101,6 +102,19 @@
 	}
 }
 
+// changeRoster changes the roster and records which targets have started again, as they may
+// have ended under a request.
+func (h *targetHandler) changeRoster(change func(*follower.Roster)) {
+	var ended []follower.Target
+	h.e.dispatcher.WithRoster(func(r *follower.Roster) {
+		change(r)
+		ended = r.TakeEnded()
+	})
+	for _, t := range ended {
+		h.e.guard.RecordEnd(quarantiner.Target{ID: t.ID, Incarnation: t.Incarnation})
+	}
+}
+
 func (h *targetHandler) decode(item storer.Item) (follower.Target, bool) {
 	t, err := platform.DecodeRunner(item.Key, item.Body)
 	if err != nil {
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,8 +28,12 @@
 	"daisylane/internal/storer"
 )
 
-// claimPause is the time to come back for a request that could not become the trial.
-const claimPause = time.Second
+const (
+	// claimPause is the time to come back for a request that could not become the trial.
+	claimPause = time.Second
+	// minSettlePause collects answers that prove parts sound.
+	minSettlePause = 50 * time.Millisecond
+)
 
 // Warden keeps the quarantine of prompt parts and requests of one instance. It is safe for
 // concurrent use.
@@ -43,6 +48,8 @@
 	mu            sync.Mutex
 	parts         *quarantiner.Quarantine
 	crashes       *quarantiner.Crashes
+	attempts      *quarantiner.Attempts
+	settling      bool                     // a timer runs until the next answer has proved its parts sound
 	shownParts    map[quarantiner.Key]bool // quarantined parts that were logged
 	shownRequests map[quarantiner.Fingerprint]bool
 }
@@ -60,7 +67,7 @@
 func New(store recorder.Store, opts ...Option) *Warden {
 	w := &Warden{
 		store: store, log: zerolog.Nop(), scope: tally.NoopScope, onChange: func() {},
-		parts: quarantiner.New(), crashes: quarantiner.NewCrashes(), shownParts: make(map[quarantiner.Key]bool), shownRequests: make(map[quarantiner.Fingerprint]bool),
+		parts: quarantiner.New(), crashes: quarantiner.NewCrashes(), attempts: quarantiner.NewAttempts(), shownParts: make(map[quarantiner.Key]bool), shownRequests: make(map[quarantiner.Fingerprint]bool),
 	}
 	w.partGroup = recorder.NewGroup("part", func(use func(recorder.Records[quarantiner.Record])) {
 		w.locked(func() { use(w.parts) })
@@ -115,7 +122,20 @@
 // caller holds the lock.
 func (w *Warden) verdicts(s quarantiner.Subject) (part, request quarantiner.Verdict) {
 	now := time.Now()
-	return w.parts.Check(now, s.Service, s.Parts), w.crashes.Check(now, s.Requests)
+	return w.parts.Check(now, s.Service, s.Parts), w.checkCrashes(now, s)
+}
+
+// checkCrashes returns what is known of a request from the crashes. The caller holds the
+// lock.
+func (w *Warden) checkCrashes(now time.Time, s quarantiner.Subject) quarantiner.Verdict {
+	if !w.crashes.Suspects() {
+		return quarantiner.Verdict{Outcome: quarantiner.Allowed}
+	}
+	v := w.crashes.Check(now, s.Fingerprints())
+	if i := slices.Index(s.PartFingerprints(), v.Fingerprint); i >= 0 && v.Outcome != quarantiner.Allowed {
+		v.Key = quarantiner.Key{Service: s.Service, Part: s.Parts[i]}
+	}
+	return v
 }
 
 // stricter returns the verdict that allows less.
@@ -201,17 +221,97 @@
 	w.update(0, func() bool { return w.parts.RecordAnswer(time.Now(), s.Service, s.Parts) })
 }
 
-// RecordWhole records that a target has answered a request whole.
-func (w *Warden) RecordWhole(s quarantiner.Subject) {
-	w.update(0, func() bool { return w.crashes.RecordAnswer(time.Now(), s.Requests) })
+// RecordWhole records that a target has answered a request whole. That the parts of the
+// prompt are sound is shown only once the target has outlived the answer.
+func (w *Warden) RecordWhole(t quarantiner.Target, s quarantiner.Subject) {
+	var under []quarantiner.Failure
+	w.update(0, func() bool {
+		now := time.Now()
+		if under = w.attempts.AddAnswer(now, t, s); len(under) == 0 {
+			w.crashes.RecordAnswered(s.PartFingerprints())
+		}
+		w.settleLater(now)
+		return w.crashes.RecordAnswer(now, s.Requests)
+	})
+	w.recordUnder(under)
+}
+
+// settleLater starts a timer for the next answer that is to prove its parts sound. The
+// caller holds the lock.
+func (w *Warden) settleLater(now time.Time) {
+	at, ok := w.attempts.NextSurvival()
+	if !ok || w.settling {
+		return
+	}
+	w.settling = true
+	time.AfterFunc(max(at.Sub(now), minSettlePause), func() {
+		w.update(0, func() bool {
+			now := time.Now()
+			w.settling = false
+			changed := w.crashes.RecordSurvived(now, w.attempts.Survived(now))
+			w.settleLater(now)
+			return changed
+		})
+	})
 }
 
 // RecordCrash records the end of a target that had not answered a request. about says that
 // it was about to answer, so that a part of the prompt may be the cause.
 func (w *Warden) RecordCrash(r quarantiner.Report, about bool) {
-	w.update(quarantiner.CrashWriteDelay, func() bool { return w.crashes.RecordCrash(time.Now(), r) })
-	if about {
-		w.update(0, func() bool { return w.parts.RecordCrash(time.Now(), r) })
+	w.recordUnder([]quarantiner.Failure{{Report: r, About: about}})
+	w.RecordEnd(quarantiner.Target{ID: r.Target, Incarnation: r.Incarnation})
+}
+
+// RecordFailure records an attempt that was not answered whole while nothing shows yet that
+// its target has ended.
+func (w *Warden) RecordFailure(r quarantiner.Report, about bool) {
+	f := quarantiner.Failure{Report: r, About: about}
+	w.mu.Lock()
+	ended := w.attempts.AddFailure(time.Now(), f)
+	w.mu.Unlock()
+	if ended {
+		w.recordUnder([]quarantiner.Failure{f})
+	}
+}
+
+// RecordEnd records that a target has ended, which counts against the attempts that it may
+// have ended under.
+func (w *Warden) RecordEnd(t quarantiner.Target) {
+	w.mu.Lock()
+	under := w.attempts.End(time.Now(), t)
+	w.mu.Unlock()
+	w.recordUnder(under)
+}
+
+// RecordLapse records that the registration of a target has lapsed.
+func (w *Warden) RecordLapse(t quarantiner.Target) {
+	w.mu.Lock()
+	under := w.attempts.Lapse(time.Now(), t)
+	w.mu.Unlock()
+	w.recordUnder(under)
+}
+
+// Repeated reports whether a request, or a part of its prompt, was at more than one crash
+// and not answered since.
+func (w *Warden) Repeated(r quarantiner.Report) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashes.Repeated(r)
+}
+
+// recordUnder counts the end of a target against attempts.
+func (w *Warden) recordUnder(list []quarantiner.Failure) {
+	for _, f := range list {
+		w.scope.Tagged(map[string]string{"service": f.Service}).Counter(reporter.Crashes).Inc(1)
+		w.update(quarantiner.CrashWriteDelay, func() bool {
+			if f.Answered {
+				w.crashes.RecordFatal(quarantiner.Subject{Parts: f.Parts}.PartFingerprints())
+			}
+			return w.crashes.RecordCrash(time.Now(), f.Report)
+		})
+		if f.About {
+			w.update(0, func() bool { return w.parts.RecordCrash(time.Now(), f.Report) })
+		}
 	}
 }
 
@@ -244,9 +344,14 @@
 	})
 	logDifference(w.shownRequests, w.crashes.Quarantined(), func(f quarantiner.Fingerprint, in bool) {
 		log := w.logRequest(f)
-		if in {
+		switch {
+		case f.IsPart() && in:
+			log.Warn().Msg("prompt part quarantined; targets crash under it")
+		case f.IsPart():
+			log.Warn().Msg("prompt part released")
+		case in:
 			log.Warn().Msg("request quarantined; targets crash under it")
-		} else {
+		default:
 			log.Warn().Msg("request released")
 		}
 	})
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -32,6 +32,13 @@
 	return w
 }
 
+// answerWhole records an answer of a target that does not end. What a target has answered
+// does not count before that: it may end after any event.
+func answerWhole(w *warden.Warden, s quarantiner.Subject) {
+	w.RecordAnswer(s)
+	w.RecordWhole(quarantiner.Target{ID: "i-9"}, s)
+}
+
 // Guards against crashes that get lost when instances write the same record at the same
 // time, when responses of the store are lost or it is away for a moment, and when it is
 // restored from a copy without them; against an answer that only one instance notices,
@@ -43,8 +50,8 @@
 		answer  func(*warden.Warden, quarantiner.Subject)
 	}
 	kinds := []quarantined{
-		{"part", quarantiner.Subject{Service: "pool", Parts: []uint64{1, 0xdead, 3}}, (*warden.Warden).RecordAnswer},
-		{"request", quarantiner.Subject{Service: "pool", Requests: []quarantiner.Fingerprint{2, 4}}, (*warden.Warden).RecordWhole},
+		{"part", quarantiner.Subject{Service: "pool", Parts: []uint64{1, 0xdead, 3}}, answerWhole},
+		{"request", quarantiner.Subject{Service: "pool", Requests: []quarantiner.Fingerprint{2, 4}}, answerWhole},
 	}
 	faults := []struct {
 		name   string
@@ -108,3 +115,61 @@
 	}
 	platformtest.Eventually(t, "the records stay removed", removed)
 }
+
+// Guards against an end of a target that does not count, because it is known only after the
+// attempts, or because its last answer looked whole.
+func TestLateEnd(t *testing.T) {
+	parts := []uint64{1, 0xdead, 3}
+	subject := quarantiner.Subject{Service: "pool", Parts: parts}
+	tests := []struct {
+		name   string
+		record func(w *warden.Warden, t quarantiner.Target)
+		want   quarantiner.Outcome
+	}{
+		{"started again", func(w *warden.Warden, t quarantiner.Target) {
+			w.RecordFailure(quarantiner.Report{Service: "pool", Target: t.ID, Incarnation: t.Incarnation, Begun: true, Parts: parts}, false)
+			w.RecordEnd(t)
+		}, quarantiner.Quarantined},
+		{"known before the attempt failed", func(w *warden.Warden, t quarantiner.Target) {
+			w.RecordEnd(t)
+			w.RecordFailure(quarantiner.Report{Service: "pool", Target: t.ID, Incarnation: t.Incarnation, Begun: true, Parts: parts}, false)
+		}, quarantiner.Quarantined},
+		{"registration lapsed", func(w *warden.Warden, t quarantiner.Target) {
+			w.RecordFailure(quarantiner.Report{Service: "pool", Target: t.ID, Incarnation: t.Incarnation, Begun: true, Parts: parts}, false)
+			w.RecordLapse(t)
+		}, quarantiner.Quarantined},
+		{"after a whole answer", func(w *warden.Warden, t quarantiner.Target) {
+			w.RecordWhole(t, subject)
+			w.RecordEnd(t)
+		}, quarantiner.Quarantined},
+		{"before the answer was known", func(w *warden.Warden, t quarantiner.Target) {
+			w.RecordEnd(t)
+			w.RecordWhole(t, subject)
+		}, quarantiner.Quarantined},
+		{"broken answers, no end", func(w *warden.Warden, t quarantiner.Target) {
+			w.RecordFailure(quarantiner.Report{Service: "pool", Target: t.ID, Incarnation: t.Incarnation, Begun: true, Parts: parts}, false)
+		}, quarantiner.Allowed},
+		{"waiting requests", func(w *warden.Warden, t quarantiner.Target) {
+			w.RecordCrash(quarantiner.Report{Service: "pool", Target: t.ID, Incarnation: t.Incarnation, Parts: parts}, false)
+		}, quarantiner.Allowed},
+		{"ends after answers that it outlived", func(w *warden.Warden, t quarantiner.Target) {
+			w.RecordWhole(t, subject)
+			time.Sleep(700 * time.Millisecond)
+			w.RecordEnd(t)
+		}, quarantiner.Allowed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s, addr := platformtest.Start(t)
+			s.StartEras()
+			w := start(t, addr)
+			for i := range 5 {
+				tt.record(w, quarantiner.Target{ID: "i-1", Incarnation: int64(i)})
+			}
+			if v := w.Check(subject); v.Outcome != tt.want || tt.want == quarantiner.Quarantined && v.Key.Part != 0xdead {
+				t.Errorf("verdict %+v, want %s", v, tt.want)
+			}
+		})
+	}
+}
