Count only instances that live among those that have to know a grant

Cause: how many others have to confirm a grant before it is used followed from all instances that ever wrote a ledger, and those that are gone confirm nothing.

Change: a process has ended if its last ledger says so or its address refuses connections; a silent one counts for 30 s. What it knew is known to those that have read the budgets since, so it does not count as lost either. A process confirms grants only after those that were there before have accepted its greeting, and a silent one has to be introduced again, so that nobody tells of grants that it could not know.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -20,6 +20,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -62,14 +63,18 @@
 	// tell which instances there are, and so change little.
 	pollsPerLedgers = 3
 	// composePollInterval applies until the budgets can be composed after the store was
-	// restored from an older copy.
+	// restored from an older copy, and until the others know a new process.
 	composePollInterval = 300 * time.Millisecond
+	// greetingPollInterval applies while a new process has others to greet.
+	greetingPollInterval = 50 * time.Millisecond
 	// lostPollInterval is the mean time between reads while the store does not respond. It
 	// bounds how late an instance learns that the store is back.
 	lostPollInterval = 600 * time.Millisecond
 	// extraWitnesses is how many more peers are asked to confirm a grant than have to,
 	// so that a slow one does not delay it.
 	extraWitnesses = 1
+	// unconfirmedPollPause is the least time between polls because grants are not confirmed.
+	unconfirmedPollPause = time.Second
 	// maxGreetings is how many peers are greeted at once.
 	maxGreetings = 32
 	// confirmTimeout leaves a slow peer several round trips between regions.
@@ -86,6 +91,9 @@
 	maxCancelDelay = 5 * time.Second
 	// peerFailureBackoff is how long a peer is not asked after a failed call.
 	peerFailureBackoff = 2 * time.Second
+	// greetingRefusalBackoff is how long a peer that has not accepted a greeting is not
+	// greeted. It may as soon as it has learned of the era.
+	greetingRefusalBackoff = 300 * time.Millisecond
 )
 
 // ErrReplaced means that a newer process of this instance has written the ledger.
@@ -140,6 +148,7 @@
 	configCurrent    bool                     // no other instance had a newer configuration when this one started
 	stopped          bool                     // stopped lending
 	peerBackoffUntil map[string]time.Duration // by peer name
+	greetBackoff     map[string]time.Duration // the same for greetings, on which what peers confirm depends
 	changed          chan struct{}
 	ledgerSignal     chan struct{}
 	budgetsSignal    chan struct{}
@@ -147,6 +156,8 @@
 	notesSignal      chan struct{}
 	pollSignal       chan struct{}
 	polls            int             // used by pollLoop only
+	ledgersWanted    bool            // the next poll reads the ledgers
+	ledgersWantedAt  time.Duration   // when that was last asked for
 	confirming       map[string]bool // accounts whose grants are being confirmed
 }
 
@@ -169,7 +180,7 @@
 	return &Accountant{
 		store: store, name: name, peers: peers, log: log, clock: bootClock, boot: boot, started: bootClock(),
 		state:            granter.New(self),
-		peerBackoffUntil: make(map[string]time.Duration), changed: make(chan struct{}), ledgerSignal: make(chan struct{}, 1), budgetsSignal: make(chan struct{}, 1), budgetWrites: make(map[string]budgetWrite),
+		peerBackoffUntil: make(map[string]time.Duration), greetBackoff: make(map[string]time.Duration), changed: make(chan struct{}), ledgerSignal: make(chan struct{}, 1), budgetsSignal: make(chan struct{}, 1), budgetWrites: make(map[string]budgetWrite),
 		notesSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1), confirming: make(map[string]bool),
 	}
 }
@@ -331,11 +342,12 @@
 			continue
 		}
 		need, requested := a.state.BorrowAmounts(now, account, n)
+		call := a.callsTo([]granter.Lender{p})[0]
 		a.mu.Unlock()
 		loan := granter.Loan{ID: strconv.FormatUint(rand.Uint64(), 36), Account: account, Minimum: min(need, minimum), Need: need, Requested: requested}
 		reply, err := a.peers.Borrow(ctx, p, loan)
 		if err != nil {
-			a.recordPeerFailure(p, err, "peer lends nothing")
+			a.recordPeerFailure(call, err, "peer lends nothing")
 			if lender.MayHaveRun(err) {
 				go a.cancelLoan(context.WithoutCancel(ctx), p, loan)
 			}
@@ -368,12 +380,50 @@
 	a.log.Warn().Str("peer", p.Name).Str("account", l.Account).Int64("tokens", l.Requested).Err(err).Msg("loan not cancelled")
 }
 
-// recordPeerFailure keeps calls away from a peer for a while.
-func (a *Accountant) recordPeerFailure(p granter.Lender, err error, msg string) {
+// peerCall is a call to a peer.
+type peerCall struct {
+	peer      granter.Lender
+	greetings int // from the peer before the call, see [granter.Granter.RecordEnd]
+}
+
+// callsTo returns calls that begin now. The caller holds the lock.
+func (a *Accountant) callsTo(peers []granter.Lender) []peerCall {
+	calls := make([]peerCall, len(peers))
+	for i, p := range peers {
+		calls[i] = peerCall{p, a.state.Greetings(p.Name)}
+	}
+	return calls
+}
+
+// recordPeerFailure keeps calls away from a peer for a while. One that refuses connections
+// has ended.
+func (a *Accountant) recordPeerFailure(c peerCall, err error, msg string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.peerBackoffUntil[p.Name] = a.clock() + peerFailureBackoff
-	a.log.Warn().Str("peer", p.Name).Err(err).Msg(msg)
+	a.peerBackoffUntil[c.peer.Name] = a.clock() + peerFailureBackoff
+	a.recordIfEnded(c, err)
+	a.log.Warn().Str("peer", c.peer.Name).Err(err).Msg(msg)
+}
+
+// recordGreetingFailure keeps greetings away from a peer for a while.
+func (a *Accountant) recordGreetingFailure(c peerCall, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	pause := peerFailureBackoff
+	if errors.Is(err, lender.ErrRefused) {
+		pause = greetingRefusalBackoff
+	}
+	a.greetBackoff[c.peer.Name] = a.clock() + pause
+	a.recordIfEnded(c, err)
+	a.log.Warn().Str("peer", c.peer.Name).Err(err).Msg("peer does not accept a greeting")
+}
+
+// recordIfEnded records the end of a peer that refuses connections. The caller holds the
+// lock.
+func (a *Accountant) recordIfEnded(c peerCall, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		a.state.RecordEnd(c.peer.Name, c.greetings)
+	}
 }
 
 // takeOrWait tries to take tokens until it succeeds, cannot succeed or the context
@@ -461,6 +511,9 @@
 // longer serves requests.
 func (a *Accountant) Close(ctx context.Context) error {
 	a.Stop()
+	a.mu.Lock()
+	a.state.Close()
+	a.mu.Unlock()
 	if _, err := a.writeLedger(ctx); err != nil {
 		return fmt.Errorf("write final ledger: %w", err)
 	}
@@ -503,6 +556,7 @@
 	}
 	if !a.storeLost {
 		a.storeLost = true
+		time.AfterFunc(lostPollInterval/2, func() { sendSignal(a.pollSignal) }) // the next poll may be far
 		a.log.Warn().Err(err).Dur("since_contact", a.clock()-a.lastContact).Msg("budget store lost")
 	}
 }
--- a/internal/accountant/eras.go
+++ b/internal/accountant/eras.go
@@ -53,7 +53,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.syncEra()
-	return a.state.RecordNote(n)
+	return a.state.RecordNote(a.clock(), n)
 }
 
 // notesLoop has peers confirm grants, each account in its own goroutine.
@@ -86,6 +86,10 @@
 	if confirmed {
 		a.state.Confirm(n)
 		a.notifyWaiters()
+	} else if now := a.clock(); now-a.ledgersWantedAt >= unconfirmedPollPause {
+		// Witnesses that have left say so in their ledgers.
+		a.ledgersWanted, a.ledgersWantedAt = true, now
+		sendSignal(a.pollSignal)
 	}
 	a.mu.Unlock()
 	sendSignal(a.notesSignal)
@@ -101,15 +105,16 @@
 		return cmp.Compare(max(now, a.peerBackoffUntil[p.Name]), max(now, a.peerBackoffUntil[q.Name]))
 	})
 	peers = peers[:min(len(peers), needed+extraWitnesses)]
+	calls := a.callsTo(peers)
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	results := make(chan error, len(peers))
-	for _, p := range peers {
+	for _, call := range calls {
 		go func() {
-			err := a.peers.Remember(ctx, p, n)
+			err := a.peers.Remember(ctx, call.peer, n)
 			if err != nil && ctx.Err() == nil {
-				a.recordPeerFailure(p, err, "peer does not confirm a grant")
+				a.recordPeerFailure(call, err, "peer does not confirm a grant")
 			}
 			results <- err
 		}()
@@ -134,14 +139,19 @@
 	return a.state.RecordGreeting(m)
 }
 
+// greetingsDue returns the peers to be greeted now. The caller holds the lock.
+func (a *Accountant) greetingsDue() []granter.Lender {
+	now := a.clock()
+	return slices.DeleteFunc(a.state.GreetingsDue(), func(p granter.Lender) bool { return now < a.greetBackoff[p.Name] })
+}
+
 // greet tells peers in an era about this instance and returns the names of those that
 // count it.
 func (a *Accountant) greet(ctx context.Context, era int64) []string {
 	a.mu.Lock()
 	a.syncEra()
 	m := a.state.Greeting()
-	now := a.clock()
-	due := slices.DeleteFunc(a.state.GreetingsDue(), func(p granter.Lender) bool { return now < a.peerBackoffUntil[p.Name] })
+	due := a.callsTo(a.greetingsDue())
 	a.mu.Unlock()
 	if m.Era != era {
 		return nil
@@ -149,13 +159,13 @@
 	results := make(chan string, len(due))
 	var calls errgroup.Group
 	calls.SetLimit(maxGreetings)
-	for _, p := range due {
+	for _, call := range due {
 		calls.Go(func() error {
-			if err := a.peers.Greet(ctx, p, m); err != nil {
-				a.recordPeerFailure(p, err, "peer does not accept a greeting")
+			if err := a.peers.Greet(ctx, call.peer, m); err != nil {
+				a.recordGreetingFailure(call, err)
 				return nil // it is greeted again before the next poll
 			}
-			results <- p.Name
+			results <- call.peer.Name
 			return nil
 		})
 	}
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -67,6 +67,7 @@
 	a.state.SetReady()
 	a.state.ObserveLedgers(a.clock(), ledgers.current, ledgers.former)
 	a.ledgerVersion, a.ready = item.Version, true
+	sendSignal(a.pollSignal)
 	a.recordContact(began, nil)
 	a.notifyWaiters()
 	sendSignal(a.budgetsSignal)
@@ -79,13 +80,18 @@
 func (a *Accountant) poll(ctx context.Context) error {
 	era := a.store.Era()
 	met := a.greet(ctx, era)
+	a.mu.Lock()
+	ended := a.state.Ended()
+	a.mu.Unlock()
 	if err := a.readBudgets(ctx, era); err != nil {
 		return err
 	}
 	a.polls++
 	a.mu.Lock()
 	a.state.Met(era, met)
-	due := !a.state.Settled() || a.polls%pollsPerLedgers == 1
+	a.state.BudgetsRead(era, ended)
+	due := !a.state.Settled() || !a.state.Introduced(a.clock()) || a.ledgersWanted || a.polls == 2 || a.polls%pollsPerLedgers == 1
+	a.ledgersWanted = false
 	a.mu.Unlock()
 	if !due {
 		return nil
@@ -224,8 +230,12 @@
 	}
 	switch {
 	case err == nil:
+		first := !a.state.Registered()
 		a.state.LedgerWritten(l)
 		a.ledgerVersion = item.Version
+		if first {
+			sendSignal(a.pollSignal) // who was there before is greeted
+		}
 	case errors.Is(err, storer.ErrConflict):
 		a.state.LedgerNotWritten(l)
 		return true, a.adoptLedger(item)
@@ -390,8 +400,12 @@
 	switch {
 	case a.storeLost:
 		return lostPollInterval/2 + rand.N(lostPollInterval)
+	case !a.state.Introduced(a.clock()) && len(a.greetingsDue()) > 0:
+		return greetingPollInterval
 	case !a.state.Settled():
 		return composePollInterval
+	case !a.state.Introduced(a.clock()):
+		return composePollInterval
 	}
 	return pollInterval/2 + rand.N(pollInterval)
 }
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -25,7 +25,7 @@
 // recovery must be restarted. If the instance has no ledger of this era but one of a
 // former era, use [Granter.RecoverLost] instead.
 func (g *Granter) Recover(now time.Duration, old Ledger) {
-	g.startedAt, g.newcomer, g.newcomerSince = now, !g.sameBoot(now, old) || old.Age(now) >= absenceAge, now
+	g.startedAt, g.newcomer = now, true
 	// What the predecessor knew of former eras is gone, except for what it has recorded.
 	if g.era.memory = old.Memory; old.Memory == FullMemory {
 		g.era.memory = LostMemory
@@ -43,7 +43,7 @@
 // since the store was restored from an older copy. Whatever the others tell that it was
 // granted counts as spent.
 func (g *Granter) RecoverLost(now time.Duration) {
-	g.startedAt, g.newcomer = now, false
+	g.startedAt, g.newcomer = now, true
 	g.era.memory, g.era.grants, g.era.others = LostMemory, nil, nil
 	g.distrustPriors()
 }
@@ -150,8 +150,12 @@
 	if l.Number <= g.ledger.Number && l.Incarnation == g.ledger.Incarnation {
 		return
 	}
-	if written := time.Duration(l.Time) * time.Millisecond; g.ledger.Incarnation == l.Incarnation && g.ledger.Age(written) >= absenceAge {
-		g.newcomer, g.newcomerSince = true, written
+	written := time.Duration(l.Time) * time.Millisecond
+	if g.ledger.Incarnation == l.Incarnation && g.ledger.Age(written) >= absenceAge {
+		g.recordAbsence(written)
+	}
+	if g.era.registeredAt == 0 {
+		g.era.registeredAt = written
 	}
 	g.ledger, g.ledgerEra = l, g.era.number
 	g.pendingLedgers = slices.DeleteFunc(g.pendingLedgers, func(s Ledger) bool { return s.Number <= l.Number })
@@ -252,7 +256,7 @@
 	g.ledgerNumber++
 	l := Ledger{
 		Incarnation: g.incarnation, Number: g.ledgerNumber, Boot: g.bootID, Time: now.Milliseconds(), Addr: g.addr,
-		Accounts: make(map[string]Limit, len(g.accounts)), Config: g.configVersion,
+		Accounts: make(map[string]Limit, len(g.accounts)), Config: g.configVersion, Closed: g.closed,
 		Memory: g.era.memory, Grants: g.era.grants, Others: g.era.others,
 	}
 	if g.era.memory == FullMemory {
--- /dev/null
+++ b/internal/granter/ends.go
@@ -0,0 +1,138 @@
+package granter
+
+import "time"
+
+// Instances come and go. A grant needs other instances that know it, but only those that
+// live can tell of it, so an instance counts only these among its peers: processes that
+// have not ended. Otherwise one that is left alone could use no grant any more.
+//
+// A process has ended if it says so in its last ledger, or if its address refuses
+// connections. Either way it never tells anything about a former era again, so it takes no
+// part in what the others conclude, see [Granter.canCompose]. What it knew is known to
+// each instance that has read all budgets after its end: a grant is stored before others
+// confirm it.
+//
+// An instance that only is silent may live. It counts for idleAge without a new ledger. One
+// that has written none for absenceAge, which is shorter, must expect that it no longer
+// counts, and has to be introduced anew.
+//
+// The successor of a process that has ended, like any new process, may be unknown to those
+// that are left if it is lost. Until it is introduced it needs one more witness, and is no
+// witness itself.
+
+// ending is what is known of the end of another instance's process.
+type ending struct {
+	known bool // all budgets were read since
+}
+
+// Greetings returns how often another instance has greeted this one. See
+// [Granter.RecordEnd].
+func (g *Granter) Greetings(name string) int { return g.greetings[name] }
+
+// RecordEnd records that the address of another instance has refused a connection, so that
+// its process has ended. greetings is what [Granter.Greetings] returned before the call: if
+// the instance has greeted this one since, it has started again.
+func (g *Granter) RecordEnd(name string, greetings int) {
+	if greetings == g.greetings[name] {
+		g.recordEnd(name)
+	}
+}
+
+func (g *Granter) recordEnd(name string) {
+	if _, ended := g.ends[name]; ended || name == g.name {
+		return
+	}
+	g.ends[name] = ending{}
+	clear(g.lenders)
+}
+
+// recordLife records that an instance has a process that lives.
+func (g *Granter) recordLife(name string) {
+	if _, ended := g.ends[name]; ended {
+		delete(g.ends, name)
+		clear(g.lenders)
+	}
+}
+
+// Ended returns the instances whose process has ended.
+func (g *Granter) Ended() []string {
+	names := make([]string, 0, len(g.ends))
+	for name := range g.ends {
+		names = append(names, name)
+	}
+	return names
+}
+
+// BudgetsRead records that all budgets of an era were read after the end of processes, as
+// returned by [Granter.Ended] before that.
+func (g *Granter) BudgetsRead(era int64, ended []string) {
+	if era != g.era.number {
+		return
+	}
+	for _, name := range ended {
+		if e, ok := g.ends[name]; ok {
+			e.known = true
+			g.ends[name] = e
+		}
+	}
+}
+
+// observeLedger takes over from a ledger whether the process that wrote it has ended. If
+// another one has greeted this instance since, it has begun later.
+func (g *Granter) observeLedger(name string, l Ledger) {
+	if by := g.era.greeted[name]; l.Closed && (by == "" || by == l.Incarnation) {
+		g.recordEnd(name)
+	}
+}
+
+// isGone reports whether an instance no longer counts as a peer.
+func (g *Granter) isGone(name string) bool {
+	if _, ended := g.ends[name]; ended {
+		return true
+	}
+	_, idle := g.activity(name)
+	return idle
+}
+
+// liveCount returns the number of instances that count as peers, with this one.
+func (g *Granter) liveCount() int {
+	n := 1
+	for name := range g.peers {
+		if name != g.name && !g.isGone(name) {
+			n++
+		}
+	}
+	return n
+}
+
+// Close makes this process use and confirm nothing any more. Its next ledger says so.
+func (g *Granter) Close() { g.Stop(); g.closed = true }
+
+// recordAbsence makes others be greeted again: they may have ceased to count this instance.
+func (g *Granter) recordAbsence(now time.Duration) {
+	g.newcomer = true
+	g.era.met, g.era.elders, g.era.registeredAt = make(map[string]bool), nil, now
+}
+
+// Registered reports whether this process has written a ledger in this era.
+func (g *Granter) Registered() bool { return g.era.registeredAt > 0 }
+
+// Introduced reports whether those that were registered before this process know it. One
+// that registers later reads of it.
+func (g *Granter) Introduced(now time.Duration) bool {
+	if g.era.number == 0 {
+		return true
+	}
+	if g.era.registeredAt > 0 && now-g.era.registeredAt >= newcomerTime {
+		return true
+	}
+	if g.era.elders == nil {
+		return false
+	}
+	for name := range g.era.elders {
+		if !g.era.met[name] && !g.isGone(name) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -40,10 +40,13 @@
 	// absenceAge is the time without a new ledger after which an instance that writes one
 	// again counts as new: others may take it for gone.
 	absenceAge = 2 * idleLedgerInterval
-	// newcomerTime is how long a new instance needs one more witness, because others
-	// may not have read its first ledger yet. It is several times the interval at which
+	// newcomerTime is how long others may take to read the first ledger of a new process
+	// that they do not accept a greeting of. It is several times the interval at which
 	// ledgers are read.
 	newcomerTime = 15 * time.Second
+	// freshTime is how old the ledgers that were read last may be to tell that an instance
+	// has not come back: shorter than newcomerTime by the time of some store calls.
+	freshTime = 12 * time.Second
 	// writeOffDelay is how long instances may take to tell of their grants before all
 	// tokens that nobody can account for count as spent. It covers most cuts and freezes.
 	writeOffDelay = 10 * time.Second
@@ -81,9 +84,10 @@
 // store yet. Only an instance that counts all its peers has enough of them confirm its
 // grants.
 type Greeting struct {
-	Era      int64  `json:"era"`
-	Instance string `json:"instance"`
-	Addr     string `json:"addr"` // at which the sender lends tokens
+	Era         int64  `json:"era"`
+	Instance    string `json:"instance"`
+	Addr        string `json:"addr"`         // at which the sender lends tokens
+	Incarnation string `json:"by,omitempty"` // of the sender
 }
 
 // Check validates the greeting.
@@ -125,18 +129,23 @@
 
 // eraState is the part of a [Granter] that belongs to the current era of the store.
 type eraState struct {
-	number    int64
-	began     time.Duration     // when this process learned of it
-	former    int64             // the era before it in this process, 0: none, or the store said nothing
-	memory    Memory            // of this process
-	ledgers   map[string]Ledger // of all instances, by name
-	absent    []string          // instances that have ledgers of former eras only
-	memories  map[string]Testimony
-	met       map[string]bool // instances that count this one as a peer
-	sightings map[string]sighting
-	lastRead  time.Duration // of the ledgers
-	complete  bool          // the budgets of the era can be composed
-	writeOff  bool          // and count what nobody can account for as spent
+	number   int64
+	began    time.Duration     // when this process learned of it
+	former   int64             // the era before it in this process, 0: none, or the store said nothing
+	memory   Memory            // of this process
+	ledgers  map[string]Ledger // of all instances, by name
+	absent   []string          // instances that have ledgers of former eras only
+	memories map[string]Testimony
+	met      map[string]bool // instances that count this one as a peer
+	// elders are the instances that had registered when this one was seen to have done so,
+	// nil: not seen yet.
+	elders       map[string]bool
+	registeredAt time.Duration     // when this process wrote its first ledger, 0: not yet
+	greeted      map[string]string // incarnations of instances that have greeted this one
+	sightings    map[string]sighting
+	lastRead     time.Duration // of the ledgers
+	complete     bool          // the budgets of the era can be composed
+	writeOff     bool          // and count what nobody can account for as spent
 	// composedAt is when this process found all budgets of the era composed, 0: not yet.
 	// From then on it knows the grants of an instance that does not write.
 	composedAt time.Duration
@@ -163,9 +172,9 @@
 	}
 	next := eraState{
 		number: era, began: now, former: g.era.number, memory: LostMemory,
-		ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), sightings: g.era.sightings, lastRead: g.era.lastRead,
+		ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), greeted: make(map[string]string), sightings: g.era.sightings, lastRead: g.era.lastRead,
 	}
-	if g.knowsItself() {
+	if g.knowsItself() && g.peersKnown {
 		next.memory = FullMemory
 	}
 	for name, a := range g.accounts {
@@ -175,8 +184,9 @@
 	for name := range g.peers {
 		if name != g.name {
 			t := next.memories[name]
-			t.Met = g.era.met[name]
+			t.Met = g.era.met[name] && g.ledger.Age(now) < absenceAge
 			t.Active, t.Idle = g.activity(name)
+			t.Idle = t.Idle && now-g.era.lastRead < freshTime
 			next.memories[name] = t
 		}
 	}
@@ -188,6 +198,9 @@
 // activity reports whether an instance is seen to write ledgers, and whether it has
 // certainly written none for a long time.
 func (g *Granter) activity(name string) (active, idle bool) {
+	if e, ended := g.ends[name]; ended {
+		return false, e.known
+	}
 	seen, known := g.era.sightings[name]
 	recent := !known || g.era.lastRead-max(seen.since, g.era.composedAt) < idleAge
 	return recent && seen.replaced, !recent && g.era.composedAt > 0
@@ -258,6 +271,7 @@
 	g.era.ledgers, g.era.absent, g.era.lastRead = ledgers, absent, now
 	for name, l := range ledgers {
 		g.SetPeer(name, l.Addr)
+		g.observeLedger(name, l)
 		seen, known := g.era.sightings[name]
 		if !known || seen.incarnation != l.Incarnation || seen.number != l.Number {
 			g.era.sightings[name] = sighting{l.Incarnation, l.Number, now, known}
@@ -265,6 +279,14 @@
 	}
 	if _, written := ledgers[g.name]; written {
 		g.peersKnown = true
+		if g.era.elders == nil && g.era.registeredAt > 0 {
+			g.era.elders = make(map[string]bool)
+			for name := range ledgers {
+				if name != g.name {
+					g.era.elders[name] = true
+				}
+			}
+		}
 	}
 	known := g.era.number == 0 || g.canCompose(now)
 	g.era.writeOff = !known && now-max(g.era.began, g.startedAt) >= writeOffDelay
@@ -336,6 +358,9 @@
 			lost++
 		}
 		for other, l := range g.era.ledgers {
+			if _, ended := g.ends[other]; ended {
+				continue // it counts as untold
+			}
 			if _, told := l.Others[name]; l.Memory == FullMemory && other != g.name && !missing[other] && !told {
 				return false // its testimony is still to come
 			}
@@ -347,7 +372,7 @@
 		}
 	}
 	if untold := g.untold(); untold > 0 {
-		if lost += untold; now-max(g.era.began, g.startedAt) < tellTimeout || lost > witnesses(len(g.peers)) {
+		if lost += untold; now-max(g.era.began, g.startedAt) < tellTimeout || lost > witnesses(g.liveCount()) {
 			return false // they may know of instances that this one has not heard of
 		}
 	}
@@ -506,11 +531,12 @@
 	if g.era.number == 0 {
 		return 0
 	}
-	n := witnesses(len(g.peers))
-	if g.newcomer && now-g.newcomerSince < newcomerTime || g.ledger.Age(now) >= absenceAge {
+	live := g.liveCount()
+	n := witnesses(live)
+	if g.newcomer && !g.Introduced(now) || g.ledger.Age(now) >= absenceAge {
 		n++
 	}
-	return min(n, len(g.peers)-1)
+	return min(n, live-1)
 }
 
 // grantInForce returns the smallest grant that any pending write can leave in force,
@@ -538,11 +564,11 @@
 }
 
 // Witnesses returns the other instances in the order in which they are asked to confirm
-// the grants of an account.
+// the grants of an account. Those that have ended or are long silent are left out.
 func (g *Granter) Witnesses(account string) []Lender {
 	var list []Lender
 	for name, addr := range g.peers {
-		if name != g.name {
+		if name != g.name && !g.isGone(name) {
 			list = append(list, Lender{name, addr})
 		}
 	}
@@ -569,15 +595,22 @@
 
 // Greeting returns the greeting of this instance.
 func (g *Granter) Greeting() Greeting {
-	return Greeting{Era: g.era.number, Instance: g.name, Addr: g.addr}
+	return Greeting{Era: g.era.number, Instance: g.name, Addr: g.addr, Incarnation: g.incarnation}
 }
 
 // RecordGreeting counts another instance as a peer. It reports false if the greeting
 // belongs to another era.
 func (g *Granter) RecordGreeting(m Greeting) bool {
-	if m.Era != g.era.number || m.Instance == g.name {
+	if m.Era != g.era.number || m.Instance == g.name || g.closed {
 		return false
 	}
+	g.greetings[m.Instance]++
+	g.recordLife(m.Instance)
+	g.era.greeted[m.Instance] = m.Incarnation
+	if seen, ok := g.era.sightings[m.Instance]; ok {
+		seen.since = max(seen.since, g.era.lastRead)
+		g.era.sightings[m.Instance] = seen
+	}
 	g.SetPeer(m.Instance, m.Addr)
 	return true
 }
@@ -593,9 +626,10 @@
 	}
 }
 
-// RecordNote remembers the grant of another instance. It reports false if the note
-// belongs to another era, and so may come too late to be told to others.
-func (g *Granter) RecordNote(n Note) bool {
+// RecordNote remembers the grant of another instance. It reports false if this process is no
+// witness of it: the note belongs to another era, and so may come too late to be told to
+// others, or those that are left may not know the process if it is lost, or it is about to end.
+func (g *Granter) RecordNote(now time.Duration, n Note) bool {
 	if n.Era != g.era.number || !g.ready || n.Instance == g.name {
 		return false
 	}
@@ -606,7 +640,7 @@
 	if n.Version >= a.notes[n.Instance].Version {
 		a.notes[n.Instance] = n
 	}
-	return true
+	return !g.closed && g.Introduced(now)
 }
 
 // Confirm records that enough instances have remembered a note.
--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -93,6 +93,8 @@
 			met = append(met, p.Name)
 		}
 	}
+	ended := g.Ended()
+	defer g.BudgetsRead(f.era, ended)
 	defer g.Met(f.era, met)
 	if f.budget.version > 0 {
 		g.ObserveBudget(f.now, "rider-app", f.budget.value, f.budget.version)
@@ -137,7 +139,7 @@
 	accepted := 0
 	for _, n := range f.granters[name].NotesDue() {
 		for _, other := range witnesses {
-			if f.granters[other].RecordNote(n) {
+			if f.granters[other].RecordNote(f.now, n) {
 				accepted++
 			}
 		}
--- a/internal/granter/property_test.go
+++ b/internal/granter/property_test.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -33,6 +34,7 @@
 	omitTestimony    flaw = "instances do not tell what they remember of others"
 	trustOldLedger   flaw = "a successor relies on a ledger of a former era"
 	reuseObjectNames flaw = "all eras use the same objects"
+	skipWitnesses    flaw = "grants are used before others know them"
 )
 
 // simulation runs instances against a store that loses and delays writes and responses.
@@ -50,6 +52,8 @@
 	lent     map[string]int64 // lent tokens that have not been used, by account
 	prepaid  int64            // of each account
 	drills   bool             // the store is restored from older copies
+	leaves   bool             // instances leave for good, and others come
+	calm     bool             // no ambush now
 	copies   []simStore
 	restored bool // at least once
 
@@ -77,8 +81,12 @@
 	return fmt.Sprintf("%s@%d", name, era)
 }
 
-// keepCopy copies the store from time to time.
+// keepCopy copies the store from time to time. A copy that names no instance, restored when
+// all have ended, looks like a new deployment; nothing can tell it apart.
 func (w *simulation) keepCopy() {
+	if w.leaves && len(w.ledgers) == 0 {
+		return
+	}
 	if w.copies = append(w.copies, w.clone()); len(w.copies) > 12 {
 		w.copies = w.copies[1:]
 	}
@@ -92,6 +100,11 @@
 	if h := w.hosts[w.rng.IntN(len(w.hosts))]; h.granter != nil && w.randomBool(0.6) {
 		h.stop()
 	}
+	for _, h := range w.hosts {
+		if w.leaves && h.granter != nil && w.randomBool(0.2) {
+			w.kill(h)
+		}
+	}
 	era := w.era + 1
 	i := w.rng.IntN(len(w.copies))
 	w.simStore = w.copies[i].clone()
@@ -119,6 +132,10 @@
 	reservations []openReservation
 	starts       int
 	cutSteps     int              // for which it cannot reach the store
+	muteSteps    int              // for which no other instance reaches it, and it reaches none
+	left         bool             // it never starts again
+	dark         bool             // with left, its address does not even refuse connections
+	late         func()           // takes over a list of ledgers that was read before
 	usedOrLent   map[string]int64 // tokens of own grants used or lent, by account
 }
 
@@ -241,16 +258,30 @@
 			absent = append(absent, other.name)
 		}
 	}
+	if h.late != nil {
+		h.late()
+		h.late = nil
+	}
 	met := w.greet(h)
+	ended := h.granter.Ended()
 	for _, name := range testAccounts {
 		if b, ok := w.budgets[w.key(name, era)]; ok {
 			h.observeBudget(w, name, b)
 		}
 	}
 	h.granter.Met(era, met)
+	h.granter.BudgetsRead(era, ended)
 	if h.granter.ready && h.granter.Settled() && w.randomBool(0.67) {
 		return // the ledgers are read less often than the budgets
 	}
+	if g := h.granter; w.leaves && g.ready && g.Settled() && w.randomBool(0.1) {
+		h.late = func() {
+			if g == h.granter && g.Era() == era {
+				g.ObserveLedgers(w.clock(h), ledgers, absent)
+			}
+		}
+		return
+	}
 	h.granter.ObserveLedgers(w.clock(h), ledgers, absent)
 	if w.flaw == composeEarly && h.granter.era.memory != LostMemory {
 		h.granter.era.complete = true
@@ -266,7 +297,7 @@
 	var met []string
 	for _, p := range h.granter.GreetingsDue() {
 		for _, other := range w.hosts {
-			if other.name == p.Name && other.granter != nil && !w.randomBool(0.1) && other.granter.RecordGreeting(h.granter.Greeting()) {
+			if other.name == p.Name && w.reaches(h, other) && !w.randomBool(0.1) && other.granter.RecordGreeting(h.granter.Greeting()) {
 				met = append(met, p.Name)
 			}
 		}
@@ -274,19 +305,67 @@
 	return met
 }
 
+// reaches reports whether an instance reaches another one. It learns whether that has ended,
+// perhaps later.
+func (w *simulation) reaches(h, other *simHost) bool {
+	switch {
+	case h.muteSteps+other.muteSteps > 0 || other.dark:
+	case other.granter != nil:
+		return true
+	case w.leaves:
+		g, greetings := h.granter, h.granter.Greetings(other.name)
+		record := func() { g.RecordEnd(other.name, greetings) }
+		if w.randomBool(0.2) {
+			w.delayed = append(w.delayed, record)
+		} else {
+			record()
+		}
+	}
+	return false
+}
+
 // exchangeNotes asks other instances to confirm the grants of one.
 func (w *simulation) exchangeNotes(h *simHost) {
 	for _, n := range h.granter.NotesDue() {
 		needed := h.granter.WitnessesNeeded(w.clock(h))
+		var witnesses []*simHost
+		if w.flaw == skipWitnesses {
+			needed = 0
+		}
 		for _, i := range w.rng.Perm(len(w.hosts)) {
-			if other := w.hosts[i]; needed > 0 && other != h && other.granter != nil && !w.randomBool(0.3) && other.granter.RecordNote(n) {
+			other := w.hosts[i]
+			if needed <= 0 || other == h || !w.reaches(h, other) || w.randomBool(0.3) {
+				continue
+			}
+			if other.granter.RecordNote(w.clock(other), n) {
 				needed--
+				witnesses = append(witnesses, other)
 			}
 		}
 		if needed <= 0 {
 			h.granter.Confirm(n)
+			if w.leaves && !w.calm && w.randomBool(0.02) {
+				w.ambush(h, n.Account, witnesses)
+				return
+			}
+		}
+	}
+}
+
+// ambush makes an instance use a grant that was just confirmed. Then it is lost, with some of
+// those that know of the grant, and so is the latest state of the store.
+func (w *simulation) ambush(h *simHost, account string, witnesses []*simHost) {
+	w.writeLedger(h)
+	for range 4 {
+		w.request(h, account)
+	}
+	h.stop()
+	for _, other := range witnesses {
+		if other.granter != nil && w.randomBool(0.7) {
+			w.kill(other)
 		}
 	}
+	w.restore()
 }
 
 // outcome draws the result of a write: applied with a response, applied without a
@@ -439,9 +518,13 @@
 	}
 	for _, other := range w.hosts {
 		other.cutSteps = max(0, other.cutSteps-1)
+		other.muteSteps = max(0, other.muteSteps-1)
+	}
+	if w.leaves && w.randomBool(0.001) {
+		h.muteSteps = w.rng.IntN(400)
 	}
 	if h.granter == nil {
-		if h.cutSteps == 0 && w.randomBool(0.3) {
+		if h.cutSteps == 0 && !h.left && w.randomBool(0.3) {
 			w.start(h)
 		}
 		return
@@ -517,7 +600,7 @@
 
 func (w *simulation) lend(h *simHost, name string) {
 	lender := w.hosts[w.rng.IntN(len(w.hosts))]
-	if lender == h || lender.granter == nil {
+	if lender == h || !w.reaches(h, lender) {
 		return
 	}
 	if w.randomBool(0.5) {
@@ -558,17 +641,51 @@
 func (w *simulation) kill(h *simHost) {
 	if w.randomBool(0.5) {
 		h.granter.Stop()
+		if w.leaves && h.granter.ready {
+			h.granter.Close()
+			w.writeLedger(h)
+			if w.randomBool(0.2) {
+				w.calm = true
+				for _, other := range w.hosts {
+					if other != h && other.granter != nil {
+						w.exchangeNotes(other)
+					}
+				}
+				w.calm = false
+			}
+		}
 		for _, name := range testAccounts {
 			w.putBudget(h, name)
 		}
 	}
 	h.stop()
+	if w.leaves && w.randomBool(0.2) {
+		w.leave(h)
+	}
 	if w.randomBool(0.3) {
 		w.now += time.Duration(w.rng.Int64N(int64(3 * time.Second)))
 		w.reboot(h)
 	}
 }
 
+// leave makes an instance stay away, unless no other one is left, and sometimes adds one.
+func (w *simulation) leave(h *simHost) {
+	rest := 0
+	for _, other := range w.hosts {
+		if !other.left {
+			rest++
+		}
+	}
+	if rest > 1 {
+		h.left, h.dark = true, w.randomBool(0.3)
+	}
+	if w.randomBool(0.4) {
+		other := &simHost{name: fmt.Sprintf("entry-%d", len(w.hosts)), usedOrLent: make(map[string]int64)}
+		w.hosts = append(w.hosts, other)
+		w.reboot(other)
+	}
+}
+
 // run simulates random steps and returns the first violated invariant, or "".
 func (w *simulation) run(steps int) string {
 	for range steps {
@@ -633,14 +750,40 @@
 	t.Logf("%d of %d prepaid tokens used", served, 400*scarcePrepaid)
 }
 
+// Guards against spending more than is prepaid when, in addition, instances leave for good,
+// in order or not, until one is left, are silent for a while, and others come.
+func TestNoOverspendAfterDepartures(t *testing.T) {
+	served, seeds := int64(0), uint64(400)
+	if *moreSeeds > 0 {
+		seeds = *moreSeeds
+	}
+	for i := range seeds {
+		seed := *firstSeed + i
+		w := newSimulation(t, seed, noFlaw, 1+int(seed%7), true)
+		w.leaves = true
+		if violation := w.run(2500); violation != "" {
+			t.Fatalf("seed %d: %s", seed, violation)
+		}
+		served += w.used[testAccounts[0]]
+	}
+	t.Logf("%d of %d prepaid tokens used", served, int64(seeds)*scarcePrepaid)
+}
+
+var (
+	firstSeed = flag.Uint64("departures.first", 0, "first seed of TestNoOverspendAfterDepartures")
+	moreSeeds = flag.Uint64("departures.seeds", 0, "number of its seeds, 0: a few")
+)
+
 // Guards against checks of the simulation that do not detect a missing safeguard.
 func TestMissingSafeguardIsDetected(t *testing.T) {
 	tests := []struct {
 		flaws  []flaw
 		drills bool
+		leaves bool
 	}{
-		{[]flaw{dropUnansweredLedger, dropUnansweredBudget, skipFence, trustPublishedSpend, reuseBootID, countReturnsTwice}, false},
-		{[]flaw{composeEarly, omitTestimony, trustOldLedger, reuseObjectNames}, true},
+		{[]flaw{dropUnansweredLedger, dropUnansweredBudget, skipFence, trustPublishedSpend, reuseBootID, countReturnsTwice}, false, false},
+		{[]flaw{composeEarly, omitTestimony, trustOldLedger, reuseObjectNames}, true, false},
+		{[]flaw{skipWitnesses}, true, true},
 	}
 	for _, tt := range tests {
 		for _, f := range tt.flaws {
@@ -651,7 +794,9 @@
 					if tt.drills {
 						hosts += int(seed % 5)
 					}
-					if newSimulation(t, seed, f, hosts, tt.drills).run(2500) != "" {
+					w := newSimulation(t, seed, f, hosts, tt.drills)
+					w.leaves = tt.leaves
+					if w.run(2500) != "" {
 						return
 					}
 				}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -44,12 +44,12 @@
 
 // Lenders returns the instances to ask first for tokens of an account, beginning
 // with its home. The order is by rendezvous hashing and thus the same at every
-// instance. The list ends before this instance.
+// instance. The list ends before this instance, and has none whose process has ended.
 func (g *Granter) Lenders(name string) []Lender {
 	if lenders, ok := g.lenders[name]; ok {
 		return lenders
 	}
-	peers, before := g.Rank(name)
+	peers, before := g.rank(name, func(instance string) bool { _, ended := g.ends[instance]; return !ended })
 	lenders := slices.Clone(peers[:min(before, maxHomesAsked)]) // kept for each account, without the rest
 	g.lenders[name] = lenders
 	return lenders
@@ -58,12 +58,20 @@
 // Rank returns the other instances in the order in which they are the home of a key, by
 // rendezvous hashing, and how many of them come before this instance.
 func (g *Granter) Rank(key string) (peers []Lender, before int) {
+	return g.rank(key, func(string) bool { return true })
+}
+
+// rank is Rank among the instances that a function selects.
+func (g *Granter) rank(key string, selects func(instance string) bool) (peers []Lender, before int) {
 	type ranked struct {
 		Lender
 		rank uint64
 	}
 	list := make([]ranked, 0, len(g.peers))
 	for instance, addr := range g.peers {
+		if !selects(instance) {
+			continue
+		}
 		list = append(list, ranked{Lender{instance, addr}, xxhash.Sum64String(key + "\x00" + instance)})
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -228,6 +228,7 @@
 	Addr        string           `json:"addr"`   // address at which the instance lends tokens
 	Accounts    map[string]Limit `json:"accounts"`
 	Config      int64            `json:"config,omitempty"` // version of the configuration in force
+	Closed      bool             `json:"closed,omitempty"` // the process uses no more tokens and confirms no more grants
 
 	// Written after the store was restored from an older copy:
 
@@ -344,12 +345,14 @@
 	pendingLedgers []Ledger            // ledger writes that may still take effect
 	ledgerNumber   int64
 	stopping       bool
-	ledgerEra      int64         // of the newest ledger known to be written
-	startedAt      time.Duration // of this process
-	priorUnknown   bool          // what a predecessor has spent is not known
-	peersKnown     bool          // the ledgers were read again after the own one was written
-	newcomer       bool          // others may not count the instance at newcomerSince
-	newcomerSince  time.Duration
+	ledgerEra      int64                 // of the newest ledger known to be written
+	startedAt      time.Duration         // of this process
+	priorUnknown   bool                  // what a predecessor has spent is not known
+	peersKnown     bool                  // the ledgers were read again after the own one was written
+	newcomer       bool                  // others may not count this process yet, see [Granter.Introduced]
+	closed         bool                  // this process is about to end
+	ends           map[string]ending     // processes of other instances that have ended
+	greetings      map[string]int        // received in all eras, by instance
 	configVersion  int64                 // in force
 	loans          map[string]loanRecord // recent loans to others, by ID
 	recentLoans    []recentLoan          // the same in the order in which they were made
@@ -368,7 +371,7 @@
 func New(self Identity) *Granter {
 	return &Granter{
 		name: self.Name, addr: self.Addr, incarnation: self.Incarnation, bootID: self.Boot,
-		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr}, lenders: make(map[string][]Lender), loans: make(map[string]loanRecord),
-		era: eraState{ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), sightings: make(map[string]sighting)},
+		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr}, lenders: make(map[string][]Lender), loans: make(map[string]loanRecord), ends: make(map[string]ending), greetings: make(map[string]int),
+		era: eraState{ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), greeted: make(map[string]string), sightings: make(map[string]sighting)},
 	}
 }
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -130,6 +130,7 @@
 		if err := <-done; err != nil && !errors.Is(err, errAborted) {
 			f.t.Errorf("%s: %v", cfg.Name, err)
 		}
+		e.closeAbruptly() // nothing listens after the end of a process
 		lines.Close()
 	})
 	f.t.Cleanup(stop)
@@ -157,11 +158,16 @@
 
 // kill ends all entries at once, as a loss of power does. Nobody is told of it.
 func (f *fleet) kill() {
+	f.killSome(f.callers...)
+	f.callers = nil
+}
+
+// killSome does the same to some entries.
+func (f *fleet) killSome(callers ...string) {
 	var wg sync.WaitGroup
-	for _, addr := range f.callers {
+	for _, addr := range callers {
 		wg.Go(f.kills[addr])
 	}
-	f.callers = nil
 	wg.Wait()
 }
 
