Let the timer for the first byte of a plain answer run anew with each part

Cause: the timer that sends a retryable request to another target if the response has not started was stopped by the first event of a stream only. For a plain answer it bounded the whole length, also after parts had gone to the caller.

Change: it starts anew with each part that arrives, so a stalled answer is still retried or cut off.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -41,7 +41,9 @@
 
 // deliverPlain buffers and checks a plain response and sends it to the caller.
 func (j *job) deliverPlain(response *forwarder.Response, chosen ChosenTarget, meta ResponseMeta) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
+	j.onProgress()
+	rest := progressReader{response, j.onProgress}
+	body, err := io.ReadAll(io.LimitReader(rest, maxBufferedBytes))
 	if err != nil {
 		return attemptResult{outcome: retrier.Interrupted, status: response.Status, err: err}
 	}
@@ -68,7 +70,7 @@
 	j.writeHead(response.Status)
 	_, err = j.w.Write(body)
 	if err == nil && bufferFull {
-		err = copyRest(j.w, response)
+		err = copyRest(j.w, rest)
 	}
 	if err != nil {
 		j.summary.failure = err
@@ -87,6 +89,21 @@
 	return attemptResult{outcome: outcome, done: true, status: response.Status}
 }
 
+// progressReader calls a function when bytes have arrived.
+type progressReader struct {
+	io.Reader
+	onProgress func()
+}
+
+// Read implements [io.Reader].
+func (r progressReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 {
+		r.onProgress()
+	}
+	return n, err
+}
+
 // copyRest copies the part of a response that was not buffered, up to the limit.
 func copyRest(w io.Writer, response io.Reader) error {
 	n, err := io.Copy(w, io.LimitReader(response, maxResponseBytes))
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -190,9 +190,10 @@
 		defer cancel()
 		timer := time.AfterFunc(limit, cancel)
 		j.stream.onFirstEvent = func() { timer.Stop() }
+		j.onProgress = func() { timer.Reset(limit) }
 		defer timer.Stop()
 	} else {
-		j.stream.onFirstEvent = nil
+		j.stream.onFirstEvent, j.onProgress = nil, func() {}
 	}
 	response, err := j.r.pool.Send(ctx, chosen.Target.Addr, j.targetRequest(chosen))
 	if errors.Is(err, forwarder.ErrNotSent) {
@@ -235,7 +236,8 @@
 }
 
 // firstByteTimeout returns the time after which a retryable request is retried at
-// another target if the response has not started, or 0 for no timeout.
+// another target if the response has not started, or 0 for no timeout. A plain response that
+// has started may pause for as long, whether a part of it was delivered or not.
 func (j *job) firstByteTimeout() time.Duration {
 	if !j.route.Retryable() || j.sends+1 >= j.route.MaxAttempts {
 		return 0
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -107,6 +107,7 @@
 	dials          int      // attempts that did not reach it
 	summary        requestSummary
 	stream         streamState
+	onProgress     func()           // called when bytes of a plain response arrive in an attempt
 	versions       []string         // software versions that targets may have, nil: any
 	origin         registrar.Origin // of the stream, if it is resumable and has begun
 	lastTarget     ChosenTarget
--- a/internal/receiver/slow_test.go
+++ b/internal/receiver/slow_test.go
@@ -47,3 +47,31 @@
 		t.Errorf("stalled stream ended after %v, the deadline is 900 ms", took)
 	}
 }
+
+// Guards against a plain response that is cut off, or thrown away and asked for again, although
+// it advances; and against waiting for one that has stalled as long as the caller does.
+func TestSlowPlainResponse(t *testing.T) {
+	slow := func(bytes, pieces int, pause time.Duration) platformtest.Response {
+		return platformtest.Response{Body: strings.Repeat("a", bytes), Pieces: pieces, Pause: pause}
+	}
+	tests := []struct {
+		name     string
+		response platformtest.Response
+		whole    bool
+		runs     int
+	}{
+		{"advances", slow(10_000, 8, 80*time.Millisecond), true, 1},
+		{"advances, more than is buffered", slow(600_000, 8, 80*time.Millisecond), true, 1},
+		{"stalls", slow(10_000, 2, 700*time.Millisecond), false, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := start(t, []platformtest.Response{tt.response}, []platformtest.Response{tt.response})
+			began := time.Now()
+			res, body, err := f.call(t, "/look/7", "x", nil)
+			if whole := err == nil && res.StatusCode == http.StatusOK && len(body) == len(tt.response.Body); whole != tt.whole || f.runs() != tt.runs {
+				t.Errorf("whole %v after %d runs and %v, want %v after %d", whole, f.runs(), time.Since(began), tt.whole, tt.runs)
+			}
+		})
+	}
+}
