Poll less while a new process greets those that do not answer

A process that could not greet someone who was there before it read budgets and ledgers every 0.3 s for 15 s.

Greetings are now tried again at the regular reads; ledgers are read early only until it is known whom to greet, and at most every 3 s for grants that are not confirmed.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -63,7 +63,7 @@
 	// tell which instances there are, and so change little.
 	pollsPerLedgers = 3
 	// composePollInterval applies until the budgets can be composed after the store was
-	// restored from an older copy, and until the others know a new process.
+	// restored from an older copy, and until a new process knows whom to greet.
 	composePollInterval = 300 * time.Millisecond
 	// greetingPollInterval applies while a new process has others to greet.
 	greetingPollInterval = 50 * time.Millisecond
@@ -74,7 +74,7 @@
 	// so that a slow one does not delay it.
 	extraWitnesses = 1
 	// unconfirmedPollPause is the least time between polls because grants are not confirmed.
-	unconfirmedPollPause = time.Second
+	unconfirmedPollPause = pollInterval
 	// maxGreetings is how many peers are greeted at once.
 	maxGreetings = 32
 	// confirmTimeout leaves a slow peer several round trips between regions.
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -90,7 +90,7 @@
 	a.mu.Lock()
 	a.state.Met(era, met)
 	a.state.BudgetsRead(era, ended)
-	due := !a.state.Settled() || !a.state.Introduced(a.clock()) || a.ledgersWanted || a.polls == 2 || a.polls%pollsPerLedgers == 1
+	due := !a.state.Settled() || !a.state.KnowsElders() || a.ledgersWanted || a.polls == 2 || a.polls%pollsPerLedgers == 1
 	a.ledgersWanted = false
 	a.mu.Unlock()
 	if !due {
@@ -402,9 +402,7 @@
 		return lostPollInterval/2 + rand.N(lostPollInterval)
 	case !a.state.Introduced(a.clock()) && len(a.greetingsDue()) > 0:
 		return greetingPollInterval
-	case !a.state.Settled():
-		return composePollInterval
-	case !a.state.Introduced(a.clock()):
+	case !a.state.Settled(), !a.state.KnowsElders():
 		return composePollInterval
 	}
 	return pollInterval/2 + rand.N(pollInterval)
--- a/internal/granter/ends.go
+++ b/internal/granter/ends.go
@@ -117,6 +117,9 @@
 // Registered reports whether this process has written a ledger in this era.
 func (g *Granter) Registered() bool { return g.era.registeredAt > 0 }
 
+// KnowsElders reports whether this process has seen who was registered before it.
+func (g *Granter) KnowsElders() bool { return g.era.number == 0 || g.era.elders != nil }
+
 // Introduced reports whether those that were registered before this process know it. One
 // that registers later reads of it.
 func (g *Granter) Introduced(now time.Duration) bool {
