Record no ends of instances in a store that says no era

Its store says no era, so no instance greets, and one that was killed and had started again stayed ended for those whose call it had refused: they took the next one for the home of its budgets.

Change: ends are recorded in eras only. granter.TestEndsWithoutEras fails without it (home of 100 of 100 accounts, with seven others there).

--- a/internal/granter/ends.go
+++ b/internal/granter/ends.go
@@ -38,8 +38,10 @@
 	}
 }
 
+// recordEnd does nothing in a store that says no era: no grant needs a witness then, and
+// nobody greets, so a successor would not be noticed.
 func (g *Granter) recordEnd(name string) {
-	if _, ended := g.ends[name]; ended || name == g.name {
+	if _, ended := g.ends[name]; ended || name == g.name || g.era.number == 0 {
 		return
 	}
 	g.ends[name] = ending{}
--- a/internal/granter/ends_test.go
+++ b/internal/granter/ends_test.go
@@ -311,3 +311,28 @@
 		t.Errorf("%d others have to confirm a grant, none is left", n)
 	}
 }
+
+// Guards against an instance that, in a store that says no era, takes a successor for ended for
+// good and so splits the grants among several homes: after a loss of power much is lost.
+func TestEndsWithoutEras(t *testing.T) {
+	g := New(Identity{Name: "entry-0", Addr: "entry-0", Incarnation: "1", Boot: "boot"})
+	for i := range 8 {
+		g.SetPeer(fmt.Sprint("entry-", i), "addr")
+	}
+	ledgers := make(map[string]Ledger)
+	for i := 1; i < 8; i++ {
+		name := fmt.Sprint("entry-", i)
+		g.RecordEnd(name, 0)
+		ledgers[name] = Ledger{Incarnation: name, Closed: true}
+	}
+	g.ObserveLedgers(time.Hour, ledgers, nil)
+	homes := 0
+	for i := range 100 {
+		if g.isHome(fmt.Sprint("account-", i)) {
+			homes++
+		}
+	}
+	if homes > 50 {
+		t.Errorf("home of %d of 100 accounts, seven others are there", homes)
+	}
+}
