--- a/internal/quarantiner/attempts.go
+++ b/internal/quarantiner/attempts.go
@@ -47,7 +47,7 @@
 // AddFailure remembers an attempt that was not answered whole. It reports whether its
 // target is known to have ended; then the attempt is not remembered.
 func (a *Attempts) AddFailure(now time.Time, f Failure) (ended bool) {
-	if _, ok := a.ended[f.target()]; ok {
+	if a.endedAfter(f.target(), f.SentAt) {
 		return true
 	}
 	f.at = now
@@ -63,18 +63,29 @@
 // AddAnswer remembers a whole answer to a request with parts that others may have too. If its
 // target is known to have ended, it returns the answer as an attempt that it ended under: the
 // end of a connection may look like the end of an answer.
-func (a *Attempts) AddAnswer(now time.Time, t Target, s Subject) []Failure {
+func (a *Attempts) AddAnswer(now time.Time, t Target, sentAt time.Time, s Subject) []Failure {
 	if len(shared(s.Parts)) == 0 {
 		return nil
 	}
 	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, Begun: true, Parts: s.Parts}
-	if _, ended := a.ended[t]; ended {
+	if a.endedAfter(t, sentAt) {
 		return []Failure{{Report: r}}
 	}
 	a.answers = append(a.answers, answer{t, r, now})
 	return nil
 }
 
+// endedAfter reports whether a target is known to have ended after a request was sent to it.
+// One that gets a request later runs again, even if its registration doesn't tell.
+func (a *Attempts) endedAfter(t Target, sentAt time.Time) bool {
+	at, ended := a.ended[t]
+	if ended && sentAt.After(at) {
+		delete(a.ended, t)
+		return false
+	}
+	return ended
+}
+
 // End records that a target has ended. It returns the attempts that it may have ended under.
 func (a *Attempts) End(now time.Time, t Target) []Failure {
 	maps.DeleteFunc(a.ended, func(_ Target, at time.Time) bool { return now.Sub(at) > suspicionDelay })
--- a/internal/quarantiner/noguard.go
+++ b/internal/quarantiner/noguard.go
@@ -1,6 +1,9 @@
 package quarantiner
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // NoGuard allows all requests and records nothing, for processes without a quarantine.
 type NoGuard struct{}
@@ -21,7 +24,7 @@
 func (NoGuard) RecordAnswer(Subject) {}
 
 // RecordWhole does nothing.
-func (NoGuard) RecordWhole(Target, Subject) {}
+func (NoGuard) RecordWhole(Target, time.Time, Subject) {}
 
 // RecordCrash does nothing.
 func (NoGuard) RecordCrash(Report, bool) {}
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -219,8 +219,9 @@
 	Service     string
 	Target      string
 	Incarnation int64
-	Begun       bool // the target had begun to answer the request
-	Trial       bool // the request was a trial
+	SentAt      time.Time // when the request was sent to the target
+	Begun       bool      // the target had begun to answer the request
+	Trial       bool      // the request was a trial
 	Parts       []uint64
 	Requests    []Fingerprint // of the request
 }
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -164,10 +164,10 @@
 // crash targets, unless the target ends with its answer.
 func (j *job) recordWhole(response *forwarder.Response, chosen ChosenTarget) {
 	if len(j.sharedParts) > 0 {
-		j.r.guard.RecordWhole(chosen.process(), j.subject())
+		j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, j.subject())
 		j.r.watchEnd(context.WithoutCancel(j.req.Context()), chosen, response.KeepsConnection())
 	} else if j.r.guard.Suspects() {
-		j.r.guard.RecordWhole(chosen.process(), j.subject())
+		j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, j.subject())
 	}
 }
 
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -158,7 +158,7 @@
 	}
 	report := quarantiner.Report{
 		Service: j.service.Name, Target: chosen.Target.ID, Incarnation: chosen.Target.Incarnation,
-		Begun: res.status != 0, Trial: j.trial, Parts: j.sharedParts, Requests: j.identity(),
+		SentAt: chosen.ChosenAt, Begun: res.status != 0, Trial: j.trial, Parts: j.sharedParts, Requests: j.identity(),
 	}
 	about := res.events <= 1 && len(j.sharedParts) > 0
 	// What is learned outlasts the caller.
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -138,7 +138,7 @@
 	// RecordAnswer records that a target goes on answering, RecordWhole that it has
 	// answered to the end.
 	RecordAnswer(s quarantiner.Subject)
-	RecordWhole(t quarantiner.Target, s quarantiner.Subject)
+	RecordWhole(t quarantiner.Target, sentAt time.Time, s quarantiner.Subject)
 	// RecordCrash records the end of a target under a request, RecordFailure an attempt
 	// whose target may yet be found to have ended. about says that it was about to answer.
 	RecordCrash(r quarantiner.Report, about bool)
--- a/internal/router/guard.go
+++ b/internal/router/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"daisylane/internal/quarantiner"
 )
@@ -29,7 +30,7 @@
 	switch {
 	case outcome == Complete && a.end.GetStatus() < http.StatusInternalServerError:
 		if r.guard.Suspects() {
-			r.guard.RecordWhole(quarantiner.Target{ID: a.choice.Name}, r.subject(req, j))
+			r.guard.RecordWhole(quarantiner.Target{ID: a.choice.Name}, time.Time{}, r.subject(req, j))
 		}
 	case outcome != Complete && a.end.GetCrash() > 0:
 		ids := fingerprints(req, j)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,7 +52,7 @@
 	// Admit is Check right before a request is sent. It makes the request a trial if one
 	// is due.
 	Admit(ctx context.Context, s quarantiner.Subject) quarantiner.Verdict
-	RecordWhole(t quarantiner.Target, s quarantiner.Subject)
+	RecordWhole(t quarantiner.Target, sentAt time.Time, s quarantiner.Subject)
 	RecordCrash(r quarantiner.Report, about bool)
 }
 
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -221,13 +221,13 @@
 	w.update(0, func() bool { return w.parts.RecordAnswer(time.Now(), s.Service, s.Parts) })
 }
 
-// RecordWhole records that a target has answered a request whole. That the parts of the
+// RecordWhole records that a target has answered a request whole, which was sent at a time. That the parts of the
 // prompt are sound is shown only once the target has outlived the answer.
-func (w *Warden) RecordWhole(t quarantiner.Target, s quarantiner.Subject) {
+func (w *Warden) RecordWhole(t quarantiner.Target, sentAt time.Time, s quarantiner.Subject) {
 	var under []quarantiner.Failure
 	w.update(0, func() bool {
 		now := time.Now()
-		if under = w.attempts.AddAnswer(now, t, s); len(under) == 0 {
+		if under = w.attempts.AddAnswer(now, t, sentAt, s); len(under) == 0 {
 			w.crashes.RecordAnswered(s.PartFingerprints())
 		}
 		w.settleLater(now)
