Serve requests only in the regions that route and account allow

Cause: allowed_regions of routes and client accounts was not read. Of 20 requests each, 20 reached a region that the account, both together, or an unknown region excludes, and so did 20 retries.

Change: restrictor.Places says where a request may be served; the dispatcher makes every choice among the targets there, by the configuration that is in force then, and asks once more right before the first byte is sent. What no target may serve gets 503 with the new outcome region, before tokens are reserved. The cache of ready targets is now tied to the version of the roster instead of the slice.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -30,6 +30,9 @@
 // ErrMismatchedResponse means that the connection returned responses to other requests.
 var ErrMismatchedResponse = errors.New("responses belong to other requests")
 
+// ErrWithdrawn means that the request was not permitted any more when it could be sent.
+var ErrWithdrawn = errors.New("request was withdrawn")
+
 // ErrIncompleteEvent means that a stream ended within an event, or that an event was
 // larger than the size limit.
 var ErrIncompleteEvent = errors.New("stream ended within an event")
@@ -44,6 +47,9 @@
 	Header  http.Header
 	Body    []byte
 	HasBody bool // the caller sent a body, possibly an empty one
+	// Permitted is called once there is a connection, right before anything is sent. If it
+	// returns false, Send fails with [ErrWithdrawn]. nil permits the request.
+	Permitted func() bool
 }
 
 // Response is the response of a target. Its body has not been read yet.
@@ -67,6 +73,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Permitted != nil && !r.Permitted() {
+		p.keep(c, defaultIdleTimeout)
+		return nil, ErrWithdrawn
+	}
 	c.requests++
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	a, err := p.exchange(c, r)
--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -49,6 +49,8 @@
 			return j.refuseUnknown(http.StatusUnauthorized, UnknownKey, StaleKey)
 		}
 	}
+	// A key on a public route binds the request to the regions of its account, nothing else.
+	j.bound, _ = j.table.AccountByKey(meta.Key)
 	if j.service, ok = j.table.Service(route.ServiceAt(rand.IntN(max(1, route.TotalWeight())))); !ok {
 		return j.refuse(http.StatusServiceUnavailable, NoService, meanRetryDelay)
 	}
@@ -67,6 +69,9 @@
 	if v := j.r.guard.Check(j.subject()); v.Outcome == quarantiner.Quarantined {
 		return j.refuseCrashing(v)
 	}
+	if !j.checkPlaces(j.candidates()...) {
+		return false
+	}
 	return j.findOrigin()
 }
 
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -16,16 +16,17 @@
 
 // attemptResult is the result of one attempt.
 type attemptResult struct {
-	outcome  retrier.Outcome
-	refused  bool // the target refused and did not run the request
-	replaced bool // the address now belongs to another target
-	full     bool // the target is full
-	crashed  bool // the target has ended
-	repeated bool // the request, or a part of its prompt, was at an earlier crash too
-	done     bool // the response was delivered, or the exchange has ended
-	status   int  // of the response of the target, 0: none
-	events   int  // of this attempt
-	err      error
+	outcome   retrier.Outcome
+	withdrawn bool // nothing was sent, because the target was not allowed any more
+	refused   bool // the target refused and did not run the request
+	replaced  bool // the address now belongs to another target
+	full      bool // the target is full
+	crashed   bool // the target has ended
+	repeated  bool // the request, or a part of its prompt, was at an earlier crash too
+	done      bool // the response was delivered, or the exchange has ended
+	status    int  // of the response of the target, 0: none
+	events    int  // of this attempt
+	err       error
 }
 
 // run sends the request to targets until one responds, no retry is allowed or the
@@ -44,11 +45,15 @@
 			j.timeOut()
 			return
 		}
-		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.prefillRequest(left), j.tried, j.versions, j.mayBeTurnedAway())
+		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.allowedPlaces(), j.prefillRequest(left), j.tried, j.versions, j.mayBeTurnedAway())
 		var overloaded overloadError
 		var paused pausedError
 		var limited limitedError
+		var misplaced placesError
 		switch {
+		case errors.As(err, &misplaced):
+			j.refusePlaces(misplaced)
+			return
 		case errors.As(err, &limited) && j.awaitPermit(ctx, limited.opensIn):
 			continue
 		case errors.As(err, &limited) && !j.summary.mayHaveRun:
@@ -74,6 +79,10 @@
 		j.fixOrigin(chosen)
 		j.tried = append(j.tried, chosen.Target.ID)
 		res := j.attempt(ctx, chosen)
+		if res.withdrawn {
+			j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
+			continue
+		}
 		j.recordCrash(chosen, &res)
 		verdict := j.finishAttempt(chosen, res, account)
 		if !res.done {
@@ -196,6 +205,9 @@
 		j.stream.onFirstEvent, j.onProgress = nil, func() {}
 	}
 	response, err := j.r.pool.Send(ctx, chosen.Target.Addr, j.targetRequest(chosen))
+	if errors.Is(err, forwarder.ErrWithdrawn) {
+		return attemptResult{withdrawn: true}
+	}
 	if errors.Is(err, forwarder.ErrNotSent) {
 		j.dials++
 		return attemptResult{outcome: retrier.NotRun, err: err}
@@ -267,7 +279,7 @@
 	j.r.codec.EncodeForward(h, f)
 	return forwarder.Request{
 		ID: j.meta.ID, Method: j.req.Method, URI: j.req.RequestURI, Host: j.req.Host, Header: h, Body: j.body,
-		HasBody: j.req.ContentLength != 0,
+		HasBody: j.req.ContentLength != 0, Permitted: func() bool { return j.r.dispatcher.Permits(chosen.Target, j.allowedPlaces()) },
 	}
 }
 
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -25,6 +25,7 @@
 	TokensLimited      Cause = "tokenslimited"
 	TokensUnready      Cause = "tokensunready"
 	NoTargets          Cause = "notargets"
+	OutsideRegions     Cause = "region"
 	Overloaded         Cause = "overloaded"
 	Busy               Cause = "busy"
 	Paused             Cause = "paused"
@@ -61,6 +62,7 @@
 	TokensLimited:      "was refused for now, because the ledger could not be written in time to use the tokens held",
 	TokensUnready:      "was refused for now, because the budgets had not been recovered",
 	NoTargets:          "was refused, because no target of the service was left to try",
+	OutsideRegions:     "was refused, because no target is in a region that the route and the account allow",
 	Overloaded:         "was refused, because the best target was expected to answer too late",
 	Busy:               "was refused, because the targets were full",
 	Paused:             "was refused, because each target left to try had asked for a pause",
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -12,6 +12,7 @@
 	"daisylane/internal/follower"
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/resolver"
+	"daisylane/internal/restrictor"
 	"daisylane/internal/retrier"
 	"daisylane/internal/throttler"
 )
@@ -26,11 +27,16 @@
 	roster  *follower.Roster
 	policy  *chooser.PrefillPolicy
 	retries *retrier.Retrier
-	nodes   map[string]serviceNodes // by name of the service
-	exclude []string                // reused between choices
+	nodes   map[nodesKey]serviceNodes
+	nodesOf int64    // version of the roster that nodes were made of
+	exclude []string // reused between choices
 }
 
-// serviceNodes holds the ready targets of a service, also as input for the policy.
+// nodesKey identifies the ready targets of a service in some places.
+type nodesKey struct{ service, places string }
+
+// serviceNodes holds the ready targets of a service in some places, also as input for the
+// policy.
 type serviceNodes struct {
 	targets []follower.Target
 	service *resolver.Service
@@ -62,7 +68,7 @@
 func NewDispatcher(place chooser.Place, regions map[string]string, retries *retrier.Retrier, opts ...DispatcherOption) *Dispatcher {
 	d := &Dispatcher{
 		regions: regions, limits: noLimits{}, roster: follower.NewRoster(), policy: chooser.NewPrefillPolicy(place), retries: retries,
-		nodes: make(map[string]serviceNodes),
+		nodes: make(map[nodesKey]serviceNodes),
 	}
 	for _, o := range opts {
 		o(d)
@@ -133,14 +139,17 @@
 	return fmt.Sprintf("limits of the targets are used up for %v", e.opensIn)
 }
 
-// Choose selects a target that has not been tried and has one of the software versions,
-// if any are given, and records the request as sent to it. It may refuse the first
+// Choose selects a target in the places that has not been tried and has one of the software
+// versions, if any are given, and records the request as sent to it. It may refuse the first
 // attempt of a request to an engine with an overloadError, see
 // [chooser.PrefillPolicy.Admit]; the returned target is then the one that was considered.
-func (d *Dispatcher) Choose(now time.Time, service *resolver.Service, p chooser.PrefillRequest, tried, versions []string, first bool) (ChosenTarget, error) {
+func (d *Dispatcher) Choose(now time.Time, service *resolver.Service, places restrictor.Places, p chooser.PrefillRequest, tried, versions []string, first bool) (ChosenTarget, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := d.readyNodes(service)
+	n := d.readyNodes(service, places)
+	if err := d.checkPlaces(service, places, n); err != nil {
+		return ChosenTarget{}, err
+	}
 	unavailable := d.retries.AppendPaused(n.appendUnfit(append(d.exclude[:0], tried...), versions), now)
 	unavailable = d.limits.AppendClosed(unavailable, now, service.Name, len(n.targets))
 	d.exclude = d.retries.AppendBlocked(unavailable, now)
@@ -223,12 +232,18 @@
 	return !d.roster.IsReplaced(t)
 }
 
-// readyNodes returns the ready targets of a service. The caller must hold the lock.
-func (d *Dispatcher) readyNodes(service *resolver.Service) serviceNodes {
-	ready := d.roster.Ready(service.Name)
-	if n, ok := d.nodes[service.Name]; ok && n.service == service && sameSlice(n.targets, ready) {
+// readyNodes returns the ready targets of a service in the places. Every choice is made
+// among them. The caller must hold the lock.
+func (d *Dispatcher) readyNodes(service *resolver.Service, places restrictor.Places) serviceNodes {
+	key := nodesKey{service.Name, places.Key()}
+	if v := d.roster.Version(); v != d.nodesOf {
+		clear(d.nodes) // also drops places that no configuration names any more
+		d.nodesOf = v
+	}
+	if n, ok := d.nodes[key]; ok && n.service == service {
 		return n
 	}
+	ready := d.permitted(d.roster.Ready(service.Name), places)
 	n := serviceNodes{targets: ready, service: service, list: make([]chooser.Node, len(ready))}
 	for i, t := range ready {
 		n.mixed = n.mixed || t.Version != ready[0].Version
@@ -237,7 +252,7 @@
 			n.list[i].Memory = service.Engine.KVCapacity
 		}
 	}
-	d.nodes[service.Name] = n
+	d.nodes[key] = n
 	return n
 }
 
@@ -262,17 +277,17 @@
 	return slices.DeleteFunc(slices.Clone(n.targets), func(t follower.Target) bool { return !slices.Contains(versions, t.Version) })
 }
 
-// Serves reports whether a service has a ready target of a software version.
-func (d *Dispatcher) Serves(service *resolver.Service, version string) bool {
-	return slices.Contains(d.Versions(service), version)
+// Serves reports whether a service has a ready target of a software version in the places.
+func (d *Dispatcher) Serves(service *resolver.Service, places restrictor.Places, version string) bool {
+	return slices.Contains(d.Versions(service, places), version)
 }
 
-// Versions returns the software versions of the ready targets of a service.
-func (d *Dispatcher) Versions(service *resolver.Service) []string {
+// Versions returns the software versions of the ready targets of a service in the places.
+func (d *Dispatcher) Versions(service *resolver.Service, places restrictor.Places) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var versions []string
-	for _, t := range d.readyNodes(service).targets {
+	for _, t := range d.readyNodes(service, places).targets {
 		if !slices.Contains(versions, t.Version) {
 			versions = append(versions, t.Version)
 		}
@@ -280,11 +295,6 @@
 	return versions
 }
 
-// sameSlice reports whether two slices share their elements.
-func sameSlice(a, b []follower.Target) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
 // RecordFirstEvent records the first event of a response.
 func (d *Dispatcher) RecordFirstEvent(now time.Time, t ChosenTarget) {
 	d.mu.Lock()
--- a/internal/receiver/dispatch_test.go
+++ b/internal/receiver/dispatch_test.go
@@ -9,6 +9,7 @@
 	"daisylane/internal/chooser"
 	"daisylane/internal/follower"
 	"daisylane/internal/resolver"
+	"daisylane/internal/restrictor"
 	"daisylane/internal/retrier"
 )
 
@@ -24,29 +25,29 @@
 	now := time.Unix(1000, 0)
 	// Prefill of this prompt takes an engine about 2.7 s, by its data sheet.
 	prompt := chooser.PrefillRequest{Parts: []chooser.Part{{ID: 1, Tokens: 100_000}}, Tokens: 100_000, FirstTokenTarget: time.Second, ResponseTimeout: 10 * time.Second}
-	first, err := d.Choose(now, service, prompt, nil, nil, true)
+	first, err := d.Choose(now, service, restrictor.Places{}, prompt, nil, nil, true)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var backlog time.Duration
 	for range 3 {
-		chosen, err := d.Choose(now, service, prompt, nil, nil, true)
+		chosen, err := d.Choose(now, service, restrictor.Places{}, prompt, nil, nil, true)
 		var overloaded overloadError
 		if !errors.As(err, &overloaded) || overloaded.retryAfter <= 0 || chosen.Target.ID != "i-1" || backlog > 0 && chosen.Choice.Backlog != backlog {
 			t.Errorf("choice behind a backlog of %v: %+v, %v", backlog, chosen, err)
 		}
 		backlog = chosen.Choice.Backlog
 	}
-	retried, err := d.Choose(now, service, prompt, nil, nil, false)
+	retried, err := d.Choose(now, service, restrictor.Places{}, prompt, nil, nil, false)
 	if err != nil {
 		t.Errorf("retry of a sent request: %v", err)
 	}
 	d.FinishAttempt(now, first, nil)
 	d.FinishAttempt(now, retried, nil)
-	if _, err := d.Choose(now, service, prompt, nil, nil, true); err != nil {
+	if _, err := d.Choose(now, service, restrictor.Places{}, prompt, nil, nil, true); err != nil {
 		t.Errorf("choice without a backlog: %v", err)
 	}
-	if _, err := d.Choose(now, service, prompt, []string{"i-1"}, nil, true); !errors.Is(err, errNoTargets) {
+	if _, err := d.Choose(now, service, restrictor.Places{}, prompt, []string{"i-1"}, nil, true); !errors.Is(err, errNoTargets) {
 		t.Errorf("choice without a target left: %v", err)
 	}
 }
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -9,6 +9,7 @@
 	"daisylane/internal/follower"
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/receiver"
+	"daisylane/internal/resolver"
 	"daisylane/platform/platformtest"
 )
 
@@ -176,3 +177,37 @@
 		})
 	}
 }
+
+// changingGuard takes a while to admit a request, during which the configuration changes.
+type changingGuard struct {
+	quarantiner.NoGuard
+	change func()
+}
+
+func (g changingGuard) Admit(context.Context, quarantiner.Subject) quarantiner.Verdict {
+	g.change()
+	return quarantiner.Verdict{Outcome: quarantiner.Allowed}
+}
+
+// Guards against a request that is sent although its regions have changed since the choice of
+// its target.
+func TestChangeBeforeSend(t *testing.T) {
+	g := &changingGuard{}
+	f := startWith(t, []receiver.Option{receiver.WithGuard(g)}, script{{Body: "x"}})
+	cfg := resolver.Config{
+		Version: 2, Services: []resolver.Service{{Name: "booking"}},
+		Routes: []resolver.Route{{
+			Name: "look", Host: "a.example", Prefix: "/look/", Kind: resolver.Idempotent, Shares: []resolver.WeightedService{{Service: "booking", Weight: 1}},
+			Timeout: time.Second, MaxAttempts: 2, AllowedRegions: []string{"other"},
+		}},
+	}
+	moved, err := resolver.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.change = func() { f.receiver.SetTable(moved) }
+	res, body, err := f.call(t, "/look/7", "", nil)
+	if err != nil || res.StatusCode != 503 || body != "region\n" || res.Header.Get("Retry-After") == "" || f.runs() > 0 {
+		t.Errorf("got %v %q, %v; %d requests reached a target", res, body, err, f.runs())
+	}
+}
--- a/internal/receiver/origin.go
+++ b/internal/receiver/origin.go
@@ -51,12 +51,18 @@
 func (j *job) useOrigin(o registrar.Origin) bool {
 	j.summary.origin = o.Version
 	service, ok := j.table.Service(o.Service)
-	if !ok || !j.route.Uses(o.Service) || !j.r.dispatcher.Serves(service, o.Version) {
+	if ok = ok && j.route.Uses(o.Service); ok {
+		j.service, j.placesTable = service, nil
+		if !j.checkPlaces(service) {
+			return false
+		}
+	}
+	if !ok || !j.r.dispatcher.Serves(service, j.allowedPlaces(), o.Version) {
 		j.countTakeUp(takeUpGone)
 		return j.refuse(http.StatusServiceUnavailable, VersionGone, jitter(versionGoneDelay))
 	}
 	j.countTakeUp(takeUpKnown)
-	j.service, j.versions, j.origin = service, []string{o.Version}, o
+	j.versions, j.origin = []string{o.Version}, o
 	j.r.streams.Begin(j.meta.FirstAttempt, o)
 	return true
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -16,6 +16,7 @@
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/registrar"
 	"daisylane/internal/resolver"
+	"daisylane/internal/restrictor"
 )
 
 // Receiver is an [http.Handler] that serves requests of callers.
@@ -107,9 +108,12 @@
 	dials          int      // attempts that did not reach it
 	summary        requestSummary
 	stream         streamState
-	onProgress     func()           // called when bytes of a plain response arrive in an attempt
-	versions       []string         // software versions that targets may have, nil: any
-	origin         registrar.Origin // of the stream, if it is resumable and has begun
+	onProgress     func()            // called when bytes of a plain response arrive in an attempt
+	bound          *resolver.Account // the account whose regions apply, nil: none
+	places         restrictor.Places // where the request may be served
+	placesTable    *resolver.Table   // from which places were computed, nil: not yet
+	versions       []string          // software versions that targets may have, nil: any
+	origin         registrar.Origin  // of the stream, if it is resumable and has begun
 	lastTarget     ChosenTarget
 	sharedParts    []uint64                  // IDs of the prompt parts, if targets may crash under one
 	fingerprints   []quarantiner.Fingerprint // nil: not computed yet
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -50,6 +50,9 @@
 	default:
 		e.Stringer("fingerprint", j.quarantined.Fingerprint)
 	}
+	if j.places.Restricted() {
+		e.Strs("regions", j.places.Regions())
+	}
 	if j.meta.FirstAttempt != "" {
 		e.Str("resumes", j.meta.FirstAttempt).Str("after", j.meta.LastEventID).Str("origin", j.summary.origin)
 	}
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -70,6 +70,12 @@
 	// Mean delay after which a caller should retry if no target has the software version of
 	// its stream. A crashed target needs some seconds to be back.
 	versionGoneDelay = 2 * time.Second
+	// Mean delay after which a caller should retry if no target is in an allowed region. A
+	// crashed target needs some seconds to be back.
+	regionDelay = 2 * time.Second
+	// The same if no data centre is in an allowed region, so that only another
+	// configuration helps.
+	unknownRegionDelay = 10 * time.Second
 	// Mean delay after which a caller should retry if no target has capacity.
 	meanRetryDelay = 400 * time.Millisecond
 )
--- a/internal/resolver/types.go
+++ b/internal/resolver/types.go
@@ -50,6 +50,8 @@
 	MaxAttempts   int           // maximum number of targets that a request is sent to
 	Public        bool          // requests need no key
 	Resumable     bool          // a stream may resume at another target
+	// AllowedRegions lists the regions in which requests may be served, empty: any.
+	AllowedRegions []string
 }
 
 // Check validates the route.
@@ -119,6 +121,8 @@
 	Keys          []string
 	Priority      *int  // overrides the route's priority if set
 	PrepaidTokens int64 // tokens that the account may use, negative: no limit
+	// AllowedRegions lists the regions in which requests may be served, empty: any.
+	AllowedRegions []string
 }
 
 // Limits are the limits on requests of callers.
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -28,6 +28,7 @@
 	"daisylane/internal/recorder"
 	"daisylane/internal/reporter"
 	"daisylane/internal/resolver"
+	"daisylane/internal/restrictor"
 	"daisylane/internal/retrier"
 	"daisylane/internal/waiter"
 	"daisylane/internal/warden"
@@ -280,7 +281,7 @@
 	e.streams.SetLifetime(longest)
 	for name, shared := range shared {
 		if s, ok := table.Service(name); ok {
-			e.streams.SetServing(name, e.dispatcher.Versions(s), shared)
+			e.streams.SetServing(name, e.dispatcher.Versions(s, restrictor.Places{}), shared)
 		}
 	}
 }
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -36,6 +36,7 @@
 	logs    []*syncBuffer
 	nextID  atomic.Int64
 	nextIP  int
+	edit    func(settings map[string]any) // of the entries, nil: none
 
 	mu       sync.Mutex
 	versions map[string]string // software versions by name of the runner
@@ -114,6 +115,9 @@
 	f.nextIP++
 	ip := fmt.Sprintf("127.9.%d.%d", f.nextIP>>8, f.nextIP&255)
 	path := editedSettings(f.t, f.addr, ip)
+	if f.edit != nil {
+		editSettings(f.t, path, f.edit)
+	}
 	cfg, err := platform.LoadSettings(path)
 	if err != nil {
 		f.t.Fatal(err)
@@ -193,7 +197,8 @@
 	status int
 	after  string // Retry-After
 	events int
-	whole  bool // answered with success
+	whole  bool   // answered with success
+	cause  string // of a refusal
 }
 
 // send sends a request to the address of an entry. Its prompt has the given parts and a
@@ -204,6 +209,11 @@
 
 // post sends a request whose prompt has the given parts, if any.
 func (f *fleet) post(to, path, body string, parts ...string) fleetCall {
+	return f.postAs("k1", to, path, body, parts...)
+}
+
+// postAs does the same with a key, or without one if it is empty.
+func (f *fleet) postAs(key, to, path, body string, parts ...string) fleetCall {
 	c := fleetCall{id: "id-" + strconv.FormatInt(f.nextID.Add(1), 10), sentAt: time.Now()}
 	req, err := http.NewRequest(http.MethodPost, "http://"+to+path, strings.NewReader(body))
 	if err != nil {
@@ -212,7 +222,9 @@
 	}
 	req.Host = "a.example"
 	req.Header.Set("Daisylane-Attempt-Id", c.id)
-	req.Header.Set("Api-Key", "k1")
+	if key != "" {
+		req.Header.Set("Api-Key", key)
+	}
 	if len(parts) > 0 {
 		req.Header.Set("Daisylane-Token-Usage", "120,20")
 		req.Header.Set("Daisylane-Prompt-Prefix", strings.Join(parts, ":30,")+":20")
@@ -223,7 +235,10 @@
 	}
 	defer res.Body.Close()
 	c.status, c.after = res.StatusCode, res.Header.Get("Retry-After")
-	if content, err := io.ReadAll(res.Body); err == nil && res.StatusCode == http.StatusOK {
+	content, err := io.ReadAll(res.Body)
+	if res.StatusCode != http.StatusOK {
+		c.cause = strings.TrimSpace(string(content))
+	} else if err == nil {
 		c.events, c.whole = strings.Count(string(content), "data:"), true
 	}
 	return c
