--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -27,6 +27,7 @@
 	Claims               = "claims_total"
 	PlatformCalls        = "platform_calls_total"
 	PlatformCallSeconds  = "platform_call_seconds"
+	StoreCalls           = "store_calls_total"
 	BundleVersion        = "bundle_version"
 	BundleDelaySeconds   = "bundle_delay_seconds"
 	Orders               = "orders_total"
@@ -84,6 +85,7 @@
 	{Claims, Counter, "claims", []string{"state"}, "Claims of non-idempotent calls, by state."},
 	{PlatformCalls, Counter, "calls", []string{"kind", "result"}, "Calls to the platform, by read, write and watch."},
 	{PlatformCallSeconds, Histogram, "seconds", []string{"kind"}, "Time of a call to the platform."},
+	{StoreCalls, Counter, "calls", []string{"call", "object", "result", "way"}, "Calls to the store of the users' platform, by what they are for."},
 	{BundleVersion, Gauge, "version", nil, "Bundle version in force."},
 	{BundleDelaySeconds, Histogram, "seconds", nil, "Time from acceptance of a bundle until it is in force here."},
 	{Orders, Counter, "orders", []string{"result"}, "Orders to engines."},
--- a/internal/reporter/transport.go
+++ b/internal/reporter/transport.go
@@ -1,6 +1,7 @@
 package reporter
 
 import (
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,11 +14,25 @@
 type transport struct {
 	base  http.RoundTripper
 	scope tally.Scope
+	tags  func(*http.Request) map[string]string // of [StoreCalls], nil: not counted by kind
+}
+
+// TransportOption changes a setting of [Transport].
+type TransportOption func(*transport)
+
+// WithStoreCalls also counts the calls by what they are for. The function returns the tags
+// of [StoreCalls] but the result; it must return few different ones.
+func WithStoreCalls(tags func(*http.Request) map[string]string) TransportOption {
+	return func(t *transport) { t.tags = tags }
 }
 
 // Transport returns an HTTP transport that records metrics of calls to the platform.
-func Transport(scope tally.Scope, base http.RoundTripper) http.RoundTripper {
-	return transport{base, scope}
+func Transport(scope tally.Scope, base http.RoundTripper, opts ...TransportOption) http.RoundTripper {
+	t := transport{base: base, scope: scope}
+	for _, o := range opts {
+		o(&t)
+	}
+	return t
 }
 
 // RoundTrip implements [http.RoundTripper].
@@ -37,5 +52,24 @@
 	}
 	t.scope.Tagged(map[string]string{"kind": kind, "result": result}).Counter(PlatformCalls).Inc(1)
 	t.scope.Tagged(map[string]string{"kind": kind}).Histogram(PlatformCallSeconds, SecondsBuckets).RecordDuration(time.Since(began))
+	if t.tags != nil {
+		tags := maps.Clone(t.tags(req))
+		tags["result"] = resultOf(res, err)
+		t.scope.Tagged(tags).Counter(StoreCalls).Inc(1)
+	}
 	return res, err
 }
+
+// resultOf returns the result of a call as a tag: refused calls are priced as well, and
+// conflicts tell how many instances write the same object.
+func resultOf(res *http.Response, err error) string {
+	switch {
+	case err != nil:
+		return "failed"
+	case res.StatusCode < http.StatusBadRequest:
+		return "done"
+	case res.StatusCode == http.StatusConflict:
+		return "conflict"
+	}
+	return "refused"
+}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -109,7 +109,7 @@
 		log.Error().Err(err).Msg("metric dropped")
 	})
 	e.store = platform.NewStore(cfg.Store.Addr, e.paths, platform.WithObserver(func(t http.RoundTripper) http.RoundTripper {
-		return reporter.Transport(e.metrics.Scope(), t)
+		return reporter.Transport(e.metrics.Scope(), t, reporter.WithStoreCalls(platform.CallTags))
 	}))
 	peers := lender.NewClient()
 	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), peers, log)
