Share watches of the store among the entries of a data centre

Now one entry of a data centre watches a kind, and its neighbours ask it (package cacher). Lists still go to the store, and so does each entry at once if its watcher can't serve, or when a watch would have ended if it is silent.

Entries of the fleet tests get addresses by process, so that two test processes on a machine don't take the same port.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 PACKAGES = ./...
-RACE_PACKAGES = $(shell $(GO) list ./internal/... | grep -E "/(connector|storer|holder|router|executor|syncer|faker|launcher|relayer|locator|quarantiner|warden|throttler|permitter|recorder|receiver|forwarder|follower|tunneler|accountant|archiver|registrar|starter)$$")
+RACE_PACKAGES = $(shell $(GO) list ./internal/... | grep -E "/(connector|storer|holder|router|executor|syncer|faker|launcher|relayer|locator|quarantiner|warden|throttler|permitter|recorder|receiver|forwarder|follower|tunneler|accountant|archiver|cacher|registrar|starter)$$")
 
 .PHONY: build test race lint format generate try faults slopes days soak
 
--- a/internal/accountant/clock.go
+++ b/internal/accountant/clock.go
@@ -11,6 +11,10 @@
 
 const bootIDPath = "/proc/sys/kernel/random/boot_id"
 
+// BootClock returns the time since this machine booted, for packages that depend on a clock
+// which goes on in suspend.
+func BootClock() time.Duration { return bootClock() }
+
 // bootClock returns the time since this machine booted. It includes time in suspend
 // and is never stepped.
 func bootClock() time.Duration {
--- /dev/null
+++ b/internal/cacher/directory.go
@@ -0,0 +1,129 @@
+package cacher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"daisylane/internal/waiter"
+)
+
+const (
+	// headerCentre and headerSender tell with each call to a peer, and the first one also
+	// with its response, in which data centre an instance is. Ledgers don't, because
+	// earlier releases reject those with further fields.
+	headerCentre = "Centre"
+	headerSender = "Sender"
+
+	// introduceInterval is the interval at which a peer is asked for its data centre that
+	// has not told it with another call.
+	introduceInterval = time.Second
+	introduceTimeout  = 400 * time.Millisecond
+	// introducePause is the least time between two such questions to one peer.
+	introducePause = 30 * time.Second
+	maxDirectory   = 4096
+)
+
+// Directory knows which peers are in which data centre. It is safe for concurrent use.
+type Directory struct {
+	centre, addr string // own
+
+	mu      sync.Mutex
+	centres map[string]string // by address
+	asked   map[string]time.Time
+}
+
+// NewDirectory returns a directory of an instance in a data centre, with its address for
+// peers.
+func NewDirectory(centre, addr string) *Directory {
+	return &Directory{centre: centre, addr: addr, centres: make(map[string]string), asked: make(map[string]time.Time)}
+}
+
+// isNeighbour reports whether a peer is known to be in the own data centre.
+func (d *Directory) isNeighbour(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.centre != "" && addr != d.addr && d.centres[addr] == d.centre
+}
+
+// record records the data centre that a peer names.
+func (d *Directory) record(addr, centre string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.centres[addr]; addr == "" || centre == "" || !known && len(d.centres) >= maxDirectory {
+		return
+	}
+	d.centres[addr] = centre
+}
+
+// unknown returns a peer whose data centre is not known, and which was not asked for it
+// lately.
+func (d *Directory) unknown(now time.Time, addrs []string) (addr string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, addr := range addrs {
+		at, asked := d.asked[addr]
+		if d.centres[addr] == "" && addr != d.addr && (!asked && len(d.asked) < maxDirectory || asked && now.Sub(at) >= introducePause) {
+			d.asked[addr] = now
+			return addr, true
+		}
+	}
+	return "", false
+}
+
+// Transport adds the own data centre to calls to peers, and records theirs.
+func (d *Directory) Transport(base http.RoundTripper) http.RoundTripper {
+	return peerTransport{d, base}
+}
+
+type peerTransport struct {
+	directory *Directory
+	base      http.RoundTripper
+}
+
+// RoundTrip implements [http.RoundTripper].
+func (t peerTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	req = req.Clone(req.Context())
+	req.Header.Set(headerCentre, t.directory.centre)
+	req.Header.Set(headerSender, t.directory.addr)
+	res, err := t.base.RoundTrip(req)
+	if err != nil {
+		return nil, fmt.Errorf("call peer: %w", err)
+	}
+	t.directory.record(req.URL.Host, res.Header.Get(headerCentre))
+	return res, nil
+}
+
+// handler adds the own data centre to responses to peers, and records theirs.
+func (d *Directory) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.record(r.Header.Get(headerSender), r.Header.Get(headerCentre))
+		w.Header().Set(headerCentre, d.centre)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Run asks peers for their data centre until the context ends.
+func (c *Cache) Run(ctx context.Context) {
+	waiter.Every(ctx, introduceInterval, func(now time.Time) {
+		peers, _ := c.ranker.Rank("")
+		addrs := make([]string, len(peers))
+		for i, j := range rand.Perm(len(peers)) {
+			addrs[i] = peers[j].Addr
+		}
+		addr, ok := c.directory.unknown(now, addrs)
+		if !ok {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
+		defer cancel()
+		// Only the headers of the call and the response matter. A peer without a response
+		// is asked again.
+		if _, err := c.asker.Ask(ctx, addr, Ask{}); err != nil {
+			c.log.Debug().Str("addr", addr).Err(err).Msg("peer does not name its data centre")
+		}
+	})
+}
--- /dev/null
+++ b/internal/cacher/peers.go
@@ -0,0 +1,147 @@
+package cacher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"daisylane/internal/checker"
+	"daisylane/internal/follower"
+	"daisylane/internal/storer"
+)
+
+const (
+	watchPath       = "/watch"
+	dialTimeout     = 150 * time.Millisecond
+	maxAskBytes     = 4 << 10
+	maxReplyBytes   = 1 << 20
+	maxWait         = 10 * time.Second
+	idleConns       = 4 // one for each kind
+	idleConnTimeout = 20 * time.Second
+)
+
+// Refusal is why an instance does not answer a neighbour.
+type Refusal string
+
+// Reasons of refusals.
+const (
+	Idle      Refusal = "idle"      // it does not watch the store
+	Away      Refusal = "away"      // it has no contact with the store
+	Elsewhere Refusal = "elsewhere" // it is in another era of the store
+	Gone      Refusal = "gone"      // it does not know all changes since the revision
+)
+
+// Ask asks a watcher for the changes of a kind since a position.
+type Ask struct {
+	Kind     string `json:"kind"`
+	Era      int64  `json:"era"`
+	Revision int64  `json:"revision"`
+	Wait     int64  `json:"wait"` // how long to wait for a change, milliseconds
+	Age      int64  `json:"age"`  // how old the contact with the store may be, milliseconds
+}
+
+// Check validates the numbers.
+func (a Ask) Check() error {
+	var f checker.Validator
+	checker.Range(&f, "wait", a.Wait, 0, maxWait.Milliseconds())
+	checker.Range(&f, "age", a.Age, 0, 2*maxWait.Milliseconds())
+	return f.Err()
+}
+
+// Reply is the answer to an [Ask].
+type Reply struct {
+	Refused  Refusal  `json:"refused,omitempty"`
+	Era      int64    `json:"era,omitempty"`
+	Revision int64    `json:"revision,omitempty"`
+	Changes  []change `json:"changes,omitempty"`
+	Contact  int64    `json:"contact,omitempty"` // when the changes were complete, milliseconds after the arrival of the question, mostly negative
+}
+
+// change is a [follower.Change].
+type change struct {
+	Item    storer.Item `json:"item"`
+	Deleted bool        `json:"deleted,omitempty"`
+}
+
+// Check accepts any reply: what it says is compared with what the neighbour knows.
+func (r Reply) Check() error { return nil }
+
+func newReply(at follower.Position, changes []follower.Change, contact time.Duration) Reply {
+	r := Reply{Era: at.Era, Revision: at.Revision, Contact: contact.Milliseconds()}
+	for _, c := range changes {
+		r.Changes = append(r.Changes, change(c))
+	}
+	return r
+}
+
+func (r Reply) changes() []follower.Change {
+	var list []follower.Change
+	for _, c := range r.Changes {
+		list = append(list, follower.Change(c))
+	}
+	return list
+}
+
+// handleWatch answers a neighbour.
+func (c *Cache) handleWatch(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAskBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a, err := checker.Decode[Ask](body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	data, err := checker.Encode(c.serve(r.Context(), a))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data) // a neighbour that has disconnected asks again
+}
+
+// client asks watchers over HTTP.
+type client struct{ http *http.Client }
+
+func newClient(d *Directory) *client {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return &client{&http.Client{Transport: d.Transport(&http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxAskBytes,
+	})}}
+}
+
+// Ask implements [Asker].
+func (c *client) Ask(ctx context.Context, addr string, a Ask) (Reply, error) {
+	data, err := json.Marshal(a)
+	if err != nil {
+		return Reply{}, fmt.Errorf("encode question to watcher: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+watchPath, bytes.NewReader(data))
+	if err != nil {
+		return Reply{}, fmt.Errorf("create request: %w", err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return Reply{}, fmt.Errorf("ask watcher: %w", err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	if err != nil {
+		return Reply{}, fmt.Errorf("read answer of watcher: %w", err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return Reply{}, fmt.Errorf("watcher responded with status %d", res.StatusCode)
+	}
+	reply, err := checker.Decode[Reply](body)
+	if err != nil {
+		return Reply{}, fmt.Errorf("decode answer of watcher: %w", err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/cacher/view.go
@@ -0,0 +1,126 @@
+package cacher
+
+import (
+	"time"
+
+	"daisylane/internal/follower"
+)
+
+const (
+	// maxChanges and maxBytes bound the changes that are kept for neighbours. One that has
+	// fallen behind them reads the store.
+	maxChanges = 512
+	maxBytes   = 256 << 10
+)
+
+// batch is what one response said about the time between two revisions.
+type batch struct {
+	from, to int64
+	changes  []follower.Change
+}
+
+// View is what an instance knows of the objects of one kind: where it is in their history
+// and which changes led there. It reads no clock: the caller passes the time.
+type View struct {
+	at         follower.Position
+	base       int64 // changes after this revision are kept
+	batches    []batch
+	contact    time.Duration // when the view was known to match the store
+	listed     bool          // the position is valid
+	everListed bool
+	direct     bool // the last response came from the store
+	lost       bool // the store has not responded to the last call
+}
+
+// Listed records that the objects were listed.
+func (v *View) Listed(now time.Duration, at follower.Position) {
+	*v = View{at: at, base: at.Revision, contact: now, listed: true, everListed: true, direct: true}
+}
+
+// Lost records that a watch of the store has failed.
+func (v *View) Lost() { v.lost = true }
+
+// Forget records that the objects have to be listed again.
+func (v *View) Forget() { v.listed, v.batches = false, nil }
+
+// Add records the changes between two positions, as known at the time of the contact.
+// direct says that the store has told them.
+func (v *View) Add(contact time.Duration, from, to follower.Position, changes []follower.Change, direct bool) {
+	if !v.listed || v.at != from {
+		v.base, v.batches = from.Revision, nil
+	}
+	v.at, v.listed, v.everListed, v.direct, v.lost = to, true, true, direct, false
+	v.contact = max(v.contact, contact)
+	if n := len(v.batches); n > 0 && len(changes) == 0 && len(v.batches[n-1].changes) == 0 {
+		v.batches[n-1].to = to.Revision
+	} else {
+		v.batches = append(v.batches, batch{from.Revision, to.Revision, changes})
+	}
+	for count, bytes := v.size(); count > maxChanges || bytes > maxBytes || len(v.batches) > maxChanges; count, bytes = v.size() {
+		v.base, v.batches = v.batches[0].to, v.batches[1:]
+	}
+}
+
+func (v *View) size() (changes, bytes int) {
+	for _, b := range v.batches {
+		changes += len(b.changes)
+		for _, c := range b.changes {
+			bytes += len(c.Item.Key) + len(c.Item.Body)
+		}
+	}
+	return changes, bytes
+}
+
+// since returns the changes after a revision. It returns false if they are not known.
+func (v *View) since(revision int64) ([]follower.Change, bool) {
+	if revision < v.base {
+		return nil, false
+	}
+	var list []follower.Change
+	for _, b := range v.batches {
+		if b.to <= revision {
+			continue
+		}
+		if b.from >= revision {
+			list = append(list, b.changes...)
+			continue
+		}
+		last := b.from
+		for _, c := range b.changes {
+			// Without the revision of each change, older ones than the neighbour knows
+			// could follow newer ones.
+			if n := int64(c.Item.Version); n <= last || n > b.to {
+				return nil, false
+			}
+			last = int64(c.Item.Version)
+			if last > revision {
+				list = append(list, c)
+			}
+		}
+	}
+	return list, true
+}
+
+// Answer returns the answer to a neighbour that asked when it arrived, and until when the
+// neighbour waits for a better one. era is the highest era of the store that is known.
+func (v *View) Answer(now, arrived time.Duration, era int64, a Ask) (reply Reply, until time.Duration) {
+	refuse := func(reason Refusal) (Reply, time.Duration) { return Reply{Refused: reason, Era: era}, now }
+	age := time.Duration(a.Age) * time.Millisecond
+	switch {
+	case !v.listed || !v.direct:
+		return refuse(Idle)
+	case v.lost || now-v.contact > age:
+		return refuse(Away)
+	case a.Era != era || v.at.Era != era:
+		return refuse(Elsewhere)
+	}
+	changes, ok := v.since(a.Revision)
+	if !ok {
+		return refuse(Gone)
+	}
+	reply = newReply(v.at, changes, v.contact-arrived)
+	if len(changes) > 0 || v.contact > arrived {
+		return reply, now
+	}
+	return reply, min(arrived+time.Duration(a.Wait)*time.Millisecond, v.contact+age)
+}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -153,12 +153,24 @@
 	http *http.Client
 }
 
+// ClientOption changes a setting of a [Client].
+type ClientOption func(*Client)
+
+// WithTransport wraps the HTTP transport of the calls to peers.
+func WithTransport(wrap func(http.RoundTripper) http.RoundTripper) ClientOption {
+	return func(c *Client) { c.http.Transport = wrap(c.http.Transport) }
+}
+
 // NewClient returns a client that keeps idle connections to peers.
-func NewClient() *Client {
+func NewClient(opts ...ClientOption) *Client {
 	d := net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	c := &Client{http: &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerPeer, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxBodyBytes,
 	}}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Borrow asks a peer for tokens. If the peer does not lend, the error is [ErrRefused].
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -28,6 +28,7 @@
 	PlatformCalls        = "platform_calls_total"
 	PlatformCallSeconds  = "platform_call_seconds"
 	StoreCalls           = "store_calls_total"
+	NeighbourWatches     = "neighbour_watches_total"
 	BundleVersion        = "bundle_version"
 	BundleDelaySeconds   = "bundle_delay_seconds"
 	Orders               = "orders_total"
@@ -86,6 +87,7 @@
 	{PlatformCalls, Counter, "calls", []string{"kind", "result"}, "Calls to the platform, by read, write and watch."},
 	{PlatformCallSeconds, Histogram, "seconds", []string{"kind"}, "Time of a call to the platform."},
 	{StoreCalls, Counter, "calls", []string{"call", "object", "result", "way"}, "Calls to the store of the users' platform, by what they are for."},
+	{NeighbourWatches, Counter, "watches", []string{"kind", "result"}, "Questions to the watcher of the data centre that replace watches of the store."},
 	{BundleVersion, Gauge, "version", nil, "Bundle version in force."},
 	{BundleDelaySeconds, Histogram, "seconds", nil, "Time from acceptance of a bundle until it is in force here."},
 	{Orders, Counter, "orders", []string{"result"}, "Orders to engines."},
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -17,6 +17,7 @@
 
 	"daisylane/internal/accountant"
 	"daisylane/internal/archiver"
+	"daisylane/internal/cacher"
 	"daisylane/internal/chooser"
 	"daisylane/internal/follower"
 	"daisylane/internal/forwarder"
@@ -71,6 +72,7 @@
 	log            zerolog.Logger
 	logWriter      *logger.AsyncWriter
 	store          *platform.Store
+	watches        *cacher.Cache
 	paths          *paths
 	accounting     *accountant.Accountant
 	warnings       *recorder.Recorder
@@ -111,8 +113,13 @@
 	e.store = platform.NewStore(cfg.Store.Addr, e.paths, platform.WithObserver(func(t http.RoundTripper) http.RoundTripper {
 		return reporter.Transport(e.metrics.Scope(), t, reporter.WithStoreCalls(platform.CallTags))
 	}))
-	peers := lender.NewClient()
-	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, net.JoinHostPort(cfg.Addr, cfg.PeerPort()), peers, log)
+	peerAddr := net.JoinHostPort(cfg.Addr, cfg.PeerPort())
+	directory := cacher.NewDirectory(cfg.Centre, peerAddr)
+	peers := lender.NewClient(lender.WithTransport(directory.Transport))
+	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, peerAddr, peers, log)
+	changeWait, warningWait := follower.WatchWait(cfg.ChangeDelay()), follower.WatchWait(cfg.WarningDelay())
+	e.watches = cacher.New(e.store, e.accounting, directory, cacher.WithClock(accountant.BootClock), cacher.WithLog(log), cacher.WithScope(e.metrics.Scope()),
+		cacher.WithKind(platform.KindConfig, changeWait), cacher.WithKind(platform.KindRunners, changeWait), cacher.WithKind(recorder.Kind, warningWait))
 	e.permits = permitter.New(cfg.Name+"-"+cfg.Addr, e.accounting, peers,
 		permitter.WithLog(log), permitter.WithScope(e.metrics.Scope()))
 	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries, receiver.WithLimits(e.permits))
@@ -123,7 +130,7 @@
 	e.guard.OnChange(e.warnings.Wake)
 	e.permits.OnChange(e.warnings.Wake)
 	e.streams.OnChange(e.warnings.Wake)
-	e.warnings.OnSync(e.streams.RecordContact)
+	e.warnings.OnSync(func(time.Time) { e.streams.RecordContact(e.watches.Contact(recorder.Kind)) })
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool,
 		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()))
 	return e
@@ -145,9 +152,10 @@
 		}
 	}()
 	wait := follower.WithWait(follower.WatchWait(e.cfg.ChangeDelay()))
-	go follower.New(e.store, platform.KindConfig, &configHandler{e: e}, wait).Run(work)
-	go follower.New(e.store, platform.KindRunners, &targetHandler{e: e}, wait).Run(work)
-	go follower.New(e.store, recorder.Kind, e.warnings, follower.WithWait(follower.WatchWait(e.cfg.WarningDelay()))).Run(work)
+	go e.watches.Run(work)
+	go follower.New(e.watches, platform.KindConfig, &configHandler{e: e}, wait).Run(work)
+	go follower.New(e.watches, platform.KindRunners, &targetHandler{e: e}, wait).Run(work)
+	go follower.New(e.watches, recorder.Kind, e.warnings, follower.WithWait(follower.WatchWait(e.cfg.WarningDelay()))).Run(work)
 	go e.warnings.Run(work)
 	go e.permits.Run(work)
 	go e.streams.Run(work)
@@ -188,7 +196,7 @@
 	}{
 		{e.cfg.Listen.Callers, e.callers},
 		{e.cfg.Listen.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: readHeaderTimeout}},
-		{net.JoinHostPort(e.cfg.Addr, e.cfg.PeerPort()), &http.Server{Handler: lender.Handler(e.accounting, lender.WithPermits(e.permits)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}},
+		{net.JoinHostPort(e.cfg.Addr, e.cfg.PeerPort()), &http.Server{Handler: e.watches.Handler(lender.Handler(e.accounting, lender.WithPermits(e.permits))), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}},
 		{net.JoinHostPort(e.cfg.Addr, metricsPort), &http.Server{Handler: metrics, ReadHeaderTimeout: readHeaderTimeout}},
 	}
 	for _, s := range list {
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,8 @@
 	stops   map[string]func() // by address of the entry
 	kills   map[string]func() // the same without a graceful shutdown
 	logs    []*syncBuffer
+	entries []*entry
+	edit    func(settings map[string]any) // of entries that start later
 	nextID  atomic.Int64
 	nextIP  int
 
@@ -59,6 +62,12 @@
 // lastNetwork is the third byte of the addresses of the last fleet.
 var lastNetwork atomic.Int64
 
+// fleetIP returns the address of an entry. Entries listen at fixed ports, so two test
+// processes on a machine need addresses of their own.
+func fleetIP(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 9+os.Getpid()%200, n>>8, n&255)
+}
+
 // startFleet starts a fleet with runners of the engine service. The function computes their
 // responses.
 func startFleet(t *testing.T, entries, runners int, respond func(runner int, req platformtest.Request) platformtest.Response) *fleet {
@@ -112,8 +121,11 @@
 func (f *fleet) startEntry() {
 	f.t.Helper()
 	f.nextIP++
-	ip := fmt.Sprintf("127.9.%d.%d", f.nextIP>>8, f.nextIP&255)
+	ip := fleetIP(f.nextIP)
 	path := editedSettings(f.t, f.addr, ip)
+	if f.edit != nil {
+		editSettings(f.t, path, f.edit)
+	}
 	cfg, err := platform.LoadSettings(path)
 	if err != nil {
 		f.t.Fatal(err)
@@ -122,6 +134,7 @@
 	lines := logger.NewAsyncWriter(out, logQueueLines)
 	log := zerolog.New(lines).With().Str("instance", cfg.Name).Timestamp().Logger()
 	e := newEntry(cfg, path, log, lines)
+	f.entries = append(f.entries, e)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- e.run(ctx, nil) }()
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -66,7 +66,9 @@
 	h.e.log.Warn().Int64("era", h.e.store.Era()).Msg("store was restored from an older copy; keeping the configuration in force")
 }
 
-func (h *configHandler) Synced() { h.e.receiver.RecordContact(time.Now()) }
+func (h *configHandler) Synced() {
+	h.e.receiver.RecordContact(h.e.watches.Contact(platform.KindConfig))
+}
 
 // targetHandler keeps the roster of targets current. An object that cannot be
 // decoded counts as removed.
--- a/internal/starter/silence_test.go
+++ b/internal/starter/silence_test.go
@@ -82,7 +82,8 @@
 type mutableProxy struct {
 	addr string
 	mu   sync.Mutex
-	era  int // connections of earlier eras are silent
+	era  int  // connections of earlier eras are silent
+	dead bool // all connections are silent
 }
 
 func newMutableProxy(t *testing.T, target string) *mutableProxy {
@@ -116,9 +117,19 @@
 func (p *mutableProxy) current() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.dead {
+		p.era++
+	}
 	return p.era
 }
 
+// cut silences all connections, also those that are opened later.
+func (p *mutableProxy) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead = true
+}
+
 // mute silences the connections that are open now.
 func (p *mutableProxy) mute() {
 	p.mu.Lock()
