--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -36,10 +36,9 @@
 	kills   map[string]func() // the same without a graceful shutdown
 	logs    []*syncBuffer
 	entries []*entry
-	edit    func(settings map[string]any) // of entries that start later
+	edit    func(settings map[string]any) // of entries that start later, nil: none
 	nextID  atomic.Int64
 	nextIP  int
-	edit    func(settings map[string]any) // of the entries, nil: none
 
 	mu       sync.Mutex
 	versions map[string]string // software versions by name of the runner
