Keep budgets over a rolling restart with a restore; 503 while spending is unknown

Only a process that lived through the restore could compose the budgets, and two that were on their way at once counted as lost though they ended in order, against one witness. After 10 s all that was prepaid was written off.

A process that ends in order hands over to its peers, without the store, what it knows of grants and what it has used. Its end then counts as known, so it is not lost. What a process has recorded in its first ledgers of the era (`told`) stays valid when it ends, also if it ends within the first second. A process that is too new to be a witness records its own grants. Any process composes the budgets from these ledgers, and counts its own instance as lost if it knows nothing of it. The last ledger is tried three times.

Tokens that count as spent without proof (`lost` of a grant: lost instances, write-offs, limits of killed processes) no longer lead to 402: a request that only they could cover gets 503 (`tokenswithheld`). Before the budget of an era is read, 402 is only said for more than is prepaid.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -91,11 +91,16 @@
 	maxCancelDelay = 5 * time.Second
 	// peerFailureBackoff is how long a peer is not asked after a failed call.
 	peerFailureBackoff = 2 * time.Second
+	// maxFinalLedgers is how often the last ledger of a process is tried.
+	maxFinalLedgers = 3
 	// greetingRefusalBackoff is how long a peer that has not accepted a greeting is not
 	// greeted. It may as soon as it has learned of the era.
 	greetingRefusalBackoff = 300 * time.Millisecond
 )
 
+// errNotWritten means that all attempts to write an object failed.
+var errNotWritten = errors.New("all attempts failed")
+
 // ErrReplaced means that a newer process of this instance has written the ledger.
 var ErrReplaced = errors.New("a newer process of this instance has taken over")
 
@@ -122,6 +127,8 @@
 	Remember(ctx context.Context, peer granter.Lender, n granter.Note) error
 	// Greet makes a peer count this instance, or returns an error.
 	Greet(ctx context.Context, peer granter.Lender, m granter.Greeting) error
+	// HandOver tells a peer what this process knew at its end, or returns an error.
+	HandOver(ctx context.Context, peer granter.Lender, h granter.Handover) error
 }
 
 // Accountant reserves and settles tokens for one instance. It is safe for
@@ -442,9 +449,9 @@
 		switch {
 		case d.Outcome == granter.Reserved, d.Outcome == granter.Unready:
 			return d
-		case d.Outcome == granter.Exhausted && storeReachable:
+		case (d.Outcome == granter.Exhausted || d.Outcome == granter.Withheld) && storeReachable:
 			return d
-		case d.Outcome == granter.Exhausted:
+		case d.Outcome == granter.Exhausted, d.Outcome == granter.Withheld:
 			d.Outcome, d.RetryAfter = granter.Short, lostRetryAfter
 			return d
 		case d.Outcome == granter.Short && !mayGrow:
@@ -514,7 +521,8 @@
 	a.mu.Lock()
 	a.state.Close()
 	a.mu.Unlock()
-	if _, err := a.writeLedger(ctx); err != nil {
+	a.handOver(ctx)
+	if err := a.writeFinalLedger(ctx); err != nil {
 		return fmt.Errorf("write final ledger: %w", err)
 	}
 	a.mu.Lock()
@@ -529,6 +537,24 @@
 	return failed
 }
 
+// writeFinalLedger tries to write the last ledger several times: without it the tokens up to
+// the limits of the one before count as spent.
+func (a *Accountant) writeFinalLedger(ctx context.Context) error {
+	for try := 1; ; try++ {
+		retry, err := a.writeLedger(ctx)
+		switch {
+		case err == nil && !retry, errors.Is(err, ErrReplaced):
+			return err
+		case try == maxFinalLedgers:
+			return errors.Join(err, errNotWritten)
+		case ctx.Err() != nil:
+			return err
+		case err != nil:
+			waiter.Sleep(ctx, retryDelay)
+		}
+	}
+}
+
 // notifyWaiters wakes all requests that wait for a change. The caller holds the lock.
 func (a *Accountant) notifyWaiters() {
 	close(a.changed)
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -56,6 +56,8 @@
 
 func (f lateBoundLender) RecordGreeting(m granter.Greeting) bool { return (*f.inst).RecordGreeting(m) }
 
+func (f lateBoundLender) RecordHandover(h granter.Handover) bool { return (*f.inst).RecordHandover(h) }
+
 func startInstance(t *testing.T, addr, name string) *testInstance {
 	t.Helper()
 	inst := runInstance(t, addr, name)
--- a/internal/accountant/eras.go
+++ b/internal/accountant/eras.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 
@@ -177,3 +178,42 @@
 	}
 	return met
 }
+
+// handOver tells all peers what this process knows of grants, so that nothing is lost with it
+// if the store does not take its last ledger or loses it.
+func (a *Accountant) handOver(ctx context.Context) {
+	a.mu.Lock()
+	a.syncEra()
+	h, ok := a.state.Handover()
+	peers := a.state.Witnesses("")
+	a.mu.Unlock()
+	if !ok {
+		return
+	}
+	var accepted atomic.Int64
+	var calls errgroup.Group
+	calls.SetLimit(maxGreetings)
+	for _, p := range peers {
+		calls.Go(func() error {
+			if err := a.peers.HandOver(ctx, p, h); err != nil {
+				a.log.Warn().Str("peer", p.Name).Err(err).Msg("peer does not take over what this process knows of grants")
+				return nil // the others may
+			}
+			accepted.Add(1)
+			return nil
+		})
+	}
+	_ = calls.Wait() // no call returns an error
+	a.log.Info().Int("peers", len(peers)).Int64("accepted", accepted.Load()).Int("grants", len(h.Notes)).Int64("era", h.Era).Msg("grants handed over")
+}
+
+// RecordHandover takes over what a peer knew at its end. It reports false if it is too late
+// for that.
+func (a *Accountant) RecordHandover(h granter.Handover) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.syncEra()
+	accepted := a.state.RecordHandover(a.clock(), h)
+	a.log.Info().Str("peer", h.Instance).Int("grants", len(h.Notes)).Bool("accepted", accepted).Msg("peer ends in order")
+	return accepted
+}
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -30,12 +30,13 @@
 	if g.era.memory = old.Memory; old.Memory == FullMemory {
 		g.era.memory = LostMemory
 	}
-	g.era.grants, g.era.others = old.Grants, old.Others
+	g.era.grants, g.era.others, g.era.told, g.era.former, g.era.knowsOwn = old.Grants, old.Others, old.Told, old.Former, false
 	if old.Memory != NoMemory {
 		g.distrustPriors()
 	}
 	for name := range old.Accounts {
-		g.account(name).maxPriorSpend = g.maxPriorSpend(now, old, name)
+		a := g.account(name)
+		a.maxPriorSpend, a.priorExact = g.maxPriorSpend(now, old, name), old.Closed && old.Accounts[name].Rate == 0
 	}
 }
 
@@ -44,7 +45,7 @@
 // granted counts as spent.
 func (g *Granter) RecoverLost(now time.Duration) {
 	g.startedAt, g.newcomer = now, true
-	g.era.memory, g.era.grants, g.era.others = LostMemory, nil, nil
+	g.era.memory, g.era.grants, g.era.others, g.era.told, g.era.former, g.era.knowsOwn = LostMemory, nil, nil, false, 0, false
 	g.distrustPriors()
 }
 
@@ -107,16 +108,25 @@
 	if a.fenced {
 		return
 	}
-	a.spent = min(grant.Granted, a.maxPriorSpend)
-	if grant.WrittenBy == "" {
-		a.spent = grant.Granted // composed without the instance itself
-	}
+	a.takePriorSpend(grant)
 	if a.grantDemand.last == 0 {
 		a.grantDemand, a.largeRequest = publishedDemand(now, grant), float64(grant.LargeRequest)
 	}
 	a.fenced = grant.WrittenBy == g.incarnation
 }
 
+// takePriorSpend counts what a predecessor can have spent of a grant.
+func (a *account) takePriorSpend(grant Grant) {
+	if grant.WrittenBy == "" {
+		a.spent, a.lost = grant.Granted, grant.Lost // composed without the instance itself
+		return
+	}
+	a.spent, a.lost = min(grant.Granted, a.maxPriorSpend), grant.Lost
+	if !a.priorExact {
+		a.lost += max(0, a.spent-grant.Spent)
+	}
+}
+
 // BudgetSent announces a budget write conditional on the version last observed.
 func (g *Granter) BudgetSent(name string, b Budget) {
 	a := g.account(name)
@@ -257,10 +267,13 @@
 	l := Ledger{
 		Incarnation: g.incarnation, Number: g.ledgerNumber, Boot: g.bootID, Time: now.Milliseconds(), Addr: g.addr,
 		Accounts: make(map[string]Limit, len(g.accounts)), Config: g.configVersion, Closed: g.closed,
-		Memory: g.era.memory, Grants: g.era.grants, Others: g.era.others,
+		Memory: g.era.memory, Former: g.era.former, Grants: g.era.grants, Others: g.era.others, Told: g.era.told,
+	}
+	if g.era.knowsOwn {
+		l.Grants = g.ownGrants()
 	}
 	if g.era.memory == FullMemory {
-		l.Grants, l.Others, l.Told = g.ownGrants(), g.testimonies(now), g.hasTold(now)
+		l.Others, l.Told = g.testimonies(now), g.hasTold(now)
 	}
 	for name, a := range g.accounts {
 		switch {
@@ -283,8 +296,10 @@
 func (g *Granter) PlanBudget(now time.Duration, name string) (Budget, uint64) {
 	a := g.account(name)
 	if a.version == 0 && g.era.number > 0 {
-		own := a.budget.Grants[g.name]
-		own.Granted = a.granted
+		own := g.startOfEra(name, a)
+		if a.granted = own.Granted; !g.era.knowsOwn && g.era.memory == LostMemory {
+			a.takePriorSpend(own)
+		}
 		a.budget = g.compose(name).WithGrant(g.name, own)
 		if g.era.writeOff {
 			a.budget = a.budget.withWriteOff(a.maxPrepaid)
@@ -298,7 +313,7 @@
 // instances need.
 func (g *Granter) planGrant(now time.Duration, name string, a *account) Grant {
 	next := Grant{
-		Granted: a.granted, Spent: max(0, a.spent-a.borrowed), ReservedTokens: a.reserved, Rate: int64(a.grantDemand.rate(now)), LargeRequest: int64(a.largeRequest), WrittenBy: g.incarnation,
+		Granted: a.granted, Spent: max(0, a.spent-a.borrowed), Lost: max(0, min(a.lost, a.spent-a.borrowed)), ReservedTokens: a.reserved, Rate: int64(a.grantDemand.rate(now)), LargeRequest: int64(a.largeRequest), WrittenBy: g.incarnation,
 	}
 	if !a.fenced {
 		return next
--- a/internal/granter/ends.go
+++ b/internal/granter/ends.go
@@ -1,6 +1,10 @@
 package granter
 
-import "time"
+import (
+	"time"
+
+	"daisylane/internal/checker"
+)
 
 // Instances come and go. A grant needs other instances that know it, but only those that
 // live can tell of it, so an instance counts only these among its peers: processes that
@@ -22,7 +26,82 @@
 
 // ending is what is known of the end of another instance's process.
 type ending struct {
-	known bool // all budgets were read since
+	known      bool             // all budgets were read since, or it has handed over what it knew
+	handedOver time.Duration    // when it did, 0: it has not
+	used       map[string]int64 // tokens that it had used then, by account
+}
+
+// Handover is the last message of a process that ends in order. It has all that the process
+// knows of grants, so that nothing is lost with it even if the store loses its last ledger.
+type Handover struct {
+	Era         int64            `json:"era"`
+	Instance    string           `json:"instance"`
+	Incarnation string           `json:"by"`
+	Used        map[string]int64 `json:"used"`  // tokens that the process has used, by account
+	Notes       []Note           `json:"notes"` // newest known grants of all instances
+}
+
+// Check validates the message.
+func (h Handover) Check() error {
+	var f checker.Validator
+	f.Require(h.Era > 0, "era", "is %d, must be positive", h.Era)
+	f.Require(h.Instance != "", "instance", "is empty")
+	f.Require(h.Incarnation != "", "by", "is empty")
+	for account, n := range h.Used {
+		f.Require(n >= 0, "used."+account, "is %d, must not be negative", n)
+	}
+	for _, n := range h.Notes {
+		f.AddNested("notes", n.Check())
+	}
+	return f.Err()
+}
+
+// Handover returns the last message of this process, see [Granter.Close]. It reports false
+// if the store says no era, or the process does not know all grants of the era itself.
+func (g *Granter) Handover() (Handover, bool) {
+	h := Handover{Era: g.era.number, Instance: g.name, Incarnation: g.incarnation, Used: make(map[string]int64)}
+	if !g.closed || !g.ready || h.Era == 0 || g.era.composedAt == 0 || !g.allComposed() {
+		return h, false
+	}
+	for name, a := range g.accounts {
+		if a.version == 0 {
+			continue // unlimited
+		}
+		if a.fenced || a.granted == 0 {
+			h.Used[name] = a.used()
+		}
+		for instance, grant := range a.budget.Grants {
+			if instance != g.name && a.notes[instance].Version <= a.version {
+				h.Notes = append(h.Notes, Note{Era: h.Era, Account: name, Instance: instance, Version: a.version, Granted: grant.Granted})
+			}
+		}
+		for _, n := range a.notes {
+			if n.Version > a.version {
+				h.Notes = append(h.Notes, n)
+			}
+		}
+		if a.granted > 0 {
+			h.Notes = append(h.Notes, Note{Era: h.Era, Account: name, Instance: g.name, Version: a.version, Granted: a.granted})
+		}
+	}
+	return h, true
+}
+
+// RecordHandover takes over what a process that has ended knew. It reports false if it comes
+// too late for that.
+func (g *Granter) RecordHandover(now time.Duration, h Handover) bool {
+	by := g.era.greeted[h.Instance]
+	if h.Era != g.era.number || h.Instance == g.name || !g.ready || g.closed || by != "" && by != h.Incarnation {
+		return false
+	}
+	for _, n := range h.Notes {
+		if n.Era == h.Era && n.Instance != g.name {
+			g.remember(n)
+		}
+	}
+	g.ends[h.Instance] = ending{known: true, handedOver: now, used: h.Used}
+	clear(g.lenders)
+	return true
 }
 
 // Greetings returns how often another instance has greeted this one. See
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -78,6 +78,7 @@
 	Active bool             `json:"active,omitempty"` // it was seen to write ledgers
 	Met    bool             `json:"met,omitempty"`    // it counted the process as a peer, see [Greeting]
 	Held   map[string]int64 `json:"held,omitempty"`   // tokens granted to it at most, by account
+	Final  map[string]int64 `json:"final,omitempty"`  // tokens that it had used at its end, by account, see [Handover]
 }
 
 // Greeting tells another instance about the sender, which it may not have seen in the
@@ -133,6 +134,8 @@
 	began    time.Duration     // when this process learned of it
 	former   int64             // the era before it in this process, 0: none, or the store said nothing
 	memory   Memory            // of this process
+	knowsOwn bool              // with lost memory, this process knows its own grants
+	told     bool              // a predecessor has recorded all that it remembered
 	ledgers  map[string]Ledger // of all instances, by name
 	absent   []string          // instances that have ledgers of former eras only
 	memories map[string]Testimony
@@ -165,7 +168,7 @@
 	if !g.ready {
 		g.era.number, g.era.began = era, now
 		for _, a := range g.accounts {
-			a.startEra(0, LostMemory)
+			a.startEra(0, false)
 		}
 		g.pendingLedgers = nil
 		return true
@@ -174,19 +177,24 @@
 		number: era, began: now, former: g.era.number, memory: LostMemory,
 		ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), greeted: make(map[string]string), sightings: g.era.sightings, lastRead: g.era.lastRead,
 	}
-	if g.knowsItself() && g.peersKnown {
+	next.knowsOwn = g.knowsItself()
+	if next.knowsOwn && g.peersKnown && (g.era.memory == FullMemory || g.era.composedAt > 0) {
 		next.memory = FullMemory
 	}
 	for name, a := range g.accounts {
 		g.rememberOthers(name, a, next.memories)
-		a.startEra(g.grantInForce(a), next.memory)
+		a.startEra(g.grantInForce(a), next.knowsOwn)
 	}
 	for name := range g.peers {
 		if name != g.name {
 			t := next.memories[name]
 			t.Met = g.era.met[name] && g.ledger.Age(now) < absenceAge
 			t.Active, t.Idle = g.activity(name)
-			t.Idle = t.Idle && now-g.era.lastRead < freshTime
+			if e := g.ends[name]; t.Idle && now-max(g.era.lastRead, e.handedOver) < freshTime {
+				t.Final = e.used
+			} else {
+				t.Idle = false
+			}
 			next.memories[name] = t
 		}
 	}
@@ -210,7 +218,7 @@
 // took itself for a new instance has learned of a predecessor when the budgets of the
 // era are composed.
 func (g *Granter) knowsItself() bool {
-	return g.era.memory == FullMemory || g.era.composedAt > 0
+	return g.era.knowsOwn || g.era.composedAt > 0
 }
 
 // allComposed reports whether this process has seen a budget of this era of each account.
@@ -251,11 +259,11 @@
 	a.notes = nil
 }
 
-// startEra drops what refers to objects of the former era. With full memory the
-// account keeps the tokens whose use was permitted.
-func (a *account) startEra(inForce int64, m Memory) {
+// startEra drops what refers to objects of the former era. If the process knows its own
+// grants, the account keeps the tokens whose use was permitted.
+func (a *account) startEra(inForce int64, knowsOwn bool) {
 	a.pendingWrites, a.version, a.confirmVersion, a.reported = nil, 0, 0, nil
-	if m == FullMemory {
+	if knowsOwn {
 		if a.carried = true; a.fenced {
 			a.granted = max(inForce, a.used()) // a predecessor may have used more
 			a.confirmed = a.granted
@@ -314,13 +322,18 @@
 }
 
 // unregistered returns the instances that existed in a former era and whose grants are
-// not known from themselves.
+// not known from themselves. It has this one if the process began without them.
 func (g *Granter) unregistered() map[string]bool {
 	missing := make(map[string]bool)
 	add := func(name string) {
-		if l := g.era.ledgers[name]; name != g.name && l.Memory != FullMemory && l.Grants == nil {
-			missing[name] = true
+		l := g.era.ledgers[name]
+		if name == g.name && (g.era.memory != LostMemory || g.era.knowsOwn) || l.tells() || l.Grants != nil {
+			return
 		}
+		missing[name] = true
+	}
+	if g.era.memory == LostMemory {
+		add(g.name)
 	}
 	for _, name := range g.era.absent {
 		add(name)
@@ -342,14 +355,20 @@
 // canCompose reports whether the grants of all instances are known. The grants of one
 // that has not registered are known if not all of its witnesses can be missing.
 func (g *Granter) canCompose(now time.Duration) bool {
-	if g.era.memory == LostMemory {
-		return false // another instance has to tell what the predecessor was granted
-	}
 	missing := g.unregistered()
 	if g.era.memory == NoMemory {
 		return len(missing) == 0 && !g.anyMemory()
 	}
-	if len(missing) > 0 && g.era.former == 0 {
+	former, tells := g.era.former, g.era.memory == FullMemory || g.era.told
+	for _, l := range g.era.ledgers {
+		if l.tells() {
+			former, tells = max(former, l.Former), true
+		}
+	}
+	if !tells {
+		return false // nobody remembers the former era
+	}
+	if len(missing) > 0 && former == 0 {
 		return false // in a store that says no era, grants have no witnesses
 	}
 	lost := 0
@@ -367,7 +386,7 @@
 		}
 	}
 	for name, l := range g.era.ledgers {
-		if l.Memory == LostMemory && !missing[name] && name != g.name {
+		if l.Memory == LostMemory && !l.Told && !missing[name] {
 			lost++ // its predecessor may have been a witness
 		}
 	}
@@ -399,7 +418,7 @@
 func (g *Granter) witnessesOf(name string) int {
 	met := 0
 	for _, l := range g.era.ledgers {
-		if l.Memory == FullMemory && l.Others[name].Met {
+		if l.tells() && l.Others[name].Met {
 			met++
 		}
 	}
@@ -441,17 +460,55 @@
 		}
 	}
 	for instance := range g.unregistered() {
-		held := g.era.memories[instance].Held[name]
-		for _, l := range g.era.ledgers {
-			held = max(held, l.Others[instance].Held[name])
-		}
-		if held > 0 {
-			b = b.WithGrant(instance, Grant{Granted: held, Spent: held})
+		if grant := g.heldBy(instance, name); grant.Granted > 0 {
+			b = b.WithGrant(instance, grant)
 		}
 	}
 	return b
 }
 
+// heldBy returns the grant of an instance that has not registered. All that it can have used
+// counts as spent. What it said at its end counts if nobody has seen another process of it
+// since.
+func (g *Granter) heldBy(instance, account string) Grant {
+	var held, used int64
+	final := g.isIdle(instance)
+	take := func(t Testimony) {
+		held = max(held, t.Held[account])
+		n, ok := t.Final[account]
+		final, used = final && ok, max(used, n)
+	}
+	own := g.era.memories[instance]
+	if held = own.Held[account]; g.era.memory == FullMemory {
+		take(own)
+	}
+	for name, l := range g.era.ledgers {
+		t, recorded := l.Others[instance]
+		if live := name == g.name && g.era.memory == FullMemory; !live && (recorded || l.tells()) {
+			take(t)
+		}
+	}
+	if final {
+		return Grant{Granted: used, Spent: used}
+	}
+	return Grant{Granted: held, Spent: held, Lost: held}
+}
+
+// startOfEra returns what this instance was granted of an account when the era began.
+func (g *Granter) startOfEra(name string, a *account) Grant {
+	switch grant, recorded := g.era.grants[name]; {
+	case g.era.knowsOwn || g.era.memory == NoMemory:
+		own := a.budget.Grants[g.name]
+		own.Granted = a.granted
+		return own
+	case recorded:
+		return grant
+	case g.era.told || g.era.grants != nil:
+		return Grant{}
+	}
+	return g.heldBy(g.name, name)
+}
+
 // withWriteOff returns a budget that grants all that is prepaid. Only tokens that are
 // prepaid later can be granted then.
 func (b Budget) withWriteOff(prepaid int64) Budget {
@@ -460,7 +517,7 @@
 		return b
 	}
 	lost += b.Grants[writtenOff].Granted
-	return b.WithGrant(writtenOff, Grant{Granted: lost, Spent: lost})
+	return b.WithGrant(writtenOff, Grant{Granted: lost, Spent: lost, Lost: lost})
 }
 
 // ownGrants returns the grants to record in the ledger of a process that knows them.
@@ -469,7 +526,7 @@
 	for name, a := range g.accounts {
 		switch {
 		case a.fenced && a.granted > 0:
-			grants[name] = Grant{Granted: a.granted, Spent: a.spent, WrittenBy: g.incarnation}
+			grants[name] = Grant{Granted: a.granted, Spent: a.spent, Lost: min(a.lost, a.spent), WrittenBy: g.incarnation}
 		case !a.fenced && a.budget.Grants[g.name].Granted > 0:
 			grants[name] = a.budget.Grants[g.name]
 		}
@@ -479,7 +536,7 @@
 
 // testimonies returns what to record about instances that have not registered.
 func (g *Granter) testimonies(now time.Duration) map[string]Testimony {
-	if g.era.memory != FullMemory || now-g.era.began < testimonyDelay {
+	if g.era.memory != FullMemory || now-g.era.began < testimonyDelay && !g.closed {
 		return nil
 	}
 	told := make(map[string]Testimony)
@@ -491,15 +548,18 @@
 
 // hasTold reports whether the testimonies name all instances that have not registered.
 func (g *Granter) hasTold(now time.Duration) bool {
-	if g.era.memory != FullMemory || g.era.lastRead < g.era.began {
-		return false
+	switch {
+	case g.era.memory != FullMemory:
+		return g.era.told
+	case g.closed, now-g.era.began >= testimonyDelay:
+		return true // of an instance that it has not heard of it knows nothing
 	}
-	return now-g.era.began >= testimonyDelay || len(g.unregistered()) == 0
+	return g.era.lastRead >= g.era.began && len(g.unregistered()) == 0
 }
 
 // testimonyDue reports whether the ledger lacks the testimony on an instance.
 func (g *Granter) testimonyDue(now time.Duration) bool {
-	if !g.ledger.Told && g.hasTold(now) {
+	if !g.ledger.Told && g.era.memory == FullMemory && g.hasTold(now) {
 		return true
 	}
 	for name := range g.testimonies(now) {
@@ -633,6 +693,15 @@
 	if n.Era != g.era.number || !g.ready || n.Instance == g.name {
 		return false
 	}
+	g.remember(n)
+	if g.ends[n.Instance].used != nil {
+		g.recordLife(n.Instance) // another process, or an earlier message of the one that has ended
+	}
+	return !g.closed && g.Introduced(now)
+}
+
+// remember keeps a note unless a newer one is known.
+func (g *Granter) remember(n Note) {
 	a := g.account(n.Account)
 	if a.notes == nil {
 		a.notes = make(map[string]Note)
@@ -640,7 +709,6 @@
 	if n.Version >= a.notes[n.Instance].Version {
 		a.notes[n.Instance] = n
 	}
-	return !g.closed && g.Introduced(now)
 }
 
 // Confirm records that enough instances have remembered a note.
--- a/internal/granter/property_test.go
+++ b/internal/granter/property_test.go
@@ -35,6 +35,7 @@
 	trustOldLedger   flaw = "a successor relies on a ledger of a former era"
 	reuseObjectNames flaw = "all eras use the same objects"
 	skipWitnesses    flaw = "grants are used before others know them"
+	useAfterHandover flaw = "a process uses and confirms grants after it has handed over"
 )
 
 // simulation runs instances against a store that loses and delays writes and responses.
@@ -53,6 +54,8 @@
 	prepaid  int64            // of each account
 	drills   bool             // the store is restored from older copies
 	leaves   bool             // instances leave for good, and others come
+	away     bool             // the store does not respond
+	steady   bool             // instances reach each other when one hands over
 	calm     bool             // no ambush now
 	copies   []simStore
 	restored bool // at least once
@@ -238,7 +241,7 @@
 
 // observe makes an instance read all ledgers and budgets.
 func (w *simulation) observe(h *simHost) {
-	if h.cutSteps > 0 {
+	if h.cutSteps > 0 || w.away {
 		return
 	}
 	w.contact(h)
@@ -371,7 +374,7 @@
 // outcome draws the result of a write: applied with a response, applied without a
 // response, applied later without a response, or refused.
 func (w *simulation) outcome(h *simHost) string {
-	if h.cutSteps > 0 {
+	if h.cutSteps > 0 || w.away {
 		return "refused"
 	}
 	switch p := w.rng.Float64(); {
@@ -643,6 +646,7 @@
 		h.granter.Stop()
 		if w.leaves && h.granter.ready {
 			h.granter.Close()
+			w.handOver(h)
 			w.writeLedger(h)
 			if w.randomBool(0.2) {
 				w.calm = true
@@ -668,6 +672,41 @@
 	}
 }
 
+// handOver makes a process that ends tell others what it knows. Some are not reached.
+func (w *simulation) handOver(h *simHost) {
+	m, ok := h.granter.Handover()
+	if !ok {
+		return
+	}
+	for _, other := range w.hosts {
+		if other == h || other.granter == nil || h.muteSteps+other.muteSteps > 0 || !w.steady && w.randomBool(0.1) {
+			continue
+		}
+		g := other.granter
+		if record := func() { g.RecordHandover(w.clock(other), m) }; !w.steady && w.randomBool(0.1) {
+			w.delayed = append(w.delayed, record)
+		} else {
+			record()
+		}
+	}
+	if w.flaw == useAfterHandover {
+		h.granter.closed, h.granter.stopping = false, false
+		calm := w.calm
+		w.calm = true
+		defer func() { w.calm = calm }()
+		for _, other := range w.hosts {
+			if other != h && other.granter != nil && w.reaches(h, other) {
+				w.exchangeNotes(other)
+				w.request(other, testAccounts[0])
+			}
+		}
+		for range 4 {
+			w.request(h, testAccounts[0])
+		}
+		h.granter.Close()
+	}
+}
+
 // leave makes an instance stay away, unless no other one is left, and sometimes adds one.
 func (w *simulation) leave(h *simHost) {
 	rest := 0
@@ -689,39 +728,48 @@
 // run simulates random steps and returns the first violated invariant, or "".
 func (w *simulation) run(steps int) string {
 	for range steps {
-		if w.step(); w.violation != "" {
-			return w.violation
+		w.step()
+		if violation := w.check(); violation != "" {
+			return violation
 		}
-		for _, name := range testAccounts {
-			used := w.used[name]
-			if used > w.prepaid {
-				return fmt.Sprintf("callers of %s got %d of %d prepaid", name, used, w.prepaid)
-			}
-			loans, spendable := int64(0), int64(0)
-			for _, h := range w.hosts {
-				if h.granter != nil {
-					a := h.granter.account(name)
-					loans += a.borrowed
-					if spendable += a.borrowed; a.fenced {
-						spendable += max(0, h.granter.grantInForce(a)-a.used())
-					}
-				}
-				if _, ok := w.budgets[w.key(name, w.era)].value.Grants[writtenOff]; ok || w.wroteOff {
-					w.wroteOff = true // tokens that were used are no longer counted where they were used
-				} else if h.granter != nil && h.granter.account(name).fenced && h.granter.account(name).used() < h.usedOrLent[name] {
-					return fmt.Sprintf("%s used %d tokens of %s but counts %d", h.name, h.usedOrLent[name], name, h.granter.account(name).used())
-				}
-				if granted := w.budgets[w.key(name, w.era)].value.Grants[h.name].Granted; h.usedOrLent[name] > granted && !w.restored {
-					return fmt.Sprintf("%s used %d tokens of %s but was granted %d", h.name, h.usedOrLent[name], name, granted)
+	}
+	return ""
+}
+
+// check returns a violated invariant, or "".
+func (w *simulation) check() string {
+	if w.violation != "" {
+		return w.violation
+	}
+	for _, name := range testAccounts {
+		used := w.used[name]
+		if used > w.prepaid {
+			return fmt.Sprintf("callers of %s got %d of %d prepaid", name, used, w.prepaid)
+		}
+		loans, spendable := int64(0), int64(0)
+		for _, h := range w.hosts {
+			if h.granter != nil {
+				a := h.granter.account(name)
+				loans += a.borrowed
+				if spendable += a.borrowed; a.fenced {
+					spendable += max(0, h.granter.grantInForce(a)-a.used())
 				}
 			}
-			if used+spendable > w.prepaid {
-				return fmt.Sprintf("callers of %s got %d of %d prepaid, and instances may spend %d more", name, used, w.prepaid, spendable)
+			if _, ok := w.budgets[w.key(name, w.era)].value.Grants[writtenOff]; ok || w.wroteOff {
+				w.wroteOff = true // tokens that were used are no longer counted where they were used
+			} else if h.granter != nil && h.granter.account(name).fenced && h.granter.account(name).used() < h.usedOrLent[name] {
+				return fmt.Sprintf("%s used %d tokens of %s but counts %d", h.name, h.usedOrLent[name], name, h.granter.account(name).used())
 			}
-			if loans > w.lent[name] {
-				return fmt.Sprintf("%d borrowed tokens of %s are unused, only %d were lent", loans, name, w.lent[name])
+			if granted := w.budgets[w.key(name, w.era)].value.Grants[h.name].Granted; h.usedOrLent[name] > granted && !w.restored {
+				return fmt.Sprintf("%s used %d tokens of %s but was granted %d", h.name, h.usedOrLent[name], name, granted)
 			}
 		}
+		if used+spendable > w.prepaid {
+			return fmt.Sprintf("callers of %s got %d of %d prepaid, and instances may spend %d more", name, used, w.prepaid, spendable)
+		}
+		if loans > w.lent[name] {
+			return fmt.Sprintf("%d borrowed tokens of %s are unused, only %d were lent", loans, name, w.lent[name])
+		}
 	}
 	return ""
 }
@@ -783,7 +831,7 @@
 	}{
 		{[]flaw{dropUnansweredLedger, dropUnansweredBudget, skipFence, trustPublishedSpend, reuseBootID, countReturnsTwice}, false, false},
 		{[]flaw{composeEarly, omitTestimony, trustOldLedger, reuseObjectNames}, true, false},
-		{[]flaw{skipWitnesses}, true, true},
+		{[]flaw{skipWitnesses, useAfterHandover}, true, true},
 	}
 	for _, tt := range tests {
 		for _, f := range tt.flaws {
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -294,10 +294,12 @@
 	switch {
 	case d.Own == 0:
 		d.Outcome = Reserved
-	case !g.ready:
+	case !g.ready || g.closed:
 		d.Outcome, d.RetryAfter = Unready, minRetryAfter
-	case n > d.Remaining && (a.fenced || a.version > 0 || g.era.number == 0):
+	case n > a.prepaid, n > d.Remaining+a.lostByAll(g.name) && (a.version > 0 || g.era.number == 0):
 		d.Outcome = Exhausted
+	case n > d.Remaining && (a.version > 0 || g.era.number == 0):
+		d.Outcome, d.RetryAfter = Withheld, maxRetryAfter
 	case !a.fenced:
 		d.Outcome, d.RetryAfter = Short, maxRetryAfter
 	case after > d.Granted || a.ungranted() < 0:
@@ -352,6 +354,18 @@
 	return sum
 }
 
+// lostByAll returns the tokens that count as spent at any instance although it is not known
+// whether they are.
+func (a *account) lostByAll(name string) int64 {
+	sum := a.lost
+	for instance, grant := range a.budget.Grants {
+		if instance != name {
+			sum += grant.Lost
+		}
+	}
+	return sum
+}
+
 // fairShare returns this instance's fair share of the remaining budget: its expected
 // demand, but at most its share of the total demand.
 func (g *Granter) fairShare(now time.Duration, name string, a *account) int64 {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -120,6 +120,7 @@
 type Grant struct {
 	Granted        int64  `json:"held"`           // tokens granted since the budget was created, including spent ones
 	Spent          int64  `json:"spent"`          // tokens spent at the time of the write
+	Lost           int64  `json:"lost,omitempty"` // part of Spent of which it is not known whether it is
 	ReservedTokens int64  `json:"open,omitempty"` // tokens reserved at the time of the write
 	Rate           int64  `json:"rate"`           // demand in tokens per second
 	LargeRequest   int64  `json:"large"`          // size of a large request in tokens
@@ -132,6 +133,7 @@
 	var f checker.Validator
 	f.Require(g.Granted >= 0, "held", "is %d, must not be negative", g.Granted)
 	f.Require(g.Spent >= 0, "spent", "is %d, must not be negative", g.Spent)
+	f.Require(g.Lost >= 0 && g.Lost <= g.Spent, "lost", "is %d, must be between 0 and the %d spent", g.Lost, g.Spent)
 	f.Require(g.ReservedTokens >= 0, "open", "is %d, must not be negative", g.ReservedTokens)
 	f.Require(g.Rate >= 0, "rate", "is %d, must not be negative", g.Rate)
 	f.Require(g.LargeRequest >= 0, "large", "is %d, must not be negative", g.LargeRequest)
@@ -233,6 +235,7 @@
 	// Written after the store was restored from an older copy:
 
 	Memory Memory               `json:"memory,omitempty"` // of the process
+	Former int64                `json:"former,omitempty"` // the era that it remembers
 	Grants map[string]Grant     `json:"grants,omitempty"` // of the instance at the start of the era, by account
 	Others map[string]Testimony `json:"others,omitempty"` // what the process remembers of other instances
 	Told   bool                 `json:"told,omitempty"`   // Others has all that have not registered
@@ -252,6 +255,10 @@
 	return f.Err()
 }
 
+// tells reports whether a process that has lived through the change of the era has written
+// the ledger, or one whose predecessor did so and has recorded all that it remembered.
+func (l Ledger) tells() bool { return l.Memory == FullMemory || l.Told }
+
 // Age returns the time since the ledger was planned.
 func (l Ledger) Age(now time.Duration) time.Duration {
 	return max(0, now-time.Duration(l.Time)*time.Millisecond)
@@ -267,6 +274,9 @@
 	Short     Outcome = "short"     // above the grant; the budget or other instances may have tokens
 	Exhausted Outcome = "exhausted" // the whole budget cannot cover the request
 	Unready   Outcome = "unready"   // the stored objects have not been read yet
+	// Withheld means that the budget covers the request only with tokens that count as spent
+	// because it is not known whether they are.
+	Withheld Outcome = "withheld"
 )
 
 // Decision is the result of a reservation and the figures it is based on.
@@ -295,6 +305,7 @@
 	// maxPriorSpend is the most that a predecessor can have spent, before it is
 	// capped by the grant.
 	maxPriorSpend   int64
+	priorExact      bool // it has spent just that much
 	granted         int64
 	confirmed       int64           // part of granted that enough other instances know
 	confirmVersion  uint64          // budget version from which confirmations count
@@ -302,6 +313,7 @@
 	notes           map[string]Note // newest notes of other instances, by name
 	borrowed        int64           // tokens lent by other instances, neither spent nor reserved
 	spent           int64
+	lost            int64 // part of spent that a predecessor may not have spent
 	reserved        int64
 	waitingForLimit int64                    // tokens of reservations waiting for a higher ledger limit
 	waitingForGrant int64                    // tokens of reservations waiting for a larger grant
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -39,13 +39,16 @@
 	cancelPath = "/cancel"
 	notePath   = "/note"
 	greetPath  = "/greet"
+	endPath    = "/end"
 	permitPath = "/permit"
 	// dialTimeout is three round trips between regions.
 	dialTimeout = 150 * time.Millisecond
 	// callTimeout is a dial, a round trip and the time that the lender itself waits
 	// for tokens.
-	callTimeout      = 380 * time.Millisecond
-	maxBodyBytes     = 4 << 10
+	callTimeout  = 380 * time.Millisecond
+	maxBodyBytes = 4 << 10
+	// maxHandoverBytes has room for the grants of 300 instances in 40 accounts.
+	maxHandoverBytes = 2 << 20
 	idleConnsPerPeer = 4
 	idleConnTimeout  = 20 * time.Second
 	maxTokens        = 1 << 40
@@ -84,6 +87,7 @@
 	AddReturned(account string, tokens int64)
 	RecordNote(n granter.Note) bool
 	RecordGreeting(m granter.Greeting) bool
+	RecordHandover(h granter.Handover) bool
 }
 
 // PermitGranter gives out permits for targets with a limit.
@@ -112,6 +116,7 @@
 	}))
 	mux.HandleFunc("POST "+notePath, handleJSON(func(_ context.Context, n granter.Note) Reply { return replyTo(tl.RecordNote(n)) }))
 	mux.HandleFunc("POST "+greetPath, handleJSON(func(_ context.Context, m granter.Greeting) Reply { return replyTo(tl.RecordGreeting(m)) }))
+	mux.HandleFunc("POST "+endPath, handleLimited(maxHandoverBytes, func(_ context.Context, h granter.Handover) Reply { return replyTo(tl.RecordHandover(h)) }))
 	for _, o := range opts {
 		o(mux)
 	}
@@ -128,8 +133,13 @@
 
 // handleJSON decodes and validates the request of a peer and encodes the response.
 func handleJSON[Req checker.Checker, Res checker.Checker](serve func(context.Context, Req) Res) http.HandlerFunc {
+	return handleLimited(maxBodyBytes, serve)
+}
+
+// handleLimited is [handleJSON] for requests of up to the given size.
+func handleLimited[Req checker.Checker, Res checker.Checker](limit int64, serve func(context.Context, Req) Res) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -198,6 +208,12 @@
 	return c.tell(ctx, peer, greetPath, m)
 }
 
+// HandOver tells a peer what this process knew at its end. If the peer does not take it
+// over, the error is [ErrRefused].
+func (c *Client) HandOver(ctx context.Context, peer granter.Lender, h granter.Handover) error {
+	return c.tell(ctx, peer, endPath, h)
+}
+
 // AskPermits asks a peer for permits to send requests to a target.
 func (c *Client) AskPermits(ctx context.Context, peer granter.Lender, a throttler.Ask) (throttler.Grant, error) {
 	return post[throttler.Grant](ctx, c, peer.Addr+permitPath, a)
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -37,6 +37,8 @@
 
 func (fake *fakeLender) RecordGreeting(m granter.Greeting) bool { return m.Era == 1 }
 
+func (fake *fakeLender) RecordHandover(h granter.Handover) bool { return h.Era == 1 }
+
 func (fake *fakeLender) CancelLoan(string) int64 { return fake.reply.Tokens }
 
 func (fake *fakeLender) AddReturned(account string, tokens int64) {
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -24,6 +24,7 @@
 	TokensShort        Cause = "tokensshort"
 	TokensLimited      Cause = "tokenslimited"
 	TokensUnready      Cause = "tokensunready"
+	TokensWithheld     Cause = "tokenswithheld"
 	NoTargets          Cause = "notargets"
 	Overloaded         Cause = "overloaded"
 	Busy               Cause = "busy"
@@ -60,6 +61,7 @@
 	TokensShort:        "was refused for now, because this instance could not get enough tokens in time",
 	TokensLimited:      "was refused for now, because the ledger could not be written in time to use the tokens held",
 	TokensUnready:      "was refused for now, because the budgets had not been recovered",
+	TokensWithheld:     "was refused for now, because the budget covers the request only with tokens of which it is not known whether they are spent",
 	NoTargets:          "was refused, because no target of the service was left to try",
 	Overloaded:         "was refused, because the best target was expected to answer too late",
 	Busy:               "was refused, because the targets were full",
@@ -78,5 +80,5 @@
 
 // tokenCauses maps the outcome of a failed reservation to a cause.
 var tokenCauses = map[granter.Outcome]Cause{
-	granter.Short: TokensShort, granter.Limited: TokensLimited, granter.Unready: TokensUnready, granter.Exhausted: Exhausted,
+	granter.Short: TokensShort, granter.Limited: TokensLimited, granter.Unready: TokensUnready, granter.Withheld: TokensWithheld, granter.Exhausted: Exhausted,
 }
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -285,7 +285,7 @@
 		status  int
 		after   bool
 	}{
-		{granter.Exhausted, 402, false}, {granter.Short, 503, true}, {granter.Limited, 503, true},
+		{granter.Exhausted, 402, false}, {granter.Withheld, 503, true}, {granter.Short, 503, true}, {granter.Limited, 503, true},
 	}
 	for _, tt := range tests {
 		t.Run(string(tt.outcome), func(t *testing.T) {
