Refuse with 402 when only a small write-off is missing

Cause: after a loss of power some 4 to 10% of the budgets are written off. Change: up to a quarter of the prepaid budget a write-off counts as spent towards callers. Above that the answer is still 503. Result: the test has a case of each kind.

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -53,6 +53,7 @@
 		{"all used by others", 1000, Grant{Granted: 800, Spent: 600, ReservedTokens: 200}, nil, 201, Exhausted},
 		{"granted to others", 1000, Grant{Granted: 800, Spent: 600}, nil, 300, Short},
 		{"perhaps used by a lost instance", 1000, Grant{Granted: 800, Spent: 800, Lost: 600}, nil, 800, Withheld},
+		{"few tokens perhaps used by a lost instance", 1000, Grant{Granted: 800, Spent: 800, Lost: 200}, nil, 300, Exhausted},
 		{"used without what a lost instance may have used", 1000, Grant{Granted: 800, Spent: 800, Lost: 600}, nil, 801, Exhausted},
 		{"lowered below what is granted", 1000, Grant{Granted: 800}, func(g *Granter) { g.SetPrepaid("rider-app", 700) }, 10, Short},
 	}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -296,7 +296,7 @@
 		d.Outcome = Reserved
 	case !g.ready || g.closed:
 		d.Outcome, d.RetryAfter = Unready, minRetryAfter
-	case n > a.prepaid, n > d.Remaining+a.lostByAll(g.name) && (a.version > 0 || g.era.number == 0):
+	case n > a.prepaid, n > d.Remaining+a.reclaimable(g.name) && (a.version > 0 || g.era.number == 0):
 		d.Outcome = Exhausted
 	case n > d.Remaining && (a.version > 0 || g.era.number == 0):
 		d.Outcome, d.RetryAfter = Withheld, maxRetryAfter
@@ -354,6 +354,16 @@
 	return sum
 }
 
+// reclaimable returns the written-off tokens because of which a request is refused for now
+// rather than for good. A small write-off is final, and a caller that came back would only
+// be refused again; after a large one the operator restores the budget.
+func (a *account) reclaimable(name string) int64 {
+	if lost := a.lostByAll(name); float64(lost) > finalWriteOffShare*float64(a.prepaid) {
+		return lost
+	}
+	return 0
+}
+
 // lostByAll returns the tokens that count as spent at any instance although it is not known
 // whether they are.
 func (a *account) lostByAll(name string) int64 {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -96,6 +96,9 @@
 	// strayThreshold is the share of the prepaid budget above which an instance other than
 	// the home returns tokens that it does not need.
 	strayThreshold = 0.0025
+	// finalWriteOffShare is the share of the prepaid budget up to which written-off tokens
+	// count as spent towards callers. A loss of power costs up to a tenth.
+	finalWriteOffShare = 0.25
 	// minRetryAfter is the time of a store call and a round trip of the caller.
 	minRetryAfter = 300 * time.Millisecond
 	// maxRetryAfter is a time after which a store outage is often over.
