Bound what untrusted clients hold in memory and descriptors

Cause: a body's declared length was allocated before a byte had arrived, bodies were not bounded in sum, connections not at all, and max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration were ignored. 60 clients could end an entry.

Change: package gatekeeper decides, without clock or network, which bodies, answers and connections an instance holds; package acceptor serves all listeners of both interfaces with it. Bodies are charged as their buffers grow, wait for at most 1 s without room, and are given up if too slow; small ones have a share of their own. Idle connections are closed before new ones are refused. A plain answer is sent after its attempt has ended, so a caller that reads slowly keeps no target. Limits of the configuration hold for connections accepted after it is in force.

--- a/internal/flooder/flooder_test.go
+++ b/internal/flooder/flooder_test.go
@@ -36,8 +36,8 @@
 	callers   string
 }
 
-// startPlatform starts an entry with a store and a runner.
-func startPlatform(t *testing.T) platformEntry {
+// startPlatform starts an entry with a store and a runner with the given slots.
+func startPlatform(t *testing.T, slots int) platformEntry {
 	t.Helper()
 	store, addr := platformtest.Start(t)
 	answer := strings.Repeat("a", answerBytes)
@@ -52,7 +52,9 @@
 		{"name":"r1","hostname":"a.example","path_prefix":"/look/","route_type":"non_idempotent","timeout_ms":30000,"target_latency_ms":1000,"service":"s1","max_attempts":1}],
 		"services":[{"name":"s1","max_conns":900}],"tenants":[{"name":"t1","api_keys":["k1"]}],
 		"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`))
-	store.Put(platform.KindRunners, "i-1", runner.Registration("s1", "a"))
+	registration := runner.Registration("s1", "a")
+	registration["slots"] = slots
+	store.Put(platform.KindRunners, "i-1", registration)
 	ip := fmt.Sprintf("127.7.0.%d", 1+os.Getpid()%250) // the port for metrics is fixed
 	e := platformEntry{listeners: map[string]string{"metrics": net.JoinHostPort(ip, "9464")}}
 	for _, name := range []string{"callers", "ready", "peers"} {
@@ -124,7 +126,7 @@
 	for _, l := range listeners {
 		for _, k := range Cases {
 			t.Run(l.name+"/"+k.Name, func(t *testing.T) {
-				e := startPlatform(t)
+				e := startPlatform(t, 8)
 				flood := k.Start(t, e.listeners[l.name], l.request)
 				defer flood.Stop()
 				e.Verify(t, bounds, flood, e.ordinaryRequest)
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -4,16 +4,20 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"daisylane/internal/acceptor"
 	"daisylane/internal/connector"
 	"daisylane/internal/credentialer"
+	"daisylane/internal/gatekeeper"
 	"daisylane/internal/holder"
 	"daisylane/internal/locator"
 	"daisylane/internal/logger"
@@ -24,6 +28,7 @@
 	"daisylane/internal/storer"
 	"daisylane/internal/syncer"
 	"daisylane/internal/tracer"
+	"daisylane/internal/waiter"
 	"daisylane/internal/warden"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
@@ -31,11 +36,18 @@
 
 const (
 	registerRetryInterval = time.Second
-	readHeaderTimeout     = 10 * time.Second
-	idleTimeout           = 2 * time.Minute
 	cleanupTimeout        = 5 * time.Second
+
+	// memoryLimitRatio is the part of the machine's memory that the heap may fill before
+	// the garbage collector runs more often.
+	memoryLimitRatio = 0.7
+	// reportInterval is how often the gauges of held memory are updated.
+	reportInterval = time.Second
 )
 
+// clientLimits are the limits of callers. All headers of the interface have some hundred bytes.
+var clientLimits = acceptor.Limits{MaxHeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+
 // ErrSealed means that a successor sealed the journal and took over the budget
 // shards while this process was paused. A new process must replace it.
 var ErrSealed = errors.New("journal sealed by a successor; start a new process")
@@ -64,7 +76,8 @@
 	warnings    *recorder.Recorder
 	decisionLog *decisionLog
 
-	httpServer *http.Server
+	httpServer *acceptor.Server
+	memory     *acceptor.Memory
 	peerLn     net.Listener
 	httpLn     net.Listener
 	sealedBy   chan string
@@ -199,10 +212,12 @@
 }
 
 func (p *process) setUpRouter(context.Context, io.Writer) error {
+	p.setUpMemory()
 	p.balancer = newBalancer(p.members)
 	p.router = router.New(holder.NewClient(p.holder, p.members, p.pool), p.balancer, p.pool, p.index,
 		router.WithLogger(p.log), router.WithScope(p.metrics.Scope()), router.WithTracer(p.trace),
 		router.WithAdmissionController(p.admission), router.WithDecisionLog(p.decisionLog), router.WithGuard(p.guard),
+		router.WithMemory(p.memory),
 		// Until the registrations are read, no target is known and every request
 		// would be refused.
 		router.WithReady(p.members.Ready),
@@ -210,11 +225,29 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.Handle("/", p.trace.Handler(p.router.Handler(), "caller"))
-	p.httpServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	// Descriptors for sessions with other processes, files and the platform stay free.
+	p.httpServer = acceptor.New(mux, clientLimits, acceptor.WithDescriptors(acceptor.Descriptors(p.cfg.Limits.Descriptors)*3/4, 1),
+		acceptor.WithLog(p.log), acceptor.WithMetrics(p.metrics.Scope()), acceptor.WithRelief(p.memory.Relieve))
 	p.registerOperatorHandlers()
 	return nil
 }
 
+// setUpMemory limits the memory for bodies, and the heap if the settings give a limit.
+func (p *process) setUpMemory() {
+	machine := int64(p.cfg.Limits.Memory) << 20
+	if machine > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(machine)))
+	} else if machine = acceptor.MachineMemory(); machine == 0 {
+		machine = math.MaxInt64 / 2 // not known
+	}
+	p.memory = acceptor.NewMemory(gatekeeper.MemoryLimit(machine), acceptor.WithScope(p.metrics.Scope()))
+}
+
+// reportMemory updates the gauges of held memory until the context ends.
+func (p *process) reportMemory(ctx context.Context) {
+	waiter.Every(ctx, reportInterval, func(time.Time) { p.memory.Report() })
+}
+
 func (p *process) run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -229,6 +262,7 @@
 	loops.Go(func() { p.relay.Run(runCtx) })
 	loops.Go(func() { p.admission.run(runCtx) })
 	loops.Go(func() { p.resizeAdmission(runCtx) })
+	loops.Go(func() { p.reportMemory(runCtx) })
 	p.log.Info().Str("http", p.httpLn.Addr().String()).Str("peer", p.peerLn.Addr().String()).Msg("started")
 
 	var err error
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -47,10 +47,13 @@
 	Flush   loader.Duration `toml:"flush"`   // maximum time until a charge is in the journal
 }
 
-// Limits limits the requests in flight at an entry. The lower limit applies.
+// Limits limits the requests in flight at an entry, of which the lower limit applies, and
+// what its clients may hold.
 type Limits struct {
-	Inflight int     `toml:"inflight"` // maximum requests in flight
-	Share    float64 `toml:"share"`    // multiple of the entry's share of the region's slots
+	Inflight    int     `toml:"inflight"` // maximum requests in flight
+	Share       float64 `toml:"share"`    // multiple of the entry's share of the region's slots
+	Memory      int     `toml:"memory"`   // MiB of the machine for this process, 0: all of it
+	Descriptors int     `toml:"files"`    // open files of this process, 0: what the system allows
 }
 
 // Stop holds the timeouts of a graceful shutdown.
@@ -97,6 +100,8 @@
 	f.AddNested("budgets", s.Budgets.check())
 	checker.Range(&f, "limits.inflight", s.Limits.Inflight, 1, 1<<20)
 	checker.Range(&f, "limits.share", s.Limits.Share, 1, 100)
+	checker.Range(&f, "limits.memory", s.Limits.Memory, 0, 1<<20)
+	checker.Range(&f, "limits.files", s.Limits.Descriptors, 0, 1<<30)
 	checker.Range(&f, "stop.notice", s.Stop.Notice.Std(), 0, time.Minute)
 	checker.Range(&f, "stop.grace", s.Stop.Grace.Std(), 0, time.Hour)
 	checker.Range(&f, "stop.flush", s.Stop.Flush.Std(), time.Second, time.Hour)
--- a/internal/launcher/untrusted_test.go
+++ b/internal/launcher/untrusted_test.go
@@ -29,6 +29,9 @@
 [listen]
 http = %q
 peer = %q
+[limits]
+memory = %d
+files = %d
 [budgets]
 shards = %d
 [trust]
@@ -52,7 +55,7 @@
 			f.startModelTarget("side-1")
 			addr, peer := freeAddr(t), freeAddr(t)
 			path := filepath.Join(t.TempDir(), "entry.toml")
-			settings := fmt.Sprintf(settingsOfProcess, f.platformServer.URL, addr, peer, testShards, base64.StdEncoding.EncodeToString(f.publicKey))
+			settings := fmt.Sprintf(settingsOfProcess, f.platformServer.URL, addr, peer, bounds.MemoryMiB, bounds.Descriptors, testShards, base64.StdEncoding.EncodeToString(f.publicKey))
 			if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
 
+	"daisylane/internal/acceptor"
 	"daisylane/internal/granter"
 	"daisylane/internal/quarantiner"
 )
@@ -105,30 +105,29 @@
 func (j *job) readBody() bool {
 	limit := j.table.Limits().MaxBodyBytes
 	if limit <= 0 {
-		limit = maxBodyBytes
+		limit = DefaultBodyBytes
 	}
-	if j.req.ContentLength > limit {
-		return j.refuse(http.StatusRequestEntityTooLarge, BodyTooLarge, 0)
-	}
-	if j.req.ContentLength > 0 {
-		j.body = make([]byte, j.req.ContentLength)
-		if _, err := io.ReadFull(j.req.Body, j.body); err != nil {
-			j.summary.failure = err
-			return j.abort(BodyIncomplete)
-		}
+	var err error
+	if j.heldBody, err = j.r.memory.Read(j.w, j.req, limit, j.deadline); err == nil {
+		j.body = j.heldBody.Bytes()
 		return true
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.req.Body, limit))
-	var tooLarge *http.MaxBytesError
+	// What is left of the body is not read, so no other request can follow it.
+	j.w.Header().Set("Connection", "close")
+	j.summary.failure = err
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, acceptor.ErrTooLarge):
+		j.summary.failure = nil
 		return j.refuse(http.StatusRequestEntityTooLarge, BodyTooLarge, 0)
-	case err != nil:
-		j.summary.failure = err
-		return j.abort(BodyIncomplete)
+	case errors.Is(err, acceptor.ErrNoMemory):
+		return j.refuse(http.StatusServiceUnavailable, NoMemory, acceptor.RetryAfter())
+	case errors.Is(err, acceptor.ErrTooSlow):
+		return j.refuse(http.StatusServiceUnavailable, BodyTooSlow, acceptor.RetryAfter())
+	case errors.Is(err, acceptor.ErrDeadline):
+		j.timeOut()
+		return false
 	}
-	j.body = body
-	return true
+	return j.abort(BodyIncomplete)
 }
 
 // reserve reserves the prompt tokens and the limit of the output tokens. It returns
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -42,12 +42,13 @@
 // deliverPlain buffers and checks a plain response and sends it to the caller.
 func (j *job) deliverPlain(response *forwarder.Response, chosen ChosenTarget, meta ResponseMeta) attemptResult {
 	j.onProgress()
+	j.freeAnswer() // of an attempt before
 	rest := progressReader{response, j.onProgress}
-	body, err := io.ReadAll(io.LimitReader(rest, maxBufferedBytes))
+	body, whole, err := j.bufferAnswer(rest)
 	if err != nil {
+		j.freeAnswer()
 		return attemptResult{outcome: retrier.Interrupted, status: response.Status, err: err}
 	}
-	bufferFull := len(body) == maxBufferedBytes
 	if response.Status < http.StatusMultipleChoices {
 		j.r.dispatcher.RecordFirstEvent(time.Now(), chosen)
 	}
@@ -64,20 +65,15 @@
 	j.summary.status, j.summary.cause, j.summary.firstByteAt = response.Status, Complete, time.Now()
 	j.copyHeader(response.Header)
 	switch {
-	case !bufferFull && j.req.Method != http.MethodHead:
+	case whole && j.req.Method != http.MethodHead:
 		j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	case response.ContentLength() >= 0:
 		j.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength(), 10))
 	}
-	j.writeHead(response.Status)
-	_, err = j.w.Write(body)
-	if err == nil && bufferFull {
-		err = copyRest(j.w, rest)
-	}
-	if err != nil {
-		j.summary.failure = err
-		j.abortResponse(Interrupted)
-		return attemptResult{outcome: retrier.Interrupted, done: true, err: err}
+	if !whole {
+		if res, ok := j.copyAnswer(response.Status, body, rest); !ok {
+			return res
+		}
 	}
 	outcome := retrier.Complete
 	if response.Status < http.StatusMultipleChoices {
@@ -88,7 +84,66 @@
 	} else {
 		j.recordWhole(response, chosen)
 	}
-	return attemptResult{outcome: outcome, done: true, status: response.Status}
+	res := attemptResult{outcome: outcome, done: true, status: response.Status}
+	if whole {
+		res.answer = body
+	}
+	return res
+}
+
+// bufferAnswer reads the beginning of a plain answer. It returns false if there is more of
+// it, as it is too large or there is no memory for it.
+func (j *job) bufferAnswer(answer io.Reader) (body []byte, whole bool, err error) {
+	for buf := make([]byte, 0, minAnswerBuffer); ; {
+		if len(buf) == cap(buf) {
+			size := min(2*cap(buf), maxBufferedBytes)
+			if size > maxFreeBuffer {
+				if size == cap(buf) || !j.r.memory.HoldAnswer(int64(size)-j.heldAnswer) {
+					return buf, false, nil
+				}
+				j.heldAnswer = int64(size)
+			}
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := answer.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
+// freeAnswer frees the memory of a buffered answer.
+func (j *job) freeAnswer() {
+	j.r.memory.FreeAnswer(j.heldAnswer)
+	j.heldAnswer = 0
+}
+
+// writeAnswer sends a whole answer to the caller. The attempt has ended before, so a caller
+// that reads slowly keeps no target.
+func (j *job) writeAnswer(res attemptResult) {
+	j.writeHead(res.status)
+	if _, err := j.w.Write(res.answer); err != nil {
+		j.callerDisconnected(err)
+	}
+}
+
+// copyAnswer sends the beginning of an answer and what follows as it arrives. It returns
+// false and the result of the attempt if it could not.
+func (j *job) copyAnswer(status int, body []byte, rest io.Reader) (attemptResult, bool) {
+	j.writeHead(status)
+	if _, err := j.w.Write(body); err != nil {
+		return j.callerDisconnected(err), false
+	}
+	if err := copyRest(j.w, rest); err != nil {
+		j.summary.failure = err
+		j.abortResponse(Interrupted)
+		return attemptResult{outcome: retrier.Interrupted, done: true, err: err}, false
+	}
+	return attemptResult{}, true
 }
 
 // progressReader calls a function when bytes have arrived.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -27,6 +27,7 @@
 	status    int  // of the response of the target, 0: none
 	events    int  // of this attempt
 	err       error
+	answer    []byte // a whole plain answer that is not sent yet, nil: there is none
 }
 
 // run sends the request to targets until one responds, no retry is allowed or the
@@ -90,6 +91,9 @@
 		}
 		switch {
 		case res.done:
+			if res.answer != nil {
+				j.writeAnswer(res)
+			}
 			return
 		case j.req.Context().Err() != nil:
 			j.callerDisconnected(res.err)
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -20,6 +20,8 @@
 	NoService          Cause = "service"
 	BodyTooLarge       Cause = "body"
 	BodyIncomplete     Cause = "unread"
+	BodyTooSlow        Cause = "bodyslow"
+	NoMemory           Cause = "nomemory"
 	Exhausted          Cause = "exhausted"
 	TokensShort        Cause = "tokensshort"
 	TokensLimited      Cause = "tokenslimited"
@@ -58,6 +60,8 @@
 	NoService:          "was refused, because the route leads to a service that the configuration lacks",
 	BodyTooLarge:       "was refused, because the body exceeds the limit",
 	BodyIncomplete:     "ended, because the caller did not send the whole body",
+	BodyTooSlow:        "was refused, because its body arrived too slowly",
+	NoMemory:           "was refused, because there was no memory for its body",
 	Exhausted:          "was refused, because the prepaid budget cannot cover the request",
 	TokensShort:        "was refused for now, because this instance could not get enough tokens in time",
 	TokensLimited:      "was refused for now, because the ledger could not be written in time to use the tokens held",
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"daisylane/internal/acceptor"
 	"daisylane/internal/chooser"
 	"daisylane/internal/forwarder"
 	"daisylane/internal/granter"
@@ -27,6 +29,7 @@
 	pool       *forwarder.Pool
 	guard      Guard
 	streams    Streams
+	memory     *acceptor.Memory
 	log        zerolog.Logger
 	scope      tally.Scope
 
@@ -35,6 +38,7 @@
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	closing     atomic.Bool
+	faultLines  lineLimit
 
 	watchMu sync.Mutex
 	watched map[string]bool // addresses whose target is watched; true if it has answered since
@@ -43,7 +47,8 @@
 // Option changes a setting of a [Receiver].
 type Option func(*Receiver)
 
-// WithLog sets the log. Each request adds one line, plus one per failed attempt.
+// WithLog sets the log. Each request adds one line, plus one per failed attempt. Lines of
+// requests that fail by a fault of their clients are bounded.
 func WithLog(log zerolog.Logger) Option { return func(r *Receiver) { r.log = log } }
 
 // WithGuard sets what keeps requests away from targets that they would crash.
@@ -52,6 +57,9 @@
 // WithStreams sets what knows where streams began. Without it, none is taken up.
 func WithStreams(s Streams) Option { return func(r *Receiver) { r.streams = s } }
 
+// WithMemory sets the account of bodies and answers. Without it, they are not bounded in sum.
+func WithMemory(m *acceptor.Memory) Option { return func(r *Receiver) { r.memory = m } }
+
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(r *Receiver) { r.scope = s } }
 
@@ -61,6 +69,9 @@
 	for _, o := range opts {
 		o(r)
 	}
+	if r.memory == nil {
+		r.memory = acceptor.NewMemory(math.MaxInt64)
+	}
 	return r
 }
 
@@ -98,6 +109,8 @@
 	account        *resolver.Account
 	service        *resolver.Service
 	body           []byte
+	heldBody       *acceptor.Body // holds the memory of body
+	heldAnswer     int64          // bytes charged for a buffered answer
 	arrived        time.Time
 	deadline       time.Time
 	reservation    granter.Decision
@@ -139,6 +152,7 @@
 	defer r.inFlight.Add(-1)
 	j := &job{r: r, w: w, req: req, arrived: time.Now(), table: r.table.Load()}
 	defer j.recordOutcome()
+	defer j.free()
 	j.serve()
 	if j.aborted {
 		// Makes the server close the connection without ending the response.
@@ -146,6 +160,12 @@
 	}
 }
 
+// free frees the memory that the request holds.
+func (j *job) free() {
+	j.heldBody.Close()
+	j.freeAnswer()
+}
+
 // refuse sends a refusal. It returns false, for use as a result by callers.
 func (j *job) refuse(status int, cause Cause, after time.Duration) bool {
 	j.summary.status, j.summary.cause = status, cause
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -27,10 +27,15 @@
 )
 
 const (
-	// Limit of a request body if the configuration sets none.
-	maxBodyBytes = 4 << 20
+	// DefaultBodyBytes is the limit of a request body if the configuration sets none.
+	DefaultBodyBytes = 4 << 20
 	// Part of a plain response that is buffered and checked before delivery.
 	maxBufferedBytes = 256 << 10
+	// Size at which the buffer of a plain response begins.
+	minAnswerBuffer = 512
+	// Size up to which the buffer of a plain response is not charged. Each request in flight
+	// takes more than that for its connections.
+	maxFreeBuffer = 16 << 10
 	// Limit of a plain response. A longer one is taken for a faulty target.
 	maxResponseBytes = 64 << 20
 	// Limit of the targets that one request tries to reach without success.
--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -23,6 +23,7 @@
 	idempotencyKey string // hash of account and Idempotency-Key, empty if not sent
 	worth          float64
 	deadline       time.Time
+	payload        []byte // body
 }
 
 type handlerFunc func(ctx context.Context, w http.ResponseWriter, hr *http.Request, req request) *Error
@@ -39,6 +40,14 @@
 			return
 		}
 		w.Header().Set(headerRequestID, req.id)
+		// Read before the admission, so that a client that sends slowly takes no place of others.
+		body, failure := r.readBody(w, hr, req)
+		if failure != nil {
+			r.respondError(w, req, failure)
+			return
+		}
+		defer body.Close()
+		req.payload = body.Bytes()
 		ctx, cancel := context.WithDeadline(hr.Context(), req.deadline)
 		defer cancel()
 		release, failure := r.admission.Acquire(ctx, req.account, req.worth, req.deadline)
--- a/internal/router/chat_handler.go
+++ b/internal/router/chat_handler.go
@@ -15,11 +15,8 @@
 const promptPrefixBytes = 2048
 
 // serveChat handles a chat completion, streamed or plain.
-func (r *Router) serveChat(ctx context.Context, w http.ResponseWriter, hr *http.Request, req request) *Error {
-	payload, failure := readBody(w, hr)
-	if failure != nil {
-		return failure
-	}
+func (r *Router) serveChat(ctx context.Context, w http.ResponseWriter, _ *http.Request, req request) *Error {
+	payload := req.payload
 	chat, err := parseChat(payload)
 	if err != nil {
 		return notRun(http.StatusBadRequest, "body", "%v", err)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"daisylane/internal/acceptor"
 	"daisylane/internal/bundler"
 	"daisylane/internal/connector"
 	"daisylane/internal/quarantiner"
@@ -82,6 +84,7 @@
 	log       zerolog.Logger
 	scope     tally.Scope
 	tracer    Tracer
+	memory    *acceptor.Memory
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -118,6 +121,9 @@
 	return func(r *Router) { r.admission = c }
 }
 
+// WithMemory sets the account of request bodies. By default they are not bounded in sum.
+func WithMemory(m *acceptor.Memory) Option { return func(r *Router) { r.memory = m } }
+
 // New returns a router. The index function returns the active bundle, or nil
 // before the first one is activated.
 func New(budgets Budgets, balancer Balancer, pool *connector.Pool, index func() *bundler.Index, opts ...Option) *Router {
@@ -138,6 +144,9 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	if r.memory == nil {
+		r.memory = acceptor.NewMemory(math.MaxInt64)
+	}
 	return r
 }
 
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -48,7 +48,7 @@
 // serveService forwards a request to a service. A non-idempotent call runs under
 // a durable claim.
 func (r *Router) serveService(ctx context.Context, w http.ResponseWriter, hr *http.Request, req request) *Error {
-	c, failure := r.parseCall(w, hr, req)
+	c, failure := r.parseCall(hr, req)
 	if failure != nil {
 		return failure
 	}
@@ -67,7 +67,7 @@
 	return r.runCall(ctx, w, req, c)
 }
 
-func (r *Router) parseCall(w http.ResponseWriter, hr *http.Request, req request) (call, *Error) {
+func (r *Router) parseCall(hr *http.Request, req request) (call, *Error) {
 	name := hr.PathValue("service")
 	service, ok := req.index.Target(name)
 	if !ok || service.Kind != bundler.KindService {
@@ -80,10 +80,7 @@
 	if !idempotent && req.idempotencyKey == "" {
 		return call{}, notRun(http.StatusBadRequest, "body", "%s %s may not be repeated, send the header %s", hr.Method, name, headerIdempotencyKey)
 	}
-	payload, failure := readBody(w, hr)
-	if failure != nil {
-		return call{}, failure
-	}
+	payload := req.payload
 	path := "/" + hr.PathValue("path")
 	if hr.URL.RawQuery != "" {
 		path += "?" + hr.URL.RawQuery
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"daisylane/internal/acceptor"
 	"daisylane/internal/accountant"
 	"daisylane/internal/archiver"
 	"daisylane/internal/cacher"
@@ -54,11 +55,6 @@
 	drainDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the grace period that is reserved for the last writes.
 	shutdownMargin = 700 * time.Millisecond
-	// idleTimeout applies to connections of callers and peers. For callers, the limit in
-	// the configuration is shorter.
-	idleTimeout       = 5 * time.Minute
-	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
 	// accountRetryBurst is how many retries of one account may come at once.
 	accountRetryBurst = 10
 )
@@ -84,10 +80,11 @@
 	receiver       *receiver.Receiver
 	pool           *forwarder.Pool
 	metrics        *reporter.Reporter
-	callers        *http.Server
+	callers        *acceptor.Server
+	memory         *acceptor.Memory
 	targetsListed  atomic.Bool   // the targets were listed at least once
 	aborted        chan struct{} // closed to end without a graceful shutdown, as in a crash
-	servers        []*http.Server
+	servers        []*acceptor.Server
 	stopping       atomic.Bool
 	streamServices map[string]map[string]time.Time // services of each route with streams that may be resumed; used by tick only
 	relayInputs    struct {                        // inputs of the last relay list; used by tick only
@@ -132,8 +129,11 @@
 	e.permits.OnChange(e.warnings.Wake)
 	e.streams.OnChange(e.warnings.Wake)
 	e.warnings.OnSync(func(time.Time) { e.streams.RecordContact(e.watches.Contact(recorder.Kind)) })
-	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool,
+	e.memory = acceptor.NewMemory(0, acceptor.WithScope(e.metrics.Scope()))
+	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool, receiver.WithMemory(e.memory),
 		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()))
+	e.callers = e.newServer(e.receiver, clientLimits(resolver.Limits{}), acceptor.WithDescriptors(descriptorShares(cfg.Limits.Descriptors).callers, 2), acceptor.WithRelief(e.memory.Relieve))
+	e.applyClientLimits()
 	return e
 }
 
@@ -183,22 +183,20 @@
 // listen opens the listeners for callers, readiness probes, peers and metrics, and
 // starts their servers.
 func (e *entry) listen(failed chan<- error) error {
-	e.callers = &http.Server{
-		Handler: e.receiver, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
-	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, e.handleReadiness)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", e.metrics.Handler())
+	peers := e.watches.Handler(lender.Handler(e.accounting, lender.WithPermits(e.permits)))
+	descriptors := descriptorShares(e.cfg.Limits.Descriptors)
 	list := []struct {
 		addr   string
-		server *http.Server
+		server *acceptor.Server
 	}{
 		{e.cfg.Listen.Callers, e.callers},
-		{e.cfg.Listen.Ready, &http.Server{Handler: ready, ReadHeaderTimeout: readHeaderTimeout}},
-		{net.JoinHostPort(e.cfg.Addr, e.cfg.PeerPort()), &http.Server{Handler: e.watches.Handler(lender.Handler(e.accounting, lender.WithPermits(e.permits))), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}},
-		{net.JoinHostPort(e.cfg.Addr, metricsPort), &http.Server{Handler: metrics, ReadHeaderTimeout: readHeaderTimeout}},
+		{e.cfg.Listen.Ready, e.newServer(ready, serviceLimits, acceptor.WithDescriptors(maxProbes, 1))},
+		{net.JoinHostPort(e.cfg.Addr, e.cfg.PeerPort()), e.newServer(peers, serviceLimits, acceptor.WithDescriptors(descriptors.peers, 1))},
+		{net.JoinHostPort(e.cfg.Addr, metricsPort), e.newServer(metrics, serviceLimits, acceptor.WithDescriptors(maxProbes, 1))},
 	}
 	for _, s := range list {
 		l, err := net.Listen("tcp", s.addr)
@@ -243,6 +241,7 @@
 		e.pool.CloseExpired(now)
 		e.updateRelays()
 		e.updateStreams()
+		e.memory.Report()
 		if path, due := e.paths.probe(ctx); due {
 			// The Done function of the path records the result.
 			go func() { _ = e.store.Probe(path) }()
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -46,6 +46,7 @@
 		return
 	}
 	h.e.receiver.SetTable(table)
+	h.e.applyClientLimits()
 	budgets := make(map[string]int64, len(cfg.Accounts))
 	for _, a := range cfg.Accounts {
 		budgets[a.Name] = a.PrepaidTokens
--- a/internal/starter/reload.go
+++ b/internal/starter/reload.go
@@ -69,6 +69,7 @@
 	}
 	previous := e.settings.Swap(&cfg)
 	e.applyLimits(cfg)
+	e.applyClientLimits()
 	event := e.log.Info()
 	if changes := changesNeedingRestart(*previous, cfg); changes != "" {
 		event = e.log.Warn().Str("restart_needed_for", changes)
