Bound the log lines about faulty requests at both interfaces

Cause: each request that fails by a fault of its client wrote a line, so the log grew with the number of abusive clients; the limit of the receiver was its own only. Change: logger.LineLimit, 100 lines in 10 s and one that counts the rest, used by the receiver and the router. A test with a process checks that the limits of the configuration hold.

--- a/internal/flooder/ordinary_test.go
+++ b/internal/flooder/ordinary_test.go
@@ -1,8 +1,10 @@
 package flooder
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -64,3 +66,38 @@
 	}
 	return err
 }
+
+// Guards against limits of the configuration that are not kept, or are kept too strictly: it
+// arrives after the listener is open.
+func TestConfiguredLimits(t *testing.T) {
+	e := startPlatform(t, 8)
+	tests := []struct {
+		name   string
+		header int // bytes
+		pause  time.Duration
+		status int
+	}{
+		{"largest header", 16_384, 0, http.StatusOK},
+		{"header over the limit", 16_384 + 5000, 0, http.StatusRequestHeaderFieldsTooLarge},
+		{"opened early", 500, 4 * time.Second, http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", e.callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			time.Sleep(tt.pause)
+			r := Request{Path: "/look/7", Header: []string{"Api-Key: k1", "Daisylane-Attempt-Id: id-1"}}
+			rest := tt.header - len(r.head("X-Filler: ", "Content-Length: 1")+"\r\n")
+			if err := write(c, r.head("X-Filler: "+strings.Repeat("a", rest), "Content-Length: 1")+"\r\na"); err != nil {
+				t.Fatal(err)
+			}
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || res.StatusCode != tt.status {
+				t.Errorf("got %v, %v, want %d", res, err, tt.status)
+			}
+		})
+	}
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -15,6 +15,7 @@
 	"daisylane/internal/chooser"
 	"daisylane/internal/forwarder"
 	"daisylane/internal/granter"
+	"daisylane/internal/logger"
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/registrar"
 	"daisylane/internal/resolver"
@@ -38,7 +39,7 @@
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	closing     atomic.Bool
-	faultLines  lineLimit
+	faultLines  logger.LineLimit
 
 	watchMu sync.Mutex
 	watched map[string]bool // addresses whose target is watched; true if it has answered since
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -3,11 +3,8 @@
 import (
 	"fmt"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/reporter"
 	"daisylane/internal/retrier"
@@ -19,38 +16,6 @@
 	BodyTooLarge: true, BodyIncomplete: true, BodyTooSlow: true, NoMemory: true,
 }
 
-const (
-	// faultWindow and maxFaultLines bound the log lines about clientFaults: ten a second show
-	// an operator what happens, and the metrics count all.
-	faultWindow   = 10 * time.Second
-	maxFaultLines = 100
-)
-
-// lineLimit bounds log lines.
-type lineLimit struct {
-	mu      sync.Mutex
-	began   time.Time
-	lines   int
-	dropped int
-}
-
-// allow reports whether another line may be written. It logs how many were left out before.
-func (l *lineLimit) allow(log zerolog.Logger, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.began) > faultWindow {
-		if l.dropped > 0 {
-			log.Warn().Int("dropped", l.dropped).Msg("lines of faulty requests left out")
-		}
-		l.began, l.lines, l.dropped = now, 0, 0
-	}
-	if l.lines++; l.lines > maxFaultLines {
-		l.dropped++
-		return false
-	}
-	return true
-}
-
 // recordOutcome logs the request and updates the metrics.
 func (j *job) recordOutcome() {
 	took := time.Since(j.arrived)
@@ -65,7 +30,7 @@
 		service = j.service.Name
 	}
 	j.updateMetrics(service, took)
-	if clientFaults[j.summary.cause] && !j.r.faultLines.allow(j.r.log, time.Now()) {
+	if clientFaults[j.summary.cause] && !j.r.faultLines.Allow(j.r.log, time.Now()) {
 		return
 	}
 	e := j.r.log.Info().Str("id", j.meta.ID).Str("route", name).Str("account", account).Str("service", service).
--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -62,9 +62,14 @@
 	})
 }
 
+// clientFaults are the reasons that any client can bring about as often as it likes.
+var clientFaults = map[string]bool{"key": true, "body": true, "memory": true, "bodyslow": true}
+
 func (r *Router) respondError(w http.ResponseWriter, req request, failure *Error) {
-	r.log.Info().Str("id", req.id).Str("account", req.account.Name).
-		Str("type", failure.Type).Str("reason", failure.Reason).Str("text", failure.Message).Msg("request failed")
+	if !clientFaults[failure.Reason] || r.faultLines.Allow(r.log, time.Now()) {
+		r.log.Info().Str("id", req.id).Str("account", req.account.Name).
+			Str("type", failure.Type).Str("reason", failure.Reason).Str("text", failure.Message).Msg("request failed")
+	}
 	r.countRequest("", failure.Type)
 	if failure.Type == typeNotRun {
 		r.scope.Tagged(map[string]string{"reason": failure.Reason}).Counter(reporter.Refusals).Inc(1)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"daisylane/internal/acceptor"
 	"daisylane/internal/bundler"
 	"daisylane/internal/connector"
+	"daisylane/internal/logger"
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/reporter"
 	"daisylane/internal/wirepb"
@@ -86,6 +87,8 @@
 	tracer    Tracer
 	memory    *acceptor.Memory
 
+	faultLines logger.LineLimit
+
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	tasks    sync.WaitGroup // settlements and claim outcomes that continue after the response
