--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -10,6 +10,12 @@
 	"daisylane/internal/retrier"
 )
 
+// clientFaults are the causes that any client can bring about as often as it likes.
+var clientFaults = map[Cause]bool{
+	Malformed: true, InvalidURI: true, NoRoute: true, UnknownKey: true,
+	BodyTooLarge: true, BodyIncomplete: true, BodyTooSlow: true, NoMemory: true,
+}
+
 // recordOutcome logs the request and updates the metrics.
 func (j *job) recordOutcome() {
 	took := time.Since(j.arrived)
@@ -24,6 +30,9 @@
 		service = j.service.Name
 	}
 	j.updateMetrics(service, took)
+	if clientFaults[j.summary.cause] && !j.r.faultLines.Allow(j.r.log, time.Now()) {
+		return
+	}
 	e := j.r.log.Info().Str("id", j.meta.ID).Str("route", name).Str("account", account).Str("service", service).
 		Str("outcome", string(j.summary.cause)).Int("status", j.summary.status).Int64("took", took.Milliseconds())
 	if j.table != nil {
--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -23,6 +23,7 @@
 	idempotencyKey string // hash of account and Idempotency-Key, empty if not sent
 	worth          float64
 	deadline       time.Time
+	payload        []byte // body
 }
 
 type handlerFunc func(ctx context.Context, w http.ResponseWriter, hr *http.Request, req request) *Error
@@ -39,6 +40,14 @@
 			return
 		}
 		w.Header().Set(headerRequestID, req.id)
+		// Read before the admission, so that a client that sends slowly takes no place of others.
+		body, failure := r.readBody(w, hr, req)
+		if failure != nil {
+			r.respondError(w, req, failure)
+			return
+		}
+		defer body.Close()
+		req.payload = body.Bytes()
 		ctx, cancel := context.WithDeadline(hr.Context(), req.deadline)
 		defer cancel()
 		release, failure := r.admission.Acquire(ctx, req.account, req.worth, req.deadline)
@@ -53,9 +62,14 @@
 	})
 }
 
+// clientFaults are the reasons that any client can bring about as often as it likes.
+var clientFaults = map[string]bool{"key": true, "body": true, "memory": true, "bodyslow": true}
+
 func (r *Router) respondError(w http.ResponseWriter, req request, failure *Error) {
-	r.log.Info().Str("id", req.id).Str("account", req.account.Name).
-		Str("type", failure.Type).Str("reason", failure.Reason).Str("text", failure.Message).Msg("request failed")
+	if !clientFaults[failure.Reason] || r.faultLines.Allow(r.log, time.Now()) {
+		r.log.Info().Str("id", req.id).Str("account", req.account.Name).
+			Str("type", failure.Type).Str("reason", failure.Reason).Str("text", failure.Message).Msg("request failed")
+	}
 	r.countRequest("", failure.Type)
 	if failure.Type == typeNotRun {
 		r.scope.Tagged(map[string]string{"reason": failure.Reason}).Counter(reporter.Refusals).Inc(1)
