--- a/internal/pathfinder/pathfinder.go
+++ b/internal/pathfinder/pathfinder.go
@@ -6,7 +6,8 @@
 //
 //	p := pathfinder.New("10.0.0.1:8000")
 //	p.SetRelays([]string{"10.1.0.9:7340"})
-//	addr, limit := p.SelectAddr(now)
+//	if wait, tried := p.Admit(now); wait == 0 {
+//		addr, limit := p.SelectAddr(now)
 //	...
 //	p.RecordSuccess(addr) or p.RecordFailure(now, addr)
 //
@@ -25,8 +26,15 @@
 	// longTimeout applies when no relay is left to try.
 	longTimeout     = time.Second
 	relayRetryDelay = 3 * time.Second // before a failed relay is tried again
-	probeInterval   = time.Second     // between probes of the store after a failed direct call
-	maxFailedAddrs  = 64              // addresses whose failures are remembered
+	probeInterval   = time.Second     // between probes of the store after a failed direct call, doubles up to maxProbeInterval
+	// maxProbeInterval is how long calls may take a relay after the store can be reached
+	// directly again.
+	maxProbeInterval = 4 * time.Second
+	// tryInterval is the time between two calls while nothing answers, over all callers of
+	// the process. It is the time in which a call by a relay fails, so relays are tried as
+	// fast as without it.
+	tryInterval    = shortTimeout
+	maxFailedAddrs = 64 // addresses whose failures are remembered
 
 	// ProbeTimeout is the timeout of a probe of the store.
 	ProbeTimeout = shortTimeout
@@ -41,11 +49,15 @@
 	activeRelay string // relay in use while direct calls fail
 	lastGood    string // address that responded last, empty if none has
 	lastProbe   time.Time
+	probePause  time.Duration
+	failedInRow map[string]bool // addresses that have failed since the last response
+	lastTry     time.Time       // when a call was admitted while nothing answered
+	trying      int             // calls that were admitted while nothing answered
 }
 
 // New returns the state for the store at an address, without relays.
 func New(direct string) *Paths {
-	return &Paths{direct: direct, failedAt: make(map[string]time.Time)}
+	return &Paths{direct: direct, failedAt: make(map[string]time.Time), failedInRow: make(map[string]bool)}
 }
 
 // SetRelays replaces the relays, in order of preference.
@@ -90,10 +102,8 @@
 
 // callTimeout returns the timeout of a call, which is short while a relay can be tried.
 func (p *Paths) callTimeout(now time.Time) time.Duration {
-	for _, r := range p.relays {
-		if p.usable(now, r) {
-			return shortTimeout
-		}
+	if p.relayLeft(now) {
+		return shortTimeout
 	}
 	return longTimeout
 }
@@ -106,9 +116,10 @@
 // RecordSuccess records that a call got a response.
 func (p *Paths) RecordSuccess(addr string) {
 	delete(p.failedAt, addr)
+	clear(p.failedInRow)
 	p.lastGood = addr
 	if addr == p.direct {
-		p.activeRelay = ""
+		p.activeRelay, p.probePause = "", 0
 	}
 }
 
@@ -118,18 +129,49 @@
 	_, bad := p.failedAt[addr]
 	if len(p.failedAt) >= maxFailedAddrs {
 		clear(p.failedAt)
+		clear(p.failedInRow)
 	}
-	p.failedAt[addr] = now
+	p.failedAt[addr], p.failedInRow[addr] = now, true
 	return !bad
 }
 
+// away reports whether nothing answers: a direct call and one by a relay have failed, or
+// there is no relay to be tried.
+func (p *Paths) away(now time.Time) bool {
+	return p.failedInRow[p.direct] && (len(p.failedInRow) > 1 || !p.relayLeft(now))
+}
+
+// relayLeft reports whether a relay may answer that has not failed lately.
+func (p *Paths) relayLeft(now time.Time) bool {
+	return slices.ContainsFunc(p.relays, func(r string) bool { return p.usable(now, r) })
+}
+
+// Admit reports whether a call may be made now, and otherwise how long it has to wait
+// unless another call gets a response or fails before. While nothing answers, one call at a
+// time shows that it does again; the others would only be charged. tried says that Tried
+// must be called when the call ends.
+func (p *Paths) Admit(now time.Time) (wait time.Duration, tried bool) {
+	if !p.away(now) {
+		return 0, false
+	}
+	if since := now.Sub(p.lastTry); since < tryInterval && (p.trying > 0 || !p.relayLeft(now)) {
+		return tryInterval - since, false
+	}
+	p.lastTry = now
+	p.trying++
+	return 0, true
+}
+
+// Tried records the end of a call that was admitted while nothing answered.
+func (p *Paths) Tried() { p.trying-- }
+
 // StartProbe returns the store's address if direct calls fail and a probe is due. It
 // records the time of the probe.
 func (p *Paths) StartProbe(now time.Time) (addr string, due bool) {
-	if _, bad := p.failedAt[p.direct]; !bad || now.Sub(p.lastProbe) < probeInterval {
+	if _, bad := p.failedAt[p.direct]; !bad || now.Sub(p.lastProbe) < p.probePause {
 		return "", false
 	}
-	p.lastProbe = now
+	p.lastProbe, p.probePause = now, min(max(probeInterval, 2*p.probePause), maxProbeInterval)
 	return p.direct, true
 }
 
--- a/internal/pathfinder/pathfinder_test.go
+++ b/internal/pathfinder/pathfinder_test.go
@@ -78,4 +78,50 @@
 	if _, due := p.StartProbe(startTime.Add(probeInterval)); !due {
 		t.Error("no second probe is due after the probe interval")
 	}
+	if _, due := p.StartProbe(startTime.Add(2 * probeInterval)); due {
+		t.Error("a third probe is due as early as the second one")
+	}
+	if _, due := p.StartProbe(startTime.Add(3 * probeInterval)); !due {
+		t.Error("no third probe is due after twice the probe interval")
+	}
+}
+
+// Guards against calls that are charged although nothing answers, against an instance that
+// tries relays more slowly than each of them takes to fail, and against calls that wait
+// although the store answers.
+func TestAdmit(t *testing.T) {
+	failDirect := func(p *Paths) { p.RecordFailure(startTime, "store") }
+	failBoth := func(p *Paths) { failDirect(p); p.RecordFailure(startTime, "r1") }
+	failAll := func(p *Paths) { failBoth(p); p.RecordFailure(startTime, "r2") }
+	try := func(p *Paths) { p.Admit(startTime) }
+	tests := []struct {
+		name  string
+		steps []func(*Paths)
+		after time.Duration
+		want  time.Duration
+		tried bool
+	}{
+		{"no failure", nil, 0, 0, false},
+		{"only the direct call failed", []func(*Paths){failDirect, try}, 0, 0, false},
+		{"first call after a relay failed too", []func(*Paths){failBoth}, 0, 0, true},
+		{"second call meanwhile", []func(*Paths){failBoth, try}, tryInterval / 4, tryInterval * 3 / 4, false},
+		{"second call, the first takes long", []func(*Paths){failBoth, try}, tryInterval, 0, true},
+		{"the first has failed, a relay is left", []func(*Paths){failBoth, try, (*Paths).Tried}, 0, 0, true},
+		{"the first has failed, no relay is left", []func(*Paths){failAll, try, (*Paths).Tried}, 0, tryInterval, false},
+		{"no relays", []func(*Paths){func(p *Paths) { p.SetRelays(nil) }, failDirect, try, (*Paths).Tried}, 0, tryInterval, false},
+		{"a relay has answered", []func(*Paths){failAll, try, func(p *Paths) { p.RecordSuccess("r2") }}, 0, 0, false},
+		{"a relay can be tried again", []func(*Paths){failAll, try, (*Paths).Tried}, relayRetryDelay, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := New("store")
+			p.SetRelays([]string{"r1", "r2"})
+			for _, step := range tt.steps {
+				step(p)
+			}
+			if wait, tried := p.Admit(startTime.Add(tt.after)); wait != tt.want || tried != tt.tried {
+				t.Errorf("got %v, %v, want %v, %v", wait, tried, tt.want, tt.tried)
+			}
+		})
+	}
 }
