Read the own ledger at a start and list all ledgers once

A start listed all ledgers to find its own one and again in its first poll, so N instances that start together read 2 N x N ledgers, and N more on each failed write. Now it gets its own ledger, writes, and lists all of them once; without one in this era it lists them as before. budgets recovered has the account of the calls.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -111,6 +111,7 @@
 	// EraChanged receives a value when any response, also to a call of another package,
 	// shows a new era.
 	EraChanged() <-chan struct{}
+	Get(ctx context.Context, kind, name string) (storer.Item, error)
 	List(ctx context.Context, kind string) ([]storer.Item, follower.Position, error)
 	Put(ctx context.Context, kind, name string, body []byte, version uint64) (storer.Item, error)
 }
@@ -134,7 +135,7 @@
 // Accountant reserves and settles tokens for one instance. It is safe for
 // concurrent use.
 type Accountant struct {
-	store Store
+	store *countedStore
 	name  string
 	peers Peers
 	log   zerolog.Logger
@@ -163,6 +164,7 @@
 	notesSignal      chan struct{}
 	pollSignal       chan struct{}
 	polls            int             // used by pollLoop only
+	ledgersRead      bool            // the ledgers were read at the start after the own one was written
 	ledgersWanted    bool            // the next poll reads the ledgers
 	ledgersWantedAt  time.Duration   // when that was last asked for
 	confirming       map[string]bool // accounts whose grants are being confirmed
@@ -185,7 +187,7 @@
 	}
 	self := granter.Identity{Name: name, Addr: addr, Incarnation: strconv.FormatUint(rand.Uint64(), 36), Boot: boot}
 	return &Accountant{
-		store: store, name: name, peers: peers, log: log, clock: bootClock, boot: boot, started: bootClock(),
+		store: &countedStore{Store: store, counts: make(map[string]int)}, name: name, peers: peers, log: log, clock: bootClock, boot: boot, started: bootClock(),
 		state:            granter.New(self),
 		peerBackoffUntil: make(map[string]time.Duration), greetBackoff: make(map[string]time.Duration), changed: make(chan struct{}), ledgerSignal: make(chan struct{}, 1), budgetsSignal: make(chan struct{}, 1), budgetWrites: make(map[string]budgetWrite),
 		notesSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1), confirming: make(map[string]bool),
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -36,11 +36,16 @@
 
 // tryRecover makes one attempt of the recovery.
 func (a *Accountant) tryRecover(ctx context.Context) error {
-	ledgers, err := a.readLedgers(ctx)
+	began := a.clock()
+	ledgers, known, err := a.readOwnLedger(ctx)
+	if err == nil && !known {
+		ledgers, err = a.readLedgers(ctx)
+	}
 	if err != nil {
 		return err
 	}
 	a.mu.Lock()
+	a.syncEra()
 	previous, recorded := ledgers.current[a.name]
 	if recorded || !slices.Contains(ledgers.former, a.name) {
 		a.state.Recover(a.started, previous)
@@ -54,25 +59,32 @@
 	if err != nil {
 		return err
 	}
-	began := a.clock()
+	all := ledgers
+	if known {
+		if all, err = a.readLedgers(ctx); err != nil {
+			return err
+		}
+	}
+	written := a.clock()
 	if err := a.readBudgets(ctx, ledgers.era); err != nil {
 		return err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.store.Era() != ledgers.era {
+	if a.store.Era() != ledgers.era || all.era != ledgers.era {
 		return fmt.Errorf("recover budgets: %w", storer.ErrRestored)
 	}
 	a.state.LedgerWritten(l)
 	a.state.SetReady()
-	a.state.ObserveLedgers(a.clock(), ledgers.current, ledgers.former)
-	a.ledgerVersion, a.ready = item.Version, true
+	a.state.ObserveLedgers(a.clock(), all.current, all.former)
+	a.ledgerVersion, a.ready, a.ledgersRead = item.Version, true, known
 	sendSignal(a.pollSignal)
-	a.recordContact(began, nil)
+	a.recordContact(written, nil)
 	a.notifyWaiters()
 	sendSignal(a.budgetsSignal)
 	a.log.Info().Str("former", previous.Incarnation).Uint64("version", ledgers.ownVersion).Dur("age", previous.Age(a.started)).Int64("era", ledgers.era).
-		Bool("same_boot", previous.Boot == a.boot && previous.Age(a.started) > 0).Any("lost_tokens", a.state.LostTokens()).Msg("budgets recovered")
+		Bool("same_boot", previous.Boot == a.boot && previous.Age(a.started) > 0).Any("lost_tokens", a.state.LostTokens()).Dur("took", a.clock()-began).Int("ledgers", len(all.current)+len(all.former)).Bool("own", known).
+		Any("calls", a.store.take()).Msg("budgets recovered")
 	return nil
 }
 
@@ -90,7 +102,7 @@
 	a.mu.Lock()
 	a.state.Met(era, met)
 	a.state.BudgetsRead(era, ended)
-	due := !a.state.Settled() || !a.state.KnowsElders() || a.ledgersWanted || a.polls == 2 || a.polls%pollsPerLedgers == 1
+	due := !a.state.Settled() || !a.state.KnowsElders() || a.ledgersWanted || a.polls == 2 || a.polls%pollsPerLedgers == 1 && !(a.polls == 1 && a.ledgersRead)
 	a.ledgersWanted = false
 	a.mu.Unlock()
 	if !due {
@@ -141,6 +153,28 @@
 	ownVersion uint64                    // of the own ledger, 0: none in this era
 }
 
+// readOwnLedger reads the ledger that the former process of this instance has written in this
+// era. It returns false if there is none that can be used; what that means depends on the
+// other ledgers. A list of all ledgers would grow with the number of instances.
+func (a *Accountant) readOwnLedger(ctx context.Context) (list ledgerList, known bool, err error) {
+	for range 2 { // the first response tells the era
+		era := a.store.Era()
+		item, err := a.store.Get(ctx, KindLedgers, eraKey(a.name, era))
+		if err != nil && !errors.Is(err, storer.ErrAbsent) {
+			return ledgerList{}, false, fmt.Errorf("read own ledger: %w", err)
+		}
+		if a.store.Era() != era {
+			continue
+		}
+		l, decodeErr := decode[granter.Ledger](item)
+		if err != nil || decodeErr != nil { // the list logs what is invalid
+			return ledgerList{}, false, nil
+		}
+		return ledgerList{era: era, current: map[string]granter.Ledger{a.name: l}, ownVersion: item.Version}, true, nil
+	}
+	return ledgerList{}, false, nil
+}
+
 // readLedgers reads the ledgers of all instances from the store.
 func (a *Accountant) readLedgers(ctx context.Context) (ledgerList, error) {
 	items, at, err := a.store.List(ctx, KindLedgers)
--- /dev/null
+++ b/internal/accountant/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package accountant_test
+
+const raceDetector = false
--- /dev/null
+++ b/internal/accountant/start_test.go
@@ -0,0 +1,183 @@
+package accountant_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"daisylane/internal/accountant"
+	"daisylane/internal/follower"
+	"daisylane/internal/granter"
+	"daisylane/internal/lender"
+	"daisylane/internal/storer"
+)
+
+// countingStore is a store in memory that counts calls and bytes. Lists have pages of 50
+// objects, and each page is a call.
+type countingStore struct {
+	mu      sync.Mutex
+	version uint64
+	objects map[string]map[string]storer.Item
+	calls   map[string]int // by operation and kind
+	bytes   int            // read
+}
+
+const storePage = 50
+
+func newCountingStore() *countingStore {
+	return &countingStore{objects: map[string]map[string]storer.Item{accountant.KindBudgets: {}, accountant.KindLedgers: {}}, calls: make(map[string]int)}
+}
+
+func (s *countingStore) Era() int64 { return 1 }
+
+func (s *countingStore) EraChanged() <-chan struct{} { return nil }
+
+func (s *countingStore) List(_ context.Context, kind string) ([]storer.Item, follower.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []storer.Item
+	for _, item := range s.objects[kind] {
+		items = append(items, item)
+		s.bytes += len(item.Key) + len(item.Body)
+	}
+	s.calls["list "+kind] += max(1, (len(items)+storePage-1)/storePage)
+	return items, follower.Position{Era: 1, Revision: int64(s.version)}, nil
+}
+
+func (s *countingStore) Get(_ context.Context, kind, name string) (storer.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["get "+kind]++
+	item, ok := s.objects[kind][name]
+	if !ok {
+		return item, storer.ErrAbsent
+	}
+	s.bytes += len(item.Key) + len(item.Body)
+	return item, nil
+}
+
+func (s *countingStore) Put(_ context.Context, kind, name string, body []byte, version uint64) (storer.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["put "+kind]++
+	if old := s.objects[kind][name]; old.Version != version {
+		s.calls["conflict "+kind]++
+		return old, storer.ErrConflict
+	}
+	s.version++
+	item := storer.Item{Key: name, Version: s.version, Body: bytes.Clone(body)}
+	s.objects[kind][name] = item
+	return item, nil
+}
+
+// localPeers calls the other instances of a test directly.
+type localPeers struct {
+	mu     sync.Mutex
+	byAddr map[string]*accountant.Accountant
+}
+
+func (p *localPeers) at(l granter.Lender) *accountant.Accountant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byAddr[l.Addr]
+}
+
+func (p *localPeers) Borrow(ctx context.Context, l granter.Lender, loan granter.Loan) (lender.Reply, error) {
+	return p.at(l).Lend(ctx, loan), nil
+}
+
+func (p *localPeers) Cancel(_ context.Context, l granter.Lender, loan granter.Loan) (int64, error) {
+	return p.at(l).CancelLoan(loan.ID), nil
+}
+
+func (p *localPeers) Return(_ context.Context, l granter.Lender, account string, tokens int64) error {
+	p.at(l).AddReturned(account, tokens)
+	return nil
+}
+
+func (p *localPeers) Remember(_ context.Context, l granter.Lender, n granter.Note) error {
+	if !p.at(l).RecordNote(n) {
+		return lender.ErrRefused
+	}
+	return nil
+}
+
+func (p *localPeers) Greet(_ context.Context, l granter.Lender, m granter.Greeting) error {
+	if !p.at(l).RecordGreeting(m) {
+		return lender.ErrRefused
+	}
+	return nil
+}
+
+func (p *localPeers) HandOver(_ context.Context, l granter.Lender, h granter.Handover) error {
+	if !p.at(l).RecordHandover(h) {
+		return lender.ErrRefused
+	}
+	return nil
+}
+
+// startAll starts instances at once, and returns when all are ready, after how long, and a
+// function that ends them.
+func startAll(t *testing.T, s *countingStore, n int) (ready time.Duration, end func()) {
+	t.Helper()
+	peers := &localPeers{byAddr: make(map[string]*accountant.Accountant)}
+	var all []*accountant.Accountant
+	prepaid := make(map[string]int64)
+	for i := range 10 {
+		prepaid[fmt.Sprint("account-", i)] = 1_000_000
+	}
+	for i := range n {
+		addr := fmt.Sprint("addr-", i)
+		a := accountant.New(s, fmt.Sprint("entry-", i), addr, peers, zerolog.Nop())
+		a.SetPrepaid(1, prepaid)
+		peers.byAddr[addr], all = a, append(all, a)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	began := time.Now()
+	for _, a := range all {
+		running.Go(func() { _ = a.Run(ctx) })
+	}
+	waitFor(t, 2*time.Minute, "all instances are ready", func() bool {
+		return !slices.ContainsFunc(all, func(a *accountant.Accountant) bool { return !a.Ready() })
+	})
+	return time.Since(began), func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// Guards against starts that read more than they need: when all instances start together,
+// each list of the ledgers costs the square of their number.
+func TestCallsOfAStart(t *testing.T) {
+	sizes := []int{30, 100, 300}
+	if raceDetector {
+		sizes = sizes[:2] // 300 instances take two minutes
+	}
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			s := newCountingStore()
+			_, end := startAll(t, s, n)
+			time.Sleep(time.Second)
+			end()
+			s.mu.Lock()
+			s.calls, s.bytes = make(map[string]int), 0
+			s.mu.Unlock()
+			ready, end := startAll(t, s, n)
+			time.Sleep(3*time.Second - ready)
+			end()
+			// Each start lists the ledgers once. About half of the instances do so again in
+			// their second poll, 1.5 to 4.5 s after the first one.
+			if most := n * ((n + storePage - 1) / storePage) * 9 / 5; s.calls["list ledgers"] > most {
+				t.Errorf("%d pages of ledgers are read, want at most %d", s.calls["list ledgers"], most)
+			}
+			t.Logf("ready after %v, in 3 s: %v, %.1f MB read", ready, s.calls, float64(s.bytes)/1e6)
+		})
+	}
+}
