Bring a large configuration to instances behind slow links

Change: the newest changes are always kept for neighbours. The time limit of a call ends when its response begins, which may then take 2 s, and a call whose response has begun is not cancelled when another one fails on its path.

--- a/internal/cacher/cacher.go
+++ b/internal/cacher/cacher.go
@@ -27,6 +27,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -43,6 +44,9 @@
 	// answerMargin is the part of the wait of a watch that is left to the answer of a
 	// watcher, so that one that is silent is noticed when a watch would end.
 	answerMargin = 250 * time.Millisecond
+	// transferTime is how long an answer that has begun may take. A configuration of 1 MB
+	// takes 1.1 s on a link of 10 Mbit/s.
+	transferTime = 2 * time.Second
 	// contactMargin is how much older than the wait of a watch the last response of the
 	// store may be: a slow response, the pause before the next watch, and some lag. It is
 	// less than what is left of the tolerated delay for a call of the neighbour.
@@ -280,8 +284,11 @@
 func (c *Cache) ask(ctx context.Context, name, addr string, after follower.Position, wait time.Duration) ([]follower.Change, follower.Position, outcome) {
 	limit := c.kinds[name].wait + contactMargin
 	sent, poll := c.clock(), max(0, wait-answerMargin)
-	callCtx, cancel := context.WithTimeout(ctx, poll+answerMargin)
+	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(poll+answerMargin, cancel)
+	defer timer.Stop()
+	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotFirstResponseByte: func() { timer.Reset(transferTime) }})
 	reply, err := c.asker.Ask(callCtx, addr, Ask{Kind: name, Era: after.Era, Revision: after.Revision, Wait: poll.Milliseconds(), Age: limit.Milliseconds()})
 	if ctx.Err() != nil {
 		return nil, after, askNext
--- a/internal/cacher/peers.go
+++ b/internal/cacher/peers.go
@@ -19,7 +19,7 @@
 	watchPath       = "/watch"
 	dialTimeout     = 150 * time.Millisecond
 	maxAskBytes     = 4 << 10
-	maxReplyBytes   = 1 << 20
+	maxReplyBytes   = 16 << 20 // some objects of 1 MB, in base64
 	maxWait         = 10 * time.Second
 	idleConns       = 4 // one for each kind
 	idleConnTimeout = 20 * time.Second
--- a/internal/cacher/view.go
+++ b/internal/cacher/view.go
@@ -8,9 +8,10 @@
 
 const (
 	// maxChanges and maxBytes bound the changes that are kept for neighbours. One that has
-	// fallen behind them reads the store.
+	// fallen behind them reads the store. The newest ones are always kept: all neighbours at
+	// once would read a large configuration from the store, over links that may be slow.
 	maxChanges = 512
-	maxBytes   = 256 << 10
+	maxBytes   = 2 << 20
 )
 
 // batch is what one response said about the time between two revisions.
@@ -56,7 +57,7 @@
 	} else {
 		v.batches = append(v.batches, batch{from.Revision, to.Revision, changes})
 	}
-	for count, bytes := v.size(); count > maxChanges || bytes > maxBytes || len(v.batches) > maxChanges; count, bytes = v.size() {
+	for count, bytes := v.size(); len(v.batches) > 1 && (count > maxChanges || bytes > maxBytes || len(v.batches) > maxChanges); count, bytes = v.size() {
 		v.base, v.batches = v.batches[0].to, v.batches[1:]
 	}
 }
--- a/internal/cacher/view_test.go
+++ b/internal/cacher/view_test.go
@@ -65,6 +65,8 @@
 			c := changeAt("a", 11)
 			c.Item.Body = make([]byte, maxBytes)
 			v.Add(9*second, at(1, 10), at(1, 11), []follower.Change{c}, true)
+			c.Item.Version = 12
+			v.Add(9*second, at(1, 11), at(1, 12), []follower.Change{c}, true)
 		}, now: 10 * second, refused: Gone},
 	}
 	for _, tt := range tests {
--- a/internal/starter/paths.go
+++ b/internal/starter/paths.go
@@ -40,6 +40,7 @@
 	addr      string
 	cancel    context.CancelCauseFunc
 	tried     bool // admitted while nothing answered
+	answered  bool // its response has begun
 }
 
 func newPaths(direct string, log zerolog.Logger) *paths {
@@ -94,9 +95,20 @@
 func (p *paths) registerCall(ctx context.Context, addr string, limit time.Duration, tried bool) platform.StorePath {
 	callerCtx := ctx
 	ctx, cancel := context.WithCancelCause(callerCtx)
-	c := &call{callerCtx, addr, cancel, tried}
+	c := &call{callerCtx: callerCtx, addr: addr, cancel: cancel, tried: tried}
 	p.calls[c] = true
-	return platform.StorePath{Context: ctx, Addr: addr, Limit: limit, Done: func(err error) { p.finishCall(c, err) }}
+	return platform.StorePath{
+		Context: ctx, Addr: addr, Limit: limit, Done: func(err error) { p.finishCall(c, err) },
+		Answered: func() { p.recordAnswer(c) },
+	}
+}
+
+// recordAnswer records that the response to a call has begun, so a failure of another call,
+// which a large response may hold up on a slow link, does not cancel it.
+func (p *paths) recordAnswer(c *call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.answered = true
 }
 
 func (p *paths) finishCall(c *call, err error) {
@@ -128,7 +140,7 @@
 // cancelCalls cancels the calls in flight to an address. The caller holds mu.
 func (p *paths) cancelCalls(addr string) {
 	for c := range p.calls {
-		if c.addr == addr {
+		if c.addr == addr && !c.answered {
 			c.cancel(errPathFailed)
 		}
 	}
