Send nothing to evacuated data centres

Change: where the settings have evacuate_ms, entries list and watch the evacuations (shared in a data centre, as other kinds), and are ready only when they know them. The dispatcher leaves out the targets of evacuated data centres where it applies the regions, so retries, resumed streams, trials and the check before the first byte keep to it. If nothing is left: 503 with the new outcome evacuated. Other deployments make no further call.

Not run with -race on.

--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -31,7 +31,7 @@
 	switch {
 	case j.r.closing.Load():
 		return j.refuse(http.StatusServiceUnavailable, Stopping, meanRetryDelay)
-	case j.table == nil || !j.r.budgets.Ready() || !j.r.guard.Ready() || !j.r.streams.Ready():
+	case j.table == nil || !j.r.budgets.Ready() || !j.r.guard.Ready() || !j.r.streams.Ready() || !j.r.dispatcher.Ready():
 		return j.refuse(http.StatusServiceUnavailable, Starting, meanRetryDelay)
 	case err != nil:
 		j.summary.failure = err
--- a/internal/receiver/causes.go
+++ b/internal/receiver/causes.go
@@ -29,6 +29,7 @@
 	TokensWithheld     Cause = "tokenswithheld"
 	NoTargets          Cause = "notargets"
 	OutsideRegions     Cause = "region"
+	Evacuated          Cause = "evacuated"
 	Overloaded         Cause = "overloaded"
 	Busy               Cause = "busy"
 	Paused             Cause = "paused"
@@ -69,6 +70,7 @@
 	TokensWithheld:     "was refused for now, because the budget covers the request only with tokens of which it is not known whether they are spent",
 	NoTargets:          "was refused, because no target of the service was left to try",
 	OutsideRegions:     "was refused, because no target is in a region that the route and the account allow",
+	Evacuated:          "was refused, because each data centre that has targets for it is evacuated",
 	Overloaded:         "was refused, because the best target was expected to answer too late",
 	Busy:               "was refused, because the targets were full",
 	Paused:             "was refused, because each target left to try had asked for a pause",
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -30,6 +30,9 @@
 	nodes   map[nodesKey]serviceNodes
 	nodesOf int64    // version of the roster that nodes were made of
 	exclude []string // reused between choices
+	// evacuations holds the data centres that get no requests, nil: there are none on this
+	// deployment.
+	evacuations *restrictor.Evacuations
 }
 
 // nodesKey identifies the ready targets of a service in some places.
@@ -147,7 +150,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := d.readyNodes(service, places)
-	if err := d.checkPlaces(service, places, n); err != nil {
+	if err := d.checkPlaces(now, service, places, n); err != nil {
 		return ChosenTarget{}, err
 	}
 	unavailable := d.retries.AppendPaused(n.appendUnfit(append(d.exclude[:0], tried...), versions), now)
--- a/internal/receiver/places.go
+++ b/internal/receiver/places.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"daisylane/internal/follower"
@@ -21,14 +22,14 @@
 	return fmt.Sprintf("none of %d ready targets may serve the request: %s", e.elsewhere, e.cause)
 }
 
-// permitted returns the targets that are in the places. The caller must hold the lock.
+// permitted returns the targets that are in the places and not evacuated. The caller must hold the lock.
 func (d *Dispatcher) permitted(targets []follower.Target, places restrictor.Places) []follower.Target {
-	if !places.Restricted() {
+	if !places.Restricted() && (d.evacuations == nil || !d.evacuations.Any()) {
 		return targets
 	}
 	var list []follower.Target
 	for _, t := range targets {
-		if places.Allows(d.regions[t.Centre]) {
+		if _, evacuated := d.evacuatedSince(t.Centre); !evacuated && places.Allows(d.regions[t.Centre]) {
 			list = append(list, t)
 		}
 	}
@@ -42,15 +43,15 @@
 	return len(d.permitted([]follower.Target{t}, places)) > 0
 }
 
-// CheckPlaces returns an error if the places exclude each target of a service.
-func (d *Dispatcher) CheckPlaces(service *resolver.Service, places restrictor.Places) error {
+// CheckPlaces returns an error if the places or evacuations exclude each target of a service.
+func (d *Dispatcher) CheckPlaces(now time.Time, service *resolver.Service, places restrictor.Places) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.checkPlaces(service, places, d.readyNodes(service, places))
+	return d.checkPlaces(now, service, places, d.readyNodes(service, places))
 }
 
 // checkPlaces is CheckPlaces, given the targets in the places. The caller must hold the lock.
-func (d *Dispatcher) checkPlaces(service *resolver.Service, places restrictor.Places, n serviceNodes) error {
+func (d *Dispatcher) checkPlaces(now time.Time, service *resolver.Service, places restrictor.Places, n serviceNodes) error {
 	if len(n.targets) > 0 {
 		return nil
 	}
@@ -61,7 +62,59 @@
 	case len(ready) == 0:
 		return nil // it has no target anywhere
 	}
-	return placesError{OutsideRegions, regionDelay, len(ready)}
+	err := placesError{OutsideRegions, regionDelay, len(ready)}
+	for _, t := range ready {
+		if since, evacuated := d.evacuatedSince(t.Centre); evacuated && places.Allows(d.regions[t.Centre]) {
+			age := min(max(now.Sub(since), minEvacuatedDelay), maxEvacuatedDelay)
+			if err.cause == OutsideRegions || age < err.opensIn {
+				err.cause, err.opensIn = Evacuated, age
+			}
+		}
+	}
+	return err
+}
+
+// evacuatedSince returns since when a data centre is known to be evacuated, and whether it is.
+// The caller must hold the lock.
+func (d *Dispatcher) evacuatedSince(centre string) (time.Time, bool) {
+	if d.evacuations == nil {
+		return time.Time{}, false
+	}
+	return d.evacuations.Since(centre)
+}
+
+// WithEvacuations makes the dispatcher keep to evacuations of data centres. It is not ready
+// until they are listed.
+func WithEvacuations() DispatcherOption {
+	return func(d *Dispatcher) { d.evacuations = restrictor.NewEvacuations() }
+}
+
+// ChangeEvacuations calls a function with the evacuations while it holds the lock, and returns
+// the data centres that are evacuated since, and those that no longer are. The function must
+// not retain the evacuations. [WithEvacuations] must be set.
+func (d *Dispatcher) ChangeEvacuations(change func(*restrictor.Evacuations)) (begun, ended []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.evacuations.Centres()
+	change(d.evacuations)
+	after := d.evacuations.Centres()
+	begun, ended = without(after, before), without(before, after)
+	if len(begun)+len(ended) > 0 {
+		clear(d.nodes)
+	}
+	return begun, ended
+}
+
+// without returns the elements of a that b lacks.
+func without(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(s string) bool { return slices.Contains(b, s) })
+}
+
+// Ready reports whether it is known to which data centres requests may be sent.
+func (d *Dispatcher) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.evacuations == nil || d.evacuations.Listed()
 }
 
 // exist reports whether a data centre is in the places.
@@ -122,7 +175,7 @@
 func (j *job) checkPlaces(services ...*resolver.Service) bool {
 	var misplaced placesError
 	for _, s := range services {
-		err, ok := j.r.dispatcher.CheckPlaces(s, j.allowedPlaces()).(placesError)
+		err, ok := j.r.dispatcher.CheckPlaces(time.Now(), s, j.allowedPlaces()).(placesError)
 		if !ok {
 			return true
 		}
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -81,6 +81,10 @@
 	// The same if no data centre is in an allowed region, so that only another
 	// configuration helps.
 	unknownRegionDelay = 10 * time.Second
+	// Limits of the mean delay after which a caller should retry if all data centres are
+	// evacuated. It is as long as the evacuation has lasted.
+	minEvacuatedDelay = time.Second
+	maxEvacuatedDelay = 10 * time.Second
 	// Mean delay after which a caller should retry if no target has capacity.
 	meanRetryDelay = 400 * time.Millisecond
 )
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -42,6 +42,7 @@
 	WaitingBodies        = "waiting_bodies"
 	UnreadBodies         = "unread_bodies_total"
 	ClosedConnections    = "closed_connections_total"
+	EvacuatedCentres     = "evacuated_centres"
 )
 
 // Kind is the type of a metric.
@@ -105,4 +106,5 @@
 	{WaitingBodies, Gauge, "bodies", nil, "Request bodies that wait for memory."},
 	{UnreadBodies, Counter, "bodies", []string{"reason"}, "Request bodies that were not read whole, by reason."},
 	{ClosedConnections, Counter, "connections", nil, "Connections of clients that were closed for lack of descriptors."},
+	{EvacuatedCentres, Gauge, "centres", nil, "Data centres that get no requests because they are evacuated."},
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -57,6 +57,9 @@
 	shutdownMargin = 700 * time.Millisecond
 	// accountRetryBurst is how many retries of one account may come at once.
 	accountRetryBurst = 10
+	// arrivalTime is how long a request may take from its last check to its target: three
+	// times the way between regions.
+	arrivalTime = 120 * time.Millisecond
 )
 
 var errAborted = errors.New("aborted")
@@ -116,11 +119,20 @@
 	peers := lender.NewClient(lender.WithTransport(directory.Transport))
 	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, peerAddr, peers, log)
 	changeWait, warningWait := follower.WatchWait(cfg.ChangeDelay()), follower.WatchWait(cfg.WarningDelay())
-	e.watches = cacher.New(e.store, e.accounting, directory, cacher.WithClock(accountant.BootClock), cacher.WithLog(log), cacher.WithScope(e.metrics.Scope()),
-		cacher.WithKind(platform.KindConfig, changeWait), cacher.WithKind(platform.KindRunners, changeWait), cacher.WithKind(recorder.Kind, warningWait))
+	shared := []cacher.Option{
+		cacher.WithClock(accountant.BootClock), cacher.WithLog(log), cacher.WithScope(e.metrics.Scope()),
+		cacher.WithKind(platform.KindConfig, changeWait), cacher.WithKind(platform.KindRunners, changeWait), cacher.WithKind(recorder.Kind, warningWait),
+	}
+	opts := []receiver.DispatcherOption{}
+	if delay, ok := cfg.EvacuateDelay(); ok {
+		shared = append(shared, cacher.WithKind(platform.KindEvacuations, evacuationWait(delay)))
+		opts = append(opts, receiver.WithEvacuations())
+	}
+	e.watches = cacher.New(e.store, e.accounting, directory, shared...)
 	e.permits = permitter.New(cfg.Name+"-"+cfg.Addr, e.accounting, peers,
 		permitter.WithLog(log), permitter.WithScope(e.metrics.Scope()))
-	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries, receiver.WithLimits(e.permits))
+	opts = append(opts, receiver.WithLimits(e.permits))
+	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries, opts...)
 	e.applyLimits(cfg)
 	e.guard = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()))
 	e.streams = archiver.New(e.store, cfg.Name+"-"+cfg.Addr, archiver.WithLog(log), archiver.WithFleetSize(e.accounting.InstanceCount))
@@ -137,6 +149,12 @@
 	return e
 }
 
+// evacuationWait returns how long a watch of evacuations waits, given the time within which an
+// evacuation must take effect.
+func evacuationWait(delay time.Duration) time.Duration {
+	return follower.WatchWait(max(delay-arrivalTime, time.Millisecond)) // 0 would be unlimited
+}
+
 // run serves until the context ends, then shuts down gracefully.
 func (e *entry) run(ctx context.Context, reload <-chan os.Signal) error {
 	e.log.Info().Str("centre", e.cfg.Centre).Str("region", e.cfg.Region).
@@ -156,6 +174,9 @@
 	go e.watches.Run(work)
 	go follower.New(e.watches, platform.KindConfig, &configHandler{e: e}, wait).Run(work)
 	go follower.New(e.watches, platform.KindRunners, &targetHandler{e: e}, wait).Run(work)
+	if delay, ok := e.cfg.EvacuateDelay(); ok {
+		go follower.New(e.watches, platform.KindEvacuations, &evacuationHandler{e: e}, follower.WithWait(evacuationWait(delay))).Run(work)
+	}
 	go follower.New(e.watches, recorder.Kind, e.warnings, follower.WithWait(follower.WatchWait(e.cfg.WarningDelay()))).Run(work)
 	go e.warnings.Run(work)
 	go e.permits.Run(work)
@@ -216,7 +237,7 @@
 // handleReadiness responds to the load balancer's readiness probe: 503 while this
 // instance takes no new connections.
 func (e *entry) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || !e.targetsListed.Load() || e.receiver.Table() == nil || !e.accounting.Ready() || !e.guard.Ready() || !e.streams.Ready() {
+	if e.stopping.Load() || !e.targetsListed.Load() || e.receiver.Table() == nil || !e.accounting.Ready() || !e.guard.Ready() || !e.streams.Ready() || !e.dispatcher.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -236,6 +257,9 @@
 		for _, target := range gone {
 			e.forgetTarget(target)
 		}
+		if _, ok := e.cfg.EvacuateDelay(); ok {
+			e.changeEvacuations(func(ev *restrictor.Evacuations) { ev.Expire(now) })
+		}
 		instances := e.accounting.InstanceCount()
 		e.dispatcher.SetBurst(e.settings.Load().Bounds.RetryReserve * usableRetryRatio / float64(max(1, instances)))
 		e.pool.CloseExpired(now)
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -5,7 +5,9 @@
 
 	"daisylane/internal/follower"
 	"daisylane/internal/quarantiner"
+	"daisylane/internal/reporter"
 	"daisylane/internal/resolver"
+	"daisylane/internal/restrictor"
 	"daisylane/internal/storer"
 	"daisylane/platform"
 )
@@ -142,3 +144,55 @@
 }
 
 func (h *targetHandler) Synced() {}
+
+// evacuationHandler keeps the evacuations of data centres current. An object stands for its
+// name, whatever its content is.
+type evacuationHandler struct{ e *entry }
+
+func (h *evacuationHandler) Listed(items []storer.Item) {
+	centres := make([]string, len(items))
+	for i, item := range items {
+		centres[i] = item.Key
+	}
+	h.e.changeEvacuations(func(ev *restrictor.Evacuations) { ev.SetList(time.Now(), centres) })
+	h.e.log.Info().Strs("centres", centres).Msg("evacuations listed")
+}
+
+func (h *evacuationHandler) Changed(changes []follower.Change) {
+	h.e.changeEvacuations(func(ev *restrictor.Evacuations) {
+		for _, c := range changes {
+			if c.Deleted {
+				ev.Remove(c.Item.Key)
+			} else {
+				ev.Add(time.Now(), c.Item.Key)
+			}
+		}
+	})
+}
+
+func (h *evacuationHandler) Disconnected(err error) {
+	h.e.log.Warn().Err(err).Msg("evacuations are not followed")
+}
+
+func (h *evacuationHandler) Reconnected() { h.e.log.Info().Msg("evacuations are followed again") }
+
+func (h *evacuationHandler) Restored() {
+	h.e.changeEvacuations(func(ev *restrictor.Evacuations) { ev.RecordRestore(time.Now()) })
+	h.e.log.Warn().Int64("era", h.e.store.Era()).Msg("store was restored from an older copy; evacuations that it lacks stay in force for now")
+}
+
+func (h *evacuationHandler) Synced() {}
+
+// changeEvacuations changes the evacuations and reports what is different.
+func (e *entry) changeEvacuations(change func(*restrictor.Evacuations)) {
+	begun, ended := e.dispatcher.ChangeEvacuations(func(ev *restrictor.Evacuations) {
+		change(ev)
+		e.metrics.Scope().Gauge(reporter.EvacuatedCentres).Update(float64(len(ev.Centres())))
+	})
+	for _, centre := range begun {
+		e.log.Warn().Str("centre", centre).Msg("data centre evacuated; no further requests to it")
+	}
+	for _, centre := range ended {
+		e.log.Info().Str("centre", centre).Msg("data centre no longer evacuated")
+	}
+}
--- a/internal/starter/reload.go
+++ b/internal/starter/reload.go
@@ -85,6 +85,13 @@
 	e.dispatcher.SetRetryShare(cfg.Bounds.RetryShare * usableRetryRatio)
 }
 
+func presence(given bool) string {
+	if given {
+		return "present"
+	}
+	return "absent"
+}
+
 // changesNeedingRestart lists the changed settings that take effect only after a
 // restart, or returns "".
 func changesNeedingRestart(old, cfg platform.Settings) string {
@@ -95,6 +102,9 @@
 	compare("zone", old.Centre, cfg.Centre)
 	compare("region", old.Region, cfg.Region)
 	compare("zones", fmt.Sprint(old.Regions), fmt.Sprint(cfg.Regions))
+	_, evacuated := old.EvacuateDelay()
+	_, evacuates := cfg.EvacuateDelay()
+	compare("bounds.evacuate_ms", presence(evacuated), presence(evacuates))
 	compare("listen.frontend", old.Listen.Callers, cfg.Listen.Callers)
 	compare("listen.ready", old.Listen.Ready, cfg.Listen.Ready)
 	compare("platform.address", old.Store.Addr, cfg.Store.Addr)
