Keep requests to cold targets within their bound over the whole fleet

Cause: targets that have just started got as many requests as warm ones.

Change: a cold target is a target with a limit for a while. Permits come from the holder of a lease in the store, so two sides of a partition never give out permits at the same time; an instance that is cut off gets none, and sends targets that may have become cold a small part of the bound.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -97,6 +97,12 @@
 	return min(max(delay-resyncTime, minWatchWait), maxWatchWait)
 }
 
+// StaleTime returns the time after which a follower of changes with a tolerated delay has
+// had no response of the store, though it has repeated a call.
+func StaleTime(delay time.Duration) time.Duration {
+	return WatchWait(delay) + resyncTime + minWatchInterval
+}
+
 // WithWait sets how long a watch waits for a change.
 func WithWait(d time.Duration) Option { return func(f *Follower) { f.watchWait = d } }
 
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -34,13 +34,15 @@
 )
 
 const (
-	lendPath   = "/lend"
-	returnPath = "/return"
-	cancelPath = "/cancel"
-	notePath   = "/note"
-	greetPath  = "/greet"
-	endPath    = "/end"
-	permitPath = "/permit"
+	lendPath       = "/lend"
+	returnPath     = "/return"
+	cancelPath     = "/cancel"
+	notePath       = "/note"
+	greetPath      = "/greet"
+	endPath        = "/end"
+	permitPath     = "/permit"
+	coldPermitPath = "/cold/permit"
+	coldPath       = "/cold"
 	// dialTimeout is three round trips between regions.
 	dialTimeout = 150 * time.Millisecond
 	// callTimeout is a dial, a round trip and the time that the lender itself waits
@@ -93,6 +95,10 @@
 // PermitGranter gives out permits for targets with a limit.
 type PermitGranter interface {
 	GrantPermits(ctx context.Context, a throttler.Ask) throttler.Grant
+	// GrantColdPermits does the same for cold targets, as the holder of the lease.
+	GrantColdPermits(ctx context.Context, a throttler.Ask) throttler.Grant
+	// ExchangeCold takes over which targets are cold, and replies with those that it knows.
+	ExchangeCold(ctx context.Context, r throttler.ColdReports) throttler.ColdReports
 }
 
 // HandlerOption adds to what [Handler] serves.
@@ -100,7 +106,11 @@
 
 // WithPermits also serves requests for permits.
 func WithPermits(pg PermitGranter) HandlerOption {
-	return func(mux *http.ServeMux) { mux.HandleFunc("POST "+permitPath, handleJSON(pg.GrantPermits)) }
+	return func(mux *http.ServeMux) {
+		mux.HandleFunc("POST "+permitPath, handleJSON(pg.GrantPermits))
+		mux.HandleFunc("POST "+coldPermitPath, handleJSON(pg.GrantColdPermits))
+		mux.HandleFunc("POST "+coldPath, handleJSON(pg.ExchangeCold))
+	}
 }
 
 // Handler serves loan and return requests of peers.
@@ -231,6 +241,16 @@
 	return post[throttler.Grant](ctx, c, peer.Addr+permitPath, a)
 }
 
+// AskColdPermits asks the holder of the lease for permits to send requests to a cold target.
+func (c *Client) AskColdPermits(ctx context.Context, peer granter.Lender, a throttler.Ask) (throttler.Grant, error) {
+	return post[throttler.Grant](ctx, c, peer.Addr+coldPermitPath, a)
+}
+
+// ExchangeCold tells a peer which targets are cold, and returns those that it knows.
+func (c *Client) ExchangeCold(ctx context.Context, peer granter.Lender, r throttler.ColdReports) (throttler.ColdReports, error) {
+	return post[throttler.ColdReports](ctx, c, peer.Addr+coldPath, r)
+}
+
 // tell sends a message that a peer accepts or refuses.
 func (c *Client) tell(ctx context.Context, peer granter.Lender, path string, v any) error {
 	r, err := post[Reply](ctx, c, peer.Addr+path, v)
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -47,6 +47,8 @@
 // Peers calls other instances.
 type Peers interface {
 	AskPermits(ctx context.Context, peer granter.Lender, a throttler.Ask) (throttler.Grant, error)
+	AskColdPermits(ctx context.Context, peer granter.Lender, a throttler.Ask) (throttler.Grant, error)
+	ExchangeCold(ctx context.Context, peer granter.Lender, r throttler.ColdReports) (throttler.ColdReports, error)
 }
 
 // Permitter keeps the requests of one instance within the limits of targets. It is safe
@@ -66,6 +68,7 @@
 	backoff map[string]time.Time // until when a peer is not asked, by name
 	changed chan struct{}        // closed when permits have come
 	shown   map[string]float64   // limits that were logged
+	cold    coldState
 }
 
 // Option changes a setting of a [Permitter].
@@ -86,6 +89,7 @@
 		name: name, fleet: f, peers: peers, log: zerolog.Nop(), scope: tally.NoopScope, wake: func() {}, started: time.Now(), signal: make(chan struct{}, 1),
 		state: throttler.New(), backoff: make(map[string]time.Time), changed: make(chan struct{}), shown: make(map[string]float64),
 	}
+	p.cold.init(name)
 	for _, o := range opts {
 		o(p)
 	}
@@ -110,6 +114,9 @@
 		for _, a := range due {
 			go p.ask(ctx, a)
 		}
+		for _, a := range p.coldAsksDue() {
+			go p.askCold(ctx, a)
+		}
 	}
 }
 
@@ -238,7 +245,9 @@
 func (p *Permitter) RecordRequest(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state.RecordRequest(time.Now(), service)
+	now := time.Now()
+	p.state.RecordRequest(now, service)
+	p.cold.state.RecordRequest(now, service)
 }
 
 // AppendClosed appends the targets of a service that may get no request now. ready is the
@@ -247,6 +256,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(list)
+	list = p.cold.state.AppendClosed(list, now, service, ready)
 	if list = p.state.AppendClosed(list, now, service, ready); len(list) > n {
 		select {
 		case p.signal <- struct{}{}:
@@ -261,6 +271,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.Take(now, id)
+	p.cold.state.Take(now, id)
 }
 
 // OpensIn returns the shortest time until one of the given targets may get a request, 0
@@ -268,7 +279,11 @@
 func (p *Permitter) OpensIn(now time.Time, ids []string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state.OpensIn(now, ids)
+	limited, cold := p.state.OpensIn(now, ids), p.cold.state.OpensIn(now, ids)
+	if limited == 0 || cold > 0 && cold < limited {
+		return cold
+	}
+	return limited
 }
 
 // Await waits until permits come, at most for the given time.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -163,6 +163,9 @@
 func (j *job) recordCrash(chosen ChosenTarget, res *attemptResult) {
 	if res.replaced || forwarder.IsRefused(res.err) {
 		j.r.guard.RecordEnd(chosen.process())
+		if !res.replaced {
+			j.recordRefused(chosen.Target)
+		}
 		return
 	}
 	broken := res.outcome == retrier.Unknown || res.outcome == retrier.Interrupted
@@ -180,6 +183,7 @@
 		j.r.guard.RecordFailure(report, about)
 		return
 	}
+	j.recordRefused(chosen.Target)
 	j.r.guard.RecordCrash(report, about)
 	res.repeated = j.r.guard.Repeated(report)
 }
@@ -208,6 +212,10 @@
 	} else {
 		j.stream.onFirstEvent, j.onProgress = nil, func() {}
 	}
+	if res, ok := j.restarted(chosen.Target); ok {
+		j.dials++
+		return res
+	}
 	response, err := j.r.pool.Send(ctx, chosen.Target.Addr, j.targetRequest(chosen))
 	if errors.Is(err, forwarder.ErrWithdrawn) {
 		return attemptResult{withdrawn: true}
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -14,7 +14,6 @@
 	"daisylane/internal/resolver"
 	"daisylane/internal/restrictor"
 	"daisylane/internal/retrier"
-	"daisylane/internal/throttler"
 )
 
 // Dispatcher chooses targets from the roster and decides about retries. It holds no
@@ -213,7 +212,8 @@
 		d.retries.Pause(now, t.ID, m.Pause)
 	}
 	if !m.TargetReplaced {
-		d.limits.RecordLimit(throttler.Target{Service: t.Service, ID: t.ID, Incarnation: t.Incarnation}, sentAt, m.Limit)
+		d.limits.RecordLimit(throttlerTarget(t), sentAt, m.Limit)
+		d.recordCold(sentAt, t, m)
 	}
 	switch {
 	case m.Leaving && m.TargetReplaced:
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -121,13 +121,14 @@
 // ResponseMeta holds the decoded headers of a response.
 type ResponseMeta struct {
 	ID             string
-	Sealed         bool          // the target confirms the response with a seal
-	NotRun         bool          // the target did not run the request
-	TargetReplaced bool          // the address now belongs to another target
-	Leaving        bool          // the process that sent the response is leaving
-	Pause          time.Duration // how long the target wants no further request, 0: not said
-	Load           *Load         // nil: none
-	Limit          *float64      // requests a second that the target takes from the whole fleet, nil: it names none
+	Sealed         bool           // the target confirms the response with a seal
+	NotRun         bool           // the target did not run the request
+	TargetReplaced bool           // the address now belongs to another target
+	Leaving        bool           // the process that sent the response is leaving
+	Pause          time.Duration  // how long the target wants no further request, 0: not said
+	Load           *Load          // nil: none
+	Cold           *time.Duration // how long the target stays cold, nil: it does not say
+	Limit          *float64       // requests a second that the target takes from the whole fleet, nil: it names none
 }
 
 // Codec decodes and encodes the headers of requests and responses.
@@ -178,6 +179,13 @@
 	Await(ctx context.Context, d time.Duration)
 	RecordRequest(service string)
 	RecordLimit(t throttler.Target, sentAt time.Time, perSecond *float64)
+	// RecordCold takes over for how long a target stays cold, as it says.
+	RecordCold(t throttler.Target, sentAt time.Time, left time.Duration)
+	// Suspect records that a target may have started again. certain says that its address
+	// refused connections, not only that it has closed an idle one.
+	Suspect(t throttler.Target, certain bool)
+	// GuardsStart reports whether the start of a service's targets is limited.
+	GuardsStart(service string) bool
 }
 
 // noLimits knows no limits.
@@ -189,6 +197,9 @@
 func (noLimits) Await(context.Context, time.Duration)                              {}
 func (noLimits) RecordRequest(string)                                              {}
 func (noLimits) RecordLimit(throttler.Target, time.Time, *float64)                 {}
+func (noLimits) RecordCold(throttler.Target, time.Time, time.Duration)             {}
+func (noLimits) Suspect(throttler.Target, bool)                                    {}
+func (noLimits) GuardsStart(string) bool                                           { return false }
 
 // Streams knows at which software version streams began, on behalf of the fleet.
 type Streams interface {
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -42,6 +42,7 @@
 	WaitingBodies        = "waiting_bodies"
 	UnreadBodies         = "unread_bodies_total"
 	ClosedConnections    = "closed_connections_total"
+	ColdTargets          = "cold_targets"
 )
 
 // Kind is the type of a metric.
@@ -105,4 +106,5 @@
 	{WaitingBodies, Gauge, "bodies", nil, "Request bodies that wait for memory."},
 	{UnreadBodies, Counter, "bodies", []string{"reason"}, "Request bodies that were not read whole, by reason."},
 	{ClosedConnections, Counter, "connections", nil, "Connections of clients that were closed for lack of descriptors."},
+	{ColdTargets, Gauge, "targets", nil, "Targets that have just started and get few requests."},
 }
--- a/internal/resolver/types.go
+++ b/internal/resolver/types.go
@@ -111,8 +111,10 @@
 // Service is a set of interchangeable targets.
 type Service struct {
 	Name           string
-	MaxConnections int     // maximum per target, over all instances
-	Engine         *Engine // nil if the targets are not model engines
+	MaxConnections int           // maximum per target, over all instances
+	ColdStart      time.Duration // how long a target is cold after its start
+	ColdPerSecond  float64       // requests a second that a cold target sustains, 0: no limit
+	Engine         *Engine       // nil if the targets are not model engines
 }
 
 // Account is a client account.
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -82,7 +82,8 @@
 	metrics        *reporter.Reporter
 	callers        *acceptor.Server
 	memory         *acceptor.Memory
-	targetsListed  atomic.Bool   // the targets were listed at least once
+	targetsListed  atomic.Bool // the targets were listed at least once
+	startedAt      time.Time
 	aborted        chan struct{} // closed to end without a graceful shutdown, as in a crash
 	servers        []*acceptor.Server
 	stopping       atomic.Bool
@@ -100,7 +101,7 @@
 	retries := retrier.New(source, retrier.WithRefusalsCounted(),
 		retrier.WithRatios(0, 1), retrier.WithBursts(1, accountRetryBurst))
 	e := &entry{
-		cfg: cfg, path: path, log: log, logWriter: lines, aborted: make(chan struct{}), streamServices: make(map[string]map[string]time.Time),
+		cfg: cfg, path: path, log: log, startedAt: time.Now(), logWriter: lines, aborted: make(chan struct{}), streamServices: make(map[string]map[string]time.Time),
 		paths: newPaths(cfg.Store.Addr, log),
 		pool:  forwarder.New(platform.RequestID),
 	}
@@ -119,16 +120,20 @@
 	e.watches = cacher.New(e.store, e.accounting, directory, cacher.WithClock(accountant.BootClock), cacher.WithLog(log), cacher.WithScope(e.metrics.Scope()),
 		cacher.WithKind(platform.KindConfig, changeWait), cacher.WithKind(platform.KindRunners, changeWait), cacher.WithKind(recorder.Kind, warningWait))
 	e.permits = permitter.New(cfg.Name+"-"+cfg.Addr, e.accounting, peers,
-		permitter.WithLog(log), permitter.WithScope(e.metrics.Scope()))
+		permitter.WithLog(log), permitter.WithScope(e.metrics.Scope()),
+		permitter.WithAddr(peerAddr), permitter.WithStaleTime(follower.StaleTime(cfg.ChangeDelay())))
 	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries, receiver.WithLimits(e.permits))
 	e.applyLimits(cfg)
 	e.guard = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()))
 	e.streams = archiver.New(e.store, cfg.Name+"-"+cfg.Addr, archiver.WithLog(log), archiver.WithFleetSize(e.accounting.InstanceCount))
-	e.warnings = recorder.New(e.store, log, append(e.guard.Groups(), e.permits.Group(), e.streams.Group())...)
+	e.warnings = recorder.New(e.store, log, append(e.guard.Groups(), e.permits.Group(), e.permits.LeaseGroup(), e.streams.Group())...)
 	e.guard.OnChange(e.warnings.Wake)
 	e.permits.OnChange(e.warnings.Wake)
 	e.streams.OnChange(e.warnings.Wake)
-	e.warnings.OnSync(func(time.Time) { e.streams.RecordContact(e.watches.Contact(recorder.Kind)) })
+	e.warnings.OnSync(func(time.Time) {
+		e.streams.RecordContact(e.watches.Contact(recorder.Kind))
+		e.permits.RecordInTouch(e.watches.Contact(recorder.Kind))
+	})
 	e.memory = acceptor.NewMemory(0, acceptor.WithScope(e.metrics.Scope()))
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool, receiver.WithMemory(e.memory),
 		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()))
@@ -236,6 +241,7 @@
 		for _, target := range gone {
 			e.forgetTarget(target)
 		}
+		e.permits.Tick(ctx, now)
 		instances := e.accounting.InstanceCount()
 		e.dispatcher.SetBurst(e.settings.Load().Bounds.RetryReserve * usableRetryRatio / float64(max(1, instances)))
 		e.pool.CloseExpired(now)
@@ -339,6 +345,7 @@
 // forgetTarget removes the dispatcher's state and the connections of a removed target.
 func (e *entry) forgetTarget(t follower.Target) {
 	e.dispatcher.Forget(t.ID)
+	e.forgetCold(t)
 	e.pool.CloseIdle(t.Addr)
 	if !t.Leaving {
 		e.guard.RecordLapse(quarantiner.Target{ID: t.ID, Incarnation: t.Incarnation})
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -194,7 +194,9 @@
 			listen := s["listen"].(map[string]any)
 			listen[name] = strings.Replace(listen[name].(string), "127.0.0.1", ip, 1)
 		}
-		s["bounds"].(map[string]any)["stable_window_ms"] = stableWindow.Milliseconds()
+		bounds := s["bounds"].(map[string]any)
+		bounds["stable_window_ms"] = stableWindow.Milliseconds()
+		bounds["cold_overshoot"], bounds["cold_slack"] = 1.5, 5
 	})
 	return path
 }
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -47,6 +47,7 @@
 	}
 	h.e.receiver.SetTable(table)
 	h.e.applyClientLimits()
+	h.e.setColdServices(cfg)
 	budgets := make(map[string]int64, len(cfg.Accounts))
 	for _, a := range cfg.Accounts {
 		budgets[a.Name] = a.PrepaidTokens
@@ -82,6 +83,7 @@
 			list = append(list, t)
 		}
 	}
+	h.e.observeTargets(list, false)
 	h.changeRoster(func(r *follower.Roster) { r.SetList(time.Now(), list) })
 	h.e.targetsListed.Store(true)
 	h.e.log.Info().Int("targets", len(list)).Msg("targets listed")
@@ -93,6 +95,9 @@
 		if !c.Deleted {
 			t, ok = h.decode(c.Item)
 		}
+		if ok {
+			h.e.observeTargets([]follower.Target{t}, true)
+		}
 		h.changeRoster(func(r *follower.Roster) {
 			if ok {
 				r.Put(t)
@@ -141,4 +146,6 @@
 	h.e.log.Warn().Int64("era", h.e.store.Era()).Msg("store was restored from an older copy; targets that left before it stay out of use")
 }
 
-func (h *targetHandler) Synced() {}
+func (h *targetHandler) Synced() {
+	h.e.permits.RecordInTouch(h.e.watches.Contact(platform.KindRunners))
+}
--- a/internal/starter/reload.go
+++ b/internal/starter/reload.go
@@ -82,6 +82,7 @@
 // read where they are used.
 func (e *entry) applyLimits(cfg platform.Settings) {
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(cfg.Limits.Memory) * (1 << 20)))
+	e.setColdBounds(cfg)
 	e.dispatcher.SetRetryShare(cfg.Bounds.RetryShare * usableRetryRatio)
 }
 
