Merge the limit on cold targets; a reopened data centre may be cold

Evacuation and cold targets were built apart: when an evacuation ends, all targets of the data centre now count as cold until they say otherwise, before a request can be sent there.

--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -232,6 +232,17 @@
 	return gone
 }
 
+// In returns the IDs of the targets in some data centres, whatever their state.
+func (r *Roster) In(centres []string) []string {
+	var ids []string
+	for id, t := range r.targets {
+		if slices.Contains(centres, t.Centre) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Has reports whether a target is known, whatever its state.
 func (r *Roster) Has(id string) bool {
 	_, ok := r.targets[id]
--- a/internal/receiver/places.go
+++ b/internal/receiver/places.go
@@ -102,6 +102,10 @@
 	if len(begun)+len(ended) > 0 {
 		clear(d.nodes)
 	}
+	if len(ended) > 0 {
+		// Before a request can be sent there: the targets may have become cold.
+		d.limits.Reopen(d.roster.In(ended))
+	}
 	return begun, ended
 }
 
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -43,6 +43,7 @@
 	UnreadBodies         = "unread_bodies_total"
 	ClosedConnections    = "closed_connections_total"
 	EvacuatedCentres     = "evacuated_centres"
+	ColdTargets          = "cold_targets"
 )
 
 // Kind is the type of a metric.
@@ -107,4 +108,5 @@
 	{UnreadBodies, Counter, "bodies", []string{"reason"}, "Request bodies that were not read whole, by reason."},
 	{ClosedConnections, Counter, "connections", nil, "Connections of clients that were closed for lack of descriptors."},
 	{EvacuatedCentres, Gauge, "centres", nil, "Data centres that get no requests because they are evacuated."},
+	{ColdTargets, Gauge, "targets", nil, "Targets that have just started and get few requests."},
 }
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -49,6 +49,7 @@
 	}
 	h.e.receiver.SetTable(table)
 	h.e.applyClientLimits()
+	h.e.setColdServices(cfg)
 	budgets := make(map[string]int64, len(cfg.Accounts))
 	for _, a := range cfg.Accounts {
 		budgets[a.Name] = a.PrepaidTokens
@@ -84,6 +85,7 @@
 			list = append(list, t)
 		}
 	}
+	h.e.observeTargets(list, false)
 	h.changeRoster(func(r *follower.Roster) { r.SetList(time.Now(), list) })
 	h.e.targetsListed.Store(true)
 	h.e.log.Info().Int("targets", len(list)).Msg("targets listed")
@@ -95,6 +97,9 @@
 		if !c.Deleted {
 			t, ok = h.decode(c.Item)
 		}
+		if ok {
+			h.e.observeTargets([]follower.Target{t}, true)
+		}
 		h.changeRoster(func(r *follower.Roster) {
 			if ok {
 				r.Put(t)
@@ -143,7 +148,9 @@
 	h.e.log.Warn().Int64("era", h.e.store.Era()).Msg("store was restored from an older copy; targets that left before it stay out of use")
 }
 
-func (h *targetHandler) Synced() {}
+func (h *targetHandler) Synced() {
+	h.e.permits.RecordInTouch(h.e.watches.Contact(platform.KindRunners))
+}
 
 // evacuationHandler keeps the evacuations of data centres current. An object stands for its
 // name, whatever its content is.
