--- a/internal/starter/away_test.go
+++ b/internal/starter/away_test.go
@@ -18,7 +18,7 @@
 	}{
 		{"alone, unresponsive", 1, platformtest.Faults{Unresponsive: true}, 15},
 		{"alone, refuses", 1, platformtest.Faults{Status: 503}, 20},
-		{"four, unresponsive", 4, platformtest.Faults{Unresponsive: true}, 60},
+		{"four, unresponsive", 4, platformtest.Faults{Unresponsive: true}, 52},
 		{"four, refuse", 4, platformtest.Faults{Status: 503}, 70},
 	}
 	for _, tt := range tests {
