Admit requests to engines by urgency and expected wait

Admission refused by the backlog in proportion to the latency objective, so the requests with the longest objective, the least urgent ones, filled the queues that short urgent ones were refused for. Package scheduler now decides by the expected wait in the queue of the request's own priority; the share of the objective that it may use is lower for each more urgent priority in use. A target whose first token is overdue counts as busy before it answers.

--- a/internal/chooser/learned_test.go
+++ b/internal/chooser/learned_test.go
@@ -95,6 +95,53 @@
 	}
 }
 
+// Guards against urgent requests that wait behind long prompts of less urgent ones under
+// overload, and against the starvation of any kind. minWorth is what the version without
+// learned latency and priorities reached (six seeds).
+func TestUrgencyUnderOverload(t *testing.T) {
+	const seeds, capacity = 3, 1.3
+	long := burst{"long", 2.5, 10 * time.Second, 16 * time.Second}
+	short := burst{"short", 2.5, 10 * time.Second, 16 * time.Second}
+	for _, tt := range []struct {
+		routers  int
+		factor   float64 // of capacity
+		burst    burst
+		minWorth float64
+	}{
+		{4, 0.6, burst{}, 0.964},
+		{4, 0.9, burst{}, 0.918},
+		{4, 1.3, burst{}, 0.841},
+		{4, 2, burst{}, 0.461},
+		{4, 0.77, long, 0.926},
+		{4, 0.77, short, 0.940},
+		{30, 0.6, burst{}, 0.959},
+		{30, 0.9, burst{}, 0.897},
+		{30, 1.3, burst{}, 0.761},
+		{30, 2, burst{}, 0.433},
+		{30, 0.77, long, 0.859},
+		{30, 0.77, short, 0.900},
+	} {
+		d := helpDesk
+		d.routers = tt.routers
+		got := load{d, tt.factor * capacity, tt.burst}.play(seeds, func(d deployment) placement { return newPrefillPlacement(d, true) })
+		name := fmt.Sprintf("%d instances at %v of capacity %s", tt.routers, tt.factor, tt.burst.workload)
+		t.Logf("%s: %v", name, got)
+		if got.worth < tt.minWorth-0.01 {
+			t.Errorf("%s: worth %.3f, want at least %.3f", name, got.worth, tt.minWorth)
+		}
+		for i, w := range d.workloads {
+			if got.served[w.name] < got.served["short"]/4 {
+				t.Errorf("%s: served share of %s is %.3f, of short %.3f", name, w.name, got.served[w.name], got.served["short"])
+			}
+			for _, urgent := range d.workloads[i+1:] {
+				if got.served[urgent.name] < got.served[w.name]-0.05 {
+					t.Errorf("%s: served share of %s is %.3f, of the less urgent %s %.3f", name, urgent.name, got.served[urgent.name], w.name, got.served[w.name])
+				}
+			}
+		}
+	}
+}
+
 // Guards against a model that a few stalled engines or delayed first events spoil, and
 // one that stays at its defaults.
 func TestLatencyModelOutliers(t *testing.T) {
--- a/internal/chooser/prefill.go
+++ b/internal/chooser/prefill.go
@@ -2,12 +2,15 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
+	// A shorter backlog counts as none: it is a typical prompt that is half prefilled.
+	lowBacklog = 80 * time.Millisecond
 	// A prompt part that was not used for longer counts as evicted from the prefix cache.
 	cacheTTL = 30 * time.Second
 	// Older load reports are ignored.
@@ -16,6 +19,9 @@
 	// its prefill time: about four requests wait at twice the usual load.
 	missPenalty  = 4
 	tieBreakCost = 2 * time.Millisecond // between targets that are equally idle
+	// Share of the time by which a first token is overdue that counts as backlog. With more,
+	// single long prompts count for too much.
+	overdueShare = 0.6
 	// Limit of the prompt parts that are tracked over all targets.
 	maxTrackedParts = 8192
 	// Weight of the newest request in the mean of uncached tokens, which covers the
@@ -39,7 +45,7 @@
 	Service   string // of engines whose latency is learned, empty: the defaults apply
 	Exclude   []string
 
-	// Input of [PrefillPolicy.Admit].
+	// Not used by the choice, but by the decision whether to send the request.
 	FirstTokenTarget time.Duration // objective of the time to first token
 	ResponseTimeout  time.Duration // until the end of the response
 	ExpectedEvents   int           // of the response
@@ -121,7 +127,8 @@
 	lowBacklogAt       [priorities]time.Time // by priority, last time that the backlog was below lowBacklog
 	eventInterval      intervalAverage
 	slowdown           slowdown
-	service            *serviceModel // nil: not chosen from yet
+	service            *serviceModel      // nil: not chosen from yet
+	pending            []*InFlightRequest // own requests without a first token, oldest first
 }
 
 // NewPrefillPolicy returns the policy for a router at a place.
@@ -159,7 +166,7 @@
 		x := e.features(now, r.Tokens, r.Tokens-cached, n.slotsOrDefault(), choice.Scope)
 		choice.inputs, choice.estimate = x, model.estimate(&x)
 		factor := e.slowdown.at(now)
-		choice.Wait = milliseconds(choice.estimate * factor)
+		choice.Wait = milliseconds(choice.estimate*factor) + milliseconds(overdueShare*e.overdue(now, r.Priority))
 		own := model.cost(featureConstant) + x[featureUncached]*model.cost(featureUncached) + x[featurePairs]*model.cost(featurePairs)
 		choice.Backlog = choice.Wait - milliseconds(own*factor)
 		lowAt := &e.lowBacklogAt[class]
@@ -188,6 +195,7 @@
 		s.meanUncachedTokens += (float64(req.uncachedTokens) - s.meanUncachedTokens) * uncachedMeanWeight
 	}
 	e.pendingTokens += req.uncachedTokens
+	e.pending = append(e.pending, req)
 	e.pendingRequests++
 	e.memoryTokens += req.memoryTokens
 	e.running++
@@ -229,6 +237,7 @@
 	if !req.prefillDone {
 		req.prefillDone = true
 		req.state.pendingTokens -= req.uncachedTokens
+		req.state.pending = slices.DeleteFunc(req.state.pending, func(r *InFlightRequest) bool { return r == req })
 		req.state.pendingRequests--
 	}
 }
@@ -423,6 +432,18 @@
 	return x
 }
 
+// overdue returns by how many milliseconds the first token of an own request, which is at
+// least as urgent, is later than expected.
+func (e *engineState) overdue(now time.Time, priority int) float64 {
+	late := 0.0
+	for _, r := range e.pending {
+		if r.priority <= priority {
+			late = max(late, float64(now.Sub(r.sentAt))/float64(time.Millisecond)-r.estimate)
+		}
+	}
+	return late
+}
+
 // fits reports whether the engine has a slot and memory for a request.
 func (e *engineState) fits(now time.Time, r PrefillRequest, n *Node) bool {
 	others, _ := e.otherRequests(now)
--- a/internal/chooser/stream_test.go
+++ b/internal/chooser/stream_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"daisylane/internal/scheduler"
 )
 
 // deployment describes the engines and the load of one simulated deployment.
@@ -112,6 +114,7 @@
 	uncachedTokens  int           // prompt tokens that are not prefilled yet
 	tokens          int           // output so far
 	events          int           // of the whole response
+	expectedEvents  int           // by the caller's hint
 	firstEvent      time.Time
 	lastEvent       time.Time
 	longestInterval time.Duration // longest interval between events
@@ -304,13 +307,11 @@
 	e.active = slices.DeleteFunc(e.active, same)
 }
 
-// placed is the decision of a [placement]: an engine, a time to hold the request until
-// it is offered again, or a refusal with a retry delay.
+// placed is the decision of a [placement]: an engine, or a refusal with a retry delay.
 type placed struct {
 	engine   int
 	inFlight *InFlightRequest
 	estimate time.Duration
-	hold     time.Duration
 	after    time.Duration
 	ok       bool
 }
@@ -318,8 +319,8 @@
 // placement chooses engines for the requests of routers. The first event of each
 // response carries a load report.
 type placement interface {
-	place(router int, now time.Time, s *simStream, r PrefillRequest) placed
-	firstEvent(router int, now time.Time, engine int, t *InFlightRequest, l Load)
+	place(router int, now time.Time, s *simStream) placed
+	firstEvent(now time.Time, engine int, s *simStream, l Load)
 	event(router int, now time.Time, t *InFlightRequest)
 	done(router int, t *InFlightRequest)
 }
@@ -347,7 +348,7 @@
 	policy     placement
 	inFlight   map[*simStream]int // index of the engine
 	result     map[string]outcomeCounts
-	retryQueue []*simStream // refused or held requests, ordered by time of the retry
+	retryQueue []*simStream // refused requests, ordered by time of the retry
 	firsts     map[string][]time.Duration
 	errors     []float64 // of the estimates, relative to the measured time to first event
 	errorsFrom time.Time // earlier estimates are not counted
@@ -396,7 +397,7 @@
 func (sim *streamSim) deliverEvent(i int, e *batchEngine, s *simStream) {
 	if s.firstEvent.IsZero() {
 		s.firstEvent, s.lastEvent = e.clock, e.clock
-		sim.policy.firstEvent(s.router, e.clock, i, s.inFlight, e.load())
+		sim.policy.firstEvent(e.clock, i, s, e.load())
 		sim.firsts[s.workload.name] = append(sim.firsts[s.workload.name], e.clock.Sub(s.arrived))
 		if took := e.clock.Sub(s.sent); s.sent.After(sim.errorsFrom) {
 			sim.errors = append(sim.errors, math.Abs(s.estimate.Seconds()/took.Seconds()-1))
@@ -481,22 +482,18 @@
 // offer places a request. A refused caller retries once, at a random router.
 func (sim *streamSim) offer(rng *rand.Rand, now time.Time, s *simStream) {
 	sim.run(now)
-	r := s.prompt
-	r.ResponseTimeout -= now.Sub(s.arrived)
-	switch p := sim.policy.place(s.router, now, s, r); {
+	switch p := sim.policy.place(s.router, now, s); {
 	case p.ok:
 		s.inFlight, s.sent, s.estimate, s.readyAt = p.inFlight, now, p.estimate, now.Add(sim.deployment.firstDelay)
 		e := sim.engines[p.engine]
 		e.waiting = append(e.waiting, s)
 		sim.inFlight[s] = p.engine
-	case p.hold > 0:
-		sim.offerAt(s, now.Add(p.hold))
 	case !s.retried:
 		after := max(p.after, minRetryDelay)
 		delay := after/2 + time.Duration(rng.Int64N(int64(after)))
 		s.retried, s.router = true, rng.IntN(sim.deployment.routers)
 		if sim.deployment.impatient {
-			delay = min(delay, r.ResponseTimeout/3)
+			delay = min(delay, (s.workload.responseTimeout-now.Sub(s.arrived))/3)
 		}
 		sim.offerAt(s, now.Add(delay))
 	default:
@@ -533,8 +530,8 @@
 		prompt: PrefillRequest{
 			Parts:  []Part{{ID: id, Tokens: common}, {ID: rng.Uint64(), Tokens: own}},
 			Tokens: int64(common + own), MaxOutput: int64(maxOutput * w.events * d.tokensPerEvent), Priority: w.priority, Service: "engines",
-			FirstTokenTarget: w.firstTokenTarget, ResponseTimeout: w.responseTimeout, ExpectedEvents: int(lognormal(rng, float64(events), 0.5)),
 		},
+		expectedEvents: int(lognormal(rng, float64(events), 0.5)),
 	}
 }
 
@@ -545,9 +542,10 @@
 
 // prefillPlacement uses one [PrefillPolicy] per router.
 type prefillPlacement struct {
-	routers []*PrefillPolicy
-	nodes   []Node
-	admit   bool // apply [PrefillPolicy.Admit]
+	routers    []*PrefillPolicy
+	schedulers []*scheduler.Scheduler
+	nodes      []Node
+	admit      bool // apply [scheduler.Scheduler]
 }
 
 func newPrefillPlacement(d deployment, admit bool) *prefillPlacement {
@@ -557,24 +555,31 @@
 	}
 	for range d.routers {
 		p.routers = append(p.routers, NewPrefillPolicy(Place{"a", "r"}))
+		p.schedulers = append(p.schedulers, scheduler.New())
 	}
 	return p
 }
 
-func (p *prefillPlacement) place(router int, now time.Time, _ *simStream, r PrefillRequest) placed {
+func (p *prefillPlacement) place(router int, now time.Time, s *simStream) placed {
+	r := s.prompt
 	pick, ok := p.routers[router].Choose(now, r, p.nodes)
 	if !ok {
 		return placed{}
 	}
-	if after, ok := p.routers[router].Admit(r, pick); !ok && p.admit {
-		return placed{after: after}
+	if p.admit {
+		v := p.schedulers[router].Decide(now, scheduler.Request{
+			Priority: r.Priority, Objective: s.workload.firstTokenTarget, Left: s.workload.responseTimeout - now.Sub(s.arrived),
+		}, scheduler.Estimate{Wait: pick.Wait, Backlog: pick.Backlog, BacklogAge: pick.BacklogAge, Rest: time.Duration(s.expectedEvents) * pick.EventInterval})
+		if !v.Admit {
+			return placed{after: v.After}
+		}
 	}
 	return placed{engine: pick.Index, inFlight: p.routers[router].RecordSent(now, p.nodes[pick.Index].Name, r, pick), estimate: pick.Wait, ok: true}
 }
 
-func (p *prefillPlacement) firstEvent(router int, now time.Time, engine int, t *InFlightRequest, l Load) {
-	p.routers[router].RecordFirstEvent(now, t)
-	p.routers[router].RecordLoad(p.nodes[engine].Name, l)
+func (p *prefillPlacement) firstEvent(now time.Time, engine int, s *simStream, l Load) {
+	p.routers[s.router].RecordFirstEvent(now, s.inFlight)
+	p.routers[s.router].RecordLoad(p.nodes[engine].Name, l)
 }
 
 func (p *prefillPlacement) event(router int, now time.Time, t *InFlightRequest) {
@@ -591,7 +596,7 @@
 	loads [4][9]int
 }
 
-func (p *baselinePlacement) place(router int, _ time.Time, _ *simStream, _ PrefillRequest) placed {
+func (p *baselinePlacement) place(router int, _ time.Time, _ *simStream) placed {
 	p.next++
 	if !p.least {
 		return placed{engine: p.next % 9, ok: true}
@@ -605,8 +610,8 @@
 	return placed{engine: best, ok: true}
 }
 
-func (p *baselinePlacement) firstEvent(router int, _ time.Time, engine int, _ *InFlightRequest, l Load) {
-	p.loads[router][engine] = l.Running + l.Waiting
+func (p *baselinePlacement) firstEvent(_ time.Time, engine int, s *simStream, l Load) {
+	p.loads[s.router][engine] = l.Running + l.Waiting
 }
 
 func (*baselinePlacement) event(int, time.Time, *InFlightRequest) {}
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -13,6 +13,7 @@
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/resolver"
 	"daisylane/internal/retrier"
+	"daisylane/internal/scheduler"
 	"daisylane/internal/throttler"
 )
 
@@ -27,7 +28,9 @@
 	policy  *chooser.PrefillPolicy
 	retries *retrier.Retrier
 	nodes   map[string]serviceNodes // by name of the service
-	exclude []string                // reused between choices
+	// Admission by name of the service.
+	schedulers map[string]*scheduler.Scheduler
+	exclude    []string // reused between choices
 }
 
 // serviceNodes holds the ready targets of a service, also as input for the policy.
@@ -62,7 +65,7 @@
 func NewDispatcher(place chooser.Place, regions map[string]string, retries *retrier.Retrier, opts ...DispatcherOption) *Dispatcher {
 	d := &Dispatcher{
 		regions: regions, limits: noLimits{}, roster: follower.NewRoster(), policy: chooser.NewPrefillPolicy(place), retries: retries,
-		nodes: make(map[string]serviceNodes),
+		nodes: make(map[string]serviceNodes), schedulers: make(map[string]*scheduler.Scheduler),
 	}
 	for _, o := range opts {
 		o(d)
@@ -136,7 +139,7 @@
 // Choose selects a target that has not been tried and has one of the software versions,
 // if any are given, and records the request as sent to it. It may refuse the first
 // attempt of a request to an engine with an overloadError, see
-// [chooser.PrefillPolicy.Admit]; the returned target is then the one that was considered.
+// [scheduler.Scheduler]; the returned target is then the one that was considered.
 func (d *Dispatcher) Choose(now time.Time, service *resolver.Service, p chooser.PrefillRequest, tried, versions []string, first bool) (ChosenTarget, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -157,8 +160,8 @@
 	}
 	chosen := ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}
 	if service.Engine != nil && first {
-		if after, ok := d.policy.Admit(p, choice); !ok {
-			return chosen, overloadError{after}
+		if v := d.decide(now, service.Name, p, choice); !v.Admit {
+			return chosen, overloadError{v.After}
 		}
 	}
 	d.retries.Admit(now, chosen.Target.ID)
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -43,6 +43,9 @@
 		if !load.At.IsZero() {
 			e.Int64("loadage", j.lastTarget.ChosenAt.Sub(load.At).Milliseconds())
 		}
+		if j.service.Engine != nil {
+			e.Int("priority", j.priority())
+		}
 		e.Str("version", j.lastTarget.Target.Version).Str("target", j.lastTarget.Target.ID).Str("addr", j.lastTarget.Target.Addr).Str("reason", j.lastTarget.Choice.Reason).
 			Int64("expected", j.lastTarget.Choice.Wait.Milliseconds()).Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events)
 	}
@@ -127,6 +130,13 @@
 		j.r.scope.Tagged(map[string]string{"model": j.meta.Model}).
 			Histogram(reporter.FirstTokenSeconds, reporter.SecondsBuckets).RecordDuration(j.summary.firstByteAt.Sub(j.arrived))
 	}
+	if j.service != nil && j.service.Engine != nil && j.lastTarget.Target.ID != "" {
+		result := "admitted"
+		if j.summary.cause == Overloaded {
+			result = "refused"
+		}
+		j.r.scope.Tagged(map[string]string{"priority": strconv.Itoa(j.priority()), "result": result}).Counter(reporter.Admissions).Inc(1)
+	}
 	if notRunStatuses[j.summary.status] {
 		j.incCounter(reporter.Refusals, "reason", string(j.summary.cause), 1)
 	}
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -9,6 +9,7 @@
 	Tokens               = "tokens_total"
 	InFlight             = "in_flight_requests"
 	Refusals             = "refusals_total"
+	Admissions           = "admissions_total"
 	Retries              = "retries_total"
 	Resumes              = "resumes_total"
 	Reservations         = "reservations_total"
@@ -66,6 +67,7 @@
 	{Tokens, Counter, "tokens", []string{"model", "kind"}, "Prompt and output tokens billed."},
 	{InFlight, Gauge, "requests", []string{"service"}, "Requests being answered."},
 	{Refusals, Counter, "refusals", []string{"reason"}, "Requests refused as not run, by reason."},
+	{Admissions, Counter, "requests", []string{"priority", "result"}, "Requests to engines that were admitted, or refused because targets are overloaded, by priority."},
 	{Retries, Counter, "retries", []string{"reason"}, "Attempts after the first."},
 	{Resumes, Counter, "resumes", nil, "Streams continued over a new connection."},
 	{Reservations, Counter, "reservations", []string{"result"}, "Reservations asked of the holder."},
