Wait longer for engines that only answer late

The first event of a repeatable request had to come within 2.5 times the latency objective, or the request ran a second time at another target, which under overload added to the load that made it late. The time now starts anew, at most twice, while the target sends events of other requests of this instance.

--- a/internal/chooser/prefill.go
+++ b/internal/chooser/prefill.go
@@ -128,6 +128,7 @@
 	eventInterval      intervalAverage
 	slowdown           slowdown
 	service            *serviceModel      // nil: not chosen from yet
+	lastEvent          time.Time          // time of the last event of own requests
 	pending            []*InFlightRequest // own requests without a first token, oldest first
 }
 
@@ -217,7 +218,7 @@
 		return
 	}
 	req.finishPrefill()
-	req.lastEvent = now
+	req.lastEvent, req.state.lastEvent = now, now
 	took := float64(now.Sub(req.sentAt)) / float64(time.Millisecond)
 	factor := req.state.slowdown.at(now)
 	req.state.slowdown = req.state.slowdown.with(now, took, req.estimate)
@@ -229,7 +230,15 @@
 // RecordEvent records a later event of a response.
 func (p *PrefillPolicy) RecordEvent(now time.Time, req *InFlightRequest) {
 	req.state.eventInterval = req.state.eventInterval.with(now, now.Sub(req.lastEvent))
-	req.lastEvent = now
+	req.lastEvent, req.state.lastEvent = now, now
+}
+
+// LastEvent returns the time of the last event that a target has sent of own requests.
+func (p *PrefillPolicy) LastEvent(name string) time.Time {
+	if e, ok := p.engines[name]; ok {
+		return e.lastEvent
+	}
+	return time.Time{}
 }
 
 // finishPrefill removes the request from the prefill backlog of the engine.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -188,10 +188,12 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(ctx)
 		defer cancel()
-		timer := time.AfterFunc(limit, cancel)
-		j.stream.onFirstEvent = func() { timer.Stop() }
-		j.onProgress = func() { timer.Reset(limit) }
-		defer timer.Stop()
+		alive := func() bool {
+			return j.service.Engine != nil && j.r.dispatcher.HeardWithin(time.Now(), chosen, time.Duration(heardShare*float64(limit)))
+		}
+		timer := newSilenceTimer(limit, alive, cancel)
+		j.stream.onFirstEvent, j.onProgress = timer.stop, timer.reset
+		defer timer.stop()
 	} else {
 		j.stream.onFirstEvent, j.onProgress = nil, func() {}
 	}
