--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -14,6 +14,7 @@
 	"daisylane/internal/resolver"
 	"daisylane/internal/restrictor"
 	"daisylane/internal/retrier"
+	"daisylane/internal/scheduler"
 )
 
 // Dispatcher chooses targets from the roster and decides about retries. It holds no
@@ -32,6 +33,8 @@
 	// evacuations holds the data centres that get no requests, nil: there are none on this
 	// deployment.
 	evacuations *restrictor.Evacuations
+	// schedulers decide about admission, by name of the service.
+	schedulers map[string]*scheduler.Scheduler
 }
 
 // nodesKey identifies the ready targets of a service in some places.
@@ -70,7 +73,7 @@
 func NewDispatcher(place chooser.Place, regions map[string]string, retries *retrier.Retrier, opts ...DispatcherOption) *Dispatcher {
 	d := &Dispatcher{
 		regions: regions, limits: noLimits{}, roster: follower.NewRoster(), policy: chooser.NewPrefillPolicy(place), retries: retries,
-		nodes: make(map[nodesKey]serviceNodes),
+		nodes: make(map[nodesKey]serviceNodes), schedulers: make(map[string]*scheduler.Scheduler),
 	}
 	for _, o := range opts {
 		o(d)
@@ -144,7 +147,7 @@
 // Choose selects a target in the places that has not been tried and has one of the software
 // versions, if any are given, and records the request as sent to it. It may refuse the first
 // attempt of a request to an engine with an overloadError, see
-// [chooser.PrefillPolicy.Admit]; the returned target is then the one that was considered.
+// [scheduler.Scheduler]; the returned target is then the one that was considered.
 func (d *Dispatcher) Choose(now time.Time, service *resolver.Service, places restrictor.Places, p chooser.PrefillRequest, tried, versions []string, first bool) (ChosenTarget, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -168,8 +171,8 @@
 	}
 	chosen := ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}
 	if service.Engine != nil && first {
-		if after, ok := d.policy.Admit(p, choice); !ok {
-			return chosen, overloadError{after}
+		if v := d.decide(now, service.Name, p, choice); !v.Admit {
+			return chosen, overloadError{v.After}
 		}
 	}
 	d.retries.Admit(now, chosen.Target.ID)
