--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -37,7 +37,9 @@
 	}
 	for name := range old.Accounts {
 		a := g.account(name)
-		a.maxPriorSpend, a.priorExact = g.maxPriorSpend(now, old, name), old.Closed && old.Accounts[name].Rate == 0
+		if a.maxPriorSpend = g.maxPriorSpend(now, old, name); old.Closed && old.Accounts[name].Rate == 0 {
+			a.exactBy = old.Incarnation
+		}
 	}
 }
 
@@ -128,7 +130,7 @@
 		return
 	}
 	a.spent, a.lost = min(grant.Granted, a.maxPriorSpend), grant.Lost
-	if !a.priorExact {
+	if a.exactBy != grant.WrittenBy {
 		a.lost += max(0, a.spent-grant.Spent)
 	}
 }
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -415,3 +415,30 @@
 		t.Errorf("got %v, want %v", sums, want)
 	}
 }
+
+// Guards against tokens that count as spent for certain though only the limit of a killed
+// process allowed them, and against ones that count as uncertain after a process has ended in
+// order.
+func TestPriorSpendIsUncertain(t *testing.T) {
+	tests := []struct {
+		name   string
+		closed bool
+		by     string // that wrote the grant
+		want   int64
+	}{
+		{"killed", false, "a", 50},
+		{"ended in order", true, "a", 0},
+		{"ended in order before it had written the grant", true, "z", 50},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := New(Identity{Name: "entry-1", Incarnation: "b", Boot: "boot"})
+			g.SetPrepaid("rider-app", 1000)
+			g.Recover(second, Ledger{Incarnation: "a", Boot: "boot", Time: 1, Closed: tt.closed, Accounts: map[string]Limit{"rider-app": {Limit: 300}}})
+			g.ObserveBudget(second, "rider-app", Budget{}.WithGrant("entry-1", Grant{Granted: 1000, Spent: 250, WrittenBy: tt.by}), 5)
+			if b, _ := g.PlanBudget(second, "rider-app"); b.Grants["entry-1"].Spent != 300 || b.Grants["entry-1"].Lost != tt.want {
+				t.Errorf("got %+v, want %d lost", b.Grants["entry-1"], tt.want)
+			}
+		})
+	}
+}
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -307,8 +307,9 @@
 	fenced bool
 	// maxPriorSpend is the most that a predecessor can have spent, before it is
 	// capped by the grant.
-	maxPriorSpend   int64
-	priorExact      bool // it has spent just that much
+	maxPriorSpend int64
+	// exactBy is the incarnation of a predecessor that has spent just that much of its own grant.
+	exactBy         string
 	granted         int64
 	confirmed       int64           // part of granted that enough other instances know
 	confirmVersion  uint64          // budget version from which confirmations count
