Hand over while the last ledger is written, within 0.8 s

Cause: a process that ends waited for each silent peer before it wrote its last ledger, up to 0.4 s for each 32 of them. Now both happen at the same time, and silent peers delay the end by 0.8 s at most.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -92,6 +92,9 @@
 	maxCancelDelay = 5 * time.Second
 	// peerFailureBackoff is how long a peer is not asked after a failed call.
 	peerFailureBackoff = 2 * time.Second
+	// handoverTimeout bounds how long silent peers delay the end of a process. It is the time
+	// of two calls.
+	handoverTimeout = 800 * time.Millisecond
 	// maxFinalLedgers is how often the last ledger of a process is tried.
 	maxFinalLedgers = 3
 	// greetingRefusalBackoff is how long a peer that has not accepted a greeting is not
@@ -536,7 +539,9 @@
 	a.mu.Lock()
 	a.state.Close()
 	a.mu.Unlock()
-	a.handOver(ctx)
+	var handover sync.WaitGroup
+	handover.Go(func() { a.handOver(ctx) })
+	defer handover.Wait()
 	if err := a.writeFinalLedger(ctx); err != nil {
 		return fmt.Errorf("write final ledger: %w", err)
 	}
--- a/internal/accountant/eras.go
+++ b/internal/accountant/eras.go
@@ -190,6 +190,8 @@
 	if !ok {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
 	var accepted atomic.Int64
 	var calls errgroup.Group
 	calls.SetLimit(maxGreetings)
