--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"daisylane/internal/checker"
 	"daisylane/internal/follower"
@@ -91,6 +92,9 @@
 	maxCancelDelay = 5 * time.Second
 	// peerFailureBackoff is how long a peer is not asked after a failed call.
 	peerFailureBackoff = 2 * time.Second
+	// handoverTimeout bounds how long silent peers delay the end of a process. It is the time
+	// of two calls.
+	handoverTimeout = 800 * time.Millisecond
 	// maxFinalLedgers is how often the last ledger of a process is tried.
 	maxFinalLedgers = 3
 	// greetingRefusalBackoff is how long a peer that has not accepted a greeting is not
@@ -168,8 +172,16 @@
 	ledgersWanted    bool            // the next poll reads the ledgers
 	ledgersWantedAt  time.Duration   // when that was last asked for
 	confirming       map[string]bool // accounts whose grants are being confirmed
+	scope            tally.Scope
+	unproven         map[granter.Unproven]int64 // reported last, used by pollLoop only
 }
 
+// Option sets an option of an [Accountant].
+type Option func(*Accountant)
+
+// WithScope sets the scope of the metrics.
+func WithScope(s tally.Scope) Option { return func(a *Accountant) { a.scope = s } }
+
 // budgetWrite is the last write of a budget.
 type budgetWrite struct {
 	running bool
@@ -180,18 +192,22 @@
 // New returns the accountant of an instance. The name must identify one machine and
 // address, so that no two processes use it at the same time. The instance lends
 // tokens to its peers at addr.
-func New(store Store, name, addr string, peers Peers, log zerolog.Logger) *Accountant {
+func New(store Store, name, addr string, peers Peers, log zerolog.Logger, opts ...Option) *Accountant {
 	boot, err := bootID()
 	if err != nil {
 		log.Warn().Err(err).Msg("boot id is unknown; after a crash all granted tokens will count as spent")
 	}
 	self := granter.Identity{Name: name, Addr: addr, Incarnation: strconv.FormatUint(rand.Uint64(), 36), Boot: boot}
-	return &Accountant{
+	a := &Accountant{
 		store: &countedStore{Store: store, counts: make(map[string]int)}, name: name, peers: peers, log: log, clock: bootClock, boot: boot, started: bootClock(),
 		state:            granter.New(self),
 		peerBackoffUntil: make(map[string]time.Duration), greetBackoff: make(map[string]time.Duration), changed: make(chan struct{}), ledgerSignal: make(chan struct{}, 1), budgetsSignal: make(chan struct{}, 1), budgetWrites: make(map[string]budgetWrite),
-		notesSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1), confirming: make(map[string]bool),
+		notesSignal: make(chan struct{}, 1), pollSignal: make(chan struct{}, 1), confirming: make(map[string]bool), scope: tally.NoopScope,
+	}
+	for _, o := range opts {
+		o(a)
 	}
+	return a
 }
 
 // Run recovers the state of the previous process, then writes and polls the stored
@@ -523,7 +539,9 @@
 	a.mu.Lock()
 	a.state.Close()
 	a.mu.Unlock()
-	a.handOver(ctx)
+	var handover sync.WaitGroup
+	handover.Go(func() { a.handOver(ctx) })
+	defer handover.Wait()
 	if err := a.writeFinalLedger(ctx); err != nil {
 		return fmt.Errorf("write final ledger: %w", err)
 	}
