Keep answers that their target has outlived until they are settled

Cause: Attempts.End dropped all answers of the target, also those that it had outlived by survivalTime and that the timer had not settled yet. Crashes.pending counted their parts for good, so these parts were never suspected again at the instance.

Change: End takes only the younger answers; the others are left to Survived.

Measured: TestEndKeepsSurvivedAnswers fails before the change (parts are pending after the end) and passes with it.

--- a/internal/quarantiner/attempts.go
+++ b/internal/quarantiner/attempts.go
@@ -87,6 +87,7 @@
 }
 
 // End records that a target has ended. It returns the attempts that it may have ended under.
+// Answers that it has outlived are left to Survived.
 func (a *Attempts) End(now time.Time, t Target) []Failure {
 	maps.DeleteFunc(a.ended, func(_ Target, at time.Time) bool { return now.Sub(at) > suspicionDelay })
 	if _, known := a.ended[t]; known {
@@ -95,10 +96,11 @@
 	a.ended[t] = now
 	under := a.Lapse(now, t)
 	a.answers = slices.DeleteFunc(a.answers, func(w answer) bool {
-		if w.target == t && now.Sub(w.at) < survivalTime {
+		fatal := w.target == t && now.Sub(w.at) < survivalTime
+		if fatal {
 			under = append(under, Failure{Report: w.report, Answered: true})
 		}
-		return w.target == t
+		return fatal
 	})
 	return under
 }
