--- a/internal/quarantiner/attempts.go
+++ b/internal/quarantiner/attempts.go
@@ -17,27 +17,18 @@
 	maxFailures = 4096
 )
 
-// Failure is an attempt under which a target may have ended.
-type Failure struct {
+// attempt is an attempt under which a target may have ended, or may still end.
+type attempt struct {
 	Report
-	About    bool // the target was about to answer, see [Quarantine]
-	Answered bool // it was answered whole all the same, see [Crashes.RecordFatal]
-	at       time.Time
-}
-
-// answer is a whole answer whose target may still end.
-type answer struct {
-	target Target
-	report Report
-	at     time.Time
+	at time.Time
 }
 
 // Attempts remembers attempts until it is known whether their target has ended: the end of
 // a connection does not tell, and one that is back at once refuses none. It is not safe for
 // concurrent use.
 type Attempts struct {
-	failures []Failure // oldest first
-	answers  []answer  // oldest first
+	failures []attempt // oldest first, not answered whole
+	answers  []attempt // oldest first, answered whole
 	ended    map[Target]time.Time
 }
 
@@ -46,33 +37,28 @@
 
 // AddFailure remembers an attempt that was not answered whole. It reports whether its
 // target is known to have ended; then the attempt is not remembered.
-func (a *Attempts) AddFailure(now time.Time, f Failure) (ended bool) {
-	if a.endedAfter(f.target(), f.SentAt) {
+func (a *Attempts) AddFailure(now time.Time, r Report) (ended bool) {
+	if a.endedAfter(r.target(), r.SentAt) {
 		return true
 	}
-	f.at = now
-	old := slices.IndexFunc(a.failures, func(f Failure) bool { return now.Sub(f.at) <= suspicionDelay })
+	old := slices.IndexFunc(a.failures, func(f attempt) bool { return now.Sub(f.at) <= suspicionDelay })
 	if old < 0 {
 		old = len(a.failures)
 	}
-	a.failures = append(a.failures[old:], f)
+	a.failures = append(a.failures[old:], attempt{r, now})
 	a.failures = a.failures[max(0, len(a.failures)-maxFailures):]
 	return false
 }
 
-// AddAnswer remembers a whole answer to a request with parts that others may have too. If its
-// target is known to have ended, it returns the answer as an attempt that it ended under: the
-// end of a connection may look like the end of an answer.
-func (a *Attempts) AddAnswer(now time.Time, t Target, sentAt time.Time, s Subject) []Failure {
-	if len(shared(s.Parts)) == 0 {
-		return nil
-	}
-	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, Begun: true, Parts: s.Parts}
-	if a.endedAfter(t, sentAt) {
-		return []Failure{{Report: r}}
+// AddAnswer remembers a whole answer. It reports whether
+// its target is known to have ended; then that is the end of the attempt: the end of a
+// connection may look like the end of an answer.
+func (a *Attempts) AddAnswer(now time.Time, r Report) (ended bool) {
+	if a.endedAfter(r.target(), r.SentAt) {
+		return true
 	}
-	a.answers = append(a.answers, answer{t, r, now})
-	return nil
+	a.answers = append(a.answers, attempt{r, now})
+	return false
 }
 
 // endedAfter reports whether a target is known to have ended after a request was sent to it.
@@ -88,17 +74,17 @@
 
 // End records that a target has ended. It returns the attempts that it may have ended under.
 // Answers that it has outlived are left to Survived.
-func (a *Attempts) End(now time.Time, t Target) []Failure {
+func (a *Attempts) End(now time.Time, t Target) []Report {
 	maps.DeleteFunc(a.ended, func(_ Target, at time.Time) bool { return now.Sub(at) > suspicionDelay })
 	if _, known := a.ended[t]; known {
 		return nil
 	}
 	a.ended[t] = now
 	under := a.Lapse(now, t)
-	a.answers = slices.DeleteFunc(a.answers, func(w answer) bool {
-		fatal := w.target == t && now.Sub(w.at) < survivalTime
+	a.answers = slices.DeleteFunc(a.answers, func(w attempt) bool {
+		fatal := w.target() == t && now.Sub(w.at) < survivalTime
 		if fatal {
-			under = append(under, Failure{Report: w.report, Answered: true})
+			under = append(under, w.Report)
 		}
 		return fatal
 	})
@@ -107,27 +93,26 @@
 
 // Lapse returns the failed attempts at a target whose registration has lapsed. It may have
 // ended under them, or serve on.
-func (a *Attempts) Lapse(now time.Time, t Target) []Failure {
-	var under []Failure
-	a.failures = slices.DeleteFunc(a.failures, func(f Failure) bool {
+func (a *Attempts) Lapse(now time.Time, t Target) []Report {
+	var under []Report
+	a.failures = slices.DeleteFunc(a.failures, func(f attempt) bool {
 		if f.target() == t && now.Sub(f.at) <= suspicionDelay {
-			under = append(under, f)
+			under = append(under, f.Report)
 		}
 		return f.target() == t
 	})
 	return under
 }
 
-// Survived returns the parts of the answers that their targets have outlived, once for each
-// answer.
-func (a *Attempts) Survived(now time.Time) []Fingerprint {
+// Survived returns the answers that their targets have outlived.
+func (a *Attempts) Survived(now time.Time) []Report {
 	n := 0
-	var parts []Fingerprint
+	var survived []Report
 	for ; n < len(a.answers) && now.Sub(a.answers[n].at) >= survivalTime; n++ {
-		parts = append(parts, partFingerprints(a.answers[n].report.Parts)...)
+		survived = append(survived, a.answers[n].Report)
 	}
 	a.answers = a.answers[n:]
-	return parts
+	return survived
 }
 
 // NextSurvival returns when the next answer is due for [Attempts.Survived]. It reports
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -28,6 +28,11 @@
 	maxTrialsPerCrash   = 64
 	// CrashWriteDelay collects the requests that a crash ends at one instance.
 	CrashWriteDelay = 20 * time.Millisecond
+	// healthyPause is the time between the first trials with requests that may be healthy: an
+	// answer, and what a target has to outlive it by.
+	healthyPause = 2 * time.Second
+	// judgeInterval bounds the work for requests that are refused.
+	judgeInterval = 100 * time.Millisecond
 	// answerWriteDelay collects the answers to requests that are not close to a quarantine.
 	answerWriteDelay = time.Second
 	// hastenedDelay spreads the writes of answers that the other instances need.
@@ -98,71 +103,152 @@
 	at       time.Time // when the last one was answered
 }
 
-// suspicion is what is known of one request.
+// suspicion is what is known of one request, or of one part.
 type suspicion struct {
-	crashes   map[*crash]bool
-	changedAt time.Time // when the last crash or trial was learned of
-	trying    bool      // a trial is being claimed
-	depth     int       // position of a part in the prompt, unknownDepth if it was not seen here
+	crashes   map[*crash]bool // true: the target had begun to answer, if this is a part
+	sent      int             // requests with it that this instance has sent since the first crash
+	changedAt time.Time       // when the last crash or trial was learned of
+	trying    bool            // a trial is being claimed
+	depth     int             // position of a part in the prompt, unknownDepth if it was not seen here
+}
+
+// partKey identifies a part at a service.
+type partKey struct {
+	service string
+	id      Fingerprint
 }
 
 // unknownDepth is deeper than any: a part that this instance has not seen is no popular one.
 const unknownDepth = math.MaxInt
 
-// Crashes holds the recent crashes of one process and derives from them the requests under
-// which targets end. It is not safe for concurrent use.
+// Crashes holds the recent crashes of one process and derives from them the requests, and
+// the parts of prompts, under which targets end. It is not safe for concurrent use.
 //
-// A request that crashes its targets is never answered, so each answer takes the request
-// out of the crashes. Sound requests that are at the same targets are told apart by the
-// crashes that they have no part in.
+// What crashes targets is never answered, so each answer that its target survives takes the
+// request and its parts out of the crashes. Of several that are at the same crashes, the one
+// explains them of which most requests crashed a target: requests with a popular part are
+// answered as well, or are on their way. As a popular part is at all targets that crash
+// together, crashes of one moment count once for what was answered before, and an answer
+// shortly before a crash clears it.
 //
-// The same is true of the parts of prompts. As many requests have a popular part, it is at
-// all targets that crash together, so crashes of one moment count once for a part that was
-// answered before, and an answer shortly before a crash clears it. Of several parts that are
-// at the same crashes, one that was never answered explains them before one that was.
+// A quarantine may hit healthy requests until one of them is answered. So a request that
+// lacks what may explain the crashes as well is tried at once. If it is answered, its parts
+// are sound everywhere; if not, fewer explanations are left for the next one.
 type Crashes struct {
 	crashes     map[string]*crash // by name
 	suspicions  map[Fingerprint]*suspicion
-	suspected   map[Fingerprint]bool // requests with enough crashes for a quarantine
-	quarantined map[Fingerprint]bool
-	voided      map[string]voided   // by name of the crash
-	answered    memory[Fingerprint] // when targets last outlived answers to parts at this instance
-	pending     map[Fingerprint]int // answers to parts that targets may not outlive
+	suspected   map[Fingerprint]bool            // with enough crashes for a quarantine
+	quarantined map[Fingerprint][][]Fingerprint // with the rivals, see rivals
+	voided      map[string]voided               // by name of the crash
+	answered    memory[partKey]                 // when targets last outlived answers
+	whole       memory[partKey]                 // when requests were last answered whole
 	listed      bool
+	judgedAt    time.Time // last judgement that took account of the requests sent
 }
 
 // NewCrashes returns an empty state.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint]bool), voided: make(map[string]voided), answered: newMemory[Fingerprint](), pending: make(map[Fingerprint]int)}
+	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey]()}
 }
 
 // Quarantined returns the requests in quarantine.
 func (c *Crashes) Quarantined() []Fingerprint { return slices.Collect(maps.Keys(c.quarantined)) }
 
+// isQuarantined reports whether a request or part is in quarantine.
+func (c *Crashes) isQuarantined(id Fingerprint) bool {
+	_, ok := c.quarantined[id]
+	return ok
+}
+
 // Listed reports whether the stored records were taken over.
 func (c *Crashes) Listed() bool { return c.listed }
 
 // Suspects reports whether any request is suspected.
 func (c *Crashes) Suspects() bool { return len(c.suspicions) > 0 }
 
-// Check says whether a request with the given fingerprints may be sent to a target.
-func (c *Crashes) Check(now time.Time, ids []Fingerprint) Verdict {
-	v := Verdict{Outcome: Allowed}
+// Check says whether a request to a service may be sent to a target. A part counts once a
+// target of the service has crashed under it.
+func (c *Crashes) Check(now time.Time, service string, ids []Fingerprint) Verdict {
 	c.recordDepths(ids)
+	v := c.check(now, service, ids)
+	if v.Outcome != Allowed && now.Sub(c.judgedAt) >= judgeInterval {
+		c.judgedAt = now
+		c.judge()
+		v = c.check(now, service, ids)
+	}
+	return v
+}
+
+func (c *Crashes) check(now time.Time, service string, ids []Fingerprint) Verdict {
+	v := Verdict{Outcome: Allowed}
 	for _, id := range ids {
-		if !c.quarantined[id] {
+		s := c.suspicions[id]
+		if !c.isQuarantined(id) || !s.concerns(id, service) {
 			continue
 		}
-		s := c.suspicions[id]
-		left := c.pause(id) - now.Sub(s.changedAt)
-		if left > 0 || s.trying || v.Outcome != Allowed {
+		left := c.pause(id, c.mayBeHealthy(id, ids)) - now.Sub(s.changedAt)
+		if left > 0 || s.trying {
 			return Verdict{Outcome: Quarantined, Fingerprint: id, RetryAfter: max(left, sameMoment)}
 		}
-		v = Verdict{Outcome: TrialDue, Fingerprint: id}
+		if v.Outcome == Allowed {
+			v = Verdict{Outcome: TrialDue, Fingerprint: id}
+		}
 	}
 	return v
 }
 
+// concerns reports whether a service is to be kept from the request or part.
+func (s *suspicion) concerns(id Fingerprint, service string) bool {
+	if !id.IsPart() {
+		return true
+	}
+	for e := range s.crashes {
+		if e.record.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// mayBeHealthy reports whether a request with a quarantined fingerprint lacks what may
+// explain the crashes as well. One crash may have a reason of its own.
+func (c *Crashes) mayBeHealthy(id Fingerprint, ids []Fingerprint) bool {
+	unexplained := 0
+	for _, rivals := range c.quarantined[id] {
+		if !slices.ContainsFunc(rivals, func(rival Fingerprint) bool { return !slices.Contains(ids, rival) }) {
+			unexplained++
+		}
+	}
+	return unexplained <= 1
+}
+
+// rivals returns for each crash under a request or part what may explain it as well: what was
+// at another crash too and was never answered.
+func (c *Crashes) rivals(id Fingerprint) (list [][]Fingerprint) {
+	for e := range c.suspicions[id].crashes {
+		var rivals []Fingerprint
+		for other := range subjects(e.record.Requests) {
+			if other != id && len(c.suspicions[other].crashes) >= other.rivalThreshold() && c.proof(other) == unanswered {
+				rivals = append(rivals, other)
+			}
+		}
+		list = append(list, rivals)
+	}
+	return list
+}
+
+// RecordSent records that a request is to be sent to targets.
+func (c *Crashes) RecordSent(subject Subject) {
+	if !c.Suspects() {
+		return
+	}
+	for _, id := range subject.Fingerprints() {
+		if s, ok := c.suspicions[id]; ok {
+			s.sent++
+		}
+	}
+}
+
 // recordDepths records the positions of the suspected parts of a prompt.
 func (c *Crashes) recordDepths(ids []Fingerprint) {
 	depth := 0
@@ -177,16 +263,27 @@
 	}
 }
 
-// pause returns the time without a request to a target before the next trial.
-func (c *Crashes) pause(id Fingerprint) time.Duration {
-	pause := firstPause
+// pause returns the time without a request to a target before the next trial, with one that
+// may be healthy or with any.
+func (c *Crashes) pause(id Fingerprint, healthy bool) time.Duration {
+	trials := 0
 	for e := range c.suspicions[id].crashes {
 		for _, trial := range e.record.Trials {
 			if trial == id {
-				pause = min(requestPauseFactor*pause, maxRequestPause)
+				trials++
 			}
 		}
 	}
+	pause := firstPause
+	if healthy && trials == 0 {
+		return 0
+	}
+	if healthy {
+		pause, trials = healthyPause, trials-1
+	}
+	for range trials {
+		pause = min(requestPauseFactor*pause, maxRequestPause)
+	}
 	return pause
 }
 
@@ -203,7 +300,7 @@
 	}
 	list, suspects := e.record.Requests, r.suspects()
 	for _, id := range suspects {
-		if slices.Contains(list, id) || e.answered[id] || c.isVoid(now, e, id) || c.answeredLately(now, id) {
+		if slices.Contains(list, id) || e.answered[id.subject()] || c.isVoid(now, e, id) || c.answeredLately(now, r.Service, id) {
 			continue
 		}
 		if more, ok := c.withRequest(list, id); ok {
@@ -220,51 +317,61 @@
 	return true
 }
 
-// answeredLately reports whether a part was answered so shortly ago that it did not cause a
-// crash.
-func (c *Crashes) answeredLately(now time.Time, id Fingerprint) bool {
-	at, ok := c.answered.at(id)
-	return c.pending[id] > 0 || ok && now.Sub(at) < answeredRecently
+// answeredLately reports whether a request or part was answered so shortly ago that it did
+// not cause a crash.
+func (c *Crashes) answeredLately(now time.Time, service string, id Fingerprint) bool {
+	at, ok := c.answered.at(partKey{service, id.subject()})
+	return ok && now.Sub(at) < answeredRecently
 }
 
-// isKnown reports whether a part was answered before at this instance.
-func (c *Crashes) isKnown(id Fingerprint) bool {
-	_, ok := c.answered.at(id)
-	return ok || c.pending[id] > 0
-}
+// proof is what is known for something at all services whose targets have crashed under it.
+type proof int
 
-// RecordAnswered records an answer to a request with the parts. It counts for them until
-// RecordSurvived or RecordFatal says whether the target has outlived it.
-func (c *Crashes) RecordAnswered(parts []Fingerprint) {
-	for _, id := range parts {
-		c.pending[id]++
+const (
+	unanswered proof = iota
+	answered         // whole, but a target may have ended right after that
+	survived         // a target has outlived an answer
+)
+
+// proof returns what speaks for a request or part.
+func (c *Crashes) proof(id Fingerprint) proof {
+	least := survived
+	for e := range c.suspicions[id].crashes {
+		k := partKey{e.record.Service, id}
+		if _, ok := c.answered.at(k); ok && id&kindBits != 0 {
+			continue
+		}
+		if _, ok := c.whole.at(k); !ok {
+			return unanswered
+		}
+		least = answered
 	}
+	return least
 }
 
-// RecordSurvived records that targets have outlived answers to requests with the parts, so
-// that the parts do not crash targets. It returns whether a record is to be written.
-func (c *Crashes) RecordSurvived(now time.Time, parts []Fingerprint) bool {
-	c.RecordFatal(parts)
-	for _, id := range parts {
-		c.answered.add(now, id)
+// RecordWhole records an answer whose target may end with it. It clears nothing, but what is
+// never answered is suspected first.
+func (c *Crashes) RecordWhole(now time.Time, service string, ids []Fingerprint) {
+	for _, id := range ids {
+		c.whole.add(now, partKey{service, id})
 	}
-	return c.RecordAnswer(now, parts)
 }
 
-// RecordFatal takes back answers that targets have not outlived.
-func (c *Crashes) RecordFatal(parts []Fingerprint) {
+// RecordSurvived records that targets of a service have outlived answers to requests with
+// the parts, so that the parts do not crash them. It returns whether a record is to be
+// written.
+func (c *Crashes) RecordSurvived(now time.Time, service string, parts []Fingerprint) bool {
 	for _, id := range parts {
-		if c.pending[id]--; c.pending[id] <= 0 {
-			delete(c.pending, id)
-		}
+		c.answered.add(now, partKey{service, id})
 	}
+	return c.releaseAll(now, parts, func(e *crash) bool { return e.record.Service == service })
 }
 
 // Repeated reports whether a request, or a part of it, was at more than one crash and not
 // answered since.
 func (c *Crashes) Repeated(r Report) bool {
 	return slices.ContainsFunc(r.suspects(), func(id Fingerprint) bool {
-		s, ok := c.suspicions[id]
+		s, ok := c.suspicions[id.subject()]
 		return ok && len(s.crashes) > 1
 	})
 }
@@ -284,9 +391,10 @@
 		return append(list, id), true
 	}
 	at := slices.IndexFunc(list, func(other Fingerprint) bool {
-		return c.suspicions[other] != nil && len(c.suspicions[other].crashes) == 1
+		s := c.suspicions[other.subject()]
+		return s != nil && len(s.crashes) == 1
 	})
-	if c.suspicions[id] == nil || at < 0 {
+	if c.suspicions[id.subject()] == nil || at < 0 {
 		return nil, false
 	}
 	list[at] = id
@@ -296,11 +404,15 @@
 // RecordAnswer records that a target has answered a request whole, so that it does not
 // crash targets. It returns whether a record is to be written.
 func (c *Crashes) RecordAnswer(now time.Time, ids []Fingerprint) bool {
+	return c.releaseAll(now, ids, func(*crash) bool { return true })
+}
+
+// releaseAll takes requests and parts out of the crashes that a function selects.
+func (c *Crashes) releaseAll(now time.Time, ids []Fingerprint, from func(*crash) bool) bool {
 	changed := false
 	for _, id := range ids {
 		if s, ok := c.suspicions[id]; ok {
-			c.release(now, id, s)
-			changed = true
+			changed = c.release(now, id, s, from) || changed
 		}
 	}
 	if changed {
@@ -309,11 +421,11 @@
 	return changed
 }
 
-// release takes a request out of all crashes. The writes of the instances are spread.
-func (c *Crashes) release(now time.Time, id Fingerprint, s *suspicion) {
-	at := now
+// release takes a request or part out of crashes. The writes of the instances are spread.
+func (c *Crashes) release(now time.Time, id Fingerprint, s *suspicion, from func(*crash) bool) bool {
+	at, changed := now, false
 	switch {
-	case c.quarantined[id]:
+	case c.isQuarantined(id):
 	case len(s.crashes) > 1:
 		at = now.Add(rand.N(maxKnownDelay))
 	default:
@@ -321,14 +433,21 @@
 	}
 	maps.DeleteFunc(c.voided, func(_ string, v voided) bool { return now.Sub(v.at) > releaseTime })
 	for e := range maps.Clone(s.crashes) {
+		if !from(e) {
+			continue
+		}
+		changed = true
+		c.answered.add(now, partKey{e.record.Service, id})
 		delete(e.added, id)
+		delete(e.added, id.waiting())
 		c.void(now, e, id)
 		if e.version > 0 || e.sending {
 			e.answered[id] = true
 			c.scheduleWrite(e, at)
 		}
-		c.replace(now, e, e.record.WithRequests(without(e.record.Requests, id)))
+		c.replace(now, e, e.record.WithRequests(slices.DeleteFunc(slices.Clone(e.record.Requests), func(other Fingerprint) bool { return other.subject() == id })))
 	}
+	return changed
 }
 
 // void remembers that a request of a crash was answered.
@@ -351,12 +470,7 @@
 // isVoid reports whether a request of a crash was answered lately.
 func (c *Crashes) isVoid(now time.Time, e *crash, id Fingerprint) bool {
 	v, ok := c.voided[e.record.Name()]
-	return ok && now.Sub(v.at) <= releaseTime && v.requests[id]
-}
-
-// without returns a list without one request.
-func without(list []Fingerprint, id Fingerprint) []Fingerprint {
-	return slices.DeleteFunc(slices.Clone(list), func(other Fingerprint) bool { return other == id })
+	return ok && now.Sub(v.at) <= releaseTime && v.requests[id.subject()]
 }
 
 // scheduleWrite makes a record due at the given time, or earlier if it is so already.
@@ -368,27 +482,28 @@
 
 // replace exchanges the record of a crash and updates what is known of its requests.
 func (c *Crashes) replace(now time.Time, e *crash, r CrashRecord) {
-	for _, id := range e.record.Requests {
+	before, after := subjects(e.record.Requests), subjects(r.Requests)
+	for id := range before {
 		s := c.suspicions[id]
 		delete(s.crashes, e)
-		if len(s.crashes) == 0 && !slices.Contains(r.Requests, id) {
+		if _, stays := after[id]; len(s.crashes) == 0 && !stays {
 			delete(c.suspicions, id)
 		}
-		if len(s.crashes) < id.threshold() {
+		if len(s.crashes) < crashThreshold {
 			delete(c.suspected, id)
 		}
 	}
-	for _, id := range r.Requests {
+	for id, begun := range after {
 		s, ok := c.suspicions[id]
 		if !ok {
 			s = &suspicion{crashes: make(map[*crash]bool), depth: unknownDepth}
 			c.suspicions[id] = s
 		}
-		s.crashes[e] = true
-		if len(s.crashes) >= id.threshold() {
+		s.crashes[e] = begun
+		if len(s.crashes) >= crashThreshold {
 			c.suspected[id] = true
 		}
-		if !slices.Contains(e.record.Requests, id) {
+		if _, was := before[id]; !was {
 			s.changedAt = now
 		}
 	}
@@ -400,6 +515,16 @@
 	e.record = r
 }
 
+// subjects returns the requests and parts of a list, and whether targets had begun to answer
+// the parts.
+func subjects(list []Fingerprint) map[Fingerprint]bool {
+	m := make(map[Fingerprint]bool, len(list))
+	for _, id := range list {
+		m[id.subject()] = m[id.subject()] || !id.isWaiting()
+	}
+	return m
+}
+
 // newTrials returns the requests that were tried more often after a change.
 func newTrials(before, after []Fingerprint) map[Fingerprint]bool {
 	count := make(map[Fingerprint]int)
@@ -418,81 +543,128 @@
 	return more
 }
 
-// suspectRequest is a request, or a part, during a judgement.
-type suspectRequest struct {
-	id      Fingerprint
-	known   bool // a part that was answered before at this instance
-	crashes int
-	depth   int // of a part
+// suspect is a request, or a part, during a judgement.
+type suspect struct {
+	id       Fingerprint
+	proof    proof
+	sent     int // requests with it, by this instance
+	evidence evidence
+	score    float64
+	depth    int // of a part
+}
+
+// evidence is the number of crashes that count against a request or part.
+type evidence struct {
+	begun int // of them, those of targets that had begun to answer
+	all   int
+}
+
+// suffices reports whether the crashes are enough for a quarantine. If most of the requests
+// did not crash a target, or not yet, more crashes are needed.
+func (s suspect) suffices() bool {
+	few := s.evidence.begun >= crashThreshold && s.evidence.begun > s.sent && s.proof == unanswered
+	return few || s.evidence.all >= highThreshold
 }
 
-// judge derives the requests and parts in quarantine. The one with most crashes explains
-// these, and the others are judged by the rest.
+// judge derives the requests and parts in quarantine. The one with the highest score explains
+// its crashes, and the others are judged by the rest.
 func (c *Crashes) judge() {
 	clear(c.quarantined)
 	explained := make(map[*crash]bool)
-	var left []suspectRequest
+	var left []suspect
 	for id := range c.suspected {
-		s := suspectRequest{id: id, depth: c.suspicions[id].depth, known: c.isKnown(id)}
-		s.crashes = c.count(s, explained)
-		left = append(left, s)
+		s := suspect{id: id, depth: c.suspicions[id].depth, sent: c.suspicions[id].sent, proof: c.proof(id)}
+		if s.evidence = c.evidence(s, explained); s.suffices() {
+			s.score = s.evidence.score(s.sent)
+			left = append(left, s)
+		}
 	}
-	slices.SortFunc(left, compareRequests)
+	slices.SortFunc(left, compareSuspects)
 	for _, s := range left {
-		if c.count(s, explained) < s.threshold() {
+		if len(explained) > 0 {
+			s.evidence = c.evidence(s, explained)
+		}
+		if !s.suffices() || c.rarerExplains(s, explained) {
 			continue
 		}
-		c.quarantined[s.id] = true
+		c.quarantined[s.id] = c.rivals(s.id)
 		for e := range c.suspicions[s.id].crashes {
 			explained[e] = true
 		}
 	}
 }
 
-// compareRequests orders known parts last, then by crashes, exact requests first, then by how
-// special a part is.
-func compareRequests(a, b suspectRequest) int {
-	switch {
-	case a.known != b.known && a.known:
-		return 1
-	case a.known != b.known:
-		return -1
+// rarerExplains reports whether something that fewer requests have was at most of the crashes
+// as well. The others may not be reported yet: the end of a target is known sooner for the
+// other requests at it than for one that looks answered. Exact requests are not shared by
+// others, so nothing is rarer.
+func (c *Crashes) rarerExplains(s suspect, explained map[*crash]bool) bool {
+	if s.id&kindBits == 0 {
+		return false
+	}
+	n := 0
+	counts := make(map[Fingerprint]int)
+	for e := range c.suspicions[s.id].crashes {
+		if explained[e] {
+			continue
+		}
+		n++
+		for id := range subjects(e.record.Requests) {
+			counts[id]++
+		}
 	}
+	for id, count := range counts {
+		if other := c.suspicions[id]; 2*count > n && count >= id.rivalThreshold() && other.sent < s.sent && c.proof(id) <= s.proof {
+			return true
+		}
+	}
+	return false
+}
+
+// score is the number of crashes times the share of the requests that crashed a target. That
+// share is 1 for what crashes targets; it is lower for a part that healthy requests have too,
+// and so is the score, the more of them there are.
+func (e evidence) score(sent int) float64 {
+	n := float64(e.begun+e.all) / 2
+	return n * n / float64(sent+1)
+}
+
+// compareSuspects orders those that were answered before last, then by score, exact requests
+// first, then by how special a part is.
+func compareSuspects(a, b suspect) int {
 	return cmp.Or(
-		cmp.Compare(b.crashes, a.crashes),
+		cmp.Compare(a.proof, b.proof),
+		cmp.Compare(b.score, a.score),
 		cmp.Compare(a.id&kindBits, b.id&kindBits),
 		cmp.Compare(b.depth, a.depth),
 		cmp.Compare(a.id, b.id),
 	)
 }
 
-// threshold returns the number of crashes that quarantine the request or part.
-func (s suspectRequest) threshold() int {
-	if s.known {
-		return highThreshold
+// evidence returns the crashes of a request or part that are not explained. Those that came
+// together count once for a known one, and for requests that waited.
+func (c *Crashes) evidence(s suspect, explained map[*crash]bool) (n evidence) {
+	known, moment := s.proof == survived, sameMoment
+	if !known {
+		moment = sameWait
 	}
-	return s.id.threshold()
-}
-
-// count returns the number of crashes of a request that are not explained. For a known part,
-// those that came together count once.
-func (c *Crashes) count(s suspectRequest, explained map[*crash]bool) int {
-	n := 0
-	var moments []time.Time
-	for e := range c.suspicions[s.id].crashes {
+	var together []time.Time
+	for e, begun := range c.suspicions[s.id].crashes {
 		switch {
 		case explained[e]:
-		case s.known && !e.apart:
-			moments = append(moments, e.seenAt)
+		case (known || !begun) && !e.apart:
+			together = append(together, e.seenAt)
+		case begun:
+			n.begun, n.all = n.begun+1, n.all+1
 		default:
-			n++
+			n.all++
 		}
 	}
-	slices.SortFunc(moments, time.Time.Compare)
+	slices.SortFunc(together, time.Time.Compare)
 	var last time.Time
-	for _, at := range moments {
-		if last.IsZero() || at.Sub(last) >= sameMoment {
-			n, last = n+1, at
+	for _, at := range together {
+		if last.IsZero() || at.Sub(last) >= moment {
+			n.all, last = n.all+1, at
 		}
 	}
 	return n
@@ -536,22 +708,29 @@
 		return
 	}
 	e.version = version
+	stored, before := subjects(r.Requests), subjects(e.record.Requests)
 	for id := range e.answered {
-		if !slices.Contains(r.Requests, id) {
+		if _, ok := stored[id]; !ok {
 			delete(e.answered, id)
 		}
 	}
-	for _, id := range r.Requests {
+	for id := range before {
+		if _, ok := stored[id]; !ok && !e.added[id] && !e.added[id.waiting()] {
+			c.answered.add(now, partKey{r.Service, id}) // answered at another instance
+		}
+	}
+	for id := range stored {
+		_, ok := before[id]
 		switch {
 		case e.answered[id]:
 		case c.isVoid(now, e, id):
 			e.answered[id] = true
 			c.scheduleWrite(e, now.Add(rand.N(hastenedDelay)))
-		case !slices.Contains(e.record.Requests, id):
+		case !ok:
 			c.hastenAnswers(now, id)
 		}
 	}
-	list := slices.DeleteFunc(slices.Clone(r.Requests), func(id Fingerprint) bool { return e.expired || e.answered[id] })
+	list := slices.DeleteFunc(slices.Clone(r.Requests), func(id Fingerprint) bool { return e.expired || e.answered[id.subject()] })
 	for id := range e.added {
 		if slices.Contains(r.Requests, id) || e.expired {
 			delete(e.added, id)
@@ -673,7 +852,8 @@
 // heldUntil returns how long a crash is kept because of a request in quarantine.
 func (c *Crashes) heldUntil(e *crash) (at time.Time) {
 	for _, id := range e.record.Requests {
-		if end := c.suspicions[id].changedAt.Add(requestQuarantineTime); c.quarantined[id] && end.After(at) {
+		id = id.subject()
+		if end := c.suspicions[id].changedAt.Add(requestQuarantineTime); c.isQuarantined(id) && end.After(at) {
 			at = end
 		}
 	}
@@ -690,7 +870,7 @@
 			continue
 		}
 		n++
-		if (oldest == nil || e.seenAt.Before(oldest.seenAt)) && !slices.ContainsFunc(e.record.Requests, func(id Fingerprint) bool { return len(c.suspicions[id].crashes) > 1 }) {
+		if (oldest == nil || e.seenAt.Before(oldest.seenAt)) && !slices.ContainsFunc(e.record.Requests, func(id Fingerprint) bool { return len(c.suspicions[id.subject()].crashes) > 1 }) {
 			oldest = e
 		}
 	}
--- a/internal/quarantiner/crashes_test.go
+++ b/internal/quarantiner/crashes_test.go
@@ -37,10 +37,31 @@
 	}
 }
 
+// crashParts ends a target with a request of an instance that has the parts.
+func (f *crashFleet) crashParts(instance int, service string, begun bool, parts ...uint64) {
+	f.crashed++
+	f.addParts(instance, service, begun, parts...)
+}
+
+// addParts adds a request with the parts to the last crash.
+func (f *crashFleet) addParts(instance int, service string, begun bool, parts ...uint64) {
+	f.instances[instance].RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Begun: begun, About: true, Parts: append(parts, f.own())})
+}
+
+// partOutcome returns the outcome of a check of a request with the parts.
+func (f *crashFleet) partOutcome(instance int, service string, parts ...uint64) Outcome {
+	return f.instances[instance].Check(f.now, service, partFingerprints(append(parts, f.own()))).Outcome
+}
+
+// survive records an answer to a request with the parts.
+func (f *crashFleet) survive(instance int, service string, parts ...uint64) {
+	f.instances[instance].RecordSurvived(f.now, service, partFingerprints(append(parts, f.own())))
+}
+
 // admit sends a request if that is allowed, and reports whether it is a trial.
 func (f *crashFleet) admit(instance int, ids []Fingerprint) (sent, trial bool) {
 	q := f.instances[instance]
-	v := q.Check(f.now, ids)
+	v := q.Check(f.now, service, ids)
 	if v.Outcome != TrialDue {
 		return v.Outcome == Allowed, false
 	}
@@ -53,7 +74,7 @@
 }
 
 func (f *crashFleet) outcome(instance int, body string) Outcome {
-	return f.instances[instance].Check(f.now, request(body)).Outcome
+	return f.instances[instance].Check(f.now, service, request(body)).Outcome
 }
 
 // Guards against an equal request that ends target after target because each instance sees
@@ -159,14 +180,14 @@
 		crash(prompt(common, deadly))
 	}
 	f.run(time.Second)
-	if f.instances[0].Check(f.now, prompt(common, deadly)).Outcome == Allowed || f.instances[0].Check(f.now, prompt(common, other)).Outcome != Allowed {
+	if f.instances[0].Check(f.now, service, prompt(common, deadly)).Outcome == Allowed || f.instances[0].Check(f.now, service, prompt(common, other)).Outcome != Allowed {
 		t.Error("a request with another prompt is not told from the deadly one")
 	}
 	for range highThreshold {
 		crash(prompt(common, rand.Uint64()))
 	}
 	f.run(time.Second)
-	if f.instances[0].Check(f.now, prompt(common, other)).Outcome == Allowed {
+	if f.instances[0].Check(f.now, service, prompt(common, other)).Outcome == Allowed {
 		t.Error("the request comes with a prompt of its own each time and is not in quarantine")
 	}
 }
@@ -174,51 +195,89 @@
 // Guards against trials by several instances at once, trials that come as often although
 // they fail, more than three of them in ten minutes, and a quarantine that never ends or
 // ends at one instance only.
-func TestTrialsOfRequests(t *testing.T) {
-	f := newCrashFleet(5, 50*time.Millisecond)
-	for i := range 3 {
-		f.run(time.Second)
-		f.crash(map[int][]string{i: {"deadly"}})
-	}
-	f.run(time.Second)
-	trials := func(d time.Duration, fails bool) (n int) {
-		for end := f.now.Add(d); f.now.Before(end); f.run(time.Second) {
-			for i := range f.instances {
-				sent, trial := f.admit(i, request("deadly"))
-				switch {
-				case trial && fails:
-					f.crash(map[int][]string{i: {"deadly"}})
-				case trial:
-					f.instances[i].RecordAnswer(f.now, request("deadly"))
-				case sent && fails:
-					t.Fatal("a request was sent that is no trial")
+func TestTrials(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		ids  []Fingerprint
+	}{{"request", request("deadly")}, {"part", partFingerprints([]uint64{common, deadly, fourth})}} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFleet(5, 50*time.Millisecond)
+			crash := func(i int) {
+				f.crashed++
+				f.instances[i].RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Requests: tt.ids})
+			}
+			for i := range 3 {
+				f.run(time.Second)
+				crash(i)
+			}
+			f.run(time.Second)
+			trials := func(d time.Duration, fails bool) (n int) {
+				for end := f.now.Add(d); f.now.Before(end); f.run(time.Second) {
+					for i := range f.instances {
+						sent, trial := f.admit(i, tt.ids)
+						switch {
+						case trial && fails:
+							crash(i)
+						case trial:
+							f.instances[i].RecordAnswer(f.now, tt.ids)
+						case sent && fails:
+							t.Fatal("a request was sent that is no trial")
+						}
+						if trial {
+							n++
+						}
+					}
 				}
-				if trial {
-					n++
+				return n
+			}
+			f.step = 50 * time.Millisecond
+			for i, phase := range []struct {
+				d    time.Duration
+				want int
+			}{{firstPause - 3*time.Second, 0}, {5 * time.Second, 1}, {4*firstPause - 6*time.Second, 0}, {10 * time.Second, 1}, {7 * time.Minute, 0}} {
+				if got := trials(phase.d, true); got != phase.want {
+					t.Errorf("phase %d: %d trials, want %d", i, got, phase.want)
 				}
 			}
-		}
-		return n
-	}
-	f.step = 50 * time.Millisecond
-	for i, tt := range []struct {
-		d    time.Duration
-		want int
-	}{{firstPause - 3*time.Second, 0}, {5 * time.Second, 1}, {4*firstPause - 6*time.Second, 0}, {10 * time.Second, 1}, {7 * time.Minute, 0}} {
-		if got := trials(tt.d, true); got != tt.want {
-			t.Errorf("phase %d: %d trials, want %d", i, got, tt.want)
-		}
+			if got := trials(2*time.Minute, false); got != 1 {
+				t.Errorf("%d trials until one was answered, want 1", got)
+			}
+			for i, q := range f.instances {
+				if q.Check(f.now, service, tt.ids).Outcome != Allowed {
+					t.Errorf("instance %d keeps the quarantine after an answer", i)
+				}
+			}
+			if len(f.records) > 0 {
+				t.Errorf("%d records are left in the store", len(f.records))
+			}
+		})
 	}
-	if got := trials(2*time.Minute, false); got != 1 {
-		t.Errorf("%d trials until one was answered, want 1", got)
+}
+
+// Guards against a request that may be healthy and waits for its trial as long as any other,
+// and against trials without pause of what crashes targets because it lacks something.
+func TestTrialOfHealthyRequest(t *testing.T) {
+	f := newCrashFleet(2, 50*time.Millisecond)
+	for range crashThreshold {
+		f.run(time.Second)
+		f.crashParts(0, service, true, common, deadly, other)
 	}
-	for i := range f.instances {
-		if f.outcome(i, "deadly") != Allowed {
-			t.Errorf("instance %d keeps the request in quarantine after an answer", i)
-		}
+	f.run(time.Second)
+	if got := f.partOutcome(1, service, common, deadly, other); got != Quarantined {
+		t.Errorf("a request like those at the crashes: %s", got)
 	}
-	if len(f.records) > 0 {
-		t.Errorf("%d records are left in the store", len(f.records))
+	for i, want := range []Outcome{TrialDue, TrialDue, Quarantined} {
+		ids := partFingerprints([]uint64{other, f.own()})
+		if i > 0 {
+			f.run(healthyPause)
+		}
+		if got := f.instances[1].Check(f.now, service, ids).Outcome; got != want {
+			t.Errorf("trial %d: %s, want %s", i, got, want)
+		}
+		if _, trial := f.admit(1, ids); trial {
+			f.crashParts(1, service, true, other)
+			f.run(time.Second)
+		}
 	}
 }
 
@@ -336,6 +395,12 @@
 	if n := len(f.records); n > maxCrashRecords || len(q.suspicions) > maxCrashRecords*maxRequestsPerCrash {
 		t.Errorf("%d records of %d requests, allowed are %d of %d", n, len(q.suspicions), maxCrashRecords, maxCrashRecords*maxRequestsPerCrash)
 	}
+	for i := range 3 * maxAnswered {
+		f.survive(0, service, uint64(i))
+	}
+	if n := len(q.answered.newer) + len(q.answered.older); n > 2*maxAnswered {
+		t.Errorf("%d parts are remembered as answered, allowed are %d", n, 2*maxAnswered)
+	}
 	for range crashThreshold {
 		f.run(time.Second)
 		f.crashed++
@@ -445,7 +510,7 @@
 					q := f.instances[at]
 					var running [][]uint64
 					for _, parts := range [][]uint64{{1, 2, f.own()}, {1, 3, f.own()}, {1, uint64(100 + i%50), f.own()}} {
-						if sent++; q.Check(f.now, partFingerprints(parts)).Outcome == Quarantined {
+						if sent++; q.Check(f.now, service, partFingerprints(parts)).Outcome == Quarantined {
 							refused++
 							continue
 						}
@@ -464,8 +529,7 @@
 						continue
 					}
 					for _, parts := range running {
-						f.instances[at].RecordAnswered(partFingerprints(parts))
-						f.instances[at].RecordSurvived(f.now, partFingerprints(parts))
+						f.instances[at].RecordSurvived(f.now, service, partFingerprints(parts))
 					}
 				}
 				if late > 2 {
@@ -486,8 +550,7 @@
 	parts := []uint64{1, 2, 3}
 	for _, q := range f.instances {
 		q.ObserveList(f.now, nil, false)
-		q.RecordAnswered(partFingerprints(parts))
-		q.RecordSurvived(f.now, partFingerprints(parts))
+		q.RecordSurvived(f.now, service, partFingerprints(parts))
 	}
 	f.run(2 * answeredRecently)
 	for i := range 40 {
@@ -496,8 +559,94 @@
 	}
 	f.run(time.Second)
 	for i, q := range f.instances {
-		if q.Check(f.now, partFingerprints(parts)).Outcome != Allowed {
+		if q.Check(f.now, service, partFingerprints(parts)).Outcome != Allowed {
 			t.Errorf("instance %d refuses the part", i)
 		}
 	}
 }
+
+// Guards against blaming the wrong part: one that some instance has seen answered, one of
+// requests that only waited at the targets even if it is the more special one, one that is at
+// all targets of a loss of power, or one that crashes by chance; and against blaming a part at
+// a service whose targets it has not crashed.
+func TestBlame(t *testing.T) {
+	repeat := func(f *crashFleet, n int, crash func()) {
+		for range n {
+			f.run(time.Second)
+			crash()
+		}
+		f.run(time.Second)
+	}
+	tests := []struct {
+		name   string
+		crash  func(f *crashFleet)
+		blamed []uint64
+		sound  []uint64
+	}{
+		{"answered before", func(f *crashFleet) {
+			f.survive(2, service, common, other)
+			repeat(f, 3, func() { f.crashParts(0, service, true, common, deadly, other) })
+			f.survive(2, service, common, other)
+			f.run(time.Second)
+		}, []uint64{common, deadly}, []uint64{common, other}},
+		{"answered at another service", func(f *crashFleet) {
+			repeat(f, 3, func() {
+				f.survive(0, "third", common, deadly)
+				f.crashParts(0, service, true, common, deadly)
+			})
+		}, []uint64{common, deadly}, []uint64{other}},
+		{"waiting", func(f *crashFleet) {
+			repeat(f, 3, func() {
+				f.crashParts(0, service, true, common, deadly)
+				f.addParts(1, service, false, common, fourth, other)
+			})
+		}, []uint64{common, deadly}, []uint64{fourth, other}},
+		{"only waiting", func(f *crashFleet) {
+			repeat(f, 5, func() { f.crashParts(0, service, false, deadly) })
+		}, []uint64{deadly}, []uint64{common}},
+		{"loss of power", func(f *crashFleet) {
+			for i := range 40 {
+				f.crashParts(i%3, service, false, common)
+			}
+			f.run(time.Second)
+		}, nil, []uint64{common}},
+		{"by chance", func(f *crashFleet) {
+			for i := range 300 {
+				f.run(100 * time.Millisecond)
+				f.survive(i%3, service, common, other)
+				if i%7 == 0 {
+					f.crashParts(rand.IntN(3), service, true, common, other)
+				}
+			}
+			f.run(time.Minute)
+			if n := len(f.records); n > 2 {
+				t.Errorf("%d records are left of crashes that no part caused", n)
+			}
+		}, nil, []uint64{common, other}},
+		{"other service", func(f *crashFleet) {
+			repeat(f, 3, func() { f.crashParts(0, "second", true, common, deadly) })
+		}, nil, []uint64{common, deadly}},
+		{"other service, one crash", func(f *crashFleet) {
+			repeat(f, 3, func() { f.crashParts(0, "second", true, common, deadly) })
+			f.crashParts(1, service, true, common, deadly)
+			f.run(time.Second)
+		}, []uint64{common, deadly}, []uint64{common, other}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFleet(3, 50*time.Millisecond)
+			for _, q := range f.instances {
+				q.ObserveList(f.now, nil, false)
+			}
+			tt.crash(f)
+			for i := range f.instances {
+				if tt.blamed != nil && f.partOutcome(i, service, tt.blamed...) == Allowed {
+					t.Errorf("instance %d: the deadly part is allowed", i)
+				}
+				if got := f.partOutcome(i, service, tt.sound...); got != Allowed {
+					t.Errorf("instance %d: a sound part is %s", i, got)
+				}
+			}
+		})
+	}
+}
--- a/internal/quarantiner/fingerprint.go
+++ b/internal/quarantiner/fingerprint.go
@@ -69,13 +69,28 @@
 // IsPart reports whether the fingerprint is that of a part of a prompt.
 func (f Fingerprint) IsPart() bool { return f&partBit != 0 }
 
-// threshold returns the number of crashes that quarantine the request, or the requests with
-// the part. It is higher for a loose fingerprint, as sound requests may have the same one.
-func (f Fingerprint) threshold() int {
-	if f&looseBit != 0 {
-		return highThreshold
+// waiting returns the fingerprint that stands in records for a part of a request that the
+// target had not begun to answer.
+func (f Fingerprint) waiting() Fingerprint { return f | looseBit }
+
+// isWaiting reports whether the fingerprint is that of a part of a waiting request.
+func (f Fingerprint) isWaiting() bool { return f&kindBits == kindBits }
+
+// rivalThreshold returns the number of crashes that make a request or part a possible reason
+// of one that another is quarantined for. A request that is retried is at two.
+func (f Fingerprint) rivalThreshold() int {
+	if f&kindBits == 0 {
+		return crashThreshold
+	}
+	return crashThreshold - 1
+}
+
+// subject returns the fingerprint of the request or part itself.
+func (f Fingerprint) subject() Fingerprint {
+	if f.isWaiting() {
+		return f &^ looseBit
 	}
-	return crashThreshold
+	return f
 }
 
 // String returns the fingerprint in hexadecimal, as in logs and records.
--- a/internal/quarantiner/noguard.go
+++ b/internal/quarantiner/noguard.go
@@ -20,9 +20,6 @@
 // Admit allows the request.
 func (g NoGuard) Admit(_ context.Context, s Subject) Verdict { return g.Check(s) }
 
-// RecordAnswer does nothing.
-func (NoGuard) RecordAnswer(Subject) {}
-
 // RecordWhole does nothing.
 func (NoGuard) RecordWhole(Target, time.Time, Subject) {}
 
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -76,9 +76,6 @@
 		}
 	}
 	outcome := retrier.Complete
-	if response.Status < http.StatusMultipleChoices {
-		j.recordAnswer()
-	}
 	if response.Status >= http.StatusInternalServerError {
 		outcome, j.summary.cause = retrier.Unknown, TargetFailed
 	} else {
@@ -185,9 +182,6 @@
 			err = errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
-			if n == 1 {
-				j.recordAnswer()
-			}
 			j.recordWhole(response, chosen)
 			return j.finishStream(response)
 		}
@@ -206,9 +200,6 @@
 		} else {
 			j.r.dispatcher.RecordEvent(time.Now(), chosen)
 		}
-		if n == 1 {
-			j.recordAnswer()
-		}
 		if !j.stream.started {
 			j.startStream(response)
 		}
@@ -226,22 +217,12 @@
 	}
 }
 
-// recordAnswer records that a target has answered, so that no part of the prompt crashes
-// targets. One event is not enough: a target may crash right after it.
-func (j *job) recordAnswer() {
-	if len(j.sharedParts) > 0 {
-		j.r.guard.RecordAnswer(j.subject())
-	}
-}
-
 // recordWhole records that a target has answered to the end, so that the request does not
 // crash targets, unless the target ends with its answer.
 func (j *job) recordWhole(response *forwarder.Response, chosen ChosenTarget) {
-	if len(j.sharedParts) > 0 {
+	if len(j.sharedParts) > 0 || j.r.guard.Suspects() {
 		j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, j.subject())
 		j.r.watchEnd(context.WithoutCancel(j.req.Context()), chosen, response.KeepsConnection())
-	} else if j.r.guard.Suspects() {
-		j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, j.subject())
 	}
 }
 
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -146,8 +146,9 @@
 // admit asks whether the request may be sent to a target now. If not, it ends the request
 // and returns false. A trial is claimed only for a request that has a target.
 func (j *job) admit(ctx context.Context) bool {
-	v := j.r.guard.Admit(ctx, j.subject())
-	j.trial = v.Outcome == quarantiner.TrialDue
+	s := j.subject()
+	s.Retry = len(j.tried) > 0
+	v := j.r.guard.Admit(ctx, s)
 	if v.Outcome != quarantiner.Quarantined {
 		return true
 	}
@@ -174,7 +175,7 @@
 	}
 	report := quarantiner.Report{
 		Service: j.service.Name, Target: chosen.Target.ID, Incarnation: chosen.Target.Incarnation,
-		SentAt: chosen.ChosenAt, Begun: res.status != 0, Trial: j.trial, Parts: j.sharedParts, Requests: j.identity(),
+		SentAt: chosen.ChosenAt, Begun: res.status != 0, Parts: j.sharedParts, Requests: j.identity(),
 	}
 	about := res.events <= 1 && len(j.sharedParts) > 0
 	// What is learned outlasts the caller.
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -19,7 +19,6 @@
 	check    quarantiner.Outcome
 	admit    quarantiner.Outcome
 	admitted int
-	answered int
 	whole    int
 	about    int // reports of targets that were about to answer
 	reports  []quarantiner.Report
@@ -43,12 +42,6 @@
 	return quarantiner.Verdict{Outcome: g.admit, RetryAfter: time.Second}
 }
 
-func (g *guard) RecordAnswer(quarantiner.Subject) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.answered++
-}
-
 func (g *guard) RecordWhole(quarantiner.Target, time.Time, quarantiner.Subject) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -94,19 +87,17 @@
 		status       int // 0: any
 		runs         int
 		admitted     int
-		answered     int
 		whole        int
 		crashes      int
-		trial        bool
 	}{
-		{name: "allowed", path: "/plan/7", check: allowed, admit: allowed, script: platformtest.Response{Events: 3}, status: 200, runs: 1, admitted: 1, answered: 1, whole: 1},
-		{name: "one event", path: "/plan/7", check: allowed, admit: allowed, script: platformtest.Response{Events: 1}, status: 200, runs: 1, admitted: 1, answered: 1, whole: 1},
+		{name: "allowed", path: "/plan/7", check: allowed, admit: allowed, script: platformtest.Response{Events: 3}, status: 200, runs: 1, admitted: 1, whole: 1},
+		{name: "one event", path: "/plan/7", check: allowed, admit: allowed, script: platformtest.Response{Events: 1}, status: 200, runs: 1, admitted: 1, whole: 1},
 		{name: "refused at once", path: "/plan/7", check: quarantined, admit: quarantined, script: platformtest.Response{Events: 3}, status: 503},
 		{name: "refused after a wait", path: "/plan/7", check: allowed, admit: quarantined, script: platformtest.Response{Events: 3}, status: 503, admitted: 1},
 		{name: "crash", path: "/plan/7", check: allowed, admit: allowed, script: crash, status: 502, runs: 1, admitted: 1, crashes: 1},
 		{name: "crash of a stream that may be repeated", path: "/summary/7", check: allowed, admit: allowed, script: crash, status: 502, runs: 1, admitted: 1, crashes: 1},
-		{name: "trial crashes", path: "/plan/7", check: due, admit: due, script: crash, status: 502, runs: 1, admitted: 1, crashes: 1, trial: true},
-		{name: "trial is answered", path: "/plan/7", check: due, admit: due, script: platformtest.Response{Events: 3}, status: 200, runs: 1, admitted: 1, answered: 1, whole: 1},
+		{name: "trial crashes", path: "/plan/7", check: due, admit: due, script: crash, status: 502, runs: 1, admitted: 1, crashes: 1},
+		{name: "trial is answered", path: "/plan/7", check: due, admit: due, script: platformtest.Response{Events: 3}, status: 200, runs: 1, admitted: 1, whole: 1},
 		{name: "no target for a trial", path: "/plan/7", check: due, admit: due, noTarget: true, status: 503},
 		{name: "broken, but no crash", path: "/plan/7", check: allowed, admit: allowed, script: platformtest.Response{Events: 3, CutAfter: 1}, runs: 1, admitted: 1},
 		{name: "plain service crashes", path: "/look/7", check: allowed, admit: allowed, script: platformtest.Response{Crash: true}, status: 502, runs: 1, admitted: 1, crashes: 1},
@@ -130,12 +121,12 @@
 			if tt.status > 0 && (err != nil || res.StatusCode != tt.status) {
 				t.Errorf("response %v, %v, want status %d", res, err, tt.status)
 			}
-			if f.runs() != tt.runs || g.admitted != tt.admitted || g.answered != tt.answered || g.whole != tt.whole || len(g.reports) != tt.crashes {
-				t.Errorf("%d runs, %d admitted, %d answered, %d whole, %d crashes, want %d, %d, %d, %d, %d", f.runs(), g.admitted, g.answered, g.whole, len(g.reports), tt.runs, tt.admitted, tt.answered, tt.whole, tt.crashes)
+			if f.runs() != tt.runs || g.admitted != tt.admitted || g.whole != tt.whole || len(g.reports) != tt.crashes {
+				t.Errorf("%d runs, %d admitted, %d whole, %d crashes, want %d, %d, %d, %d", f.runs(), g.admitted, g.whole, len(g.reports), tt.runs, tt.admitted, tt.whole, tt.crashes)
 			}
 			for _, r := range g.reports {
 				engine := r.Service == "engine"
-				if engine != (tt.path != "/look/7") || r.Begun != engine || r.Trial != tt.trial || (len(r.Parts) == 3) != engine || (g.about == 1) != engine || len(r.Requests) == 0 {
+				if engine != (tt.path != "/look/7") || r.Begun != engine || (len(r.Parts) == 3) != engine || (g.about == 1) != engine || len(r.Requests) == 0 {
 					t.Errorf("report %+v", r)
 				}
 			}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -133,7 +133,6 @@
 	fingerprints   []quarantiner.Fingerprint // nil: not computed yet
 	quarantined    quarantiner.Verdict       // why the request was refused as crashing
 	permitWaitEnd  time.Time                 // when the wait for a permit ends, zero: not begun
-	trial          bool                      // the present attempt is a trial of what is quarantined
 	aborted        bool                      // the connection is closed without a complete response
 }
 
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -154,9 +154,7 @@
 	// Admit is Check right before a request is sent. It makes the request a trial if one
 	// is due.
 	Admit(ctx context.Context, s quarantiner.Subject) quarantiner.Verdict
-	// RecordAnswer records that a target goes on answering, RecordWhole that it has
-	// answered to the end.
-	RecordAnswer(s quarantiner.Subject)
+	// RecordWhole records that a target has answered to the end.
 	RecordWhole(t quarantiner.Target, sentAt time.Time, s quarantiner.Subject)
 	// RecordCrash records the end of a target under a request, RecordFailure an attempt
 	// whose target may yet be found to have ended. about says that it was about to answer.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -4,8 +4,8 @@
 //
 // # Usage
 //
-//	parts := recorder.NewGroup("part", func(use func(recorder.Records[quarantiner.Record])) { ... })
-//	r := recorder.New(store, log, parts, limits)
+//	crashes := recorder.NewGroup("crash", func(use func(recorder.Records[quarantiner.CrashRecord])) { ... })
+//	r := recorder.New(store, log, crashes, limits)
 //	go r.Run(ctx)
 //	go follower.New(store, recorder.Kind, r).Run(ctx)
 package recorder
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -35,7 +35,6 @@
 // answerWhole records an answer of a target that does not end. What a target has answered
 // does not count before that: it may end after any event.
 func answerWhole(w *warden.Warden, s quarantiner.Subject) {
-	w.RecordAnswer(s)
 	w.RecordWhole(quarantiner.Target{ID: "i-9"}, time.Now(), s)
 }
 
