--- a/internal/chooser/prefill.go
+++ b/internal/chooser/prefill.go
@@ -44,6 +44,7 @@
 	Priority  int    // 0 is the most urgent
 	Service   string // of engines whose latency is learned, empty: the defaults apply
 	Exclude   []string
+	Soonest   bool // prefer the engine that answers soonest, whatever has to be read again
 
 	// Not used by the choice, but by the decision whether to send the request.
 	FirstTokenTarget time.Duration // objective of the time to first token
@@ -175,7 +176,11 @@
 			*lowAt = now
 		}
 		choice.BacklogAge = now.Sub(*lowAt)
-		nodeCost := choice.Wait + milliseconds(missPenalty*float64(sharedTokens(r.Parts)-cached)/1000*model.cost(featureUncached))
+		missPenalty := missPenalty
+		if r.Soonest {
+			missPenalty = 0
+		}
+		nodeCost := choice.Wait + milliseconds(float64(missPenalty)*float64(sharedTokens(r.Parts)-cached)/1000*model.cost(featureUncached))
 		if !found || nodeCost < cost {
 			best, cost, found = choice, nodeCost, true
 		}
--- a/internal/receiver/admission.go
+++ b/internal/receiver/admission.go
@@ -7,6 +7,26 @@
 	"daisylane/internal/scheduler"
 )
 
+// admit decides whether a request is sent to the target chosen for it, or else to the one that
+// would answer soonest: a cached prefix is no reason to refuse a request that another target
+// has room for. It returns the target and, if the request is refused, the time until a target
+// may have room. The caller must hold the lock.
+func (d *Dispatcher) admit(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, list []chooser.Node) (chooser.PrefillChoice, time.Duration, bool) {
+	v := d.decide(now, service, p, c)
+	if v.Admit {
+		return c, 0, true
+	}
+	p.Soonest = true
+	soonest, ok := d.policy.Choose(now, p, list)
+	if !ok {
+		return c, v.After, false
+	}
+	if w := d.decide(now, service, p, soonest); !w.Admit {
+		return c, min(v.After, w.After), false
+	}
+	return soonest, 0, true
+}
+
 // decide decides whether a request is sent to the target chosen for it. The caller must
 // hold the lock.
 func (d *Dispatcher) decide(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice) scheduler.Decision {
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -169,12 +169,13 @@
 	if !ok {
 		return ChosenTarget{}, d.noTargetError(now, n.fitting(versions), tried)
 	}
-	chosen := ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}
 	if service.Engine != nil && first {
-		if v := d.decide(now, service.Name, p, choice); !v.Admit {
-			return chosen, overloadError{v.After}
+		var after time.Duration
+		if choice, after, ok = d.admit(now, service.Name, p, choice, n.list); !ok {
+			return ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}, overloadError{after}
 		}
 	}
+	chosen := ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}
 	d.retries.Admit(now, chosen.Target.ID)
 	d.limits.Take(now, chosen.Target.ID)
 	chosen.inFlight = d.policy.RecordSent(now, chosen.Target.ID, p, choice)
