State the default cost of prefill per thousand tokens

Cause: the default of a service without answers quoted the rate of one deployment. Change: 27 ms for a thousand tokens, 1% less. Result: the tests of admission, urgency and learned latency pass.

--- a/internal/chooser/model.go
+++ b/internal/chooser/model.go
@@ -23,10 +23,10 @@
 type features [featureCount]float64
 
 // Defaults of a service without answers, in milliseconds per unit of each feature, and
-// their standard deviations. A rate of 36.7 tokens/ms and 1 ms between data centres are
-// usual.
+// their standard deviations. 27 ms for a thousand prompt tokens and 1 ms between data
+// centres are usual.
 var (
-	defaultCosts = features{0, 1000 / 36.7, 0, 1000 / 36.7, 1000 / 36.7, 1, 40, 2, 2 * float64(regionLatency) / float64(time.Millisecond)}
+	defaultCosts = features{0, 27, 0, 27, 27, 1, 40, 2, 2 * float64(regionLatency) / float64(time.Millisecond)}
 	costSpread   = features{30, 8, 0.15, 8, 12, 0.7, 20, 1, 10}
 )
 
@@ -73,8 +73,8 @@
 	return c
 }()
 
-// defaultCovariance returns one element of defaultCovariances of the defaults. The costs depend on the
-// speed of the engines together.
+// defaultCovariance returns one element of defaultCovariances. The costs depend on the speed of
+// the engines together.
 func defaultCovariance(i, j int) float64 {
 	c := speedSpread * speedSpread * defaultCosts[i] * defaultCosts[j]
 	if i >= featureSameRegion || j >= featureSameRegion {
