--- a/internal/throttler/cold.go
+++ b/internal/throttler/cold.go
@@ -475,9 +475,6 @@
 	Targets []ColdReport `json:"targets,omitempty"`
 }
 
-// Limiting reports whether there may be cold targets.
-func (c *Cold) Limiting() bool { return len(c.active) > 0 }
-
 // Has reports whether a target is known.
 func (c *Cold) Has(id string) bool {
 	_, ok := c.targets[id]
