Let reports of many cold targets pass between instances

Cause: found on reading. Messages between instances are limited to 4 KiB, which some 60 reports of cold targets fill, and an instance passes on up to 1,024. After a loss of power on a large service the exchange would fail, so an instance without the store would take itself for cut off. Change: 256 KiB for this message and for replies.

--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -50,6 +50,8 @@
 	maxBodyBytes = 4 << 10
 	// maxHandoverBytes has room for the grants of 300 instances in 40 accounts.
 	maxHandoverBytes = 2 << 20
+	// maxColdBytes has room for the reports of 1,024 cold targets.
+	maxColdBytes     = 256 << 10
 	idleConnsPerPeer = 4
 	idleConnTimeout  = 20 * time.Second
 	maxTokens        = 1 << 40
@@ -105,7 +107,7 @@
 func WithPermits(pg PermitGranter) HandlerOption {
 	return func(mux *http.ServeMux) {
 		mux.HandleFunc("POST "+permitPath, handleJSON(pg.GrantPermits))
-		mux.HandleFunc("POST "+coldPath, handleJSON(pg.ExchangeCold))
+		mux.HandleFunc("POST "+coldPath, handleLimited(maxColdBytes, pg.ExchangeCold))
 	}
 }
 
@@ -268,7 +270,7 @@
 		return reply, fmt.Errorf("send request to peer: %w", err)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxColdBytes))
 	if err != nil {
 		return reply, fmt.Errorf("read response of peer: %w", err)
 	}
