Make fewer calls for warnings while the store is away

In an outage each instance wrote every record that was due, each over one relay after the other: 20 records made 800 calls in 6 s (TestStoreAway on the old code). A round of writes ends now with the first call without a response, the pause doubles from 0.15 to 1.2 s and ends when the watch gets a response: at most 12 calls. After a conflict the next round waits up to 0.2 s, as all instances that had requests at a crashed target write the same record.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -29,8 +30,13 @@
 const Kind = "warnings"
 
 const (
-	// retryDelay is the pause after a write that failed.
-	retryDelay = 150 * time.Millisecond
+	// minRetryDelay is the pause after a write that failed. It doubles up to maxRetryDelay, as a
+	// store that is away for long gets a priced call from each instance otherwise.
+	minRetryDelay = 150 * time.Millisecond
+	maxRetryDelay = 1200 * time.Millisecond
+	// conflictPause is the longest pause after a conflict. All instances that had requests at a
+	// target write the same record when it crashes.
+	conflictPause = 200 * time.Millisecond
 	// sweepInterval is how often writes without a signal are looked for.
 	sweepInterval = 100 * time.Millisecond
 )
@@ -156,6 +162,10 @@
 	var due []Write[R]
 	g.with(func(records Records[R]) { due = records.Due(time.Now()) })
 	for _, w := range due {
+		if unreachable(failed) {
+			g.with(func(records Records[R]) { records.Failed(w) })
+			continue
+		}
 		stored, err := g.Put(ctx, s, w)
 		g.with(func(records Records[R]) {
 			switch {
@@ -177,6 +187,11 @@
 	return failed, again
 }
 
+// unreachable reports whether the store did not respond, so that other writes would fail too.
+func unreachable(err error) bool {
+	return errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrUncertain)
+}
+
 func (g *GroupOf[R]) list(items []storer.Item, restored bool, log zerolog.Logger) {
 	var list []Stored[R]
 	for _, item := range items {
@@ -216,17 +231,19 @@
 
 // Recorder reads and writes the records of its groups. It implements [follower.Handler].
 type Recorder struct {
-	store    Store
-	log      zerolog.Logger
-	groups   []Group
-	signal   chan struct{}
-	restored bool // used by the calls of the follower only
-	onSync   func(now time.Time)
+	store  Store
+	log    zerolog.Logger
+	groups []Group
+	signal chan struct{}
+	// reconnected receives a value when the store responds again.
+	reconnected chan struct{}
+	restored    bool // used by the calls of the follower only
+	onSync      func(now time.Time)
 }
 
 // New returns a recorder.
 func New(store Store, log zerolog.Logger, groups ...Group) *Recorder {
-	return &Recorder{store: store, log: log, groups: groups, signal: make(chan struct{}, 1), onSync: func(time.Time) {}}
+	return &Recorder{store: store, log: log, groups: groups, signal: make(chan struct{}, 1), reconnected: make(chan struct{}, 1), onSync: func(time.Time) {}}
 }
 
 // Wake makes Run look for changes that are due.
@@ -241,6 +258,7 @@
 func (r *Recorder) Run(ctx context.Context) {
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	delay := minRetryDelay
 	for {
 		select {
 		case <-ctx.Done():
@@ -248,16 +266,38 @@
 		case <-r.signal:
 		case <-sweep.C:
 		}
+		var failed error
+		again := false
 		for _, s := range r.groups {
-			failed, again := s.store(ctx, r.store)
-			if failed != nil && ctx.Err() == nil {
-				r.log.Warn().Err(failed).Msg("warning not stored; retrying")
-				waiter.Sleep(ctx, retryDelay)
-			}
-			if failed != nil || again {
-				r.Wake()
+			if unreachable(failed) {
+				break
 			}
+			err, repeat := s.store(ctx, r.store)
+			failed, again = errors.Join(failed, err), again || repeat
+		}
+		switch {
+		case failed != nil && ctx.Err() == nil:
+			r.log.Warn().Err(failed).Msg("warning not stored; retrying")
+			r.pause(ctx, delay/2+rand.N(delay))
+			delay = min(2*delay, maxRetryDelay)
+		case again:
+			waiter.Sleep(ctx, rand.N(conflictPause))
+		default:
+			delay = minRetryDelay
+			continue
 		}
+		r.Wake()
+	}
+}
+
+// pause waits, but not longer than until the store responds again.
+func (r *Recorder) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.reconnected:
+	case <-timer.C:
 	}
 }
 
@@ -284,7 +324,13 @@
 func (r *Recorder) Disconnected(err error) { r.log.Warn().Err(err).Msg("warnings are not followed") }
 
 // Reconnected implements [follower.Handler].
-func (r *Recorder) Reconnected() { r.log.Info().Msg("warnings are followed again") }
+func (r *Recorder) Reconnected() {
+	r.log.Info().Msg("warnings are followed again")
+	select {
+	case r.reconnected <- struct{}{}:
+	default:
+	}
+}
 
 // Restored implements [follower.Handler].
 func (r *Recorder) Restored() {
