Poll budgets with stale reads in normal operation

A stale read costs a tenth and is enough while nothing is composed: writes are conditional, and used tokens only increase.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -63,6 +63,8 @@
 	// pollsPerLedgers is how many polls there are for each that reads the ledgers too. They
 	// tell which instances there are, and so change little.
 	pollsPerLedgers = 3
+	// firstFullPolls is how many polls of a new process read the current budgets.
+	firstFullPolls = 2
 	// composePollInterval applies until the budgets can be composed after the store was
 	// restored from an older copy, and until a new process knows whom to greet.
 	composePollInterval = 300 * time.Millisecond
@@ -117,6 +119,8 @@
 	EraChanged() <-chan struct{}
 	Get(ctx context.Context, kind, name string) (storer.Item, error)
 	List(ctx context.Context, kind string) ([]storer.Item, follower.Position, error)
+	// ListStale is a cheaper List of objects that may be some seconds old.
+	ListStale(ctx context.Context, kind string) ([]storer.Item, follower.Position, error)
 	Put(ctx context.Context, kind, name string, body []byte, version uint64) (storer.Item, error)
 }
 
--- a/internal/accountant/counts.go
+++ b/internal/accountant/counts.go
@@ -53,6 +53,13 @@
 	return items, at, err
 }
 
+// ListStale implements [Store].
+func (s *countedStore) ListStale(ctx context.Context, kind string) ([]storer.Item, follower.Position, error) {
+	items, at, err := s.Store.ListStale(ctx, kind)
+	s.add("list stale "+kind, 1, items...)
+	return items, at, err
+}
+
 // Put implements [Store].
 func (s *countedStore) Put(ctx context.Context, kind, name string, body []byte, version uint64) (storer.Item, error) {
 	s.add("put "+kind, 1)
--- a/internal/accountant/loops.go
+++ b/internal/accountant/loops.go
@@ -67,7 +67,7 @@
 		}
 	}
 	written := a.clock()
-	if err := a.readBudgets(ctx, ledgers.era); err != nil {
+	if err := a.readBudgets(ctx, ledgers.era, false); err != nil {
 		return err
 	}
 	a.mu.Lock()
@@ -95,8 +95,13 @@
 	met := a.greet(ctx, era)
 	a.mu.Lock()
 	ended := a.state.Ended()
+	stale := a.mayReadStale(ended)
 	a.mu.Unlock()
-	if err := a.readBudgets(ctx, era); err != nil {
+	err := a.readBudgets(ctx, era, stale)
+	if stale && errors.Is(err, storer.ErrRestored) {
+		err = a.readBudgets(ctx, era, false) // the copy may be older than the era
+	}
+	if err != nil {
 		return err
 	}
 	a.polls++
@@ -126,9 +131,21 @@
 	return nil
 }
 
-// readBudgets reads all budgets of an era from the store.
-func (a *Accountant) readBudgets(ctx context.Context, era int64) error {
-	items, at, err := a.store.List(ctx, KindBudgets)
+// mayReadStale reports whether a poll may read budgets that are some seconds old. Every write is
+// conditional on the version, and used tokens only increase, so an old budget never makes an
+// instance spend more. At a start, after a restore of the store, and for what an ended process
+// held, a poll has to show what was there when it began. The caller holds the lock.
+func (a *Accountant) mayReadStale(ended []string) bool {
+	return a.polls >= firstFullPolls && len(ended) == 0 && !a.ledgersWanted && !a.storeLost && a.state.Settled() && a.state.KnowsElders()
+}
+
+// readBudgets reads all budgets of an era from the store, or copies that may be stale.
+func (a *Accountant) readBudgets(ctx context.Context, era int64, stale bool) error {
+	list := a.store.List
+	if stale {
+		list = a.store.ListStale
+	}
+	items, at, err := list(ctx, KindBudgets)
 	if err != nil {
 		return fmt.Errorf("read budgets: %w", err)
 	}
--- a/internal/accountant/start_test.go
+++ b/internal/accountant/start_test.go
@@ -50,6 +50,10 @@
 	return items, follower.Position{Era: 1, Revision: int64(s.version)}, nil
 }
 
+func (s *countingStore) ListStale(ctx context.Context, kind string) ([]storer.Item, follower.Position, error) {
+	return s.List(ctx, kind)
+}
+
 func (s *countingStore) Get(_ context.Context, kind, name string) (storer.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
