--- a/internal/cacher/cacher.go
+++ b/internal/cacher/cacher.go
@@ -38,6 +38,7 @@
 	"daisylane/internal/granter"
 	"daisylane/internal/reporter"
 	"daisylane/internal/storer"
+	"daisylane/internal/waiter"
 )
 
 const (
@@ -93,7 +94,8 @@
 
 // kind is the state of one kind of objects.
 type kind struct {
-	wait     time.Duration // of a watch
+	wait     time.Duration // of a watch, with the interval
+	interval time.Duration // least time between watches of the store
 	view     View
 	selector *Selector
 	changed  chan struct{} // closed when the view changes
@@ -110,6 +112,16 @@
 	}
 }
 
+// WithInterval sets the least time between the watches of a kind by this instance, so that a
+// burst of changes arrives in few responses. The wait of the kind must include it.
+func WithInterval(name string, interval time.Duration) Option {
+	return func(c *Cache) {
+		if k := c.kinds[name]; k != nil {
+			k.interval = interval
+		}
+	}
+}
+
 // WithAsker sets how watchers are asked, by default over HTTP.
 func WithAsker(a Asker) Option { return func(c *Cache) { c.asker = a } }
 
@@ -187,10 +199,23 @@
 	}
 	if next == resync || c.clock()-began >= quickFailure {
 		wait = resyncWait // what has changed meanwhile is late already
+	} else {
+		waiter.Sleep(ctx, c.untilWatch(name))
 	}
 	return c.watchStore(ctx, name, after, wait)
 }
 
+// untilWatch returns how long a watch of the store has to wait for the interval of its kind.
+func (c *Cache) untilWatch(name string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	if k == nil || !k.view.direct || k.view.lost {
+		return 0
+	}
+	return k.view.contact + k.interval - c.clock()
+}
+
 // outcome is what follows from the answer of a watcher.
 type outcome int
 
--- a/internal/cacher/cacher_test.go
+++ b/internal/cacher/cacher_test.go
@@ -172,3 +172,30 @@
 		t.Errorf("contact was %v ago, want 1.7s", age)
 	}
 }
+
+// Guards against a watch of the store for each change of a burst, and against a pause before a
+// watch that is to tell what was missed.
+func TestInterval(t *testing.T) {
+	const wait, interval = 3 * time.Second, 500 * time.Millisecond
+	w := &world{now: time.Minute, era: 1, storeOK: true}
+	d := NewDirectory("a", "self")
+	c := New(w, w, d, WithKind("config", wait), WithInterval("config", interval), WithAsker(w), WithClock(func() time.Duration { return w.now }))
+	for _, tt := range []struct {
+		name   string
+		change func()
+		want   time.Duration
+	}{
+		{"never listed", func() {}, 0},
+		{"just listed", func() { _, _, _ = c.List(t.Context(), "config") }, interval},
+		{"a while later", func() { w.now += 200 * time.Millisecond }, interval - 200*time.Millisecond},
+		{"the interval is over", func() { w.now += interval }, 0},
+		{"just watched", func() { _, _, _ = c.watchStore(t.Context(), "config", at(1, 10), wait) }, interval},
+		{"the store does not respond", func() { w.storeOK = false; _, _, _ = c.watchStore(t.Context(), "config", at(1, 10), wait) }, 0},
+		{"another kind", func() { c.kinds = nil }, 0},
+	} {
+		tt.change()
+		if got := max(0, c.untilWatch("config")); got != tt.want {
+			t.Errorf("%s: the next watch waits %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -47,6 +47,8 @@
 
 	// tickInterval is the interval of connection sweeps, target expiry and relay updates.
 	tickInterval = 250 * time.Millisecond
+	// maxWarningInterval leaves most of the tolerated delay to a lost response.
+	maxWarningInterval = 600 * time.Millisecond
 	// usableRetryRatio is the part of the fleet's retry budget that the instances
 	// use. The rest covers restarts and the sliding window.
 	usableRetryRatio = 0.6
@@ -119,10 +121,11 @@
 	directory := cacher.NewDirectory(cfg.Centre, peerAddr)
 	peers := lender.NewClient(lender.WithTransport(directory.Transport))
 	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, peerAddr, peers, log, accountant.WithScope(e.metrics.Scope()))
-	changeWait, warningWait := follower.WatchWait(cfg.ChangeDelay()), follower.WatchWait(cfg.WarningDelay())
+	changeWait := follower.WatchWait(cfg.ChangeDelay())
+	warningInterval, warningWait := warningTimes(cfg.WarningDelay())
 	shared := []cacher.Option{
 		cacher.WithClock(accountant.BootClock), cacher.WithLog(log), cacher.WithScope(e.metrics.Scope()),
-		cacher.WithKind(platform.KindConfig, changeWait), cacher.WithKind(platform.KindRunners, changeWait), cacher.WithKind(recorder.Kind, warningWait),
+		cacher.WithKind(platform.KindConfig, changeWait), cacher.WithKind(platform.KindRunners, changeWait), cacher.WithKind(recorder.Kind, warningInterval+warningWait), cacher.WithInterval(recorder.Kind, warningInterval),
 	}
 	opts := []receiver.DispatcherOption{}
 	if delay, ok := cfg.EvacuateDelay(); ok {
@@ -160,6 +163,15 @@
 	return follower.WatchWait(max(delay-arrivalTime, time.Millisecond)) // 0 would be unlimited
 }
 
+// warningTimes returns the least time between watches of warnings, and how long one waits, given
+// the delay that is tolerated. Crashes and their answers are written by many instances within a
+// second; each write would end the watches of all data centres.
+func warningTimes(delay time.Duration) (interval, wait time.Duration) {
+	both := follower.WatchWait(delay)
+	interval = min(both/4, maxWarningInterval)
+	return interval, both - interval
+}
+
 // run serves until the context ends, then shuts down gracefully.
 func (e *entry) run(ctx context.Context, reload <-chan os.Signal) error {
 	e.log.Info().Str("centre", e.cfg.Centre).Str("region", e.cfg.Region).
@@ -182,7 +194,8 @@
 	if delay, ok := e.cfg.EvacuateDelay(); ok {
 		go follower.New(e.watches, platform.KindEvacuations, &evacuationHandler{e: e}, follower.WithWait(evacuationWait(delay))).Run(work)
 	}
-	go follower.New(e.watches, recorder.Kind, e.warnings, follower.WithWait(follower.WatchWait(e.cfg.WarningDelay()))).Run(work)
+	_, warningWait := warningTimes(e.cfg.WarningDelay())
+	go follower.New(e.watches, recorder.Kind, e.warnings, follower.WithWait(warningWait)).Run(work)
 	go e.warnings.Run(work)
 	go e.permits.Run(work)
 	go e.streams.Run(work)
