Write ledgers less often in larger fleets

A kill costs what one instance may spend within the interval, which is a smaller part of the demand the more instances there are, so the interval grows from 0.7 to 1.4 s.

--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -149,10 +149,12 @@
 	return g.refreshNeeded(now) && g.ledger.Age(now) >= g.ledgerInterval()
 }
 
-// ledgerInterval returns the interval of routine ledger writes. It grows with the
-// fleet, so that ledgers leave store capacity for other writes.
+// ledgerInterval returns the interval of routine ledger writes. It grows with the fleet, so that
+// ledgers leave store capacity for other writes. A kill costs what one instance may spend within
+// the interval, which is a smaller part of the demand the more instances there are.
 func (g *Granter) ledgerInterval() time.Duration {
-	return max(LedgerInterval, time.Duration(len(g.peers))*time.Second/maxLedgerWritesPerSecond)
+	n := time.Duration(len(g.peers))
+	return max(LedgerInterval, min(n*ledgerIntervalStep, maxLedgerInterval), n*time.Second/maxLedgerWritesPerSecond)
 }
 
 // refreshNeeded reports whether the ledger needs routine writes: its limits would
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -108,6 +108,10 @@
 	// maxLedgerWritesPerSecond is the limit for the ledgers of all instances. It is
 	// half of the 400 writes per second that the store is specified for.
 	maxLedgerWritesPerSecond = 200
+	// ledgerIntervalStep is by how much the interval grows with each instance, up to
+	// maxLedgerInterval. That leaves a slow write some time before limits grow.
+	ledgerIntervalStep = 60 * time.Millisecond
+	maxLedgerInterval  = 1400 * time.Millisecond
 	// idleLedgerInterval is the ledger interval of an instance without unused tokens.
 	idleLedgerInterval = 10 * time.Second
 	// LedgerInterval is the interval of routine ledger writes in a small fleet.
