Keep the bound of cold targets to the end of their last second

Cause: TestColdTargets counts each second that begins while a target is cold. A second fault, found on reading: a new registration dropped the requests counted so far. If the target was back before its registration was seen, each instance used its share twice in a second, 14 of 12. Change: the shares stay for 1.02 s after the cold time, then double as before. The requests of the last second count on when a registration is replaced.

--- a/internal/throttler/cold.go
+++ b/internal/throttler/cold.go
@@ -11,8 +11,11 @@
 	// blindRatio is the part of the bound that is left to instances that are cut off and cannot
 	// know that a target is cold.
 	blindRatio = 0.2
-	// After the cold time the shares double every rampDoubling until rampTime is over. Load
-	// reports are some 200 ms old, so each step is seen before the next one.
+	// holdTime is how long the shares stay as they are after the cold time: the bound holds for
+	// each second that begins in it.
+	holdTime = shareWindow
+	// After that the shares double every rampDoubling until rampTime is over. Load reports are
+	// some 200 ms old, so each step is seen before the next one.
 	rampDoubling = 500 * time.Millisecond
 	rampTime     = 2500 * time.Millisecond
 	// clockError is by how much the clock of a target may be ahead when its age decides.
@@ -132,7 +135,11 @@
 func (c *Cold) ObserveTarget(now time.Time, r Registration, changed bool) {
 	t, ok := c.targets[r.ID]
 	if !ok || t.Target != r.Target {
-		c.targets[r.ID] = &coldTarget{Registration: r, seenAt: now}
+		next := &coldTarget{Registration: r, seenAt: now}
+		if ok {
+			next.sent = t.sent // the last ones may have reached this process before its registration was seen
+		}
+		c.targets[r.ID] = next
 		c.active[r.ID] = true
 		return
 	}
@@ -294,18 +301,18 @@
 		c.warmUp(now, t, s)
 		// An instance without touch to the store may not know that the target has become cold
 		// again.
-		if warm := t.warming(now) == rampTime; warm && !c.touchAt.Before(t.warmAt.Add(rampTime)) {
+		if warm := t.warming(now) == rampTime; warm && !c.touchAt.Before(t.warmAt.Add(holdTime+rampTime)) {
 			delete(c.active, id)
 		}
 	}
 }
 
-// warming returns for how long a target has warmed up, 0 while it is cold.
+// warming returns for how long the shares of a target have grown, 0 while they don't.
 func (t *coldTarget) warming(now time.Time) time.Duration {
 	if t.warmAt.IsZero() {
 		return 0
 	}
-	return min(now.Sub(t.warmAt), rampTime)
+	return min(max(0, now.Sub(t.warmAt)-holdTime), rampTime)
 }
 
 // warmUp lets a target warm up when its cold time is over.
--- a/internal/throttler/cold_test.go
+++ b/internal/throttler/cold_test.go
@@ -428,3 +428,79 @@
 	}
 	return most
 }
+
+// Guards against more requests in a second than the bound if the second begins in the cold
+// time and ends after it, as the shares grow then; and against a second share in one second
+// for a target that is back before its registration. All instances have requests at any time,
+// and the cold time ends anywhere between two of them.
+func TestColdSecond(t *testing.T) {
+	tests := []struct {
+		name       string
+		instances  int
+		rate       float64
+		registered time.Duration // after the target is back
+	}{
+		{"few instances", 3, 2, 0},
+		{"each has a share", 7, coldRate, 0},
+		{"back before its registration", 7, coldRate, 300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			allowed, most, least := int(tt.rate*siteBounds.Ratio+siteBounds.Reserve), 0, math.MaxInt
+			for length := coldStart; length < coldStart+shareWindow; length += step {
+				cold, all := sendToRestarted(tt.instances, ColdService{Start: length, PerSecond: tt.rate}, tt.registered)
+				least = min(least, len(cold))
+				for _, from := range cold {
+					n := 0
+					for _, at := range all {
+						if !at.Before(from) && at.Before(from.Add(time.Second)) {
+							n++
+						}
+					}
+					most = max(most, n)
+				}
+			}
+			if most > allowed {
+				t.Errorf("%d requests in a second that begins in the cold time, allowed are %d", most, allowed)
+			}
+			if want := int(tt.rate*siteBounds.Ratio) * int(coldStart/time.Second-1); least < want {
+				t.Errorf("%d requests in the cold time, want %d", least, want)
+			}
+		})
+	}
+}
+
+// sendToRestarted lets instances that have requests at any time use a target that has
+// restarted and registers some time later. It returns when they send requests in its cold time,
+// and when they do at all.
+func sendToRestarted(instances int, s ColdService, registered time.Duration) (cold, all []time.Time) {
+	back := time.Unix(1_000_000, 0)
+	former, target := Target{Service: "pool", ID: "i-0", Incarnation: 1}, Target{Service: "pool", ID: "i-0", Incarnation: 2}
+	fleet := make([]*Cold, instances)
+	for i := range fleet {
+		fleet[i] = NewCold()
+		fleet[i].SetBounds(siteBounds)
+		fleet[i].SetServices(map[string]ColdService{"pool": s})
+		fleet[i].ObserveTarget(back, Registration{Target: former, Age: Settled}, false)
+		fleet[i].Suspect(back.Add(-2*time.Second), former)
+	}
+	for now := back; now.Before(back.Add(s.Start + 2*time.Second)); now = now.Add(step) {
+		for i, c := range fleet {
+			c.RecordInTouch(now)
+			if now.Equal(back.Add(registered)) {
+				c.ObserveTarget(now, Registration{Target: target}, true)
+			}
+			for _, id := range c.SharesDue(now, staleTime) {
+				c.SetShare(now, id, i, len(fleet), false)
+			}
+			if len(c.AppendClosed(nil, now, "pool")) > 0 {
+				continue
+			}
+			c.Take(now, target.ID)
+			if all = append(all, now); now.Before(back.Add(s.Start)) {
+				cold = append(cold, now)
+			}
+		}
+	}
+	return cold, all
+}
