Rank the instances once per change of their set

Cause: each instance ranked all instances once for each cold target every 2 s, though the ranks change only with the set of instances (and the share also when an instance is no longer new). Change: the granter counts the changes of the set. A share is due if it was computed from another count, or if the bounds or services have changed. Result: the tests of granter, accountant, permitter and throttler pass.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -277,6 +277,13 @@
 	return a.state.Rank(key)
 }
 
+// RankVersion returns a number from 1 that increases each time that the order of instances changes.
+func (a *Accountant) RankVersion() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.RankVersion()
+}
+
 // Reserve reserves the maximum number of tokens of a request. Missing tokens are
 // requested from the account's home, then from the store, for up to the given time.
 // It does not wait if waiting is known not to help.
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -81,9 +81,13 @@
 
 // SetPeer sets the address of an instance.
 func (g *Granter) SetPeer(name, addr string) {
-	if known, ok := g.peers[name]; ok && known == addr {
+	known, ok := g.peers[name]
+	if ok && known == addr {
 		return
 	}
+	if !ok {
+		g.peersVersion++
+	}
 	g.peers[name] = addr
 	clear(g.lenders)
 }
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -61,6 +61,9 @@
 	return g.rank(key, func(string) bool { return true })
 }
 
+// RankVersion returns a number from 1 that increases each time that the order of instances changes.
+func (g *Granter) RankVersion() int64 { return g.peersVersion }
+
 // rank is Rank among the instances that a function selects.
 func (g *Granter) rank(key string, selects func(instance string) bool) (peers []Lender, before int) {
 	type ranked struct {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -356,6 +356,7 @@
 	ready          bool
 	accounts       map[string]*account
 	peers          map[string]string   // addresses by instance name, including this instance
+	peersVersion   int64               // increases with each name that is added to peers
 	lenders        map[string][]Lender // by account; cache derived from peers
 	ledger         Ledger              // newest ledger known to be written
 	pendingLedgers []Ledger            // ledger writes that may still take effect
@@ -388,7 +389,7 @@
 func New(self Identity) *Granter {
 	return &Granter{
 		name: self.Name, addr: self.Addr, incarnation: self.Incarnation, bootID: self.Boot,
-		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr}, lenders: make(map[string][]Lender), loans: make(map[string]loanRecord), ends: make(map[string]ending), greetings: make(map[string]int),
+		accounts: make(map[string]*account), peers: map[string]string{self.Name: self.Addr}, peersVersion: 1, lenders: make(map[string][]Lender), loans: make(map[string]loanRecord), ends: make(map[string]ending), greetings: make(map[string]int),
 		era: eraState{ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), greeted: make(map[string]string), sightings: make(map[string]sighting)},
 	}
 }
--- a/internal/permitter/cold.go
+++ b/internal/permitter/cold.go
@@ -62,11 +62,12 @@
 // updateShares computes the shares of this instance for targets that are cold or warm up.
 func (p *Permitter) updateShares() {
 	var due []string
-	p.UpdateCold(func(now time.Time, c *throttler.Cold) { due = c.SharesDue(now, p.cold.staleTime) })
-	justStarted := time.Since(p.started) < knownAfter
+	// The version is read before the ranks: a change between the two makes the shares due again.
+	ranking := throttler.Ranking{Version: p.fleet.RankVersion(), JustStarted: time.Since(p.started) < knownAfter}
+	p.UpdateCold(func(now time.Time, c *throttler.Cold) { due = c.SharesDue(now, p.cold.staleTime, ranking) })
 	for _, id := range due {
 		peers, before := p.fleet.Rank(id)
-		p.UpdateCold(func(now time.Time, c *throttler.Cold) { c.SetShare(now, id, before, len(peers)+1, justStarted) })
+		p.UpdateCold(func(_ time.Time, c *throttler.Cold) { c.SetShare(id, before, len(peers)+1, ranking) })
 	}
 	if len(due) > 0 {
 		p.mu.Lock()
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -42,6 +42,8 @@
 	// Rank returns the other instances in the order in which they are the home of a key,
 	// and how many of them come before this instance.
 	Rank(key string) (peers []granter.Lender, before int)
+	// RankVersion returns a number from 1 that increases each time that the order changes.
+	RankVersion() int64
 }
 
 // Peers calls other instances.
--- a/internal/permitter/permitter_test.go
+++ b/internal/permitter/permitter_test.go
@@ -39,6 +39,8 @@
 	return peers, before
 }
 
+func (m member) RankVersion() int64 { return 1 }
+
 func (m member) AskPermits(ctx context.Context, peer granter.Lender, a throttler.Ask) (throttler.Grant, error) {
 	m.mu.Lock()
 	down := m.down[peer.Name]
--- a/internal/throttler/cold.go
+++ b/internal/throttler/cold.go
@@ -30,9 +30,6 @@
 	// shareWindow is the time in which the requests of this instance to a target are counted.
 	// It is longer than the second of the bound by what timers may be late.
 	shareWindow = 1020 * time.Millisecond
-	// shareTime is how long a share is used before it is computed anew: instances join and
-	// leave, but each that is known for a shorter time than the others adds one share.
-	shareTime = 2 * time.Second
 	// maxSent limits the requests that are remembered for a target.
 	maxSent = 512
 	// maxReports limits the targets that are passed on at a time.
@@ -84,8 +81,14 @@
 	suspect time.Time // the same, if the target has restarted without a registration
 	warmAt  time.Time // when the target began to warm up, zero: it is cold
 	sent    []time.Time
-	share   int       // requests that this instance may send in any second
-	shareAt time.Time // when the share was computed, zero: it was not
+	share   int     // requests that this instance may send in any second
+	ranking Ranking // that the share was computed from, zero: it was not computed
+}
+
+// Ranking identifies what the shares of an instance are computed from.
+type Ranking struct {
+	Version     int64 // of the order of the instances, at least 1
+	JustStarted bool  // this instance may know few of the others
 }
 
 // Cold keeps the requests to cold targets within their bounds: each of the instances that
@@ -111,9 +114,10 @@
 	c.activate()
 }
 
-// activate makes all targets be looked at again.
+// activate makes all targets be looked at again, and their shares be computed anew.
 func (c *Cold) activate() {
-	for id := range c.targets {
+	for id, t := range c.targets {
+		t.ranking = Ranking{}
 		c.active[id] = true
 	}
 }
@@ -418,15 +422,16 @@
 	return least
 }
 
-// SharesDue returns the targets whose share is to be computed now. An instance without touch
-// to the store keeps its shares: it may no longer know which instances live.
-func (c *Cold) SharesDue(now time.Time, stale time.Duration) (ids []string) {
+// SharesDue returns the targets whose share was not computed from a ranking: each instance that
+// some know and others don't adds one share, so shares follow a change at once. An instance
+// without touch to the store keeps its shares: it may no longer know which instances live.
+func (c *Cold) SharesDue(now time.Time, stale time.Duration, r Ranking) (ids []string) {
 	if now.Sub(c.touchAt) > stale {
 		return nil
 	}
 	for id := range c.active {
 		t := c.targets[id]
-		if _, ok := c.service(t.Service); ok && (t.shareAt.IsZero() || now.Sub(t.shareAt) >= shareTime) {
+		if _, ok := c.service(t.Service); ok && t.ranking != r {
 			ids = append(ids, id)
 		}
 	}
@@ -436,7 +441,7 @@
 // SetShare sets the share of this instance for a target, given how many of the known
 // instances come before it. One that has just started may know few others, so it counts as one of
 // many.
-func (c *Cold) SetShare(now time.Time, id string, before, instances int, justStarted bool) {
+func (c *Cold) SetShare(id string, before, instances int, r Ranking) {
 	t, ok := c.targets[id]
 	if !ok {
 		return
@@ -445,8 +450,8 @@
 	if !ok {
 		return
 	}
-	t.share, t.shareAt = c.bounds.quota(s.PerSecond, before, instances), now
-	if justStarted {
+	t.share, t.ranking = c.bounds.quota(s.PerSecond, before, instances), r
+	if r.JustStarted {
 		t.share = min(t.share, 1)
 	}
 }
--- a/internal/throttler/cold_test.go
+++ b/internal/throttler/cold_test.go
@@ -96,7 +96,8 @@
 
 // setShares computes the shares of an instance by rendezvous hashing over those that it knows.
 func (s *site) setShares(in *siteInstance, justStarted bool) {
-	for _, id := range in.SharesDue(s.now, staleTime) {
+	ranking := Ranking{Version: 1, JustStarted: justStarted}
+	for _, id := range in.SharesDue(s.now, staleTime, ranking) {
 		weight := func(o *siteInstance) uint64 { return xxhash.Sum64String(id + "/" + o.name) }
 		before, known := 0, 1
 		for i, o := range s.instances {
@@ -108,7 +109,7 @@
 				before++
 			}
 		}
-		in.SetShare(s.now, id, before, known, justStarted)
+		in.SetShare(id, before, known, ranking)
 	}
 }
 
@@ -490,8 +491,9 @@
 			if now.Equal(back.Add(registered)) {
 				c.ObserveTarget(now, Registration{Target: target}, true)
 			}
-			for _, id := range c.SharesDue(now, staleTime) {
-				c.SetShare(now, id, i, len(fleet), false)
+			ranking := Ranking{Version: 1}
+			for _, id := range c.SharesDue(now, staleTime, ranking) {
+				c.SetShare(id, i, len(fleet), ranking)
 			}
 			if len(c.AppendClosed(nil, now, "pool")) > 0 {
 				continue
