Use no share of a cold target from an earlier set of instances

Cause: found on reading. A target that becomes cold again kept the share of its last cold time for up to 0.25 s. An instance that had known fewer others then could send more than its present share (up to 7 requests alone). One without touch to the store computed no share at all, so a target that it had not known as cold before got nothing from it until the store responded. Change: a share counts as none until it is computed from the present ranking. Without touch, the last ranking is used.

--- a/internal/permitter/cold.go
+++ b/internal/permitter/cold.go
@@ -67,7 +67,7 @@
 	p.UpdateCold(func(now time.Time, c *throttler.Cold) { due = c.SharesDue(now, p.cold.staleTime, ranking) })
 	for _, id := range due {
 		peers, before := p.fleet.Rank(id)
-		p.UpdateCold(func(_ time.Time, c *throttler.Cold) { c.SetShare(id, before, len(peers)+1, ranking) })
+		p.UpdateCold(func(_ time.Time, c *throttler.Cold) { c.SetShare(id, before, len(peers)+1) })
 	}
 	if len(due) > 0 {
 		p.mu.Lock()
--- a/internal/throttler/cold.go
+++ b/internal/throttler/cold.go
@@ -98,6 +98,7 @@
 	services map[string]ColdService
 	targets  map[string]*coldTarget
 	active   map[string]bool // targets that may be cold
+	ranking  Ranking         // that shares are computed from now
 	touchAt  time.Time       // when the store last responded
 	cutOff   bool            // this instance can't know which targets are cold
 	peers    int             // other instances that it reaches, which can't know it either
@@ -345,7 +346,11 @@
 	}
 	n, ok = math.MaxInt, false
 	if c.active[id] {
-		n, ok = int(float64(t.share)*math.Exp2(t.warming(now).Seconds()/rampDoubling.Seconds())), true
+		share := t.share
+		if t.ranking != c.ranking {
+			share = 0
+		}
+		n, ok = int(float64(share)*math.Exp2(t.warming(now).Seconds()/rampDoubling.Seconds())), true
 	}
 	if c.cutOff {
 		n, ok = min(n, c.bounds.blindShare(s.PerSecond, c.peers)), true
@@ -422,16 +427,17 @@
 	return least
 }
 
-// SharesDue returns the targets whose share was not computed from a ranking: each instance that
-// some know and others don't adds one share, so shares follow a change at once. An instance
-// without touch to the store keeps its shares: it may no longer know which instances live.
+// SharesDue returns the targets whose share was not computed from a ranking. Until it is, they get
+// no requests: with shares of several rankings, all instances together may exceed the bound. An
+// instance without touch to the store goes on with the last ranking: it may no longer know which
+// instances live.
 func (c *Cold) SharesDue(now time.Time, stale time.Duration, r Ranking) (ids []string) {
-	if now.Sub(c.touchAt) > stale {
-		return nil
+	if now.Sub(c.touchAt) <= stale {
+		c.ranking = r
 	}
 	for id := range c.active {
 		t := c.targets[id]
-		if _, ok := c.service(t.Service); ok && t.ranking != r {
+		if _, ok := c.service(t.Service); ok && t.ranking != c.ranking {
 			ids = append(ids, id)
 		}
 	}
@@ -441,7 +447,7 @@
 // SetShare sets the share of this instance for a target, given how many of the known
 // instances come before it. One that has just started may know few others, so it counts as one of
 // many.
-func (c *Cold) SetShare(id string, before, instances int, r Ranking) {
+func (c *Cold) SetShare(id string, before, instances int) {
 	t, ok := c.targets[id]
 	if !ok {
 		return
@@ -450,8 +456,8 @@
 	if !ok {
 		return
 	}
-	t.share, t.ranking = c.bounds.quota(s.PerSecond, before, instances), r
-	if r.JustStarted {
+	t.share, t.ranking = c.bounds.quota(s.PerSecond, before, instances), c.ranking
+	if c.ranking.JustStarted {
 		t.share = min(t.share, 1)
 	}
 }
--- a/internal/throttler/cold_test.go
+++ b/internal/throttler/cold_test.go
@@ -109,7 +109,7 @@
 				before++
 			}
 		}
-		in.SetShare(id, before, known, ranking)
+		in.SetShare(id, before, known)
 	}
 }
 
@@ -431,8 +431,9 @@
 }
 
 // Guards against more requests in a second than the bound if the second begins in the cold
-// time and ends after it, as the shares grow then; and against a second share in one second
-// for a target that is back before its registration. All instances have requests at any time,
+// time and ends after it, as the shares grow then; against a second share in one second for
+// a target that is back before its registration; and against shares of a time when fewer instances
+// were known. All instances have requests at any time,
 // and the cold time ends anywhere between two of them.
 func TestColdSecond(t *testing.T) {
 	tests := []struct {
@@ -440,16 +441,18 @@
 		instances  int
 		rate       float64
 		registered time.Duration // after the target is back
+		joined     bool          // the shares were computed last when each instance knew only former ones
 	}{
-		{"few instances", 3, 2, 0},
-		{"each has a share", 7, coldRate, 0},
-		{"back before its registration", 7, coldRate, 300 * time.Millisecond},
+		{"few instances", 3, 2, 0, false},
+		{"each has a share", 7, coldRate, 0, false},
+		{"back before its registration", 7, coldRate, 300 * time.Millisecond, false},
+		{"joined one after the other", 7, coldRate, 300 * time.Millisecond, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			allowed, most, least := int(tt.rate*siteBounds.Ratio+siteBounds.Reserve), 0, math.MaxInt
 			for length := coldStart; length < coldStart+shareWindow; length += step {
-				cold, all := sendToRestarted(tt.instances, ColdService{Start: length, PerSecond: tt.rate}, tt.registered)
+				cold, all := sendToRestarted(tt.instances, ColdService{Start: length, PerSecond: tt.rate}, tt.registered, tt.joined)
 				least = min(least, len(cold))
 				for _, from := range cold {
 					n := 0
@@ -474,7 +477,7 @@
 // sendToRestarted lets instances that have requests at any time use a target that has
 // restarted and registers some time later. It returns when they send requests in its cold time,
 // and when they do at all.
-func sendToRestarted(instances int, s ColdService, registered time.Duration) (cold, all []time.Time) {
+func sendToRestarted(instances int, s ColdService, registered time.Duration, joined bool) (cold, all []time.Time) {
 	back := time.Unix(1_000_000, 0)
 	former, target := Target{Service: "pool", ID: "i-0", Incarnation: 1}, Target{Service: "pool", ID: "i-0", Incarnation: 2}
 	fleet := make([]*Cold, instances)
@@ -483,6 +486,13 @@
 		fleet[i].SetBounds(siteBounds)
 		fleet[i].SetServices(map[string]ColdService{"pool": s})
 		fleet[i].ObserveTarget(back, Registration{Target: former, Age: Settled}, false)
+		if joined {
+			fleet[i].RecordInTouch(back)
+			fleet[i].SharesDue(back, staleTime, Ranking{Version: 1})
+			fleet[i].SetShare(former.ID, 0, i+1)
+			fleet[i].AppendClosed(nil, back, "pool") // the target is warm
+			fleet[i].SharesDue(back, staleTime, Ranking{Version: 2})
+		}
 		fleet[i].Suspect(back.Add(-2*time.Second), former)
 	}
 	for now := back; now.Before(back.Add(s.Start + 2*time.Second)); now = now.Add(step) {
@@ -491,9 +501,10 @@
 			if now.Equal(back.Add(registered)) {
 				c.ObserveTarget(now, Registration{Target: target}, true)
 			}
-			ranking := Ranking{Version: 1}
-			for _, id := range c.SharesDue(now, staleTime, ranking) {
-				c.SetShare(id, i, len(fleet), ranking)
+			if ranking := (Ranking{Version: 2}); now.Sub(back)%(250*time.Millisecond) == 10*step {
+				for _, id := range c.SharesDue(now, staleTime, ranking) {
+					c.SetShare(id, i, len(fleet))
+				}
 			}
 			if len(c.AppendClosed(nil, now, "pool")) > 0 {
 				continue
