--- a/internal/cacher/cacher.go
+++ b/internal/cacher/cacher.go
@@ -36,6 +36,7 @@
 
 	"daisylane/internal/follower"
 	"daisylane/internal/granter"
+	"daisylane/internal/messenger"
 	"daisylane/internal/reporter"
 	"daisylane/internal/storer"
 )
@@ -134,7 +135,7 @@
 		o(c)
 	}
 	if c.asker == nil {
-		c.asker = newClient(d)
+		c.asker = client{messenger.NewClient(d.Transport)}
 	}
 	return c
 }
@@ -352,7 +353,7 @@
 // Handler adds the questions of neighbours to what peers are served.
 func (c *Cache) Handler(next http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+watchPath, c.handleWatch)
+	mux.HandleFunc("POST "+watchPath, messenger.Handle(maxAskBytes, c.serve))
 	mux.Handle("/", next)
 	return c.directory.handler(mux)
 }
--- a/internal/cacher/peers.go
+++ b/internal/cacher/peers.go
@@ -1,28 +1,22 @@
 package cacher
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"daisylane/internal/checker"
 	"daisylane/internal/follower"
+	"daisylane/internal/messenger"
 	"daisylane/internal/storer"
 )
 
 const (
-	watchPath       = "/watch"
-	dialTimeout     = 150 * time.Millisecond
-	maxAskBytes     = 4 << 10
-	maxReplyBytes   = 16 << 20 // some objects of 1 MB, in base64
-	maxWait         = 10 * time.Second
-	idleConns       = 4 // one for each kind
-	idleConnTimeout = 20 * time.Second
+	watchPath     = "/watch"
+	maxAskBytes   = 4 << 10
+	maxReplyBytes = 16 << 20 // some objects of 1 MB, in base64
+	maxWait       = 10 * time.Second
 )
 
 // Refusal is why an instance does not answer a neighbour.
@@ -87,61 +81,14 @@
 	return list
 }
 
-// handleWatch answers a neighbour.
-func (c *Cache) handleWatch(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAskBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	a, err := checker.Decode[Ask](body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	data, err := checker.Encode(c.serve(r.Context(), a))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(data) // a neighbour that has disconnected asks again
-}
-
 // client asks watchers over HTTP.
 type client struct{ http *http.Client }
 
-func newClient(d *Directory) *client {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return &client{&http.Client{Transport: d.Transport(&http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxAskBytes,
-	})}}
-}
-
 // Ask implements [Asker].
-func (c *client) Ask(ctx context.Context, addr string, a Ask) (Reply, error) {
-	data, err := json.Marshal(a)
-	if err != nil {
-		return Reply{}, fmt.Errorf("encode question to watcher: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+watchPath, bytes.NewReader(data))
-	if err != nil {
-		return Reply{}, fmt.Errorf("create request: %w", err)
-	}
-	res, err := c.http.Do(req)
+func (c client) Ask(ctx context.Context, addr string, a Ask) (Reply, error) {
+	reply, err := messenger.Post[Reply](ctx, c.http, addr+watchPath, maxReplyBytes, a)
 	if err != nil {
 		return Reply{}, fmt.Errorf("ask watcher: %w", err)
 	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
-	if err != nil {
-		return Reply{}, fmt.Errorf("read answer of watcher: %w", err)
-	}
-	if res.StatusCode != http.StatusOK {
-		return Reply{}, fmt.Errorf("watcher responded with status %d", res.StatusCode)
-	}
-	reply, err := checker.Decode[Reply](body)
-	if err != nil {
-		return Reply{}, fmt.Errorf("decode answer of watcher: %w", err)
-	}
 	return reply, nil
 }
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -18,18 +18,16 @@
 package lender
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"daisylane/internal/checker"
 	"daisylane/internal/granter"
+	"daisylane/internal/messenger"
 	"daisylane/internal/throttler"
 )
 
@@ -42,8 +40,6 @@
 	endPath    = "/end"
 	permitPath = "/permit"
 	coldPath   = "/cold"
-	// dialTimeout is three round trips between regions.
-	dialTimeout = 150 * time.Millisecond
 	// callTimeout is a dial, a round trip and the time that the lender itself waits
 	// for tokens.
 	callTimeout  = 380 * time.Millisecond
@@ -51,10 +47,8 @@
 	// maxHandoverBytes has room for the grants of 300 instances in 40 accounts.
 	maxHandoverBytes = 2 << 20
 	// maxColdBytes has room for the reports of 1,024 cold targets.
-	maxColdBytes     = 256 << 10
-	idleConnsPerPeer = 4
-	idleConnTimeout  = 20 * time.Second
-	maxTokens        = 1 << 40
+	maxColdBytes = 256 << 10
+	maxTokens    = 1 << 40
 )
 
 // ErrRefused means that the peer does not lend, because it is not ready or is stopping.
@@ -107,7 +101,7 @@
 func WithPermits(pg PermitGranter) HandlerOption {
 	return func(mux *http.ServeMux) {
 		mux.HandleFunc("POST "+permitPath, handleJSON(pg.GrantPermits))
-		mux.HandleFunc("POST "+coldPath, handleLimited(maxColdBytes, pg.ExchangeCold))
+		mux.HandleFunc("POST "+coldPath, messenger.Handle(maxColdBytes, pg.ExchangeCold))
 	}
 }
 
@@ -124,7 +118,7 @@
 	}))
 	mux.HandleFunc("POST "+notePath, handleJSON(func(_ context.Context, n granter.Note) Reply { return replyTo(tl.RecordNote(n)) }))
 	mux.HandleFunc("POST "+greetPath, handleJSON(func(_ context.Context, m granter.Greeting) Reply { return replyTo(tl.RecordGreeting(m)) }))
-	mux.HandleFunc("POST "+endPath, handleLimited(maxHandoverBytes, func(_ context.Context, h granter.Handover) Reply { return replyTo(tl.RecordHandover(h)) }))
+	mux.HandleFunc("POST "+endPath, messenger.Handle(maxHandoverBytes, func(_ context.Context, h granter.Handover) Reply { return replyTo(tl.RecordHandover(h)) }))
 	for _, o := range opts {
 		o(mux)
 	}
@@ -139,36 +133,15 @@
 	return Reply{Outcome: granter.Reserved}
 }
 
-// handleJSON decodes and validates the request of a peer and encodes the response.
-func handleJSON[Req checker.Checker, Res checker.Checker](serve func(context.Context, Req) Res) http.HandlerFunc {
-	return handleLimited(maxBodyBytes, serve)
-}
-
-// handleLimited is [handleJSON] for requests of up to the given size.
-func handleLimited[Req checker.Checker, Res checker.Checker](limit int64, serve func(context.Context, Req) Res) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		req, err := checker.Decode[Req](body)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		data, err := checker.Encode(serve(r.Context(), req))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(data) // if the peer has disconnected, the tokens are lost
-	}
+// handleJSON is [messenger.Handle] for requests of the usual size.
+func handleJSON[Req, Res checker.Checker](serve func(context.Context, Req) Res) http.HandlerFunc {
+	return messenger.Handle(maxBodyBytes, serve)
 }
 
 // Client borrows tokens from peers. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	wrap func(http.RoundTripper) http.RoundTripper
 }
 
 // ClientOption changes a setting of a [Client].
@@ -176,18 +149,16 @@
 
 // WithTransport wraps the HTTP transport of the calls to peers.
 func WithTransport(wrap func(http.RoundTripper) http.RoundTripper) ClientOption {
-	return func(c *Client) { c.http.Transport = wrap(c.http.Transport) }
+	return func(c *Client) { c.wrap = wrap }
 }
 
 // NewClient returns a client that keeps idle connections to peers.
 func NewClient(opts ...ClientOption) *Client {
-	d := net.Dialer{Timeout: dialTimeout}
-	c := &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerPeer, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxBodyBytes,
-	}}}
+	c := &Client{wrap: func(t http.RoundTripper) http.RoundTripper { return t }}
 	for _, o := range opts {
 		o(c)
 	}
+	c.http = messenger.NewClient(c.wrap)
 	return c
 }
 
@@ -254,32 +225,8 @@
 }
 
 // post sends a request to a peer and decodes the response.
-func post[Res checker.Checker](ctx context.Context, c *Client, url string, v any) (reply Res, err error) {
+func post[Res checker.Checker](ctx context.Context, c *Client, url string, v any) (Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	data, err := json.Marshal(v)
-	if err != nil {
-		return reply, fmt.Errorf("encode request to peer: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader(data))
-	if err != nil {
-		return reply, fmt.Errorf("create request: %w", err)
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return reply, fmt.Errorf("send request to peer: %w", err)
-	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxColdBytes))
-	if err != nil {
-		return reply, fmt.Errorf("read response of peer: %w", err)
-	}
-	if res.StatusCode != http.StatusOK {
-		return reply, fmt.Errorf("peer responded with status %d: %s", res.StatusCode, bytes.TrimSpace(body))
-	}
-	reply, err = checker.Decode[Res](body)
-	if err != nil {
-		return reply, fmt.Errorf("decode response of peer: %w", err)
-	}
-	return reply, nil
+	return messenger.Post[Res](ctx, c.http, url, maxColdBytes, v)
 }
