--- a/internal/cacher/view.go
+++ b/internal/cacher/view.go
@@ -26,6 +26,8 @@
 	at         follower.Position
 	base       int64 // changes after this revision are kept
 	batches    []batch
+	changes    int           // in the batches
+	bytes      int           // the same
 	contact    time.Duration // when the view was known to match the store
 	listed     bool          // the position is valid
 	everListed bool
@@ -42,34 +44,43 @@
 func (v *View) Lost() { v.lost = true }
 
 // Forget records that the objects have to be listed again.
-func (v *View) Forget() { v.listed, v.batches = false, nil }
+func (v *View) Forget() {
+	v.listed = false
+	v.drop()
+}
+
+// drop removes all batches.
+func (v *View) drop() { v.batches, v.changes, v.bytes = nil, 0, 0 }
 
 // Add records the changes between two positions, as known at the time of the contact.
 // direct says that the store has told them.
 func (v *View) Add(contact time.Duration, from, to follower.Position, changes []follower.Change, direct bool) {
 	if !v.listed || v.at != from {
-		v.base, v.batches = from.Revision, nil
+		v.base = from.Revision
+		v.drop()
 	}
 	v.at, v.listed, v.everListed, v.direct, v.lost = to, true, true, direct, false
 	v.contact = max(v.contact, contact)
 	if n := len(v.batches); n > 0 && len(changes) == 0 && len(v.batches[n-1].changes) == 0 {
 		v.batches[n-1].to = to.Revision
 	} else {
-		v.batches = append(v.batches, batch{from.Revision, to.Revision, changes})
+		b := batch{from.Revision, to.Revision, changes}
+		v.batches = append(v.batches, b)
+		v.changes, v.bytes = v.changes+len(changes), v.bytes+b.bytes()
 	}
-	for count, bytes := v.size(); len(v.batches) > 1 && (count > maxChanges || bytes > maxBytes || len(v.batches) > maxChanges); count, bytes = v.size() {
-		v.base, v.batches = v.batches[0].to, v.batches[1:]
+	for len(v.batches) > 1 && (v.changes > maxChanges || v.bytes > maxBytes || len(v.batches) > maxChanges) {
+		oldest := v.batches[0]
+		v.base, v.batches = oldest.to, v.batches[1:]
+		v.changes, v.bytes = v.changes-len(oldest.changes), v.bytes-oldest.bytes()
 	}
 }
 
-func (v *View) size() (changes, bytes int) {
-	for _, b := range v.batches {
-		changes += len(b.changes)
-		for _, c := range b.changes {
-			bytes += len(c.Item.Key) + len(c.Item.Body)
-		}
+// bytes returns the size of the keys and contents.
+func (b batch) bytes() (n int) {
+	for _, c := range b.changes {
+		n += len(c.Item.Key) + len(c.Item.Body)
 	}
-	return changes, bytes
+	return n
 }
 
 // since returns the changes after a revision. It returns false if they are not known.
