Forget peers that are no longer listed

Cause: the directory of data centres kept each peer until it had 4,096, and then took no new one. Change: a peer that is neither among the instances nor was heard or asked in the last minute is dropped.

--- a/internal/cacher/cacher_test.go
+++ b/internal/cacher/cacher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -124,7 +125,7 @@
 			w := &world{now: time.Minute, era: 1, storeOK: tt.storeOK, answer: make(map[string]func(time.Duration, Ask) (Reply, error))}
 			d := NewDirectory("a", "self")
 			for addr, centre := range map[string]string{"far": "b", "w1": "a", "w2": "a", "later": "a"} {
-				d.record(addr, centre)
+				d.record(time.Now(), addr, centre)
 			}
 			c := New(w, w, d, WithKind("config", wait), WithAsker(w), WithClock(func() time.Duration { return w.now }))
 			if _, _, err := c.List(t.Context(), "config"); err != nil {
@@ -157,7 +158,7 @@
 		return Reply{Era: 1, Revision: 12, Contact: -700}, nil
 	}
 	d := NewDirectory("a", "self")
-	d.record("w1", "a")
+	d.record(time.Now(), "w1", "a")
 	c := New(w, w, d, WithKind("config", 2*time.Second), WithAsker(w), WithClock(func() time.Duration { return w.now }))
 	if got := c.Contact("config"); !got.IsZero() {
 		t.Errorf("got contact at %v before the first list", got)
@@ -172,3 +173,22 @@
 		t.Errorf("contact was %v ago, want 1.7s", age)
 	}
 }
+
+// Guards against a directory that fills with peers which have left, so that new ones are never
+// taken for neighbours, and against one that forgets peers which live or have just started.
+func TestPeersAreForgotten(t *testing.T) {
+	begun := time.Unix(1_000_000, 0)
+	d := NewDirectory("a", "self")
+	for i := range maxDirectory - 2 {
+		d.record(begun, fmt.Sprint("left", i), "a")
+	}
+	d.record(begun, "lives", "a")
+	d.record(begun.Add(forgetTime), "new", "a")
+	d.forget(begun.Add(forgetTime+time.Second), []string{"lives"})
+	d.record(begun.Add(forgetTime+time.Second), "next", "a")
+	for addr, want := range map[string]bool{"left0": false, "lives": true, "new": true, "next": true} {
+		if d.isNeighbour(addr) != want {
+			t.Errorf("%s is a neighbour: %v, want %v", addr, !want, want)
+		}
+	}
+}
