Forget servers with former limits when their last connection ends

Cause: acceptor kept the server of each former set of limits until the whole server stopped. Result: TestFormerLimitsAreForgotten has 5 former servers on the former code and passes now; the tests of acceptor pass with the race detector.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -249,3 +249,35 @@
 		}
 	}
 }
+
+// Guards against former limits, and the servers that have them, which are kept for as long as
+// the process runs, one for each change.
+func TestFormerLimitsAreForgotten(t *testing.T) {
+	r := newRig(t, 8<<20)
+	formers := func() int {
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		return len(r.server.former)
+	}
+	eventually := func(want int) {
+		t.Helper()
+		end := time.Now().Add(5 * time.Second)
+		for formers() != want && time.Now().Before(end) {
+			time.Sleep(time.Millisecond)
+		}
+		if n := formers(); n != want {
+			t.Fatalf("%d former servers, want %d", n, want)
+		}
+	}
+	open := r.dial()
+	open.send(post("/", "body"))
+	open.answer()
+	for i := range 5 {
+		l := testLimits
+		l.MaxHeaderBytes += i + 1
+		r.server.SetLimits(l)
+	}
+	eventually(1) // that of the open connection
+	_ = open.Close()
+	eventually(0)
+}
--- a/internal/acceptor/server.go
+++ b/internal/acceptor/server.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,7 +65,7 @@
 	mu       sync.Mutex
 	limits   Limits
 	current  *generation
-	former   []*generation
+	former   []*generation // replaced ones that still have connections
 	listener net.Listener
 	ended    bool
 }
@@ -76,6 +77,10 @@
 	done  chan struct{}
 	addr  net.Addr
 	once  sync.Once
+
+	// Guarded by the lock of the server.
+	open  int  // connections
+	ended bool // it takes no further ones
 }
 
 // Accept implements [net.Listener].
@@ -155,15 +160,45 @@
 		Handler: http.HandlerFunc(s.serveHTTP), MaxHeaderBytes: s.limits.MaxHeaderBytes,
 		ReadHeaderTimeout: s.limits.HeaderTimeout, IdleTimeout: s.limits.IdleTimeout,
 		ReadTimeout: s.limits.RequestTimeout, WriteTimeout: s.limits.RequestTimeout,
-		ConnState: s.recordState,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			s.recordState(c, state)
+			s.countOpen(g, state)
+		},
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
-	go func() { _ = g.http.Serve(g) }() // ends with the generation
+	go func() {
+		_ = g.http.Serve(g) // ends with the generation
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		g.ended = true
+		s.dropEnded(g)
+	}()
 	return g
 }
 
+// countOpen follows the number of connections of a generation.
+func (s *Server) countOpen(g *generation, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		g.open++
+	case http.StateClosed, http.StateHijacked:
+		g.open--
+		s.dropEnded(g)
+	}
+}
+
+// dropEnded forgets a generation that has ended and has no connections left. The caller must
+// hold the lock.
+func (s *Server) dropEnded(g *generation) {
+	if g.ended && g.open == 0 {
+		s.former = slices.DeleteFunc(s.former, func(f *generation) bool { return f == g })
+	}
+}
+
 type connKey struct{}
 
 // serveHTTP serves a request unless its connection was given up before it arrived.
@@ -335,7 +370,7 @@
 	if s.listener != nil {
 		_ = s.listener.Close() // may be closed already
 	}
-	all := s.former
+	all := slices.Clone(s.former)
 	if s.current != nil {
 		all = append(all, s.current)
 	}
