Charge answers to neighbours to the memory of the instance

Cause: each neighbour that asks /watch got an encoding of its own, which nothing bounded. Change: neighbours that get the same changes share one encoding. It is charged as an answer until the last of them has read it. Without room, the neighbour is refused (busy) and asks another instance or the store.

--- a/internal/cacher/cacher.go
+++ b/internal/cacher/cacher.go
@@ -87,6 +87,7 @@
 	log       zerolog.Logger
 	scope     tally.Scope
 	clock     func() time.Duration
+	answers   answers
 
 	mu    sync.Mutex
 	kinds map[string]*kind // the map does not change
@@ -114,6 +115,9 @@
 // WithAsker sets how watchers are asked, by default over HTTP.
 func WithAsker(a Asker) Option { return func(c *Cache) { c.asker = a } }
 
+// WithMemory sets what accounts for the answers to neighbours. Without room, they are refused.
+func WithMemory(m Memory) Option { return func(c *Cache) { c.answers.memory = m } }
+
 // WithClock sets the clock, which must go on while the machine is suspended.
 func WithClock(clock func() time.Duration) Option { return func(c *Cache) { c.clock = clock } }
 
@@ -129,7 +133,8 @@
 	start := time.Now()
 	c := &Cache{
 		store: store, ranker: ranker, directory: d, log: zerolog.Nop(), scope: tally.NoopScope, kinds: make(map[string]*kind),
-		clock: func() time.Duration { return time.Since(start) },
+		answers: answers{memory: unlimited{}, encoded: make(map[answerKey]*encoded)},
+		clock:   func() time.Duration { return time.Since(start) },
 	}
 	for _, o := range opts {
 		o(c)
@@ -353,7 +358,7 @@
 // Handler adds the questions of neighbours to what peers are served.
 func (c *Cache) Handler(next http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+watchPath, messenger.Handle(maxAskBytes, c.serve))
+	mux.HandleFunc("POST "+watchPath, messenger.Handle(maxAskBytes, c.respond))
 	mux.Handle("/", next)
 	return c.directory.handler(mux)
 }
--- a/internal/cacher/peers.go
+++ b/internal/cacher/peers.go
@@ -28,6 +28,7 @@
 	Away      Refusal = "away"      // it has no contact with the store
 	Elsewhere Refusal = "elsewhere" // it is in another era of the store
 	Gone      Refusal = "gone"      // it does not know all changes since the revision
+	Busy      Refusal = "busy"      // it has no memory for the answer
 )
 
 // Ask asks a watcher for the changes of a kind since a position.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -33,7 +33,7 @@
 )
 
 // Handle returns a handler that decodes requests of at most limit bytes and encodes the
-// responses.
+// responses. Those that implement [io.WriterTo] encode themselves.
 func Handle[Req, Res checker.Checker](limit int64, serve func(context.Context, Req) Res) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
@@ -46,7 +46,12 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		data, err := checker.Encode(serve(r.Context(), req))
+		res := serve(r.Context(), req)
+		if own, ok := any(res).(io.WriterTo); ok {
+			_, _ = own.WriteTo(w) // as below
+			return
+		}
+		data, err := checker.Encode(res)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -106,7 +106,7 @@
 	{QuarantinedRequests, Gauge, "requests", nil, "Requests that are kept away from targets."},
 	{TakeUps, Counter, "streams", []string{"result"}, "Streams that callers take up again, by whether their origin is known and still serves."},
 	{LimitedTargets, Gauge, "targets", nil, "Targets that name a limit of requests."},
-	{HeldBytes, Gauge, "bytes", nil, "Memory charged for bodies and answers of callers."},
+	{HeldBytes, Gauge, "bytes", nil, "Memory charged for bodies and answers of callers, and for answers to other instances."},
 	{WaitingBodies, Gauge, "bodies", nil, "Request bodies that wait for memory."},
 	{UnreadBodies, Counter, "bodies", []string{"reason"}, "Request bodies that were not read whole, by reason."},
 	{ClosedConnections, Counter, "connections", nil, "Connections of clients that were closed for lack of descriptors."},
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -120,7 +120,9 @@
 	peers := lender.NewClient(lender.WithTransport(directory.Transport))
 	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, peerAddr, peers, log, accountant.WithScope(e.metrics.Scope()))
 	changeWait, warningWait := follower.WatchWait(cfg.ChangeDelay()), follower.WatchWait(cfg.WarningDelay())
+	e.memory = acceptor.NewMemory(0, acceptor.WithScope(e.metrics.Scope()))
 	shared := []cacher.Option{
+		cacher.WithMemory(e.memory),
 		cacher.WithClock(accountant.BootClock), cacher.WithLog(log), cacher.WithScope(e.metrics.Scope()),
 		cacher.WithKind(platform.KindConfig, changeWait), cacher.WithKind(platform.KindRunners, changeWait), cacher.WithKind(recorder.Kind, warningWait),
 	}
@@ -146,7 +148,6 @@
 		e.streams.RecordContact(e.watches.Contact(recorder.Kind))
 		e.permits.RecordInTouch(e.watches.Contact(recorder.Kind))
 	})
-	e.memory = acceptor.NewMemory(0, acceptor.WithScope(e.metrics.Scope()))
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool, receiver.WithMemory(e.memory),
 		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()))
 	e.callers = e.newServer(e.receiver, clientLimits(resolver.Limits{}), acceptor.WithDescriptors(descriptorShares(cfg.Limits.Descriptors).callers, 2), acceptor.WithRelief(e.memory.Relieve))
