--- a/internal/cacher/cacher.go
+++ b/internal/cacher/cacher.go
@@ -36,6 +36,7 @@
 
 	"daisylane/internal/follower"
 	"daisylane/internal/granter"
+	"daisylane/internal/messenger"
 	"daisylane/internal/reporter"
 	"daisylane/internal/storer"
 	"daisylane/internal/waiter"
@@ -87,6 +88,7 @@
 	log       zerolog.Logger
 	scope     tally.Scope
 	clock     func() time.Duration
+	answers   answers
 
 	mu    sync.Mutex
 	kinds map[string]*kind // the map does not change
@@ -125,6 +127,9 @@
 // WithAsker sets how watchers are asked, by default over HTTP.
 func WithAsker(a Asker) Option { return func(c *Cache) { c.asker = a } }
 
+// WithMemory sets what accounts for the answers to neighbours. Without room, they are refused.
+func WithMemory(m Memory) Option { return func(c *Cache) { c.answers.memory = m } }
+
 // WithClock sets the clock, which must go on while the machine is suspended.
 func WithClock(clock func() time.Duration) Option { return func(c *Cache) { c.clock = clock } }
 
@@ -140,13 +145,14 @@
 	start := time.Now()
 	c := &Cache{
 		store: store, ranker: ranker, directory: d, log: zerolog.Nop(), scope: tally.NoopScope, kinds: make(map[string]*kind),
-		clock: func() time.Duration { return time.Since(start) },
+		answers: answers{memory: unlimited{}, encoded: make(map[answerKey]*encoded)},
+		clock:   func() time.Duration { return time.Since(start) },
 	}
 	for _, o := range opts {
 		o(c)
 	}
 	if c.asker == nil {
-		c.asker = newClient(d)
+		c.asker = client{messenger.NewClient(d.Transport)}
 	}
 	return c
 }
@@ -377,7 +383,7 @@
 // Handler adds the questions of neighbours to what peers are served.
 func (c *Cache) Handler(next http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+watchPath, c.handleWatch)
+	mux.HandleFunc("POST "+watchPath, messenger.Handle(maxAskBytes, c.respond))
 	mux.Handle("/", next)
 	return c.directory.handler(mux)
 }
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -123,7 +123,9 @@
 	e.accounting = accountant.New(e.store, cfg.Name+"-"+cfg.Addr, peerAddr, peers, log, accountant.WithScope(e.metrics.Scope()))
 	changeWait := follower.WatchWait(cfg.ChangeDelay())
 	warningInterval, warningWait := warningTimes(cfg.WarningDelay())
+	e.memory = acceptor.NewMemory(0, acceptor.WithScope(e.metrics.Scope()))
 	shared := []cacher.Option{
+		cacher.WithMemory(e.memory),
 		cacher.WithClock(accountant.BootClock), cacher.WithLog(log), cacher.WithScope(e.metrics.Scope()),
 		cacher.WithKind(platform.KindConfig, changeWait), cacher.WithKind(platform.KindRunners, changeWait), cacher.WithKind(recorder.Kind, warningInterval+warningWait), cacher.WithInterval(recorder.Kind, warningInterval),
 	}
@@ -149,7 +151,6 @@
 		e.streams.RecordContact(e.watches.Contact(recorder.Kind))
 		e.permits.RecordInTouch(e.watches.Contact(recorder.Kind))
 	})
-	e.memory = acceptor.NewMemory(0, acceptor.WithScope(e.metrics.Scope()))
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool, receiver.WithMemory(e.memory),
 		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()))
 	e.callers = e.newServer(e.receiver, clientLimits(resolver.Limits{}), acceptor.WithDescriptors(descriptorShares(cfg.Limits.Descriptors).callers, 2), acceptor.WithRelief(e.memory.Relieve))
--- a/internal/throttler/cold_test.go
+++ b/internal/throttler/cold_test.go
@@ -96,7 +96,8 @@
 
 // setShares computes the shares of an instance by rendezvous hashing over those that it knows.
 func (s *site) setShares(in *siteInstance, justStarted bool) {
-	for _, id := range in.SharesDue(s.now, staleTime) {
+	ranking := Ranking{Version: 1, JustStarted: justStarted}
+	for _, id := range in.SharesDue(s.now, staleTime, ranking) {
 		weight := func(o *siteInstance) uint64 { return xxhash.Sum64String(id + "/" + o.name) }
 		before, known := 0, 1
 		for i, o := range s.instances {
@@ -108,7 +109,7 @@
 				before++
 			}
 		}
-		in.SetShare(s.now, id, before, known, justStarted)
+		in.SetShare(id, before, known)
 	}
 }
 
@@ -428,3 +429,91 @@
 	}
 	return most
 }
+
+// Guards against more requests in a second than the bound if the second begins in the cold
+// time and ends after it, as the shares grow then; against a second share in one second for
+// a target that is back before its registration; and against shares of a time when fewer instances
+// were known. All instances have requests at any time,
+// and the cold time ends anywhere between two of them.
+func TestColdSecond(t *testing.T) {
+	tests := []struct {
+		name       string
+		instances  int
+		rate       float64
+		registered time.Duration // after the target is back
+		joined     bool          // the shares were computed last when each instance knew only former ones
+	}{
+		{"few instances", 3, 2, 0, false},
+		{"each has a share", 7, coldRate, 0, false},
+		{"back before its registration", 7, coldRate, 300 * time.Millisecond, false},
+		{"joined one after the other", 7, coldRate, 300 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			allowed, most, least := int(tt.rate*siteBounds.Ratio+siteBounds.Reserve), 0, math.MaxInt
+			for length := coldStart; length < coldStart+shareWindow; length += step {
+				cold, all := sendToRestarted(tt.instances, ColdService{Start: length, PerSecond: tt.rate}, tt.registered, tt.joined)
+				least = min(least, len(cold))
+				for _, from := range cold {
+					n := 0
+					for _, at := range all {
+						if !at.Before(from) && at.Before(from.Add(time.Second)) {
+							n++
+						}
+					}
+					most = max(most, n)
+				}
+			}
+			if most > allowed {
+				t.Errorf("%d requests in a second that begins in the cold time, allowed are %d", most, allowed)
+			}
+			if want := int(tt.rate*siteBounds.Ratio) * int(coldStart/time.Second-1); least < want {
+				t.Errorf("%d requests in the cold time, want %d", least, want)
+			}
+		})
+	}
+}
+
+// sendToRestarted lets instances that have requests at any time use a target that has
+// restarted and registers some time later. It returns when they send requests in its cold time,
+// and when they do at all.
+func sendToRestarted(instances int, s ColdService, registered time.Duration, joined bool) (cold, all []time.Time) {
+	back := time.Unix(1_000_000, 0)
+	former, target := Target{Service: "pool", ID: "i-0", Incarnation: 1}, Target{Service: "pool", ID: "i-0", Incarnation: 2}
+	fleet := make([]*Cold, instances)
+	for i := range fleet {
+		fleet[i] = NewCold()
+		fleet[i].SetBounds(siteBounds)
+		fleet[i].SetServices(map[string]ColdService{"pool": s})
+		fleet[i].ObserveTarget(back, Registration{Target: former, Age: Settled}, false)
+		if joined {
+			fleet[i].RecordInTouch(back)
+			fleet[i].SharesDue(back, staleTime, Ranking{Version: 1})
+			fleet[i].SetShare(former.ID, 0, i+1)
+			fleet[i].AppendClosed(nil, back, "pool") // the target is warm
+			fleet[i].SharesDue(back, staleTime, Ranking{Version: 2})
+		}
+		fleet[i].Suspect(back.Add(-2*time.Second), former)
+	}
+	for now := back; now.Before(back.Add(s.Start + 2*time.Second)); now = now.Add(step) {
+		for i, c := range fleet {
+			c.RecordInTouch(now)
+			if now.Equal(back.Add(registered)) {
+				c.ObserveTarget(now, Registration{Target: target}, true)
+			}
+			if ranking := (Ranking{Version: 2}); now.Sub(back)%(250*time.Millisecond) == 10*step {
+				for _, id := range c.SharesDue(now, staleTime, ranking) {
+					c.SetShare(id, i, len(fleet))
+				}
+			}
+			if len(c.AppendClosed(nil, now, "pool")) > 0 {
+				continue
+			}
+			c.Take(now, target.ID)
+			if all = append(all, now); now.Before(back.Add(s.Start)) {
+				cold = append(cold, now)
+			}
+		}
+	}
+	return cold, all
+}
