Judge a suspect by the share of all its crashes

A healthy request that is at some of the crashes of a deadly one may be quarantined for them. Then it is not sent any more, so the number of its requests at this instance stays low and its score, crashes squared per request sent, high. It explains the common crashes, and the deadly one is judged by the rest of its crashes against all of its requests, so that it goes on crashing targets. Cap the share of requests that crashed a target at 1, and compare all crashes with all requests.

TestDeadlyBesideHealthy fails on the old code in both cases.

--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -548,6 +548,7 @@
 	id       Fingerprint
 	proof    proof
 	sent     int // requests with it, by this instance
+	begun    int // crashes after the target had begun to answer, whatever explains them
 	evidence evidence
 	score    float64
 	depth    int // of a part
@@ -559,10 +560,11 @@
 	all   int
 }
 
-// suffices reports whether the crashes are enough for a quarantine. If most of the requests
-// did not crash a target, or not yet, more crashes are needed.
+// suffices reports whether the crashes that nothing else explains are enough for a quarantine.
+// If most of the requests did not crash a target, or not yet, more crashes are needed. That
+// share is of all crashes: the requests sent before include those of explained crashes.
 func (s suspect) suffices() bool {
-	few := s.evidence.begun >= crashThreshold && s.evidence.begun > s.sent && s.proof == unanswered
+	few := s.evidence.begun >= crashThreshold && s.begun > s.sent && s.proof == unanswered
 	return few || s.evidence.all >= highThreshold
 }
 
@@ -574,7 +576,9 @@
 	var left []suspect
 	for id := range c.suspected {
 		s := suspect{id: id, depth: c.suspicions[id].depth, sent: c.suspicions[id].sent, proof: c.proof(id)}
-		if s.evidence = c.evidence(s, explained); s.suffices() {
+		s.evidence = c.evidence(s, explained)
+		s.begun = s.evidence.begun
+		if s.suffices() {
 			s.score = s.evidence.score(s.sent)
 			left = append(left, s)
 		}
@@ -599,7 +603,7 @@
 // other requests at it than for one that looks answered. Exact requests are not shared by
 // others, so nothing is rarer.
 func (c *Crashes) rarerExplains(s suspect, explained map[*crash]bool) bool {
-	if s.id&kindBits == 0 {
+	if s.id.isExact() {
 		return false
 	}
 	n := 0
@@ -623,18 +627,31 @@
 
 // score is the number of crashes times the share of the requests that crashed a target. That
 // share is 1 for what crashes targets; it is lower for a part that healthy requests have too,
-// and so is the score, the more of them there are.
+// and so is the score, the more of them there are. The crashes are those of all instances and
+// the requests those of this one, so the share is capped. Otherwise a healthy request that is
+// in quarantine by mistake keeps its high score, as it is not sent any more, and hides the one
+// that goes on crashing targets.
 func (e evidence) score(sent int) float64 {
 	n := float64(e.begun+e.all) / 2
-	return n * n / float64(sent+1)
+	return n * min(1, n/float64(max(1, sent)))
 }
 
-// compareSuspects orders those that were answered before last, then by score, exact requests
-// first, then by how special a part is.
+// sentShared returns how many requests with it this instance has sent, 0 for an exact request.
+// That is no measure for an exact one: only its quarantine keeps it from being sent.
+func (s suspect) sentShared() int {
+	if s.id.isExact() {
+		return 0
+	}
+	return s.sent
+}
+
+// compareSuspects orders those that were answered before last, then by score, the less often
+// sent ones first, exact requests first, then by how special a part is.
 func compareSuspects(a, b suspect) int {
 	return cmp.Or(
 		cmp.Compare(a.proof, b.proof),
 		cmp.Compare(b.score, a.score),
+		cmp.Compare(a.sentShared(), b.sentShared()),
 		cmp.Compare(a.id&kindBits, b.id&kindBits),
 		cmp.Compare(b.depth, a.depth),
 		cmp.Compare(a.id, b.id),
--- a/internal/quarantiner/crashes_test.go
+++ b/internal/quarantiner/crashes_test.go
@@ -650,3 +650,46 @@
 		})
 	}
 }
+
+// Guards against a healthy request that is at some of the crashes of a deadly one, is
+// quarantined for them and stays so, as it is not sent any more, while the deadly one goes on
+// crashing targets.
+func TestDeadlyBesideHealthy(t *testing.T) {
+	deadly, healthy := request("deadly"), request("healthy")
+	tests := []struct {
+		name    string
+		before  int // crashes with the healthy one alone
+		sent    int // deadly requests of this instance before it is the only one that is sent
+		crashes int // with the deadly one alone, until it is quarantined
+	}{
+		{"more crashes", 0, 4, 1},
+		{"fewer crashes", 3, 2, crashThreshold},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFleet(1, 10*time.Millisecond)
+			q := f.instances[0]
+			crash := func(ids ...Fingerprint) {
+				f.crashed++
+				q.RecordCrash(f.now, Report{Service: service, Target: fmt.Sprint("i-", f.crashed), Requests: ids})
+				f.run(time.Second)
+			}
+			for range tt.before {
+				crash(healthy...)
+			}
+			for i := range 4 {
+				crash(healthy[0], deadly[0])
+				if i < tt.sent {
+					q.RecordSent(Subject{Service: service, Requests: deadly})
+				}
+			}
+			for range tt.crashes {
+				q.RecordSent(Subject{Service: service, Requests: deadly})
+				crash(deadly...)
+			}
+			if got := f.outcome(0, "deadly"); got == Allowed {
+				t.Errorf("the deadly request is %s after %d crashes without the healthy one", got, tt.crashes)
+			}
+		})
+	}
+}
--- a/internal/quarantiner/fingerprint.go
+++ b/internal/quarantiner/fingerprint.go
@@ -69,6 +69,9 @@
 // IsPart reports whether the fingerprint is that of a part of a prompt.
 func (f Fingerprint) IsPart() bool { return f&partBit != 0 }
 
+// isExact reports whether the fingerprint is that of a whole request with its prompt.
+func (f Fingerprint) isExact() bool { return f&kindBits == 0 }
+
 // waiting returns the fingerprint that stands in records for a part of a request that the
 // target had not begun to answer.
 func (f Fingerprint) waiting() Fingerprint { return f | looseBit }
@@ -79,7 +82,7 @@
 // rivalThreshold returns the number of crashes that make a request or part a possible reason
 // of one that another is quarantined for. A request that is retried is at two.
 func (f Fingerprint) rivalThreshold() int {
-	if f&kindBits == 0 {
+	if f.isExact() {
 		return crashThreshold
 	}
 	return crashThreshold - 1
