Count answers to whole requests from before the first crash

Fingerprints of whole requests were computed only once something was suspected. So at the first crashes a popular request, and the path and body that requests with different prompts share, looked as if they had never been answered, unlike parts of prompts. On a slow machine the crashes come before the first answer that counts, and records of the other instances come late: an instance that knew the deadly part at one of three crashes quarantined the shared path and body for 23 ms, and refused a request with the deadly part for it without naming the part.

Each whole answer now counts for the whole request. Exact requests have a memory of their own, so that they do not displace shared parts. At services without prompts nothing else changes while nothing is suspected.

--- a/internal/quarantiner/attempts_test.go
+++ b/internal/quarantiner/attempts_test.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -22,3 +23,24 @@
 		t.Error("the older answer does not count")
 	}
 }
+
+// Guards against a quarantine of what requests with different prompts have in common because
+// many targets end at once, although it was answered before the first of them.
+func TestAnsweredBeforeFirstCrash(t *testing.T) {
+	now := time.Now()
+	subject := func(own uint64) Subject {
+		c := Content{Account: "t1", URI: "/plan", Parts: []uint64{1, own}}
+		return Subject{Service: service, Parts: c.Parts, Requests: Fingerprints(c)}
+	}
+	m := NewMonitor()
+	m.RecordWhole(now, Target{ID: "i-1"}, now, subject(2))
+	m.Settle(now.Add(survivalTime))
+	now = now.Add(2 * answeredRecently)
+	for i := range 2 * highThreshold {
+		s := subject(uint64(100 + i))
+		m.RecordCrash(now, Report{Service: service, Target: fmt.Sprint("i-", i), Begun: true, Parts: s.Parts, Requests: s.Requests})
+	}
+	if v := m.Judge(now, subject(3)); v.Outcome != Allowed {
+		t.Errorf("a request that shares the path and the body is %s for %s", v.Outcome, v.Fingerprint)
+	}
+}
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -141,14 +141,15 @@
 	quarantined map[Fingerprint][][]Fingerprint // with the rivals, see rivals
 	voided      map[string]voided               // by name of the crash
 	answered    memory[partKey]                 // when targets last outlived answers
-	whole       memory[partKey]                 // when requests were last answered whole
+	whole       memory[partKey]                 // when requests with what is shared were last answered whole
+	wholeExact  memory[partKey]                 // when exact requests were
 	listed      bool
 	judgedAt    time.Time // last judgement that took account of the requests sent
 }
 
 // NewCrashes returns an empty state.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey]()}
+	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey](), wholeExact: newMemory[partKey]()}
 }
 
 // Quarantined returns the requests in quarantine.
@@ -338,10 +339,10 @@
 	least := survived
 	for e := range c.suspicions[id].crashes {
 		k := partKey{e.record.Service, id}
-		if _, ok := c.answered.at(k); ok && id&kindBits != 0 {
+		if _, ok := c.answered.at(k); ok && !id.isExact() {
 			continue
 		}
-		if _, ok := c.whole.at(k); !ok {
+		if _, ok := c.wholeOf(id).at(k); !ok {
 			return unanswered
 		}
 		least = answered
@@ -353,18 +354,27 @@
 // never answered is suspected first.
 func (c *Crashes) RecordWhole(now time.Time, service string, ids []Fingerprint) {
 	for _, id := range ids {
-		c.whole.add(now, partKey{service, id})
+		c.wholeOf(id).add(now, partKey{service, id})
 	}
 }
 
+// wholeOf returns the memory of whole answers for the kind of a fingerprint. Exact requests,
+// most of which never come again, have one of their own and do not displace what is shared.
+func (c *Crashes) wholeOf(id Fingerprint) *memory[partKey] {
+	if id.isExact() {
+		return &c.wholeExact
+	}
+	return &c.whole
+}
+
 // RecordSurvived records that targets of a service have outlived answers to requests with
-// the parts, so that the parts do not crash them. It returns whether a record is to be
-// written.
-func (c *Crashes) RecordSurvived(now time.Time, service string, parts []Fingerprint) bool {
-	for _, id := range parts {
+// something that other requests share, so that it does not crash them. It returns whether a
+// record is to be written.
+func (c *Crashes) RecordSurvived(now time.Time, service string, ids []Fingerprint) bool {
+	for _, id := range ids {
 		c.answered.add(now, partKey{service, id})
 	}
-	return c.releaseAll(now, parts, func(e *crash) bool { return e.record.Service == service })
+	return c.releaseAll(now, ids, func(e *crash) bool { return e.record.Service == service })
 }
 
 // Repeated reports whether a request, or a part of it, was at more than one crash and not
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -44,6 +44,9 @@
 		return nil, false
 	}
 	m.Crashes.RecordWhole(now, s.Service, s.Fingerprints())
+	if len(s.Parts) == 0 && !m.Suspects() {
+		return nil, false // nothing watches for the end of the target after the answer
+	}
 	if m.attempts.AddAnswer(now, r) {
 		under = []Report{r}
 	}
@@ -58,7 +61,7 @@
 // record is to be written.
 func (m *Monitor) Settle(now time.Time) (changed bool) {
 	for _, r := range m.attempts.Survived(now) {
-		changed = m.RecordSurvived(now, r.Service, partFingerprints(r.Parts)) || changed
+		changed = m.RecordSurvived(now, r.Service, r.shared()) || changed
 		changed = m.RecordAnswer(now, r.Requests) || changed
 	}
 	return changed
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -89,6 +89,18 @@
 
 func (r Report) target() Target { return Target{r.Target, r.Incarnation} }
 
+// shared returns what other requests may have too: the parts and the request without its
+// prompt.
+func (r Report) shared() []Fingerprint {
+	list := partFingerprints(r.Parts)
+	for _, id := range r.Requests {
+		if !id.isExact() {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // suspects returns what the crash counts against.
 func (r Report) suspects() []Fingerprint {
 	parts := partFingerprints(r.Parts)
@@ -108,7 +120,7 @@
 type Subject struct {
 	Service  string
 	Parts    []uint64      // of the prompt, if other requests may have one too
-	Requests []Fingerprint // empty: no request is suspected
+	Requests []Fingerprint // empty: not known
 	Retry    bool          // it was sent to a target before
 }
 
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -220,8 +220,10 @@
 // recordWhole records that a target has answered to the end, so that the request does not
 // crash targets, unless the target ends with its answer.
 func (j *job) recordWhole(response *forwarder.Response, chosen ChosenTarget) {
+	s := j.subject()
+	s.Requests = j.identity() // what was answered before the first crash is suspected last
+	j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, s)
 	if len(j.sharedParts) > 0 || j.r.guard.Suspects() {
-		j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, j.subject())
 		j.r.watchEnd(context.WithoutCancel(j.req.Context()), chosen, response.KeepsConnection())
 	}
 }
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -147,7 +147,8 @@
 // Guard knows which requests crash targets, on behalf of the fleet.
 type Guard interface {
 	Ready() bool
-	// Suspects reports whether the fingerprints of requests matter.
+	// Suspects reports whether any request is suspected, so that Check and Admit need the
+	// fingerprints of the whole request. RecordWhole always gets them.
 	Suspects() bool
 	// Check says whether a request may be sent to a target.
 	Check(s quarantiner.Subject) quarantiner.Verdict
