Bound the attempts of a request that are withdrawn

A request whose target is not permitted any more when it could be sent, as its data centre was evacuated or its regions were changed meanwhile, was offered to the next target without a limit. Count such an attempt with those that did not reach their target, of which four are allowed; then the request is refused as not run (503, unreachable). The deadline is checked before each choice as before.

TestWithdrawnAttempts fails on the old code: 40 of 40 targets chosen, 4 now.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -82,7 +82,11 @@
 		res := j.attempt(ctx, chosen)
 		if res.withdrawn {
 			j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
-			continue
+			if j.dials++; j.dials < maxDials {
+				continue
+			}
+			j.fail(Unreachable, errors.Join(j.summary.failure, forwarder.ErrWithdrawn))
+			return
 		}
 		j.recordCrash(chosen, &res)
 		verdict := j.finishAttempt(chosen, res, account)
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
+	"daisylane/internal/chooser"
 	"daisylane/internal/follower"
+	"daisylane/internal/forwarder"
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/receiver"
 	"daisylane/internal/resolver"
+	"daisylane/internal/restrictor"
+	"daisylane/internal/retrier"
+	"daisylane/platform"
 	"daisylane/platform/platformtest"
 )
 
@@ -225,3 +232,34 @@
 		t.Errorf("got %v %q, %v; %d requests reached a target", res, body, err, f.runs())
 	}
 }
+
+// Guards against a request that goes on choosing targets, each of which is evacuated before
+// the request is sent, as often as there are targets.
+func TestWithdrawnAttempts(t *testing.T) {
+	d := receiver.NewDispatcher(chooser.Place{Centre: "a"}, nil, retrier.New(rand.New(rand.NewPCG(1, 1))), receiver.WithEvacuations())
+	centres, admitted := []string{"a", "b"}, 0
+	evacuate := func() {
+		d.ChangeEvacuations(func(e *restrictor.Evacuations) { e.SetList(time.Now(), centres[admitted%2:][:1]) })
+		admitted++
+	}
+	evacuate()
+	f := startWith(t, nil, script{{Body: "x"}})
+	d.WithRoster(func(r *follower.Roster) {
+		for i := range 40 {
+			target := f.target(0, "booking")
+			target.ID, target.Centre = fmt.Sprint("i-", i), centres[i%2]
+			r.Put(target)
+		}
+	})
+	r := receiver.New(platform.Codec{}, d, f.budgets, forwarder.New(platform.RequestID), receiver.WithGuard(&changingGuard{change: evacuate}))
+	r.SetTable(table(t, 1))
+	r.RecordContact(time.Now())
+	f.Config.Handler = r
+	res, body, err := f.call(t, "/look/7", "", nil)
+	if err != nil || res.StatusCode != 503 || body != "unreachable\n" || res.Header.Get("Retry-After") == "" || f.runs() > 0 {
+		t.Errorf("got %v %q, %v; %d requests reached a target", res, body, err, f.runs())
+	}
+	if admitted--; admitted != 4 {
+		t.Errorf("%d targets chosen, want 4", admitted)
+	}
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -119,7 +119,7 @@
 	settledTokens  int64    // billed part of the reserved tokens
 	tried          []string // IDs of the chosen targets
 	sends          int      // attempts that may have reached their target
-	dials          int      // attempts that did not reach it
+	dials          int      // attempts that did not reach it, or were withdrawn
 	summary        requestSummary
 	stream         streamState
 	onProgress     func()            // called when bytes of a plain response arrive in an attempt
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -38,7 +38,8 @@
 	maxFreeBuffer = 16 << 10
 	// Limit of a plain response. A longer one is taken for a faulty target.
 	maxResponseBytes = 64 << 20
-	// Limit of the targets that one request tries to reach without success.
+	// Limit of the targets that one request tries to reach without success. It includes those
+	// that were not permitted any more when the request could be sent.
 	maxDials = 4
 	// Age from which the configuration counts as out of date. An unknown route or key
 	// may then have been added since.
