Tell slow targets from those that may have ended

An attempt that this instance gave up, as the first event or the whole answer came too late, was kept for 15 s like one that the target broke off. If the registration of the target lapsed meanwhile, as it does on a machine that is too slow to renew it, the attempt counted as a crash.

Reports say whether the attempt was abandoned. Such attempts do not count at a lapse, and no longer once the target answers a request that was sent later. They still count when the target is known to have ended, as a request may block a target before it crashes.

Two cases of TestAbandonedAttempts fail on the old code with the new field (abandoned and lapsed; abandoned, then slow only).

--- a/internal/quarantiner/attempts.go
+++ b/internal/quarantiner/attempts.go
@@ -52,11 +52,15 @@
 
 // AddAnswer remembers a whole answer. It reports whether
 // its target is known to have ended; then that is the end of the attempt: the end of a
-// connection may look like the end of an answer.
+// connection may look like the end of an answer. A target that answers a request which was
+// sent after an attempt was abandoned did not end under that attempt, it was slow.
 func (a *Attempts) AddAnswer(now time.Time, r Report) (ended bool) {
 	if a.endedAfter(r.target(), r.SentAt) {
 		return true
 	}
+	a.failures = slices.DeleteFunc(a.failures, func(f attempt) bool {
+		return f.Abandoned && f.target() == r.target() && r.SentAt.After(f.at)
+	})
 	a.answers = append(a.answers, attempt{r, now})
 	return false
 }
@@ -80,7 +84,7 @@
 		return nil
 	}
 	a.ended[t] = now
-	under := a.Lapse(now, t)
+	under := a.takeFailures(now, t)
 	a.answers = slices.DeleteFunc(a.answers, func(w attempt) bool {
 		fatal := w.target() == t && now.Sub(w.at) < survivalTime
 		if fatal {
@@ -92,8 +96,14 @@
 }
 
 // Lapse returns the failed attempts at a target whose registration has lapsed. It may have
-// ended under them, or serve on.
+// ended under them, or serve on. Those that were abandoned do not count: a slow machine
+// answers late, and renews the registration late, without any end.
 func (a *Attempts) Lapse(now time.Time, t Target) []Report {
+	return slices.DeleteFunc(a.takeFailures(now, t), func(r Report) bool { return r.Abandoned })
+}
+
+// takeFailures returns the recent failed attempts at a target and forgets them.
+func (a *Attempts) takeFailures(now time.Time, t Target) []Report {
 	var under []Report
 	a.failures = slices.DeleteFunc(a.failures, func(f attempt) bool {
 		if f.target() == t && now.Sub(f.at) <= suspicionDelay {
--- a/internal/quarantiner/attempts_test.go
+++ b/internal/quarantiner/attempts_test.go
@@ -44,3 +44,40 @@
 		t.Errorf("a request that shares the path and the body is %s for %s", v.Outcome, v.Fingerprint)
 	}
 }
+
+// Guards against attempts at a slow target that count as a crash when its registration lapses,
+// or when it ends long after, and against an end of a target that no longer counts.
+func TestAbandonedAttempts(t *testing.T) {
+	tests := []struct {
+		name      string
+		abandoned bool
+		answered  bool // the target answers a later request
+		lapsed    bool // the registration lapses, otherwise the target is known to have ended
+		counts    bool
+	}{
+		{name: "broken off, lapsed", lapsed: true, counts: true},
+		{name: "broken off, ended", counts: true},
+		{name: "broken off, then back at once", answered: true, counts: true},
+		{name: "abandoned, lapsed", abandoned: true, lapsed: true},
+		{name: "abandoned, ended", abandoned: true, counts: true},
+		{name: "abandoned, then slow only", abandoned: true, answered: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now, target := time.Now(), Target{ID: "i-1"}
+			m := NewMonitor()
+			m.RecordFailure(now, Report{Service: service, Target: target.ID, SentAt: now.Add(-time.Second), Abandoned: tt.abandoned, Requests: request("slow")})
+			if now = now.Add(time.Second); tt.answered {
+				m.RecordWhole(now, target, now, Subject{Service: service, Parts: []uint64{1, 2}})
+			}
+			now = now.Add(2 * survivalTime)
+			end := m.RecordEnd
+			if tt.lapsed {
+				end = m.RecordLapse
+			}
+			if under, _ := end(now, target); (len(under) > 0) != tt.counts {
+				t.Errorf("%d attempts count, want some: %v", len(under), tt.counts)
+			}
+		})
+	}
+}
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -83,6 +83,7 @@
 	SentAt      time.Time // when the request was sent to the target
 	Begun       bool      // the target had begun to answer the request
 	About       bool      // it was about to, see [Crashes]
+	Abandoned   bool      // this instance ended the attempt, for example as the target was too slow
 	Parts       []uint64
 	Requests    []Fingerprint // of the request
 }
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"daisylane/internal/follower"
@@ -180,6 +181,7 @@
 	report := quarantiner.Report{
 		Service: j.service.Name, Target: chosen.Target.ID, Incarnation: chosen.Target.Incarnation,
 		SentAt: chosen.ChosenAt, Begun: res.status != 0, Parts: j.sharedParts, Requests: j.identity(),
+		Abandoned: errors.Is(res.err, os.ErrDeadlineExceeded), // set when the context ends, see forwarder.Pool.Send
 	}
 	about := res.events <= 1 && len(j.sharedParts) > 0
 	// What is learned outlasts the caller.
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -32,6 +32,7 @@
 	about    int                   // reports of targets that were about to answer
 	reports  []quarantiner.Report
 	failures int // attempts whose target may have ended
+	slow     int // those that were abandoned
 	ends     int // reports of targets that have ended
 	repeated bool
 }
@@ -67,9 +68,12 @@
 	g.reports = append(g.reports, r)
 }
 
-func (g *guard) RecordFailure(quarantiner.Report, bool) {
+func (g *guard) RecordFailure(r quarantiner.Report, _ bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if r.Abandoned {
+		g.slow++
+	}
 	g.failures++
 }
 
@@ -145,8 +149,9 @@
 }
 
 // Guards against an end of a target that nobody reports because the stream had gone on or
-// looked whole, or because it ended while nothing was sent to it; and against a stream that
-// ends one target after the other.
+// looked whole, or because it ended while nothing was sent to it; against a slow target that
+// looks like one that broke off its answer; and against a stream that ends one target after
+// the other.
 func TestEndsOfTargets(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -154,6 +159,7 @@
 		repeated bool // the prompt was at another crash
 		crashes  int
 		failures int
+		slow     int // of the failures, those that the instance ended itself
 		ends     int
 		runs     int
 	}{
@@ -162,6 +168,7 @@
 		{name: "after the last event", script: platformtest.Response{Events: 4, Crash: true, CrashAfter: 4}, crashes: 1, runs: 2},
 		{name: "unframed, after the second event", script: platformtest.Response{Events: 4, Crash: true, CrashAfter: 2, CloseDelimited: true}, ends: 1, runs: 1},
 		{name: "unframed, whole", script: platformtest.Response{Events: 4, CloseDelimited: true}, runs: 1},
+		{name: "too slow", script: platformtest.Response{Events: 4, Delay: 2 * time.Second}, failures: 1, slow: 1, runs: 1},
 		{name: "broken", script: platformtest.Response{Events: 4, CutAfter: 2}, failures: 1, runs: 2},
 	}
 	for _, tt := range tests {
@@ -172,8 +179,8 @@
 			time.Sleep(100 * time.Millisecond)
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			if len(g.reports) != tt.crashes || g.failures != tt.failures || g.ends != tt.ends || f.runs() != tt.runs {
-				t.Errorf("%d crashes, %d failures, %d ends, %d runs, want %d, %d, %d, %d", len(g.reports), g.failures, g.ends, f.runs(), tt.crashes, tt.failures, tt.ends, tt.runs)
+			if len(g.reports) != tt.crashes || g.failures != tt.failures || g.slow != tt.slow || g.ends != tt.ends || f.runs() != tt.runs {
+				t.Errorf("%d crashes, %d failures, %d abandoned, %d ends, %d runs, want %d, %d, %d, %d, %d", len(g.reports), g.failures, g.slow, g.ends, f.runs(), tt.crashes, tt.failures, tt.slow, tt.ends, tt.runs)
 			}
 		})
 	}
