Take a stored crash for the end of a target only once

Each version of a stored crash, also the echo of an instance's own write and those of trials and answers, counted as a new end of the target. If the registration had only lapsed, as on a slow machine, and the target serves on, all its answers of the last half second were suspected each time.

TestLapsedTargetServesOn fails on the old code.

--- a/internal/quarantiner/attempts_test.go
+++ b/internal/quarantiner/attempts_test.go
@@ -81,3 +81,22 @@
 		})
 	}
 }
+
+// Guards against answers of a target that serves on after its registration has lapsed, which
+// count as crashes whenever the record of the lapse changes or comes back from the store.
+func TestLapsedTargetServesOn(t *testing.T) {
+	now, target := time.Now(), Target{ID: "i-1"}
+	subject := Subject{Service: service, Parts: []uint64{1, 2}, Requests: request("healthy")}
+	m := NewMonitor()
+	m.RecordFailure(now, Report{Service: service, Target: target.ID, SentAt: now, Requests: request("broken off")})
+	m.RecordLapse(now, target)
+	for version := range uint64(3) {
+		now = now.Add(suspicionDelay)
+		m.RecordWhole(now, target, now.Add(-survivalTime), subject)
+		m.Observe(now, version+1, CrashRecord{Service: service, Target: target.ID, Requests: request("broken off")})
+		m.Settle(now.Add(survivalTime))
+	}
+	if _, suspected := m.suspicions[subject.Requests[0]]; suspected {
+		t.Error("an answered request is suspected")
+	}
+}
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -29,10 +29,15 @@
 }
 
 // Observe takes over a stored crash. What another instance has found out about the end of a
-// target counts against the attempts of this one too.
+// target counts against the attempts of this one too, once. Later versions of the record, as
+// those of trials and answers, say nothing new of the target, which may even serve on if its
+// registration had only lapsed.
 func (m *Monitor) Observe(now time.Time, version uint64, r CrashRecord) {
+	_, known := m.crashes[r.Name()]
 	m.Crashes.Observe(now, version, r)
-	m.RecordEnd(now, Target{ID: r.Target, Incarnation: r.Incarnation})
+	if !known {
+		m.RecordEnd(now, Target{ID: r.Target, Incarnation: r.Incarnation})
+	}
 }
 
 // RecordWhole records a whole answer to a request that was sent at a time. That the request
