Wait for the store before an answer with a closed connection counts

An answer counts as a proof once its target has outlived it by 0.5 s. If it ends with its connection and the target is back at once, only the new registration shows that the target has ended. On a slow machine that was known 0.65 s later, so that crashes counted as proofs and the quarantine of the part was lifted.

Such an answer counts once the view of the targets has matched the store 0.5 s after it. If the end is known later, the answer counts neither way. Other answers count as before.

The first case of TestLateEnd fails without the condition.

--- a/internal/quarantiner/attempts.go
+++ b/internal/quarantiner/attempts.go
@@ -15,6 +15,9 @@
 	suspicionDelay = 15 * time.Second
 	// maxFailures limits the failed attempts that are remembered.
 	maxFailures = 4096
+	// maxAnswers limits the answers whose targets have to outlive them. Those of closed
+	// connections wait for the store, which may be silent for some seconds.
+	maxAnswers = 16384
 )
 
 // attempt is an attempt under which a target may have ended, or may still end.
@@ -30,6 +33,7 @@
 	failures []attempt // oldest first, not answered whole
 	answers  []attempt // oldest first, answered whole
 	ended    map[Target]time.Time
+	inTouch  time.Time // until when the ends of targets are known, zero: nobody says
 }
 
 // NewAttempts returns an empty memory.
@@ -61,10 +65,27 @@
 	a.failures = slices.DeleteFunc(a.failures, func(f attempt) bool {
 		return f.Abandoned && f.target() == r.target() && r.SentAt.After(f.at)
 	})
-	a.answers = append(a.answers, attempt{r, now})
+	if len(a.answers) < maxAnswers { // the older ones are due sooner
+		a.answers = append(a.answers, attempt{r, now})
+	}
 	return false
 }
 
+// RecordInTouch records until when the ends of targets are known.
+func (a *Attempts) RecordInTouch(at time.Time) { a.inTouch = at }
+
+// outlived reports whether the target has outlived an answer. The end of a connection may be
+// the end of its target, which may run again at once. Then only its new registration shows
+// that, which may come late.
+func (a *Attempts) outlived(now time.Time, w attempt) bool {
+	return now.Sub(w.at) >= survivalTime && !a.isUncertain(w)
+}
+
+// isUncertain reports whether an end of the target right after an answer may not be known yet.
+func (a *Attempts) isUncertain(w attempt) bool {
+	return w.Closed && !a.inTouch.IsZero() && a.inTouch.Before(w.at.Add(survivalTime))
+}
+
 // endedAfter reports whether a target is known to have ended after a request was sent to it.
 // One that gets a request later runs again, even if its registration doesn't tell.
 func (a *Attempts) endedAfter(t Target, sentAt time.Time) bool {
@@ -77,7 +98,8 @@
 }
 
 // End records that a target has ended. It returns the attempts that it may have ended under.
-// Answers that it has outlived are left to Survived.
+// Answers that it has outlived are left to Survived. An older one for which that is not known
+// counts neither way, as the end may be known late.
 func (a *Attempts) End(now time.Time, t Target) []Report {
 	maps.DeleteFunc(a.ended, func(_ Target, at time.Time) bool { return now.Sub(at) > suspicionDelay })
 	if _, known := a.ended[t]; known {
@@ -86,11 +108,13 @@
 	a.ended[t] = now
 	under := a.takeFailures(now, t)
 	a.answers = slices.DeleteFunc(a.answers, func(w attempt) bool {
-		fatal := w.target() == t && now.Sub(w.at) < survivalTime
-		if fatal {
+		if w.target() != t || a.outlived(now, w) {
+			return false
+		}
+		if now.Sub(w.at) < survivalTime {
 			under = append(under, w.Report)
 		}
-		return fatal
+		return true
 	})
 	return under
 }
@@ -116,20 +140,24 @@
 
 // Survived returns the answers that their targets have outlived.
 func (a *Attempts) Survived(now time.Time) []Report {
-	n := 0
 	var survived []Report
-	for ; n < len(a.answers) && now.Sub(a.answers[n].at) >= survivalTime; n++ {
-		survived = append(survived, a.answers[n].Report)
-	}
-	a.answers = a.answers[n:]
+	a.answers = slices.DeleteFunc(a.answers, func(w attempt) bool {
+		outlived := a.outlived(now, w)
+		if outlived {
+			survived = append(survived, w.Report)
+		}
+		return outlived
+	})
 	return survived
 }
 
 // NextSurvival returns when the next answer is due for [Attempts.Survived]. It reports
-// false if there is none.
+// false if there is none, or all wait for RecordInTouch.
 func (a *Attempts) NextSurvival() (time.Time, bool) {
-	if len(a.answers) == 0 {
-		return time.Time{}, false
+	for _, w := range a.answers {
+		if !a.isUncertain(w) {
+			return w.at.Add(survivalTime), true
+		}
 	}
-	return a.answers[0].at.Add(survivalTime), true
+	return time.Time{}, false
 }
--- a/internal/quarantiner/attempts_test.go
+++ b/internal/quarantiner/attempts_test.go
@@ -100,3 +100,28 @@
 		t.Error("an answered request is suspected")
 	}
 }
+
+// Guards against an answer that its target did not outlive and that counts as a proof, because
+// the target is back at once and its new registration is known late.
+func TestLateEnd(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		inTouch  time.Duration // after the answer
+		survived bool
+	}{{"store not heard since", survivalTime / 2, false}, {"store heard since", survivalTime, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			now, target := time.Now(), Target{ID: "i-1"}
+			subject := Subject{Service: service, Parts: []uint64{1, 2}, Closed: true}
+			m := NewMonitor()
+			m.RecordWhole(now, target, now, subject)
+			m.RecordInTouch(now.Add(tt.inTouch))
+			m.Settle(now.Add(survivalTime))
+			m.RecordEnd(now.Add(2*survivalTime), target)
+			m.RecordInTouch(now.Add(2 * survivalTime))
+			m.Settle(now.Add(2 * survivalTime))
+			if _, survived := m.answered.at(partKey{service, subject.PartFingerprints()[0]}); survived != tt.survived {
+				t.Errorf("part counts as answered: %v, want %v", survived, tt.survived)
+			}
+		})
+	}
+}
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -44,7 +44,7 @@
 // is sound is shown only once the target has outlived the answer, see Settle. It returns the
 // attempts that the target has ended under, and whether a record is to be written.
 func (m *Monitor) RecordWhole(now time.Time, t Target, sentAt time.Time, s Subject) (under []Report, changed bool) {
-	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, Begun: true, Parts: s.Parts, Requests: s.Requests}
+	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, Begun: true, Closed: s.Closed, Parts: s.Parts, Requests: s.Requests}
 	if len(s.Fingerprints()) == 0 {
 		return nil, false
 	}
@@ -58,6 +58,9 @@
 	return under, m.count(now, under)
 }
 
+// RecordInTouch records that the ends of all targets that the store knew of at a time are known.
+func (m *Monitor) RecordInTouch(at time.Time) { m.attempts.RecordInTouch(at) }
+
 // NextSettle returns when the next answer is due for Settle. It reports false if there is
 // none.
 func (m *Monitor) NextSettle() (time.Time, bool) { return m.attempts.NextSurvival() }
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -83,6 +83,7 @@
 	SentAt      time.Time // when the request was sent to the target
 	Begun       bool      // the target had begun to answer the request
 	About       bool      // it was about to, see [Crashes]
+	Closed      bool      // the answer ended with the connection
 	Abandoned   bool      // this instance ended the attempt, for example as the target was too slow
 	Parts       []uint64
 	Requests    []Fingerprint // of the request
@@ -123,6 +124,7 @@
 	Parts    []uint64      // of the prompt, if other requests may have one too
 	Requests []Fingerprint // empty: not known
 	Retry    bool          // it was sent to a target before
+	Closed   bool          // its answer ended with the connection
 }
 
 // Fingerprints returns those of the request and of the parts that others may have too.
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -222,6 +222,7 @@
 func (j *job) recordWhole(response *forwarder.Response, chosen ChosenTarget) {
 	s := j.subject()
 	s.Requests = j.identity() // what was answered before the first crash is suspected last
+	s.Closed = !response.KeepsConnection()
 	j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, s)
 	if len(j.sharedParts) > 0 || j.r.guard.Suspects() {
 		j.r.watchEnd(context.WithoutCancel(j.req.Context()), chosen, response.KeepsConnection())
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -149,7 +149,9 @@
 }
 
 func (h *targetHandler) Synced() {
-	h.e.permits.RecordInTouch(h.e.watches.Contact(platform.KindRunners))
+	at := h.e.watches.Contact(platform.KindRunners)
+	h.e.permits.RecordInTouch(at)
+	h.e.guard.RecordInTouch(at)
 }
 
 // evacuationHandler keeps the evacuations of data centres current. An object stands for its
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -171,6 +171,17 @@
 	})
 }
 
+// RecordInTouch records that the ends of all targets that the store knew of at a time are
+// known. Answers whose connection was closed count only then.
+func (w *Warden) RecordInTouch(at time.Time) {
+	w.update(func(now time.Time) ([]quarantiner.Report, bool) {
+		w.monitor.RecordInTouch(at)
+		changed := w.monitor.Settle(now)
+		w.settleLater(now)
+		return nil, changed
+	})
+}
+
 // settleLater starts a timer for the next answer that is to prove its parts sound. The
 // caller holds the lock.
 func (w *Warden) settleLater(now time.Time) {
