Watch the connection that asks a target after a closed answer

After an answer that ends with its connection, the target was asked once whether it is still there. One that is ending may accept that connection, so that its end was known only with the next refused request. The connection, which is kept for the next request, is now watched as others are. It costs no further call.

TestEndAfterClosedAnswer fails on the old code.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -230,13 +230,23 @@
 }
 
 // watchEnd finds out whether a target ends right after an answer. A kept connection shows
-// it; without one, the target has to be asked.
+// it; without one, the target has to be asked. One that is ending may still accept the
+// connection that asks, so that is watched as well.
 func (r *Receiver) watchEnd(ctx context.Context, chosen ChosenTarget, kept bool) {
-	addr := chosen.Target.Addr
-	if !kept {
-		go r.checkEnd(ctx, chosen)
+	if kept {
+		r.watchIdle(ctx, chosen)
 		return
 	}
+	go func() {
+		if !r.checkEnd(ctx, chosen) {
+			r.watchIdle(ctx, chosen)
+		}
+	}()
+}
+
+// watchIdle watches the idle connections to a target for a while.
+func (r *Receiver) watchIdle(ctx context.Context, chosen ChosenTarget) {
+	addr := chosen.Target.Addr
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
 	if _, watched := r.watched[addr]; watched {
@@ -269,11 +279,12 @@
 	}
 }
 
-// checkEnd finds out whether a target has ended.
-func (r *Receiver) checkEnd(ctx context.Context, chosen ChosenTarget) {
-	if !r.dispatcher.Lives(chosen.Target) || r.pool.RefusesNext(ctx, chosen.Target.Addr) {
+// checkEnd finds out whether a target has ended, and reports that.
+func (r *Receiver) checkEnd(ctx context.Context, chosen ChosenTarget) (ended bool) {
+	if ended = !r.dispatcher.Lives(chosen.Target) || r.pool.RefusesNext(ctx, chosen.Target.Addr); ended {
 		r.guard.RecordEnd(chosen.process())
 	}
+	return ended
 }
 
 // startStream writes the response header of a stream. Later attempts that resume the
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// Guards against an end that nobody reports because the target accepts one more connection
+// after an answer that closed its own.
+func TestEndAfterClosedAnswer(t *testing.T) {
+	g := &guard{check: quarantiner.Allowed, admit: quarantiner.Allowed}
+	f := startWith(t, []receiver.Option{receiver.WithGuard(g)}, script{{Events: 4, CloseDelimited: true}})
+	f.onlyTarget(0, "engine")
+	if _, _, err := f.call(t, "/plan/7", "x", nil); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	f.runners[0].Close()
+	platformtest.Eventually(t, "the end is reported", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.ends == 1
+	})
+}
+
 // Guards against a popular request that is suspected at the first crashes as if it had never
 // been answered, because whole requests were not recorded while nothing was suspected.
 func TestAnswersBeforeCrashes(t *testing.T) {
