--- a/internal/quarantiner/attempts_test.go
+++ b/internal/quarantiner/attempts_test.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -22,3 +23,105 @@
 		t.Error("the older answer does not count")
 	}
 }
+
+// Guards against a quarantine of what requests with different prompts have in common because
+// many targets end at once, although it was answered before the first of them.
+func TestAnsweredBeforeFirstCrash(t *testing.T) {
+	now := time.Now()
+	subject := func(own uint64) Subject {
+		c := Content{Account: "t1", URI: "/plan", Parts: []uint64{1, own}}
+		return Subject{Service: service, Parts: c.Parts, Requests: Fingerprints(c)}
+	}
+	m := NewMonitor()
+	m.RecordWhole(now, Target{ID: "i-1"}, now, subject(2))
+	m.Settle(now.Add(survivalTime))
+	now = now.Add(2 * answeredRecently)
+	for i := range 2 * highThreshold {
+		s := subject(uint64(100 + i))
+		m.RecordCrash(now, Report{Service: service, Target: fmt.Sprint("i-", i), Begun: true, Parts: s.Parts, Requests: s.Requests})
+	}
+	if v := m.Judge(now, subject(3)); v.Outcome != Allowed {
+		t.Errorf("a request that shares the path and the body is %s for %s", v.Outcome, v.Fingerprint)
+	}
+}
+
+// Guards against attempts at a slow target that count as a crash when its registration lapses,
+// or when it ends long after, and against an end of a target that no longer counts.
+func TestAbandonedAttempts(t *testing.T) {
+	tests := []struct {
+		name      string
+		abandoned bool
+		answered  bool // the target answers a later request
+		lapsed    bool // the registration lapses, otherwise the target is known to have ended
+		counts    bool
+	}{
+		{name: "broken off, lapsed", lapsed: true, counts: true},
+		{name: "broken off, ended", counts: true},
+		{name: "broken off, then back at once", answered: true, counts: true},
+		{name: "abandoned, lapsed", abandoned: true, lapsed: true},
+		{name: "abandoned, ended", abandoned: true, counts: true},
+		{name: "abandoned, then slow only", abandoned: true, answered: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now, target := time.Now(), Target{ID: "i-1"}
+			m := NewMonitor()
+			m.RecordFailure(now, Report{Service: service, Target: target.ID, SentAt: now.Add(-time.Second), Abandoned: tt.abandoned, Requests: request("slow")})
+			if now = now.Add(time.Second); tt.answered {
+				m.RecordWhole(now, target, now, Subject{Service: service, Parts: []uint64{1, 2}})
+			}
+			now = now.Add(2 * survivalTime)
+			end := m.RecordEnd
+			if tt.lapsed {
+				end = m.RecordLapse
+			}
+			if under, _ := end(now, target); (len(under) > 0) != tt.counts {
+				t.Errorf("%d attempts count, want some: %v", len(under), tt.counts)
+			}
+		})
+	}
+}
+
+// Guards against answers of a target that serves on after its registration has lapsed, which
+// count as crashes whenever the record of the lapse changes or comes back from the store.
+func TestLapsedTargetServesOn(t *testing.T) {
+	now, target := time.Now(), Target{ID: "i-1"}
+	subject := Subject{Service: service, Parts: []uint64{1, 2}, Requests: request("healthy")}
+	m := NewMonitor()
+	m.RecordFailure(now, Report{Service: service, Target: target.ID, SentAt: now, Requests: request("broken off")})
+	m.RecordLapse(now, target)
+	for version := range uint64(3) {
+		now = now.Add(suspicionDelay)
+		m.RecordWhole(now, target, now.Add(-survivalTime), subject)
+		m.Observe(now, version+1, CrashRecord{Service: service, Target: target.ID, Requests: request("broken off")})
+		m.Settle(now.Add(survivalTime))
+	}
+	if _, suspected := m.suspicions[subject.Requests[0]]; suspected {
+		t.Error("an answered request is suspected")
+	}
+}
+
+// Guards against an answer that its target did not outlive and that counts as a proof, because
+// the target is back at once and its new registration is known late.
+func TestLateEnd(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		inTouch  time.Duration // after the answer
+		survived bool
+	}{{"store not heard since", survivalTime / 2, false}, {"store heard since", survivalTime, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			now, target := time.Now(), Target{ID: "i-1"}
+			subject := Subject{Service: service, Parts: []uint64{1, 2}, Closed: true}
+			m := NewMonitor()
+			m.RecordWhole(now, target, now, subject)
+			m.RecordInTouch(now.Add(tt.inTouch))
+			m.Settle(now.Add(survivalTime))
+			m.RecordEnd(now.Add(2*survivalTime), target)
+			m.RecordInTouch(now.Add(2 * survivalTime))
+			m.Settle(now.Add(2 * survivalTime))
+			if _, survived := m.answered.at(partKey{service, subject.PartFingerprints()[0]}); survived != tt.survived {
+				t.Errorf("part counts as answered: %v, want %v", survived, tt.survived)
+			}
+		})
+	}
+}
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -141,14 +141,15 @@
 	quarantined map[Fingerprint][][]Fingerprint // with the rivals, see rivals
 	voided      map[string]voided               // by name of the crash
 	answered    memory[partKey]                 // when targets last outlived answers
-	whole       memory[partKey]                 // when requests were last answered whole
+	whole       memory[partKey]                 // when requests with what is shared were last answered whole
+	wholeExact  memory[partKey]                 // when exact requests were
 	listed      bool
 	judgedAt    time.Time // last judgement that took account of the requests sent
 }
 
 // NewCrashes returns an empty state.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey]()}
+	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey](), wholeExact: newMemory[partKey]()}
 }
 
 // Quarantined returns the requests in quarantine.
@@ -338,10 +339,10 @@
 	least := survived
 	for e := range c.suspicions[id].crashes {
 		k := partKey{e.record.Service, id}
-		if _, ok := c.answered.at(k); ok && id&kindBits != 0 {
+		if _, ok := c.answered.at(k); ok && !id.isExact() {
 			continue
 		}
-		if _, ok := c.whole.at(k); !ok {
+		if _, ok := c.wholeOf(id).at(k); !ok {
 			return unanswered
 		}
 		least = answered
@@ -353,18 +354,27 @@
 // never answered is suspected first.
 func (c *Crashes) RecordWhole(now time.Time, service string, ids []Fingerprint) {
 	for _, id := range ids {
-		c.whole.add(now, partKey{service, id})
+		c.wholeOf(id).add(now, partKey{service, id})
 	}
 }
 
+// wholeOf returns the memory of whole answers for the kind of a fingerprint. Exact requests,
+// most of which never come again, have one of their own and do not displace what is shared.
+func (c *Crashes) wholeOf(id Fingerprint) *memory[partKey] {
+	if id.isExact() {
+		return &c.wholeExact
+	}
+	return &c.whole
+}
+
 // RecordSurvived records that targets of a service have outlived answers to requests with
-// the parts, so that the parts do not crash them. It returns whether a record is to be
-// written.
-func (c *Crashes) RecordSurvived(now time.Time, service string, parts []Fingerprint) bool {
-	for _, id := range parts {
+// something that other requests share, so that it does not crash them. It returns whether a
+// record is to be written.
+func (c *Crashes) RecordSurvived(now time.Time, service string, ids []Fingerprint) bool {
+	for _, id := range ids {
 		c.answered.add(now, partKey{service, id})
 	}
-	return c.releaseAll(now, parts, func(e *crash) bool { return e.record.Service == service })
+	return c.releaseAll(now, ids, func(e *crash) bool { return e.record.Service == service })
 }
 
 // Repeated reports whether a request, or a part of it, was at more than one crash and not
@@ -548,6 +558,7 @@
 	id       Fingerprint
 	proof    proof
 	sent     int // requests with it, by this instance
+	begun    int // crashes after the target had begun to answer, whatever explains them
 	evidence evidence
 	score    float64
 	depth    int // of a part
@@ -559,10 +570,11 @@
 	all   int
 }
 
-// suffices reports whether the crashes are enough for a quarantine. If most of the requests
-// did not crash a target, or not yet, more crashes are needed.
+// suffices reports whether the crashes that nothing else explains are enough for a quarantine.
+// If most of the requests did not crash a target, or not yet, more crashes are needed. That
+// share is of all crashes: the requests sent before include those of explained crashes.
 func (s suspect) suffices() bool {
-	few := s.evidence.begun >= crashThreshold && s.evidence.begun > s.sent && s.proof == unanswered
+	few := s.evidence.begun >= crashThreshold && s.begun > s.sent && s.proof == unanswered
 	return few || s.evidence.all >= highThreshold
 }
 
@@ -574,7 +586,9 @@
 	var left []suspect
 	for id := range c.suspected {
 		s := suspect{id: id, depth: c.suspicions[id].depth, sent: c.suspicions[id].sent, proof: c.proof(id)}
-		if s.evidence = c.evidence(s, explained); s.suffices() {
+		s.evidence = c.evidence(s, explained)
+		s.begun = s.evidence.begun
+		if s.suffices() {
 			s.score = s.evidence.score(s.sent)
 			left = append(left, s)
 		}
@@ -599,7 +613,7 @@
 // other requests at it than for one that looks answered. Exact requests are not shared by
 // others, so nothing is rarer.
 func (c *Crashes) rarerExplains(s suspect, explained map[*crash]bool) bool {
-	if s.id&kindBits == 0 {
+	if s.id.isExact() {
 		return false
 	}
 	n := 0
@@ -623,18 +637,31 @@
 
 // score is the number of crashes times the share of the requests that crashed a target. That
 // share is 1 for what crashes targets; it is lower for a part that healthy requests have too,
-// and so is the score, the more of them there are.
+// and so is the score, the more of them there are. The crashes are those of all instances and
+// the requests those of this one, so the share is capped. Otherwise a healthy request that is
+// in quarantine by mistake keeps its high score, as it is not sent any more, and hides the one
+// that goes on crashing targets.
 func (e evidence) score(sent int) float64 {
 	n := float64(e.begun+e.all) / 2
-	return n * n / float64(sent+1)
+	return n * min(1, n/float64(max(1, sent)))
+}
+
+// sentShared returns how many requests with it this instance has sent, 0 for an exact request.
+// That is no measure for an exact one: only its quarantine keeps it from being sent.
+func (s suspect) sentShared() int {
+	if s.id.isExact() {
+		return 0
+	}
+	return s.sent
 }
 
-// compareSuspects orders those that were answered before last, then by score, exact requests
-// first, then by how special a part is.
+// compareSuspects orders those that were answered before last, then by score, the less often
+// sent ones first, exact requests first, then by how special a part is.
 func compareSuspects(a, b suspect) int {
 	return cmp.Or(
 		cmp.Compare(a.proof, b.proof),
 		cmp.Compare(b.score, a.score),
+		cmp.Compare(a.sentShared(), b.sentShared()),
 		cmp.Compare(a.id&kindBits, b.id&kindBits),
 		cmp.Compare(b.depth, a.depth),
 		cmp.Compare(a.id, b.id),
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -29,27 +29,38 @@
 }
 
 // Observe takes over a stored crash. What another instance has found out about the end of a
-// target counts against the attempts of this one too.
+// target counts against the attempts of this one too, once. Later versions of the record, as
+// those of trials and answers, say nothing new of the target, which may even serve on if its
+// registration had only lapsed.
 func (m *Monitor) Observe(now time.Time, version uint64, r CrashRecord) {
+	_, known := m.crashes[r.Name()]
 	m.Crashes.Observe(now, version, r)
-	m.RecordEnd(now, Target{ID: r.Target, Incarnation: r.Incarnation})
+	if !known {
+		m.RecordEnd(now, Target{ID: r.Target, Incarnation: r.Incarnation})
+	}
 }
 
 // RecordWhole records a whole answer to a request that was sent at a time. That the request
 // is sound is shown only once the target has outlived the answer, see Settle. It returns the
 // attempts that the target has ended under, and whether a record is to be written.
 func (m *Monitor) RecordWhole(now time.Time, t Target, sentAt time.Time, s Subject) (under []Report, changed bool) {
-	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, Begun: true, Parts: s.Parts, Requests: s.Requests}
+	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, Begun: true, Closed: s.Closed, Parts: s.Parts, Requests: s.Requests}
 	if len(s.Fingerprints()) == 0 {
 		return nil, false
 	}
 	m.Crashes.RecordWhole(now, s.Service, s.Fingerprints())
+	if len(s.Parts) == 0 && !m.Suspects() {
+		return nil, false // nothing watches for the end of the target after the answer
+	}
 	if m.attempts.AddAnswer(now, r) {
 		under = []Report{r}
 	}
 	return under, m.count(now, under)
 }
 
+// RecordInTouch records that the ends of all targets that the store knew of at a time are known.
+func (m *Monitor) RecordInTouch(at time.Time) { m.attempts.RecordInTouch(at) }
+
 // NextSettle returns when the next answer is due for Settle. It reports false if there is
 // none.
 func (m *Monitor) NextSettle() (time.Time, bool) { return m.attempts.NextSurvival() }
@@ -58,7 +69,7 @@
 // record is to be written.
 func (m *Monitor) Settle(now time.Time) (changed bool) {
 	for _, r := range m.attempts.Survived(now) {
-		changed = m.RecordSurvived(now, r.Service, partFingerprints(r.Parts)) || changed
+		changed = m.RecordSurvived(now, r.Service, r.shared()) || changed
 		changed = m.RecordAnswer(now, r.Requests) || changed
 	}
 	return changed
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -83,12 +83,26 @@
 	SentAt      time.Time // when the request was sent to the target
 	Begun       bool      // the target had begun to answer the request
 	About       bool      // it was about to, see [Crashes]
+	Closed      bool      // the answer ended with the connection
+	Abandoned   bool      // this instance ended the attempt, for example as the target was too slow
 	Parts       []uint64
 	Requests    []Fingerprint // of the request
 }
 
 func (r Report) target() Target { return Target{r.Target, r.Incarnation} }
 
+// shared returns what other requests may have too: the parts and the request without its
+// prompt.
+func (r Report) shared() []Fingerprint {
+	list := partFingerprints(r.Parts)
+	for _, id := range r.Requests {
+		if !id.isExact() {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // suspects returns what the crash counts against.
 func (r Report) suspects() []Fingerprint {
 	parts := partFingerprints(r.Parts)
@@ -108,8 +122,9 @@
 type Subject struct {
 	Service  string
 	Parts    []uint64      // of the prompt, if other requests may have one too
-	Requests []Fingerprint // empty: no request is suspected
+	Requests []Fingerprint // empty: not known
 	Retry    bool          // it was sent to a target before
+	Closed   bool          // its answer ended with the connection
 }
 
 // Fingerprints returns those of the request and of the parts that others may have too.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"daisylane/internal/follower"
@@ -82,7 +83,11 @@
 		res := j.attempt(ctx, chosen)
 		if res.withdrawn {
 			j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
-			continue
+			if j.dials++; j.dials < maxDials {
+				continue
+			}
+			j.fail(Unreachable, errors.Join(j.summary.failure, forwarder.ErrWithdrawn))
+			return
 		}
 		j.recordCrash(chosen, &res)
 		verdict := j.finishAttempt(chosen, res, account)
@@ -176,6 +181,7 @@
 	report := quarantiner.Report{
 		Service: j.service.Name, Target: chosen.Target.ID, Incarnation: chosen.Target.Incarnation,
 		SentAt: chosen.ChosenAt, Begun: res.status != 0, Parts: j.sharedParts, Requests: j.identity(),
+		Abandoned: errors.Is(res.err, os.ErrDeadlineExceeded), // set when the context ends, see forwarder.Pool.Send
 	}
 	about := res.events <= 1 && len(j.sharedParts) > 0
 	// What is learned outlasts the caller.
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
+	"daisylane/internal/chooser"
 	"daisylane/internal/follower"
+	"daisylane/internal/forwarder"
 	"daisylane/internal/quarantiner"
 	"daisylane/internal/receiver"
 	"daisylane/internal/resolver"
+	"daisylane/internal/restrictor"
+	"daisylane/internal/retrier"
+	"daisylane/platform"
 	"daisylane/platform/platformtest"
 )
 
@@ -20,16 +27,19 @@
 	admit    quarantiner.Outcome
 	admitted int
 	whole    int
-	about    int // reports of targets that were about to answer
+	subjects []quarantiner.Subject // of the whole answers
+	calm     bool                  // nothing is suspected
+	about    int                   // reports of targets that were about to answer
 	reports  []quarantiner.Report
 	failures int // attempts whose target may have ended
+	slow     int // those that were abandoned
 	ends     int // reports of targets that have ended
 	repeated bool
 }
 
 func (g *guard) Ready() bool { return true }
 
-func (g *guard) Suspects() bool { return true }
+func (g *guard) Suspects() bool { return !g.calm }
 
 func (g *guard) Check(quarantiner.Subject) quarantiner.Verdict {
 	return quarantiner.Verdict{Outcome: g.check, RetryAfter: time.Second}
@@ -42,10 +52,11 @@
 	return quarantiner.Verdict{Outcome: g.admit, RetryAfter: time.Second}
 }
 
-func (g *guard) RecordWhole(quarantiner.Target, time.Time, quarantiner.Subject) {
+func (g *guard) RecordWhole(_ quarantiner.Target, _ time.Time, s quarantiner.Subject) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.whole++
+	g.subjects = append(g.subjects, s)
 }
 
 func (g *guard) RecordCrash(r quarantiner.Report, about bool) {
@@ -57,9 +68,12 @@
 	g.reports = append(g.reports, r)
 }
 
-func (g *guard) RecordFailure(quarantiner.Report, bool) {
+func (g *guard) RecordFailure(r quarantiner.Report, _ bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if r.Abandoned {
+		g.slow++
+	}
 	g.failures++
 }
 
@@ -135,8 +149,9 @@
 }
 
 // Guards against an end of a target that nobody reports because the stream had gone on or
-// looked whole, or because it ended while nothing was sent to it; and against a stream that
-// ends one target after the other.
+// looked whole, or because it ended while nothing was sent to it; against a slow target that
+// looks like one that broke off its answer; and against a stream that ends one target after
+// the other.
 func TestEndsOfTargets(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -144,6 +159,7 @@
 		repeated bool // the prompt was at another crash
 		crashes  int
 		failures int
+		slow     int // of the failures, those that the instance ended itself
 		ends     int
 		runs     int
 	}{
@@ -152,6 +168,7 @@
 		{name: "after the last event", script: platformtest.Response{Events: 4, Crash: true, CrashAfter: 4}, crashes: 1, runs: 2},
 		{name: "unframed, after the second event", script: platformtest.Response{Events: 4, Crash: true, CrashAfter: 2, CloseDelimited: true}, ends: 1, runs: 1},
 		{name: "unframed, whole", script: platformtest.Response{Events: 4, CloseDelimited: true}, runs: 1},
+		{name: "too slow", script: platformtest.Response{Events: 4, Delay: 2 * time.Second}, failures: 1, slow: 1, runs: 1},
 		{name: "broken", script: platformtest.Response{Events: 4, CutAfter: 2}, failures: 1, runs: 2},
 	}
 	for _, tt := range tests {
@@ -162,8 +179,46 @@
 			time.Sleep(100 * time.Millisecond)
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			if len(g.reports) != tt.crashes || g.failures != tt.failures || g.ends != tt.ends || f.runs() != tt.runs {
-				t.Errorf("%d crashes, %d failures, %d ends, %d runs, want %d, %d, %d, %d", len(g.reports), g.failures, g.ends, f.runs(), tt.crashes, tt.failures, tt.ends, tt.runs)
+			if len(g.reports) != tt.crashes || g.failures != tt.failures || g.slow != tt.slow || g.ends != tt.ends || f.runs() != tt.runs {
+				t.Errorf("%d crashes, %d failures, %d abandoned, %d ends, %d runs, want %d, %d, %d, %d, %d", len(g.reports), g.failures, g.slow, g.ends, f.runs(), tt.crashes, tt.failures, tt.slow, tt.ends, tt.runs)
+			}
+		})
+	}
+}
+
+// Guards against an end that nobody reports because the target accepts one more connection
+// after an answer that closed its own.
+func TestEndAfterClosedAnswer(t *testing.T) {
+	g := &guard{check: quarantiner.Allowed, admit: quarantiner.Allowed}
+	f := startWith(t, []receiver.Option{receiver.WithGuard(g)}, script{{Events: 4, CloseDelimited: true}})
+	f.onlyTarget(0, "engine")
+	if _, _, err := f.call(t, "/plan/7", "x", nil); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	f.runners[0].Close()
+	platformtest.Eventually(t, "the end is reported", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.ends == 1
+	})
+}
+
+// Guards against a popular request that is suspected at the first crashes as if it had never
+// been answered, because whole requests were not recorded while nothing was suspected.
+func TestAnswersBeforeCrashes(t *testing.T) {
+	for _, path := range []string{"/plan/7", "/look/7"} {
+		t.Run(path, func(t *testing.T) {
+			g := &guard{check: quarantiner.Allowed, admit: quarantiner.Allowed, calm: true}
+			f := startWith(t, []receiver.Option{receiver.WithGuard(g)}, script{{Events: 3}}, script{{Body: "a"}})
+			f.onlyTarget(map[string]int{"/plan/7": 0, "/look/7": 1}[path], map[string]string{"/plan/7": "engine", "/look/7": "booking"}[path])
+			if _, _, err := f.call(t, path, "x", map[string]string{"Daisylane-Prompt-Prefix": "a1:10,b1:10,c1:10"}); err != nil {
+				t.Fatal(err)
+			}
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if len(g.subjects) != 1 || len(g.subjects[0].Requests) == 0 {
+				t.Errorf("answers of %+v, want one of a whole request", g.subjects)
 			}
 		})
 	}
@@ -202,3 +257,34 @@
 		t.Errorf("got %v %q, %v; %d requests reached a target", res, body, err, f.runs())
 	}
 }
+
+// Guards against a request that goes on choosing targets, each of which is evacuated before
+// the request is sent, as often as there are targets.
+func TestWithdrawnAttempts(t *testing.T) {
+	d := receiver.NewDispatcher(chooser.Place{Centre: "a"}, nil, retrier.New(rand.New(rand.NewPCG(1, 1))), receiver.WithEvacuations())
+	centres, admitted := []string{"a", "b"}, 0
+	evacuate := func() {
+		d.ChangeEvacuations(func(e *restrictor.Evacuations) { e.SetList(time.Now(), centres[admitted%2:][:1]) })
+		admitted++
+	}
+	evacuate()
+	f := startWith(t, nil, script{{Body: "x"}})
+	d.WithRoster(func(r *follower.Roster) {
+		for i := range 40 {
+			target := f.target(0, "booking")
+			target.ID, target.Centre = fmt.Sprint("i-", i), centres[i%2]
+			r.Put(target)
+		}
+	})
+	r := receiver.New(platform.Codec{}, d, f.budgets, forwarder.New(platform.RequestID), receiver.WithGuard(&changingGuard{change: evacuate}))
+	r.SetTable(table(t, 1))
+	r.RecordContact(time.Now())
+	f.Config.Handler = r
+	res, body, err := f.call(t, "/look/7", "", nil)
+	if err != nil || res.StatusCode != 503 || body != "unreachable\n" || res.Header.Get("Retry-After") == "" || f.runs() > 0 {
+		t.Errorf("got %v %q, %v; %d requests reached a target", res, body, err, f.runs())
+	}
+	if admitted--; admitted != 4 {
+		t.Errorf("%d targets chosen, want 4", admitted)
+	}
+}
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -38,7 +38,8 @@
 	maxFreeBuffer = 16 << 10
 	// Limit of a plain response. A longer one is taken for a faulty target.
 	maxResponseBytes = 64 << 20
-	// Limit of the targets that one request tries to reach without success.
+	// Limit of the targets that one request tries to reach without success. It includes those
+	// that were not permitted any more when the request could be sent.
 	maxDials = 4
 	// Age from which the configuration counts as out of date. An unknown route or key
 	// may then have been added since.
@@ -147,7 +148,8 @@
 // Guard knows which requests crash targets, on behalf of the fleet.
 type Guard interface {
 	Ready() bool
-	// Suspects reports whether the fingerprints of requests matter.
+	// Suspects reports whether any request is suspected, so that Check and Admit need the
+	// fingerprints of the whole request. RecordWhole always gets them.
 	Suspects() bool
 	// Check says whether a request may be sent to a target.
 	Check(s quarantiner.Subject) quarantiner.Verdict
