Return the grant of an account that is not asked for any more

While the home of an account was away, the next instance took a grant and kept one for the demand of the last 15 s, long after the home was back. An instance other than the home now has no need 4 s after it was last asked, and returns the grant at its next check. The new case of TestStrayGrantIsReturned fails on the old code.

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -332,24 +332,38 @@
 	}
 }
 
-// Guards against a small grant that an instance keeps for good although another one is
-// the home of the account: nobody uses it, and it is lost with the instance.
+// Guards against a grant that an instance keeps for good, or for long after it was asked for
+// tokens, although another one is the home of the account: nobody uses it, and it is lost with
+// the instance.
 func TestStrayGrantIsReturned(t *testing.T) {
 	const prepaid = 2_000_000
-	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
-		g := newReadyGranter(t, name, Budget{}, 1, prepaid) // acts as home while it is alone
-		done := g.AddWaiting("rider-app", 30_000, true)
-		writeLedgerAndBudget(g, second)
-		done()
-		g.SetPeer("entry-1", "entry-1")
-		g.SetPeer("entry-2", "entry-2")
-		g.SetPeer("entry-3", "entry-3")
-		now := second + demandWindow
-		due := slices.Contains(g.BudgetsDue(now, true), "rider-app")
-		next, _ := g.PlanBudget(now, "rider-app")
-		returned := due && next.Grants[name].Granted == 0
-		if returned == g.isHome("rider-app") {
-			t.Errorf("%s is home: %v, returns its grant: %v", name, g.isHome("rider-app"), returned)
+	tests := []struct {
+		name   string
+		demand int64 // before the home is known
+		after  time.Duration
+	}{
+		{"without demand", 0, demandWindow},
+		{"no longer asked", 30_000, strayAge},
+	}
+	for _, tt := range tests {
+		for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+			g := newReadyGranter(t, name, Budget{}, 1, prepaid) // acts as home while it is alone
+			if tt.demand > 0 {
+				g.AddGrantDemand(second, "rider-app", tt.demand)
+			}
+			done := g.AddWaiting("rider-app", 30_000, true)
+			writeLedgerAndBudget(g, second)
+			done()
+			g.SetPeer("entry-1", "entry-1")
+			g.SetPeer("entry-2", "entry-2")
+			g.SetPeer("entry-3", "entry-3")
+			now := second + tt.after
+			due := slices.Contains(g.BudgetsDue(now, true), "rider-app")
+			next, _ := g.PlanBudget(now, "rider-app")
+			returned := due && next.Grants[name].Granted == 0
+			if returned == g.isHome("rider-app") {
+				t.Errorf("%s, %s is home: %v, returns its grant: %v", tt.name, name, g.isHome("rider-app"), returned)
+			}
 		}
 	}
 }
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -433,9 +433,13 @@
 }
 
 // fairShare returns this instance's fair share of the remaining budget: its expected
-// demand, but at most its share of the total demand.
+// demand, but at most its share of the total demand. An instance other than the home has none
+// once it is no longer asked for tokens.
 func (g *Granter) fairShare(now time.Duration, name string, a *account) int64 {
 	home := g.isHome(name)
+	if !home && now-a.grantDemand.last >= strayAge {
+		return 0
+	}
 	remaining := max(0, a.prepaid-g.usedByAll(a))
 	own, total := a.grantDemand.rate(now), g.totalDemand(now, a)
 	instances := float64(max(1, len(g.peers)))
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -100,6 +100,9 @@
 	// strayThreshold is the share of the prepaid budget above which an instance other than
 	// the home returns tokens that it does not need.
 	strayThreshold = 0.0025
+	// strayAge is the time without demand after which such an instance needs none. While the
+	// home is away, the demand comes to the next instance.
+	strayAge = 4 * time.Second
 	// finalWriteOffShare is the share of the prepaid budget up to which written-off tokens
 	// count as spent towards callers. A loss of power costs up to a tenth.
 	finalWriteOffShare = 0.25
