Ask other holders of tokens in an outage of the store

A request that lacks tokens asked the home a second time if some tokens of the account were not granted, as the home may raise its grant. In an outage it can't, and the request was refused before any other holder was asked. Now the second question goes to the holders, up to ten instead of three, also if the own ledger limit is what is short.

accountant.TestAllHoldersAreAskedInOutage (eight holders, of which the last two have tokens): 0 of 8 requests served on the old code, 8 of 8 now.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -298,12 +298,13 @@
 	rounds := 0
 	return a.takeOrWait(ctx, account, n, end, a.state.Reserve, func() bool {
 		// Borrowing is faster than the store. A home that is short of tokens raises its
-		// grant meanwhile, if there is something left for that.
+		// grant meanwhile, if there is something left for that and the store responds.
+		outage := !a.storeReachable(a.clock())
 		switch rounds++; {
-		case rounds == 1 && homeIsShort && a.state.HasUngranted(account):
+		case rounds == 1 && homeIsShort && a.state.HasUngranted(account) && !outage:
 			a.borrow(ctx, account, n, n, true, a.state.Lenders(account))
 		case rounds <= maxBorrowRounds:
-			a.borrow(ctx, account, n, 1, false, a.state.Holders(account))
+			a.borrow(ctx, account, n, 1, false, a.state.Holders(account, outage))
 		}
 		return true
 	})
@@ -452,13 +453,14 @@
 }
 
 // takeOrWait tries to take tokens until it succeeds, cannot succeed or the context
-// ends. While the grant is too small it calls getMore, which reports whether the grant may
-// still grow, before waiting. The caller holds the lock.
+// ends. While the grant is too small, or the ledger limit in an outage of the store, it calls
+// getMore, which reports whether the grant may still grow, before waiting. The caller holds
+// the lock.
 func (a *Accountant) takeOrWait(ctx context.Context, account string, n int64, end time.Duration, take func(time.Duration, string, int64) granter.Decision, getMore func() bool) granter.Decision {
 	for {
 		d := take(a.clock(), account, n)
 		mayGrow := true
-		if d.Outcome == granter.Short {
+		if d.Outcome == granter.Short || d.Outcome == granter.Limited && !a.storeReachable(a.clock()) {
 			mayGrow = getMore()
 			d = take(a.clock(), account, n)
 		}
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -25,6 +25,8 @@
 const (
 	prepaid = 100_000
 	wait    = 2 * time.Second
+	// idleContact is the time in which an idle instance notices that the store is away.
+	idleContact = 6 * time.Second
 )
 
 // testInstance is a running instance that lends tokens to others.
@@ -220,6 +222,56 @@
 	}
 }
 
+// holders answers as the given instances do, which have these tokens left.
+type holders struct {
+	accountant.Peers
+	mu   sync.Mutex
+	left map[string]int64
+}
+
+func (h *holders) Borrow(_ context.Context, p granter.Lender, l granter.Loan) (lender.Reply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := min(l.Need, h.left[p.Name])
+	if n == 0 || n < l.Minimum {
+		return lender.Reply{Outcome: granter.Short}, nil
+	}
+	h.left[p.Name] -= n
+	return lender.Reply{Tokens: n, Outcome: granter.Reserved}, nil
+}
+
+// Guards against refusals in an outage of the store although other instances have the tokens:
+// the home is asked again instead, which can't raise its grant, or only the first few are asked.
+func TestAllHoldersAreAskedInOutage(t *testing.T) {
+	s, addr := platformtest.Start(t)
+	accounts := make(map[string]int64)
+	budget := granter.Budget{Grants: make(map[string]granter.Grant)}
+	peers := &holders{Peers: lender.NewClient(), left: map[string]int64{"entry-8": 60, "entry-9": 1000}}
+	for i := range 8 {
+		name := fmt.Sprintf("entry-%d", i+2)
+		s.Put(accountant.KindLedgers, name, granter.Ledger{Incarnation: "x", Number: 1, Addr: "127.0.0.1:1"})
+		budget.Grants[name] = granter.Grant{Granted: prepaid / 10, Spent: int64(i), WrittenBy: "x"}
+	}
+	for i := range 8 {
+		name := fmt.Sprintf("app-%d", i)
+		accounts[name] = prepaid
+		s.Put(accountant.KindBudgets, name, budget)
+	}
+	a := accountant.New(platform.NewStore(addr, platformtest.Direct{Addr: addr, Limit: 300 * time.Millisecond}), "entry-1", "127.0.0.1:1", peers, zerolog.Nop())
+	a.SetPrepaid(1, accounts)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = a.Run(ctx) }()
+	waitFor(t, 5*time.Second, "the instance is ready", a.Ready)
+	s.SetFaults(platformtest.Faults{Unresponsive: true})
+	time.Sleep(idleContact)
+	for name := range accounts {
+		if d := a.Reserve(t.Context(), name, 100, wait); d.Outcome != granter.Reserved {
+			t.Errorf("%s: %+v", name, d)
+		}
+	}
+}
+
 // Guards against tokens that are lost with the response to a loan: nobody could spend
 // them.
 func TestLostLoanIsTakenBack(t *testing.T) {
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -16,6 +16,9 @@
 	// maxOthersAsked is how many instances with unused tokens are asked for the tokens
 	// still missing.
 	maxOthersAsked = 3
+	// maxOthersAskedInOutage is the same while no grant can be raised. Asking so many takes
+	// about as long as a request may wait for tokens.
+	maxOthersAskedInOutage = 10
 )
 
 // InstanceCount returns the number of instances that have ever written a ledger.
@@ -105,8 +108,9 @@
 }
 
 // Holders returns the instances that have unused tokens of an account according to
-// what they reported or published, those with the most first.
-func (g *Granter) Holders(name string) []Lender {
+// what they reported or published, those with the most first. While the store is out of
+// reach there are more of them.
+func (g *Granter) Holders(name string, outage bool) []Lender {
 	var list []Lender
 	free := make(map[string]int64)
 	a := g.account(name)
@@ -120,7 +124,11 @@
 	slices.SortFunc(list, func(a, b Lender) int {
 		return cmp.Or(cmp.Compare(free[b.Name], free[a.Name]), cmp.Compare(a.Name, b.Name))
 	})
-	return list[:min(len(list), maxOthersAsked)]
+	most := maxOthersAsked
+	if outage {
+		most = maxOthersAskedInOutage
+	}
+	return list[:min(len(list), most)]
 }
 
 // HasUngranted reports whether a budget has tokens that no instance holds.
