Lend what the ledger limit allows in an outage of the store

A lender tried to lend all that was asked for, up to its grant. In an outage the limit of its ledger is not raised, so it lent nothing if the limit covered a part.

accountant.TestLoanWithinLimitInOutage fails on the old code: 0 tokens of a grant with 40,000 unused ones.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -328,7 +328,11 @@
 			sendSignal(a.budgetsSignal)
 		}
 	}()
-	n := max(l.Minimum, min(l.Requested, a.state.LendableTokens(l.Account, l.Need)))
+	n := min(l.Requested, a.state.LendableTokens(l.Account, l.Need))
+	if !a.storeReachable(now) {
+		n = min(n, a.state.LendableNow(now, l.Account)) // the limit is not raised meanwhile
+	}
+	n = max(l.Minimum, n)
 	d := a.takeOrWait(ctx, l.Account, n, now+lendTimeout, a.state.Lend, func() bool {
 		return l.Minimum == l.Need && a.state.HasUngranted(l.Account)
 	})
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -272,6 +272,23 @@
 	}
 }
 
+// Guards against a lender that lends nothing in an outage of the store because its ledger
+// limit covers only a part of what is asked for.
+func TestLoanWithinLimitInOutage(t *testing.T) {
+	s, addr := platformtest.Start(t)
+	s.Put(accountant.KindBudgets, "rider-app", granter.Budget{}.WithGrant("entry-1", granter.Grant{Granted: prepaid / 2, WrittenBy: "x"}))
+	inst := startInstance(t, addr, "entry-1")
+	for range 10 {
+		inst.Settle("rider-app", reserve(inst, 1000), 1000)
+	}
+	s.SetFaults(platformtest.Faults{Status: http.StatusServiceUnavailable})
+	time.Sleep(granter.LedgerInterval + 500*time.Millisecond)
+	l := granter.Loan{ID: "1", Account: "rider-app", Minimum: 1, Need: prepaid / 2, Requested: prepaid / 2}
+	if r := inst.Lend(t.Context(), l); r.Tokens == 0 {
+		t.Errorf("got %+v", r)
+	}
+}
+
 // Guards against tokens that are lost with the response to a loan: nobody could spend
 // them.
 func TestLostLoanIsTakenBack(t *testing.T) {
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -107,6 +107,11 @@
 	return max(0, min(a.borrowed+g.grantInForce(a)-a.used(), need+int64(float64(remaining)*extraLoanShare)))
 }
 
+// LendableNow returns how many tokens may be lent under the current ledger limit.
+func (g *Granter) LendableNow(now time.Duration, name string) int64 {
+	return g.account(name).borrowed + g.AvailableTokens(now, name)
+}
+
 // Holders returns the instances that have unused tokens of an account according to
 // what they reported or published, those with the most first. While the store is out of
 // reach there are more of them.
