Take larger grants right after an outage of the store

Outages follow each other, and most refusals in them are for tokens that are not granted to anybody. For 10 s after calls have failed for 0.5 s, the home of an account takes a grant for 8% of the time that the budget lasts, at most 8 s, and raises it ahead. Budgets whose limits do not grow are left out.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -55,6 +55,9 @@
 	// contactTimeout is the time since the last response of the store after which
 	// the store counts as unreachable. An idle instance makes its next call within it.
 	contactTimeout = 6 * time.Second
+	// minOutage is how long calls have to fail for an outage. A single lost response is followed
+	// by another call sooner.
+	minOutage = 500 * time.Millisecond
 	// lostRetryAfter is when to come back while the store is unreachable.
 	lostRetryAfter = 3 * time.Second
 	// pollInterval is the mean time between reads of the budgets, which change little
@@ -153,7 +156,8 @@
 	state            *granter.Granter
 	ledgerVersion    uint64
 	lastContact      time.Duration
-	storeLost        bool // the last store call got no response
+	storeLost        bool          // the last store call got no response
+	lostSince        time.Duration // when the first such call ended
 	ready            bool
 	configured       bool // prepaid budgets have been set
 	configVersion    int64
@@ -602,12 +606,16 @@
 		a.lastContact = max(a.lastContact, began)
 		if a.storeLost {
 			a.storeLost = false
+			if now := a.clock(); now-a.lostSince >= minOutage {
+				a.state.RecordOutage(now)
+				sendSignal(a.budgetsSignal)
+			}
 			a.log.Info().Msg("budget store regained")
 		}
 		return
 	}
 	if !a.storeLost {
-		a.storeLost = true
+		a.storeLost, a.lostSince = true, a.clock()
 		time.AfterFunc(lostPollInterval/2, func() { sendSignal(a.pollSignal) }) // the next poll may be far
 		a.log.Warn().Err(err).Dur("since_contact", a.clock()-a.lastContact).Msg("budget store lost")
 	}
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -340,6 +340,28 @@
 	}
 }
 
+// Guards against a home that does not prepare for another outage of the store right after one.
+func TestGrantAfterOutage(t *testing.T) {
+	s, addr := platformtest.Start(t)
+	inst := startInstance(t, addr, "entry-1")
+	spend := func(d time.Duration) (unused int64) { // 1000 tokens a second
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			d := reserve(inst, 50)
+			inst.Settle("rider-app", d, 50)
+			unused = d.Granted - d.Used
+		}
+		return unused
+	}
+	spend(4 * time.Second)
+	s.SetFaults(platformtest.Faults{Status: http.StatusServiceUnavailable})
+	spend(3 * time.Second)
+	s.SetFaults(platformtest.Faults{})
+	// The grant is 8% of what is left after 8.5 s, and 1.5 s of it may be used.
+	if unused, least := spend(1500*time.Millisecond), int64((prepaid-8500)*8/100-1500); unused < least {
+		t.Errorf("%d tokens are unused, want at least %d", unused, least)
+	}
+}
+
 // Guards against a killed process losing more tokens than its ledger allows, and
 // against a successor that spends tokens of its predecessor again.
 func TestKill(t *testing.T) {
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -179,6 +179,10 @@
 	g.pendingLedgers = slices.DeleteFunc(g.pendingLedgers, func(s Ledger) bool { return s.Number <= l.Number })
 }
 
+// RecordOutage reports that the store responds again after an outage. For a while the home
+// of an account takes larger grants, in case that the store is soon away again.
+func (g *Granter) RecordOutage(now time.Duration) { g.outageEnded = now }
+
 // SetReady enables reservations. Call it after a ledger of this incarnation has been
 // written.
 func (g *Granter) SetReady() { g.ready = true }
--- a/internal/granter/power_test.go
+++ b/internal/granter/power_test.go
@@ -165,3 +165,42 @@
 		})
 	}
 }
+
+// Guards against grants that are as small right after an outage of the store as at any other
+// time, although another outage is likely then.
+func TestSecondOutage(t *testing.T) {
+	const seeds = 20
+	tests := []struct {
+		lasts, outage time.Duration
+		least         float64 // share of the requests served in the second outage
+	}{
+		// The limits of the ledgers leave out about 1 s, and the grant covers 8 s of at least
+		// 0.08 of the time for which the budget lasts.
+		{60 * time.Second, 4 * time.Second, 0.5},
+		{100 * time.Second, 9 * time.Second, 0.5},
+		{400 * time.Second, 9 * time.Second, 0.5},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%v of %v", tt.outage, tt.lasts), func(t *testing.T) {
+			var served, asked int
+			for seed := range uint64(seeds) {
+				s := newSteadyLoad(t, seed, 4, tt.lasts)
+				s.away = true
+				s.play(800 * time.Millisecond)
+				s.away = false
+				for _, h := range s.hosts {
+					h.granter.RecordOutage(s.clock(h))
+				}
+				s.play(400 * time.Millisecond)
+				s.away, s.asked, s.served = true, 0, 0
+				s.play(tt.outage)
+				served, asked = served+s.served, asked+s.asked
+			}
+			share := float64(served) / float64(asked)
+			t.Logf("%.2f of the requests are served", share)
+			if share < tt.least {
+				t.Errorf("%.2f of the requests are served in the second outage, want %.2f", share, tt.least)
+			}
+		})
+	}
+}
--- a/internal/granter/property_test.go
+++ b/internal/granter/property_test.go
@@ -544,6 +544,9 @@
 		}
 		return
 	}
+	if w.revision%40 == 0 {
+		h.granter.RecordOutage(w.clock(h))
+	}
 	shares := steps{request: 0.35, settle: 0.5, ledger: 0.65, budget: 0.8, lend: 0.9, observe: 0.9, notes: 0.9, wait: 0.994}
 	if w.drills {
 		shares = steps{request: 0.35, settle: 0.45, ledger: 0.55, budget: 0.68, lend: 0.73, observe: 0.83, notes: 0.86, wait: 0.999}
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -267,9 +267,9 @@
 }
 
 // runsLow reports whether a grant should be raised before requests wait for it, because
-// others have to confirm it first.
+// others have to confirm it first, or the store may soon be away again.
 func (g *Granter) runsLow(now time.Duration, name string, a *account) bool {
-	if g.era.number == 0 || g.stopping || !g.isHome(name) {
+	if g.era.number == 0 && !g.afterOutage(now) || g.stopping || !g.isHome(name) {
 		return false
 	}
 	return float64(a.granted-a.used()) < lowGrantShare*float64(g.fairShare(now, name, a))
@@ -461,7 +461,11 @@
 	if total > 0 {
 		weight = (own + prior) / (total + prior*instances)
 	}
-	horizon := grantHorizon(remaining, total)
+	share, longest := grantHorizonShare, maxGrantHorizon
+	if g.afterOutage(now) && g.limitGrows(now, a) { // a fixed limit does not let more be used
+		share, longest = outageGrantShare, outageGrantHorizon
+	}
+	horizon := grantHorizon(remaining, total, share, longest)
 	demand := a.grantDemand.forecast(now, horizon, grantStdDevs)
 	if home {
 		demand += prior*horizon.Seconds() + float64(remaining)*coldStartShare*a.grantDemand.coldStartFactor(now)
@@ -469,18 +473,23 @@
 	return int64(min((1-ungrantedShare)*weight*float64(remaining), demand))
 }
 
-// grantHorizon returns how much time of the demand, in tokens per second, a grant covers:
-// a share of the time for which the remaining budget lasts. So a long one bridges outages
+// grantHorizon returns how much time of the demand, in tokens per second, a grant covers: a
+// share of the time for which the remaining budget lasts, but no longer than the given time. So a long one bridges outages
 // of the store, and of a short one little is lost with power.
-func grantHorizon(remaining int64, demand float64) time.Duration {
+func grantHorizon(remaining int64, demand, share float64, longest time.Duration) time.Duration {
 	if demand <= 0 {
-		return maxGrantHorizon
+		return longest
 	}
-	seconds := grantHorizonShare * float64(remaining) / demand
-	seconds = min(max(seconds, minGrantHorizon.Seconds()), maxGrantHorizon.Seconds())
+	seconds := share * float64(remaining) / demand
+	seconds = min(max(seconds, minGrantHorizon.Seconds()), longest.Seconds())
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// afterOutage reports whether the store was away lately.
+func (g *Granter) afterOutage(now time.Duration) bool {
+	return g.outageEnded > 0 && now-g.outageEnded < outageMemory
+}
+
 // publishedDemand returns the demand that a previous process published in its grant.
 func publishedDemand(now time.Duration, grant Grant) demandAverage {
 	if grant.Rate == 0 {
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -53,6 +53,13 @@
 	minGrantHorizon = 800 * time.Millisecond
 	// maxGrantHorizon covers most outages of the store.
 	maxGrantHorizon = 4 * time.Second
+	// outageMemory is how long after an outage of the store another one is likely: a store that
+	// restarts or is overloaded is often away several times in a row.
+	outageMemory = 10 * time.Second
+	// outageGrantShare and outageGrantHorizon apply to the home's grant during that time. It
+	// covers most of an outage of 9 s.
+	outageGrantShare   = 0.08
+	outageGrantHorizon = 8 * time.Second
 	// lowGrantShare is the share of the fair grant below which a home raises its grant.
 	lowGrantShare = 0.5
 	// grantStdDevs is how many standard deviations above the mean demand a grant covers.
@@ -372,6 +379,7 @@
 	stopping       bool
 	ledgerEra      int64                 // of the newest ledger known to be written
 	startedAt      time.Duration         // of this process
+	outageEnded    time.Duration         // when the store last responded again, 0: it was not away
 	predecessor    string                // incarnation of the process before, empty: not known
 	priorUnknown   bool                  // what a predecessor has spent is not known
 	peersKnown     bool                  // the ledgers were read again after the own one was written
