Let requests wait while the store has failed for a moment

A request that needs a larger grant was refused as soon as one call to the store had failed. Now such a request waits until calls have failed for 0.5 s, within its own wait. A lender still refuses at once.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -56,7 +56,8 @@
 	// the store counts as unreachable. An idle instance makes its next call within it.
 	contactTimeout = 6 * time.Second
 	// minOutage is how long calls have to fail for an outage. A single lost response is followed
-	// by another call sooner.
+	// by another call sooner. Requests that need the store are not refused before, which is
+	// within an eighth of a latency objective of 4 s.
 	minOutage = 500 * time.Millisecond
 	// lostRetryAfter is when to come back while the store is unreachable.
 	lostRetryAfter = 3 * time.Second
@@ -338,7 +339,7 @@
 	}
 	n = max(l.Minimum, n)
 	d := a.takeOrWait(ctx, l.Account, n, now+lendTimeout, a.state.Lend, func() bool {
-		return l.Minimum == l.Need && a.state.HasUngranted(l.Account)
+		return l.Minimum == l.Need && a.state.HasUngranted(l.Account) && a.storeReachable(a.clock())
 	})
 	if d.Outcome != granter.Reserved {
 		return lender.Reply{Outcome: d.Outcome, Usage: a.state.Usage(l.Account)}
@@ -484,7 +485,7 @@
 			return d
 		case d.Outcome == granter.Short && !mayGrow:
 			return d
-		case !storeReachable && (d.Outcome == granter.Short || now+d.RetryAfter > end):
+		case !storeReachable && !a.storeJustLost(now) && (d.Outcome == granter.Short || now+d.RetryAfter > end):
 			return d
 		}
 		if !a.waitForChange(ctx, account, d) {
@@ -498,6 +499,12 @@
 	return !a.storeLost && now-a.lastContact < contactTimeout
 }
 
+// storeJustLost reports whether calls to the store fail for so short a time that the next one
+// may well succeed, so that requests wait for it.
+func (a *Accountant) storeJustLost(now time.Duration) bool {
+	return a.storeLost && now-a.lostSince < minOutage && now-a.lastContact < contactTimeout
+}
+
 // waitForChange waits until the state changes or the ledger limit has grown enough.
 // It reports false if the context ends first. The caller holds the lock, which is
 // released during the wait.
@@ -617,6 +624,11 @@
 	if !a.storeLost {
 		a.storeLost, a.lostSince = true, a.clock()
 		time.AfterFunc(lostPollInterval/2, func() { sendSignal(a.pollSignal) }) // the next poll may be far
+		time.AfterFunc(minOutage, func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.notifyWaiters() // they wait no longer if the store is still away
+		})
 		a.log.Warn().Err(err).Dur("since_contact", a.clock()-a.lastContact).Msg("budget store lost")
 	}
 }
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -340,6 +340,33 @@
 	}
 }
 
+// Guards against requests that are refused because one call to the store has failed, and
+// against ones that wait for the store in an outage.
+func TestWaitForStore(t *testing.T) {
+	tests := []struct {
+		name    string
+		away    time.Duration
+		outcome granter.Outcome
+		longest time.Duration
+	}{
+		{"failed calls", 250 * time.Millisecond, granter.Reserved, time.Second},
+		{"outage", 10 * time.Second, granter.Short, 1500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, addr := platformtest.Start(t)
+			inst := startInstance(t, addr, "entry-1")
+			inst.Settle("rider-app", reserve(inst, 1000), 1000)
+			s.SetFaults(platformtest.Faults{Status: http.StatusServiceUnavailable})
+			time.AfterFunc(tt.away, func() { s.SetFaults(platformtest.Faults{}) })
+			start := time.Now()
+			if d := reserve(inst, prepaid/2); d.Outcome != tt.outcome || time.Since(start) > tt.longest {
+				t.Errorf("after %v: %+v", time.Since(start).Round(time.Millisecond), d)
+			}
+		})
+	}
+}
+
 // Guards against a home that does not prepare for another outage of the store right after one.
 func TestGrantAfterOutage(t *testing.T) {
 	s, addr := platformtest.Start(t)
