Report lost tokens once

Grants that the previous process did not write are left out.

granter.TestTokensAreLostOnce fails on the old code.

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// Guards against tokens that are reported as lost by each process after the one that lost them,
+// although none of these used any.
+func TestTokensAreLostOnce(t *testing.T) {
+	for by, want := range map[string]int64{"a": 50, "z": 0} {
+		g := New(Identity{Name: "entry-1", Incarnation: "b", Boot: "boot"})
+		g.SetPrepaid("rider-app", 1000)
+		g.Recover(second, Ledger{Incarnation: "a", Boot: "boot", Time: 1, Accounts: map[string]Limit{"rider-app": {Limit: 300}}})
+		g.ObserveBudget(second, "rider-app", Budget{}.WithGrant("entry-1", Grant{Granted: 1000, Spent: 250, WrittenBy: by}), 5)
+		if lost := g.LostTokens()["rider-app"]; lost != want {
+			t.Errorf("grant written by %s: lost %d, want %d", by, lost, want)
+		}
+	}
+}
+
 // Guards against an instance that loses the store and refuses requests although its
 // grant has tokens left, and against limits that grow before the ledger is
 // LimitGrowthDelay old, while a successor may still start from the old limit.
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -28,11 +28,13 @@
 func (g *Granter) Owns(l Ledger) bool { return l.Incarnation == g.incarnation }
 
 // LostTokens returns, by account, the tokens that count as spent although the previous
-// process may not have spent them.
+// process may not have spent them. It has none of an account in which that process used no
+// tokens, as it had not written its grant: these were lost with another process before.
 func (g *Granter) LostTokens() map[string]int64 {
 	lost := make(map[string]int64)
 	for name, a := range g.accounts {
-		if n := a.spent - a.budget.Grants[g.name].Spent; n > 0 && !a.fenced {
+		grant := a.budget.Grants[g.name]
+		if n := a.spent - grant.Spent; n > 0 && !a.fenced && (g.predecessor == "" || grant.WrittenBy == g.predecessor) {
 			lost[name] = n
 		}
 	}
