Report what connections show of the end of a target

The pool tells an observer of connections that the other side has ended, in use or idle, and of addresses that refuse or accept connections, before the next request is sent.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -102,6 +102,7 @@
 	for range maxMismatched + 1 {
 		res, err := c.readResponseHead(r.Method)
 		if err != nil {
+			c.recordError(errors.Join(err, werr))
 			return nil, fmt.Errorf("read response: %w", errors.Join(err, werr))
 		}
 		id := p.requestID(res.Header)
@@ -109,7 +110,9 @@
 			if werr != nil {
 				res.Close = true
 			}
-			return &Response{Status: res.StatusCode, Header: res.Header, pool: p, conn: c, res: res}, nil
+			a := &Response{Status: res.StatusCode, Header: res.Header, pool: p, conn: c, res: res}
+			c.closing.Store(!a.KeepsConnection())
+			return a, nil
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardBytes)); err != nil || n == maxDiscardBytes || res.Close {
 			return nil, fmt.Errorf("%w: response has id %q", ErrMismatchedResponse, id)
@@ -164,8 +167,12 @@
 // Read reads from the body. It returns [io.EOF] once the body is complete.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.res.Body.Read(b)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
 		a.complete = true
+	default:
+		a.conn.recordError(err)
 	}
 	return n, err
 }
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,16 +40,36 @@
 // ErrNotSent means that no byte of the request left this process.
 var ErrNotSent = errors.New("request was not sent")
 
+// Observer learns from connections whether the process at an address may have ended. Its
+// methods are called without a lock, before the call that found it out returns.
+type Observer interface {
+	Dialled(addr string) // a new connection was accepted
+	Refused(addr string) // a connection was refused
+	// Closed is called when the other side has closed or reset a connection that it has not
+	// announced to close, in use or idle.
+	Closed(addr string)
+}
+
+type noObserver struct{}
+
+func (noObserver) Dialled(string) {}
+func (noObserver) Refused(string) {}
+func (noObserver) Closed(string)  {}
+
 // Pool keeps idle connections to targets for reuse. It is safe for concurrent use.
 type Pool struct {
 	requestID func(http.Header) string
+	observer  Observer
 	dialer    net.Dialer
 	mu        sync.Mutex
 	idle      map[string][]*conn
+	open      map[string]map[*conn]bool // all connections by address, idle or in use
 }
 
 type conn struct {
 	net.Conn
+	pool     *Pool
+	closing  atomic.Bool    // the other side has announced that it closes the connection
 	in       *limitedReader // read by br
 	raw      syscall.RawConn
 	br       *bufio.Reader
@@ -82,10 +103,19 @@
 	return n, err
 }
 
+// Option changes a setting of a [Pool].
+type Option func(*Pool)
+
+// WithObserver sets what learns from connections whether targets have ended.
+func WithObserver(o Observer) Option { return func(p *Pool) { p.observer = o } }
+
 // New returns a pool. requestID returns the request id from the headers of a response.
-func New(requestID func(http.Header) string) *Pool {
-	p := &Pool{requestID: requestID, idle: make(map[string][]*conn)}
+func New(requestID func(http.Header) string, opts ...Option) *Pool {
+	p := &Pool{requestID: requestID, observer: noObserver{}, idle: make(map[string][]*conn), open: make(map[string]map[*conn]bool)}
 	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	for _, o := range opts {
+		o(p)
+	}
 	return p
 }
 
@@ -159,6 +189,9 @@
 	for _, c := range closed {
 		_ = c.Close()
 	}
+	if len(closed) > 0 {
+		p.observer.Closed(addr)
+	}
 	return len(closed) > 0
 }
 
@@ -185,7 +218,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
-		_ = c.Close()
+		c.closeIdle()
 	}
 }
 
@@ -200,7 +233,7 @@
 		if now.Before(c.expires) && c.isIdle() {
 			return c, nil
 		}
-		_ = c.Close()
+		c.closeIdle()
 	}
 }
 
@@ -222,19 +255,90 @@
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		if IsRefused(err) {
+			p.observer.Refused(addr)
+		}
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, addr, err)
 	}
 	in := &limitedReader{r: nc, left: unlimited}
-	c := &conn{Conn: nc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), addr: addr}
+	c := &conn{Conn: nc, pool: p, in: in, br: bufio.NewReaderSize(in, readBufferBytes), addr: addr}
 	if sc, ok := nc.(syscall.Conn); ok {
 		if c.raw, err = sc.SyscallConn(); err != nil {
 			_ = nc.Close()
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
+	// If the process has started again, the connections to the former one ended before this
+	// one was accepted, but their readers may not have run since.
+	if p.register(c) {
+		p.observer.Closed(addr)
+	}
+	p.observer.Dialled(addr)
 	return c, nil
 }
 
+// register adds a new connection to the open ones. It reports whether an older one to the
+// same address has ended.
+func (p *Pool) register(c *conn) (ended bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.open[c.addr]
+	for older := range list {
+		ended = ended || older.ended()
+	}
+	if list == nil {
+		list = make(map[*conn]bool)
+		p.open[c.addr] = list
+	}
+	list[c] = true
+	return ended
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.pool.mu.Lock()
+	list := c.pool.open[c.addr]
+	if delete(list, c); len(list) == 0 {
+		delete(c.pool.open, c.addr)
+	}
+	c.pool.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// closeIdle closes an idle connection that is not used any more.
+func (c *conn) closeIdle() {
+	if c.ended() {
+		c.pool.observer.Closed(c.addr)
+	}
+	_ = c.Close()
+}
+
+// recordError tells the observer if an error means that the other side has ended the
+// connection.
+func (c *conn) recordError(err error) {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			c.pool.observer.Closed(c.addr)
+			return
+		}
+	}
+}
+
+// ended reports whether the other side has closed or reset the connection, also if there are
+// unread bytes. It may be called while the connection is in use.
+func (c *conn) ended() bool {
+	if c.raw == nil || c.closing.Load() {
+		return false
+	}
+	ended := false
+	err := c.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		ended = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && ended
+}
+
 // release returns a connection to the pool after a complete response with the headers
 // h, or closes it if it cannot be reused.
 func (p *Pool) release(c *conn, h http.Header) {
