Keep unknown origins of streams apart from the listed version

A stream that starts at a target which may serve an unlisted version was taken by other instances for one of the only listed version. It is noted with an unknown origin now, and the list is not trusted while registrations are not followed and for 2.5 s after that; for as long as such streams may be taken up the notes are read first. archiver.TestUnknownOrigin guards it.

--- a/internal/archiver/archiver.go
+++ b/internal/archiver/archiver.go
@@ -53,6 +53,10 @@
 	firstPause = 50 * time.Millisecond
 	// listWait limits the wait for a version to be listed.
 	listWait = 300 * time.Millisecond
+	// settleTime is how long after an outage of the store the list of versions is not trusted:
+	// live targets register again within two seconds, and their versions are seen within two
+	// periods of 250 ms.
+	settleTime = 2500 * time.Millisecond
 	// abandonedTime is how long an object with notes stays unchanged until it is removed.
 	abandonedTime = 10 * time.Minute
 )
@@ -85,6 +89,8 @@
 	changed   chan struct{} // closed when the lists of versions have changed
 	shown     map[string][]string
 	syncedAt  time.Time            // last contact with the store
+	outage    bool                 // registrations of targets are not followed
+	outageEnd time.Time            // end of the last outage
 	stored    uint64               // version of the own notes in the store
 	seen      map[string]unchanged // objects with notes, by name
 }
@@ -133,11 +139,36 @@
 func (a *Archiver) locked(change func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.state.SetEra(a.store.Era())
+	a.refreshState()
 	change()
 	a.announceChanges()
 }
 
+// refreshState tells the registrar of the state of the store. The caller holds the lock.
+func (a *Archiver) refreshState() {
+	a.state.SetEra(a.store.Era())
+	a.state.SetUnsettled(a.outage || time.Since(a.outageEnd) < settleTime)
+}
+
+// RecordOutage records that the registrations of targets are not followed any more, or are
+// followed again.
+func (a *Archiver) RecordOutage(ended bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.outage = !ended
+	if ended {
+		a.outageEnd = time.Now()
+	}
+}
+
+// outageLately reports whether streams that began in an outage may still be taken up. They are
+// noted if their origin is not known.
+func (a *Archiver) outageLately() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.outage || time.Since(a.outageEnd) < a.state.KeepTime()
+}
+
 // announceChanges logs changed lists and wakes those that wait for them. The caller holds
 // the lock.
 func (a *Archiver) announceChanges() {
@@ -242,14 +273,23 @@
 func (a *Archiver) Origin(ctx context.Context, service, id string, wait time.Duration) (registrar.Origin, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	if o, ok := a.lookup(id); ok {
-		return o, nil
+	o, noted := a.lookup(id)
+	if noted && (o.IsKnown() || a.owns(id)) {
+		return known(o)
 	}
 	if _, ok := a.only(service); ok {
 		// Another instance may have begun streams at a further version meanwhile.
 		if err := a.refresh(ctx, service); err != nil {
 			return registrar.Origin{}, fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
+		if noted || a.outageLately() {
+			if err := a.notes.do(ctx); err != nil {
+				return registrar.Origin{}, fmt.Errorf("%w: %w", ErrUnknown, err)
+			}
+			if o, ok := a.lookup(id); ok {
+				return known(o)
+			}
+		}
 		if v, ok := a.only(service); ok {
 			return registrar.Origin{Service: service, Version: v}, nil
 		}
@@ -260,7 +300,7 @@
 	for pause := firstPause; ; pause *= 2 {
 		err := a.notes.do(ctx)
 		if o, ok := a.lookup(id); ok {
-			return o, nil
+			return known(o)
 		}
 		if deadline, _ := ctx.Deadline(); ctx.Err() != nil || time.Until(deadline) < pause {
 			return registrar.Origin{}, errors.Join(ErrUnknown, err)
@@ -269,16 +309,30 @@
 	}
 }
 
+// known returns an origin if its version is known, and otherwise ErrUnknown.
+func known(o registrar.Origin) (registrar.Origin, error) {
+	if !o.IsKnown() {
+		return registrar.Origin{}, fmt.Errorf("%w: the version of its target was uncertain", ErrUnknown)
+	}
+	return o, nil
+}
+
 func (a *Archiver) lookup(id string) (registrar.Origin, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.state.Lookup(id)
 }
 
+func (a *Archiver) owns(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Owns(id)
+}
+
 func (a *Archiver) only(service string) (string, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.state.SetEra(a.store.Era())
+	a.refreshState()
 	return a.state.Only(service)
 }
 
@@ -374,7 +428,7 @@
 // storeNotes stores the notes of this instance if they are due.
 func (a *Archiver) storeNotes(ctx context.Context, now time.Time, interval time.Duration) error {
 	a.mu.Lock()
-	a.state.SetEra(a.store.Era())
+	a.refreshState()
 	notes, due := a.state.NotesDue(now, interval)
 	version := a.stored
 	a.mu.Unlock()
--- a/internal/archiver/archiver_test.go
+++ b/internal/archiver/archiver_test.go
@@ -181,3 +181,46 @@
 		t.Errorf("%d reads for 200 callers within a second", n)
 	}
 }
+
+// Guards against taking the only listed version for the origin of a stream that began at a
+// target whose version was uncertain, by an instance that was told nothing of it; and against
+// streams that are given up for good after an outage.
+func TestUnknownOrigin(t *testing.T) {
+	s, addr := platformtest.Start(t)
+	s.StartEras()
+	e1, e2 := start(t, addr, "e1", "v1"), start(t, addr, "e2", "v1")
+	e1.Begin("uncertain", registrar.UnknownOrigin(pool))
+	e1.End("uncertain", true)
+	platformtest.Eventually(t, "it is noted", func() bool { return s.CallsByKind()["create "+Kind]+s.CallsByKind()["put "+Kind] > 0 })
+	outage := func(ended bool, ago time.Duration) func() {
+		return func() {
+			e2.RecordOutage(ended)
+			e2.mu.Lock()
+			defer e2.mu.Unlock()
+			e2.outageEnd = time.Now().Add(-ago)
+		}
+	}
+	tests := []struct {
+		name   string
+		at     instance
+		change func()
+		id     string
+		want   string // version, empty: unknown
+	}{
+		{"at its instance", e1, func() {}, "uncertain", ""},
+		{"undisturbed", e2, func() {}, "other", "v1"},
+		{"in an outage", e2, outage(false, 0), "other", ""},
+		{"right after an outage", e2, outage(true, 0), "other", ""},
+		{"later", e2, outage(true, settleTime), "other", "v1"},
+		{"later, of uncertain version", e2, outage(true, settleTime), "uncertain", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.change()
+			o, err := tt.at.Origin(t.Context(), pool, tt.id, 300*time.Millisecond)
+			if errors.Is(err, ErrUnknown) != (tt.want == "") || err == nil && o.Version != tt.want {
+				t.Errorf("origin %v, %v, want %q", o, err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/registrar/notes.go
+++ b/internal/registrar/notes.go
@@ -19,8 +19,13 @@
 	return !ok
 }
 
+// needsNote reports whether the origin of a stream does not follow from the lists.
+func (r *Registrar) needsNote(s *stream) bool {
+	return r.Mixed(s.origin.Service) || !r.service(s.origin.Service).record.Has(s.origin.Version)
+}
+
 // Begin records the origin of a stream that is about to be sent to a target, or that is
-// gone on with.
+// gone on with. It replaces the origin of a former attempt.
 func (r *Registrar) Begin(id string, o Origin) {
 	if id == "" || len(id) > maxIDBytes {
 		return
@@ -33,6 +38,9 @@
 		s = &stream{origin: o}
 		r.streams[id] = s
 	}
+	if s.origin != o {
+		s.origin, s.stored = o, false
+	}
 	s.endedAt = time.Time{}
 }
 
@@ -47,7 +55,7 @@
 		delete(r.streams, id)
 	default:
 		s.endedAt = now
-		r.urgent = r.urgent || !s.stored && r.Mixed(s.origin.Service)
+		r.urgent = r.urgent || !s.stored && r.needsNote(s)
 	}
 }
 
@@ -66,13 +74,16 @@
 // hasUnstored reports whether a stream is to be noted and is not.
 func (r *Registrar) hasUnstored() bool {
 	for _, s := range r.streams {
-		if !s.stored && r.Mixed(s.origin.Service) {
+		if !s.stored && r.needsNote(s) {
 			return true
 		}
 	}
 	return false
 }
 
+// Owns reports whether a stream is one of this instance, or of a former process of it.
+func (r *Registrar) Owns(id string) bool { return r.streams[id] != nil }
+
 // Lookup returns the origin of a stream, if it is known.
 func (r *Registrar) Lookup(id string) (Origin, bool) {
 	if s, ok := r.streams[id]; ok {
@@ -100,7 +111,7 @@
 func (r *Registrar) notes() Notes {
 	var n Notes
 	for id, s := range r.streams {
-		if s.stored || r.Mixed(s.origin.Service) {
+		if s.stored || r.needsNote(s) {
 			n.Streams = append(n.Streams, Note{id, s.origin})
 		}
 	}
@@ -120,7 +131,7 @@
 // NotesWritten records that notes are stored.
 func (r *Registrar) NotesWritten(n Notes) {
 	for _, note := range n.Streams {
-		if s, ok := r.streams[note.ID]; ok {
+		if s, ok := r.streams[note.ID]; ok && s.origin == note.Origin {
 			s.stored = true
 		}
 	}
--- a/internal/registrar/types.go
+++ b/internal/registrar/types.go
@@ -14,6 +14,11 @@
 // under traffic, and callers who take up their streams elsewhere after instances have
 // died.
 //
+// A target that has started again unnoticed may serve a version that is not listed. A stream
+// that is sent to one whose version is uncertain has an unknown origin, which is noted also
+// while one version is listed. The instances that were not told of it do not trust the list
+// until targets have registered again after an outage of the store.
+//
 // # Usage
 //
 //	r := registrar.New()
@@ -56,12 +61,23 @@
 	urgentInterval = 50 * time.Millisecond
 )
 
+// unknownVersion is the version in a note of a stream whose version is not known. Earlier
+// releases take it for a version that no longer serves, and do not go on with the stream.
+const unknownVersion = "?"
+
 // Origin is where a stream began.
 type Origin struct {
 	Service string `json:"service"`
 	Version string `json:"version"` // of the software of its targets
 }
 
+// UnknownOrigin returns the origin of a stream that began at a target of a service whose
+// version is not known.
+func UnknownOrigin(service string) Origin { return Origin{service, unknownVersion} }
+
+// IsKnown reports whether the version is known.
+func (o Origin) IsKnown() bool { return o.Version != unknownVersion }
+
 // Versions lists the versions at which streams of a service may have begun lately. It is
 // immutable.
 type Versions struct {
--- a/internal/registrar/versions.go
+++ b/internal/registrar/versions.go
@@ -32,6 +32,8 @@
 	found   map[string]Origin
 	urgent  bool
 	notedAt time.Time
+
+	unsettled bool // targets may serve versions that they have not registered yet
 }
 
 // New returns a registrar without records.
@@ -107,11 +109,14 @@
 	return true
 }
 
+// SetUnsettled sets whether targets may serve versions that they have not registered yet.
+func (r *Registrar) SetUnsettled(unsettled bool) { r.unsettled = unsettled }
+
 // Only returns the version at which all streams of the routes to a service have begun, if
-// there is one.
+// there is one. Streams with a note of an unknown origin are excepted.
 func (r *Registrar) Only(name string) (string, bool) {
 	s, ok := r.services[name]
-	if !ok || s.shared || s.version == 0 || s.record.Era != r.era || len(s.record.Versions) != 1 {
+	if !ok || r.unsettled || s.shared || s.version == 0 || s.record.Era != r.era || len(s.record.Versions) != 1 {
 		return "", false
 	}
 	v := s.record.Versions[0]
