Resume streams only where the version of the target is certain

Cause: the version of a stream was the one that the roster listed when its target was chosen. A target that restarted under its ID while the store was silent was still listed with the version of the former process, although the instance had seen its connections end.

Observed ends make the version of a target uncertain until a later call to the store confirms it. No stream is resumed there, and one that starts there has no known origin unless the store confirms which process started it. New streams prefer targets of certain version.

--- a/internal/cacher/cacher.go
+++ b/internal/cacher/cacher.go
@@ -150,6 +150,15 @@
 	return time.Time{}
 }
 
+// IsWatcher reports whether this instance watches a kind itself, so that its contact is the
+// time of a response to its own call.
+func (c *Cache) IsWatcher(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kinds[name]
+	return k == nil || k.via == ""
+}
+
 // List implements [follower.Source]. It always reads the store.
 func (c *Cache) List(ctx context.Context, name string) ([]storer.Item, follower.Position, error) {
 	items, at, err := c.store.List(ctx, name)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -71,7 +71,7 @@
 	Disconnected(err error) // the store does not respond; called once per outage
 	Reconnected()           // the store responds again; called before the next Listed or Changed
 	Restored()              // the store lost its latest changes; called before the next Listed
-	Synced()                // the view matched the store at its last response
+	Synced(begun time.Time) // the view matches the response of the store to a call begun then
 }
 
 // Follower lists and watches the objects of one kind.
@@ -143,6 +143,7 @@
 }
 
 func (f *Follower) list(ctx context.Context) (Position, error) {
+	begun := time.Now()
 	items, position, err := f.source.List(ctx, f.kind)
 	if err != nil {
 		return Position{}, err
@@ -153,7 +154,7 @@
 	}
 	f.hasListed, f.listedEra = true, position.Era
 	f.handler.Listed(items)
-	f.handler.Synced()
+	f.handler.Synced(begun)
 	return position, nil
 }
 
@@ -162,6 +163,7 @@
 	if f.disconnected {
 		wait = resyncWait
 	}
+	begun := time.Now()
 	changes, position, err := f.source.Watch(ctx, f.kind, after, wait)
 	if err != nil {
 		return after, err
@@ -170,7 +172,7 @@
 	if len(changes) > 0 {
 		f.handler.Changed(changes)
 	}
-	f.handler.Synced()
+	f.handler.Synced(begun)
 	return position, nil
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -158,7 +158,7 @@
 func (r *recorder) Disconnected(error)   { r.events += "lost " }
 func (r *recorder) Reconnected()         { r.events += "regained " }
 func (r *recorder) Restored()            { r.events += "restored " }
-func (r *recorder) Synced()              {}
+func (r *recorder) Synced(time.Time)     {}
 
 // Guards against a follower that misses changes after the store has discarded the
 // history since its revision, or after an outage of the store.
--- a/internal/follower/roster.go
+++ b/internal/follower/roster.go
@@ -39,6 +39,10 @@
 	return t.ID == u.ID && t.Addr == u.Addr && t.Service == u.Service && t.Incarnation == u.Incarnation
 }
 
+// sameProcess reports whether two registrations describe the same process. One that does not
+// tell its start is another one if its version differs.
+func (t Target) sameProcess(u Target) bool { return t.SameIncarnation(u) && t.Version == u.Version }
+
 // Roster is the view of the targets. It reads no clock: the caller passes the time.
 type Roster struct {
 	targets       map[string]Target
@@ -52,11 +56,14 @@
 	ended         []Target             // that have started again since the last call of TakeEnded
 	reconnectedAt time.Time            // when the last outage of the store ended
 	version       int64                // incremented by each change of the targets
+	doubts        map[string]*doubt    // observed ends of processes, by ID of the target
+	contact       time.Time            // when the last call to the store was begun that has a response
+	settledAt     time.Time            // when live targets have registered again after the last outage
 }
 
 // NewRoster returns an empty view.
 func NewRoster() *Roster {
-	return &Roster{targets: make(map[string]Target), missing: make(map[string]time.Time), departed: make(map[string]Target), removed: make(map[string]Target), unproven: make(map[string]Target)}
+	return &Roster{targets: make(map[string]Target), missing: make(map[string]time.Time), departed: make(map[string]Target), removed: make(map[string]Target), unproven: make(map[string]Target), doubts: make(map[string]*doubt)}
 }
 
 // Version returns a number that increases with each change of the targets.
@@ -68,7 +75,10 @@
 }
 
 // RecordReconnect records that the store responds again after an outage.
-func (r *Roster) RecordReconnect(now time.Time) { r.reconnectedAt = now }
+func (r *Roster) RecordReconnect(now time.Time) {
+	r.reconnectedAt = now
+	r.RecordSilence(now)
+}
 
 // RecordRestore records that the store was restored from an older copy, which may name
 // targets that have left since and lack some that have registered since.
@@ -105,6 +115,10 @@
 	}
 	if old, ok := r.targets[t.ID]; ok && !old.SameIncarnation(t) {
 		r.ended = append(r.ended, old)
+		if !r.restoredAt.IsZero() && t.Incarnation < old.Incarnation {
+			// The older copy of the store names a process that has ended.
+			r.doubts[t.ID] = &doubt{open: true, since: r.restoredAt, at: r.restoredAt, listed: t}
+		}
 	}
 	r.targets[t.ID] = t
 	if t.Leaving {
@@ -173,6 +187,7 @@
 	}
 	delete(r.targets, id)
 	delete(r.missing, id)
+	delete(r.doubts, id)
 	r.gone = append(r.gone, t)
 	r.removed[id] = t
 	r.trim(r.removed)
@@ -187,6 +202,7 @@
 	}
 	delete(r.targets, id)
 	delete(r.missing, id)
+	delete(r.doubts, id)
 	r.changed()
 }
 
@@ -206,6 +222,7 @@
 			r.gone = append(r.gone, r.targets[id])
 			delete(r.targets, id)
 			delete(r.missing, id)
+			delete(r.doubts, id)
 			r.changed()
 		}
 	}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"daisylane/internal/follower"
@@ -46,7 +47,7 @@
 			j.timeOut()
 			return
 		}
-		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.allowedPlaces(), j.prefillRequest(left), j.tried, j.versions, j.mayBeTurnedAway())
+		chosen, err := j.choose(left)
 		var overloaded overloadError
 		var paused pausedError
 		var limited limitedError
@@ -68,6 +69,10 @@
 			// Also if this is later than the caller can wait: no earlier attempt helps.
 			j.refuse(http.StatusServiceUnavailable, Paused, paused.resumesIn+rand.N(meanRetryDelay))
 			return
+		case err != nil && j.isBound() && !j.summary.mayHaveRun && j.r.dispatcher.MayBecomeCertain(j.service, j.allowedPlaces(), j.versions):
+			j.summary.failure = err
+			j.refuse(http.StatusServiceUnavailable, VersionUnknown, jitter(meanRetryDelay))
+			return
 		case err != nil:
 			j.fail(NoTargets, errors.Join(j.summary.failure, err))
 			return
@@ -77,7 +82,6 @@
 			j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
 			return
 		}
-		j.fixOrigin(chosen)
 		j.tried = append(j.tried, chosen.Target.ID)
 		res := j.attempt(ctx, chosen)
 		if res.withdrawn {
@@ -85,6 +89,9 @@
 			continue
 		}
 		j.recordCrash(chosen, &res)
+		if !res.done {
+			j.learnOrigin(chosen)
+		}
 		verdict := j.finishAttempt(chosen, res, account)
 		if !res.done {
 			j.logFailedAttempt(res, verdict)
@@ -112,6 +119,29 @@
 	}
 }
 
+// choose chooses a target. A new stream that may be resumed prefers targets whose version is
+// certain, unless it would come late or be refused there: if it breaks off elsewhere, it is lost.
+func (j *job) choose(left time.Duration) (ChosenTarget, error) {
+	choose := func(excluded []string) (ChosenTarget, error) {
+		return j.r.dispatcher.Choose(time.Now(), j.service, j.allowedPlaces(), j.prefillRequest(left), excluded, j.versions, j.mayBeTurnedAway())
+	}
+	if !j.resumable() {
+		return choose(j.tried)
+	}
+	excluded := j.r.dispatcher.AppendUncertain(slices.Clip(j.tried))
+	if j.isBound() || len(excluded) == len(j.tried) {
+		return choose(excluded)
+	}
+	chosen, err := choose(excluded)
+	if err == nil {
+		if chosen.Choice.Wait <= time.Duration(certainWaitShare*float64(j.route.LatencyTarget)) {
+			return chosen, nil
+		}
+		j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
+	}
+	return choose(j.tried)
+}
+
 // finishAttempt reports the result of an attempt to the dispatcher and returns its
 // decision about a retry.
 func (j *job) finishAttempt(chosen ChosenTarget, res attemptResult, account string) retrier.Verdict {
@@ -193,7 +223,7 @@
 // may have crashed one target is not sent to the next one.
 func (j *job) mayRepeat(res attemptResult) bool {
 	mayCrash := res.crashed && len(j.sharedParts) > 0 && (res.repeated || res.aboutToAnswer())
-	return j.route.Retryable() && !mayCrash
+	return j.route.Retryable() && !mayCrash && j.mayGoOn()
 }
 
 // aboutToAnswer reports whether the target had begun to answer, but not gone on.
@@ -294,7 +324,9 @@
 	j.r.codec.EncodeForward(h, f)
 	return forwarder.Request{
 		ID: j.meta.ID, Method: j.req.Method, URI: j.req.RequestURI, Host: j.req.Host, Header: h, Body: j.body,
-		HasBody: j.req.ContentLength != 0, Permitted: func() bool { return j.r.dispatcher.Permits(chosen.Target, j.allowedPlaces()) },
+		HasBody: j.req.ContentLength != 0, Permitted: func() bool {
+			return j.r.dispatcher.Permits(chosen.Target, j.allowedPlaces()) && j.fixOrigin(chosen)
+		},
 	}
 }
 
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -239,6 +239,51 @@
 	return !d.roster.IsReplaced(t)
 }
 
+// versionState is what is known of the software version of a target.
+type versionState int
+
+const (
+	certain   versionState = iota
+	uncertain              // its process may have ended since it was registered
+	replaced               // another process is registered, or none
+)
+
+// versionOf returns whether the version of a chosen target is still that of its process.
+func (d *Dispatcher) versionOf(t follower.Target) versionState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case !d.roster.Lists(t):
+		return replaced
+	case d.roster.IsUncertain(t.ID):
+		return uncertain
+	}
+	return certain
+}
+
+// MayBecomeCertain reports whether a service has a target in the places with one of the
+// versions, but of uncertain version.
+func (d *Dispatcher) MayBecomeCertain(service *resolver.Service, places restrictor.Places, versions []string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.readyNodes(service, places).fitting(versions), func(t follower.Target) bool { return d.roster.IsUncertain(t.ID) })
+}
+
+// AppendUncertain appends the targets whose software version is uncertain.
+func (d *Dispatcher) AppendUncertain(list []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.roster.AppendUncertain(list)
+}
+
+// StartedBy returns the version of the process that started a stream, which was sent at the
+// given time to a target whose version was uncertain. It returns false while that is not known.
+func (d *Dispatcher) StartedBy(t follower.Target, sentAt time.Time) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.roster.StartedBy(t, sentAt)
+}
+
 // readyNodes returns the ready targets of a service in the places. Every choice is made
 // among them. The caller must hold the lock.
 func (d *Dispatcher) readyNodes(service *resolver.Service, places restrictor.Places) serviceNodes {
--- a/internal/receiver/origin.go
+++ b/internal/receiver/origin.go
@@ -69,18 +69,62 @@
 
 func (j *job) countTakeUp(result string) { j.incCounter(reporter.TakeUps, "result", result, 1) }
 
-// fixOrigin records where the stream begins. It is called before the request is sent, so
-// that the origin is mostly stored when the first event is delivered. Later attempts have
+// isBound reports whether the caller has events of the stream, so that it may go on only at a
+// target whose version is certain.
+func (j *job) isBound() bool { return j.resumable() && (j.takesUp() || j.stream.events > 0) }
+
+// fixOrigin records where the stream begins. It is called when there is a connection to the
+// target, right before the request is sent, so that the origin is mostly stored when the first
+// event is delivered. It returns false if the stream may not go on there. Later attempts have
 // the same version, because the note of another one may be stored already.
-func (j *job) fixOrigin(chosen ChosenTarget) {
-	if !j.resumable() || j.origin.Service != "" {
-		return
+func (j *job) fixOrigin(chosen ChosenTarget) bool {
+	if !j.resumable() {
+		return true
+	}
+	version := j.r.dispatcher.versionOf(chosen.Target)
+	if version == replaced || j.isBound() {
+		return version == certain
 	}
-	j.origin = registrar.Origin{Service: j.service.Name, Version: chosen.Target.Version}
-	j.versions = []string{j.origin.Version}
+	if version == certain {
+		if !j.sentAt.IsZero() {
+			j.r.unsure.remove(j.meta.ID)
+		}
+		j.sentAt = time.Time{}
+		j.setOrigin(chosen.Target.Version)
+		return true
+	}
+	j.sentAt, j.origin = time.Now(), registrar.UnknownOrigin(j.service.Name)
 	j.r.streams.Begin(j.meta.ID, j.origin)
+	j.r.unsure.add(j.meta.ID, unsureStream{target: chosen.Target, sentAt: j.sentAt})
+	j.r.countUnsure(unsureBegun)
+	return true
 }
 
+// setOrigin records the version at which the stream has begun.
+func (j *job) setOrigin(version string) {
+	j.origin = registrar.Origin{Service: j.service.Name, Version: version}
+	j.versions = []string{version}
+	j.r.streams.Begin(j.meta.ID, j.origin)
+}
+
+// learnOrigin finds out at which version a stream has begun that broke off at a target whose
+// version was uncertain when it was sent.
+func (j *job) learnOrigin(chosen ChosenTarget) {
+	if j.sentAt.IsZero() || j.stream.events == 0 {
+		return
+	}
+	if version, ok := j.r.dispatcher.StartedBy(chosen.Target, j.sentAt); ok {
+		j.r.unsure.remove(j.meta.ID)
+		j.r.countUnsure(unsureKnown)
+		j.sentAt = time.Time{}
+		j.setOrigin(version)
+	}
+}
+
+// mayGoOn reports whether it is known at which version the stream may go on, if the caller has
+// events of it.
+func (j *job) mayGoOn() bool { return j.sentAt.IsZero() || j.stream.events == 0 }
+
 // endOrigin records how the stream has ended. One without an event can't be taken up.
 func (j *job) endOrigin() {
 	switch {
@@ -88,6 +132,13 @@
 	case j.takesUp():
 		j.r.streams.End(j.meta.FirstAttempt, j.summary.cause != Complete)
 	default:
-		j.r.streams.End(j.meta.ID, j.stream.events > 0 && j.summary.cause != Complete)
+		broken := j.stream.events > 0 && j.summary.cause != Complete
+		j.r.streams.End(j.meta.ID, broken)
+		if !j.sentAt.IsZero() {
+			j.r.unsure.end(j.meta.ID, broken)
+			if broken {
+				j.r.countUnsure(unsureBroke)
+			}
+		}
 	}
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -41,6 +41,7 @@
 	closing     atomic.Bool
 	faultLines  logger.LineLimit
 
+	unsure  unsureStreams
 	watchMu sync.Mutex
 	watched map[string]bool // addresses whose target is watched; true if it has answered since
 }
@@ -128,6 +129,7 @@
 	placesTable    *resolver.Table   // from which places were computed, nil: not yet
 	versions       []string          // software versions that targets may have, nil: any
 	origin         registrar.Origin  // of the stream, if it is resumable and has begun
+	sentAt         time.Time         // when the stream was sent to a target whose version was uncertain, zero: it was not
 	lastTarget     ChosenTarget
 	sharedParts    []uint64                  // IDs of the prompt parts, if targets may crash under one
 	fingerprints   []quarantiner.Fingerprint // nil: not computed yet
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -62,10 +62,11 @@
 // fixture is a receiver with runners as its targets.
 type fixture struct {
 	*httptest.Server
-	receiver   *receiver.Receiver
-	dispatcher *receiver.Dispatcher
-	budgets    *budgets
-	runners    []*platformtest.Runner
+	receiver    *receiver.Receiver
+	dispatcher  *receiver.Dispatcher
+	budgets     *budgets
+	runners     []*platformtest.Runner
+	watchesEnds bool // what connections show of targets makes their version uncertain
 }
 
 func table(t testing.TB, version int64) *resolver.Table {
@@ -113,7 +114,7 @@
 	retries := retrier.New(rand.New(rand.NewPCG(1, 1)), retrier.WithRefusalsCounted(), retrier.WithRatios(1, 1), retrier.WithBursts(5, 5))
 	f := &fixture{budgets: &budgets{}}
 	f.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: "a", Region: "r"}, map[string]string{"a": "r"}, retries)
-	f.receiver = receiver.New(platform.Codec{}, f.dispatcher, f.budgets, forwarder.New(platform.RequestID), opts...)
+	f.receiver = receiver.New(platform.Codec{}, f.dispatcher, f.budgets, forwarder.New(platform.RequestID, forwarder.WithObserver(f)), opts...)
 	for i, script := range scripts {
 		r, err := platformtest.NewRunner("i-"+string(rune('0'+i)), script...)
 		if err != nil {
@@ -135,6 +136,19 @@
 	return f
 }
 
+// Closed implements [forwarder.Observer], as an entry does.
+func (f *fixture) Closed(addr string) {
+	if f.watchesEnds {
+		f.dispatcher.WithRoster(func(r *follower.Roster) { r.RecordClosed(time.Now(), addr) })
+	}
+}
+
+// Dialled implements [forwarder.Observer].
+func (f *fixture) Dialled(string) {}
+
+// Refused implements [forwarder.Observer].
+func (f *fixture) Refused(string) {}
+
 func (f *fixture) runs() int {
 	n := 0
 	for _, r := range f.runners {
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -75,6 +75,12 @@
 	// Mean delay after which a caller should retry if no target has the software version of
 	// its stream. A crashed target needs some seconds to be back.
 	versionGoneDelay = 2 * time.Second
+	// Time in which the version of a stream that broke off may become known: the longest
+	// outage of the store, and a lifetime of a stream after that.
+	maxUnsureTime = 30 * time.Second
+	// Share of the latency objective that the expected wait at a target of certain version may
+	// take before others are considered for a new stream.
+	certainWaitShare = 0.5
 	// Mean delay after which a caller should retry if no target is in an allowed region. A
 	// crashed target needs some seconds to be back.
 	regionDelay = 2 * time.Second
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -297,4 +297,4 @@
 func (r *Recorder) OnSync(f func(now time.Time)) { r.onSync = f }
 
 // Synced implements [follower.Handler].
-func (r *Recorder) Synced() { r.onSync(time.Now()) }
+func (r *Recorder) Synced(time.Time) { r.onSync(time.Now()) }
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -38,6 +38,8 @@
 	QuarantinedParts     = "quarantined_parts"
 	QuarantinedRequests  = "quarantined_requests"
 	TakeUps              = "takeups_total"
+	UncertainTargets     = "uncertain_targets"
+	UnsureStreams        = "unsure_streams_total"
 	LimitedTargets       = "limited_targets"
 	HeldBytes            = "held_bytes"
 	WaitingBodies        = "waiting_bodies"
@@ -105,6 +107,8 @@
 	{QuarantinedParts, Gauge, "parts", nil, "Prompt parts that are kept away from targets."},
 	{QuarantinedRequests, Gauge, "requests", nil, "Requests that are kept away from targets."},
 	{TakeUps, Counter, "streams", []string{"result"}, "Streams that callers take up again, by whether their origin is known and still serves."},
+	{UncertainTargets, Gauge, "targets", nil, "Targets that may have restarted with another software version."},
+	{UnsureStreams, Counter, "streams", []string{"result"}, "Streams that were sent to targets of uncertain version, and what became of them."},
 	{LimitedTargets, Gauge, "targets", nil, "Targets that name a limit of requests."},
 	{HeldBytes, Gauge, "bytes", nil, "Memory charged for bodies and answers of callers."},
 	{WaitingBodies, Gauge, "bodies", nil, "Request bodies that wait for memory."},
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -86,6 +86,8 @@
 	callers        *acceptor.Server
 	memory         *acceptor.Memory
 	targetsListed  atomic.Bool // the targets were listed at least once
+	targetsLost    atomic.Bool // the store does not respond to watches of targets
+	ends           *ends
 	startedAt      time.Time
 	aborted        chan struct{} // closed to end without a graceful shutdown, as in a crash
 	servers        []*acceptor.Server
@@ -106,8 +108,9 @@
 	e := &entry{
 		cfg: cfg, path: path, log: log, startedAt: time.Now(), logWriter: lines, aborted: make(chan struct{}), streamServices: make(map[string]map[string]time.Time),
 		paths: newPaths(cfg.Store.Addr, log),
-		pool:  forwarder.New(platform.RequestID),
 	}
+	e.ends = newEnds(e)
+	e.pool = forwarder.New(platform.RequestID, forwarder.WithObserver(e.ends))
 	e.settings.Store(&cfg)
 	e.metrics = reporter.New(map[string]string{"instance": cfg.Name}, reporter.FlushInterval, func(err error) {
 		log.Error().Err(err).Msg("metric dropped")
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -39,6 +39,8 @@
 	edit    func(settings map[string]any) // of entries that start later, nil: none
 	nextID  atomic.Int64
 	nextIP  int
+	// distinct says that the requests for streams have nothing in common.
+	distinct bool
 
 	mu       sync.Mutex
 	versions map[string]string // software versions by name of the runner
--- a/internal/starter/handlers.go
+++ b/internal/starter/handlers.go
@@ -70,7 +70,7 @@
 	h.e.log.Warn().Int64("era", h.e.store.Era()).Msg("store was restored from an older copy; keeping the configuration in force")
 }
 
-func (h *configHandler) Synced() {
+func (h *configHandler) Synced(time.Time) {
 	h.e.receiver.RecordContact(h.e.watches.Contact(platform.KindConfig))
 }
 
@@ -135,11 +135,15 @@
 }
 
 func (h *targetHandler) Disconnected(err error) {
+	h.e.targetsLost.Store(true)
+	h.e.streams.RecordOutage(false)
 	h.e.log.Warn().Err(err).Msg("targets are not followed")
 }
 
 func (h *targetHandler) Reconnected() {
 	h.e.dispatcher.WithRoster(func(r *follower.Roster) { r.RecordReconnect(time.Now()) })
+	h.e.streams.RecordOutage(true)
+	h.e.targetsLost.Store(false)
 	h.e.log.Info().Msg("targets are followed again")
 }
 
@@ -148,7 +152,8 @@
 	h.e.log.Warn().Int64("era", h.e.store.Era()).Msg("store was restored from an older copy; targets that left before it stay out of use")
 }
 
-func (h *targetHandler) Synced() {
+func (h *targetHandler) Synced(begun time.Time) {
+	h.e.recordTargetContact(begun)
 	h.e.permits.RecordInTouch(h.e.watches.Contact(platform.KindRunners))
 }
 
@@ -188,7 +193,7 @@
 	h.e.log.Warn().Int64("era", h.e.store.Era()).Msg("store was restored from an older copy; evacuations that it lacks stay in force for now")
 }
 
-func (h *evacuationHandler) Synced() {}
+func (h *evacuationHandler) Synced(time.Time) {}
 
 // changeEvacuations changes the evacuations and reports what is different.
 func (e *entry) changeEvacuations(change func(*restrictor.Evacuations)) {
--- a/internal/starter/silence_test.go
+++ b/internal/starter/silence_test.go
@@ -57,7 +57,7 @@
 func (v *versions) Disconnected(error) {}
 func (v *versions) Reconnected()       {}
 func (v *versions) Restored()          {}
-func (v *versions) Synced()            {}
+func (v *versions) Synced(time.Time)   {}
 
 // silentListener accepts connections and never responds.
 func silentListener(t *testing.T) string {
--- a/internal/starter/version_test.go
+++ b/internal/starter/version_test.go
@@ -27,6 +27,7 @@
 	began    bool
 	complete bool
 	versions []string    // of the software that wrote the events, without repeats
+	names    []string    // of the runners that wrote them, without repeats
 	takeUps  []time.Time // when it was taken up again
 	wentOn   []bool      // whether the attempt brought an event
 	answers  []int       // statuses
@@ -70,7 +71,11 @@
 // readStream makes one client attempt and returns its status and whether its answer ended
 // as complete.
 func (f *fleet) readStream(to, id, first string, last *int, s *takenStream) (status int, whole bool) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+to+"/plan/7", strings.NewReader("body"))
+	body, parts := "body", "a1:30,"+strconv.FormatInt(1<<40+f.nextID.Add(1), 16)+":20"
+	if f.distinct {
+		body, parts = "body of "+id, strconv.FormatInt(1<<40+f.nextID.Add(1), 16)+":50"
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+to+"/plan/7", strings.NewReader(body))
 	if err != nil {
 		f.t.Error(err)
 		return 0, false
@@ -78,7 +83,7 @@
 	req.Host = "a.example"
 	for name, value := range map[string]string{
 		"Daisylane-Attempt-Id": id, "Api-Key": "k1", "Daisylane-Token-Usage": "120,20",
-		"Daisylane-Prompt-Prefix": "a1:30," + strconv.FormatInt(1<<40+f.nextID.Add(1), 16) + ":20",
+		"Daisylane-Prompt-Prefix": parts,
 	} {
 		req.Header.Set(name, value)
 	}
@@ -104,6 +109,9 @@
 		if n != *last+1 {
 			f.t.Errorf("event %d follows event %d", n, *last)
 		}
+		if !slices.Contains(s.names, m[2]) {
+			s.names = append(s.names, m[2])
+		}
 		if *last = n; !slices.Contains(s.versions, f.version(m[2])) {
 			s.versions = append(s.versions, f.version(m[2]))
 		}
@@ -242,3 +250,92 @@
 	}
 	t.Logf("%d streams; while two versions serve %d of %d began, and %d of %d that were taken up went on", len(v.streams), begun, sent, wentOn, takenUp)
 }
+
+// replace ends the first n runners as a crash does and starts others of a version under their
+// IDs and addresses, which do not register yet. It returns the names of those that ended.
+func (v *versionTrial) replace(n int, version string) (ended []string) {
+	for _, fr := range v.f.runners[:n] {
+		fr.runner.Close()
+		ended = append(ended, fr.runner.ID)
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, fr := range v.f.runners[:n] {
+		name := fr.id + "-" + strconv.FormatInt(v.f.nextID.Add(1), 10)
+		v.f.mu.Lock()
+		v.f.versions[name] = version
+		v.f.mu.Unlock()
+		next, err := fr.runner.Successor(name, version)
+		if err != nil {
+			v.f.t.Fatal(err)
+		}
+		v.f.t.Cleanup(next.Close)
+		fr.runner = next
+	}
+	return ended
+}
+
+// Guards against a stream that goes on at another software version because its target has
+// started again under its ID while the store is silent, so that the instances have seen the end
+// of the former process but not the registration of the next one; against streams that are
+// given up although other targets of their version serve; and against calls in undisturbed
+// operation.
+func TestStreamKeepsVersionOfRestartedTarget(t *testing.T) {
+	const replaced = 6 // with more traffic the retries are used up, and nothing goes on at all
+	v := &versionTrial{}
+	v.f = startFleet(t, 3, 12, func(int, platformtest.Request) platformtest.Response {
+		return platformtest.Response{Events: streamEvents, Pause: 80 * time.Millisecond, Delay: 10 * time.Millisecond}
+	})
+	v.f.distinct = true // otherwise they would be taken for the cause of the crashes
+	v.setEntries()
+	var traffic sync.WaitGroup
+	for range 2 {
+		traffic.Go(func() { v.run(9 * time.Second) })
+	}
+	time.Sleep(2 * time.Second)
+	if n := v.f.store.CallsByKind()["get "+platform.KindRunners]; n > 0 {
+		t.Errorf("%d reads of registrations in undisturbed operation", n)
+	}
+	v.f.store.SetFaults(platformtest.Faults{Unresponsive: true})
+	time.Sleep(200 * time.Millisecond)
+	crashedAt := time.Now()
+	ended := v.replace(replaced, "v2")
+	time.Sleep(3300 * time.Millisecond)
+	v.replace(replaced, "v2") // crashes once more before it has registered
+	time.Sleep(400 * time.Millisecond)
+	v.f.store.SetFaults(platformtest.Faults{})
+	for _, fr := range v.f.runners[:replaced] {
+		v.f.store.Put(platform.KindRunners, fr.id, fr.runner.Registration("s1", "a"))
+	}
+	traffic.Wait()
+	v.wg.Wait()
+
+	joined, begun, broke, wentOn, newer := 0, 0, 0, 0, 0
+	for _, s := range v.streams {
+		if len(s.versions) > 1 {
+			joined++
+		}
+		if s.began {
+			begun++
+		}
+		if slices.Contains(s.versions, "v2") {
+			newer++
+		}
+		// A stream takes some 1,000 ms.
+		before := crashedAt.Sub(s.begunAt)
+		if len(s.names) > 0 && slices.Contains(ended, s.names[0]) && before > 100*time.Millisecond && before < 800*time.Millisecond {
+			if broke++; len(s.names) > 1 {
+				wentOn++
+			}
+		}
+	}
+	if joined > 2 {
+		t.Errorf("%d of %d streams hold events of two versions, allowed are 2", joined, len(v.streams))
+	}
+	if broke < 12 || 2*wentOn*len(v.streams) < begun*broke {
+		t.Errorf("%d of %d streams began, and %d of %d that broke off went on at their version", begun, len(v.streams), wentOn, broke)
+	}
+	if newer == 0 {
+		t.Error("no stream reached a target of the other version")
+	}
+	t.Logf("%d streams, %d begun, %d with events of v2, %d joined; %d of %d that broke off went on", len(v.streams), begun, newer, joined, wentOn, broke)
+}
