Preview where a request would be sent now

Operators see only after the fact why an instance refused a request or chose a target. The steps of a request run on a receiver whose state is a copy, so the verdicts come from the code of real requests and change nothing.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -468,13 +468,11 @@
 		}
 		now := a.clock()
 		storeReachable := a.storeReachable(now)
+		d, temporary := unprovenRefusal(d, storeReachable)
 		switch {
 		case d.Outcome == granter.Reserved, d.Outcome == granter.Unready:
 			return d
-		case (d.Outcome == granter.Exhausted || d.Outcome == granter.Withheld) && storeReachable:
-			return d
-		case d.Outcome == granter.Exhausted, d.Outcome == granter.Withheld:
-			d.Outcome, d.RetryAfter = granter.Short, lostRetryAfter
+		case temporary, d.Outcome == granter.Exhausted, d.Outcome == granter.Withheld:
 			return d
 		case d.Outcome == granter.Short && !mayGrow:
 			return d
--- a/internal/chooser/prefill.go
+++ b/internal/chooser/prefill.go
@@ -108,8 +108,9 @@
 	latency   time.Duration // one way between regions
 	engines   map[string]*engineState
 	services  map[string]*serviceModel
-	states    []*engineState // of the nodes of a choice, reused between choices
-	partCount int            // entries of cachedParts of all engines
+	states    []*engineState                            // of the nodes of a choice, reused between choices
+	partCount int                                       // entries of cachedParts of all engines
+	observe   func(c PrefillChoice, cost time.Duration) // nil: not observed
 }
 
 // engineState is the state that a router tracks for an engine. "Own" requests are
@@ -181,6 +182,9 @@
 			missPenalty = 0
 		}
 		nodeCost := choice.Wait + milliseconds(float64(missPenalty)*float64(sharedTokens(r.Parts)-cached)/1000*model.cost(featureUncached))
+		if p.observe != nil {
+			p.observe(choice, nodeCost)
+		}
 		if !found || nodeCost < cost {
 			best, cost, found = choice, nodeCost, true
 		}
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -9,6 +9,7 @@
 
 	"daisylane/internal/bundler"
 	"daisylane/internal/loader"
+	"daisylane/internal/previewer"
 	"daisylane/internal/storer"
 )
 
@@ -50,13 +51,13 @@
 	var settings *loader.FileError
 	var conflict *conflictError
 	switch {
-	case errors.As(err, &wrong), errors.As(err, &settings), errors.Is(err, errUsage):
+	case errors.As(err, &wrong), errors.As(err, &settings), errors.Is(err, errUsage), errors.Is(err, previewer.ErrInvalid):
 		return exitUsage
 	case errors.As(err, &conflict), errors.Is(err, errConflict):
 		return exitConflict
 	case errors.Is(err, errAbsent), errors.Is(err, storer.ErrAbsent):
 		return exitAbsent
-	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, storer.ErrUncertain):
+	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, storer.ErrUncertain), errors.Is(err, previewer.ErrUnreachable):
 		return exitUnavailable
 	}
 	return exitFailure
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -16,6 +16,7 @@
 type explain struct {
 	env  *env
 	Log  string `long:"log" value-name:"FILE" description:"read a log file of entries on the users' platform, - for standard input; without REQUEST, print counts of refusals by cause"`
+	preview
 	Args struct {
 		Request string `positional-arg-name:"REQUEST" description:"request id, as in the response to the caller"`
 	} `positional-args:"true"`
@@ -28,8 +29,10 @@
 	switch {
 	case c.Log != "":
 		return c.explainLog()
+	case c.Socket != "":
+		return c.explainPreview()
 	case c.Args.Request == "":
-		return fmt.Errorf("%w: name a REQUEST, or a log with --log", errUsage)
+		return fmt.Errorf("%w: name a REQUEST, a log with --log, or an instance with --socket", errUsage)
 	}
 	return c.env.withProcesses(c.run)
 }
--- a/internal/receiver/admit.go
+++ b/internal/receiver/admit.go
@@ -23,9 +23,15 @@
 	}
 }
 
-// prepare looks up the route, account and service of the request and reads its body.
-// It returns false if it refused the request.
+// prepare looks up the route, account and service of the request, reads its body and checks
+// whether it is allowed. It returns false if it refused the request.
 func (j *job) prepare() bool {
+	return j.lookUp() && j.readBody() && j.checkQuarantine() && j.checkPlaces(j.candidates()...) && j.findOrigin()
+}
+
+// lookUp looks up the route, account and service of the request, and sets its deadline. It
+// returns false if it refused the request.
+func (j *job) lookUp() bool {
 	meta, err := j.r.codec.DecodeRequest(j.req.Header)
 	j.meta = meta
 	switch {
@@ -51,7 +57,11 @@
 	}
 	// A key on a public route binds the request to the regions of its account, nothing else.
 	j.bound, _ = j.table.AccountByKey(meta.Key)
-	if j.service, ok = j.table.Service(route.ServiceAt(rand.IntN(max(1, route.TotalWeight())))); !ok {
+	name := j.previewed
+	if name == "" {
+		name = route.ServiceAt(rand.IntN(max(1, route.TotalWeight())))
+	}
+	if j.service, ok = j.table.Service(name); !ok {
 		return j.refuse(http.StatusServiceUnavailable, NoService, meanRetryDelay)
 	}
 	j.sharedParts = j.partsAtRisk()
@@ -63,16 +73,15 @@
 	if writeEnd := j.deadline.Add(lateWriteTime); writeEnd.After(j.arrived.Add(defaultTimeout)) {
 		_ = http.NewResponseController(j.w).SetWriteDeadline(writeEnd)
 	}
-	if !j.readBody() {
-		return false
-	}
+	return true
+}
+
+// checkQuarantine returns false if it refused the request because targets crash under it.
+func (j *job) checkQuarantine() bool {
 	if v := j.r.guard.Check(j.subject()); v.Outcome == quarantiner.Quarantined {
 		return j.refuseCrashing(v)
 	}
-	if !j.checkPlaces(j.candidates()...) {
-		return false
-	}
-	return j.findOrigin()
+	return true
 }
 
 // refuseCrashing refuses a request under which targets crash. It returns false, for use as
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -41,35 +41,11 @@
 	}
 	j.r.dispatcher.RecordRequest(account, j.service.Name)
 	for {
-		left := time.Until(j.deadline)
-		if left < minRemainingTime {
-			j.timeOut()
-			return
-		}
-		chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.allowedPlaces(), j.prefillRequest(left), j.tried, j.versions, j.mayBeTurnedAway())
-		var overloaded overloadError
-		var paused pausedError
-		var limited limitedError
-		var misplaced placesError
-		switch {
-		case errors.As(err, &misplaced):
-			j.refusePlaces(misplaced)
-			return
-		case errors.As(err, &limited) && j.awaitPermit(ctx, limited.opensIn):
+		chosen, again, ok := j.choose(ctx)
+		if again {
 			continue
-		case errors.As(err, &limited) && !j.summary.mayHaveRun:
-			j.refuse(http.StatusServiceUnavailable, Limited, limited.opensIn+rand.N(meanRetryDelay))
-			return
-		case errors.As(err, &overloaded):
-			j.lastTarget = chosen
-			j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(overloaded.retryAfter, meanRetryDelay), left/3)))
-			return
-		case errors.As(err, &paused) && !j.summary.mayHaveRun:
-			// Also if this is later than the caller can wait: no earlier attempt helps.
-			j.refuse(http.StatusServiceUnavailable, Paused, paused.resumesIn+rand.N(meanRetryDelay))
-			return
-		case err != nil:
-			j.fail(NoTargets, errors.Join(j.summary.failure, err))
+		}
+		if !ok {
 			return
 		}
 		j.lastTarget = chosen
@@ -112,6 +88,40 @@
 	}
 }
 
+// choose chooses the target of the next attempt. It returns false if it ended the request
+// instead; again means that a permit was waited for and the choice is to be made anew.
+func (j *job) choose(ctx context.Context) (chosen ChosenTarget, again, ok bool) {
+	left := time.Until(j.deadline)
+	if left < minRemainingTime {
+		j.timeOut()
+		return chosen, false, false
+	}
+	chosen, err := j.r.dispatcher.Choose(time.Now(), j.service, j.allowedPlaces(), j.prefillRequest(left), j.tried, j.versions, j.mayBeTurnedAway())
+	var overloaded overloadError
+	var paused pausedError
+	var limited limitedError
+	var misplaced placesError
+	switch {
+	case err == nil:
+		return chosen, false, true
+	case errors.As(err, &misplaced):
+		j.refusePlaces(misplaced)
+	case errors.As(err, &limited) && j.awaitPermit(ctx, limited.opensIn):
+		return chosen, true, false
+	case errors.As(err, &limited) && !j.summary.mayHaveRun:
+		j.refuse(http.StatusServiceUnavailable, Limited, limited.opensIn+rand.N(meanRetryDelay))
+	case errors.As(err, &overloaded):
+		j.lastTarget = chosen
+		j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(overloaded.retryAfter, meanRetryDelay), left/3)))
+	case errors.As(err, &paused) && !j.summary.mayHaveRun:
+		// Also if this is later than the caller can wait: no earlier attempt helps.
+		j.refuse(http.StatusServiceUnavailable, Paused, paused.resumesIn+rand.N(meanRetryDelay))
+	default:
+		j.fail(NoTargets, errors.Join(j.summary.failure, err))
+	}
+	return chosen, false, false
+}
+
 // finishAttempt reports the result of an attempt to the dispatcher and returns its
 // decision about a retry.
 func (j *job) finishAttempt(chosen ChosenTarget, res attemptResult, account string) retrier.Verdict {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -40,6 +40,7 @@
 	draining    atomic.Bool
 	closing     atomic.Bool
 	faultLines  logger.LineLimit
+	previews    Previews
 
 	watchMu sync.Mutex
 	watched map[string]bool // addresses whose target is watched; true if it has answered since
@@ -134,6 +135,7 @@
 	quarantined    quarantiner.Verdict       // why the request was refused as crashing
 	permitWaitEnd  time.Time                 // when the wait for a permit ends, zero: not begun
 	aborted        bool                      // the connection is closed without a complete response
+	previewed      string                    // the service that a preview asks about, empty: the request is to be sent
 }
 
 // requestSummary describes how a request ended, for the log and the metrics.
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -151,7 +151,7 @@
 	})
 	e.memory = acceptor.NewMemory(0, acceptor.WithScope(e.metrics.Scope()))
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool, receiver.WithMemory(e.memory),
-		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()))
+		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()), receiver.WithPreviews(e.previews()))
 	e.callers = e.newServer(e.receiver, clientLimits(resolver.Limits{}), acceptor.WithDescriptors(descriptorShares(cfg.Limits.Descriptors).callers, 2), acceptor.WithRelief(e.memory.Relieve))
 	e.applyClientLimits()
 	return e
@@ -180,6 +180,7 @@
 	if err := e.listen(failed); err != nil {
 		return err
 	}
+	defer e.servePreviews()()
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
--- a/internal/starter/reload.go
+++ b/internal/starter/reload.go
@@ -108,6 +108,7 @@
 	compare("bounds.evacuate_ms", presence(evacuated), presence(evacuates))
 	compare("listen.frontend", old.Listen.Callers, cfg.Listen.Callers)
 	compare("listen.ready", old.Listen.Ready, cfg.Listen.Ready)
+	compare("listen.operator", old.Listen.Operator, cfg.Listen.Operator)
 	compare("platform.address", old.Store.Addr, cfg.Store.Addr)
 	compare("port_range", fmt.Sprint(old.Ports), fmt.Sprint(cfg.Ports))
 	err := f.Err()
