--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -14,8 +14,8 @@
 )
 
 type explain struct {
-	env  *env
-	Log  string `long:"log" value-name:"FILE" description:"read a log file of entries on the users' platform, - for standard input; without REQUEST, print counts of refusals by cause"`
+	env *env
+	Log string `long:"log" value-name:"FILE" description:"read a log file of entries on the users' platform, - for standard input; without REQUEST, print counts of refusals by cause"`
 	preview
 	Args struct {
 		Request string `positional-arg-name:"REQUEST" description:"request id, as in the response to the caller"`
--- a/internal/operator/explain_preview.go
+++ b/internal/operator/explain_preview.go
@@ -109,15 +109,15 @@
 
 func parsePart(text string) (previewer.Part, error) {
 	id, tokens, _ := strings.Cut(text, ":")
-	n, err := strconv.ParseUint(id, 16, 64)
-	if err != nil {
-		return previewer.Part{}, fmt.Errorf("%w: --part %q: %w", errUsage, text, err)
+	var part previewer.Part
+	if err := part.ID.UnmarshalText([]byte(id)); err != nil {
+		return part, fmt.Errorf("%w: --part %q: %w", errUsage, text, err)
 	}
-	size, err := strconv.Atoi(tokens)
-	if err != nil {
-		return previewer.Part{}, fmt.Errorf("%w: --part %q: %w", errUsage, text, err)
+	var err error
+	if part.Tokens, err = strconv.Atoi(tokens); err != nil {
+		return part, fmt.Errorf("%w: --part %q: %w", errUsage, text, err)
 	}
-	return previewer.Part{ID: n, Tokens: size}, nil
+	return part, nil
 }
 
 func printPreview(w io.Writer, r previewer.Report) {
--- a/internal/previewer/types.go
+++ b/internal/previewer/types.go
@@ -15,7 +15,9 @@
 package previewer
 
 import (
+	"fmt"
 	"net/url"
+	"strconv"
 	"time"
 
 	"daisylane/internal/checker"
@@ -29,9 +31,27 @@
 	maxTimeout = 24 * time.Hour
 )
 
+// PartID identifies a part of a prompt. Its text has hexadecimal digits, as in headers and logs.
+type PartID uint64
+
+// MarshalText implements [encoding.TextMarshaler].
+func (id PartID) MarshalText() ([]byte, error) {
+	return strconv.AppendUint(nil, uint64(id), 16), nil
+}
+
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (id *PartID) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return fmt.Errorf("decode part: %w", err)
+	}
+	*id = PartID(n)
+	return nil
+}
+
 // Part is a segment of the prompt, as callers name it.
 type Part struct {
-	ID     uint64 `json:"id"`
+	ID     PartID `json:"id"`
 	Tokens int    `json:"tokens"`
 }
 
--- a/internal/receiver/explain.go
+++ b/internal/receiver/explain.go
@@ -219,7 +219,7 @@
 func metaOf(q previewer.Query) RequestMeta {
 	m := RequestMeta{Key: q.Key, Model: q.Model, Timeout: time.Duration(q.Timeout) * time.Millisecond, PromptTokens: q.PromptTokens(), MaxOutputTokens: q.Output}
 	for _, p := range q.Parts {
-		m.Parts = append(m.Parts, Part{ID: p.ID, Tokens: p.Tokens})
+		m.Parts = append(m.Parts, Part{ID: uint64(p.ID), Tokens: p.Tokens})
 	}
 	return m
 }
