Say where a request would wait instead of being refused

A preview does not ask other instances or the store. A first run on a fresh instance said 'tokensshort' although a real request waits for its tokens and is served. Such steps now have a wait.

--- a/internal/archiver/preview.go
+++ b/internal/archiver/preview.go
@@ -1,14 +1,19 @@
 package archiver
 
-import "slices"
+import (
+	"time"
 
-// PreviewVersions returns the versions at which a stream of a service may begin, as far as this
-// instance knows them, without a call to the store.
-func (a *Archiver) PreviewVersions(service string) []string {
+	"daisylane/internal/registrar"
+)
+
+// PreviewVersions returns what Versions would, as far as this instance knows it without a call
+// to the store. If a request would wait until more is known, it returns for how long at most.
+func (a *Archiver) PreviewVersions(service string) (versions []string, wait time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !slices.Contains(a.state.Services(), service) {
-		return []string{} // nil would be any
+	known, unlisted := a.state.Preview(time.Now(), service)
+	if unlisted || time.Since(a.syncedAt) > registrar.StaleTime {
+		wait = listWait
 	}
-	return append([]string{}, a.state.Versions(service)...)
+	return append([]string{}, known...), wait // nil would be any
 }
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -36,8 +36,8 @@
 	g.LedgerWritten(l)
 }
 
-// Guards against refusing a request whose tokens are available, and against the wrong
-// outcome when they are not.
+// Guards against refusing a request whose tokens are available, against the wrong outcome when
+// they are not, and against a preview that differs or reserves something.
 func TestReserve(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -65,8 +65,9 @@
 			if tt.prepare != nil {
 				tt.prepare(g)
 			}
-			if d := g.Reserve(second, "rider-app", tt.n); d.Outcome != tt.want {
-				t.Errorf("got %+v, want %s", d, tt.want)
+			preview := g.Preview(second, "rider-app", tt.n)
+			if d := g.Reserve(second, "rider-app", tt.n); d.Outcome != tt.want || d != preview {
+				t.Errorf("got %+v, want %s and the preview %+v", d, tt.want, preview)
 			}
 		})
 	}
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -32,7 +32,7 @@
 	case c.Socket != "":
 		return c.explainPreview()
 	case c.Args.Request == "":
-		return fmt.Errorf("%w: name a REQUEST, a log with --log, or an instance with --socket", errUsage)
+		return fmt.Errorf("%w: name a REQUEST, or a log with --log, or an instance with --socket", errUsage)
 	}
 	return c.env.withProcesses(c.run)
 }
--- a/internal/operator/explain_preview.go
+++ b/internal/operator/explain_preview.go
@@ -146,10 +146,19 @@
 		where = fmt.Sprintf(" at service %s (weight %d)", s.Name, s.Weight)
 	}
 	for _, step := range s.Steps {
-		if step.Refuses() {
+		if step.Refuses() && step.Wait == 0 {
 			return refusalSentence(instance, where, step)
 		}
 	}
+	for _, step := range s.Steps {
+		if step.Refuses() {
+			text := fmt.Sprintf("Instance %s would hold the request now%s for up to %d ms at step %s (%s), until that changes, or else refuse it with %d", instance, where, step.Wait, step.Step, step.Verdict, step.Status)
+			if s.Target != "" {
+				text += fmt.Sprintf("; then it would go to target %s", s.Target)
+			}
+			return text + "."
+		}
+	}
 	return fmt.Sprintf("Instance %s would send the request now to target %s of service %s.", instance, s.Target, s.Name)
 }
 
@@ -165,6 +174,9 @@
 	var rows [][]string
 	for _, s := range steps {
 		details := formatDetails(s.Details)
+		if s.Wait > 0 {
+			details = strings.TrimSpace(fmt.Sprintf("wait=%d %s", s.Wait, details))
+		}
 		if s.After > 0 {
 			details = strings.TrimSpace(fmt.Sprintf("after=%d %s", s.After, details))
 		}
--- a/internal/operator/script_test.go
+++ b/internal/operator/script_test.go
@@ -23,6 +23,7 @@
 	"daisylane/internal/connector"
 	"daisylane/internal/credentialer"
 	"daisylane/internal/faker"
+	"daisylane/internal/previewer"
 	"daisylane/internal/storer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
@@ -48,9 +49,10 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"code":  expectCode,
-			"serve": serve,
-			"modes": expectModes,
+			"code":     expectCode,
+			"serve":    serve,
+			"modes":    expectModes,
+			"instance": servePreview,
 			"sleep": func(ts *testscript.TestScript, _ bool, args []string) {
 				d, err := time.ParseDuration(args[0])
 				ts.Check(err)
@@ -71,6 +73,43 @@
 	})
 }
 
+// servePreview implements the script command "instance DIR", which answers questions about
+// requests that are not sent at a socket in the directory.
+func servePreview(ts *testscript.TestScript, _ bool, args []string) {
+	l, err := previewer.Listen(ts.MkAbs(args[0]), "e-1")
+	ts.Check(err)
+	ts.Defer(func() { _ = l.Close() })
+	go func() {
+		_ = previewer.Serve(l, func(q previewer.Query) previewer.Report { // ends with the script
+			r := previewer.Report{Instance: "e-1", Route: previewer.Step{Step: previewer.StepRoute, Verdict: previewer.Allowed, Details: map[string]any{"host": q.Host}}}
+			if q.Path == "/none" {
+				r.Route = previewer.Step{Step: previewer.StepRoute, Verdict: "route", Status: 404}
+				return r
+			}
+			if q.Path == "/held" {
+				r.Services = []previewer.Service{{Name: "pool", Weight: 1, Target: "i-0", Steps: []previewer.Step{{Step: previewer.StepTokens, Verdict: "tokensshort", Status: 503, Wait: 600}}}}
+				return r
+			}
+			if q.Idempotent != nil {
+				r.Route.Details["idempotent"] = *q.Idempotent
+			}
+			r.Services = []previewer.Service{{
+				Name: "pool", Weight: 1,
+				Steps: []previewer.Step{
+					{Step: previewer.StepTokens, Verdict: previewer.Allowed, Details: map[string]any{"asked": q.PromptTokens() + q.Output}},
+					{Step: previewer.StepAdmission, Verdict: "overloaded", Status: 503, After: 400, Details: map[string]any{"target": "i-0"}},
+					{Step: previewer.StepTarget, Verdict: previewer.Unasked},
+				},
+				Candidates: []previewer.Candidate{
+					{Target: "i-0", Addr: "10.0.0.1:80", Centre: "a", Version: "v1", Estimate: &previewer.Estimate{Prefix: true, Wait: 812.5, Backlog: 700, Cost: 900, Cached: int64(q.Parts[0].Tokens), Running: 16, Waiting: 4}},
+					{Target: "i-1", Addr: "10.0.0.2:80", Centre: "b", Reason: previewer.Paused, Left: 250},
+				},
+			}}
+			return r
+		})
+	}()
+}
+
 // expectCode implements the script command "code CODE PROGRAM ARGS...", which runs
 // a program and checks its exit code.
 func expectCode(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/previewer/types.go
+++ b/internal/previewer/types.go
@@ -125,11 +125,12 @@
 	Verdict string         `json:"verdict"`
 	Status  int            `json:"status,omitempty"` // of the refusal
 	After   int64          `json:"after,omitempty"`  // milliseconds until the caller should return
+	Wait    int64          `json:"wait,omitempty"`   // milliseconds for which a real request would wait for another verdict
 	Error   string         `json:"error,omitempty"`
 	Details map[string]any `json:"details,omitempty"`
 }
 
-// Refuses reports whether the step refuses the request.
+// Refuses reports whether the step refuses the request, perhaps after Wait.
 func (s Step) Refuses() bool {
 	return s.Verdict != Allowed && s.Verdict != Trial && s.Verdict != Unasked
 }
--- a/internal/receiver/explain.go
+++ b/internal/receiver/explain.go
@@ -27,7 +27,9 @@
 		Preview(s quarantiner.Subject) quarantiner.Verdict
 	}
 	Streams interface {
-		PreviewVersions(service string) []string
+		// PreviewVersions returns the versions at which a stream may begin, and for how long a
+		// request would wait until more is known.
+		PreviewVersions(service string) (versions []string, wait time.Duration)
 	}
 	// Limits returns a copy of the limits of targets, which may be changed.
 	Limits func() PreviewLimits
@@ -97,11 +99,7 @@
 	out.Steps = append(out.Steps, step)
 
 	step = j.step(codec, previewer.StepVersions, j.findOrigin)
-	if j.versions != nil {
-		step.Details = map[string]any{"versions": j.versions}
-	} else if !step.Refuses() {
-		step.Verdict = previewer.Unasked
-	}
+	j.describeVersions(&step)
 	out.Steps = append(out.Steps, step)
 
 	step = j.step(codec, previewer.StepTokens, j.reserve)
@@ -110,6 +108,9 @@
 
 	out.Candidates = j.r.dispatcher.candidates(now, j.service, j.allowedPlaces(), j.prefillRequest(j.deadline.Sub(now)), j.versions)
 	admission, target, id := j.previewChoice(codec)
+	if target.Verdict == string(Limited) {
+		target.Wait = j.permitWait(out.Candidates).Milliseconds()
+	}
 	out.Steps, out.Target = append(out.Steps, admission, target), id
 	for i := range out.Candidates {
 		out.Candidates[i].Chosen = id != "" && out.Candidates[i].Target == id
@@ -175,6 +176,34 @@
 	}
 }
 
+// describeVersions adds the versions at which a stream may begin. While a request would wait for
+// them, the following steps take any.
+func (j *job) describeVersions(s *previewer.Step) {
+	wait := j.r.streams.(*previewStreams).wait
+	switch {
+	case s.Refuses():
+	case j.versions == nil:
+		s.Verdict = previewer.Unasked
+	case wait > 0:
+		s.Verdict, s.Status, s.Wait = string(NoTargets), http.StatusServiceUnavailable, wait.Milliseconds()
+		j.versions = nil
+	default:
+		s.Details = map[string]any{"versions": j.versions}
+	}
+}
+
+// permitWait returns for how long a request would wait for a permit, 0 if none is expected in
+// time.
+func (j *job) permitWait(list []previewer.Candidate) time.Duration {
+	most := time.Duration(permitWaitShare * float64(j.route.LatencyTarget))
+	for _, c := range list {
+		if (c.Reason == previewer.Cold || c.Reason == previewer.Limited) && c.Left <= most.Milliseconds() {
+			return most
+		}
+	}
+	return 0
+}
+
 // describeTokens adds the account of a reservation that was not made.
 func (j *job) describeTokens(s *previewer.Step) {
 	d := j.reservation
@@ -182,6 +211,9 @@
 		s.Verdict = previewer.Unasked
 		return
 	}
+	if d.Outcome == granter.Short || d.Outcome == granter.Limited {
+		s.Wait = int64(reserveWaitShare * float64(j.route.LatencyTarget.Milliseconds()))
+	}
 	s.Details = map[string]any{
 		"asked": j.meta.PromptTokens + j.meta.MaxOutputTokens, "prepaid": j.account.PrepaidTokens, "held": d.Granted, "used": d.Used,
 		"lent": d.Borrowed, "limit": d.Limit, "left": d.Remaining, "ledgerage": d.Age.Milliseconds(),
@@ -197,7 +229,7 @@
 	}
 	guard := &previewGuard{Guard: r.guard, preview: r.previews.Guard.Preview}
 	p := New(codec, r.dispatcher.clone(limits), previewBudgets{r.budgets, r.previews.Budgets.Preview}, nil,
-		WithGuard(guard), WithStreams(previewStreams{r.streams, r.previews.Streams.PreviewVersions}), WithLog(zerolog.Nop()), WithScope(tally.NoopScope))
+		WithGuard(guard), WithStreams(&previewStreams{Streams: r.streams, preview: r.previews.Streams.PreviewVersions}), WithLog(zerolog.Nop()), WithScope(tally.NoopScope))
 	p.table.Store(table)
 	p.lastContact.Store(r.lastContact.Load())
 	p.closing.Store(r.closing.Load())
@@ -283,11 +315,13 @@
 // previewStreams knows the versions at hand and asks nobody for others.
 type previewStreams struct {
 	Streams
-	versions func(service string) []string
+	preview func(service string) ([]string, time.Duration)
+	wait    time.Duration
 }
 
-func (s previewStreams) Versions(_ context.Context, service string) []string {
-	return s.versions(service)
+func (s *previewStreams) Versions(_ context.Context, service string) (versions []string) {
+	versions, s.wait = s.preview(service)
+	return versions
 }
 
 // AppendCold implements [PreviewLimits].
--- a/internal/receiver/explain_test.go
+++ b/internal/receiver/explain_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,11 +25,16 @@
 )
 
 // previewBudget is a budget without an end in sight that counts what is reserved of it.
-type previewBudget struct{ left int64 }
+type previewBudget struct {
+	mu   sync.Mutex
+	left int64
+}
 
 func (b *previewBudget) Ready() bool { return true }
 
 func (b *previewBudget) Preview(_ string, n int64) granter.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if n > b.left {
 		return granter.Decision{Outcome: granter.Short, Remaining: b.left, RetryAfter: time.Second}
 	}
@@ -37,11 +43,15 @@
 
 func (b *previewBudget) Reserve(_ context.Context, account string, n int64, _ time.Duration) granter.Decision {
 	d := b.Preview(account, n)
-	b.left -= d.Own
+	b.Settle(account, granter.Decision{}, d.Own)
 	return d
 }
 
-func (b *previewBudget) Settle(_ string, d granter.Decision, used int64) { b.left += d.Own - used }
+func (b *previewBudget) Settle(_ string, d granter.Decision, used int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left += d.Own - used
+}
 
 // listedGuard is a warden that needs no list of the store.
 type listedGuard struct{ *warden.Warden }
@@ -65,12 +75,14 @@
 type oneVersion struct{ noStreams }
 
 func (oneVersion) Versions(context.Context, string) []string { return []string{"v1"} }
-func (oneVersion) PreviewVersions(string) []string           { return []string{"v1"} }
+
+func (oneVersion) PreviewVersions(string) ([]string, time.Duration) { return []string{"v1"}, 0 }
 
 // previewWorld is a receiver with the parts that decide, in the time of a synctest bubble.
 type previewWorld struct {
 	t       *testing.T
 	rng     *rand.Rand
+	codec   *previewCodec
 	r       *Receiver
 	d       *Dispatcher
 	guard   *warden.Warden
@@ -83,7 +95,7 @@
 var previewRegions = map[string]string{"a": "north", "b": "north", "c": "south"}
 
 func newPreviewWorld(t *testing.T) *previewWorld {
-	w := &previewWorld{t: t, rng: rand.New(rand.NewPCG(7, 7)), seen: make(map[string]int)}
+	w := &previewWorld{t: t, codec: &previewCodec{}, rng: rand.New(rand.NewPCG(7, 7)), seen: make(map[string]int)}
 	w.permits = permitter.New("e-1", noPeers{}, noPeers{}, permitter.WithStart(time.Now().Add(-time.Hour)))
 	w.permits.UpdateCold(func(now time.Time, c *throttler.Cold) {
 		c.SetBounds(throttler.ColdBounds{Ratio: 1, Reserve: 2})
@@ -100,8 +112,8 @@
 		})
 	}
 	w.guard = warden.New(nil)
-	budget := &previewBudget{left: 1_500_000}
-	w.r = New(&previewCodec{}, w.d, budget, nil, WithGuard(listedGuard{w.guard}), WithStreams(oneVersion{}), WithPreviews(Previews{
+	budget := &previewBudget{left: 3_000_000}
+	w.r = New(w.codec, w.d, budget, nil, WithGuard(listedGuard{w.guard}), WithStreams(oneVersion{}), WithPreviews(Previews{
 		Budgets: budget, Guard: w.guard, Streams: oneVersion{}, Limits: func() PreviewLimits { return w.permits.Clone() },
 	}))
 	priority := 4
@@ -116,7 +128,7 @@
 	tab, err := resolver.New(resolver.Config{
 		Version: 1, KeyRequired: true, Routes: []resolver.Route{plan, south, resumed},
 		Services: []resolver.Service{{Name: "engine", MaxConnections: 64, Engine: &resolver.Engine{Slots: 16, KVCapacity: 1 << 18, MaxTokensPerEvent: 4}}},
-		Accounts: []resolver.Account{{Name: "one", Keys: []string{"k1"}, PrepaidTokens: -1}, {Name: "two", Keys: []string{"k2"}, Priority: &priority, PrepaidTokens: 1_500_000}},
+		Accounts: []resolver.Account{{Name: "one", Keys: []string{"k1"}, PrepaidTokens: -1}, {Name: "two", Keys: []string{"k2"}, Priority: &priority, PrepaidTokens: 3_000_000}},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -138,9 +150,9 @@
 	path := []string{"/plan/7", "/plan/7", "/plan/7", "/south/7", "/resumed/7", "/none/7"}[rng.IntN(6)]
 	long := rng.IntN(4) == 0
 	q := previewer.Query{Host: "a.example", Path: path, Key: []string{"k1", "k2"}[rng.IntN(2)], Output: 100, Timeout: 4000}
-	q.Parts = []previewer.Part{{ID: previewer.PartID(1 + rng.IntN(8)), Tokens: 700}, {ID: previewer.PartID(100 + rng.IntN(1000)), Tokens: 300}}
+	q.Parts = []previewer.Part{{ID: previewer.PartID(1 + rng.IntN(8)), Tokens: 400}, {ID: previewer.PartID(1 + rng.IntN(8)), Tokens: 300}, {ID: previewer.PartID(100 + rng.IntN(1000)), Tokens: 300}}
 	if long {
-		q.Parts[0].Tokens, q.Parts[1].Tokens = 13_300, 3_700
+		q.Parts[0].Tokens, q.Parts[1].Tokens = 13_300, 3_400
 	}
 	return q
 }
@@ -148,7 +160,7 @@
 // decide sends a request as far as the choice of its target and returns what was decided. The
 // time does not advance.
 func (w *previewWorld) decide(q previewer.Query) string {
-	w.r.codec = &previewCodec{meta: metaOf(q)}
+	w.codec.meta = metaOf(q)
 	j, _ := w.r.previewJob(time.Now(), q, w.r.Table(), "")
 	j.r = w.r // the request itself, not a preview of it
 	if !j.lookUp() || !j.checkQuarantine() || !j.checkPlaces(j.candidates()...) || !j.findOrigin() || !j.reserve() {
@@ -160,6 +172,9 @@
 	if !ok {
 		return string(j.summary.cause)
 	}
+	if s := j.subject(); w.guard.Check(s).Outcome == quarantiner.Allowed {
+		w.guard.Admit(context.Background(), s) // otherwise it would claim a trial at the store
+	}
 	w.open = append(w.open, chosen)
 	c := chosen.Choice
 	w.log = append(w.log, fmt.Sprint(c.Reason, c.Wait, c.Backlog, c.BacklogAge, c.CachedTokens, c.EventInterval))
@@ -170,12 +185,16 @@
 func (w *previewWorld) change() {
 	now, rng, target := time.Now(), w.rng, w.target(w.rng.IntN(6))
 	w.r.RecordContact(now)
+	w.permits.RecordInTouch(now)
 	switch rng.IntN(11) {
 	case 0, 1, 2, 3:
 		if len(w.open) > 0 {
 			i := rng.IntN(len(w.open))
 			w.d.RecordFirstEvent(now, w.open[i])
-			outcome := []retrier.Outcome{retrier.Complete, retrier.Complete, retrier.Complete, retrier.Unknown}[rng.IntN(4)]
+			outcome := retrier.Complete
+			if w.open[i].Target.ID <= "i-1" && rng.IntN(8) > 0 { // keeps its circuit breaker busy
+				outcome = retrier.Unknown
+			}
 			w.d.FinishAttempt(now, w.open[i], &retrier.Attempt{Outcome: outcome, Number: 1})
 			w.open = slices.Delete(w.open, i, i+1)
 		}
@@ -208,11 +227,14 @@
 // the request itself are asked about.
 func (w *previewWorld) play(asks int) {
 	other := rand.New(rand.NewPCG(9, 9))
-	for range 1500 {
+	for i := range 1500 {
 		for range w.rng.IntN(3) {
 			w.change()
 		}
 		q := w.query(w.rng)
+		if i/300%2 == 1 {
+			q.Key = "k2" // the other priority is not in use after a while
+		}
 		for range asks {
 			w.r.Preview(w.query(other))
 		}
@@ -226,7 +248,11 @@
 		}
 		w.log = append(w.log, got)
 		w.seen[got]++
-		time.Sleep(time.Duration(w.rng.IntN(60)) * time.Millisecond)
+		pause := time.Duration(w.rng.IntN(60)) * time.Millisecond
+		if w.rng.IntN(100) == 0 {
+			pause = 8 * time.Second
+		}
+		time.Sleep(pause)
 	}
 }
 
@@ -267,6 +293,28 @@
 	}
 }
 
+// Guards against a preview that reads, outside of a lock, what requests change meanwhile. It
+// fails only with the race detector.
+func TestPreviewBesideRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newPreviewWorld(t)
+		done := make(chan struct{})
+		go func() {
+			w.play(0)
+			close(done)
+		}()
+		rng := rand.New(rand.NewPCG(9, 9))
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(20 * time.Millisecond):
+				w.r.Preview(w.query(rng))
+			}
+		}
+	})
+}
+
 // Guards against a candidate whose reason differs from what keeps requests from it.
 func TestPreviewCandidates(t *testing.T) {
 	tests := []struct {
