--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -9,5 +9,5 @@
 //	os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr))
 //
 // Exit codes: 0 success, 1 failure, 2 wrong usage or settings, 3 conflict with
-// another operator, 4 not found, 5 platform unavailable.
+// another operator, 4 not found, 5 platform or instance unavailable.
 package operator
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -33,7 +33,7 @@
 func newParser(env *env) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("daisylane", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Configures and inspects the router fleet. Exit codes: 0 success, 1 failure, 2 wrong usage or settings, " +
-		"3 conflict with another operator, 4 not found, 5 platform unavailable."
+		"3 conflict with another operator, 4 not found, 5 platform or instance unavailable."
 	if _, err := parser.AddGroup("Global options", "", &env.globals); err != nil {
 		return nil, fmt.Errorf("set up options: %w", err)
 	}
