--- a/internal/receiver/explain_test.go
+++ b/internal/receiver/explain_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,15 +54,24 @@
 	b.left += d.Own - used
 }
 
-// listedGuard is a warden that needs no list of the store.
-type listedGuard struct{ *warden.Warden }
+// listedGuard is a warden that needs no list of the store, and that counts the checks.
+type listedGuard struct {
+	*warden.Warden
+	checks atomic.Int64
+}
+
+func (*listedGuard) Ready() bool { return true }
 
-func (listedGuard) Ready() bool { return true }
+func (g *listedGuard) Check(s quarantiner.Subject) quarantiner.Verdict {
+	g.checks.Add(1)
+	return g.Warden.Check(s)
+}
 
 // noPeers is a fleet of one instance.
 type noPeers struct{}
 
 func (noPeers) Rank(string) ([]granter.Lender, int) { return nil, 0 }
+func (noPeers) RankVersion() int64                  { return 1 }
 
 func (noPeers) AskPermits(context.Context, granter.Lender, throttler.Ask) (throttler.Grant, error) {
 	return throttler.Grant{}, nil
@@ -85,7 +95,7 @@
 	codec   *previewCodec
 	r       *Receiver
 	d       *Dispatcher
-	guard   *warden.Warden
+	guard   *listedGuard
 	permits *permitter.Permitter
 	open    []ChosenTarget
 	log     []string
@@ -111,9 +121,9 @@
 			c.ObserveTarget(now, throttler.Registration{Target: throttlerTarget(target), Age: throttler.Settled}, false)
 		})
 	}
-	w.guard = warden.New(nil)
+	w.guard = &listedGuard{Warden: warden.New(nil)}
 	budget := &previewBudget{left: 3_000_000}
-	w.r = New(w.codec, w.d, budget, nil, WithGuard(listedGuard{w.guard}), WithStreams(oneVersion{}), WithPreviews(Previews{
+	w.r = New(w.codec, w.d, budget, nil, WithGuard(w.guard), WithStreams(oneVersion{}), WithPreviews(Previews{
 		Budgets: budget, Guard: w.guard, Streams: oneVersion{}, Limits: func() PreviewLimits { return w.permits.Clone() },
 	}))
 	priority := 4
@@ -204,7 +214,10 @@
 		w.d.RecordResponse(now, now, target, ResponseMeta{Pause: time.Duration(rng.IntN(1000)) * time.Millisecond})
 	case 7:
 		w.permits.Suspect(throttlerTarget(target), false)
-		w.permits.UpdateCold(func(now time.Time, c *throttler.Cold) { c.SetShare(now, target.ID, 0, 1, false) })
+		w.permits.UpdateCold(func(now time.Time, c *throttler.Cold) {
+			c.SharesDue(now, time.Hour, throttler.Ranking{Version: 1})
+			c.SetShare(target.ID, 0, 1)
+		})
 	case 8:
 		w.d.ChangeEvacuations(func(e *restrictor.Evacuations) {
 			if e.Remove("c"); rng.IntN(3) == 0 {
@@ -216,6 +229,7 @@
 		w.permits.RecordLimit(throttlerTarget(target), now, limit)
 	case 10:
 		if rng.IntN(8) > 0 {
+			w.d.WithRoster(func(r *follower.Roster) { r.Put(target) })
 			return
 		}
 		part := uint64(1 + rng.IntN(3))
@@ -231,6 +245,7 @@
 		for range w.rng.IntN(3) {
 			w.change()
 		}
+		checks := w.guard.checks.Load()
 		q := w.query(w.rng)
 		if i/300%2 == 1 {
 			q.Key = "k2" // the other priority is not in use after a while
@@ -242,6 +257,9 @@
 		if asks > 0 {
 			want = verdictOf(w.r.Preview(q))
 		}
+		if w.guard.checks.Load() != checks {
+			w.t.Fatal("a preview checks the request instead of asking what a check would say")
+		}
 		got := w.decide(q)
 		if asks > 0 && got != want {
 			w.t.Fatalf("request %d: preview %q, decided %q", len(w.log), want, got)
--- a/internal/throttler/cold.go
+++ b/internal/throttler/cold.go
@@ -11,8 +11,11 @@
 	// blindRatio is the part of the bound that is left to instances that are cut off and cannot
 	// know that a target is cold.
 	blindRatio = 0.2
-	// After the cold time the shares double every rampDoubling until rampTime is over. Load
-	// reports are some 200 ms old, so each step is seen before the next one.
+	// holdTime is how long the shares stay as they are after the cold time: the bound holds for
+	// each second that begins in it.
+	holdTime = shareWindow
+	// After that the shares double every rampDoubling until rampTime is over. Load reports are
+	// some 200 ms old, so each step is seen before the next one.
 	rampDoubling = 500 * time.Millisecond
 	rampTime     = 2500 * time.Millisecond
 	// clockError is by how much the clock of a target may be ahead when its age decides.
@@ -27,9 +30,6 @@
 	// shareWindow is the time in which the requests of this instance to a target are counted.
 	// It is longer than the second of the bound by what timers may be late.
 	shareWindow = 1020 * time.Millisecond
-	// shareTime is how long a share is used before it is computed anew: instances join and
-	// leave, but each that is known for a shorter time than the others adds one share.
-	shareTime = 2 * time.Second
 	// maxSent limits the requests that are remembered for a target.
 	maxSent = 512
 	// maxReports limits the targets that are passed on at a time.
@@ -81,8 +81,14 @@
 	suspect time.Time // the same, if the target has restarted without a registration
 	warmAt  time.Time // when the target began to warm up, zero: it is cold
 	sent    []time.Time
-	share   int       // requests that this instance may send in any second
-	shareAt time.Time // when the share was computed, zero: it was not
+	share   int     // requests that this instance may send in any second
+	ranking Ranking // that the share was computed from, zero: it was not computed
+}
+
+// Ranking identifies what the shares of an instance are computed from.
+type Ranking struct {
+	Version     int64 // of the order of the instances, at least 1
+	JustStarted bool  // this instance may know few of the others
 }
 
 // Cold keeps the requests to cold targets within their bounds: each of the instances that
@@ -92,6 +98,7 @@
 	services map[string]ColdService
 	targets  map[string]*coldTarget
 	active   map[string]bool // targets that may be cold
+	ranking  Ranking         // that shares are computed from now
 	touchAt  time.Time       // when the store last responded
 	cutOff   bool            // this instance can't know which targets are cold
 	peers    int             // other instances that it reaches, which can't know it either
@@ -108,9 +115,10 @@
 	c.activate()
 }
 
-// activate makes all targets be looked at again.
+// activate makes all targets be looked at again, and their shares be computed anew.
 func (c *Cold) activate() {
-	for id := range c.targets {
+	for id, t := range c.targets {
+		t.ranking = Ranking{}
 		c.active[id] = true
 	}
 }
@@ -132,7 +140,11 @@
 func (c *Cold) ObserveTarget(now time.Time, r Registration, changed bool) {
 	t, ok := c.targets[r.ID]
 	if !ok || t.Target != r.Target {
-		c.targets[r.ID] = &coldTarget{Registration: r, seenAt: now}
+		next := &coldTarget{Registration: r, seenAt: now}
+		if ok {
+			next.sent = t.sent // the last ones may have reached this process before its registration was seen
+		}
+		c.targets[r.ID] = next
 		c.active[r.ID] = true
 		return
 	}
@@ -294,18 +306,18 @@
 		c.warmUp(now, t, s)
 		// An instance without touch to the store may not know that the target has become cold
 		// again.
-		if warm := t.warming(now) == rampTime; warm && !c.touchAt.Before(t.warmAt.Add(rampTime)) {
+		if warm := t.warming(now) == rampTime; warm && !c.touchAt.Before(t.warmAt.Add(holdTime+rampTime)) {
 			delete(c.active, id)
 		}
 	}
 }
 
-// warming returns for how long a target has warmed up, 0 while it is cold.
+// warming returns for how long the shares of a target have grown, 0 while they don't.
 func (t *coldTarget) warming(now time.Time) time.Duration {
 	if t.warmAt.IsZero() {
 		return 0
 	}
-	return min(now.Sub(t.warmAt), rampTime)
+	return min(max(0, now.Sub(t.warmAt)-holdTime), rampTime)
 }
 
 // warmUp lets a target warm up when its cold time is over.
@@ -334,7 +346,11 @@
 	}
 	n, ok = math.MaxInt, false
 	if c.active[id] {
-		n, ok = int(float64(t.share)*math.Exp2(t.warming(now).Seconds()/rampDoubling.Seconds())), true
+		share := t.share
+		if t.ranking != c.ranking {
+			share = 0
+		}
+		n, ok = int(float64(share)*math.Exp2(t.warming(now).Seconds()/rampDoubling.Seconds())), true
 	}
 	if c.cutOff {
 		n, ok = min(n, c.bounds.blindShare(s.PerSecond, c.peers)), true
@@ -411,15 +427,17 @@
 	return least
 }
 
-// SharesDue returns the targets whose share is to be computed now. An instance without touch
-// to the store keeps its shares: it may no longer know which instances live.
-func (c *Cold) SharesDue(now time.Time, stale time.Duration) (ids []string) {
-	if now.Sub(c.touchAt) > stale {
-		return nil
+// SharesDue returns the targets whose share was not computed from a ranking. Until it is, they get
+// no requests: with shares of several rankings, all instances together may exceed the bound. An
+// instance without touch to the store goes on with the last ranking: it may no longer know which
+// instances live.
+func (c *Cold) SharesDue(now time.Time, stale time.Duration, r Ranking) (ids []string) {
+	if now.Sub(c.touchAt) <= stale {
+		c.ranking = r
 	}
 	for id := range c.active {
 		t := c.targets[id]
-		if _, ok := c.service(t.Service); ok && (t.shareAt.IsZero() || now.Sub(t.shareAt) >= shareTime) {
+		if _, ok := c.service(t.Service); ok && t.ranking != c.ranking {
 			ids = append(ids, id)
 		}
 	}
@@ -429,7 +447,7 @@
 // SetShare sets the share of this instance for a target, given how many of the known
 // instances come before it. One that has just started may know few others, so it counts as one of
 // many.
-func (c *Cold) SetShare(now time.Time, id string, before, instances int, justStarted bool) {
+func (c *Cold) SetShare(id string, before, instances int) {
 	t, ok := c.targets[id]
 	if !ok {
 		return
@@ -438,8 +456,8 @@
 	if !ok {
 		return
 	}
-	t.share, t.shareAt = c.bounds.quota(s.PerSecond, before, instances), now
-	if justStarted {
+	t.share, t.ranking = c.bounds.quota(s.PerSecond, before, instances), c.ranking
+	if c.ranking.JustStarted {
 		t.share = min(t.share, 1)
 	}
 }
