--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -43,39 +43,11 @@
 	}
 	j.r.dispatcher.RecordRequest(account, j.service.Name)
 	for {
-		left := time.Until(j.deadline)
-		if left < minRemainingTime {
-			j.timeOut()
-			return
-		}
-		chosen, err := j.choose(left)
-		var overloaded overloadError
-		var paused pausedError
-		var limited limitedError
-		var misplaced placesError
-		switch {
-		case errors.As(err, &misplaced):
-			j.refusePlaces(misplaced)
-			return
-		case errors.As(err, &limited) && j.awaitPermit(ctx, limited.opensIn):
+		chosen, again, ok := j.choose(ctx)
+		if again {
 			continue
-		case errors.As(err, &limited) && !j.summary.mayHaveRun:
-			j.refuse(http.StatusServiceUnavailable, Limited, limited.opensIn+rand.N(meanRetryDelay))
-			return
-		case errors.As(err, &overloaded):
-			j.lastTarget = chosen
-			j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(overloaded.retryAfter, meanRetryDelay), left/3)))
-			return
-		case errors.As(err, &paused) && !j.summary.mayHaveRun:
-			// Also if this is later than the caller can wait: no earlier attempt helps.
-			j.refuse(http.StatusServiceUnavailable, Paused, paused.resumesIn+rand.N(meanRetryDelay))
-			return
-		case err != nil && j.isBound() && !j.summary.mayHaveRun && j.r.dispatcher.MayBecomeCertain(j.service, j.allowedPlaces(), j.versions):
-			j.summary.failure = err
-			j.refuse(http.StatusServiceUnavailable, VersionUnknown, jitter(meanRetryDelay))
-			return
-		case err != nil:
-			j.fail(NoTargets, errors.Join(j.summary.failure, err))
+		}
+		if !ok {
 			return
 		}
 		j.lastTarget = chosen
@@ -124,9 +96,46 @@
 	}
 }
 
-// choose chooses a target. A new stream that may be resumed prefers targets whose version is
+// choose chooses the target of the next attempt. It returns false if it ended the request
+// instead; again means that a permit was waited for and the choice is to be made anew.
+func (j *job) choose(ctx context.Context) (chosen ChosenTarget, again, ok bool) {
+	left := time.Until(j.deadline)
+	if left < minRemainingTime {
+		j.timeOut()
+		return chosen, false, false
+	}
+	chosen, err := j.chooseTarget(left)
+	var overloaded overloadError
+	var paused pausedError
+	var limited limitedError
+	var misplaced placesError
+	switch {
+	case err == nil:
+		return chosen, false, true
+	case errors.As(err, &misplaced):
+		j.refusePlaces(misplaced)
+	case errors.As(err, &limited) && j.awaitPermit(ctx, limited.opensIn):
+		return chosen, true, false
+	case errors.As(err, &limited) && !j.summary.mayHaveRun:
+		j.refuse(http.StatusServiceUnavailable, Limited, limited.opensIn+rand.N(meanRetryDelay))
+	case errors.As(err, &overloaded):
+		j.lastTarget = chosen
+		j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(overloaded.retryAfter, meanRetryDelay), left/3)))
+	case errors.As(err, &paused) && !j.summary.mayHaveRun:
+		// Also if this is later than the caller can wait: no earlier attempt helps.
+		j.refuse(http.StatusServiceUnavailable, Paused, paused.resumesIn+rand.N(meanRetryDelay))
+	case j.isBound() && !j.summary.mayHaveRun && j.r.dispatcher.MayBecomeCertain(j.service, j.allowedPlaces(), j.versions):
+		j.summary.failure = err
+		j.refuse(http.StatusServiceUnavailable, VersionUnknown, jitter(meanRetryDelay))
+	default:
+		j.fail(NoTargets, errors.Join(j.summary.failure, err))
+	}
+	return chosen, false, false
+}
+
+// chooseTarget chooses a target. A new stream that may be resumed prefers targets whose version is
 // certain, unless it would come late or be refused there: if it breaks off elsewhere, it is lost.
-func (j *job) choose(left time.Duration) (ChosenTarget, error) {
+func (j *job) chooseTarget(left time.Duration) (ChosenTarget, error) {
 	choose := func(excluded []string) (ChosenTarget, error) {
 		return j.r.dispatcher.Choose(time.Now(), j.service, j.allowedPlaces(), j.prefillRequest(left), excluded, j.versions, j.mayBeTurnedAway())
 	}
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -155,7 +155,7 @@
 		e.permits.RecordInTouch(e.watches.Contact(recorder.Kind))
 	})
 	e.receiver = receiver.New(platform.Codec{}, e.dispatcher, e.accounting, e.pool, receiver.WithMemory(e.memory),
-		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()))
+		receiver.WithLog(log), receiver.WithGuard(e.guard), receiver.WithStreams(e.streams), receiver.WithScope(e.metrics.Scope()), receiver.WithPreviews(e.previews()))
 	e.callers = e.newServer(e.receiver, clientLimits(resolver.Limits{}), acceptor.WithDescriptors(descriptorShares(cfg.Limits.Descriptors).callers, 2), acceptor.WithRelief(e.memory.Relieve))
 	e.applyClientLimits()
 	return e
@@ -184,6 +184,7 @@
 	if err := e.listen(failed); err != nil {
 		return err
 	}
+	defer e.servePreviews()()
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
