Model an account with a surge in the engine model

Cause: the model of engines knows no accounts, so it cannot show what the surge of one account costs the others. Change: a deployment may have accounts of equal usual demand, the first of them with a multiple of it; outcomes state the share of the worth that the other accounts get.

--- a/internal/chooser/learned_test.go
+++ b/internal/chooser/learned_test.go
@@ -20,6 +20,7 @@
 // outcome sums up what callers got.
 type outcome struct {
 	worth    float64            // share of the worth of all requests in time
+	others   float64            // the same of the accounts without a surge
 	err      float64            // median error of the estimates
 	inTime   map[string]float64 // share of the requests, by workload
 	served   map[string]float64
@@ -34,16 +35,17 @@
 		wg.Go(func() { sims[i] = simulateStreams(uint64(i), l.deployment, l.factor, l.burst, policy(l.deployment)) })
 	}
 	wg.Wait()
-	sum, firsts := map[string]outcomeCounts{}, map[string][]time.Duration{}
+	sum, others, firsts := map[string]outcomeCounts{}, map[string]outcomeCounts{}, map[string][]time.Duration{}
 	var errors []float64
 	for _, m := range sims {
 		for name, c := range m.result {
 			sum[name] = sum[name].plus(c)
+			others[name] = others[name].plus(m.others[name])
 			firsts[name] = append(firsts[name], m.firsts[name]...)
 		}
 		errors = append(errors, m.errors...)
 	}
-	o := outcome{worth: l.deployment.earnedWorthShare(sum), inTime: map[string]float64{}, served: map[string]float64{}, p50: map[string]time.Duration{}, p95: map[string]time.Duration{}}
+	o := outcome{worth: l.deployment.earnedWorthShare(sum), others: l.deployment.earnedWorthShare(others), inTime: map[string]float64{}, served: map[string]float64{}, p50: map[string]time.Duration{}, p95: map[string]time.Duration{}}
 	slices.Sort(errors)
 	o.err = errors[len(errors)/2]
 	for name, c := range sum {
--- a/internal/chooser/stream_test.go
+++ b/internal/chooser/stream_test.go
@@ -32,6 +32,8 @@
 	contended        bool          // engines are at times slowed by others on their machine
 	slowness         bool          // load reports include the slowness of the machine
 	speedUp          float64       // factor of the speed of all engines from the middle on, 0: none
+	accounts         int           // with equal usual demand, 0: not distinguished
+	surge            float64       // demand of the first account as a multiple of its usual demand
 }
 
 const (
@@ -92,6 +94,14 @@
 	return sum
 }
 
+// surgeFactor returns the demand of all accounts as a multiple of the usual demand.
+func (d deployment) surgeFactor() float64 {
+	if d.accounts == 0 {
+		return 1
+	}
+	return (float64(d.accounts-1) + d.surge) / float64(d.accounts)
+}
+
 // scaled returns the deployment with engines whose speed is a multiple of this one's.
 func (d deployment) scaled(speed float64) deployment {
 	d.tokensPerMs *= speed
@@ -104,6 +114,7 @@
 // simStream is a request and the state of its streamed response.
 type simStream struct {
 	workload        *workload
+	account         int
 	prompt          PrefillRequest
 	arrived         time.Time
 	router          int
@@ -348,7 +359,8 @@
 	policy     placement
 	inFlight   map[*simStream]int // index of the engine
 	result     map[string]outcomeCounts
-	retryQueue []*simStream // refused requests, ordered by time of the retry
+	others     map[string]outcomeCounts // of the accounts without a surge
+	retryQueue []*simStream             // refused requests, ordered by time of the retry
 	firsts     map[string][]time.Duration
 	errors     []float64 // of the estimates, relative to the measured time to first event
 	errorsFrom time.Time // earlier estimates are not counted
@@ -359,6 +371,9 @@
 		add.large, add.largeServed = add.sent, add.inTime+add.late
 	}
 	sim.result[s.workload.name] = sim.result[s.workload.name].plus(add)
+	if s.account > 0 {
+		sim.others[s.workload.name] = sim.others[s.workload.name].plus(add)
+	}
 }
 
 // run advances the engines to a time and removes requests that timed out.
@@ -432,7 +447,7 @@
 	rng := rand.New(rand.NewPCG(seed, 2))
 	begin := time.Unix(1000, 0)
 	sim := &streamSim{
-		deployment: &d, policy: p, inFlight: make(map[*simStream]int), result: make(map[string]outcomeCounts),
+		deployment: &d, policy: p, inFlight: make(map[*simStream]int), result: make(map[string]outcomeCounts), others: make(map[string]outcomeCounts),
 		firsts: make(map[string][]time.Duration), errorsFrom: begin.Add(length / 6),
 	}
 	for i := range d.engines {
@@ -442,7 +457,7 @@
 	if b.workload != "" {
 		boost = b.factor
 	}
-	rate := d.rate() * boost // thinned to the present rate of each workload
+	rate := d.rate() * d.surgeFactor() * boost // thinned to the present rate of each workload
 	now, spedUp := begin, false
 	for now.Sub(begin) < length {
 		now = now.Add(time.Duration(rng.ExpFloat64() / (rate * factor) * float64(time.Second)))
@@ -525,8 +540,12 @@
 	common := int(lognormal(rand.New(rand.NewPCG(id, seed)), w.sharedLength, 0.7))
 	own := int(lognormal(rng, w.ownLength, 1.1))
 	events := 1 + min(int(lognormal(rng, float64(w.events), 1.4)), maxOutput*w.events)
+	account := 0
+	if d.accounts > 0 {
+		account = max(0, int(rng.Float64()*(float64(d.accounts-1)+d.surge)-d.surge+1))
+	}
 	return &simStream{
-		workload: w, arrived: now, router: rng.IntN(d.routers), events: events,
+		workload: w, account: account, arrived: now, router: rng.IntN(d.routers), events: events,
 		prompt: PrefillRequest{
 			Parts:  []Part{{ID: id, Tokens: common}, {ID: rng.Uint64(), Tokens: own}},
 			Tokens: int64(common + own), MaxOutput: int64(maxOutput * w.events * d.tokensPerEvent), Priority: w.priority, Service: "engines",
