Offer refused requests only to idle targets

Cause: a request that is refused at the target with its cached prefix is offered to the one that answers soonest. Under overload that one is busy as well, reads the prefix again, and all that wait there wait longer. The model of engines did not play the offer; when it does, TestAdmissionUnderOverload, TestUrgencyUnderOverload and TestLearnedLatency fail. Change: the model plays the offer as the receiver makes it. A target is offered such a request only if its backlog is at most 20 ms. The three tests pass with the bounds they had.

--- a/internal/chooser/stream_test.go
+++ b/internal/chooser/stream_test.go
@@ -586,16 +586,27 @@
 		return placed{}
 	}
 	if p.admit {
-		v := p.schedulers[router].Decide(now, scheduler.Request{
-			Priority: r.Priority, Objective: s.workload.firstTokenTarget, Left: s.workload.responseTimeout - now.Sub(s.arrived),
-		}, scheduler.Estimate{Wait: pick.Wait, Backlog: pick.Backlog, BacklogAge: pick.BacklogAge, Rest: time.Duration(s.expectedEvents) * pick.EventInterval})
+		v := p.decide(router, now, s, pick, false)
 		if !v.Admit {
-			return placed{after: v.After}
+			r.Soonest = true
+			soonest, _ := p.routers[router].Choose(now, r, p.nodes)
+			w := p.decide(router, now, s, soonest, true)
+			if !w.Admit {
+				return placed{after: min(v.After, w.After)}
+			}
+			pick = soonest
 		}
 	}
 	return placed{engine: pick.Index, inFlight: p.routers[router].RecordSent(now, p.nodes[pick.Index].Name, r, pick), estimate: pick.Wait, ok: true}
 }
 
+// decide decides about a request as the receiver does.
+func (p *prefillPlacement) decide(router int, now time.Time, s *simStream, pick PrefillChoice, elsewhere bool) scheduler.Decision {
+	return p.schedulers[router].Decide(now, scheduler.Request{
+		Priority: s.prompt.Priority, Objective: s.workload.firstTokenTarget, Left: s.workload.responseTimeout - now.Sub(s.arrived), Elsewhere: elsewhere,
+	}, scheduler.Estimate{Wait: pick.Wait, Backlog: pick.Backlog, BacklogAge: pick.BacklogAge, Rest: time.Duration(s.expectedEvents) * pick.EventInterval})
+}
+
 func (p *prefillPlacement) firstEvent(now time.Time, engine int, s *simStream, l Load) {
 	p.routers[s.router].RecordFirstEvent(now, s.inFlight)
 	p.routers[s.router].RecordLoad(p.nodes[engine].Name, l)
--- a/internal/receiver/admission.go
+++ b/internal/receiver/admission.go
@@ -8,11 +8,11 @@
 )
 
 // admit decides whether a request is sent to the target chosen for it, or else to the one that
-// would answer soonest: a cached prefix is no reason to refuse a request that another target
-// has room for. It returns the target and, if the request is refused, the time until a target
+// would answer soonest, if that is idle: a cached prefix is no reason to refuse a request
+// while another target has nothing to do. It returns the target and, if the request is refused, the time until a target
 // may have room. The caller must hold the lock.
 func (d *Dispatcher) admit(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, list []chooser.Node) (chooser.PrefillChoice, time.Duration, bool) {
-	v := d.decide(now, service, p, c)
+	v := d.decide(now, service, p, c, false)
 	if v.Admit {
 		return c, 0, true
 	}
@@ -21,22 +21,22 @@
 	if !ok {
 		return c, v.After, false
 	}
-	if w := d.decide(now, service, p, soonest); !w.Admit {
+	if w := d.decide(now, service, p, soonest, true); !w.Admit {
 		return c, min(v.After, w.After), false
 	}
 	return soonest, 0, true
 }
 
-// decide decides whether a request is sent to the target chosen for it. The caller must
-// hold the lock.
-func (d *Dispatcher) decide(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice) scheduler.Decision {
+// decide decides whether a request is sent to the target chosen for it, or elsewhere. The
+// caller must hold the lock.
+func (d *Dispatcher) decide(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, elsewhere bool) scheduler.Decision {
 	s, ok := d.schedulers[service]
 	if !ok {
 		s = scheduler.New()
 		d.schedulers[service] = s
 	}
 	return s.Decide(now,
-		scheduler.Request{Priority: p.Priority, Objective: p.FirstTokenTarget, Left: p.ResponseTimeout},
+		scheduler.Request{Priority: p.Priority, Objective: p.FirstTokenTarget, Left: p.ResponseTimeout, Elsewhere: elsewhere},
 		scheduler.Estimate{Wait: c.Wait, Backlog: c.Backlog, BacklogAge: c.BacklogAge, Rest: time.Duration(p.ExpectedEvents) * c.EventInterval})
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -21,6 +21,10 @@
 	persistentBacklogAge = 1500 * time.Millisecond
 	// A shorter backlog counts as none: it is a typical prompt that is half prefilled.
 	lowBacklog = 80 * time.Millisecond
+	// Upper limit of the backlog of a target that is offered a request which another one was
+	// chosen for. It reads prompt parts again that the other one has cached, which pays only
+	// if it would be idle otherwise: with 80 ms, or without this limit, callers gain less.
+	idleBacklog = 20 * time.Millisecond
 	// Share of the response timeout that the expected response time may use.
 	transientResponseShare = 1.0
 	// Share of the response timeout behind a persistent backlog.
@@ -38,6 +42,7 @@
 	Priority  int           // 0 is the most urgent
 	Objective time.Duration // of the time to first token, 0: none
 	Left      time.Duration // until the deadline, 0: none
+	Elsewhere bool          // offered to another target than the one chosen for it
 }
 
 // Estimate is what is expected at the target that is chosen for a request.
@@ -74,6 +79,9 @@
 // served sooner.
 func (s *Scheduler) Decide(now time.Time, r Request, e Estimate) Decision {
 	rank := s.rank(now, r.Priority)
+	if r.Elsewhere && e.Backlog > idleBacklog {
+		return Decision{After: e.Backlog - idleBacklog}
+	}
 	waitShare, responseShare := transientWaitShare, transientResponseShare
 	if e.BacklogAge > persistentBacklogAge {
 		waitShare, responseShare = persistentWaitShare, persistentResponseShare
