Give accounts of equal priority equal shares under overload

Cause: an account with several times its usual demand takes as much more of what targets do, at the cost of the others. Change: an instance sums up the work that each account offers and that is admitted, by service and priority. Once more than 5 % of it is refused, an account that asks for more than the others and has used up its share (max-min) is admitted up to 0.7 of the wait of the others. No state is exchanged or stored; without a backlog nothing is refused. Requests without an account have no share. TestSurgeOfOneAccount fails without the account names, TestShares is new.

--- a/internal/chooser/learned_test.go
+++ b/internal/chooser/learned_test.go
@@ -21,6 +21,8 @@
 type outcome struct {
 	worth    float64            // share of the worth of all requests in time
 	others   float64            // the same of the accounts without a surge
+	surging  float64            // served share of the account with a surge
+	usual    float64            // served share of the others
 	err      float64            // median error of the estimates
 	inTime   map[string]float64 // share of the requests, by workload
 	served   map[string]float64
@@ -46,6 +48,11 @@
 		errors = append(errors, m.errors...)
 	}
 	o := outcome{worth: l.deployment.earnedWorthShare(sum), others: l.deployment.earnedWorthShare(others), inTime: map[string]float64{}, served: map[string]float64{}, p50: map[string]time.Duration{}, p95: map[string]time.Duration{}}
+	var surging, usual outcomeCounts
+	for name, c := range sum {
+		surging, usual = surging.plus(c.minus(others[name])), usual.plus(others[name])
+	}
+	o.surging, o.usual = surging.served(), usual.served()
 	slices.Sort(errors)
 	o.err = errors[len(errors)/2]
 	for name, c := range sum {
@@ -144,6 +151,37 @@
 	}
 }
 
+// Guards against an account with four times its usual demand that takes the shares of the
+// others while a tenth of the requests is refused, against limits that cost all accounts together more than seeds differ, and against
+// the starvation of that account: its fair share is what each other one may use, and at least
+// a quarter of its demand if the others get theirs.
+func TestSurgeOfOneAccount(t *testing.T) {
+	const seeds, capacity = 12, 1.3
+	for _, tt := range []struct {
+		routers int
+		factor  float64 // of capacity, without the surge
+	}{{4, 0.6}, {4, 0.9}, {4, 1.3}, {4, 2}, {30, 0.6}, {30, 0.9}, {30, 1.3}, {30, 2}} {
+		d := helpDesk
+		d.routers, d.accounts, d.surge = tt.routers, 6, 4
+		l := load{d, tt.factor * capacity, burst{}}
+		got := l.play(seeds, func(d deployment) placement { return newPrefillPlacement(d, true) })
+		without := l.play(seeds, func(d deployment) placement {
+			p := newPrefillPlacement(d, true)
+			p.anonymous = true
+			return p
+		})
+		name := fmt.Sprintf("%d instances at %v of capacity", tt.routers, tt.factor)
+		t.Logf("%s: worth %.3f, of the others %.3f, served %.3f and %.3f; without shares %.3f, %.3f, %.3f and %.3f", name,
+			got.worth, got.others, got.surging, got.usual, without.worth, without.others, without.surging, without.usual)
+		if got.others < without.others-0.01 || got.worth < without.worth-0.01 {
+			t.Errorf("%s: worth %.3f, of the others %.3f; without shares %.3f and %.3f", name, got.worth, got.others, without.worth, without.others)
+		}
+		if got.surging < got.usual/4 || got.surging >= got.usual && without.usual < 0.9 {
+			t.Errorf("%s: served share of the account with a surge is %.3f, of the others %.3f", name, got.surging, got.usual)
+		}
+	}
+}
+
 // Guards against a model that a few stalled engines or delayed first events spoil, and
 // one that stays at its defaults.
 func TestLatencyModelOutliers(t *testing.T) {
--- a/internal/chooser/prefill.go
+++ b/internal/chooser/prefill.go
@@ -47,6 +47,7 @@
 	Soonest   bool // prefer the engine that answers soonest, whatever has to be read again
 
 	// Not used by the choice, but by the decision whether to send the request.
+	Account          string        // client account, empty: none
 	FirstTokenTarget time.Duration // objective of the time to first token
 	ResponseTimeout  time.Duration // until the end of the response
 	ExpectedEvents   int           // of the response
--- a/internal/chooser/stream_test.go
+++ b/internal/chooser/stream_test.go
@@ -349,6 +349,13 @@
 	}
 }
 
+func (a outcomeCounts) minus(b outcomeCounts) outcomeCounts {
+	return outcomeCounts{
+		a.sent - b.sent, a.inTime - b.inTime, a.late - b.late, a.refused - b.refused, a.timedOut - b.timedOut,
+		a.large - b.large, a.largeServed - b.largeServed,
+	}
+}
+
 // served returns the share of the requests that got a complete response.
 func (a outcomeCounts) served() float64 { return float64(a.inTime+a.late) / float64(max(1, a.sent)) }
 
@@ -565,6 +572,7 @@
 	schedulers []*scheduler.Scheduler
 	nodes      []Node
 	admit      bool // apply [scheduler.Scheduler]
+	anonymous  bool // requests do not name their accounts
 }
 
 func newPrefillPlacement(d deployment, admit bool) *prefillPlacement {
@@ -602,8 +610,12 @@
 
 // decide decides about a request as the receiver does.
 func (p *prefillPlacement) decide(router int, now time.Time, s *simStream, pick PrefillChoice, elsewhere bool) scheduler.Decision {
+	account := ""
+	if !p.anonymous {
+		account = fmt.Sprint("account-", s.account)
+	}
 	return p.schedulers[router].Decide(now, scheduler.Request{
-		Priority: s.prompt.Priority, Objective: s.workload.firstTokenTarget, Left: s.workload.responseTimeout - now.Sub(s.arrived), Elsewhere: elsewhere,
+		Priority: s.prompt.Priority, Account: account, Objective: s.workload.firstTokenTarget, Left: s.workload.responseTimeout - now.Sub(s.arrived), Elsewhere: elsewhere,
 	}, scheduler.Estimate{Wait: pick.Wait, Backlog: pick.Backlog, BacklogAge: pick.BacklogAge, Rest: time.Duration(s.expectedEvents) * pick.EventInterval})
 }
 
--- a/internal/receiver/admission.go
+++ b/internal/receiver/admission.go
@@ -36,7 +36,7 @@
 		d.schedulers[service] = s
 	}
 	return s.Decide(now,
-		scheduler.Request{Priority: p.Priority, Objective: p.FirstTokenTarget, Left: p.ResponseTimeout, Elsewhere: elsewhere},
+		scheduler.Request{Priority: p.Priority, Account: p.Account, Objective: p.FirstTokenTarget, Left: p.ResponseTimeout, Elsewhere: elsewhere},
 		scheduler.Estimate{Wait: c.Wait, Backlog: c.Backlog, BacklogAge: c.BacklogAge, Rest: time.Duration(p.ExpectedEvents) * c.EventInterval})
 }
 
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -200,6 +200,9 @@
 	}
 	if j.service.Engine != nil {
 		p.Service, p.Priority = j.service.Name, j.priority()
+		if j.account != nil {
+			p.Account = j.account.Name
+		}
 		expected := j.meta.ExpectedOutputTokens
 		if expected == 0 {
 			expected = int64(expectedOutputShare * float64(j.meta.MaxOutputTokens))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -40,6 +40,7 @@
 // Request is what the decision about a request depends on.
 type Request struct {
 	Priority  int           // 0 is the most urgent
+	Account   string        // client account, empty: has no share
 	Objective time.Duration // of the time to first token, 0: none
 	Left      time.Duration // until the deadline, 0: none
 	Elsewhere bool          // offered to another target than the one chosen for it
@@ -62,7 +63,8 @@
 
 // Scheduler decides about the requests to one service.
 type Scheduler struct {
-	seen [priorities]time.Time // time of the last request
+	seen   [priorities]time.Time // time of the last request
+	shares [priorities]shares    // of the client accounts
 }
 
 // New returns a Scheduler that has seen no request.
@@ -77,7 +79,27 @@
 // Requests wait for a transient backlog, for example after a start. Without a backlog, a
 // request is admitted even if its own prompt takes too long: no later attempt would be
 // served sooner.
+//
+// While requests are refused, an account that asks for more than the others is refused
+// sooner, once it has used up its share.
 func (s *Scheduler) Decide(now time.Time, r Request, e Estimate) Decision {
+	r.Priority = min(max(0, r.Priority), priorities-1)
+	if r.Account == "" {
+		return s.decide(now, r, e, false)
+	}
+	shares, work := &s.shares[r.Priority], max(0, e.Wait-e.Backlog).Seconds()
+	if !r.Elsewhere {
+		shares.offer(now, r.Account, work)
+	}
+	d := s.decide(now, r, e, shares.exceeded(now, r.Account))
+	if d.Admit {
+		shares.admit(now, r.Account, work)
+	}
+	return d
+}
+
+// decide decides about a request of an account that may have used up its share.
+func (s *Scheduler) decide(now time.Time, r Request, e Estimate, exceeded bool) Decision {
 	rank := s.rank(now, r.Priority)
 	if r.Elsewhere && e.Backlog > idleBacklog {
 		return Decision{After: e.Backlog - idleBacklog}
@@ -87,6 +109,9 @@
 		waitShare, responseShare = persistentWaitShare, persistentResponseShare
 	}
 	waitShare = max(minWaitShare, waitShare-urgencyStep*float64(rank))
+	if exceeded {
+		waitShare *= excessWaitShare
+	}
 	if limit := time.Duration(waitShare * float64(r.Objective)); r.Objective > 0 && e.Wait > limit && e.Backlog > lowBacklog {
 		return Decision{After: e.Wait - limit}
 	}
@@ -99,7 +124,6 @@
 // rank records a request of a priority and returns the number of more urgent priorities in
 // use.
 func (s *Scheduler) rank(now time.Time, priority int) int {
-	priority = min(max(0, priority), priorities-1)
 	s.seen[priority] = now
 	n := 0
 	for _, t := range s.seen[:priority] {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -44,3 +44,47 @@
 		}
 	}
 }
+
+// Guards against an account that takes the shares of others by asking for more, limits for
+// the others, for accounts that ask alike and for requests without an account, and refusals
+// by a target without a backlog.
+func TestShares(t *testing.T) {
+	const ms = time.Millisecond
+	busy := scheduler.Estimate{Wait: 700 * ms, Backlog: 600 * ms, BacklogAge: 3 * time.Second}
+	full := scheduler.Estimate{Wait: 900 * ms, Backlog: 800 * ms, BacklogAge: 3 * time.Second}
+	idle := scheduler.Estimate{Wait: 100 * ms}
+	for _, tt := range []struct {
+		name     string
+		a, b     int // requests of the accounts in 100 ms
+		refused  bool
+		account  string
+		estimate scheduler.Estimate
+		want     bool
+	}{
+		{"surge", 8, 1, true, "a", busy, false},
+		{"usual demand beside a surge", 8, 1, true, "b", busy, true},
+		{"equal demand", 4, 4, true, "a", busy, true},
+		{"surge while nothing is refused", 8, 1, false, "a", busy, true},
+		{"surge at an idle target", 8, 1, true, "a", idle, true},
+		{"no account", 8, 1, true, "", busy, true},
+	} {
+		s, now := scheduler.New(), time.Unix(1000, 0)
+		for i := range 200 {
+			now = now.Add(100 * ms)
+			e := busy
+			if tt.refused && i%2 == 0 {
+				e = full
+			}
+			for range tt.b {
+				s.Decide(now, scheduler.Request{Account: "b", Objective: time.Second}, busy)
+			}
+			for range tt.a {
+				s.Decide(now, scheduler.Request{Account: "a", Objective: time.Second}, e)
+			}
+		}
+		got := s.Decide(now.Add(ms), scheduler.Request{Account: tt.account, Objective: time.Second}, tt.estimate)
+		if got.Admit != tt.want {
+			t.Errorf("%s: admitted %v, want %v", tt.name, got.Admit, tt.want)
+		}
+	}
+}
