State late answers by kind of request in the engine model

Change: outcomes of the model include the late share of the answers of each kind, and list kinds in a fixed order.

--- a/internal/chooser/learned_test.go
+++ b/internal/chooser/learned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -26,6 +27,7 @@
 	err      float64            // median error of the estimates
 	inTime   map[string]float64 // share of the requests, by workload
 	served   map[string]float64
+	late     map[string]float64       // share of the answers
 	p50, p95 map[string]time.Duration // of the time to first event
 }
 
@@ -47,7 +49,7 @@
 		}
 		errors = append(errors, m.errors...)
 	}
-	o := outcome{worth: l.deployment.earnedWorthShare(sum), others: l.deployment.earnedWorthShare(others), inTime: map[string]float64{}, served: map[string]float64{}, p50: map[string]time.Duration{}, p95: map[string]time.Duration{}}
+	o := outcome{worth: l.deployment.earnedWorthShare(sum), others: l.deployment.earnedWorthShare(others), inTime: map[string]float64{}, served: map[string]float64{}, late: map[string]float64{}, p50: map[string]time.Duration{}, p95: map[string]time.Duration{}}
 	var surging, usual outcomeCounts
 	for name, c := range sum {
 		surging, usual = surging.plus(c.minus(others[name])), usual.plus(others[name])
@@ -59,6 +61,7 @@
 		list := firsts[name]
 		slices.Sort(list)
 		o.inTime[name], o.served[name] = float64(c.inTime)/float64(c.sent), c.served()
+		o.late[name] = float64(c.late) / float64(max(1, c.inTime+c.late))
 		o.p50[name], o.p95[name] = list[len(list)/2], list[len(list)*95/100]
 	}
 	return o
@@ -66,8 +69,8 @@
 
 func (o outcome) String() string {
 	s := fmt.Sprintf("worth %.3f, error %.2f", o.worth, o.err)
-	for name, share := range o.inTime {
-		s += fmt.Sprintf("; %s in time %.3f, served %.3f, p50 %d, p95 %d", name, share, o.served[name], o.p50[name].Milliseconds(), o.p95[name].Milliseconds())
+	for _, name := range slices.Sorted(maps.Keys(o.inTime)) {
+		s += fmt.Sprintf("; %s in time %.3f, served %.3f, late %.3f, p50 %d, p95 %d", name, o.inTime[name], o.served[name], o.late[name], o.p50[name].Milliseconds(), o.p95[name].Milliseconds())
 	}
 	return s
 }
