Show refusals of accounts beyond their share

Cause: an operator cannot tell a refusal for the load of an account from one for the load of all. Change: the log field exceeded of a request, and the result exceeded of admissions_total, say that the account had used up its share. Result: TestRefusalNamesExceededShare fails if the account does not reach the decision.

--- a/internal/receiver/admission.go
+++ b/internal/receiver/admission.go
@@ -9,22 +9,22 @@
 
 // admit decides whether a request is sent to the target chosen for it, or else to the one that
 // would answer soonest, if that is idle: a cached prefix is no reason to refuse a request
-// while another target has nothing to do. It returns the target and, if the request is refused, the time until a target
-// may have room. The caller must hold the lock.
-func (d *Dispatcher) admit(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, list []chooser.Node) (chooser.PrefillChoice, time.Duration, bool) {
+// while another target has nothing to do. It returns the target and the decision. The caller must hold the lock.
+func (d *Dispatcher) admit(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, list []chooser.Node) (chooser.PrefillChoice, scheduler.Decision) {
 	v := d.decide(now, service, p, c, false)
 	if v.Admit {
-		return c, 0, true
+		return c, v
 	}
 	p.Soonest = true
 	soonest, ok := d.policy.Choose(now, p, list)
 	if !ok {
-		return c, v.After, false
+		return c, v
 	}
 	if w := d.decide(now, service, p, soonest, true); !w.Admit {
-		return c, min(v.After, w.After), false
+		v.After = min(v.After, w.After)
+		return c, v
 	}
-	return soonest, 0, true
+	return soonest, scheduler.Decision{Admit: true}
 }
 
 // decide decides whether a request is sent to the target chosen for it, or elsewhere. The
--- a/internal/receiver/admission_test.go
+++ b/internal/receiver/admission_test.go
@@ -57,3 +57,41 @@
 		t.Errorf("all targets busy: %v, want a refusal", err)
 	}
 }
+
+// Guards against shares that see no account: the decision must know who asks, and a refusal
+// must say that the account has used up its share.
+func TestRefusalNamesExceededShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	service := &resolver.Service{Name: "pool", Engine: &resolver.Engine{Slots: 4096, KVCapacity: 1 << 30, MaxTokensPerEvent: 5}}
+	d := NewDispatcher(chooser.Place{}, nil, retrier.New(rand.New(rand.NewPCG(1, 1))))
+	d.WithRoster(func(r *follower.Roster) {
+		r.Put(follower.Target{ID: "a", Service: "pool", Addr: "10.0.0.1:80", Slots: 4096})
+	})
+	exceeded := map[string]int{}
+	var open []ChosenTarget
+	for i := range 400 {
+		now = now.Add(50 * time.Millisecond)
+		account := "surging"
+		if i%8 == 0 {
+			account = "usual"
+		}
+		if i%2 == 0 && len(open) > 0 {
+			d.RecordFirstEvent(now, open[0])
+			d.FinishAttempt(now, open[0], nil)
+			open = open[1:]
+		}
+		chosen, err := d.Choose(now, service, restrictor.Places{}, chooser.PrefillRequest{
+			Tokens: 3000, MaxOutput: 100, Service: "pool", Account: account, FirstTokenTarget: 800 * time.Millisecond, ResponseTimeout: time.Minute,
+		}, nil, nil, true)
+		if err == nil {
+			open = append(open, chosen)
+		}
+		var overloaded overloadError
+		if errors.As(err, &overloaded) && overloaded.exceeded {
+			exceeded[account]++
+		}
+	}
+	if exceeded["surging"] == 0 || exceeded["usual"] > 0 {
+		t.Errorf("refusals of accounts beyond their share: %v, want only the surging one", exceeded)
+	}
+}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -61,7 +61,7 @@
 			j.refuse(http.StatusServiceUnavailable, Limited, limited.opensIn+rand.N(meanRetryDelay))
 			return
 		case errors.As(err, &overloaded):
-			j.lastTarget = chosen
+			j.lastTarget, j.summary.exceeded = chosen, overloaded.exceeded
 			j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(overloaded.retryAfter, meanRetryDelay), left/3)))
 			return
 		case errors.As(err, &paused) && !j.summary.mayHaveRun:
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -123,8 +123,12 @@
 var errNoTargets = errors.New("no ready target is left to try")
 
 // overloadError is the refusal of a request that no target can serve in time.
-// retryAfter is the time until a target may have capacity.
-type overloadError struct{ retryAfter time.Duration }
+// retryAfter is the time until a target may have capacity. exceeded means that the account
+// has used up its share.
+type overloadError struct {
+	retryAfter time.Duration
+	exceeded   bool
+}
 
 func (e overloadError) Error() string {
 	return fmt.Sprintf("targets overloaded; capacity expected in %v", e.retryAfter)
@@ -170,9 +174,9 @@
 		return ChosenTarget{}, d.noTargetError(now, n.fitting(versions), tried)
 	}
 	if service.Engine != nil && first {
-		var after time.Duration
-		if choice, after, ok = d.admit(now, service.Name, p, choice, n.list); !ok {
-			return ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}, overloadError{after}
+		var v scheduler.Decision
+		if choice, v = d.admit(now, service.Name, p, choice, n.list); !v.Admit {
+			return ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}, overloadError{v.After, v.Exceeded}
 		}
 	}
 	chosen := ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -142,6 +142,7 @@
 	cause       Cause
 	failure     error
 	mayHaveRun  bool   // a target may have run the request
+	exceeded    bool   // the account had used up its share when the request was refused
 	origin      string // software version that began a stream that is taken up, empty: not known
 	firstByteAt time.Time
 }
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -58,6 +58,9 @@
 		e.Str("version", j.lastTarget.Target.Version).Str("target", j.lastTarget.Target.ID).Str("addr", j.lastTarget.Target.Addr).Str("reason", j.lastTarget.Choice.Reason).
 			Int64("expected", j.lastTarget.Choice.Wait.Milliseconds()).Int("sends", j.sends).Int("dials", j.dials).Int("events", j.stream.events)
 	}
+	if j.summary.exceeded {
+		e.Bool("exceeded", true)
+	}
 	switch {
 	case j.summary.cause != Crashing:
 	case j.quarantined.Key.Part != 0:
@@ -147,6 +150,9 @@
 		if j.summary.cause == Overloaded {
 			result = "refused"
 		}
+		if j.summary.exceeded {
+			result = "exceeded"
+		}
 		j.r.scope.Tagged(map[string]string{"priority": strconv.Itoa(j.priority()), "result": result}).Counter(reporter.Admissions).Inc(1)
 	}
 	if notRunStatuses[j.summary.status] {
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -76,7 +76,7 @@
 	{Tokens, Counter, "tokens", []string{"model", "kind"}, "Prompt and output tokens billed."},
 	{InFlight, Gauge, "requests", []string{"service"}, "Requests being answered."},
 	{Refusals, Counter, "refusals", []string{"reason"}, "Requests refused as not run, by reason."},
-	{Admissions, Counter, "requests", []string{"priority", "result"}, "Requests to engines that were admitted, or refused because targets are overloaded, by priority."},
+	{Admissions, Counter, "requests", []string{"priority", "result"}, "Requests to engines that were admitted, or refused because targets are overloaded, by priority; exceeded: refused after their account had used up its share."},
 	{Retries, Counter, "retries", []string{"reason"}, "Attempts after the first."},
 	{Resumes, Counter, "resumes", nil, "Streams continued over a new connection."},
 	{Reservations, Counter, "reservations", []string{"result"}, "Reservations asked of the holder."},
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -57,8 +57,9 @@
 // Decision says whether a request is admitted. If not, After is the time until the target
 // may have room.
 type Decision struct {
-	Admit bool
-	After time.Duration
+	Admit    bool
+	After    time.Duration
+	Exceeded bool // the account has used up its share, while requests are refused
 }
 
 // Scheduler decides about the requests to one service.
@@ -91,7 +92,9 @@
 	if !r.Elsewhere {
 		shares.offer(now, r.Account, work)
 	}
-	d := s.decide(now, r, e, shares.exceeded(now, r.Account))
+	exceeded := shares.exceeded(now, r.Account)
+	d := s.decide(now, r, e, exceeded)
+	d.Exceeded = exceeded
 	if d.Admit {
 		shares.admit(now, r.Account, work)
 	}
