--- a/internal/chooser/learned_test.go
+++ b/internal/chooser/learned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -20,9 +21,13 @@
 // outcome sums up what callers got.
 type outcome struct {
 	worth    float64            // share of the worth of all requests in time
+	others   float64            // the same of the accounts without a surge
+	surging  float64            // served share of the account with a surge
+	usual    float64            // served share of the others
 	err      float64            // median error of the estimates
 	inTime   map[string]float64 // share of the requests, by workload
 	served   map[string]float64
+	late     map[string]float64       // share of the answers
 	p50, p95 map[string]time.Duration // of the time to first event
 }
 
@@ -34,22 +39,29 @@
 		wg.Go(func() { sims[i] = simulateStreams(uint64(i), l.deployment, l.factor, l.burst, policy(l.deployment)) })
 	}
 	wg.Wait()
-	sum, firsts := map[string]outcomeCounts{}, map[string][]time.Duration{}
+	sum, others, firsts := map[string]outcomeCounts{}, map[string]outcomeCounts{}, map[string][]time.Duration{}
 	var errors []float64
 	for _, m := range sims {
 		for name, c := range m.result {
 			sum[name] = sum[name].plus(c)
+			others[name] = others[name].plus(m.others[name])
 			firsts[name] = append(firsts[name], m.firsts[name]...)
 		}
 		errors = append(errors, m.errors...)
 	}
-	o := outcome{worth: l.deployment.earnedWorthShare(sum), inTime: map[string]float64{}, served: map[string]float64{}, p50: map[string]time.Duration{}, p95: map[string]time.Duration{}}
+	o := outcome{worth: l.deployment.earnedWorthShare(sum), others: l.deployment.earnedWorthShare(others), inTime: map[string]float64{}, served: map[string]float64{}, late: map[string]float64{}, p50: map[string]time.Duration{}, p95: map[string]time.Duration{}}
+	var surging, usual outcomeCounts
+	for name, c := range sum {
+		surging, usual = surging.plus(c.minus(others[name])), usual.plus(others[name])
+	}
+	o.surging, o.usual = surging.served(), usual.served()
 	slices.Sort(errors)
 	o.err = errors[len(errors)/2]
 	for name, c := range sum {
 		list := firsts[name]
 		slices.Sort(list)
 		o.inTime[name], o.served[name] = float64(c.inTime)/float64(c.sent), c.served()
+		o.late[name] = float64(c.late) / float64(max(1, c.inTime+c.late))
 		o.p50[name], o.p95[name] = list[len(list)/2], list[len(list)*95/100]
 	}
 	return o
@@ -57,8 +69,8 @@
 
 func (o outcome) String() string {
 	s := fmt.Sprintf("worth %.3f, error %.2f", o.worth, o.err)
-	for name, share := range o.inTime {
-		s += fmt.Sprintf("; %s in time %.3f, served %.3f, p50 %d, p95 %d", name, share, o.served[name], o.p50[name].Milliseconds(), o.p95[name].Milliseconds())
+	for _, name := range slices.Sorted(maps.Keys(o.inTime)) {
+		s += fmt.Sprintf("; %s in time %.3f, served %.3f, late %.3f, p50 %d, p95 %d", name, o.inTime[name], o.served[name], o.late[name], o.p50[name].Milliseconds(), o.p95[name].Milliseconds())
 	}
 	return s
 }
@@ -142,6 +154,37 @@
 	}
 }
 
+// Guards against an account with four times its usual demand that takes the shares of the
+// others while a tenth of the requests is refused, against limits that cost all accounts together more than seeds differ, and against
+// the starvation of that account: its fair share is what each other one may use, and at least
+// a quarter of its demand if the others get theirs.
+func TestSurgeOfOneAccount(t *testing.T) {
+	const seeds, capacity = 12, 1.3
+	for _, tt := range []struct {
+		routers int
+		factor  float64 // of capacity, without the surge
+	}{{4, 0.6}, {4, 0.9}, {4, 1.3}, {4, 2}, {30, 0.6}, {30, 0.9}, {30, 1.3}, {30, 2}} {
+		d := helpDesk
+		d.routers, d.accounts, d.surge = tt.routers, 6, 4
+		l := load{d, tt.factor * capacity, burst{}}
+		got := l.play(seeds, func(d deployment) placement { return newPrefillPlacement(d, true) })
+		without := l.play(seeds, func(d deployment) placement {
+			p := newPrefillPlacement(d, true)
+			p.anonymous = true
+			return p
+		})
+		name := fmt.Sprintf("%d instances at %v of capacity", tt.routers, tt.factor)
+		t.Logf("%s: worth %.3f, of the others %.3f, served %.3f and %.3f; without shares %.3f, %.3f, %.3f and %.3f", name,
+			got.worth, got.others, got.surging, got.usual, without.worth, without.others, without.surging, without.usual)
+		if got.others < without.others-0.01 || got.worth < without.worth-0.01 {
+			t.Errorf("%s: worth %.3f, of the others %.3f; without shares %.3f and %.3f", name, got.worth, got.others, without.worth, without.others)
+		}
+		if got.surging < got.usual/4 || got.surging >= got.usual && without.usual < 0.9 {
+			t.Errorf("%s: served share of the account with a surge is %.3f, of the others %.3f", name, got.surging, got.usual)
+		}
+	}
+}
+
 // Guards against a model that a few stalled engines or delayed first events spoil, and
 // one that stays at its defaults.
 func TestLatencyModelOutliers(t *testing.T) {
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -119,7 +119,7 @@
 	case errors.As(err, &limited) && !j.summary.mayHaveRun:
 		j.refuse(http.StatusServiceUnavailable, Limited, limited.opensIn+rand.N(meanRetryDelay))
 	case errors.As(err, &overloaded):
-		j.lastTarget = chosen
+		j.lastTarget, j.summary.exceeded = chosen, overloaded.exceeded
 		j.refuse(http.StatusServiceUnavailable, Overloaded, jitter(min(max(overloaded.retryAfter, meanRetryDelay), left/3)))
 	case errors.As(err, &paused) && !j.summary.mayHaveRun:
 		// Also if this is later than the caller can wait: no earlier attempt helps.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -146,6 +146,7 @@
 	cause       Cause
 	failure     error
 	mayHaveRun  bool   // a target may have run the request
+	exceeded    bool   // the account had used up its share when the request was refused
 	origin      string // software version that began a stream that is taken up, empty: not known
 	firstByteAt time.Time
 }
@@ -204,6 +205,9 @@
 	}
 	if j.service.Engine != nil {
 		p.Service, p.Priority = j.service.Name, j.priority()
+		if j.account != nil {
+			p.Account = j.account.Name
+		}
 		expected := j.meta.ExpectedOutputTokens
 		if expected == 0 {
 			expected = int64(expectedOutputShare * float64(j.meta.MaxOutputTokens))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,9 +9,9 @@
 	// Share of the latency objective that the expected wait behind a transient backlog
 	// may use. The estimate is often too long while the model of the engines is new or
 	// prefix caches are cold.
-	transientWaitShare = 1.3
+	transientWaitShare = 1.0
 	// The same behind a persistent backlog. Some of the waits are longer than expected.
-	persistentWaitShare = 0.85
+	persistentWaitShare = 0.9
 	// By how much these shares are lower for each more urgent priority in use.
 	urgencyStep = 0.2
 	// Lower limit of the shares, so that the least urgent requests do not starve.
@@ -21,6 +21,10 @@
 	persistentBacklogAge = 1500 * time.Millisecond
 	// A shorter backlog counts as none: it is a typical prompt that is half prefilled.
 	lowBacklog = 80 * time.Millisecond
+	// Upper limit of the backlog of a target that is offered a request which another one was
+	// chosen for. It reads prompt parts again that the other one has cached, which pays only
+	// if it would be idle otherwise: with 80 ms, or without this limit, callers gain less.
+	idleBacklog = 20 * time.Millisecond
 	// Share of the response timeout that the expected response time may use.
 	transientResponseShare = 1.0
 	// Share of the response timeout behind a persistent backlog.
@@ -36,8 +40,10 @@
 // Request is what the decision about a request depends on.
 type Request struct {
 	Priority  int           // 0 is the most urgent
+	Account   string        // client account, empty: has no share
 	Objective time.Duration // of the time to first token, 0: none
 	Left      time.Duration // until the deadline, 0: none
+	Elsewhere bool          // offered to another target than the one chosen for it
 }
 
 // Estimate is what is expected at the target that is chosen for a request.
@@ -51,13 +57,15 @@
 // Decision says whether a request is admitted. If not, After is the time until the target
 // may have room.
 type Decision struct {
-	Admit bool
-	After time.Duration
+	Admit    bool
+	After    time.Duration
+	Exceeded bool // the account has used up its share, while requests are refused
 }
 
 // Scheduler decides about the requests to one service.
 type Scheduler struct {
-	seen [priorities]time.Time // time of the last request
+	seen   [priorities]time.Time // time of the last request
+	shares [priorities]shares    // of the client accounts
 }
 
 // New returns a Scheduler that has seen no request.
@@ -72,13 +80,41 @@
 // Requests wait for a transient backlog, for example after a start. Without a backlog, a
 // request is admitted even if its own prompt takes too long: no later attempt would be
 // served sooner.
+//
+// While requests are refused, an account that asks for more than the others is refused
+// sooner, once it has used up its share.
 func (s *Scheduler) Decide(now time.Time, r Request, e Estimate) Decision {
+	r.Priority = min(max(0, r.Priority), priorities-1)
+	if r.Account == "" {
+		return s.decide(now, r, e, false)
+	}
+	shares, work := &s.shares[r.Priority], max(0, e.Wait-e.Backlog).Seconds()
+	if !r.Elsewhere {
+		shares.offer(now, r.Account, work)
+	}
+	exceeded := shares.exceeded(now, r.Account)
+	d := s.decide(now, r, e, exceeded)
+	d.Exceeded = exceeded
+	if d.Admit {
+		shares.admit(now, r.Account, work)
+	}
+	return d
+}
+
+// decide decides about a request of an account that may have used up its share.
+func (s *Scheduler) decide(now time.Time, r Request, e Estimate, exceeded bool) Decision {
 	rank := s.rank(now, r.Priority)
+	if r.Elsewhere && e.Backlog > idleBacklog {
+		return Decision{After: e.Backlog - idleBacklog}
+	}
 	waitShare, responseShare := transientWaitShare, transientResponseShare
 	if e.BacklogAge > persistentBacklogAge {
 		waitShare, responseShare = persistentWaitShare, persistentResponseShare
 	}
 	waitShare = max(minWaitShare, waitShare-urgencyStep*float64(rank))
+	if exceeded {
+		waitShare *= excessWaitShare
+	}
 	if limit := time.Duration(waitShare * float64(r.Objective)); r.Objective > 0 && e.Wait > limit && e.Backlog > lowBacklog {
 		return Decision{After: e.Wait - limit}
 	}
@@ -91,7 +127,6 @@
 // rank records a request of a priority and returns the number of more urgent priorities in
 // use.
 func (s *Scheduler) rank(now time.Time, priority int) int {
-	priority = min(max(0, priority), priorities-1)
 	s.seen[priority] = now
 	n := 0
 	for _, t := range s.seen[:priority] {
