--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,9 +9,9 @@
 	// Share of the latency objective that the expected wait behind a transient backlog
 	// may use. The estimate is often too long while the model of the engines is new or
 	// prefix caches are cold.
-	transientWaitShare = 1.0
+	transientWaitShare = 1.3
 	// The same behind a persistent backlog. Some of the waits are longer than expected.
-	persistentWaitShare = 0.9
+	persistentWaitShare = 0.85
 	// By how much these shares are lower for each more urgent priority in use.
 	urgencyStep = 0.2
 	// Lower limit of the shares, so that the least urgent requests do not starve.
