Test that slow witnesses of a lost instance are waited for

Cause: budgets composed before a live instance had told what it remembers passed all tests of granter. TestTestimonyIsWaitedFor does not detect it, since instances that have not told also count as lost, and one is then more than may be lost in its fleet of four. Change: a schedule by hand in which the composing instance has just started and takes twelve instances that are long gone for a part of the fleet. It expects three witnesses then, which are all slow; the lost instance, unknown to it, had only these. Result: fails without the condition of canCompose, passes with it. Three other removals are detected by tests that exist: Met of another era (TestGreetingOfFormerEra), a lost predecessor that is not counted (TestReplacedWitnessIsLost), lowerConfirmed (TestRaisedGrantIsConfirmedAgain).

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -737,6 +737,75 @@
 	}
 }
 
+// useUnknown makes a new instance, which those that are deaf do not hear of, use 10000 tokens
+// that only the witnesses given know of.
+func (f *fleet) useUnknown(name string, witnesses ...string) {
+	f.t.Helper()
+	f.start(name)
+	for _, ended := range f.former {
+		f.granters[name].RecordEnd(ended, 0)
+	}
+	for range 2 {
+		f.read(name)
+		for _, witness := range witnesses {
+			f.read(witness)
+		}
+	}
+	if !f.raiseAsNeeded(name, witnesses...) {
+		f.t.Fatal("confirmed grant is not used")
+	}
+	delete(f.ledgers, name) // the copy is older than its start
+}
+
+// goOn makes some instances work for so long that the rest are long silent.
+func (f *fleet) goOn(names ...string) {
+	for range 12 {
+		f.pass(idleAge / 10)
+		for _, name := range names {
+			f.writeLedger(name)
+			f.read(name)
+		}
+	}
+}
+
+// checkUnknown lets some instances register that are slow to tell what they remember. The one
+// given must not compose the budgets before that.
+func (f *fleet) checkUnknown(composer string, slow ...string) {
+	f.t.Helper()
+	for _, name := range slow {
+		f.writeLedger(name)
+	}
+	f.register(composer)
+	f.pass(tellTimeout)
+	f.read(composer)
+	if f.granters[composer].Complete() {
+		f.writeBudget(composer)
+		f.t.Errorf("composed with %d tokens granted, an instance that is not known has used 10000", f.budget.value.granted())
+	}
+}
+
+// Guards against budgets that are composed before live instances have told what they remember:
+// they may be all that know of a lost instance which is not known to others. The one that
+// composes has just started and takes instances that are long gone for a part of the fleet, so
+// it expects more witnesses than the lost one had.
+func TestSlowWitnessesAreWaitedFor(t *testing.T) {
+	f := newFleet(t, 17)
+	f.goOn("entry-0", "entry-1", "entry-2", "entry-3", "entry-4")
+	f.deaf = "entry-0 entry-4"
+	f.kill("entry-0")
+	f.start("entry-0")
+	f.read("entry-0")
+	for i := 5; i < 17; i++ {
+		f.kill(fmt.Sprint("entry-", i))
+		f.former = append(f.former, fmt.Sprint("entry-", i))
+	}
+	f.useUnknown("entry-17", "entry-1", "entry-2", "entry-3")
+	f.restore()
+	f.kill("entry-17")
+	f.register("entry-4")
+	f.checkUnknown("entry-0", "entry-1", "entry-2", "entry-3")
+}
+
 // Guards against an older read of a budget that arrives late and restores a grant which
 // has been returned since.
 func TestOlderBudgetIsIgnored(t *testing.T) {
