List a composition that counts new instances as former ones

Cause: canCompose compares those that have not told with witnesses(liveCount). Instances that start after the restore add to liveCount, although they knew no grant of former eras. With three instances, of which two are alive but slower than tellTimeout, and two new ones, the third composes without the tokens of a lost instance that only the two know. The product code stays as it is in this commit.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -806,6 +806,19 @@
 	f.checkUnknown("entry-0", "entry-1", "entry-2", "entry-3")
 }
 
+// Guards against budgets that are composed before live instances have told what they remember,
+// because instances that have started since the restore count as possible witnesses.
+func TestNewInstancesWereNoWitnesses(t *testing.T) {
+	f := newFleet(t, 3)
+	f.deaf = "entry-0"
+	f.useUnknown("entry-3", "entry-1", "entry-2")
+	f.restore()
+	f.kill("entry-3")
+	f.start("entry-4")
+	f.start("entry-5")
+	f.checkUnknown("entry-0", "entry-1", "entry-2")
+}
+
 // Guards against an older read of a budget that arrives late and restores a grant which
 // has been returned since.
 func TestOlderBudgetIsIgnored(t *testing.T) {
