Test that written-off tokens and gone instances do not count as lost

Cause: the conditions of canCompose that leave out tokens that were written off before and instances that were long gone passed the written tests when left out, since nothing was lost beside them. Change: a table with both cases, alone and beside one lost instance.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -784,6 +784,54 @@
 	}
 }
 
+// Guards against budgets that cannot be composed because tokens that were written off before, or
+// instances that were long gone, count as lost, alone or beside one that is lost.
+func TestNotLostAgain(t *testing.T) {
+	before := []struct {
+		name string
+		play func(f *fleet)
+	}{
+		{"tokens were written off", func(f *fleet) {
+			f.restore()
+			for _, name := range slices.Sorted(maps.Keys(f.granters)) {
+				f.kill(name)
+				f.start(name)
+			}
+			f.registerAll()
+			f.pass(writeOffDelay)
+			f.readAll()
+			f.writeBudget("entry-1")
+			f.readAll()
+		}},
+		{"instances were long gone", func(f *fleet) {
+			for _, name := range []string{"entry-4", "entry-5"} {
+				f.start(name)
+				f.readAll()
+				f.kill(name)
+			}
+			f.goOn("entry-0", "entry-1", "entry-2", "entry-3")
+		}},
+	}
+	for _, tt := range before {
+		for _, lost := range []string{"", "entry-0"} {
+			t.Run(fmt.Sprintf("%s, lost %q", tt.name, lost), func(t *testing.T) {
+				f := newFleet(t, 4)
+				tt.play(f)
+				old := f.budget.value.Grants[writtenOff].Granted
+				f.restore()
+				f.kill(lost)
+				if !f.registerAll().Complete() {
+					t.Fatal("budgets cannot be composed")
+				}
+				f.writeBudget("entry-3")
+				if got := f.budget.value.Grants[writtenOff].Granted; got != old {
+					t.Errorf("%d tokens are written off, %d were before", got, old)
+				}
+			})
+		}
+	}
+}
+
 // Guards against budgets that are composed before live instances have told what they remember:
 // they may be all that know of a lost instance which is not known to others. The one that
 // composes has just started and takes instances that are long gone for a part of the fleet, so
