Test restores before the budgets are composed, and write-offs of nothing

Cause: seven conditions of SetEra, activity, knowsItself, allComposed, checkComposed and withWriteOff passed the written tests when left out. Only a second restore before the budgets of the first are composed, an account without a limit, or a budget that grants more than is prepaid shows them. Change: three tests; the instances that are long gone in TestNotLostAgain are seen at work before. Result: each of the seven left out makes one of them fail. Without composedAt in activity, an instance that has used 10000 tokens is left out of the composed budget.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -807,6 +807,8 @@
 			for _, name := range []string{"entry-4", "entry-5"} {
 				f.start(name)
 				f.readAll()
+				f.writeLedger(name) // is seen to be at work
+				f.readAll()
 				f.kill(name)
 			}
 			f.goOn("entry-0", "entry-1", "entry-2", "entry-3")
@@ -832,6 +834,57 @@
 	}
 }
 
+// Guards against an instance that says of others that they are gone although it has read no budgets
+// of the era, so that it does not know what they were granted before the first of two restores.
+func TestGoneBeforeBudgetsAreComposed(t *testing.T) {
+	f := newFleet(t, 4)
+	if !f.raiseAsNeeded("entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.restore()
+	f.kill("entry-0")
+	f.kill("entry-1")
+	f.goOn("entry-2", "entry-3")
+	f.checkLoss(t, true, "entry-0")
+}
+
+// Guards against instances that cannot compose the budgets, or lose what they hold, if the store is
+// restored again before the budgets are composed, and against an account without a limit, which has
+// no budget, that keeps them from being settled.
+func TestRestoredTwice(t *testing.T) {
+	f := newFleet(t, 4)
+	if !f.raiseAsNeeded("entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
+	for _, g := range f.granters {
+		g.SetPrepaid("free-app", -1)
+	}
+	f.restore()
+	f.registerAll()
+	f.restore()
+	if !f.registerAll().Complete() {
+		t.Fatal("budgets cannot be composed although all instances live")
+	}
+	f.writeBudget("entry-1")
+	if got := f.budget.value.Grants["entry-0"]; got.Granted < 20_000 || got.Lost > 0 {
+		t.Errorf("composed with %+v of an instance that has 20000 tokens", got)
+	}
+	f.readAll()
+	if !f.granters["entry-2"].Settled() {
+		t.Error("budgets are not settled")
+	}
+}
+
+// Guards against a negative grant, which no process decodes, if instances remember more grants than
+// tokens are prepaid.
+func TestNothingToWriteOff(t *testing.T) {
+	b := Budget{}.WithGrant("entry-0", Grant{Granted: 10})
+	if got, ok := b.withWriteOff(5).Grants[writtenOff]; ok {
+		t.Errorf("written off %+v", got)
+	}
+}
+
 // Guards against budgets that are composed before live instances have told what they remember:
 // they may be all that know of a lost instance which is not known to others. The one that
 // composes has just started and takes instances that are long gone for a part of the fleet, so
