--- a/internal/granter/ends_test.go
+++ b/internal/granter/ends_test.go
@@ -502,6 +502,24 @@
 	}
 }
 
+// Guards against an instance that takes what a process knew at its end for known, because it has
+// read that there are no budgets yet after a first restore.
+func TestEndBeforeBudgetsAreComposed(t *testing.T) {
+	f := newFleet(t, 4)
+	if !f.raiseAsNeeded("entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.restore()
+	f.leave("entry-1", "refused")
+	for range 3 {
+		for _, name := range []string{"entry-0", "entry-2", "entry-3"} {
+			f.writeLedger(name)
+			f.read(name)
+		}
+	}
+	f.checkLoss(t, true, "entry-0")
+}
+
 // Guards against a new process that takes itself for introduced before it has seen who was
 // registered.
 func TestNotIntroducedBeforeElders(t *testing.T) {
