Test confirmations that arrive late

Cause: the checks of the era and of the version in Confirm passed the written tests when left out. Change: a confirmation arrives after a return and a new raise, or after a restore.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -1004,6 +1004,56 @@
 	}
 }
 
+// Guards against a confirmation that arrives late, and stands for a grant which the witnesses have
+// not seen: it was returned and raised again since, or the store was restored.
+func TestLateConfirmation(t *testing.T) {
+	tests := []struct {
+		name      string
+		confirmed int64 // before
+		meanwhile func(f *fleet)
+	}{
+		{"returned, a part was confirmed", 1000, func(f *fleet) { f.giveBack("entry-0") }},
+		{"restored", 0, func(f *fleet) {
+			f.restore()
+			f.registerAll()
+			f.writeBudget("entry-0")
+			f.readAll()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 4)
+			if tt.confirmed > 0 {
+				f.raiseConfirmed("entry-0", tt.confirmed, "entry-1")
+			}
+			f.checkLateConfirmation(t, tt.meanwhile)
+		})
+	}
+}
+
+// checkLateConfirmation raises a grant, and again after what happens meanwhile. Then the
+// confirmations of the first grant arrive.
+func (f *fleet) checkLateConfirmation(t *testing.T, meanwhile func(f *fleet)) {
+	t.Helper()
+	f.raise("entry-0", fleetPrepaid/2)
+	due := f.granters["entry-0"].NotesDue()
+	f.note("entry-0", "entry-1")
+	meanwhile(f)
+	f.raise("entry-0", fleetPrepaid/2)
+	for _, n := range due {
+		f.granters["entry-0"].Confirm(n)
+	}
+	f.checkLoss(t, f.use("entry-0", 10_000), "entry-0")
+}
+
+// giveBack makes an instance return what is unused, which all read.
+func (f *fleet) giveBack(name string) {
+	f.granters[name].Stop()
+	f.writeBudget(name)
+	f.granters[name].stopping = false
+	f.readAll()
+}
+
 // Guards against a negative grant, which no process decodes, if instances remember more grants than
 // tokens are prepaid.
 func TestNothingToWriteOff(t *testing.T) {
