--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -1054,6 +1054,12 @@
 	f.readAll()
 }
 
+// Guards against a late confirmation of a grant that was returned and raised again since, if nothing
+// was confirmed before the return.
+func TestLateFirstConfirmation(t *testing.T) {
+	newFleet(t, 4).checkLateConfirmation(t, func(f *fleet) { f.giveBack("entry-0") })
+}
+
 // Guards against a negative grant, which no process decodes, if instances remember more grants than
 // tokens are prepaid.
 func TestNothingToWriteOff(t *testing.T) {
