Test conditions of hand-overs and of processes that are not ready

Cause: ten conditions of Handover, RecordHandover, hasSuccessor, observeProcess and RecordNote passed the written tests when left out. Change: three tests.

--- a/internal/granter/ends_test.go
+++ b/internal/granter/ends_test.go
@@ -533,3 +533,67 @@
 		t.Errorf("knows elders %t, introduced %t", g.KnowsElders(), g.Introduced(f.now))
 	}
 }
+
+// Guards against a hand-over that is forgotten when a ledger of the same process, or of one before
+// it, is read once more: the processes would count as lost.
+func TestHandoverOutlastsLedgers(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ledger of the process before: %v", again), func(t *testing.T) {
+			f := newFleet(t, 4)
+			for _, name := range []string{"entry-2", "entry-3"} {
+				if former := f.ledgers[name]; again {
+					f.pass(time.Second)
+					f.kill(name)
+					f.start(name)
+					f.read(name)
+					f.ledgers[name] = former
+				}
+				f.handOver(name, "entry-0", "entry-1")
+				f.readAll()
+			}
+			f.restore()
+			if !f.registerAll().Complete() {
+				t.Error("budgets cannot be composed although all that ended have handed over")
+			}
+		})
+	}
+}
+
+// Guards against a process that confirms a grant, or takes over what another one knew, before it
+// is ready: it forgets that with the next era.
+func TestNoWitnessBeforeReady(t *testing.T) {
+	f := newFleet(t, 4)
+	f.raise("entry-0", 10_000)
+	f.granters["entry-1"].ready = false
+	if f.note("entry-0", "entry-1") != 0 {
+		t.Error("confirms a grant")
+	}
+	f.granters["entry-0"].Close()
+	if m, ok := f.granters["entry-0"].Handover(); !ok || f.granters["entry-1"].RecordHandover(f.now, m) {
+		t.Errorf("handed over %t, or taken over", ok)
+	}
+}
+
+// Guards against a process that hands over before it is closed or ready, or in a store without eras.
+func TestNothingToHandOver(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(g *Granter)
+	}{
+		{"not closed", func(g *Granter) { g.closed = false }},
+		{"not ready", func(g *Granter) { g.ready = false }},
+		{"no era", func(g *Granter) { g.era.number = 0 }},
+		{"not composed", func(g *Granter) { g.era.composedAt = 0 }},
+		{"new account", func(g *Granter) { g.SetPrepaid("carer-app", 1) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newFleet(t, 2).granters["entry-0"]
+			g.Close()
+			tt.change(g)
+			if _, ok := g.Handover(); ok {
+				t.Error("hands over")
+			}
+		})
+	}
+}
