Keep the case of gone instances that were seen once

Cause: since the gone instances of TestNotLostAgain are seen at work before, it no longer detected canCompose without !g.isIdle(name) in its last loop. Change: both cases are in the table. Result: the condition left out makes the test fail again.

--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -816,6 +816,14 @@
 			}
 			f.goOn("entry-0", "entry-1", "entry-2", "entry-3")
 		}},
+		{"instances that were seen once were long gone", func(f *fleet) {
+			for _, name := range []string{"entry-4", "entry-5"} {
+				f.start(name)
+				f.readAll()
+				f.kill(name)
+			}
+			f.goOn("entry-0", "entry-1", "entry-2", "entry-3")
+		}},
 	}
 	for _, tt := range before {
 		for _, lost := range []string{"", "entry-0"} {
