Remove two conditions without effect

SetEra: next.knowsOwn is true whenever g.era.memory is FullMemory or g.era.composedAt is positive, with one of which it was joined. knowsItself returns true for a positive composedAt. FullMemory is set only in SetEra, where knowsOwn is true, and Recover and RecoverLost, the only places that clear knowsOwn, also set another memory. observeProcess: an ending that is not in the map is the zero value, whose incarnation is empty, which the next operand excludes.

--- a/internal/granter/ends.go
+++ b/internal/granter/ends.go
@@ -197,7 +197,7 @@
 // observeProcess records that an instance has had another process than the one that has
 // handed over and those before it.
 func (g *Granter) observeProcess(name, incarnation string) {
-	if e, ended := g.ends[name]; ended && e.incarnation != "" && e.incarnation != incarnation && !slices.Contains(e.earlier, incarnation) {
+	if e := g.ends[name]; e.incarnation != "" && e.incarnation != incarnation && !slices.Contains(e.earlier, incarnation) {
 		g.recordLife(name)
 	}
 }
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -180,7 +180,7 @@
 		ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), greeted: make(map[string]string), sightings: g.era.sightings, lastRead: g.era.lastRead,
 	}
 	next.knowsOwn = g.knowsItself()
-	if next.knowsOwn && g.peersKnown && (g.era.memory == FullMemory || g.era.composedAt > 0) {
+	if g.peersKnown && (g.era.memory == FullMemory || g.era.composedAt > 0) {
 		next.memory = FullMemory
 	}
 	for name, a := range g.accounts {
