--- a/internal/granter/ends_test.go
+++ b/internal/granter/ends_test.go
@@ -475,3 +475,125 @@
 		t.Error("hands over before the budgets of the era are composed")
 	}
 }
+
+// Guards against a hand-over that omits what a process knows beyond the budgets that others have
+// read: the grant of another instance that it confirmed.
+func TestHandoverHasNewestGrants(t *testing.T) {
+	f := newFleet(t, 4)
+	if !f.raiseAsNeeded("entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.handOver("entry-1", "entry-2", "entry-3")
+	f.checkLoss(t, true, "entry-0")
+	if f.budget.version == 0 {
+		t.Error("budgets are not composed although the witness has handed over")
+	}
+}
+
+// Guards against a hand-over that arrives after a restore: others have told by then.
+func TestHandoverOfFormerEra(t *testing.T) {
+	f := newFleet(t, 4)
+	f.granters["entry-3"].Close()
+	m, ok := f.granters["entry-3"].Handover()
+	f.restore()
+	f.read("entry-0")
+	if !ok || f.granters["entry-0"].RecordHandover(f.now, m) {
+		t.Errorf("handed over %t, or taken over in the next era", ok)
+	}
+}
+
+// Guards against an instance that takes what a process knew at its end for known, because it has
+// read that there are no budgets yet after a first restore.
+func TestEndBeforeBudgetsAreComposed(t *testing.T) {
+	f := newFleet(t, 4)
+	if !f.raiseAsNeeded("entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.restore()
+	f.leave("entry-1", "refused")
+	for range 3 {
+		for _, name := range []string{"entry-0", "entry-2", "entry-3"} {
+			f.writeLedger(name)
+			f.read(name)
+		}
+	}
+	f.checkLoss(t, true, "entry-0")
+}
+
+// Guards against a new process that takes itself for introduced before it has seen who was
+// registered.
+func TestNotIntroducedBeforeElders(t *testing.T) {
+	f := newFleet(t, 4)
+	g := New(Identity{Name: "entry-4", Addr: "entry-4", Incarnation: "entry-4", Boot: "boot"})
+	g.SetEra(f.now, f.era)
+	g.Recover(f.now, Ledger{})
+	f.granters["entry-4"] = g
+	f.writeLedger("entry-4")
+	if g.KnowsElders() || g.Introduced(f.now) {
+		t.Errorf("knows elders %t, introduced %t", g.KnowsElders(), g.Introduced(f.now))
+	}
+}
+
+// Guards against a hand-over that is forgotten when a ledger of the same process, or of one before
+// it, is read once more: the processes would count as lost.
+func TestHandoverOutlastsLedgers(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ledger of the process before: %v", again), func(t *testing.T) {
+			f := newFleet(t, 4)
+			for _, name := range []string{"entry-2", "entry-3"} {
+				if former := f.ledgers[name]; again {
+					f.pass(time.Second)
+					f.kill(name)
+					f.start(name)
+					f.read(name)
+					f.ledgers[name] = former
+				}
+				f.handOver(name, "entry-0", "entry-1")
+				f.readAll()
+			}
+			f.restore()
+			if !f.registerAll().Complete() {
+				t.Error("budgets cannot be composed although all that ended have handed over")
+			}
+		})
+	}
+}
+
+// Guards against a process that confirms a grant, or takes over what another one knew, before it
+// is ready: it forgets that with the next era.
+func TestNoWitnessBeforeReady(t *testing.T) {
+	f := newFleet(t, 4)
+	f.raise("entry-0", 10_000)
+	f.granters["entry-1"].ready = false
+	if f.note("entry-0", "entry-1") != 0 {
+		t.Error("confirms a grant")
+	}
+	f.granters["entry-0"].Close()
+	if m, ok := f.granters["entry-0"].Handover(); !ok || f.granters["entry-1"].RecordHandover(f.now, m) {
+		t.Errorf("handed over %t, or taken over", ok)
+	}
+}
+
+// Guards against a process that hands over before it is closed or ready, or in a store without eras.
+func TestNothingToHandOver(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(g *Granter)
+	}{
+		{"not closed", func(g *Granter) { g.closed = false }},
+		{"not ready", func(g *Granter) { g.ready = false }},
+		{"no era", func(g *Granter) { g.era.number = 0 }},
+		{"not composed", func(g *Granter) { g.era.composedAt = 0 }},
+		{"new account", func(g *Granter) { g.SetPrepaid("carer-app", 1) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newFleet(t, 2).granters["entry-0"]
+			g.Close()
+			tt.change(g)
+			if _, ok := g.Handover(); ok {
+				t.Error("hands over")
+			}
+		})
+	}
+}
--- a/internal/granter/eras_test.go
+++ b/internal/granter/eras_test.go
@@ -383,6 +383,9 @@
 	}
 	f.pass(writeOffDelay)
 	f.readAll()
+	if !f.granters["entry-1"].Complete() {
+		t.Fatal("budget cannot be composed with a write-off")
+	}
 	f.writeBudget("entry-1")
 	f.raiseConfirmed("entry-2", 1000, "entry-0", "entry-1", "entry-3")
 	if f.use("entry-2", 1) {
@@ -737,6 +740,378 @@
 	}
 }
 
+// useUnknown makes a new instance, which those that are deaf do not hear of, use 10000 tokens
+// that only the witnesses given know of.
+func (f *fleet) useUnknown(name string, witnesses ...string) {
+	f.t.Helper()
+	f.start(name)
+	for _, ended := range f.former {
+		f.granters[name].RecordEnd(ended, 0)
+	}
+	for range 2 {
+		f.read(name)
+		for _, witness := range witnesses {
+			f.read(witness)
+		}
+	}
+	if !f.raiseAsNeeded(name, witnesses...) {
+		f.t.Fatal("confirmed grant is not used")
+	}
+	delete(f.ledgers, name) // the copy is older than its start
+}
+
+// goOn makes some instances work for so long that the rest are long silent.
+func (f *fleet) goOn(names ...string) {
+	for range 12 {
+		f.pass(idleAge / 10)
+		for _, name := range names {
+			f.writeLedger(name)
+			f.read(name)
+		}
+	}
+}
+
+// checkUnknown lets some instances register that are slow to tell what they remember. The one
+// given must not compose the budgets before that.
+func (f *fleet) checkUnknown(composer string, slow ...string) {
+	f.t.Helper()
+	for _, name := range slow {
+		f.writeLedger(name)
+	}
+	f.register(composer)
+	f.pass(tellTimeout)
+	f.read(composer)
+	if f.granters[composer].Complete() {
+		f.writeBudget(composer)
+		f.t.Errorf("composed with %d tokens granted, an instance that is not known has used 10000", f.budget.value.granted())
+	}
+}
+
+// Guards against budgets that cannot be composed because tokens that were written off before, or
+// instances that were long gone, count as lost, alone or beside one that is lost.
+func TestNotLostAgain(t *testing.T) {
+	before := []struct {
+		name string
+		play func(f *fleet)
+	}{
+		{"tokens were written off", func(f *fleet) {
+			f.restore()
+			for _, name := range slices.Sorted(maps.Keys(f.granters)) {
+				f.kill(name)
+				f.start(name)
+			}
+			f.registerAll()
+			f.pass(writeOffDelay)
+			f.readAll()
+			f.writeBudget("entry-1")
+			f.readAll()
+		}},
+		{"instances were long gone", func(f *fleet) {
+			for _, name := range []string{"entry-4", "entry-5"} {
+				f.start(name)
+				f.readAll()
+				f.writeLedger(name) // is seen to be at work
+				f.readAll()
+				f.kill(name)
+			}
+			f.goOn("entry-0", "entry-1", "entry-2", "entry-3")
+		}},
+		{"instances that were seen once were long gone", func(f *fleet) {
+			for _, name := range []string{"entry-4", "entry-5"} {
+				f.start(name)
+				f.readAll()
+				f.kill(name)
+			}
+			f.goOn("entry-0", "entry-1", "entry-2", "entry-3")
+		}},
+	}
+	for _, tt := range before {
+		for _, lost := range []string{"", "entry-0"} {
+			t.Run(fmt.Sprintf("%s, lost %q", tt.name, lost), func(t *testing.T) {
+				f := newFleet(t, 4)
+				tt.play(f)
+				old := f.budget.value.Grants[writtenOff].Granted
+				f.restore()
+				f.kill(lost)
+				if !f.registerAll().Complete() {
+					t.Fatal("budgets cannot be composed")
+				}
+				f.writeBudget("entry-3")
+				if got := f.budget.value.Grants[writtenOff].Granted; got != old {
+					t.Errorf("%d tokens are written off, %d were before", got, old)
+				}
+			})
+		}
+	}
+}
+
+// Guards against an instance that says of others that they are gone although it has read no budgets
+// of the era, so that it does not know what they were granted before the first of two restores.
+func TestGoneBeforeBudgetsAreComposed(t *testing.T) {
+	f := newFleet(t, 4)
+	if !f.raiseAsNeeded("entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.restore()
+	f.kill("entry-0")
+	f.kill("entry-1")
+	f.goOn("entry-2", "entry-3")
+	f.checkLoss(t, true, "entry-0")
+}
+
+// Guards against instances that cannot compose the budgets, or lose what they hold, if the store is
+// restored again before the budgets are composed, and against an account without a limit, which has
+// no budget, that keeps them from being settled.
+func TestRestoredTwice(t *testing.T) {
+	f := newFleet(t, 4)
+	if !f.raiseAsNeeded("entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
+	for _, g := range f.granters {
+		g.SetPrepaid("free-app", -1)
+	}
+	f.restore()
+	f.registerAll()
+	f.restore()
+	if !f.registerAll().Complete() {
+		t.Fatal("budgets cannot be composed although all instances live")
+	}
+	if f.granters["entry-2"].Settled() {
+		t.Error("budgets are settled before they are composed")
+	}
+	f.writeBudget("entry-1")
+	if got := f.budget.value.Grants["entry-0"]; got.Granted < 20_000 || got.Lost > 0 {
+		t.Errorf("composed with %+v of an instance that has 20000 tokens", got)
+	}
+	f.readAll()
+	if !f.granters["entry-2"].Settled() {
+		t.Error("budgets are not settled")
+	}
+}
+
+// Guards against an instance that takes another one for long gone because it has never read a ledger
+// of it: it has just started, and those that knew its grant are lost with it.
+func TestGreetedInstanceIsNotGone(t *testing.T) {
+	names := []string{"entry-0", "entry-1", "entry-2", "entry-3", "entry-4", "entry-5"}
+	f := newFleet(t, len(names))
+	f.goOn(names...)
+	f.start("entry-6")
+	f.read("entry-6") // greets the others
+	if !f.raiseAsNeeded("entry-6", "entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	delete(f.ledgers, "entry-6") // the copy is older than its start
+	f.checkLoss(t, true, "entry-6", "entry-0", "entry-1")
+}
+
+// Guards against an instance that spends tokens after a restore which it had returned with a write
+// whose response was lost: others may have been granted them since.
+func TestReturnWithoutResponse(t *testing.T) {
+	f := newFleet(t, 4)
+	f.raiseConfirmed("entry-0", 10_000, "entry-1")
+	g := f.granters["entry-0"]
+	g.Stop()
+	b, _ := g.PlanBudget(f.now, "rider-app")
+	g.BudgetSent("rider-app", b)
+	g.stopping = false
+	f.restore()
+	if f.use("entry-0", 10_000) {
+		t.Error("tokens are used that were returned")
+	}
+	if got, want := f.ledgers["entry-0"].Grants["rider-app"].Granted, b.Grants["entry-0"].Granted; got != want {
+		t.Errorf("ledger says %d tokens after a return that leaves %d", got, want)
+	}
+}
+
+// Guards against an instance that takes itself for a new one, because the copy is older than its
+// first start, and composes the budgets without what its predecessor has used.
+func TestUnknownPredecessor(t *testing.T) {
+	f := newFleet(t, 4)
+	if !f.raiseAsNeeded("entry-0", "entry-1") {
+		t.Fatal("confirmed grant is not used")
+	}
+	delete(f.ledgers, "entry-0")
+	f.restore()
+	f.kill("entry-0")
+	f.start("entry-0")
+	f.register("entry-1", "entry-2", "entry-3")
+	f.read("entry-0")
+	for _, name := range []string{"entry-0", "entry-1"} {
+		if !f.granters[name].Complete() {
+			continue
+		}
+		f.writeBudget(name)
+		if got := f.budget.value.Grants["entry-0"].Granted; got < 10_000 {
+			t.Errorf("%s composes with %d tokens of an instance that has used 10000", name, got)
+		}
+		return
+	}
+	t.Error("no instance composes the budgets")
+}
+
+// Guards against tokens that are written off because a hand-over did not reach all: one that it did
+// not reach has seen the same process at work.
+func TestHandoverReachesOne(t *testing.T) {
+	f := newFleet(t, 4)
+	for _, name := range []string{"entry-2", "entry-3"} {
+		f.writeLedger(name)
+	}
+	f.readAll()
+	f.handOver("entry-2", "entry-0")
+	f.handOver("entry-3", "entry-0")
+	f.restore()
+	if !f.registerAll().Complete() {
+		t.Error("budgets cannot be composed although all that ended have handed over")
+	}
+}
+
+// Guards against a process that composes the budgets without what its predecessor recorded, or
+// without what it holds itself.
+func TestComposerHasGrant(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		t.Run(fmt.Sprintf("started again: %v", again), func(t *testing.T) {
+			f := newFleet(t, 4)
+			if !f.raiseAsNeeded("entry-0", "entry-1") {
+				t.Fatal("confirmed grant is not used")
+			}
+			f.restore()
+			f.registerAll()
+			if again {
+				f.kill("entry-0")
+				f.start("entry-0")
+			}
+			f.read("entry-0")
+			if !f.granters["entry-0"].Complete() {
+				t.Fatal("budgets cannot be composed")
+			}
+			f.writeBudget("entry-0")
+			if got := f.budget.value.Grants["entry-0"].Granted; got < 10_000 {
+				t.Errorf("composed with %d tokens of an instance that has used 10000", got)
+			}
+		})
+	}
+}
+
+// Guards against the last instance of a fleet that composes the budgets without what one has used
+// that has handed over to it.
+func TestHandoverToLast(t *testing.T) {
+	f := newFleet(t, 2)
+	f.raiseConfirmed("entry-1", 10_000, "entry-0")
+	if !f.use("entry-1", 6_000) {
+		t.Fatal("confirmed grant is not used")
+	}
+	f.handOver("entry-1", "entry-0")
+	f.restore()
+	if !f.registerAll().Complete() {
+		t.Fatal("budgets cannot be composed")
+	}
+	f.writeBudget("entry-0")
+	if got := f.budget.value.Grants["entry-1"].Granted; got != 6_000 {
+		t.Errorf("composed with %d tokens of an instance that has used 6000", got)
+	}
+}
+
+// Guards against a confirmation that arrives late, and stands for a grant which the witnesses have
+// not seen: it was returned and raised again since, or the store was restored.
+func TestLateConfirmation(t *testing.T) {
+	tests := []struct {
+		name      string
+		confirmed int64 // before
+		meanwhile func(f *fleet)
+	}{
+		{"returned, a part was confirmed", 1000, func(f *fleet) { f.giveBack("entry-0") }},
+		{"restored", 0, func(f *fleet) {
+			f.restore()
+			f.registerAll()
+			f.writeBudget("entry-0")
+			f.readAll()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 4)
+			if tt.confirmed > 0 {
+				f.raiseConfirmed("entry-0", tt.confirmed, "entry-1")
+			}
+			f.checkLateConfirmation(t, tt.meanwhile)
+		})
+	}
+}
+
+// checkLateConfirmation raises a grant, and again after what happens meanwhile. Then the
+// confirmations of the first grant arrive.
+func (f *fleet) checkLateConfirmation(t *testing.T, meanwhile func(f *fleet)) {
+	t.Helper()
+	f.raise("entry-0", fleetPrepaid/2)
+	due := f.granters["entry-0"].NotesDue()
+	f.note("entry-0", "entry-1")
+	meanwhile(f)
+	f.raise("entry-0", fleetPrepaid/2)
+	for _, n := range due {
+		f.granters["entry-0"].Confirm(n)
+	}
+	f.checkLoss(t, f.use("entry-0", 10_000), "entry-0")
+}
+
+// giveBack makes an instance return what is unused, which all read.
+func (f *fleet) giveBack(name string) {
+	f.granters[name].Stop()
+	f.writeBudget(name)
+	f.granters[name].stopping = false
+	f.readAll()
+}
+
+// Guards against a late confirmation of a grant that was returned and raised again since, if nothing
+// was confirmed before the return.
+func TestLateFirstConfirmation(t *testing.T) {
+	newFleet(t, 4).checkLateConfirmation(t, func(f *fleet) { f.giveBack("entry-0") })
+}
+
+// Guards against a negative grant, which no process decodes, if instances remember more grants than
+// tokens are prepaid.
+func TestNothingToWriteOff(t *testing.T) {
+	b := Budget{}.WithGrant("entry-0", Grant{Granted: 10})
+	if got, ok := b.withWriteOff(5).Grants[writtenOff]; ok {
+		t.Errorf("written off %+v", got)
+	}
+}
+
+// Guards against budgets that are composed before live instances have told what they remember:
+// they may be all that know of a lost instance which is not known to others. The one that
+// composes has just started and takes instances that are long gone for a part of the fleet, so
+// it expects more witnesses than the lost one had.
+func TestSlowWitnessesAreWaitedFor(t *testing.T) {
+	f := newFleet(t, 17)
+	f.goOn("entry-0", "entry-1", "entry-2", "entry-3", "entry-4")
+	f.deaf = "entry-0 entry-4"
+	f.kill("entry-0")
+	f.start("entry-0")
+	f.read("entry-0")
+	for i := 5; i < 17; i++ {
+		f.kill(fmt.Sprint("entry-", i))
+		f.former = append(f.former, fmt.Sprint("entry-", i))
+	}
+	f.useUnknown("entry-17", "entry-1", "entry-2", "entry-3")
+	f.restore()
+	f.kill("entry-17")
+	f.register("entry-4")
+	f.checkUnknown("entry-0", "entry-1", "entry-2", "entry-3")
+}
+
+// Guards against budgets that are composed before live instances have told what they remember,
+// because instances that have started since the restore count as possible witnesses.
+func TestNewInstancesWereNoWitnesses(t *testing.T) {
+	f := newFleet(t, 3)
+	f.deaf = "entry-0"
+	f.useUnknown("entry-3", "entry-1", "entry-2")
+	f.restore()
+	f.kill("entry-3")
+	f.start("entry-4")
+	f.start("entry-5")
+	f.checkUnknown("entry-0", "entry-1", "entry-2")
+}
+
 // Guards against an older read of a budget that arrives late and restores a grant which
 // has been returned since.
 func TestOlderBudgetIsIgnored(t *testing.T) {
