Keep confirmations and witnesses of former eras apart from later ones

Two overspends after a restore of the store, found by written schedules. Instances that had started after the restore counted as witnesses of grants before it, so budgets were composed although more witnesses were lost than may be. And a grant that was returned and raised again accepted the late confirmation of the first one.

The instances that count are those of when the era was learned of, and a smaller grant also voids confirmations that are still to arrive. TestNewInstancesWereNoWitnesses and TestLateFirstConfirmation fail before and pass now.

--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -109,14 +109,14 @@
 	g.checkComposed(now)
 	// Conditional writes on older versions can no longer take effect.
 	a.pendingWrites = slices.DeleteFunc(a.pendingWrites, func(w pendingWrite) bool { return w.version < version })
-	grant := b.Grants[g.name]
+	grant, former := b.Grants[g.name], a.granted
 	if a.carried = a.carried && a.fenced && grant.WrittenBy != g.incarnation; a.carried {
 		// Another instance has composed this entry and may remember a larger grant.
 		a.granted = min(a.granted, grant.Granted)
 	} else {
 		a.granted = grant.Granted
 	}
-	a.lowerConfirmed(a.granted, version)
+	a.lowerConfirmed(former, a.granted, version)
 	if a.fenced {
 		return
 	}
@@ -144,7 +144,7 @@
 	a := g.account(name)
 	granted := b.Grants[g.name].Granted
 	a.pendingWrites = append(a.pendingWrites, pendingWrite{version: a.version, granted: granted})
-	a.lowerConfirmed(granted, a.version+1)
+	a.lowerConfirmed(a.granted, granted, a.version+1)
 }
 
 // BudgetNotWritten reports that the write announced last had no effect and never will.
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -132,8 +132,11 @@
 
 // eraState is the part of a [Granter] that belongs to the current era of the store.
 type eraState struct {
-	number   int64
-	began    time.Duration     // when this process learned of it
+	number int64
+	began  time.Duration // when this process learned of it
+	// fleet is how many instances counted when this process learned of the era. Those that
+	// have started since were no witnesses of grants in former eras.
+	fleet    int
 	former   int64             // the era before it in this process, 0: none, or the store said nothing
 	memory   Memory            // of this process
 	knowsOwn bool              // with lost memory, this process knows its own grants
@@ -176,7 +179,7 @@
 		return true
 	}
 	next := eraState{
-		number: era, began: now, former: g.era.number, memory: LostMemory,
+		number: era, began: now, fleet: g.liveCount(), former: g.era.number, memory: LostMemory,
 		ledgers: make(map[string]Ledger), memories: make(map[string]Testimony), met: make(map[string]bool), greeted: make(map[string]string), sightings: g.era.sightings, lastRead: g.era.lastRead,
 	}
 	next.knowsOwn = g.knowsItself()
@@ -395,7 +398,7 @@
 		}
 	}
 	if untold := g.untold(); untold > 0 {
-		if lost += untold; now-max(g.era.began, g.startedAt) < tellTimeout || lost > witnesses(g.liveCount()) {
+		if lost += untold; now-max(g.era.began, g.startedAt) < tellTimeout || lost > witnesses(min(g.era.fleet, g.liveCount())) {
 			return false // they may know of instances that this one has not heard of
 		}
 	}
@@ -731,10 +734,11 @@
 }
 
 // lowerConfirmed forgets confirmations that a smaller grant has made void: the
-// witnesses may have seen the smaller one since.
-func (a *account) lowerConfirmed(granted int64, version uint64) {
-	if granted < a.confirmed {
-		a.confirmed, a.confirmVersion = granted, version
+// witnesses may have seen the smaller one since. This includes confirmations of the former
+// grant that are still to arrive.
+func (a *account) lowerConfirmed(former, granted int64, version uint64) {
+	if granted < max(former, a.confirmed) {
+		a.confirmed, a.confirmVersion = min(granted, a.confirmed), version
 	}
 }
 
