--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -56,8 +56,8 @@
 	// the store counts as unreachable. An idle instance makes its next call within it.
 	contactTimeout = 6 * time.Second
 	// minOutage is how long calls have to fail for an outage. A single lost response is followed
-	// by another call sooner. Requests that need the store are not refused before, which is
-	// within an eighth of a latency objective of 4 s.
+	// by another call sooner. Requests that need the store wait for as long, within the part of
+	// their latency objective that a reservation may take.
 	minOutage = 500 * time.Millisecond
 	// lostRetryAfter is when to come back while the store is unreachable.
 	lostRetryAfter = 3 * time.Second
