--- a/internal/starter/version_test.go
+++ b/internal/starter/version_test.go
@@ -289,7 +289,7 @@
 	v.setEntries()
 	var traffic sync.WaitGroup
 	for range 2 {
-		traffic.Go(func() { v.run(9 * time.Second) })
+		traffic.Go(func() { v.run(13 * time.Second) }) // long enough that new streams reach the replaced targets on a busy machine
 	}
 	time.Sleep(2 * time.Second)
 	if n := v.f.store.CallsByKind()["get "+platform.KindRunners]; n > 0 {
