Say what counts as an unreachable store

Refusals for the rate of calls also end a round of writes of warnings; the comment named only missing responses. No code is changed. Linter and the tests of recorder pass.

--- a/internal/receiver/admission.go
+++ b/internal/receiver/admission.go
@@ -9,7 +9,8 @@
 
 // admit decides whether a request is sent to the target chosen for it, or else to the one that
 // would answer soonest, if that is idle: a cached prefix is no reason to refuse a request
-// while another target has nothing to do. It returns the target and the decision. The caller must hold the lock.
+// while another target has nothing to do. It returns the target and the decision. The caller
+// must hold the lock.
 func (d *Dispatcher) admit(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, list []chooser.Node) (chooser.PrefillChoice, scheduler.Decision) {
 	v := d.decide(now, service, p, c, false)
 	if v.Admit {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -187,7 +187,8 @@
 	return failed, again
 }
 
-// unreachable reports whether the store did not respond, so that other writes would fail too.
+// unreachable reports whether the store did not respond, or refused the call because it is
+// overloaded, so that other writes would fail too.
 func unreachable(err error) bool {
 	return errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrUncertain)
 }
