--- a/internal/flooder/flooder_test.go
+++ b/internal/flooder/flooder_test.go
@@ -58,7 +58,7 @@
 	ip := fmt.Sprintf("127.7.0.%d", 1+os.Getpid()%250) // the port for metrics is fixed
 	e := platformEntry{listeners: map[string]string{"metrics": net.JoinHostPort(ip, "9464")}}
 	for _, name := range []string{"callers", "ready", "peers"} {
-		e.listeners[name] = fmt.Sprintf("%s:%d", ip, FreePort(t))
+		e.listeners[name] = fmt.Sprintf("%s:%d", ip, platformtest.FreePort(t))
 	}
 	e.callers = e.listeners["callers"]
 	_, peer, err := net.SplitHostPort(e.listeners["peers"])
--- a/internal/flooder/process.go
+++ b/internal/flooder/process.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -153,14 +152,3 @@
 	}
 	return string(data[max(0, len(data)-2000):])
 }
-
-// FreePort returns a port of 127.0.0.1 that is free now.
-func FreePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
--- a/internal/launcher/fixture_test.go
+++ b/internal/launcher/fixture_test.go
@@ -33,6 +33,7 @@
 	"daisylane/internal/syncer"
 	"daisylane/internal/watcher"
 	"daisylane/internal/wirepb"
+	"daisylane/platform/platformtest"
 )
 
 const (
@@ -201,12 +202,7 @@
 
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", platformtest.FreePort(t))
 }
 
 // listInstance adds an instance to the platform's instance list.
--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -189,7 +189,7 @@
 // editedSettings writes the settings of an entry of a fleet.
 func editedSettings(t *testing.T, store, ip string) string {
 	t.Helper()
-	path := writeSettings(t, store, freePort(t), freePort(t), freePort(t))
+	path := writeSettings(t, store, platformtest.FreePort(t), platformtest.FreePort(t), platformtest.FreePort(t))
 	editSettings(t, path, func(s map[string]any) {
 		s["node_name"], s["ip"] = "edge-"+ip, ip
 		for _, name := range []string{"frontend", "ready"} {
--- a/internal/starter/previews_test.go
+++ b/internal/starter/previews_test.go
@@ -51,7 +51,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			callers, ready, peer := freePort(t), freePort(t), freePort(t)
+			callers, ready, peer := platformtest.FreePort(t), platformtest.FreePort(t), platformtest.FreePort(t)
 			path := writeSettings(t, strings.TrimPrefix(server.URL, "http://"), callers, ready, peer)
 			cfg, err := platform.LoadSettings(path)
 			if err != nil {
--- a/internal/starter/reload_test.go
+++ b/internal/starter/reload_test.go
@@ -79,7 +79,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			path := writeSettings(t, "127.0.0.1:1", freePort(t), freePort(t), freePort(t))
+			path := writeSettings(t, "127.0.0.1:1", platformtest.FreePort(t), platformtest.FreePort(t), platformtest.FreePort(t))
 			e, out, reload := startWatchingSettings(t, path)
 			time.Sleep(20 * time.Millisecond) // lets watchSettings take the first stamp of the file
 			editSettings(t, path, tt.edit)
--- a/internal/starter/starter_test.go
+++ b/internal/starter/starter_test.go
@@ -40,16 +40,6 @@
 	return b.b.String()
 }
 
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 func writeSettings(t *testing.T, store string, callers, ready, peer int) string {
 	t.Helper()
 	data, err := json.Marshal(map[string]any{
@@ -114,7 +104,7 @@
 		t.Fatal(err)
 	}
 	defer runner.Close()
-	callers, ready, peer := freePort(t), freePort(t), freePort(t)
+	callers, ready, peer := platformtest.FreePort(t), platformtest.FreePort(t), platformtest.FreePort(t)
 	path := writeSettings(t, strings.TrimPrefix(server.URL, "http://"), callers, ready, peer)
 	var out, errs syncBuffer
 	code := make(chan int, 1)
