--- a/internal/analyzer/stats.go
+++ b/internal/analyzer/stats.go
@@ -59,15 +59,15 @@
 // instances together had used at the time of each refusal.
 func (s *Stats) evaluateRefusals(name string, list []Request) Account {
 	a := Account{Name: name}
-	for _, r := range list {
+	for i, unused := range unusedTokens(list) {
+		r := list[i]
 		a.Prepaid, a.Delivered = r.Prepaid, a.Delivered+r.Tokens
-		if r.Budget == string(granter.Reserved) {
+		if r.granted() {
 			continue
 		}
 		a.Refused++
-		available := r.Prepaid - usedTokens(list, r.end)
-		a.Withheld = max(a.Withheld, available-max(0, r.Left))
-		if available >= r.Asked {
+		a.Withheld = max(a.Withheld, unused-max(0, r.Left))
+		if unused >= r.Asked {
 			a.Unfounded++
 			s.Causes[s.index(r)].Unfounded++
 		}
@@ -75,19 +75,38 @@
 	return a
 }
 
-// usedTokens returns the tokens of an account that were delivered or reserved at the
-// given time.
-func usedTokens(list []Request, at time.Time) int64 {
-	var sum int64
-	for _, r := range list {
-		began := r.end.Add(-time.Duration(r.Took) * time.Millisecond)
-		switch {
-		case r.Budget != string(granter.Reserved):
-		case !r.end.After(at):
-			sum += r.Tokens
-		case !began.After(at):
-			sum += r.Asked
+// granted reports whether the tokens that the request asked for were reserved.
+func (r Request) granted() bool {
+	return r.Budget == string(granter.Reserved)
+}
+
+func (r Request) began() time.Time {
+	return r.end.Add(-time.Duration(max(0, r.Took)) * time.Millisecond)
+}
+
+// unusedTokens returns for each request of one account the prepaid tokens that were
+// neither delivered nor reserved at its end. The requests must be sorted by their end.
+func unusedTokens(list []Request) []int64 {
+	starts := make([]int, 0, len(list)) // requests with reserved tokens, by their beginning
+	for i, r := range list {
+		if r.granted() {
+			starts = append(starts, i)
+		}
+	}
+	slices.SortFunc(starts, func(a, b int) int { return list[a].began().Compare(list[b].began()) })
+	unused := make([]int64, len(list))
+	var used int64
+	begun, ended := 0, 0
+	for i, r := range list {
+		for ; begun < len(starts) && !list[starts[begun]].began().After(r.end); begun++ {
+			used += list[starts[begun]].Asked
+		}
+		for ; ended < len(list) && !list[ended].end.After(r.end); ended++ {
+			if e := list[ended]; e.granted() {
+				used += e.Tokens - e.Asked
+			}
 		}
+		unused[i] = r.Prepaid - used
 	}
-	return sum
+	return unused
 }
--- a/internal/analyzer/timeline.go
+++ b/internal/analyzer/timeline.go
@@ -37,18 +37,11 @@
 func (l *Log) stateBefore(end Line) []Line {
 	latest := make(map[string]Line)
 	for _, line := range l.Lines {
-		kind, ok := stateKinds[line.Msg]
 		if line.Msg == msgStarted && line.Instance == end.Instance && !line.Time.After(end.Time) {
 			clear(latest) // the state of an earlier process was lost with the restart
 		}
-		switch {
-		case !ok, line.Instance != end.Instance, line.Time.After(end.Time):
-		case line.Text("id") == end.Text("id"): // already included as a line of the request
-		case !lastingKinds[kind] && end.Time.Sub(line.Time) > maxStateAge:
-		case quarantineFields[kind] != "" && !line.sharesField(end, quarantineFields[kind]):
-		case kind == "target" && line.Text("target") != end.Text("target"):
-		default:
-			latest[kind] = line
+		if line.isStateOf(end) {
+			latest[stateKinds[line.Msg]] = line
 		}
 	}
 	var lines []Line
@@ -58,6 +51,23 @@
 	return lines
 }
 
+// isStateOf reports whether a line is a state change that belongs to the timeline of a
+// request, unless a later one of the same kind or a start follows.
+func (l Line) isStateOf(end Line) bool {
+	kind, ok := stateKinds[l.Msg]
+	switch {
+	case !ok, l.Instance != end.Instance, l.Time.After(end.Time):
+		return false
+	case l.Text("id") == end.Text("id"): // already included as a line of the request
+		return false
+	case !lastingKinds[kind] && end.Time.Sub(l.Time) > maxStateAge:
+		return false
+	case quarantineFields[kind] != "":
+		return l.sharesField(end, quarantineFields[kind])
+	}
+	return kind != "target" || l.Text("target") == end.Text("target")
+}
+
 // sharesField reports whether two lines have a field with the same text.
 func (l Line) sharesField(other Line, name string) bool {
 	return l.Text(name) != "" && l.Text(name) == other.Text(name)
@@ -66,23 +76,27 @@
 // crashesBefore returns the latest attempts of any instance under which a target crashed
 // and that have the prompt part or the fingerprint for which a request was refused.
 func (l *Log) crashesBefore(end Line) []Line {
-	list, reason := "parts", end.Text(fieldPart)
-	if reason == "" {
-		list, reason = "fingerprints", end.Text(fieldFingerprint)
-	}
-	if reason == "" {
-		return nil
-	}
 	var lines []Line
 	for _, line := range l.Lines {
-		values, _ := line.Fields[list].([]any)
-		if crashed, _ := line.Fields["crashed"].(bool); crashed && slices.Contains(values, any(reason)) && !line.Time.After(end.Time) {
+		if line.isCrashOf(end) {
 			lines = append(lines, line)
 		}
 	}
 	return lines[max(0, len(lines)-maxCrashes):]
 }
 
+// isCrashOf reports whether a line is an attempt under which a target crashed and that
+// has the prompt part or the fingerprint for which a request was refused.
+func (l Line) isCrashOf(end Line) bool {
+	list, reason := "parts", end.Text(fieldPart)
+	if reason == "" {
+		list, reason = "fingerprints", end.Text(fieldFingerprint)
+	}
+	values, _ := l.Fields[list].([]any)
+	crashed, _ := l.Fields["crashed"].(bool)
+	return reason != "" && crashed && slices.Contains(values, any(reason)) && !l.Time.After(end.Time)
+}
+
 // summary returns a sentence that describes the outcome of the request.
 func summary(end Line) string {
 	r, ok := end.request()
