--- a/internal/analyzer/analyzer_test.go
+++ b/internal/analyzer/analyzer_test.go
@@ -101,12 +101,16 @@
 // panic.
 func FuzzRead(f *testing.F) {
 	f.Add(sample)
+	f.Add(dayLog)
 	f.Fuzz(func(t *testing.T, text string) {
 		log, err := Read(strings.NewReader(text))
 		if err != nil {
 			return
 		}
 		log.Stats()
+		if _, err := Summarize(strings.NewReader(text)); err != nil {
+			t.Fatal(err)
+		}
 		for _, l := range log.Lines {
 			if _, err := log.Timeline(l.Text("id")); err != nil && !errors.Is(err, ErrUnknown) {
 				t.Fatal(err)
--- a/internal/analyzer/types.go
+++ b/internal/analyzer/types.go
@@ -1,14 +1,22 @@
 // Package analyzer evaluates the logs of entries: it reconstructs what happened to
-// one request, and counts refusals by cause.
+// one request, counts refusals by cause, and summarizes a day.
 //
 // A log may contain the lines of several instances in any order. A line may have
 // text before its JSON object, such as the prefix of a log collector.
 //
+// # Load
+//
+// [Read] keeps all lines, for logs of up to some hundred thousand lines. [Summarize] reads
+// the log twice and keeps a record of each request, about 1.2 kB at the peak, the counts of each time
+// bucket, and a bounded number of other lines, for logs of some million requests.
+//
 // # Usage
 //
 //	log, err := analyzer.Read(os.Stdin)
 //	timeline, err := log.Timeline("e9b7d4be35aba2df")
 //	stats := log.Stats()
+//
+//	day, err := analyzer.Summarize(file, analyzer.WithLate(time.Second))
 package analyzer
 
 import (
@@ -20,8 +28,13 @@
 
 // Log messages that the analysis depends on.
 const (
-	msgRequest = "request"
-	msgStarted = "started"
+	msgRequest     = "request"
+	msgAttempt     = "attempt failed"
+	msgStarted     = "started"
+	msgStopped     = "stopped"
+	msgRecovered   = "budgets recovered"
+	msgNotReturned = "tokens not given back"
+	msgLeftOut     = "lines of faulty requests left out"
 )
 
 // Fields that say why a request was refused as crashing targets.
@@ -89,18 +102,25 @@
 // Request is the log line that is written at the end of a request. Took is in
 // milliseconds.
 type Request struct {
-	ID      string         `json:"id"`
-	Account string         `json:"account"`
-	Service string         `json:"service"`
-	Outcome receiver.Cause `json:"outcome"`
-	Took    int64          `json:"took"`
-	Budget  string         `json:"budget"`
-	Asked   int64          `json:"asked"`
-	Prepaid int64          `json:"prepaid"`
-	Tokens  int64          `json:"tokens"`
-	Left    int64          `json:"left"`
-
-	end time.Time
+	ID          string         `json:"id"`
+	Route       string         `json:"route"`
+	Account     string         `json:"account"`
+	Service     string         `json:"service"`
+	Target      string         `json:"target"`
+	Outcome     receiver.Cause `json:"outcome"`
+	Took        int64          `json:"took"`
+	First       int64          `json:"first"` // milliseconds to the first event, 0 if there was none
+	Budget      string         `json:"budget"`
+	Asked       int64          `json:"asked"`
+	Prepaid     int64          `json:"prepaid"`
+	Tokens      int64          `json:"tokens"`
+	Left        int64          `json:"left"`
+	Held        int64          `json:"held"` // tokens granted to the instance
+	Part        string         `json:"part"`
+	Fingerprint string         `json:"fingerprint"`
+
+	instance string
+	end      time.Time
 }
 
 // Timeline holds the events related to one request, sorted by time.
--- a/internal/operator/explain_log.go
+++ b/internal/operator/explain_log.go
@@ -51,7 +51,7 @@
 	printLine(w, "%s\n", t.Summary)
 	var rows [][]string
 	for _, e := range t.Events {
-		rows = append(rows, []string{"-" + e.Before.Round(time.Millisecond).String(), cmp.Or(e.Instance, "-"), e.Msg, cmp.Or(formatDetails(e.Fields), "-")})
+		rows = append(rows, []string{"-" + e.Before.Round(time.Millisecond).String(), cmp.Or(e.Instance, "-"), e.Msg, cmp.Or(analyzer.FormatFields(e.Fields), "-")})
 	}
 	printTable(w, "BEFORE INSTANCE EVENT DETAILS", rows)
 }
--- a/internal/operator/explain_preview.go
+++ b/internal/operator/explain_preview.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"daisylane/internal/analyzer"
 	"daisylane/internal/previewer"
 	"daisylane/internal/receiver"
 )
@@ -173,7 +174,7 @@
 func printSteps(w io.Writer, steps []previewer.Step) {
 	var rows [][]string
 	for _, s := range steps {
-		details := formatDetails(s.Details)
+		details := analyzer.FormatFields(s.Details)
 		if s.Wait > 0 {
 			details = strings.TrimSpace(fmt.Sprintf("wait=%d %s", s.Wait, details))
 		}
--- a/internal/operator/timeline.go
+++ b/internal/operator/timeline.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -95,19 +94,6 @@
 	return e
 }
 
-// formatDetails formats details as key=value pairs, sorted by key.
-func formatDetails(details map[string]any) string {
-	var list []string
-	for _, key := range slices.Sorted(maps.Keys(details)) {
-		value := fmt.Sprint(details[key])
-		if strings.ContainsAny(value, " \t\n\"=") {
-			value = fmt.Sprintf("%q", value)
-		}
-		list = append(list, key+"="+value)
-	}
-	return strings.Join(list, " ")
-}
-
 func (e event) detail(key string) string {
 	if v, ok := e.Details[key]; ok {
 		return fmt.Sprint(v)
--- a/internal/operator/timeline_print.go
+++ b/internal/operator/timeline_print.go
@@ -6,6 +6,8 @@
 	"io"
 	"strings"
 	"time"
+
+	"daisylane/internal/analyzer"
 )
 
 const offsetPrecision = 100 * time.Microsecond
@@ -44,7 +46,7 @@
 	for _, e := range t.events {
 		offset := e.Time.Sub(t.events[0].Time).Round(offsetPrecision)
 		rows = append(rows, []string{
-			"+" + offset.String(), e.process, cmp.Or(e.Step, "-"), cmp.Or(e.Decision, "-"), e.reasonText(), cmp.Or(formatDetails(e.Details), "-"),
+			"+" + offset.String(), e.process, cmp.Or(e.Step, "-"), cmp.Or(e.Decision, "-"), e.reasonText(), cmp.Or(analyzer.FormatFields(e.Details), "-"),
 		})
 	}
 	printTable(w, "OFFSET PROCESS STEP DECISION REASON DETAILS", rows)
