--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"daisylane/internal/connector"
 	"daisylane/internal/watcher"
@@ -14,8 +15,10 @@
 )
 
 type explain struct {
-	env *env
-	Log string `long:"log" value-name:"FILE" description:"read a log file of entries on the users' platform, - for standard input; without REQUEST, print counts of refusals by cause"`
+	env    *env
+	Log    string        `long:"log" value-name:"FILE" description:"read a log file of entries on the users' platform, - for standard input; without REQUEST, print counts of refusals by cause"`
+	Report string        `long:"report" value-name:"FILE" description:"write a page about the day of --log as one HTML file"`
+	Late   time.Duration `long:"late" value-name:"DURATION" default:"1s" description:"with --report: answers whose first event comes later than that are late"`
 	preview
 	Args struct {
 		Request string `positional-arg-name:"REQUEST" description:"request id, as in the response to the caller"`
@@ -27,6 +30,8 @@
 // Execute implements [flags.Commander].
 func (c *explain) Execute([]string) error {
 	switch {
+	case c.Report != "":
+		return c.writeReport()
 	case c.Log != "":
 		return c.explainLog()
 	case c.Socket != "":
