--- a/internal/analyzer/day_test.go
+++ b/internal/analyzer/day_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"os"
 	"reflect"
 	"slices"
@@ -89,7 +90,13 @@
 		fmt.Fprintf(&crashes, `{"instance":"entry-%d","id":"c%d","crashed":true,"parts":["f00d"],"time":"2026-01-02T15:04:%02dZ","msg":"attempt failed"}`+"\n", i%3, i, (i*7)%30)
 	}
 	crashes.WriteString(`{"instance":"entry-1","id":"r1","service":"s","outcome":"crashing","part":"f00d","time":"2026-01-02T15:04:25Z","msg":"request"}` + "\n")
-	for _, text := range []string{sample, dayLog, crashes.String()} {
+	// All states change at the time of the start, which must neither void nor reorder them.
+	var ties strings.Builder
+	for _, msg := range append([]string{msgStarted}, slices.DeleteFunc(slices.Sorted(maps.Keys(stateKinds)), func(msg string) bool { return msg == msgStarted })...) {
+		fmt.Fprintf(&ties, `{"instance":"e","time":"2026-01-02T15:04:00Z","msg":%q}`+"\n", msg)
+	}
+	ties.WriteString(`{"instance":"e","id":"r1","outcome":"busy","time":"2026-01-02T15:04:01Z","msg":"request"}` + "\n")
+	for _, text := range []string{sample, dayLog, crashes.String(), ties.String()} {
 		log, err := Read(strings.NewReader(text))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/analyzer/day_timelines.go
+++ b/internal/analyzer/day_timelines.go
@@ -120,7 +120,12 @@
 // timeline returns the timeline of a request from the lines that belong to it.
 func (s *dayBuilder) timeline(i int, c *candidate) DayTimeline {
 	r := &s.requests[i]
-	lines := append(slices.Collect(maps.Values(c.state)), c.started)
+	lines := []Line{c.started} // before the other lines of the same time, which it would void
+	for _, line := range c.state {
+		if line.Msg != msgStarted {
+			lines = append(lines, line)
+		}
+	}
 	lines = append(append(lines, c.own...), c.crashes...)
 	lines = slices.DeleteFunc(lines, func(l Line) bool { return l.Msg == "" })
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
--- a/internal/analyzer/timeline.go
+++ b/internal/analyzer/timeline.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -45,8 +46,8 @@
 		}
 	}
 	var lines []Line
-	for _, line := range latest {
-		lines = append(lines, line)
+	for _, kind := range slices.Sorted(maps.Keys(latest)) {
+		lines = append(lines, latest[kind])
 	}
 	return lines
 }
--- a/internal/operator/explain_report.go
+++ b/internal/operator/explain_report.go
@@ -32,29 +32,41 @@
 	return writeWhole(c.Report, func(w io.Writer) error { return renderer.Render(w, day) })
 }
 
-// openLog opens a log that can be read twice. Standard input is copied to a temporary file
-// that is removed at once.
+// openLog opens a log that can be read twice. What is not a regular file, such as standard
+// input or a pipe, is copied to a temporary file without a name.
 func openLog(name string) (*os.File, error) {
-	if name != stdinName {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, fmt.Errorf("%w: open log: %w", errUsage, err)
-		}
+	if name == stdinName {
+		return copyLog(os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("%w: open log: %w", errUsage, err)
+	}
+	info, err := f.Stat()
+	if err == nil && info.Mode().IsRegular() {
 		return f, nil
 	}
+	defer f.Close()
+	if err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	return copyLog(f)
+}
+
+func copyLog(r io.Reader) (*os.File, error) {
 	f, err := os.CreateTemp("", "daisylane-log-*")
 	if err != nil {
-		return nil, fmt.Errorf("copy standard input: %w", err)
+		return nil, fmt.Errorf("copy log: %w", err)
 	}
 	err = os.Remove(f.Name())
 	if err == nil {
-		_, err = io.Copy(f, os.Stdin)
+		_, err = io.Copy(f, r)
 	}
 	if err == nil {
 		_, err = f.Seek(0, io.SeekStart)
 	}
 	if err != nil {
-		return nil, errors.Join(fmt.Errorf("copy standard input: %w", err), f.Close())
+		return nil, fmt.Errorf("read log: %w", errors.Join(err, f.Close()))
 	}
 	return f, nil
 }
--- a/internal/renderer/chart.go
+++ b/internal/renderer/chart.go
@@ -92,8 +92,7 @@
 
 var textFont = font.Font{Typeface: "Liberation", Variant: "Sans", Size: textSize}
 
-// ticks labels the time axis with the time of day, and with the date on the first label
-// and on wide axes.
+// ticks labels the time axis with the time of day, or with dates on wide axes.
 func (a axis) ticks(_, _ float64) []plot.Tick {
 	layout := "15:04:05"
 	if a.width >= 24*time.Hour {
