Chart failures by route and account, and bound the time axis

A line of an instance whose clock is years off squeezed all requests into one time bucket of the charts. Two charts show refused and failed requests by service and route and by client account.

--- a/internal/analyzer/day.go
+++ b/internal/analyzer/day.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"daisylane/internal/receiver"
@@ -61,7 +62,7 @@
 	s := &dayBuilder{dayReader: d}
 	slices.SortStableFunc(d.requests, func(a, b Request) int { return a.end.Compare(b.end) })
 	day := d.day
-	day.From, day.To, day.Requests, day.Instances = d.from, d.to, len(d.requests), len(d.instances)
+	day.Log, day.Requests, day.Instances = [2]time.Time{d.from, d.to}, len(d.requests), len(d.instances)
 	s.divide()
 	s.countFaults()
 	s.evaluate()
@@ -81,8 +82,24 @@
 	return s
 }
 
-// divide chooses the buckets.
+// minMargin is how far from the requests the charts reach at least, if the log does.
+const minMargin = time.Hour
+
+// divide chooses the buckets. Lines further from all requests than the requests from each
+// other, such as those of an instance whose clock was wrong at its start, are counted in
+// the outermost buckets.
 func (s *dayBuilder) divide() {
+	if n := len(s.requests); n > 0 {
+		first, last := s.requests[0].end, s.requests[n-1].end
+		margin := max(minMargin, last.Sub(first))
+		if start := first.Add(-margin); s.from.Before(start) {
+			s.from = start
+		}
+		if end := last.Add(margin); s.to.After(end) {
+			s.to = end
+		}
+	}
+	s.day.From, s.day.To = s.from, s.to
 	span := min(s.to.Sub(s.from), maxDay)
 	i := slices.IndexFunc(widths, func(w time.Duration) bool { return span/w < maxBuckets })
 	width := widths[len(widths)-1]
@@ -99,7 +116,7 @@
 
 // bucket returns the bucket of a time in Unix seconds.
 func (s *dayBuilder) bucket(at int64) int {
-	return int(min((at-s.start)/s.width, int64(s.buckets-1)))
+	return int(max(0, min((at-s.start)/s.width, int64(s.buckets-1))))
 }
 
 func (s *dayBuilder) countFaults() {
@@ -239,6 +256,7 @@
 // countRequests counts the requests by class, cause, service, route and account.
 func (s *dayBuilder) countRequests() {
 	classes, causes, services, accounts, refusals := s.table(), s.table(), s.table(), s.table(), s.table()
+	routeFaults, accountFaults := s.table(), s.table()
 	rows := make(map[[2]string]*Row)
 	byAccount := make(map[string]*AccountRow)
 	for i := range s.requests {
@@ -254,6 +272,10 @@
 		if r.Account != "" {
 			accounts.add(r.Account, r.end, 1)
 		}
+		if class == Rejected || class == Failed {
+			routeFaults.add(strings.TrimSpace(cmp.Or(r.Service, "(none)")+" "+r.Route), r.end, 1)
+			accountFaults.add(cmp.Or(r.Account, "(none)"), r.end, 1)
+		}
 		if r.forTokens() {
 			refusals.add(foundedName(s.isUnfounded(i)), r.end, 1)
 		}
@@ -277,6 +299,7 @@
 	day := s.day
 	day.Classes, day.Causes = classes.ordered(names...), s.largest(causes.sorted())
 	day.Services, day.Accounts = s.largest(services.sorted()), s.largest(accounts.sorted())
+	day.RouteFaults, day.AccountFaults = s.largest(routeFaults.sorted()), s.largest(accountFaults.sorted())
 	if len(refusals.series) > 0 {
 		day.Refusals = refusals.ordered(foundedName(false), foundedName(true))
 	}
--- a/internal/analyzer/day_test.go
+++ b/internal/analyzer/day_test.go
@@ -61,6 +61,7 @@
 		{"width", day.Width, time.Second},
 		{"faults", day.Faults, Faults{Skipped: 2, Dropped: 7, Unfinished: 1, Unstarted: 1, Killed: 1}},
 		{"classes", seriesOf(day.Classes), "answered[0 0 0 0 1 0 0 0 0 0] refused[0 0 0 0 0 0 1 1 0 0] failed[0 0 0 0 0 0 0 0 0 0] left by the caller[0 0 0 0 0 0 0 0 0 0]"},
+		{"faults of routes", seriesOf(day.RouteFaults), "s p[0 0 0 0 0 0 1 1 0 0]"},
 		{"refusals", seriesOf(day.Refusals), "founded[0 0 0 0 0 0 0 1 0 0] unfounded[0 0 0 0 0 0 1 0 0 0]"},
 		{"granted", seriesOf(day.Granted), "a[0 0 0 0 500 500 500 800 800 800]"},
 		{"spent", seriesOf(day.Spent), "a[0 0 0 0 200 0 0 0 0 0]"},
@@ -143,6 +144,9 @@
 	if day.Faults.Skipped != 1 || day.Requests != n {
 		t.Errorf("%d lines skipped, %d requests, want 1 and %d", day.Faults.Skipped, day.Requests, n)
 	}
+	if day.To.Year() != 2026 || day.Log[1].Year() != 9999 {
+		t.Errorf("charts end %v, the log %v", day.To, day.Log[1])
+	}
 	for _, tt := range []struct {
 		what              string
 		got, limit, total int
--- a/internal/analyzer/day_types.go
+++ b/internal/analyzer/day_types.go
@@ -55,7 +55,8 @@
 
 // Day summarizes a log. Series have one value for each bucket, or none.
 type Day struct {
-	From, To  time.Time
+	From, To  time.Time     // of the charts
+	Log       [2]time.Time  // first and last line
 	Width     time.Duration // of a bucket
 	Buckets   int
 	Late      time.Duration // time to the first event from which an answer counts as late
@@ -68,6 +69,9 @@
 	Services []Series // requests, by service
 	Accounts []Series // requests, by account
 
+	RouteFaults   []Series // requests that were refused or failed, by service and route
+	AccountFaults []Series // the same by account
+
 	Refusals []Series // refusals for tokens, founded and unfounded
 	Granted  []Series // tokens that instances hold, spent ones included, by account
 	Spent    []Series // tokens delivered, by account
--- a/internal/renderer/chart.go
+++ b/internal/renderer/chart.go
@@ -28,7 +28,7 @@
 	textSize    vg.Length = 10
 
 	legendPadding vg.Length = 2
-	legendRow     vg.Length = 14 // height of a row of a legend
+	legendRow     vg.Length = 13 // height of a row of a legend
 )
 
 // Numbers of points with a glyph on each line, and of labels on the time axis.
--- a/internal/renderer/page.go
+++ b/internal/renderer/page.go
@@ -53,6 +53,8 @@
 		{"causes", d.Causes, true},
 		{"services", d.Services, false},
 		{"accounts", d.Accounts, false},
+		{"routefaults", d.RouteFaults, false},
+		{"accountfaults", d.AccountFaults, false},
 		{"refusals", d.Refusals, false},
 		{"granted", d.Granted, false},
 		{"spent", d.Spent, false},
--- a/internal/renderer/renderer_test.go
+++ b/internal/renderer/renderer_test.go
@@ -51,7 +51,7 @@
 				"2 requests, 1 instances", "&lt;script&gt;alert(1)", "<td class=\"n\">999</td>", `section "Outcomes"`,
 			},
 			[]string{`id="empty"`},
-			10,
+			12,
 		},
 		{"empty", "", []string{"The log has no requests"}, []string{`id="period"`, `id="causes"`, `id="accounts"`}, 0},
 		{
