--- a/internal/analyzer/day.go
+++ b/internal/analyzer/day.go
@@ -169,7 +169,20 @@
 }
 
 func (s *dayBuilder) isLate(r *Request) bool {
-	return r.Outcome == receiver.Complete && time.Duration(cmp.Or(r.First, r.Took))*time.Millisecond > s.day.Late
+	return r.Outcome == receiver.Complete && r.latency() > s.day.Late
+}
+
+// latency returns the time to the first event, or to the end if there was no event.
+func (r *Request) latency() time.Duration {
+	return time.Duration(cmp.Or(r.First, r.Took)) * time.Millisecond
+}
+
+// percentile returns the value of a sorted list below which a share of the values lies.
+func percentile(sorted []time.Duration, share float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(share*float64(len(sorted))), len(sorted)-1)]
 }
 
 // table collects series by name.
@@ -258,6 +271,7 @@
 	classes, causes, services, accounts, refusals := s.table(), s.table(), s.table(), s.table(), s.table()
 	routeFaults, accountFaults := s.table(), s.table()
 	rows := make(map[[2]string]*Row)
+	latencies := make(map[[2]string][]time.Duration)
 	byAccount := make(map[string]*AccountRow)
 	for i := range s.requests {
 		r := &s.requests[i]
@@ -284,6 +298,9 @@
 			rows[key] = &Row{Service: r.Service, Route: r.Route}
 		}
 		rows[key].count(class, late)
+		if class == Answered {
+			latencies[key] = append(latencies[key], r.latency())
+		}
 		if r.Account == "" {
 			continue
 		}
@@ -303,7 +320,9 @@
 	if len(refusals.series) > 0 {
 		day.Refusals = refusals.ordered(foundedName(false), foundedName(true))
 	}
-	for _, row := range rows {
+	for key, row := range rows {
+		slices.Sort(latencies[key])
+		row.P50, row.P95 = percentile(latencies[key], 0.5), percentile(latencies[key], 0.95)
 		day.ServiceRows = append(day.ServiceRows, *row)
 	}
 	slices.SortFunc(day.ServiceRows, func(a, b Row) int {
--- a/internal/analyzer/day_test.go
+++ b/internal/analyzer/day_test.go
@@ -70,6 +70,7 @@
 		{"calls of starts", day.StartCalls, []Count{{"list budgets", 2}, {"objects", 5}}},
 		{"starts", seriesOf(day.Marks), "start[1 0 0 0 0 0 0 0 1 0] lost[0 0 0 0 0 1 0 0 0 0] stop[0 0 0 0 0 0 0 0 0 1]"},
 		{"accounts", day.AccountRows, []AccountRow{account}},
+		{"routes", day.ServiceRows, []Row{{Service: "s", Route: "p", Requests: 3, Classes: []int64{1, 2, 0, 0}, Late: 1, P50: 1200 * time.Millisecond, P95: 1200 * time.Millisecond}}},
 		{"timelines", len(day.Timelines), 3},
 	} {
 		if !reflect.DeepEqual(tt.got, tt.want) {
@@ -189,3 +190,20 @@
 		}
 	}
 }
+
+// Guards against percentiles that are off by one, or that fail without answers.
+func TestPercentile(t *testing.T) {
+	var list []time.Duration
+	for i := range 20 {
+		list = append(list, time.Duration(i+1))
+	}
+	for _, tt := range []struct {
+		list  []time.Duration
+		share float64
+		want  time.Duration
+	}{{nil, 0.95, 0}, {list[:1], 0.95, 1}, {list, 0.5, 11}, {list, 0.95, 20}, {list, 1, 20}} {
+		if got := percentile(tt.list, tt.share); got != tt.want {
+			t.Errorf("share %v of %d values: got %d, want %d", tt.share, len(tt.list), got, tt.want)
+		}
+	}
+}
--- a/internal/analyzer/day_types.go
+++ b/internal/analyzer/day_types.go
@@ -121,6 +121,9 @@
 	Requests       int64
 	Classes        []int64 // in the order of [Classes]
 	Late           int64
+	// Times to the first event of answered requests, or to the end if there were no events. Only
+	// for rows of routes.
+	P50, P95 time.Duration
 }
 
 // AccountRow sums up the tokens of a client account.
