Remove what nothing uses from package allotter

Shard.WithReturn was called by one test only; a holder returns tokens with WithTrim. Nothing read FoldResult.Dropped or the second result of Shard.WithHolder: the term is in the shard. FoldResult.Reduced stays, although nothing reads it yet: a charge beyond its grant is a fault that should be logged.

TestTransitionsKeepInvariant draws a trim by the same amount in place of WithReturn. TestHolderAndImmutability reads the term from the shard.

--- a/internal/allotter/allotter_test.go
+++ b/internal/allotter/allotter_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, _ = s.WithHolder("eu", "e1")
+	s = s.WithHolder("eu", "e1")
 	s, err = s.WithGrant("b", "e1", "eu", 60)
 	if err != nil {
 		t.Fatal(err)
@@ -56,7 +56,7 @@
 		{"below next", []Fold{{Instance: "e1", Seq: 1, Next: 3, Open: []uint64{2}}, fold(2, one), fold(3, other)}, 10},
 	} {
 		s := newSample(t)
-		s, _ = s.WithHolder("us", "e2")
+		s = s.WithHolder("us", "e2")
 		for _, f := range tc.folds {
 			s, _ = s.WithFold(f, now)
 		}
@@ -70,9 +70,9 @@
 // transition that changes its receiver through a shared map.
 func TestHolderAndImmutability(t *testing.T) {
 	s := newSample(t)
-	next, holder := s.WithHolder("eu", "e2")
-	if holder.Term != 2 || s.Holders["eu"].Term != 1 {
-		t.Fatalf("terms %d and %d", holder.Term, s.Holders["eu"].Term)
+	next := s.WithHolder("eu", "e2")
+	if next.Holders["eu"].Term != 2 || s.Holders["eu"].Term != 1 {
+		t.Fatalf("terms %d and %d", next.Holders["eu"].Term, s.Holders["eu"].Term)
 	}
 	if _, err := next.WithGrant("b", "e1", "eu", 1); !errors.Is(err, ErrNotHolder) {
 		t.Fatalf("grant to former holder: %v", err)
@@ -92,7 +92,7 @@
 		s, _ := New(1).WithTopUp("b", "t", 100, now, now)
 		names := []string{"e1", "e2"}
 		for i, n := range names {
-			s, _ = s.WithHolder([]string{"eu", "us"}[i], n)
+			s = s.WithHolder([]string{"eu", "us"}[i], n)
 		}
 		for seq := range uint64(40) {
 			i := rapid.IntRange(0, 1).Draw(t, "instance")
@@ -102,7 +102,7 @@
 			case 0:
 				next, err = s.WithGrant("b", names[i], []string{"eu", "us"}[i], tokens)
 			case 1:
-				next, err = s.WithReturn("b", names[i], tokens)
+				next = s.WithTrim("b", names[i], s.Budgets["b"].Grants[names[i]].Allotted-tokens)
 			case 2:
 				next = s.WithTrim("b", names[i], tokens)
 			case 3:
--- a/internal/allotter/commands.go
+++ b/internal/allotter/commands.go
@@ -31,15 +31,15 @@
 
 // WithHolder makes the instance the holder of the shard in a region and increments the
 // term. It changes nothing if the instance already is the holder.
-func (s Shard) WithHolder(region, instance string) (Shard, RegionHolder) {
+func (s Shard) WithHolder(region, instance string) Shard {
 	t := s.Holders[region]
 	if t.Instance == instance {
-		return s, t
+		return s
 	}
 	t = RegionHolder{Instance: instance, Term: t.Term + 1}
 	s.Holders = withEntry(s.Holders, region, t)
 	s.Journals = withEntry(s.Journals, instance, Journal{Region: region})
-	return s, t
+	return s
 }
 
 // WithHandOver ends the instance's hold in a region and flags its journal as handed over,
@@ -88,16 +88,6 @@
 	return s.withBudget(budget, b)
 }
 
-// WithReturn returns tokens of a grant to the free tokens of its budget. The caller must
-// return only tokens that are neither spent nor marked.
-func (s Shard) WithReturn(budget, instance string, tokens int64) (Shard, error) {
-	g, ok := s.Budgets[budget].Grants[instance]
-	if !ok || tokens < 0 || g.Allotted-tokens < g.Folded {
-		return s, fmt.Errorf("return %d tokens of budget %s by %s: %w", tokens, budget, instance, ErrInvalidAmount)
-	}
-	return s.WithTrim(budget, instance, g.Allotted-tokens), nil
-}
-
 // WithClose removes an instance's grants and the state of its journal. All charges on its
 // grants must be folded before, because later ones are dropped like duplicate charges.
 func (s Shard) WithClose(instance string) Shard {
@@ -158,17 +148,15 @@
 	return next, res
 }
 
-// withCharge applies one charge or adds it to the dropped charges of the result.
+// withCharge applies one charge or drops it. A reduced charge is added to the result.
 func (s Shard) withCharge(c Charge, now int64, res *FoldResult) Shard {
 	b := s.Budgets[c.Budget]
 	g, ok := b.Grants[c.Holder]
 	if !ok || s.Settled(c.Holder, c.Number) {
-		res.Dropped = append(res.Dropped, c)
 		return s
 	}
 	s.Journals = withEntry(s.Journals, c.Holder, s.Journals[c.Holder].withSettled(c.Number))
 	if s.Keys.Charged(c.Budget, c.Key, now) {
-		res.Dropped = append(res.Dropped, c)
 		return s
 	}
 	tokens := max(c.Tokens, 0)
--- a/internal/allotter/types.go
+++ b/internal/allotter/types.go
@@ -14,7 +14,7 @@
 //
 //	s := allotter.New(7)
 //	s, err := s.WithTopUp("acme", "topup-1", 1000, now, now)
-//	s, holder := s.WithHolder("eu", "entry-1.a")
+//	s = s.WithHolder("eu", "entry-1.a")
 //	s, err = s.WithGrant("acme", "entry-1.a", "eu", 400)
 //	s, result := s.WithFold(fold, now)
 //
@@ -113,8 +113,7 @@
 	Charges  []Charge
 }
 
-// FoldResult lists the charges that a fold did not apply as they are.
+// FoldResult lists the charges that a fold reduced.
 type FoldResult struct {
-	Dropped []Charge // the reservation or key was charged before, or the grant is closed
 	Reduced []Charge // reduced to the rest of the grant
 }
--- a/internal/budgeter/bench_test.go
+++ b/internal/budgeter/bench_test.go
@@ -81,7 +81,7 @@
 		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
 			s := allotter.New(0)
 			for _, region := range []string{"eu", "us"} {
-				s, _ = s.WithHolder(region, "entry-1."+region+"0123456789abcdef")
+				s = s.WithHolder(region, "entry-1."+region+"0123456789abcdef")
 			}
 			for i := range plannedBudgets {
 				name := fmt.Sprintf("budget-%06d", i)
--- a/internal/budgeter/propose.go
+++ b/internal/budgeter/propose.go
@@ -21,7 +21,7 @@
 	next := object
 	switch {
 	case !sh.held && !sh.handingOver:
-		next, _ = next.WithHolder(h.cfg.Region, h.cfg.Instance)
+		next = next.WithHolder(h.cfg.Region, h.cfg.Instance)
 	case !sh.handingOver && object.Holders[h.cfg.Region].Instance != h.cfg.Instance:
 		h.emit(Fenced{Shard: number})
 		h.dropAllShards()
