Remove what nothing uses from package budgeter

No caller set Config.MaxWait or Config.RetryAfter, so their defaults are now constants. Nothing read Request.Key and Fenced.Shard, and nothing handled FormerFolded. Reservations with the same key are told apart when they are charged, by Charge.Key.

The holder and the simulation of package recoverer no longer set Request.Key. Holder.ShardsToRecover stays, although only that simulation uses it: it names the shards to recover by the journals in the shard object, the holder by the grants. The simulation should use the rule of the holder before this one is removed.

go test ./internal/budgeter ./internal/recoverer ./internal/holder passes.

--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -66,7 +66,7 @@
 	if _, ok := find[Append](actions); !ok {
 		t.Fatalf("no append of a mark: %+v", actions)
 	}
-	r, ok := find[Refused](h.Tick(d.now.Add(defaultMaxWait)))
+	r, ok := find[Refused](h.Tick(d.now.Add(maxWait)))
 	if !ok || r.Err.Reason != ReasonPlatform || r.Err.RetryAfter == 0 {
 		t.Fatalf("refusal after the maximum wait: %+v, want reason platform and a retry delay", r)
 	}
--- a/internal/budgeter/commands.go
+++ b/internal/budgeter/commands.go
@@ -13,12 +13,6 @@
 
 // New returns a holder without shards.
 func New(cfg Config) *Holder {
-	if cfg.MaxWait == 0 {
-		cfg.MaxWait = defaultMaxWait
-	}
-	if cfg.RetryAfter == 0 {
-		cfg.RetryAfter = defaultRetryAfter
-	}
 	return &Holder{
 		cfg:            cfg,
 		nextNumber:     1,
@@ -177,8 +171,8 @@
 			if a.stage == stageAskRegions {
 				reason, text = ReasonBudget, "the other regions return no tokens in time"
 			}
-			late := func(w waitingRequest) bool { return now.Sub(w.waitingSince) >= h.cfg.MaxWait }
-			h.refuseWaiting(a, late, reason, text, h.cfg.RetryAfter)
+			late := func(w waitingRequest) bool { return now.Sub(w.waitingSince) >= maxWait }
+			h.refuseWaiting(a, late, reason, text, outageRetryAfter)
 			h.processWaiting(now, sh, a)
 		}
 		if !h.platformDown && sh.updateDue() {
--- a/internal/budgeter/propose.go
+++ b/internal/budgeter/propose.go
@@ -23,7 +23,7 @@
 	case !sh.held && !sh.handingOver:
 		next = next.WithHolder(h.cfg.Region, h.cfg.Instance)
 	case !sh.handingOver && object.Holders[h.cfg.Region].Instance != h.cfg.Instance:
-		h.emit(Fenced{Shard: number})
+		h.emit(Fenced{})
 		h.dropAllShards()
 		return object, false
 	}
@@ -144,7 +144,6 @@
 		f := sh.formerHolders[name]
 		f.foldStored = true
 		maps.DeleteFunc(f.open, func(number uint64, _ Reservation) bool { return sh.object.Settled(name, number) })
-		h.emit(FormerFolded{Shard: number, Instance: name})
 		for _, c := range f.lateCharges {
 			h.emitted = h.Settle(now, 0, c) // returns the actions emitted so far as well
 		}
@@ -218,7 +217,7 @@
 		if a.stage == stageAllot || a.stage == stageAllotAgain {
 			a.stage = stageNone
 			all := func(waitingRequest) bool { return true }
-			h.refuseWaiting(a, all, ReasonPlatform, "the platform is not reachable", h.cfg.RetryAfter)
+			h.refuseWaiting(a, all, ReasonPlatform, "the platform is not reachable", outageRetryAfter)
 		}
 		h.processWaiting(now, sh, a)
 	}
--- a/internal/budgeter/recovery.go
+++ b/internal/budgeter/recovery.go
@@ -10,7 +10,7 @@
 )
 
 // ReplayFormer starts to fold the sealed journal of a former holder into the shard
-// object. It is answered by FormerFolded.
+// object.
 func (h *Holder) ReplayFormer(number int, log journaler.Log) ([]Action, error) {
 	sh := h.shards[number]
 	if sh == nil || !sh.held {
--- a/internal/budgeter/steps.go
+++ b/internal/budgeter/steps.go
@@ -31,7 +31,7 @@
 	})
 	if h.platformDown {
 		all := func(waitingRequest) bool { return true }
-		h.refuseWaiting(a, all, ReasonPlatform, "the platform is not reachable", h.cfg.RetryAfter)
+		h.refuseWaiting(a, all, ReasonPlatform, "the platform is not reachable", outageRetryAfter)
 		return
 	}
 	h.lowerToCeiling(sh, a)
--- a/internal/budgeter/types.go
+++ b/internal/budgeter/types.go
@@ -42,12 +42,13 @@
 	"daisylane/internal/journaler"
 )
 
-// Defaults of [Config] and thresholds.
 const (
-	defaultMaxWait    = 2 * time.Second
-	defaultRetryAfter = 5 * time.Second
-	demandHalfLife    = 5 * time.Minute
-	noCeiling         = math.MaxInt64
+	// maxWait is the maximum time that a request waits for a pending step.
+	maxWait = 2 * time.Second
+	// outageRetryAfter is the retry delay sent with refusals during an outage.
+	outageRetryAfter = 5 * time.Second
+	demandHalfLife   = 5 * time.Minute
+	noCeiling        = math.MaxInt64
 	// A higher mark is written when the tokens still marked fall to raiseMarkPercent
 	// of the number that should be marked ahead. A lower threshold would leave a
 	// region that loses the platform with a mark far below its allotment.
@@ -63,14 +64,12 @@
 // Token identifies a call; the action that answers the call carries it.
 type Token uint64
 
-// Config sets up a holder. Zero durations take defaults.
+// Config sets up a holder.
 type Config struct {
-	Instance   string
-	Region     string
-	Regions    int           // number of regions
-	MarkAhead  float64       // fraction of the unspent allotment to keep marked
-	MaxWait    time.Duration // maximum time that a request waits for a pending step
-	RetryAfter time.Duration // retry delay sent with refusals during an outage
+	Instance  string
+	Region    string
+	Regions   int     // number of regions
+	MarkAhead float64 // fraction of the unspent allotment to keep marked
 }
 
 // Request asks for a reservation.
@@ -78,7 +77,6 @@
 	Shard  int
 	Budget string
 	Tokens int64
-	Key    string // hash of the client's idempotency key, may be empty
 }
 
 // Reservation is the maximum number of tokens that a request may use, set aside from
@@ -186,12 +184,6 @@
 	FormerHolders []string
 }
 
-// FormerFolded reports that a former holder's journal is folded into the shard object.
-type FormerFolded struct {
-	Shard    int
-	Instance string
-}
-
 // FormerClosed reports that a former holder's grants of the shard are closed.
 type FormerClosed struct {
 	Shard    int
@@ -202,7 +194,7 @@
 // the journal of this one, so this instance has given up all its shards and must
 // continue under a new incarnation. Without Fenced, an instance whose journal ring is
 // full would not notice the seal, because it can no longer fold or write.
-type Fenced struct{ Shard int }
+type Fenced struct{}
 
 // HandedOver reports that the hand-over of the shard is complete: this instance no longer
 // holds it and has no open reservations in it.
@@ -217,7 +209,6 @@
 func (Returned) action()     {}
 func (Folded) action()       {}
 func (Acquired) action()     {}
-func (FormerFolded) action() {}
 func (FormerClosed) action() {}
 func (Fenced) action()       {}
 func (HandedOver) action()   {}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -120,7 +120,7 @@
 // while that is open. A refusal with reason "holder" names the instance to call.
 func (h *Holder) Reserve(ctx context.Context, id string, m *wirepb.Reserve) (*wirepb.Reservation, error) {
 	req := budgeter.Request{
-		Shard: placer.Shard(m.GetBudget(), h.cfg.Shards), Budget: m.GetBudget(), Tokens: m.GetTokens(), Key: m.GetKey(),
+		Shard: placer.Shard(m.GetBudget(), h.cfg.Shards), Budget: m.GetBudget(), Tokens: m.GetTokens(),
 	}
 	remaining := time.Duration(min(m.GetDeadline(), uint64(maxDeadline.Milliseconds()))) * time.Millisecond
 	reply, err := ask[budgeter.Reservation](ctx, h, func(r replyChan[budgeter.Reservation]) any { return reserveCall{id, req, remaining, r} })
--- a/internal/recoverer/simulation_test.go
+++ b/internal/recoverer/simulation_test.go
@@ -510,7 +510,7 @@
 		q.key, q.tokens, q.actual = fmt.Sprint("k", i), int64(20+i), int64(20+i)
 	}
 	sim.call(e, func(t budgeter.Token) []budgeter.Action {
-		return e.budgetHolder.Reserve(sim.now, t, budgeter.Request{Shard: n, Budget: q.budget, Tokens: q.tokens, Key: q.key})
+		return e.budgetHolder.Reserve(sim.now, t, budgeter.Request{Shard: n, Budget: q.budget, Tokens: q.tokens})
 	}, func(a budgeter.Action) {
 		switch a := a.(type) {
 		case budgeter.Granted:
