Remove Watch from the platform interface of package holder

The holder never watches objects; it reads them when it updates them.

go test ./internal/holder passes.

--- a/internal/holder/config.go
+++ b/internal/holder/config.go
@@ -61,7 +61,6 @@
 	Put(ctx context.Context, key string, body []byte, version uint64) (uint64, error)
 	Delete(ctx context.Context, key string, version uint64) error
 	List(ctx context.Context, prefix string) ([]storer.Item, error)
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]storer.Item, uint64, error)
 }
 
 // Members is the membership view that a holder uses.
