Keep a response whose head or first event arrives in pieces

The timer of the first byte ran until the first whole event of a stream, and until the whole head of any response, so a response that advanced was thrown away and asked for again at another target. All bytes of the target now start it anew (forwarder.Request.OnRead). It ends with the first event, as before, and still ends responses that stall before that. A timer that fires while bytes arrive no longer cancels the attempt.

TestSlowFirstEvent/advances failed on the old code (2 of 2 runs, ended after 0.6 s), and passes.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -50,6 +50,9 @@
 	// Permitted is called once there is a connection, right before anything is sent. If it
 	// returns false, Send fails with [ErrWithdrawn]. nil permits the request.
 	Permitted func() bool
+	// OnRead is called whenever bytes arrive from the target, from the first one of the head to
+	// the end of the body. nil is not called.
+	OnRead func()
 }
 
 // Response is the response of a target. Its body has not been read yet.
@@ -78,6 +81,7 @@
 		return nil, ErrWithdrawn
 	}
 	c.requests++
+	c.in.onRead = r.OnRead
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	a, err := p.exchange(c, r)
 	if err != nil {
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -85,6 +85,8 @@
 type limitedReader struct {
 	r    io.Reader
 	left int64 // bytes that may be read, or unlimited
+
+	onRead func() // called when bytes were read, nil: not called
 }
 
 // limit sets how many more bytes may be read.
@@ -92,14 +94,19 @@
 
 // Read implements [io.Reader].
 func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.left == unlimited {
-		return l.r.Read(b)
-	}
 	if l.left == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
-	l.left -= int64(n)
+	if l.left != unlimited {
+		b = b[:min(int64(len(b)), l.left)]
+	}
+	n, err := l.r.Read(b)
+	if l.left != unlimited {
+		l.left -= int64(n)
+	}
+	if n > 0 && l.onRead != nil {
+		l.onRead()
+	}
 	return n, err
 }
 
@@ -350,6 +357,7 @@
 		_ = c.Close()
 		return
 	}
+	c.in.onRead = nil // holds the request
 	p.keep(c, timeout)
 }
 
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -28,10 +28,9 @@
 
 // streamState is the state of a streamed response over all attempts.
 type streamState struct {
-	started      bool   // the response header was written
-	events       int    // number of delivered events
-	lastID       string // ID of the last delivered event
-	onFirstEvent func() // called at the first event of an attempt
+	started bool   // the response header was written
+	events  int    // number of delivered events
+	lastID  string // ID of the last delivered event
 }
 
 // isStream reports whether the response is an event stream.
@@ -41,10 +40,8 @@
 
 // deliverPlain buffers and checks a plain response and sends it to the caller.
 func (j *job) deliverPlain(response *forwarder.Response, chosen ChosenTarget, meta ResponseMeta) attemptResult {
-	j.onProgress()
 	j.freeAnswer() // of an attempt before
-	rest := progressReader{response, j.onProgress}
-	body, whole, err := j.bufferAnswer(rest)
+	body, whole, err := j.bufferAnswer(response)
 	if err != nil {
 		j.freeAnswer()
 		return attemptResult{outcome: retrier.Interrupted, status: response.Status, err: err}
@@ -71,7 +68,7 @@
 		j.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength(), 10))
 	}
 	if !whole {
-		if res, ok := j.copyAnswer(response.Status, body, rest); !ok {
+		if res, ok := j.copyAnswer(response.Status, body, response); !ok {
 			return res
 		}
 	}
@@ -143,21 +140,6 @@
 	return attemptResult{}, true
 }
 
-// progressReader calls a function when bytes have arrived.
-type progressReader struct {
-	io.Reader
-	onProgress func()
-}
-
-// Read implements [io.Reader].
-func (r progressReader) Read(b []byte) (int, error) {
-	n, err := r.Reader.Read(b)
-	if n > 0 {
-		r.onProgress()
-	}
-	return n, err
-}
-
 // copyRest copies the part of a response that was not buffered, up to the limit.
 func copyRest(w io.Writer, response io.Reader) error {
 	n, err := io.Copy(w, io.LimitReader(response, maxResponseBytes))
@@ -190,9 +172,7 @@
 		}
 		id := forwarder.EventID(event)
 		if n == 0 {
-			if j.stream.onFirstEvent != nil {
-				j.stream.onFirstEvent()
-			}
+			j.silence.stop()
 			j.r.dispatcher.RecordFirstEvent(time.Now(), chosen)
 			if j.stream.started && !isNextEvent(j.stream.lastID, id) {
 				return attemptResult{outcome: retrier.Interrupted, err: errors.New("stream resumed at event " + id + " after " + j.stream.lastID)}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -247,6 +247,7 @@
 // attempt sends the request to one target and delivers its response. A response
 // that allows a retry is not delivered.
 func (j *job) attempt(ctx context.Context, chosen ChosenTarget) attemptResult {
+	j.silence = nil
 	if limit := j.firstByteTimeout(); limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(ctx)
@@ -254,11 +255,8 @@
 		alive := func() bool {
 			return j.service.Engine != nil && j.r.dispatcher.HeardWithin(time.Now(), chosen, time.Duration(heardShare*float64(limit)))
 		}
-		timer := newSilenceTimer(limit, alive, cancel)
-		j.stream.onFirstEvent, j.onProgress = timer.stop, timer.reset
-		defer timer.stop()
-	} else {
-		j.stream.onFirstEvent, j.onProgress = nil, func() {}
+		j.silence = newSilenceTimer(limit, alive, cancel)
+		defer j.silence.stop()
 	}
 	if res, ok := j.restarted(chosen.Target); ok {
 		j.dials++
@@ -308,8 +306,9 @@
 }
 
 // firstByteTimeout returns the time after which a retryable request is retried at
-// another target if the response has not started, or 0 for no timeout. A plain response that
-// has started may pause for as long, whether a part of it was delivered or not.
+// another target if the response has not started, or 0 for no timeout. A response that has
+// started may pause for as long: a stream until its first event is delivered, a plain response
+// to its end.
 func (j *job) firstByteTimeout() time.Duration {
 	if !j.route.Retryable() || j.sends+1 >= j.route.MaxAttempts {
 		return 0
@@ -339,7 +338,7 @@
 	j.r.codec.EncodeForward(h, f)
 	return forwarder.Request{
 		ID: j.meta.ID, Method: j.req.Method, URI: j.req.RequestURI, Host: j.req.Host, Header: h, Body: j.body,
-		HasBody: j.req.ContentLength != 0, Permitted: func() bool {
+		HasBody: j.req.ContentLength != 0, OnRead: j.silence.reset, Permitted: func() bool {
 			return j.r.dispatcher.Permits(chosen.Target, j.allowedPlaces()) && j.fixOrigin(chosen)
 		},
 	}
--- a/internal/receiver/endless_test.go
+++ b/internal/receiver/endless_test.go
@@ -144,8 +144,12 @@
 	return s.URL
 }
 
-// succeeds sends a request and reports whether it gets a complete success.
-func succeeds(t *testing.T, url string) bool {
+// succeeds sends a request with a deadline of 900 ms and reports whether it gets a complete
+// success.
+func succeeds(t *testing.T, url string) bool { return succeedsWithin(t, url, "900") }
+
+// succeedsWithin is succeeds with a deadline in milliseconds.
+func succeedsWithin(t *testing.T, url, deadline string) bool {
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader("x"))
 	if err != nil {
 		t.Error(err)
@@ -153,7 +157,7 @@
 	}
 	req.Host = "a.example"
 	for name, value := range map[string]string{
-		"Daisylane-Attempt-Id": "id-1", "Api-Key": "key-1", "Daisylane-Deadline-Ms": "900", "Daisylane-Token-Usage": "10,10",
+		"Daisylane-Attempt-Id": "id-1", "Api-Key": "key-1", "Daisylane-Deadline-Ms": deadline, "Daisylane-Token-Usage": "10,10",
 	} {
 		req.Header.Set(name, value)
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -124,7 +124,7 @@
 	dials          int      // attempts that did not reach it, or were withdrawn
 	summary        requestSummary
 	stream         streamState
-	onProgress     func()            // called when bytes of a plain response arrive in an attempt
+	silence        *silenceTimer     // of the current attempt, nil: it has none
 	bound          *resolver.Account // the account whose regions apply, nil: none
 	places         restrictor.Places // where the request may be served
 	placesTable    *resolver.Table   // from which places were computed, nil: not yet
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -84,12 +84,13 @@
 	public := prefix("public", resolver.Idempotent, 2, false)
 	public.Public = true
 	long := prefix("long", resolver.Stream, 2, false)
-	long.Timeout = 50 * time.Second
+	report := prefix("report", resolver.Stream, 2, true)
+	long.Timeout, report.Timeout = 50*time.Second, 50*time.Second
 	tab, err := resolver.New(resolver.Config{
 		Version: version, KeyRequired: true,
 		Routes: []resolver.Route{
 			prefix("look", resolver.Idempotent, 2, false), prefix("book", resolver.NonIdempotent, 2, false),
-			prefix("plan", resolver.Stream, 2, false), prefix("summary", resolver.Stream, 2, true), public, long,
+			prefix("plan", resolver.Stream, 2, false), prefix("summary", resolver.Stream, 2, true), public, long, report,
 		},
 		Services: []resolver.Service{
 			{Name: "booking", MaxConnections: 10},
--- a/internal/receiver/silence.go
+++ b/internal/receiver/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,12 +16,15 @@
 
 // silenceTimer cancels an attempt when its target has been silent for a time. A target that
 // still answers other requests is only slow: a second run elsewhere would add to the load
-// that makes it so.
+// that makes it so. The methods of a nil timer do nothing.
 type silenceTimer struct {
 	limit  time.Duration
 	alive  func() bool // reports whether the target still answers other requests
 	cancel func()
 
+	began   time.Time
+	resetAt atomic.Int64 // ns after began
+
 	mu      sync.Mutex
 	timer   *time.Timer
 	late    int
@@ -28,7 +32,7 @@
 }
 
 func newSilenceTimer(limit time.Duration, alive func() bool, cancel func()) *silenceTimer {
-	s := &silenceTimer{limit: limit, alive: alive, cancel: cancel}
+	s := &silenceTimer{limit: limit, alive: alive, cancel: cancel, began: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(limit, s.fire)
@@ -38,8 +42,11 @@
 func (s *silenceTimer) fire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	left := s.limit + time.Duration(s.resetAt.Load()) - time.Since(s.began)
 	switch {
 	case s.stopped:
+	case left > 0:
+		s.timer.Reset(left)
 	case s.late < maxLateTimeouts && s.alive():
 		s.late++
 		s.timer.Reset(s.limit)
@@ -48,12 +55,19 @@
 	}
 }
 
-// reset starts the time anew. It must not be called after stop. It takes no lock, because it
-// is called for each piece of a plain response.
-func (s *silenceTimer) reset() { s.timer.Reset(s.limit) }
+// reset starts the time anew. It takes no lock and leaves the timer as it is, because it is
+// called for each piece of a response.
+func (s *silenceTimer) reset() {
+	if s != nil {
+		s.resetAt.Store(int64(time.Since(s.began)))
+	}
+}
 
 // stop ends the timer for good.
 func (s *silenceTimer) stop() {
+	if s == nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true
--- a/internal/receiver/silence_test.go
+++ b/internal/receiver/silence_test.go
@@ -15,13 +15,15 @@
 		name       string
 		aliveUntil time.Duration
 		stopAt     time.Duration
+		resetUntil time.Duration // bytes arrive each second
 		want       time.Duration // when the attempt is cancelled
 	}{
-		{"silent", 0, never, limit},
-		{"silent after a while", 3 * time.Second, never, 2 * limit},
-		{"answer lost", time.Hour, never, 3 * limit},
-		{"late answer", time.Hour, 5 * time.Second, never},
-		{"answer in time", 0, time.Second, never},
+		{"silent", 0, never, never, limit},
+		{"silent after a while", 3 * time.Second, never, never, 2 * limit},
+		{"answer lost", time.Hour, never, never, 3 * limit},
+		{"late answer", time.Hour, 5 * time.Second, never, never},
+		{"answer in time", 0, time.Second, never, never},
+		{"answer stalls", 0, never, 5 * time.Second, 7 * time.Second},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -30,6 +32,10 @@
 				if tt.stopAt > 0 {
 					time.AfterFunc(tt.stopAt, s.stop)
 				}
+				for time.Since(began) < tt.resetUntil {
+					time.Sleep(time.Second)
+					s.reset()
+				}
 				time.Sleep(time.Minute)
 				synctest.Wait()
 				if cancelled != tt.want {
--- a/internal/receiver/slow_test.go
+++ b/internal/receiver/slow_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,3 +76,43 @@
 		})
 	}
 }
+
+// Guards against a stream that is thrown away and asked for again although its first event is
+// arriving, and against waiting as long as the caller does for one that has stalled before it.
+func TestSlowFirstEvent(t *testing.T) {
+	tests := []struct {
+		name   string
+		pieces int // of the first event, one each 100 ms
+		whole  bool
+	}{
+		{"advances", 9, true},
+		{"stalls", 2, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var runs atomic.Int64
+			addr := platformtest.Listen(t, func(c net.Conn) {
+				if n, err := c.Read(make([]byte, 4096)); n == 0 || err != nil {
+					return
+				}
+				runs.Add(1)
+				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nDaisylane-Attempt-Id: id-1\r\nDaisylane-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for i := 0; i < tt.pieces && err == nil; i++ {
+					time.Sleep(100 * time.Millisecond)
+					_, err = io.WriteString(c, "8\r\ndata: a\n\r\n")
+				}
+				if tt.whole && err == nil {
+					_, err = io.WriteString(c, "1\r\n\n\r\n0\r\n\r\n")
+				}
+				for err == nil {
+					_, err = c.Read(make([]byte, 1)) // until the entry closes
+				}
+			})
+			began := time.Now()
+			whole := succeedsWithin(t, startFor(t, addr)+"/report/7", "4000")
+			if took := time.Since(began); whole != tt.whole || runs.Load() != 1 || took > 3*time.Second {
+				t.Errorf("whole %v after %d runs and %v, want %v after 1", whole, runs.Load(), took, tt.whole)
+			}
+		})
+	}
+}
