Keep a plain response whose caller does not read for a while

While a caller does not take what is sent to it, the target can not go on either, but the time counted as silence of the target. Such a response was cut off after the timeout of the first byte (300 ms in the test). The timer is now held during writes to the caller; the response ends with its deadline.

--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -129,10 +129,11 @@
 // false and the result of the attempt if it could not.
 func (j *job) copyAnswer(status int, body []byte, rest io.Reader) (attemptResult, bool) {
 	j.writeHead(status)
-	if _, err := j.w.Write(body); err != nil {
+	w := holdingWriter{j.w, j.silence}
+	if _, err := w.Write(body); err != nil {
 		return j.callerDisconnected(err), false
 	}
-	if err := copyRest(j.w, rest); err != nil {
+	if err := copyRest(w, rest); err != nil {
 		j.summary.failure = err
 		j.abortResponse(Interrupted)
 		return attemptResult{outcome: retrier.Interrupted, done: true, err: err}, false
--- a/internal/receiver/silence.go
+++ b/internal/receiver/silence.go
@@ -1,6 +1,8 @@
 package receiver
 
 import (
+	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +16,9 @@
 	heardShare = 0.5
 )
 
+// heldMark is the value of silenceTimer.resetAt while the timer is held.
+const heldMark = math.MaxInt64
+
 // silenceTimer cancels an attempt when its target has been silent for a time. A target that
 // still answers other requests is only slow: a second run elsewhere would add to the load
 // that makes it so. The methods of a nil timer do nothing.
@@ -23,7 +28,7 @@
 	cancel func()
 
 	began   time.Time
-	resetAt atomic.Int64 // ns after began
+	resetAt atomic.Int64 // ns after began, heldMark: held
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -42,9 +47,12 @@
 func (s *silenceTimer) fire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	left := s.limit + time.Duration(s.resetAt.Load()) - time.Since(s.began)
+	resetAt := s.resetAt.Load()
+	left := s.limit + time.Duration(resetAt) - time.Since(s.began)
 	switch {
 	case s.stopped:
+	case resetAt == heldMark:
+		s.timer.Reset(s.limit)
 	case left > 0:
 		s.timer.Reset(left)
 	case s.late < maxLateTimeouts && s.alive():
@@ -63,6 +71,13 @@
 	}
 }
 
+// hold stops the time until the next reset.
+func (s *silenceTimer) hold() {
+	if s != nil {
+		s.resetAt.Store(heldMark)
+	}
+}
+
 // stop ends the timer for good.
 func (s *silenceTimer) stop() {
 	if s == nil {
@@ -73,3 +88,17 @@
 	s.stopped = true
 	s.timer.Stop()
 }
+
+// holdingWriter is the writer of a response. While the caller does not take what is written, its
+// target can not go on, so the timer is held.
+type holdingWriter struct {
+	io.Writer
+	timer *silenceTimer
+}
+
+// Write implements [io.Writer].
+func (w holdingWriter) Write(b []byte) (int, error) {
+	w.timer.hold()
+	defer w.timer.reset()
+	return w.Writer.Write(b)
+}
--- a/internal/receiver/slow_test.go
+++ b/internal/receiver/slow_test.go
@@ -116,3 +116,26 @@
 		})
 	}
 }
+
+// Guards against a plain response that is cut off because its caller pauses: its target can
+// not go on meanwhile.
+func TestSlowCaller(t *testing.T) {
+	const size = 16 << 20 // more than the buffers of two connections
+	f := start(t, []platformtest.Response{{Body: strings.Repeat("a", size)}})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.URL+"/look/7", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("Daisylane-Attempt-Id", "id-1")
+	req.Header.Set("Api-Key", "key-1")
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	time.Sleep(450 * time.Millisecond) // the entry gives up a silent target after 300 ms
+	if n, err := io.Copy(io.Discard, res.Body); n != size || err != nil || f.runs() != 1 {
+		t.Errorf("%d bytes of %d after %d runs: %v", n, size, f.runs(), err)
+	}
+}
