Close a connection whose drain ended with its timer

Drain stopped its timer without asking whether it had fired. The timer could set the read deadline of a connection that was back in the pool, so the next request on it was sent and then failed without an answer, as one that may have run.

TestDrainBesideItsTimer failed on the old code (1 connection kept), and passes.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -25,6 +25,8 @@
 	maxDrainTime = 100 * time.Millisecond
 )
 
+var errDrainTooSlow = fmt.Errorf("rest of the response took over %v", maxDrainTime)
+
 var errHeadTooLarge = fmt.Errorf("head of the response is over %d bytes", maxHeadBytes)
 
 // ErrMismatchedResponse means that the connection returned responses to other requests.
@@ -270,8 +272,11 @@
 // response after an error.
 func (a *Response) Drain() error {
 	timer := time.AfterFunc(maxDrainTime, func() { _ = a.conn.SetReadDeadline(time.Unix(1, 0)) })
-	defer timer.Stop()
 	n, err := io.Copy(io.Discard, io.LimitReader(readerFunc(a.Read), maxDiscardBytes))
+	if !timer.Stop() {
+		a.complete = false // the deadline may yet be set, so the connection can't be reused
+		err = errors.Join(errDrainTooSlow, err)
+	}
 	if err != nil {
 		return fmt.Errorf("drain response: %w", err)
 	}
