Keep an attempt whose request is still being sent

The timeout of the first byte ran while the body was on its way to the target. A body that took longer was given up and sent to another target, where it could not arrive sooner. Each piece of 64 KiB that the connection takes now starts the timer anew. A target that takes nothing is still given up.

TestSlowUpload failed on the old code (502 after 0.4 s, its target takes 1 MiB each 30 ms), and passes.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -17,6 +17,8 @@
 	maxDiscardBytes  = 64 << 10 // body bytes read and discarded so that a connection can be reused
 	maxEventBytes    = 64 << 10 // size limit of an event
 	maxInformational = 8        // skipped 1xx responses
+	// writePieceBytes takes a link of 10 Mbit/s 52 ms.
+	writePieceBytes = 64 << 10
 	// maxHeadBytes limits the head of a response together with the 1xx responses before
 	// it.
 	maxHeadBytes = 64 << 10
@@ -52,9 +54,9 @@
 	// Permitted is called once there is a connection, right before anything is sent. If it
 	// returns false, Send fails with [ErrWithdrawn]. nil permits the request.
 	Permitted func() bool
-	// OnRead is called whenever bytes arrive from the target, from the first one of the head to
-	// the end of the body. nil is not called.
-	OnRead func()
+	// OnProgress is called whenever the connection takes a part of the request, or bytes arrive
+	// from the target, from the first one of the head to the end of the body. nil is not called.
+	OnProgress func()
 }
 
 // Response is the response of a target. Its body has not been read yet.
@@ -83,7 +85,7 @@
 		return nil, ErrWithdrawn
 	}
 	c.requests++
-	c.in.onRead = r.OnRead
+	c.in.onRead = r.OnProgress
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	a, err := p.exchange(c, r)
 	if err != nil {
@@ -99,7 +101,7 @@
 // requests that arrive before it are skipped. A response without an id is accepted
 // only with a status of 300 or above and if c has sent no other request.
 func (p *Pool) exchange(c *conn, r Request) (*Response, error) {
-	n, werr := c.Write(r.encode())
+	n, werr := c.writePieces(r.encode(), r.OnProgress)
 	if werr != nil && n == 0 && c.requests == 1 {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, werr)
 	}
@@ -127,6 +129,20 @@
 	return nil, ErrMismatchedResponse
 }
 
+// writePieces writes b and calls onProgress after each piece, unless it is nil.
+func (c *conn) writePieces(b []byte, onProgress func()) (written int, err error) {
+	for written < len(b) {
+		n, err := c.Write(b[written:min(len(b), written+writePieceBytes)])
+		if written += n; err != nil {
+			return written, err
+		}
+		if onProgress != nil {
+			onProgress()
+		}
+	}
+	return written, nil
+}
+
 // readResponseHead reads the head of the next response, skipping 1xx responses.
 func (c *conn) readResponseHead(method string) (*http.Response, error) {
 	c.in.limit(maxHeadBytes)
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -338,7 +338,7 @@
 	j.r.codec.EncodeForward(h, f)
 	return forwarder.Request{
 		ID: j.meta.ID, Method: j.req.Method, URI: j.req.RequestURI, Host: j.req.Host, Header: h, Body: j.body,
-		HasBody: j.req.ContentLength != 0, OnRead: j.silence.reset, Permitted: func() bool {
+		HasBody: j.req.ContentLength != 0, OnProgress: j.silence.reset, Permitted: func() bool {
 			return j.r.dispatcher.Permits(chosen.Target, j.allowedPlaces()) && j.fixOrigin(chosen)
 		},
 	}
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -70,6 +70,12 @@
 }
 
 func table(t testing.TB, version int64) *resolver.Table {
+	t.Helper()
+	return tableWith(t, version, 100)
+}
+
+// tableWith is table with a limit of bodies.
+func tableWith(t testing.TB, version, maxBodyBytes int64) *resolver.Table {
 	t.Helper()
 	prefix := func(name string, kind resolver.Kind, attempts int, resumable bool) resolver.Route {
 		service := "booking"
@@ -97,7 +103,7 @@
 			{Name: "engine", MaxConnections: 10, Engine: &resolver.Engine{Slots: 8, KVCapacity: 100_000, MaxTokensPerEvent: 4}},
 		},
 		Accounts: []resolver.Account{{Name: "rider-app", Keys: []string{"key-1"}, PrepaidTokens: 1000}},
-		Limits:   resolver.Limits{MaxBodyBytes: 100},
+		Limits:   resolver.Limits{MaxBodyBytes: maxBodyBytes},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/receiver/slow_test.go
+++ b/internal/receiver/slow_test.go
@@ -139,3 +139,31 @@
 		t.Errorf("%d bytes of %d after %d runs: %v", n, size, f.runs(), err)
 	}
 }
+
+// Guards against a request that is given up and sent to another target while its body is still
+// on the way: it would not arrive there sooner.
+func TestSlowUpload(t *testing.T) {
+	const size = 16 << 20 // more than the buffers of a connection
+	var connections atomic.Int64
+	addr := platformtest.Listen(t, func(c net.Conn) {
+		connections.Add(1)
+		left := size
+		for buf := make([]byte, 1<<20); left > 0; time.Sleep(30 * time.Millisecond) {
+			n, err := io.ReadFull(c, buf[:min(left, len(buf))])
+			if left -= n; err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nDaisylane-Attempt-Id: id-1\r\nDaisylane-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok")
+		_, _ = c.Read(make([]byte, 4096)) // the rest
+	})
+	f := start(t)
+	f.receiver.SetTable(tableWith(t, 2, size))
+	f.dispatcher.WithRoster(func(r *follower.Roster) {
+		r.Put(follower.Target{ID: "i-0", Service: "booking", Addr: addr, Centre: "a", Slots: 8})
+	})
+	res, body, err := f.call(t, "/look/7", strings.Repeat("a", size), nil)
+	if err != nil || res.StatusCode != http.StatusOK || body != "ok" || connections.Load() != 1 {
+		t.Errorf("got %v, %q, %v after %d connections", res, body, err, connections.Load())
+	}
+}
