--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -6,6 +6,47 @@
 // Any other request that ends without the response of a target gets status 502 or
 // 504, or its connection is closed without a complete response.
 //
+// # Timers of an attempt
+//
+// Each timer is named by the constant or function that sets it. "Fails" means that the attempt
+// ends without an answer: it is repeated at another target if the route and the retry budget
+// allow it. Otherwise the caller gets 503 if nothing was sent, 502 or 504 if the request may have
+// run, and a closed connection if a part of the answer was delivered.
+//
+//	timer              starts                     starts anew              stops                     when it expires
+//	deadline           arrival of the request     never                    end of the request        all attempts end; 503 or 504, or the connection
+//	                                                                                                 is closed; no repetition
+//	permit wait        first target at its limit  never                    a permit                  refused, 503
+//	connect            connect                    never                    connection, refusal       fails, nothing was sent
+//	silence            choice of the target       each piece of the        stream: first event is    fails; an engine that sends events of other
+//	                                              request that is sent,    delivered; plain answer:  requests is waited for up to twice more
+//	                                              each piece that arrives  its end; held while the
+//	                                                                       caller does not read
+//	unacknowledged     data is sent to a target   each acknowledgement     all is acknowledged       the kernel closes the connection; fails
+//	rest of a refusal  head of a refusal          never                    end of its body           the connection is closed; the attempt stays
+//	                                                                                                 refused
+//	probe              attempt broke off          never                    connection, refusal       the target is not known to have ended
+//	retry backoff      failed attempt             never                    its end                   the next attempt begins
+//	write deadline     arrival of the request     never                    end of the response       writes to the caller fail, the connection closes
+//	end watch          answer of a suspect        a further answer         its end                   whether the target has ended is found out
+//
+//	timer              set by
+//	deadline           [RequestMeta].Timeout (defaultTimeout if the caller sets none), at most the timeout of the route
+//	permit wait        permitWaitShare of the latency objective
+//	connect            forwarder dialTimeout
+//	silence            firstByteTimeout: a factor of the latency objective, at least minFirstByteTimeout. None on the last
+//	                   attempt, on routes that are not retried, or with less than twice as long left until the deadline
+//	unacknowledged     forwarder userTimeout
+//	rest of a refusal  forwarder maxDrainTime
+//	probe              forwarder probeTimeout
+//	retry backoff      retrier baseBackoff, maxBackoff; not after a refusal or an attempt that was not sent
+//	write deadline     the later of defaultTimeout after arrival and lateWriteTime after the deadline
+//	end watch          endWatchTime
+//
+// After its first event, a stream ends with the deadline at the latest, whether it stalls or not.
+// The deadline does not end the delivery of an answer that is buffered as a whole; the write
+// deadline does.
+//
 // # Usage
 //
 //	r := receiver.New(codec, dispatcher, accountant, pool, receiver.WithLog(log))
