End the pause of a target with the process that asked for it

A pause was kept by the id of the target, so a target that had started again, which is another process, got no requests until the pause of the former one had ended. A late response of that one paused the new one, too. Pauses now name their process and end when another one is registered. A process that is listed again stays paused.

TestPauseOfProcess failed on the old code in the four rows with another process, and passes.

--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -86,7 +86,16 @@
 func (d *Dispatcher) WithRoster(use func(*follower.Roster)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	use(d.roster)
+	version := d.roster.Version()
+	if use(d.roster); d.roster.Version() != version {
+		d.retries.EndPauses(d.isReplaced)
+	}
+}
+
+// isReplaced reports whether another process is registered for a target. The caller must hold
+// the lock.
+func (d *Dispatcher) isReplaced(p retrier.Process) bool {
+	return d.roster.IsReplaced(follower.Target{ID: p.Target, Service: p.Service, Addr: p.Addr, Incarnation: p.Incarnation})
 }
 
 // SetBurst sets this instance's share of the fleet-wide retry burst.
@@ -219,8 +228,8 @@
 	if m.Load != nil {
 		d.policy.RecordLoad(t.ID, chooser.Load{Running: m.Load.Running, Waiting: m.Load.Waiting, Slots: m.Load.Slots, Slowness: m.Load.Slowness, At: now})
 	}
-	if m.Pause > 0 {
-		d.retries.Pause(now, t.ID, m.Pause)
+	if p := (retrier.Process{Target: t.ID, Service: t.Service, Addr: t.Addr, Incarnation: t.Incarnation}); m.Pause > 0 && !d.isReplaced(p) {
+		d.retries.Pause(now, p, m.Pause)
 	}
 	if !m.TargetReplaced {
 		d.limits.RecordLimit(throttlerTarget(t), sentAt, m.Limit)
--- a/internal/receiver/dispatch_test.go
+++ b/internal/receiver/dispatch_test.go
@@ -74,3 +74,48 @@
 		}
 	}
 }
+
+// Guards against requests to a target before the pause that it asked for has ended, against
+// callers that are told to come back before that, and against a pause that outlasts the process
+// that asked for it, also if its response is read late.
+func TestPauseOfProcess(t *testing.T) {
+	const pause = 30 * time.Second
+	first := follower.Target{ID: "i-1", Service: "booking", Addr: "10.0.0.1:80", Incarnation: 1, Slots: 8}
+	second, moved := first, first
+	second.Incarnation, moved.Addr = 2, "10.0.0.2:80"
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name   string
+		change func(*follower.Roster)
+		late   bool // the process asks after the change
+		after  time.Duration
+		want   time.Duration // left of the pause
+	}{
+		{name: "same process", change: func(*follower.Roster) {}, after: pause / 5, want: pause * 4 / 5},
+		{name: "pause has ended", change: func(*follower.Roster) {}, after: pause},
+		{name: "listed again", change: func(r *follower.Roster) { r.Drop(first.ID); r.Put(first) }, want: pause},
+		{name: "started again", change: func(r *follower.Roster) { r.Put(second) }},
+		{name: "started again after its removal", change: func(r *follower.Roster) { r.Drop(first.ID); r.Put(second) }},
+		{name: "started at another address", change: func(r *follower.Roster) { r.Put(moved) }},
+		{name: "late response of the former process", change: func(r *follower.Roster) { r.Put(second) }, late: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := NewDispatcher(chooser.Place{}, nil, retrier.New(rand.New(rand.NewPCG(1, 1))))
+			d.WithRoster(func(r *follower.Roster) { r.Put(first) })
+			if !tt.late {
+				d.RecordResponse(now, now, first, ResponseMeta{Pause: pause})
+			}
+			d.WithRoster(tt.change)
+			if tt.late {
+				d.RecordResponse(now, now, first, ResponseMeta{Pause: pause})
+			}
+			_, err := d.Choose(now.Add(tt.after), &resolver.Service{Name: "booking"}, restrictor.Places{}, chooser.PrefillRequest{}, nil, nil, true)
+			var paused pausedError
+			errors.As(err, &paused)
+			if paused.resumesIn != tt.want || (err == nil) != (tt.want == 0) {
+				t.Errorf("got %v, want a pause of %v", err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/retrier/pause_test.go
+++ b/internal/retrier/pause_test.go
@@ -12,9 +12,9 @@
 func TestPause(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := New(rand.New(rand.NewPCG(1, 1)))
-	r.Pause(now, "a", 24*time.Hour)
-	r.Pause(now, "b", 2*time.Second)
-	r.Pause(now, "b", time.Second)
+	r.Pause(now, Process{Target: "a"}, 24*time.Hour)
+	r.Pause(now, Process{Target: "b"}, 2*time.Second)
+	r.Pause(now, Process{Target: "b"}, time.Second)
 	tests := []struct {
 		after time.Duration
 		want  []string
--- a/internal/retrier/types.go
+++ b/internal/retrier/types.go
@@ -99,7 +99,7 @@
 	fleet           tokenBucket
 	accounts        map[string]*tokenBucket
 	breakers        map[string]*breaker
-	pauses          map[string]time.Time // end of the pause by target
+	pauses          map[string]pause // by target
 	fleetRatio      float64
 	accountRatio    float64
 	fleetBurst      float64
@@ -131,7 +131,7 @@
 // New returns a Retrier. The random numbers are used for jitter.
 func New(rng *rand.Rand, opts ...Option) *Retrier {
 	r := &Retrier{
-		rng: rng, accounts: make(map[string]*tokenBucket), breakers: make(map[string]*breaker), pauses: make(map[string]time.Time),
+		rng: rng, accounts: make(map[string]*tokenBucket), breakers: make(map[string]*breaker), pauses: make(map[string]pause),
 		fleetRatio: fleetRetryRatio, accountRatio: accountRetryRatio, fleetBurst: fleetRetryBurst, accountBurst: accountRetryBurst,
 		defaultAttempts: maxAttempts,
 	}
