Keep to pauses of targets of up to an hour

A pause that a target asks for was cut to a minute, after which each instance sent requests that it had said it would refuse. The bound is now an hour: a wrong header costs at most that time of one process, and a target that wants a longer pause refuses one request of each instance in an hour. A negative value still counts as none.

--- a/internal/receiver/dispatch_test.go
+++ b/internal/receiver/dispatch_test.go
@@ -79,7 +79,7 @@
 // callers that are told to come back before that, and against a pause that outlasts the process
 // that asked for it, also if its response is read late.
 func TestPauseOfProcess(t *testing.T) {
-	const pause = 30 * time.Second
+	const pause = 10 * time.Minute
 	first := follower.Target{ID: "i-1", Service: "booking", Addr: "10.0.0.1:80", Incarnation: 1, Slots: 8}
 	second, moved := first, first
 	second.Incarnation, moved.Addr = 2, "10.0.0.2:80"
--- a/internal/retrier/pause.go
+++ b/internal/retrier/pause.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// maxPause limits how long a target can keep requests away with one response. A longer
-// time is more likely a fault than a wish.
-const maxPause = time.Minute
+// maxPause limits how long a target can keep requests away with one response. A wrong value
+// costs at most this time of one process, less if it is started again. A target that wants a
+// longer pause refuses one request of each instance in this time, which goes on elsewhere.
+const maxPause = time.Hour
 
 // Process identifies a process of a target.
 type Process struct {
