Decide once about a request while versions of targets are uncertain

chooseTarget chose a target of certain version, gave it back if the wait there was too long, and chose again among all. Each choice was a decision about the request: it counted twice in the share of its account, and used a permit of a target that it was not sent to. ChooseCertain considers the targets of certain version without recording anything and records one choice. A second decision, after a refusal there, no longer counts in the shares (scheduler.Request.Counted).

--- a/internal/receiver/admission.go
+++ b/internal/receiver/admission.go
@@ -10,9 +10,9 @@
 // admit decides whether a request is sent to the target chosen for it, or else to the one that
 // would answer soonest, if that is idle: a cached prefix is no reason to refuse a request
 // while another target has nothing to do. It returns the target and the decision. The caller
-// must hold the lock.
-func (d *Dispatcher) admit(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, list []chooser.Node) (chooser.PrefillChoice, scheduler.Decision) {
-	v := d.decide(now, service, p, c, false)
+// must hold the lock. decided says that another target has refused the request before.
+func (d *Dispatcher) admit(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, list []chooser.Node, decided bool) (chooser.PrefillChoice, scheduler.Decision) {
+	v := d.decide(now, service, p, c, scheduler.Request{Counted: decided})
 	if v.Admit {
 		return c, v
 	}
@@ -21,24 +21,23 @@
 	if !ok {
 		return c, v
 	}
-	if w := d.decide(now, service, p, soonest, true); !w.Admit {
+	if w := d.decide(now, service, p, soonest, scheduler.Request{Elsewhere: true}); !w.Admit {
 		v.After = min(v.After, w.After)
 		return c, v
 	}
 	return soonest, scheduler.Decision{Admit: true}
 }
 
-// decide decides whether a request is sent to the target chosen for it, or elsewhere. The
-// caller must hold the lock.
-func (d *Dispatcher) decide(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, elsewhere bool) scheduler.Decision {
+// decide decides whether a request is sent to the target chosen for it, or elsewhere. r says
+// which decision it is. The caller must hold the lock.
+func (d *Dispatcher) decide(now time.Time, service string, p chooser.PrefillRequest, c chooser.PrefillChoice, r scheduler.Request) scheduler.Decision {
 	s, ok := d.schedulers[service]
 	if !ok {
 		s = scheduler.New()
 		d.schedulers[service] = s
 	}
-	return s.Decide(now,
-		scheduler.Request{Priority: p.Priority, Account: p.Account, Objective: p.FirstTokenTarget, Left: p.ResponseTimeout, Elsewhere: elsewhere},
-		scheduler.Estimate{Wait: c.Wait, Backlog: c.Backlog, BacklogAge: c.BacklogAge, Rest: time.Duration(p.ExpectedEvents) * c.EventInterval})
+	r.Priority, r.Account, r.Objective, r.Left = p.Priority, p.Account, p.FirstTokenTarget, p.ResponseTimeout
+	return s.Decide(now, r, scheduler.Estimate{Wait: c.Wait, Backlog: c.Backlog, BacklogAge: c.BacklogAge, Rest: time.Duration(p.ExpectedEvents) * c.EventInterval})
 }
 
 // HeardWithin reports whether a target has sent an event of any request within a time.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -136,24 +136,16 @@
 // chooseTarget chooses a target. A new stream that may be resumed prefers targets whose version is
 // certain, unless it would come late or be refused there: if it breaks off elsewhere, it is lost.
 func (j *job) chooseTarget(left time.Duration) (ChosenTarget, error) {
-	choose := func(excluded []string) (ChosenTarget, error) {
-		return j.r.dispatcher.Choose(time.Now(), j.service, j.allowedPlaces(), j.prefillRequest(left), excluded, j.versions, j.mayBeTurnedAway())
+	d, places, p := j.r.dispatcher, j.allowedPlaces(), j.prefillRequest(left)
+	if j.resumable() && !j.isBound() {
+		maxWait := time.Duration(certainWaitShare * float64(j.route.LatencyTarget))
+		return d.ChooseCertain(time.Now(), j.service, places, p, j.tried, j.versions, j.mayBeTurnedAway(), maxWait)
 	}
-	if !j.resumable() {
-		return choose(j.tried)
+	excluded := j.tried
+	if j.resumable() {
+		excluded = d.AppendUncertain(slices.Clip(excluded))
 	}
-	excluded := j.r.dispatcher.AppendUncertain(slices.Clip(j.tried))
-	if j.isBound() || len(excluded) == len(j.tried) {
-		return choose(excluded)
-	}
-	chosen, err := choose(excluded)
-	if err == nil {
-		if chosen.Choice.Wait <= time.Duration(certainWaitShare*float64(j.route.LatencyTarget)) {
-			return chosen, nil
-		}
-		j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
-	}
-	return choose(j.tried)
+	return d.Choose(time.Now(), j.service, places, p, excluded, j.versions, j.mayBeTurnedAway())
 }
 
 // finishAttempt reports the result of an attempt to the dispatcher and returns its
--- a/internal/receiver/dispatch.go
+++ b/internal/receiver/dispatch.go
@@ -164,9 +164,48 @@
 func (d *Dispatcher) Choose(now time.Time, service *resolver.Service, places restrictor.Places, p chooser.PrefillRequest, tried, versions []string, first bool) (ChosenTarget, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	c, err := d.consider(now, service, places, p, tried, versions)
+	if err != nil {
+		return ChosenTarget{}, err
+	}
+	return d.take(now, service, c, first, false)
+}
+
+// ChooseCertain is Choose, but prefers targets whose software version is certain, unless the
+// expected wait there is longer than maxWait or the request would be refused there.
+func (d *Dispatcher) ChooseCertain(now time.Time, service *resolver.Service, places restrictor.Places, p chooser.PrefillRequest, tried, versions []string, first bool, maxWait time.Duration) (ChosenTarget, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	decided := false
+	if excluded := d.roster.AppendUncertain(slices.Clip(tried)); len(excluded) > len(tried) {
+		c, err := d.consider(now, service, places, p, excluded, versions)
+		if err == nil && c.choice.Wait <= maxWait {
+			if chosen, err := d.take(now, service, c, first, false); err == nil {
+				return chosen, nil
+			}
+			decided = true
+		}
+	}
+	c, err := d.consider(now, service, places, p, tried, versions)
+	if err != nil {
+		return ChosenTarget{}, err
+	}
+	return d.take(now, service, c, first, decided)
+}
+
+// considered is a target that may be chosen for a request, and what it was chosen by.
+type considered struct {
+	nodes   serviceNodes
+	request chooser.PrefillRequest
+	choice  chooser.PrefillChoice
+}
+
+// consider selects a target without recording anything. The result is valid until the next
+// call. The caller must hold the lock.
+func (d *Dispatcher) consider(now time.Time, service *resolver.Service, places restrictor.Places, p chooser.PrefillRequest, tried, versions []string) (considered, error) {
 	n := d.readyNodes(service, places)
 	if err := d.checkPlaces(now, service, places, n); err != nil {
-		return ChosenTarget{}, err
+		return considered{}, err
 	}
 	unavailable := d.retries.AppendPaused(n.appendUnfit(append(d.exclude[:0], tried...), versions), now)
 	unavailable = d.limits.AppendClosed(unavailable, now, service.Name, len(n.targets))
@@ -180,11 +219,19 @@
 		choice, ok = d.policy.Choose(now, p, n.list)
 	}
 	if !ok {
-		return ChosenTarget{}, d.noTargetError(now, n.fitting(versions), tried)
+		return considered{}, d.noTargetError(now, n.fitting(versions), tried)
 	}
+	return considered{n, p, choice}, nil
+}
+
+// take decides about the admission of a request to the considered target, and records it as
+// sent there. decided says that another target has refused it before. The caller must hold the
+// lock.
+func (d *Dispatcher) take(now time.Time, service *resolver.Service, c considered, first, decided bool) (ChosenTarget, error) {
+	n, p, choice := c.nodes, c.request, c.choice
 	if service.Engine != nil && first {
 		var v scheduler.Decision
-		if choice, v = d.admit(now, service.Name, p, choice, n.list); !v.Admit {
+		if choice, v = d.admit(now, service.Name, p, choice, n.list, decided); !v.Admit {
 			return ChosenTarget{Target: n.targets[choice.Index], Choice: choice, ChosenAt: now}, overloadError{v.After, v.Exceeded}
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,7 +43,8 @@
 	Account   string        // client account, empty: has no share
 	Objective time.Duration // of the time to first token, 0: none
 	Left      time.Duration // until the deadline, 0: none
-	Elsewhere bool          // offered to another target than the one chosen for it
+	Elsewhere bool          // offered to another target than the one chosen for it, after a decision about that one
+	Counted   bool          // an earlier decision has counted it in the shares
 }
 
 // Estimate is what is expected at the target that is chosen for a request.
@@ -89,7 +90,7 @@
 		return s.decide(now, r, e, false)
 	}
 	shares, work := &s.shares[r.Priority], max(0, e.Wait-e.Backlog).Seconds()
-	if !r.Elsewhere {
+	if !r.Elsewhere && !r.Counted {
 		shares.offer(now, r.Account, work)
 	}
 	exceeded := shares.exceeded(now, r.Account)
