Refuse what crashes targets right after its answers after three crashes

A whole answer speaks for its request until the target has outlived it. If the target ended with it instead, the answer went on to speak for the request, which then needed five crashes for a verdict, not three. Four requests that arrive at the same time, more than the window after the first four, so reached targets late, also if they were equal. An answer that its target ended with no longer counts; an earlier one that a target has outlived still does. Prompt parts are judged as before.

--- a/internal/quarantiner/class_test.go
+++ b/internal/quarantiner/class_test.go
@@ -319,3 +319,53 @@
 		t.Errorf("%d of %d healthy requests served after %v, %d not served in all; crashes %d", served, of, settled.Sub(healthySince), refused, len(f.crashes["request"])+len(f.crashes["part"]))
 	}
 }
+
+// Guards against requests that reach targets late because four of them arrive at the same time,
+// and each is sent before the others have crashed their targets. Those that differ in the last
+// part of the prompt alone count as one request: three crashes lead to a verdict, and three to
+// six targets crash, as those that are on their way are not stopped. Also if targets end right
+// after the answer, which then does not speak for the request.
+func TestPoisonAtOnce(t *testing.T) {
+	kinds := []struct {
+		name   string
+		poison func(f *poisonFleet)
+	}{
+		{"equal", func(f *poisonFleet) { f.callOf("request", "/bad", "bad", common, other, fourth) }},
+		{"last part differs", func(f *poisonFleet) { f.call("request", "/bad", "bad", common, other) }},
+	}
+	healthy := []struct {
+		name string
+		send func(f *poisonFleet, i int)
+	}{
+		{"path", func(f *poisonFleet, i int) { f.call("", "/bad", fmt.Sprint(i), common, other) }},
+		{"all shared parts", func(f *poisonFleet, i int) { f.call("", "/y", fmt.Sprint(i), common, other) }},
+		{"path and body", func(f *poisonFleet, _ int) { f.call("", "/bad", "bad", common, other) }},
+	}
+	for _, kind := range kinds {
+		for _, h := range healthy {
+			for _, crashAt := range []time.Duration{atBegin, 50 * time.Millisecond, afterAnswer} {
+				for _, n := range []int{1, 3, 30} {
+					if kind.name != "equal" && h.name == "path and body" {
+						continue // they are poison themselves
+					}
+					t.Run(fmt.Sprintf("%s/%s/%v/%d", kind.name, h.name, crashAt, n), func(t *testing.T) {
+						t.Parallel()
+						f := newPoisonFleet(n, crashAt, time.Second, true)
+						begun := f.now
+						for i := range 20 * 20 {
+							if i%50 == 0 { // once the window of the verdict is over
+								for range 4 {
+									kind.poison(f)
+								}
+							}
+							h.send(f, i)
+							f.play(50 * time.Millisecond)
+						}
+						f.play(time.Second)
+						f.checkClass(t, begun)
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -143,13 +143,14 @@
 	answered    memory[partKey]                 // when targets last outlived answers
 	whole       memory[partKey]                 // when requests with what is shared were last answered whole
 	wholeExact  memory[partKey]                 // when exact requests were
+	outlived    memory[partKey]                 // when targets last outlived answers to exact requests
 	listed      bool
 	judgedAt    time.Time // last judgement that took account of the requests sent
 }
 
 // NewCrashes returns an empty state.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey](), wholeExact: newMemory[partKey]()}
+	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey](), wholeExact: newMemory[partKey](), outlived: newMemory[partKey]()}
 }
 
 // Quarantined returns the requests in quarantine.
@@ -291,6 +292,7 @@
 // RecordCrash records that a target ended before it had answered a request. It returns
 // whether a record is to be written.
 func (c *Crashes) RecordCrash(now time.Time, r Report) bool {
+	c.retractWhole(r)
 	record := CrashRecord{Service: r.Service, Target: r.Target, Incarnation: r.Incarnation}
 	e, ok := c.crashes[record.Name()]
 	if !ok {
@@ -342,6 +344,10 @@
 		if _, ok := c.answered.at(k); ok && !id.isExact() {
 			continue
 		}
+		if _, ok := c.outlived.at(k); ok {
+			least = answered
+			continue
+		}
 		if _, ok := c.wholeOf(id).at(k); !ok {
 			return unanswered
 		}
@@ -358,6 +364,28 @@
 	}
 }
 
+// retractWhole takes back that a request was answered whole, as its target has ended with that
+// answer. Otherwise one that crashes targets right after its answers would need as many crashes
+// as a healthy one. Parts, which many requests have, keep what speaks for them.
+func (c *Crashes) retractWhole(r Report) {
+	if r.AnsweredAt.IsZero() {
+		return
+	}
+	for _, id := range r.Requests {
+		c.wholeOf(id).remove(r.AnsweredAt, partKey{r.Service, id})
+	}
+}
+
+// recordOutlived records that the target of a request has outlived its answer. That stays if
+// other targets end with later answers.
+func (c *Crashes) recordOutlived(now time.Time, r Report) {
+	for _, id := range r.Requests {
+		if id.isExact() {
+			c.outlived.add(now, partKey{r.Service, id})
+		}
+	}
+}
+
 // wholeOf returns the memory of whole answers for the kind of a fingerprint. Exact requests,
 // most of which never come again, have one of their own and do not displace what is shared.
 func (c *Crashes) wholeOf(id Fingerprint) *memory[partKey] {
--- a/internal/quarantiner/memory.go
+++ b/internal/quarantiner/memory.go
@@ -17,6 +17,13 @@
 	m.newer[k] = now
 }
 
+// remove forgets a key if it was last added at the given time.
+func (m *memory[K]) remove(at time.Time, k K) {
+	if added, ok := m.newer[k]; ok && added.Equal(at) {
+		delete(m.newer, k)
+	}
+}
+
 func (m *memory[K]) at(k K) (at time.Time, ok bool) {
 	if at, ok = m.newer[k]; !ok {
 		at, ok = m.older[k]
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -44,7 +44,7 @@
 // is sound is shown only once the target has outlived the answer, see Settle. It returns the
 // attempts that the target has ended under, and whether a record is to be written.
 func (m *Monitor) RecordWhole(now time.Time, t Target, sentAt time.Time, s Subject) (under []Report, changed bool) {
-	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, Begun: true, Closed: s.Closed, Parts: s.Parts, Requests: s.Requests}
+	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, AnsweredAt: now, Begun: true, Closed: s.Closed, Parts: s.Parts, Requests: s.Requests}
 	if len(s.Fingerprints()) == 0 {
 		return nil, false
 	}
@@ -69,6 +69,7 @@
 // record is to be written.
 func (m *Monitor) Settle(now time.Time) (changed bool) {
 	for _, r := range m.attempts.Survived(now) {
+		m.recordOutlived(now, r)
 		changed = m.RecordSurvived(now, r.Service, r.shared()) || changed
 		changed = m.RecordAnswer(now, r.Requests) || changed
 	}
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -81,6 +81,7 @@
 	Target      string
 	Incarnation int64
 	SentAt      time.Time // when the request was sent to the target
+	AnsweredAt  time.Time // when its whole answer had arrived, zero: it was not answered whole
 	Begun       bool      // the target had begun to answer the request
 	About       bool      // it was about to, see [Crashes]
 	Closed      bool      // the answer ended with the connection
