Test bodies of legal size that come at once with the real process

Twenty and forty whole bodies of 4 MiB at once, to a target that answers late, must not take an entry over the memory of the smallest machine, and one ordinary request must be answered afterwards. Run apart from other load (APART).

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 # Tests that bound the memory of processes under abusive clients. They run apart from other
 # load, and not with the race detector, which takes several times the memory.
-APART = TestAbusiveClients|TestAbusiveClientsOfOwnInterface|TestOrdinaryClientsAtOnce
+APART = TestAbusiveClients|TestAbusiveClientsOfOwnInterface|TestOrdinaryClientsAtOnce|TestLargestBodiesAtOnce
 
 # Runs all tests once, without cached results, but for the known red ones.
 test:
--- a/internal/flooder/flooder_test.go
+++ b/internal/flooder/flooder_test.go
@@ -29,6 +29,12 @@
 // answerBytes is the size of each answer of the runner.
 const answerBytes = 200_000
 
+// maxBodyBytes is the largest body that the entry takes.
+const maxBodyBytes = 4 << 20
+
+// slowPath is where the runner answers late, so that bodies are held together.
+const slowPath = "/look/slow"
+
 // platformEntry is an entry on the users' platform.
 type platformEntry struct {
 	*Process
@@ -41,7 +47,10 @@
 	t.Helper()
 	store, addr := platformtest.Start(t)
 	answer := strings.Repeat("a", answerBytes)
-	runner, err := platformtest.NewRunnerFunc("i-1", func(platformtest.Request) platformtest.Response {
+	runner, err := platformtest.NewRunnerFunc("i-1", func(r platformtest.Request) platformtest.Response {
+		if r.URI == slowPath {
+			return platformtest.Response{Body: answer, WriteTimeout: 4 * time.Second, Delay: 2 * time.Second}
+		}
 		return platformtest.Response{Body: answer, WriteTimeout: 2 * time.Second}
 	})
 	if err != nil {
@@ -113,15 +122,14 @@
 // Guards against clients that end the process, fill its memory or its descriptors, or keep
 // ordinary callers away, by what they send to any of the listeners.
 func TestAbusiveClients(t *testing.T) {
-	const bodyBytes = 4 << 20
 	listeners := []struct {
 		name    string
 		request Request
 	}{
-		{"callers", Request{Path: "/look/7", Header: []string{"Api-Key: k1", "Daisylane-Attempt-Id: id-1"}, MaxBodyBytes: bodyBytes}},
-		{"ready", Request{Method: http.MethodGet, Path: platform.ReadyPath, MaxBodyBytes: bodyBytes}},
-		{"peers", Request{Path: "/lend", MaxBodyBytes: bodyBytes}},
-		{"metrics", Request{Method: http.MethodGet, Path: "/metrics", MaxBodyBytes: bodyBytes}},
+		{"callers", Request{Path: "/look/7", Header: []string{"Api-Key: k1", "Daisylane-Attempt-Id: id-1"}, MaxBodyBytes: maxBodyBytes}},
+		{"ready", Request{Method: http.MethodGet, Path: platform.ReadyPath, MaxBodyBytes: maxBodyBytes}},
+		{"peers", Request{Path: "/lend", MaxBodyBytes: maxBodyBytes}},
+		{"metrics", Request{Method: http.MethodGet, Path: "/metrics", MaxBodyBytes: maxBodyBytes}},
 	}
 	for _, l := range listeners {
 		for _, k := range Cases {
