--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -27,6 +27,9 @@
 	// userTimeout is the time for which sent data may stay unacknowledged before the
 	// peer is considered dead.
 	userTimeout = 1500 * time.Millisecond
+	// maxUnsentBytes bounds what the kernel holds of a request beside what is on the way, so that
+	// a write that returns shows progress. It takes a link of 10 Mbit/s 105 ms.
+	maxUnsentBytes = 128 << 10
 	// defaultIdleTimeout applies if the target does not send a Keep-Alive timeout.
 	// Targets close idle connections after some seconds.
 	defaultIdleTimeout = 4 * time.Second
@@ -85,6 +88,8 @@
 type limitedReader struct {
 	r    io.Reader
 	left int64 // bytes that may be read, or unlimited
+
+	onRead func() // called when bytes were read, nil: not called
 }
 
 // limit sets how many more bytes may be read.
@@ -92,14 +97,19 @@
 
 // Read implements [io.Reader].
 func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.left == unlimited {
-		return l.r.Read(b)
-	}
 	if l.left == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
-	l.left -= int64(n)
+	if l.left != unlimited {
+		b = b[:min(int64(len(b)), l.left)]
+	}
+	n, err := l.r.Read(b)
+	if l.left != unlimited {
+		l.left -= int64(n)
+	}
+	if n > 0 && l.onRead != nil {
+		l.onRead()
+	}
 	return n, err
 }
 
@@ -112,22 +122,25 @@
 // New returns a pool. requestID returns the request id from the headers of a response.
 func New(requestID func(http.Header) string, opts ...Option) *Pool {
 	p := &Pool{requestID: requestID, observer: noObserver{}, idle: make(map[string][]*conn), open: make(map[string]map[*conn]bool)}
-	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setOptions}
 	for _, o := range opts {
 		o(p)
 	}
 	return p
 }
 
-// setUserTimeout makes the kernel close connections to a peer that does not acknowledge
-// data within userTimeout.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions makes the kernel close connections to a peer that does not acknowledge data within
+// userTimeout, and keeps to maxUnsentBytes.
+func setOptions(_, _ string, raw syscall.RawConn) error {
 	var err error
 	ctlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		err = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())),
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes),
+		)
 	})
 	if err := errors.Join(ctlErr, err); err != nil {
-		return fmt.Errorf("set user timeout: %w", err)
+		return fmt.Errorf("set options of the connection: %w", err)
 	}
 	return nil
 }
@@ -350,6 +363,7 @@
 		_ = c.Close()
 		return
 	}
+	c.in.onRead = nil // holds the request
 	p.keep(c, timeout)
 }
 
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -28,10 +28,9 @@
 
 // streamState is the state of a streamed response over all attempts.
 type streamState struct {
-	started      bool   // the response header was written
-	events       int    // number of delivered events
-	lastID       string // ID of the last delivered event
-	onFirstEvent func() // called at the first event of an attempt
+	started bool   // the response header was written
+	events  int    // number of delivered events
+	lastID  string // ID of the last delivered event
 }
 
 // isStream reports whether the response is an event stream.
@@ -41,10 +40,8 @@
 
 // deliverPlain buffers and checks a plain response and sends it to the caller.
 func (j *job) deliverPlain(response *forwarder.Response, chosen ChosenTarget, meta ResponseMeta) attemptResult {
-	j.onProgress()
 	j.freeAnswer() // of an attempt before
-	rest := progressReader{response, j.onProgress}
-	body, whole, err := j.bufferAnswer(rest)
+	body, whole, err := j.bufferAnswer(response)
 	if err != nil {
 		j.freeAnswer()
 		return attemptResult{outcome: retrier.Interrupted, status: response.Status, err: err}
@@ -71,7 +68,7 @@
 		j.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength(), 10))
 	}
 	if !whole {
-		if res, ok := j.copyAnswer(response.Status, body, rest); !ok {
+		if res, ok := j.copyAnswer(response.Status, body, response); !ok {
 			return res
 		}
 	}
@@ -132,10 +129,11 @@
 // false and the result of the attempt if it could not.
 func (j *job) copyAnswer(status int, body []byte, rest io.Reader) (attemptResult, bool) {
 	j.writeHead(status)
-	if _, err := j.w.Write(body); err != nil {
+	w := holdingWriter{j.w, j.silence}
+	if _, err := w.Write(body); err != nil {
 		return j.callerDisconnected(err), false
 	}
-	if err := copyRest(j.w, rest); err != nil {
+	if err := copyRest(w, rest); err != nil {
 		j.summary.failure = err
 		j.abortResponse(Interrupted)
 		return attemptResult{outcome: retrier.Interrupted, done: true, err: err}, false
@@ -143,21 +141,6 @@
 	return attemptResult{}, true
 }
 
-// progressReader calls a function when bytes have arrived.
-type progressReader struct {
-	io.Reader
-	onProgress func()
-}
-
-// Read implements [io.Reader].
-func (r progressReader) Read(b []byte) (int, error) {
-	n, err := r.Reader.Read(b)
-	if n > 0 {
-		r.onProgress()
-	}
-	return n, err
-}
-
 // copyRest copies the part of a response that was not buffered, up to the limit.
 func copyRest(w io.Writer, response io.Reader) error {
 	n, err := io.Copy(w, io.LimitReader(response, maxResponseBytes))
@@ -190,9 +173,7 @@
 		}
 		id := forwarder.EventID(event)
 		if n == 0 {
-			if j.stream.onFirstEvent != nil {
-				j.stream.onFirstEvent()
-			}
+			j.silence.stop()
 			j.r.dispatcher.RecordFirstEvent(time.Now(), chosen)
 			if j.stream.started && !isNextEvent(j.stream.lastID, id) {
 				return attemptResult{outcome: retrier.Interrupted, err: errors.New("stream resumed at event " + id + " after " + j.stream.lastID)}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -136,24 +136,16 @@
 // chooseTarget chooses a target. A new stream that may be resumed prefers targets whose version is
 // certain, unless it would come late or be refused there: if it breaks off elsewhere, it is lost.
 func (j *job) chooseTarget(left time.Duration) (ChosenTarget, error) {
-	choose := func(excluded []string) (ChosenTarget, error) {
-		return j.r.dispatcher.Choose(time.Now(), j.service, j.allowedPlaces(), j.prefillRequest(left), excluded, j.versions, j.mayBeTurnedAway())
+	d, places, p := j.r.dispatcher, j.allowedPlaces(), j.prefillRequest(left)
+	if j.resumable() && !j.isBound() {
+		maxWait := time.Duration(certainWaitShare * float64(j.route.LatencyTarget))
+		return d.ChooseCertain(time.Now(), j.service, places, p, j.tried, j.versions, j.mayBeTurnedAway(), maxWait)
 	}
-	if !j.resumable() {
-		return choose(j.tried)
+	excluded := j.tried
+	if j.resumable() {
+		excluded = d.AppendUncertain(slices.Clip(excluded))
 	}
-	excluded := j.r.dispatcher.AppendUncertain(slices.Clip(j.tried))
-	if j.isBound() || len(excluded) == len(j.tried) {
-		return choose(excluded)
-	}
-	chosen, err := choose(excluded)
-	if err == nil {
-		if chosen.Choice.Wait <= time.Duration(certainWaitShare*float64(j.route.LatencyTarget)) {
-			return chosen, nil
-		}
-		j.r.dispatcher.FinishAttempt(time.Now(), chosen, nil)
-	}
-	return choose(j.tried)
+	return d.Choose(time.Now(), j.service, places, p, excluded, j.versions, j.mayBeTurnedAway())
 }
 
 // finishAttempt reports the result of an attempt to the dispatcher and returns its
@@ -247,6 +239,7 @@
 // attempt sends the request to one target and delivers its response. A response
 // that allows a retry is not delivered.
 func (j *job) attempt(ctx context.Context, chosen ChosenTarget) attemptResult {
+	j.silence = nil
 	if limit := j.firstByteTimeout(); limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(ctx)
@@ -254,11 +247,8 @@
 		alive := func() bool {
 			return j.service.Engine != nil && j.r.dispatcher.HeardWithin(time.Now(), chosen, time.Duration(heardShare*float64(limit)))
 		}
-		timer := newSilenceTimer(limit, alive, cancel)
-		j.stream.onFirstEvent, j.onProgress = timer.stop, timer.reset
-		defer timer.stop()
-	} else {
-		j.stream.onFirstEvent, j.onProgress = nil, func() {}
+		j.silence = newSilenceTimer(limit, alive, cancel)
+		defer j.silence.stop()
 	}
 	if res, ok := j.restarted(chosen.Target); ok {
 		j.dials++
@@ -308,8 +298,9 @@
 }
 
 // firstByteTimeout returns the time after which a retryable request is retried at
-// another target if the response has not started, or 0 for no timeout. A plain response that
-// has started may pause for as long, whether a part of it was delivered or not.
+// another target if the response has not started, or 0 for no timeout. A response that has
+// started may pause for as long: a stream until its first event is delivered, a plain response
+// to its end.
 func (j *job) firstByteTimeout() time.Duration {
 	if !j.route.Retryable() || j.sends+1 >= j.route.MaxAttempts {
 		return 0
@@ -339,7 +330,7 @@
 	j.r.codec.EncodeForward(h, f)
 	return forwarder.Request{
 		ID: j.meta.ID, Method: j.req.Method, URI: j.req.RequestURI, Host: j.req.Host, Header: h, Body: j.body,
-		HasBody: j.req.ContentLength != 0, Permitted: func() bool {
+		HasBody: j.req.ContentLength != 0, OnProgress: j.silence.reset, Permitted: func() bool {
 			return j.r.dispatcher.Permits(chosen.Target, j.allowedPlaces()) && j.fixOrigin(chosen)
 		},
 	}
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -70,6 +70,12 @@
 }
 
 func table(t testing.TB, version int64) *resolver.Table {
+	t.Helper()
+	return tableWith(t, version, 100)
+}
+
+// tableWith is table with a limit of bodies.
+func tableWith(t testing.TB, version, maxBodyBytes int64) *resolver.Table {
 	t.Helper()
 	prefix := func(name string, kind resolver.Kind, attempts int, resumable bool) resolver.Route {
 		service := "booking"
@@ -84,19 +90,20 @@
 	public := prefix("public", resolver.Idempotent, 2, false)
 	public.Public = true
 	long := prefix("long", resolver.Stream, 2, false)
-	long.Timeout = 50 * time.Second
+	report := prefix("report", resolver.Stream, 2, true)
+	long.Timeout, report.Timeout = 50*time.Second, 50*time.Second
 	tab, err := resolver.New(resolver.Config{
 		Version: version, KeyRequired: true,
 		Routes: []resolver.Route{
 			prefix("look", resolver.Idempotent, 2, false), prefix("book", resolver.NonIdempotent, 2, false),
-			prefix("plan", resolver.Stream, 2, false), prefix("summary", resolver.Stream, 2, true), public, long,
+			prefix("plan", resolver.Stream, 2, false), prefix("summary", resolver.Stream, 2, true), public, long, report,
 		},
 		Services: []resolver.Service{
 			{Name: "booking", MaxConnections: 10},
 			{Name: "engine", MaxConnections: 10, Engine: &resolver.Engine{Slots: 8, KVCapacity: 100_000, MaxTokensPerEvent: 4}},
 		},
 		Accounts: []resolver.Account{{Name: "rider-app", Keys: []string{"key-1"}, PrepaidTokens: 1000}},
-		Limits:   resolver.Limits{MaxBodyBytes: 100},
+		Limits:   resolver.Limits{MaxBodyBytes: maxBodyBytes},
 	})
 	if err != nil {
 		t.Fatal(err)
