End the longer pause of warnings with a round without a failure

Recorder.Run reset its pause only after a round without a conflict. Over a store that responds with conflicts only, the pause of a past outage stayed in effect, so one failed call delayed a warning by up to 1.8 s instead of 0.2 s. A conflict is a response, so the pause starts over.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -282,6 +282,7 @@
 			r.pause(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, maxRetryDelay)
 		case again:
+			delay = minRetryDelay // the store responds
 			waiter.Sleep(ctx, rand.N(conflictPause))
 		default:
 			delay = minRetryDelay
