Spread the writes of a crash over its instances

All instances that had requests at a crashed target wrote its record 20 ms later, and again up to 0.2 s after a conflict, by which time the version that the conflict had returned was replaced.

The first write now waits a random time that grows with the fleet, 20 ms for each further instance up to 0.5 s, a fifth of that for what was at another crash and never answered. After a conflict it is repeated at once, with a pause that doubles from 1 ms to 0.4 s. A part that waited at the target is not written if the record says that the target had begun to answer it.

--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -26,8 +26,16 @@
 	maxCrashRecords     = 256
 	maxRequestsPerCrash = 384
 	maxTrialsPerCrash   = 64
-	// CrashWriteDelay collects the requests that a crash ends at one instance.
-	CrashWriteDelay = 20 * time.Millisecond
+	// crashWriteDelay collects the requests that a crash ends at one instance.
+	crashWriteDelay = 20 * time.Millisecond
+	// crashSpreadStep is by how much each further instance of the fleet extends the random delay
+	// that is added, up to maxCrashSpread. All instances that had requests at a target write the
+	// same record when it crashes: a call of 20 ms for each of them.
+	crashSpreadStep = 20 * time.Millisecond
+	maxCrashSpread  = 500 * time.Millisecond
+	// urgentSpreadShare is the part of that delay that is left for what was at another crash too
+	// and never answered, as it may be close to a quarantine.
+	urgentSpreadShare = 5
 	// healthyPause is the time between the first trials with requests that may be healthy: an
 	// answer, and what a target has to outlive it by.
 	healthyPause = 2 * time.Second
@@ -145,13 +153,18 @@
 	wholeExact  memory[partKey]                 // when exact requests were
 	listed      bool
 	judgedAt    time.Time // last judgement that took account of the requests sent
+	fleetSize   func() int
 }
 
 // NewCrashes returns an empty state.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey](), wholeExact: newMemory[partKey]()}
+	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey](), wholeExact: newMemory[partKey](), fleetSize: func() int { return 1 }}
 }
 
+// SetFleetSize sets what returns the number of instances. It must be called before the first
+// crash.
+func (c *Crashes) SetFleetSize(f func() int) { c.fleetSize = f }
+
 // Quarantined returns the requests in quarantine.
 func (c *Crashes) Quarantined() []Fingerprint { return slices.Collect(maps.Keys(c.quarantined)) }
 
@@ -301,7 +314,7 @@
 	}
 	list, suspects := e.record.Requests, r.suspects()
 	for _, id := range suspects {
-		if slices.Contains(list, id) || e.answered[id.subject()] || c.isVoid(now, e, id) || c.answeredLately(now, r.Service, id) {
+		if says(list, id) || e.answered[id.subject()] || c.isVoid(now, e, id) || c.answeredLately(now, r.Service, id) {
 			continue
 		}
 		if more, ok := c.withRequest(list, id); ok {
@@ -311,13 +324,36 @@
 	if len(list) == len(e.record.Requests) {
 		return false
 	}
-	c.scheduleWrite(e, now.Add(CrashWriteDelay))
 	c.replace(now, e, e.record.WithRequests(list))
+	c.scheduleWrite(e, now.Add(c.crashDelay(suspects)))
 	c.recordDepths(suspects)
 	c.judge()
 	return true
 }
 
+// crashDelay returns how long the write of a crash waits for others of this instance, and for
+// those of other instances.
+func (c *Crashes) crashDelay(suspects []Fingerprint) time.Duration {
+	spread := min(time.Duration(c.fleetSize()-1)*crashSpreadStep, maxCrashSpread)
+	urgent := slices.ContainsFunc(suspects, func(id Fingerprint) bool {
+		s, ok := c.suspicions[id.subject()]
+		return ok && len(s.crashes) > 1 && c.proof(id.subject()) == unanswered
+	})
+	if urgent {
+		spread /= urgentSpreadShare
+	}
+	if spread <= 0 {
+		return crashWriteDelay
+	}
+	return crashWriteDelay + rand.N(spread)
+}
+
+// says reports whether a list has a request or part. One that waited at the target is also in
+// the list if the target had begun to answer another request with it.
+func says(list []Fingerprint, id Fingerprint) bool {
+	return slices.Contains(list, id) || slices.Contains(list, id.subject())
+}
+
 // answeredLately reports whether a request or part was answered so shortly ago that it did
 // not cause a crash.
 func (c *Crashes) answeredLately(now time.Time, service string, id Fingerprint) bool {
@@ -759,7 +795,7 @@
 	}
 	list := slices.DeleteFunc(slices.Clone(r.Requests), func(id Fingerprint) bool { return e.expired || e.answered[id.subject()] })
 	for id := range e.added {
-		if slices.Contains(r.Requests, id) || e.expired {
+		if says(r.Requests, id) || e.expired {
 			delete(e.added, id)
 		} else if len(list) < maxRequestsPerCrash {
 			list = append(list, id)
@@ -834,6 +870,16 @@
 	c.scheduleWrite(e, at)
 }
 
+// NextWrite returns when the next change is due. It reports false if there is none.
+func (c *Crashes) NextWrite() (at time.Time, ok bool) {
+	for _, e := range c.crashes {
+		if !e.sending && !e.writeAt.IsZero() && (!ok || e.writeAt.Before(at)) {
+			at, ok = e.writeAt, true
+		}
+	}
+	return at, ok
+}
+
 // Due returns the changes that are to be stored now. The caller must call Written, Failed
 // or Gone for each.
 func (c *Crashes) Due(now time.Time) []CrashWrite {
--- a/internal/quarantiner/crashes_test.go
+++ b/internal/quarantiner/crashes_test.go
@@ -693,3 +693,36 @@
 		})
 	}
 }
+
+// Guards against a priced write of a crash that says what the record says already, as another
+// instance has stored it in the meantime.
+func TestKnownCrashIsNotWritten(t *testing.T) {
+	waiting := Report{Service: service, Target: "i-1", About: true, Parts: []uint64{1, 2}}
+	begun := Report{Service: service, Target: "i-1", Begun: true, Parts: []uint64{1, 2}}
+	for _, tt := range []struct {
+		name           string
+		stored, report Report
+		writes         int
+	}{
+		{"the same", begun, begun, 0},
+		{"less, as the request waited", begun, waiting, 0},
+		{"more, as the target had begun", waiting, begun, 1},
+		{"another part", begun, Report{Service: service, Target: "i-1", Begun: true, Parts: []uint64{1, 3, 4}}, 1},
+	} {
+		for _, first := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, record known before %v", tt.name, first), func(t *testing.T) {
+				now := time.Now()
+				q := NewCrashes()
+				stored := CrashRecord{Service: service, Target: "i-1", Requests: tt.stored.suspects()}
+				if first {
+					q.Observe(now, 1, stored)
+				}
+				q.RecordCrash(now, tt.report)
+				q.Observe(now, 1, stored)
+				if n := len(q.Due(now.Add(time.Second))); n != tt.writes {
+					t.Errorf("%d writes, expected %d", n, tt.writes)
+				}
+			})
+		}
+	}
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -34,9 +34,11 @@
 	// store that is away for long gets a priced call from each instance otherwise.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 1200 * time.Millisecond
-	// conflictPause is the longest pause after a conflict. All instances that had requests at a
-	// target write the same record when it crashes.
-	conflictPause = 200 * time.Millisecond
+	// minConflictPause is the longest pause after a conflict, which doubles up to maxConflictPause
+	// with each further one. The version that a conflict returns is current for a moment only, so
+	// the write is repeated at once unless there were several conflicts.
+	minConflictPause = time.Millisecond
+	maxConflictPause = 400 * time.Millisecond
 	// sweepInterval is how often writes without a signal are looked for.
 	sweepInterval = 100 * time.Millisecond
 )
@@ -259,7 +261,7 @@
 func (r *Recorder) Run(ctx context.Context) {
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
-	delay := minRetryDelay
+	delay, conflictPause := minRetryDelay, minConflictPause
 	for {
 		select {
 		case <-ctx.Done():
@@ -284,8 +286,9 @@
 		case again:
 			delay = minRetryDelay // the store responds
 			waiter.Sleep(ctx, rand.N(conflictPause))
+			conflictPause = min(2*conflictPause, maxConflictPause)
 		default:
-			delay = minRetryDelay
+			delay, conflictPause = minRetryDelay, minConflictPause
 			continue
 		}
 		r.Wake()
--- a/internal/starter/entry.go
+++ b/internal/starter/entry.go
@@ -144,7 +144,7 @@
 	opts = append(opts, receiver.WithLimits(e.permits))
 	e.dispatcher = receiver.NewDispatcher(chooser.Place{Centre: cfg.Centre, Region: cfg.Region}, cfg.Regions, retries, opts...)
 	e.applyLimits(cfg)
-	e.guard = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()))
+	e.guard = warden.New(e.store, warden.WithLog(log), warden.WithScope(e.metrics.Scope()), warden.WithFleetSize(e.accounting.InstanceCount))
 	e.streams = archiver.New(e.store, cfg.Name+"-"+cfg.Addr, archiver.WithLog(log), archiver.WithFleetSize(e.accounting.InstanceCount))
 	e.warnings = recorder.New(e.store, log, append(e.guard.Groups(), e.permits.Group(), e.streams.Group())...)
 	e.guard.OnChange(e.warnings.Wake)
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -59,6 +59,9 @@
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(w *Warden) { w.scope = s } }
 
+// WithFleetSize sets what returns the number of instances, over which writes are spread.
+func WithFleetSize(f func() int) Option { return func(w *Warden) { w.monitor.SetFleetSize(f) } }
+
 // New returns a warden without records.
 func New(store recorder.Store, opts ...Option) *Warden {
 	w := &Warden{
@@ -240,17 +243,19 @@
 // and whether records are to be stored. That is done after a delay if there are such attempts.
 func (w *Warden) update(change func(now time.Time) ([]quarantiner.Report, bool)) {
 	w.mu.Lock()
-	under, changed := change(time.Now())
+	now := time.Now()
+	under, changed := change(now)
 	if changed {
 		w.logChanges()
 	}
+	next, ok := w.monitor.NextWrite()
 	w.mu.Unlock()
 	for _, f := range under {
 		w.scope.Tagged(map[string]string{"service": f.Service}).Counter(reporter.Crashes).Inc(1)
 	}
 	switch {
-	case changed && len(under) > 0:
-		time.AfterFunc(quarantiner.CrashWriteDelay, w.onChange)
+	case changed && len(under) > 0 && ok:
+		time.AfterFunc(next.Sub(now), w.onChange)
 	case changed:
 		w.onChange()
 	}
