Test that 300 instances start within 5 s at the rates of the store

TestTimeOfAStart starts 300 instances at once in simulated time, over a store that refuses calls above 2,000 reads and 400 writes a second (or 6,000 and 1,200) and links of 10 and 200 Mbit/s. The accountant takes its clock as an option for this.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -191,6 +191,11 @@
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(a *Accountant) { a.scope = s } }
 
+// WithClock sets the clock, whose readings are those of the boot clock otherwise.
+func WithClock(clock func() time.Duration) Option {
+	return func(a *Accountant) { a.clock, a.started = clock, clock() }
+}
+
 // budgetWrite is the last write of a budget.
 type budgetWrite struct {
 	running bool
--- a/internal/accountant/start_test.go
+++ b/internal/accountant/start_test.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"daisylane/internal/accountant"
 	"daisylane/internal/follower"
@@ -128,7 +132,7 @@
 
 // startAll starts instances at once, and returns when all are ready, after how long, and a
 // function that ends them.
-func startAll(t *testing.T, s *countingStore, n int) (ready time.Duration, end func()) {
+func startAll(t *testing.T, storeOf func(i int) accountant.Store, n int, opts ...accountant.Option) (ready time.Duration, end func()) {
 	t.Helper()
 	peers := &localPeers{byAddr: make(map[string]*accountant.Accountant)}
 	var all []*accountant.Accountant
@@ -138,7 +142,7 @@
 	}
 	for i := range n {
 		addr := fmt.Sprint("addr-", i)
-		a := accountant.New(s, fmt.Sprint("entry-", i), addr, peers, zerolog.Nop())
+		a := accountant.New(storeOf(i), fmt.Sprint("entry-", i), addr, peers, zerolog.Nop(), opts...)
 		a.SetPrepaid(1, prepaid)
 		peers.byAddr[addr], all = a, append(all, a)
 	}
@@ -167,13 +171,14 @@
 	for _, n := range sizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			s := newCountingStore()
-			_, end := startAll(t, s, n)
+			storeOf := func(int) accountant.Store { return s }
+			_, end := startAll(t, storeOf, n)
 			time.Sleep(time.Second)
 			end()
 			s.mu.Lock()
 			s.calls, s.bytes = make(map[string]int), 0
 			s.mu.Unlock()
-			ready, end := startAll(t, s, n)
+			ready, end := startAll(t, storeOf, n)
 			time.Sleep(3*time.Second - ready)
 			end()
 			// Each start lists the ledgers once. About half of the instances do so again in
@@ -185,3 +190,124 @@
 		})
 	}
 }
+
+// limitedStore reaches a store that allows all instances together a rate of calls, over a link of
+// one instance. Time is simulated.
+type limitedStore struct {
+	*countingStore
+	reads, writes *rate.Limiter // of all instances; nil if the rate is unlimited
+	link          float64       // bytes in a second
+	mu            sync.Mutex
+	busyUntil     time.Time // when the link has sent what is on its way
+	refused       *atomic.Int64
+}
+
+const (
+	storeDelay   = 10 * time.Millisecond // of each way
+	platformPage = 500
+	platformBody = 1 << 20
+	// refusedPages and pagePause are those of platform.Store.
+	refusedPages = 5
+	pagePause    = 100 * time.Millisecond
+)
+
+// call waits for a call that transfers some bytes.
+func (s *limitedStore) call(limit *rate.Limiter, n int) error {
+	time.Sleep(storeDelay)
+	if limit != nil && !limit.Allow() {
+		s.refused.Add(1)
+		time.Sleep(storeDelay)
+		return fmt.Errorf("%w: too many calls", storer.ErrUnavailable)
+	}
+	s.mu.Lock()
+	if now := time.Now(); s.busyUntil.Before(now) {
+		s.busyUntil = now
+	}
+	s.busyUntil = s.busyUntil.Add(time.Duration(float64(n) / s.link * float64(time.Second)))
+	arrives := time.Until(s.busyUntil)
+	s.mu.Unlock()
+	time.Sleep(arrives + storeDelay)
+	return nil
+}
+
+func (s *limitedStore) list(ctx context.Context, kind string, limit *rate.Limiter) ([]storer.Item, follower.Position, error) {
+	items, at, err := s.countingStore.List(ctx, kind)
+	bytes := 0
+	for _, item := range items {
+		bytes += len(item.Key) + len(item.Body)
+	}
+	pages := 1 + max(len(items)/platformPage, bytes/platformBody)
+	for page, refused := 0, 0; page < pages && err == nil; {
+		switch err = s.call(limit, bytes/pages); {
+		case err == nil:
+			page++
+		case refused < refusedPages:
+			time.Sleep(pagePause + rand.N(pagePause<<refused))
+			refused, err = refused+1, nil
+		}
+	}
+	return items, at, err
+}
+
+func (s *limitedStore) List(ctx context.Context, kind string) ([]storer.Item, follower.Position, error) {
+	return s.list(ctx, kind, s.reads)
+}
+
+func (s *limitedStore) ListStale(ctx context.Context, kind string) ([]storer.Item, follower.Position, error) {
+	return s.list(ctx, kind, nil)
+}
+
+func (s *limitedStore) Get(ctx context.Context, kind, name string) (storer.Item, error) {
+	if err := s.call(s.reads, 1024); err != nil {
+		return storer.Item{}, err
+	}
+	return s.countingStore.Get(ctx, kind, name)
+}
+
+func (s *limitedStore) Put(ctx context.Context, kind, name string, body []byte, version uint64) (storer.Item, error) {
+	if err := s.call(s.writes, len(body)); err != nil {
+		return storer.Item{}, err
+	}
+	return s.countingStore.Put(ctx, kind, name, body, version)
+}
+
+// Guards against starts of a large fleet that take longer than 5 s over slow links and a store that
+// refuses calls above its rate, as repeated calls keep the rate exceeded or wait for each other.
+func TestTimeOfAStart(t *testing.T) {
+	const limit = 5 * time.Second
+	if raceDetector {
+		t.Skip("300 instances take two minutes")
+	}
+	for _, tt := range []struct {
+		n             int
+		reads, writes float64 // in a second
+		mbits         float64
+	}{
+		{300, 2000, 400, 10},
+		{300, 2000, 400, 200},
+		{300, 6000, 1200, 10},
+	} {
+		t.Run(fmt.Sprintf("%d instances, %v reads, %v Mbit", tt.n, tt.reads, tt.mbits), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCountingStore()
+				began := time.Now()
+				clock := accountant.WithClock(func() time.Duration { return time.Hour + time.Since(began) })
+				_, end := startAll(t, func(int) accountant.Store { return s }, tt.n, clock)
+				time.Sleep(5 * time.Second)
+				end()
+				var refused atomic.Int64
+				s.calls, s.bytes = make(map[string]int), 0
+				reads, writes := rate.NewLimiter(rate.Limit(tt.reads), int(tt.reads)/10), rate.NewLimiter(rate.Limit(tt.writes), int(tt.writes)/10)
+				ready, end := startAll(t, func(int) accountant.Store {
+					return &limitedStore{countingStore: s, reads: reads, writes: writes, link: tt.mbits * 1e6 / 8, refused: &refused}
+				}, tt.n, clock)
+				t.Logf("ready after %v: %v, %d refused, %.1f MB read", ready, s.calls, refused.Load(), float64(s.bytes)/1e6)
+				if ready > limit {
+					t.Errorf("%d instances are ready after %v, want at most %v", tt.n, ready, limit)
+				}
+				end()
+				time.Sleep(time.Minute) // timers end
+			})
+		})
+	}
+}
