--- a/internal/accountant/start_test.go
+++ b/internal/accountant/start_test.go
@@ -296,12 +296,16 @@
 				time.Sleep(5 * time.Second)
 				end()
 				var refused atomic.Int64
+				s.mu.Lock()
 				s.calls, s.bytes = make(map[string]int), 0
+				s.mu.Unlock()
 				reads, writes := rate.NewLimiter(rate.Limit(tt.reads), int(tt.reads)/10), rate.NewLimiter(rate.Limit(tt.writes), int(tt.writes)/10)
 				ready, end := startAll(t, func(int) accountant.Store {
 					return &limitedStore{countingStore: s, reads: reads, writes: writes, link: tt.mbits * 1e6 / 8, refused: &refused}
 				}, tt.n, clock)
+				s.mu.Lock()
 				t.Logf("ready after %v: %v, %d refused, %.1f MB read", ready, s.calls, refused.Load(), float64(s.bytes)/1e6)
+				s.mu.Unlock()
 				if ready > limit {
 					t.Errorf("%d instances are ready after %v, want at most %v", tt.n, ready, limit)
 				}
--- a/internal/warden/conflicts_test.go
+++ b/internal/warden/conflicts_test.go
@@ -59,6 +59,13 @@
 	return storer.Item{}, errors.New("not expected")
 }
 
+// counts returns the writes, and how many of them conflicted.
+func (s *contended) counts() (puts, conflicts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.puts, s.conflicts
+}
+
 // since returns the changes after the first n.
 func (s *contended) since(n int) []follower.Change {
 	s.mu.Lock()
@@ -160,7 +167,8 @@
 					}
 					took, longest = took+time.Since(begun), max(longest, time.Since(begun))
 					time.Sleep(5 * time.Second)
-					puts, conflicts = puts+f.store.puts, conflicts+f.store.conflicts
+					p, c := f.store.counts()
+					puts, conflicts = puts+p, conflicts+c
 					cancel()
 					time.Sleep(time.Second) // the goroutines end
 				})
