--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -191,6 +191,11 @@
 // WithScope sets the scope of the metrics.
 func WithScope(s tally.Scope) Option { return func(a *Accountant) { a.scope = s } }
 
+// WithClock sets the clock, whose readings are those of the boot clock otherwise.
+func WithClock(clock func() time.Duration) Option {
+	return func(a *Accountant) { a.clock, a.started = clock, clock() }
+}
+
 // budgetWrite is the last write of a budget.
 type budgetWrite struct {
 	running bool
@@ -359,6 +364,7 @@
 		a.state.AddReturned(l.Account, n)
 		return lender.Reply{Outcome: granter.Unready}
 	}
+	a.state.AddExtraLent(a.clock(), l.Account, n-l.Need)
 	return lender.Reply{Tokens: n, Outcome: d.Outcome, Usage: a.state.Usage(l.Account)}
 }
 
