--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -364,7 +364,6 @@
 		a.state.AddReturned(l.Account, n)
 		return lender.Reply{Outcome: granter.Unready}
 	}
-	a.state.AddExtraLent(a.clock(), l.Account, n-l.Need)
 	return lender.Reply{Tokens: n, Outcome: d.Outcome, Usage: a.state.Usage(l.Account)}
 }
 
--- a/internal/granter/commands.go
+++ b/internal/granter/commands.go
@@ -240,11 +240,7 @@
 
 // AddReturned adds tokens that a borrower returns unused. They are not subtracted
 // from the spent tokens, since this instance may itself have borrowed them.
-func (g *Granter) AddReturned(name string, n int64) {
-	a := g.account(name)
-	a.borrowed += n
-	a.extraLent.tokens = max(0, a.extraLent.tokens-float64(n))
-}
+func (g *Granter) AddReturned(name string, n int64) { g.AddBorrowed(name, n) }
 
 // AddGrantDemand adds a request to the demand that the own grant has to cover.
 func (g *Granter) AddGrantDemand(now time.Duration, name string, n int64) {
@@ -252,14 +248,6 @@
 	a.grantDemand = a.grantDemand.withRequest(now, float64(n))
 }
 
-// AddExtraLent adds tokens of a loan beyond the need of its borrower. Requests there use them
-// later and need no loan of their own.
-func (g *Granter) AddExtraLent(now time.Duration, name string, n int64) {
-	if a := g.account(name); n > 0 {
-		a.extraLent = a.extraLent.withRequest(now, float64(n))
-	}
-}
-
 // AddLocalDemand adds a request of a local caller to the demand.
 func (g *Granter) AddLocalDemand(now time.Duration, name string, n int64) {
 	a := g.account(name)
--- a/internal/granter/queries.go
+++ b/internal/granter/queries.go
@@ -461,12 +461,7 @@
 		return 0
 	}
 	remaining := max(0, a.prepaid-g.usedByAll(a))
-	own, total, extra := a.grantDemand.rate(now), g.totalDemand(now, a), 0.0
-	grows := g.limitGrows(now, a)
-	if grows {
-		extra = a.extraLent.rate(now)
-		own, total = own+extra, total+extra
-	}
+	own, total := a.grantDemand.rate(now), g.totalDemand(now, a)
 	instances := float64(max(1, len(g.peers)))
 	prior := demandPriorShare * total / instances
 	weight := 1 / instances
@@ -474,11 +469,11 @@
 		weight = (own + prior) / (total + prior*instances)
 	}
 	share, longest := grantHorizonShare, maxGrantHorizon
-	if g.afterOutage(now) && grows { // a fixed limit does not let more be used
+	if g.afterOutage(now) && g.limitGrows(now, a) { // a fixed limit does not let more be used
 		share, longest = outageGrantShare, outageGrantHorizon
 	}
 	horizon := grantHorizon(remaining, total, share, longest)
-	demand := a.grantDemand.forecast(now, horizon, grantStdDevs) + extra*horizon.Seconds()
+	demand := a.grantDemand.forecast(now, horizon, grantStdDevs)
 	if home {
 		demand += prior*horizon.Seconds() + float64(remaining)*coldStartShare*a.grantDemand.coldStartFactor(now)
 	}
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -343,7 +343,6 @@
 	waitingForGrant int64                    // tokens of reservations waiting for a larger grant
 	reported        map[string]reportedUsage // of other instances, by name
 	grantDemand     demandAverage            // demand on the own grant
-	extraLent       demandAverage            // tokens lent beyond the need of the borrowers, less those returned
 	localDemand     demandAverage            // demand of this instance's callers
 	largeRequest    float64                  // size of a large request in tokens
 }
