--- a/internal/granter/property_test.go
+++ b/internal/granter/property_test.go
@@ -63,10 +63,19 @@
 	copies   []simStore
 	restored bool // at least once
 
+	traffic   traffic
 	violation string // found by a write
 	wroteOff  bool   // tokens have been written off
 }
 
+// traffic counts the calls to the store and the messages between instances.
+type traffic struct{ ledgerWrites, budgetWrites, budgetLists, ledgerLists, greetings, notes int }
+
+// String returns the counts with their names.
+func (c traffic) String() string {
+	return fmt.Sprintf("%d writes of ledgers, %d of budgets, %d lists of budgets, %d of ledgers, %d greetings, %d notes", c.ledgerWrites, c.budgetWrites, c.budgetLists, c.ledgerLists, c.greetings, c.notes)
+}
+
 // simStore is the content of the store. The keys contain the era.
 type simStore struct {
 	era      int64
@@ -256,6 +265,7 @@
 		return
 	}
 	w.contact(h)
+	w.traffic.budgetLists++
 	for _, name := range testAccounts {
 		h.granter.SetPrepaid(name, w.prepaid)
 	}
@@ -288,6 +298,7 @@
 	if h.granter.ready && h.granter.Settled() && w.randomBool(0.67) {
 		return // the ledgers are read less often than the budgets
 	}
+	w.traffic.ledgerLists++
 	if g := h.granter; w.leaves && g.ready && g.Settled() && w.randomBool(0.1) {
 		h.late = func() {
 			if g == h.granter && g.Era() == era {
@@ -310,6 +321,7 @@
 func (w *simulation) greet(h *simHost) []string {
 	var met []string
 	for _, p := range h.granter.GreetingsDue() {
+		w.traffic.greetings++
 		for _, other := range w.hosts {
 			if other.name == p.Name && w.reaches(h, other) && !w.randomBool(0.1) && other.granter.RecordGreeting(h.granter.Greeting()) {
 				met = append(met, p.Name)
@@ -351,6 +363,7 @@
 			if needed <= 0 || other == h || !w.reaches(h, other) || w.randomBool(0.3) {
 				continue
 			}
+			w.traffic.notes++
 			if other.granter.RecordNote(w.clock(other), n) {
 				needed--
 				witnesses = append(witnesses, other)
@@ -470,6 +483,7 @@
 
 func (w *simulation) putLedger(h *simHost, l Ledger, version uint64) bool {
 	g := h.granter
+	w.traffic.ledgerWrites++
 	if w.flaw == omitTestimony {
 		for name, told := range l.Others {
 			l.Others[name] = Testimony{Met: told.Met}
@@ -530,6 +544,7 @@
 	if g.Era() > 0 && a.version == 0 && !g.Complete() {
 		return
 	}
+	w.traffic.budgetWrites++
 	b, version := g.PlanBudget(w.clock(h), name)
 	g.BudgetSent(name, b)
 	era := g.Era()
--- a/internal/granter/rolling_test.go
+++ b/internal/granter/rolling_test.go
@@ -25,6 +25,7 @@
 type rolling struct {
 	*simulation
 	kills    int
+	requests int                        // in a tick
 	atOnce   int                        // instances that are stopped at a time
 	restored time.Duration              // when the store was back, 0: not yet
 	usable   map[time.Duration]float64  // share of the unused tokens, by time since then
@@ -33,7 +34,7 @@
 }
 
 func newRolling(t *testing.T, seed uint64, size, atOnce, kills int, scarce bool) *rolling {
-	r := &rolling{simulation: newSimulation(t, seed, noFlaw, size, true), kills: kills, usable: make(map[time.Duration]float64), due: make(map[*simHost]time.Duration), reads: make(map[*simHost]time.Duration)}
+	r := &rolling{simulation: newSimulation(t, seed, noFlaw, size, true), kills: kills, usable: make(map[time.Duration]float64), due: make(map[*simHost]time.Duration), reads: make(map[*simHost]time.Duration), requests: 3}
 	r.atOnce = atOnce
 	r.leaves, r.calm, r.steady = true, true, kills == 0
 	if r.prepaid = rollPrepaid; scarce {
@@ -76,7 +77,7 @@
 		r.exchangeNotes(h)
 		r.settle(h)
 	}
-	for range 3 {
+	for range r.requests {
 		if h := r.hosts[r.rng.IntN(len(r.hosts))]; h.granter != nil {
 			name := testAccounts[r.rng.IntN(len(testAccounts))]
 			r.request(h, name)
