Test conditions of granter that no test detected

The condition !missing[other] of canCompose is removed. It was joined with l.Memory == FullMemory and other != g.name; the ledger of such a process tells, so that unregistered never names it.

--- a/internal/granter/conditions_test.go
+++ b/internal/granter/conditions_test.go
@@ -190,10 +190,12 @@
 			g.Recover(now, Ledger{Incarnation: "by-9", Closed: true, Accounts: map[string]Limit{"rider-app": {Limit: 5, Rate: 1}}})
 		}, func(g *Granter) any { return g.account("rider-app").exactBy }, ""},
 		{"account that the last ledger of the era does not name", FullMemory, func(g *Granter) {
+			g.account("rider-app").maxPriorSpend = 0
 			g.Recover(now, Ledger{Incarnation: "by-9", Memory: LostMemory})
 		}, func(g *Granter) any { return g.account("rider-app").maxPriorSpend }, int64(unbounded)},
 		{"account that is new after a start without a ledger", FullMemory, func(g *Granter) { g.RecoverLost(now) }, func(g *Granter) any { return g.account("carer-app").maxPriorSpend }, int64(unbounded)},
 		{"grant that others have composed counts as spent", FullMemory, func(g *Granter) {
+			g.account("rider-app").maxPriorSpend = 1
 			g.account("rider-app").takePriorSpend(Grant{Granted: 9})
 		}, func(g *Granter) any { return g.account("rider-app").spent }, int64(9)},
 		{"budget write without effect is forgotten", FullMemory, func(g *Granter) {
@@ -286,6 +288,42 @@
 			g.account("rider-app").version, g.era.composedAt = 1, now
 			g.Close()
 		}, func(g *Granter) any { h, _ := g.Handover(); return len(h.Used) }, 1},
+		{"limit of a fenced account is not that of its predecessor", FullMemory, func(g *Granter) {
+			a := g.account("rider-app")
+			a.fenced, a.granted, a.spent, a.maxPriorSpend = true, 10, 3, 7
+			g.Stop()
+		}, func(g *Granter) any { return g.PlanLedger(now).Accounts["rider-app"] }, Limit{Limit: 3}},
+		{"limit without a grant does not grow", FullMemory, func(g *Granter) { g.account("rider-app").fenced = true }, func(g *Granter) any { return g.PlanLedger(now).Accounts["rider-app"] }, Limit{}},
+		{"process that stops still raises the limit for those that wait", FullMemory, func(g *Granter) {
+			a := g.account("rider-app")
+			a.fenced, a.granted, a.spent, a.waitingForLimit = true, 10, 3, 5
+			g.Stop()
+		}, func(g *Granter) any { return g.PlanLedger(now).Accounts["rider-app"].Limit >= 8 }, true},
+		{"no limit for what nobody spent", FullMemory, func(g *Granter) { g.account("rider-app").maxPriorSpend = 0 }, func(g *Granter) any { return len(g.PlanLedger(now).Accounts) }, 0},
+		{"grant that is not fenced is read from the budget", FullMemory, func(g *Granter) {
+			g.account("rider-app").carried = true
+			g.ObserveBudget(now, "rider-app", Budget{Grants: map[string]Grant{"entry-0": {Granted: 10}}}, 1)
+		}, func(g *Granter) any { return g.account("rider-app").granted }, int64(10)},
+		{"grant that the process has written is read from the budget", FullMemory, func(g *Granter) {
+			a := g.account("rider-app")
+			a.carried, a.fenced, a.granted = true, true, 10
+			g.ObserveBudget(now, "rider-app", Budget{Grants: map[string]Grant{"entry-0": {Granted: 20, WrittenBy: "by-0"}}}, 1)
+		}, func(g *Granter) any { return g.account("rider-app").granted }, int64(20)},
+		{"peer at another address", FullMemory, func(g *Granter) { g.SetPeer(other, "a"); g.SetPeer(other, "b") }, func(g *Granter) any { return g.peers[other] }, "b"},
+		{"write without effect leaves confirmations", FullMemory, func(g *Granter) {
+			a := g.account("rider-app")
+			a.version, a.granted = 1, 10
+			g.BudgetSent("rider-app", Budget{})
+			g.BudgetNotWritten("rider-app")
+		}, func(g *Granter) any { return g.account("rider-app").confirmVersion }, uint64(1)},
+		{"next ledger is no absence", FullMemory, func(g *Granter) {
+			g.newcomer, g.ledger = false, Ledger{Incarnation: "by-0", Number: 1, Time: now.Milliseconds()}
+			g.LedgerWritten(Ledger{Incarnation: "by-0", Number: 2, Time: now.Milliseconds()})
+		}, func(g *Granter) any { return g.newcomer }, false},
+		{"ledger of a predecessor is no absence", FullMemory, func(g *Granter) {
+			g.newcomer, g.ledger = false, Ledger{Incarnation: "by-9", Number: 1}
+			g.LedgerWritten(Ledger{Incarnation: "by-0", Number: 2, Time: now.Milliseconds()})
+		}, func(g *Granter) any { return g.newcomer }, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/granter/eras.go
+++ b/internal/granter/eras.go
@@ -387,7 +387,7 @@
 			if _, ended := g.ends[other]; ended {
 				continue // it counts as untold
 			}
-			if _, told := l.Others[name]; l.Memory == FullMemory && other != g.name && !missing[other] && !told {
+			if _, told := l.Others[name]; l.Memory == FullMemory && other != g.name && !told {
 				return false // its testimony is still to come
 			}
 		}
