Take back whole answers that their target has ended with

A part that crashes targets with answers that look whole, as they end with the connection, counted as answered, like the path and body that healthy requests share with it. It then needed five crashes instead of three, and an instance that knew fewer of them with the part than without it quarantined the path and body, and logged refusals without the part.

The end of the target now takes back the whole answers that it did not outlive. A request refused as a whole names the part that explains it, if that is in quarantine or was never answered, was at two crashes and is in fewer requests than what is refused.

TestPartInWholeAnswers plays the order of events without a network; both cases fail on the old code. go test ./internal/quarantiner ./internal/warden passed.

--- a/internal/quarantiner/attempts.go
+++ b/internal/quarantiner/attempts.go
@@ -99,24 +99,25 @@
 
 // End records that a target has ended. It returns the attempts that it may have ended under.
 // Answers that it has outlived are left to Survived. An older one for which that is not known
-// counts neither way, as the end may be known late.
-func (a *Attempts) End(now time.Time, t Target) []Report {
+// counts neither way, as the end may be known late. Both kinds of answers are returned as revoked.
+func (a *Attempts) End(now time.Time, t Target) (under, revoked []Report) {
 	maps.DeleteFunc(a.ended, func(_ Target, at time.Time) bool { return now.Sub(at) > suspicionDelay })
 	if _, known := a.ended[t]; known {
-		return nil
+		return nil, nil
 	}
 	a.ended[t] = now
-	under := a.takeFailures(now, t)
+	under = a.takeFailures(now, t)
 	a.answers = slices.DeleteFunc(a.answers, func(w attempt) bool {
 		if w.target() != t || a.outlived(now, w) {
 			return false
 		}
+		revoked = append(revoked, w.Report)
 		if now.Sub(w.at) < survivalTime {
 			under = append(under, w.Report)
 		}
 		return true
 	})
-	return under
+	return under, revoked
 }
 
 // Lapse returns the failed attempts at a target whose registration has lapsed. It may have
--- a/internal/quarantiner/attempts_test.go
+++ b/internal/quarantiner/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -125,3 +126,50 @@
 		})
 	}
 }
+
+// Guards against a part that crashes targets after answers that look whole and so counts as
+// answered, like the path and body that all requests share: the instance, which knows some of the
+// crashes without the part, as records of the others come late, refuses that path and body instead,
+// also for requests without the part, and refusals do not name the part.
+func TestPartInWholeAnswers(t *testing.T) {
+	subject := func(parts ...uint64) Subject {
+		c := Content{Account: "t1", URI: "/plan", Parts: append(parts, rand.Uint64())}
+		return Subject{Service: service, Parts: c.Parts, Requests: Fingerprints(c), Closed: true}
+	}
+	for _, tt := range []struct {
+		name       string
+		own, other int // crashes under answers of this instance, and of those known without the part
+		healthy    Outcome
+	}{
+		{"half of the crashes known with the part", 3, 3, Allowed},
+		// Only the records of the others can end this quarantine, but the part is known.
+		{"few crashes known with the part", 2, 4, Quarantined},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			now, m := time.Now(), NewMonitor()
+			m.ObserveList(now, nil, false)
+			m.RecordInTouch(now) // not since: no answer proves anything
+			for range 20 {
+				m.RecordWhole(now, Target{ID: "i-healthy"}, now, subject(common, other))
+			}
+			for i := range tt.own + tt.other {
+				now = now.Add(100 * time.Millisecond)
+				id, healthy := fmt.Sprint("i-", i), subject(common, other)
+				m.RecordSent(healthy)
+				if i%2 == 0 && i/2 < tt.own {
+					s, sentAt := subject(common, deadly, other), now
+					m.RecordSent(s)
+					m.RecordWhole(now, Target{ID: id}, sentAt, s)
+					m.RecordEnd(now, Target{ID: id})
+				}
+				m.RecordCrash(now, Report{Service: service, Target: id, Begun: true, Parts: healthy.Parts, Requests: healthy.Requests})
+			}
+			if v := m.Judge(now, subject(common, deadly, other)); v.Outcome != Quarantined || v.Key.Part != deadly {
+				t.Errorf("request with the part is %s for %s, part %x", v.Outcome, v.Fingerprint, v.Key.Part)
+			}
+			if v := m.Judge(now, subject(common, other)); v.Outcome != tt.healthy || v.Key.Part != 0 {
+				t.Errorf("request without the part is %s for %s, part %x", v.Outcome, v.Fingerprint, v.Key.Part)
+			}
+		})
+	}
+}
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -141,15 +141,15 @@
 	quarantined map[Fingerprint][][]Fingerprint // with the rivals, see rivals
 	voided      map[string]voided               // by name of the crash
 	answered    memory[partKey]                 // when targets last outlived answers
-	whole       memory[partKey]                 // when requests with what is shared were last answered whole
-	wholeExact  memory[partKey]                 // when exact requests were
+	whole       counts[partKey]                 // whole answers to requests with what is shared
+	wholeExact  counts[partKey]                 // whole answers to exact requests
 	listed      bool
 	judgedAt    time.Time // last judgement that took account of the requests sent
 }
 
 // NewCrashes returns an empty state.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newMemory[partKey](), wholeExact: newMemory[partKey]()}
+	return &Crashes{crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool), quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](), whole: newCounts[partKey](), wholeExact: newCounts[partKey]()}
 }
 
 // Quarantined returns the requests in quarantine.
@@ -198,6 +198,28 @@
 	return v
 }
 
+// reason returns the part that explains best why a request is refused for a fingerprint that is no
+// part: one in quarantine, or else one that was never answered, was at more than one crash and is
+// in fewer requests. It returns false if there is none.
+func (c *Crashes) reason(service string, id Fingerprint, parts []Fingerprint) (part Fingerprint, ok bool) {
+	refused := c.suspicions[id]
+	var best *suspicion
+	for _, p := range parts {
+		s := c.suspicions[p]
+		if s == nil || !s.concerns(p, service) {
+			continue
+		}
+		if c.isQuarantined(p) {
+			return p, true
+		}
+		rare := len(s.crashes) >= p.rivalThreshold() && s.sent < refused.sent && c.proof(p) == unanswered
+		if rare && (best == nil || cmp.Or(cmp.Compare(len(s.crashes), len(best.crashes)), cmp.Compare(best.sent, s.sent)) > 0) {
+			part, best = p, s
+		}
+	}
+	return part, best != nil
+}
+
 // concerns reports whether a service is to be kept from the request or part.
 func (s *suspicion) concerns(id Fingerprint, service string) bool {
 	if !id.IsPart() {
@@ -342,7 +364,7 @@
 		if _, ok := c.answered.at(k); ok && !id.isExact() {
 			continue
 		}
-		if _, ok := c.wholeOf(id).at(k); !ok {
+		if c.wholeOf(id).of(k) == 0 {
 			return unanswered
 		}
 		least = answered
@@ -352,15 +374,24 @@
 
 // RecordWhole records an answer whose target may end with it. It clears nothing, but what is
 // never answered is suspected first.
-func (c *Crashes) RecordWhole(now time.Time, service string, ids []Fingerprint) {
+func (c *Crashes) RecordWhole(service string, ids []Fingerprint) {
+	for _, id := range ids {
+		c.wholeOf(id).add(partKey{service, id})
+	}
+}
+
+// RevokeWhole takes back RecordWhole for an answer whose target has ended with it, as far as is
+// known. Otherwise what crashes targets after an answer that looks whole counts as answered, like
+// the healthy requests that share its path and body.
+func (c *Crashes) RevokeWhole(service string, ids []Fingerprint) {
 	for _, id := range ids {
-		c.wholeOf(id).add(now, partKey{service, id})
+		c.wholeOf(id).remove(partKey{service, id})
 	}
 }
 
 // wholeOf returns the memory of whole answers for the kind of a fingerprint. Exact requests,
 // most of which never come again, have one of their own and do not displace what is shared.
-func (c *Crashes) wholeOf(id Fingerprint) *memory[partKey] {
+func (c *Crashes) wholeOf(id Fingerprint) *counts[partKey] {
 	if id.isExact() {
 		return &c.wholeExact
 	}
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -22,7 +22,11 @@
 	}
 	parts := s.PartFingerprints()
 	v := m.Check(now, s.Service, append(slices.Clip(s.Requests), parts...))
-	if i := slices.Index(parts, v.Fingerprint); i >= 0 && v.Outcome != Allowed {
+	reason := v.Fingerprint
+	if v.Outcome == Quarantined && !reason.IsPart() {
+		reason, _ = m.reason(s.Service, v.Fingerprint, parts)
+	}
+	if i := slices.Index(parts, reason); i >= 0 && v.Outcome != Allowed {
 		v.Key = Key{Service: s.Service, Part: s.Parts[i]}
 	}
 	return v
@@ -48,16 +52,24 @@
 	if len(s.Fingerprints()) == 0 {
 		return nil, false
 	}
-	m.Crashes.RecordWhole(now, s.Service, s.Fingerprints())
+	m.Crashes.RecordWhole(s.Service, s.Fingerprints())
 	if len(s.Parts) == 0 && !m.Suspects() {
 		return nil, false // nothing watches for the end of the target after the answer
 	}
 	if m.attempts.AddAnswer(now, r) {
+		m.revoke([]Report{r})
 		under = []Report{r}
 	}
 	return under, m.count(now, under)
 }
 
+// revoke takes back the answers that targets have ended with.
+func (m *Monitor) revoke(list []Report) {
+	for _, r := range list {
+		m.RevokeWhole(r.Service, Subject{Parts: r.Parts, Requests: r.Requests}.Fingerprints())
+	}
+}
+
 // RecordInTouch records that the ends of all targets that the store knew of at a time are known.
 func (m *Monitor) RecordInTouch(at time.Time) { m.attempts.RecordInTouch(at) }
 
@@ -86,7 +98,8 @@
 
 // RecordEnd records that a target has ended. Its results are those of RecordWhole.
 func (m *Monitor) RecordEnd(now time.Time, t Target) (under []Report, changed bool) {
-	under = m.attempts.End(now, t)
+	under, revoked := m.attempts.End(now, t)
+	m.revoke(revoked)
 	return under, m.count(now, under)
 }
 
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -148,7 +148,7 @@
 // Verdict is the result of a check.
 type Verdict struct {
 	Outcome     Outcome
-	Key         Key           // of the quarantined part, if it is a part
+	Key         Key           // of the quarantined part, or of the part that explains the quarantine of the request, if one is known
 	Fingerprint Fingerprint   // of the quarantined request, or of the part
 	RetryAfter  time.Duration // until the next trial
 }
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -61,12 +61,13 @@
 	if j.summary.exceeded {
 		e.Bool("exceeded", true)
 	}
-	switch {
-	case j.summary.cause != Crashing:
-	case j.quarantined.Key.Part != 0:
-		e.Str("part", partName(j.quarantined.Key.Part))
-	default:
-		e.Stringer("fingerprint", j.quarantined.Fingerprint)
+	if j.summary.cause == Crashing {
+		if j.quarantined.Key.Part != 0 {
+			e.Str("part", partName(j.quarantined.Key.Part))
+		}
+		if !j.quarantined.Fingerprint.IsPart() {
+			e.Stringer("fingerprint", j.quarantined.Fingerprint)
+		}
 	}
 	if j.places.Restricted() {
 		e.Strs("regions", j.places.Regions())
