Count answers on kept connections only once their target is seen alive

An answer on a kept connection proved a prompt sound as soon as 0.5 s had passed without a known end of its target. The connections were last looked at 0.25 to 0.5 s after the answer. If the target ended later than that, or the look at them came late as the machine was slow, the part that crashes targets was released.

Such answers now count when the connections are found open at least 0.5 s after them, and like those that ended with their connection if connections were closed and the target accepts others.

A refusal for a quarantined part that was answered before names the part that was never answered and is at two crashes, if there is one.

--- a/internal/quarantiner/attempts.go
+++ b/internal/quarantiner/attempts.go
@@ -7,9 +7,7 @@
 )
 
 const (
-	// survivalTime is how long a target has to outlive an answer before the answer shows
-	// that the parts of the prompt are sound.
-	survivalTime = 500 * time.Millisecond
+	survivalTime = SurvivalTime
 	// suspicionDelay is how long after a failed attempt its target may be found to have
 	// ended. The registration of a silent one lapses within some seconds.
 	suspicionDelay = 15 * time.Second
@@ -81,9 +79,29 @@
 	return now.Sub(w.at) >= survivalTime && !a.isUncertain(w)
 }
 
+// RecordAlive records that the connections to a watched target were open at a time. Until then
+// its answers prove nothing: on a slow machine the end of the target may be found late.
+func (a *Attempts) RecordAlive(t Target, at time.Time) {
+	for i, w := range a.answers {
+		if w.target() == t && at.Sub(w.at) >= survivalTime {
+			a.answers[i].Watched = false
+		}
+	}
+}
+
+// RecordClosed records that a watched target has closed connections and still accepts others.
+// It may have ended and run again, so its answers count like those that ended with theirs.
+func (a *Attempts) RecordClosed(t Target) {
+	for i, w := range a.answers {
+		if w.target() == t && w.Watched {
+			a.answers[i].Watched, a.answers[i].Closed = false, true
+		}
+	}
+}
+
 // isUncertain reports whether an end of the target right after an answer may not be known yet.
 func (a *Attempts) isUncertain(w attempt) bool {
-	return w.Closed && !a.inTouch.IsZero() && a.inTouch.Before(w.at.Add(survivalTime))
+	return w.Watched || w.Closed && !a.inTouch.IsZero() && a.inTouch.Before(w.at.Add(survivalTime))
 }
 
 // endedAfter reports whether a target is known to have ended after a request was sent to it.
@@ -147,7 +165,8 @@
 		if outlived {
 			survived = append(survived, w.Report)
 		}
-		return outlived
+		// The watch of a target that was replaced at its address does not tell of the old one.
+		return outlived || w.Watched && now.Sub(w.at) > suspicionDelay
 	})
 	return survived
 }
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -198,26 +198,30 @@
 	return v
 }
 
-// reason returns the part that explains best why a request is refused for a fingerprint that is no
-// part: one in quarantine, or else one that was never answered, was at more than one crash and is
-// in fewer requests. It returns false if there is none.
-func (c *Crashes) reason(service string, id Fingerprint, parts []Fingerprint) (part Fingerprint, ok bool) {
-	refused := c.suspicions[id]
+// reason returns the part that explains best why a request is refused for a fingerprint. That is
+// the fingerprint itself if it is a part that was never answered. Otherwise it is a part in
+// quarantine, if a whole request is, or one that was never answered, was at more than one crash
+// and is in fewer requests. It returns the fingerprint if there is none.
+func (c *Crashes) reason(service string, id Fingerprint, parts []Fingerprint) Fingerprint {
+	if id.IsPart() && c.proof(id) == unanswered {
+		return id
+	}
+	part, refused := id, c.suspicions[id]
 	var best *suspicion
 	for _, p := range parts {
 		s := c.suspicions[p]
-		if s == nil || !s.concerns(p, service) {
+		if p == id || s == nil || !s.concerns(p, service) {
 			continue
 		}
-		if c.isQuarantined(p) {
-			return p, true
+		if c.isQuarantined(p) && !id.IsPart() {
+			return p
 		}
 		rare := len(s.crashes) >= p.rivalThreshold() && s.sent < refused.sent && c.proof(p) == unanswered
 		if rare && (best == nil || cmp.Or(cmp.Compare(len(s.crashes), len(best.crashes)), cmp.Compare(best.sent, s.sent)) > 0) {
 			part, best = p, s
 		}
 	}
-	return part, best != nil
+	return part
 }
 
 // concerns reports whether a service is to be kept from the request or part.
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -23,8 +23,8 @@
 	parts := s.PartFingerprints()
 	v := m.Check(now, s.Service, append(slices.Clip(s.Requests), parts...))
 	reason := v.Fingerprint
-	if v.Outcome == Quarantined && !reason.IsPart() {
-		reason, _ = m.reason(s.Service, v.Fingerprint, parts)
+	if v.Outcome == Quarantined {
+		reason = m.reason(s.Service, v.Fingerprint, parts)
 	}
 	if i := slices.Index(parts, reason); i >= 0 && v.Outcome != Allowed {
 		v.Key = Key{Service: s.Service, Part: s.Parts[i]}
@@ -48,7 +48,7 @@
 // is sound is shown only once the target has outlived the answer, see Settle. It returns the
 // attempts that the target has ended under, and whether a record is to be written.
 func (m *Monitor) RecordWhole(now time.Time, t Target, sentAt time.Time, s Subject) (under []Report, changed bool) {
-	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, Begun: true, Closed: s.Closed, Parts: s.Parts, Requests: s.Requests}
+	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, Begun: true, Closed: s.Closed, Watched: s.Watched, Parts: s.Parts, Requests: s.Requests}
 	if len(s.Fingerprints()) == 0 {
 		return nil, false
 	}
@@ -73,6 +73,13 @@
 // RecordInTouch records that the ends of all targets that the store knew of at a time are known.
 func (m *Monitor) RecordInTouch(at time.Time) { m.attempts.RecordInTouch(at) }
 
+// RecordAlive records that a watched target was alive at a time. Its answers from
+// [SurvivalTime] before that are proofs, see Settle.
+func (m *Monitor) RecordAlive(t Target, at time.Time) { m.attempts.RecordAlive(t, at) }
+
+// RecordClosed records that a watched target has closed connections, but accepts others.
+func (m *Monitor) RecordClosed(t Target) { m.attempts.RecordClosed(t) }
+
 // NextSettle returns when the next answer is due for Settle. It reports false if there is
 // none.
 func (m *Monitor) NextSettle() (time.Time, bool) { return m.attempts.NextSurvival() }
--- a/internal/quarantiner/noguard.go
+++ b/internal/quarantiner/noguard.go
@@ -32,5 +32,11 @@
 // RecordEnd does nothing.
 func (NoGuard) RecordEnd(Target) {}
 
+// RecordAlive does nothing.
+func (NoGuard) RecordAlive(Target, time.Time) {}
+
+// RecordClosed does nothing.
+func (NoGuard) RecordClosed(Target) {}
+
 // Repeated always reports false.
 func (NoGuard) Repeated(Report) bool { return false }
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -34,6 +34,10 @@
 	"time"
 )
 
+// SurvivalTime is how long a target has to outlive an answer before the answer shows that the
+// parts of the prompt are sound.
+const SurvivalTime = 500 * time.Millisecond
+
 const (
 	// crashThreshold is the number of crashes that quarantine a request or part.
 	crashThreshold = 3
@@ -84,6 +88,7 @@
 	Begun       bool      // the target had begun to answer the request
 	About       bool      // it was about to, see [Crashes]
 	Closed      bool      // the answer ended with the connection
+	Watched     bool      // the target is watched, see [Monitor.RecordAlive]
 	Abandoned   bool      // this instance ended the attempt, for example as the target was too slow
 	Parts       []uint64
 	Requests    []Fingerprint // of the request
@@ -125,6 +130,7 @@
 	Requests []Fingerprint // empty: not known
 	Retry    bool          // it was sent to a target before
 	Closed   bool          // its answer ended with the connection
+	Watched  bool          // the target of its answer is watched, see [Monitor.RecordAlive]
 }
 
 // Fingerprints returns those of the request and of the parts that others may have too.
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"daisylane/internal/forwarder"
+	"daisylane/internal/quarantiner"
 	"daisylane/internal/retrier"
 )
 
@@ -223,6 +224,7 @@
 	s := j.subject()
 	s.Requests = j.identity() // what was answered before the first crash is suspected last
 	s.Closed = !response.KeepsConnection()
+	s.Watched = !s.Closed
 	j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, s)
 	if len(j.sharedParts) > 0 || j.r.guard.Suspects() {
 		j.r.watchEnd(context.WithoutCancel(j.req.Context()), chosen, response.KeepsConnection())
@@ -244,38 +246,45 @@
 	}()
 }
 
-// watchIdle watches the idle connections to a target for a while.
+// watch is the watch of a target for its end.
+type watch struct {
+	chosen ChosenTarget
+	until  time.Time
+}
+
+// watchIdle watches the idle connections to a target until it has outlived its answer.
 func (r *Receiver) watchIdle(ctx context.Context, chosen ChosenTarget) {
-	addr := chosen.Target.Addr
+	addr, until := chosen.Target.Addr, time.Now().Add(quarantiner.SurvivalTime)
 	r.watchMu.Lock()
 	defer r.watchMu.Unlock()
-	if _, watched := r.watched[addr]; watched {
-		r.watched[addr] = true
+	if w, ok := r.watched[addr]; ok {
+		w.chosen, w.until = chosen, until
 		return
 	}
-	r.watched[addr] = false
-	time.AfterFunc(endWatchTime, func() { r.endWatch(ctx, chosen) })
+	r.watched[addr] = &watch{chosen, until}
+	time.AfterFunc(endWatchTime, func() { r.endWatch(ctx, addr) })
 }
 
-// endWatch ends the watch of a target, or goes on with it if the target has answered since.
-func (r *Receiver) endWatch(ctx context.Context, chosen ChosenTarget) {
-	addr := chosen.Target.Addr
+// endWatch checks whether a watched target has ended, and goes on with the watch if the target
+// has not yet outlived its last answer.
+func (r *Receiver) endWatch(ctx context.Context, addr string) {
+	now := time.Now()
+	closed := r.pool.DropClosed(addr)
 	r.watchMu.Lock()
-	again := r.watched[addr]
-	if again {
-		r.watched[addr] = false
-	} else {
+	w := r.watched[addr]
+	chosen, again := w.chosen, !closed && now.Before(w.until)
+	if !again {
 		delete(r.watched, addr)
 	}
 	r.watchMu.Unlock()
 	switch {
-	case r.pool.DropClosed(addr):
-		r.checkEnd(ctx, chosen)
-		r.watchMu.Lock()
-		delete(r.watched, addr)
-		r.watchMu.Unlock()
-	case again:
-		time.AfterFunc(endWatchTime, func() { r.endWatch(ctx, chosen) })
+	case closed && !r.checkEnd(ctx, chosen):
+		r.guard.RecordClosed(chosen.process())
+	case !closed:
+		r.guard.RecordAlive(chosen.process(), now)
+	}
+	if again {
+		time.AfterFunc(endWatchTime, func() { r.endWatch(ctx, addr) })
 	}
 }
 
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -83,6 +83,10 @@
 	g.ends++
 }
 
+func (g *guard) RecordAlive(quarantiner.Target, time.Time) {}
+
+func (g *guard) RecordClosed(quarantiner.Target) {}
+
 func (g *guard) Repeated(quarantiner.Report) bool { return g.repeated }
 
 // Guards against a path to a target on which a quarantine is not asked about, a trial
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -44,7 +44,7 @@
 
 	unsure  unsureStreams
 	watchMu sync.Mutex
-	watched map[string]bool // addresses whose target is watched; true if it has answered since
+	watched map[string]*watch // targets that have answered on a kept connection, by address
 }
 
 // Option changes a setting of a [Receiver].
@@ -68,7 +68,7 @@
 
 // New returns a receiver. It refuses all requests until [Receiver.SetTable] is called.
 func New(codec Codec, d *Dispatcher, b Budgets, p *forwarder.Pool, opts ...Option) *Receiver {
-	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: quarantiner.NoGuard{}, streams: noStreams{}, log: zerolog.Nop(), scope: tally.NoopScope, watched: make(map[string]bool)}
+	r := &Receiver{codec: codec, dispatcher: d, budgets: b, pool: p, guard: quarantiner.NoGuard{}, streams: noStreams{}, log: zerolog.Nop(), scope: tally.NoopScope, watched: make(map[string]*watch)}
 	for _, o := range opts {
 		o(r)
 	}
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -65,9 +65,7 @@
 		if j.quarantined.Key.Part != 0 {
 			e.Str("part", partName(j.quarantined.Key.Part))
 		}
-		if !j.quarantined.Fingerprint.IsPart() {
-			e.Stringer("fingerprint", j.quarantined.Fingerprint)
-		}
+		e.Stringer("fingerprint", j.quarantined.Fingerprint)
 	}
 	if j.places.Restricted() {
 		e.Strs("regions", j.places.Regions())
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -174,8 +174,25 @@
 // RecordInTouch records that the ends of all targets that the store knew of at a time are
 // known. Answers whose connection was closed count only then.
 func (w *Warden) RecordInTouch(at time.Time) {
+	w.settle(func() { w.monitor.RecordInTouch(at) })
+}
+
+// RecordAlive records that a watched target was alive at a time, so that its earlier answers
+// count.
+func (w *Warden) RecordAlive(t quarantiner.Target, at time.Time) {
+	w.settle(func() { w.monitor.RecordAlive(t, at) })
+}
+
+// RecordClosed records that a watched target has closed connections, but accepts others.
+func (w *Warden) RecordClosed(t quarantiner.Target) {
+	w.settle(func() { w.monitor.RecordClosed(t) })
+}
+
+// settle changes what is known of targets and takes account of the answers that they have
+// outlived.
+func (w *Warden) settle(change func()) {
 	w.update(func(now time.Time) ([]quarantiner.Report, bool) {
-		w.monitor.RecordInTouch(at)
+		change()
 		changed := w.monitor.Settle(now)
 		w.settleLater(now)
 		return nil, changed
