Report why an entry does not become ready in TestPreviewOfInstance

The test waited 8 s and threw away the error that the entry returns. It now ends as soon as the entry has ended, and shows the error and the log of the entry. With a listener on the port for callers, each case fails after some 10 ms with 'bind: address already in use' instead of after 8 s.

--- a/internal/starter/previews_test.go
+++ b/internal/starter/previews_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -58,11 +59,23 @@
 				t.Fatal(err)
 			}
 			cfg.Listen.Operator = tt.dir
-			e := newEntry(cfg, path, zerolog.Nop(), nil)
+			log := &syncBuffer{}
+			e := newEntry(cfg, path, zerolog.New(log).With().Timestamp().Logger(), nil)
 			done := make(chan error, 1)
 			go func() { done <- e.run(t.Context(), nil) }()
-			defer func() { close(e.aborted); <-done }()
+			defer func() {
+				close(e.aborted)
+				if err := <-done; err != nil && !errors.Is(err, errAborted) {
+					t.Errorf("entry ended: %v", err)
+				}
+				if t.Failed() {
+					t.Logf("log of the entry:\n%s", log)
+				}
+			}()
 			platformtest.Eventually(t, "entry becomes ready", func() bool {
+				if len(done) > 0 {
+					t.Fatal("entry has ended before it was ready")
+				}
 				res, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d%s", ready, platform.ReadyPath))
 				if err != nil {
 					return false
