Watch the targets of all answers, and keep healthy answers at the end of one

Taken back are now those of the last 0.5 s, and older ones after which the target has answered no later request.

Answers that ended with their connection counted once the store had responded, although it lists a target that has ended until its registration lapses, and a target without idle connections was taken for alive. Both now need a connection that is seen open, or a response of the store 0.5 s after the target has accepted one again. Pool has a new method HasIdle for this, RecordClosed a new argument.

--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -195,6 +195,13 @@
 	return len(closed) > 0
 }
 
+// HasIdle reports whether there are idle connections to addr.
+func (p *Pool) HasIdle(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr]) > 0
+}
+
 // IsRefused reports whether an error means that an address refuses connections.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
--- a/internal/quarantiner/attempts.go
+++ b/internal/quarantiner/attempts.go
@@ -21,7 +21,8 @@
 // attempt is an attempt under which a target may have ended, or may still end.
 type attempt struct {
 	Report
-	at time.Time
+	at      time.Time
+	knownAt time.Time // from when an end is known to the store, if the answer ended with its connection
 }
 
 // Attempts remembers attempts until it is known whether their target has ended: the end of
@@ -47,7 +48,7 @@
 	if old < 0 {
 		old = len(a.failures)
 	}
-	a.failures = append(a.failures[old:], attempt{r, now})
+	a.failures = append(a.failures[old:], attempt{Report: r, at: now})
 	a.failures = a.failures[max(0, len(a.failures)-maxFailures):]
 	return false
 }
@@ -64,7 +65,7 @@
 		return f.Abandoned && f.target() == r.target() && r.SentAt.After(f.at)
 	})
 	if len(a.answers) < maxAnswers { // the older ones are due sooner
-		a.answers = append(a.answers, attempt{r, now})
+		a.answers = append(a.answers, attempt{r, now, now.Add(survivalTime)})
 	}
 	return false
 }
@@ -80,7 +81,8 @@
 }
 
 // RecordAlive records that the connections to a watched target were open at a time. Until then
-// its answers prove nothing: on a slow machine the end of the target may be found late.
+// its answers prove nothing: on a slow machine the end of the target may be found late, and the
+// store lists a target that has ended until its registration lapses.
 func (a *Attempts) RecordAlive(t Target, at time.Time) {
 	for i, w := range a.answers {
 		if w.target() == t && at.Sub(w.at) >= survivalTime {
@@ -90,18 +92,19 @@
 }
 
 // RecordClosed records that a watched target has closed connections and still accepts others.
-// It may have ended and run again, so its answers count like those that ended with theirs.
-func (a *Attempts) RecordClosed(t Target) {
+// It may have ended and run again, so its answers count like those that ended with theirs, and
+// only when a registration from before that time would be known.
+func (a *Attempts) RecordClosed(t Target, at time.Time) {
 	for i, w := range a.answers {
 		if w.target() == t && w.Watched {
-			a.answers[i].Watched, a.answers[i].Closed = false, true
+			a.answers[i].Watched, a.answers[i].Closed, a.answers[i].knownAt = false, true, at.Add(survivalTime)
 		}
 	}
 }
 
 // isUncertain reports whether an end of the target right after an answer may not be known yet.
 func (a *Attempts) isUncertain(w attempt) bool {
-	return w.Watched || w.Closed && !a.inTouch.IsZero() && a.inTouch.Before(w.at.Add(survivalTime))
+	return w.Watched || w.Closed && !a.inTouch.IsZero() && a.inTouch.Before(w.knownAt)
 }
 
 // endedAfter reports whether a target is known to have ended after a request was sent to it.
@@ -117,7 +120,9 @@
 
 // End records that a target has ended. It returns the attempts that it may have ended under.
 // Answers that it has outlived are left to Survived. An older one for which that is not known
-// counts neither way, as the end may be known late. Both kinds of answers are returned as revoked.
+// counts neither way, as the end may be known late. Revoked are the answers that the target has
+// ended with, as far as is known: the recent ones, and older ones after which it answered no
+// request that was sent later.
 func (a *Attempts) End(now time.Time, t Target) (under, revoked []Report) {
 	maps.DeleteFunc(a.ended, func(_ Target, at time.Time) bool { return now.Sub(at) > suspicionDelay })
 	if _, known := a.ended[t]; known {
@@ -125,11 +130,19 @@
 	}
 	a.ended[t] = now
 	under = a.takeFailures(now, t)
+	var lastSent time.Time
+	for _, w := range a.answers {
+		if w.target() == t && w.SentAt.After(lastSent) {
+			lastSent = w.SentAt
+		}
+	}
 	a.answers = slices.DeleteFunc(a.answers, func(w attempt) bool {
 		if w.target() != t || a.outlived(now, w) {
 			return false
 		}
-		revoked = append(revoked, w.Report)
+		if now.Sub(w.at) < survivalTime || !lastSent.After(w.at) {
+			revoked = append(revoked, w.Report)
+		}
 		if now.Sub(w.at) < survivalTime {
 			under = append(under, w.Report)
 		}
--- a/internal/quarantiner/attempts_test.go
+++ b/internal/quarantiner/attempts_test.go
@@ -179,28 +179,51 @@
 	}
 }
 
-// Guards against an answer on a kept connection that counts as a proof because the end of its
-// target is found late, as the watch of the connection runs late on a slow machine or the target
+// Guards against healthy answers that are taken back because their target ends later, and against
+// an answer that its target has ended with and that stays, as the end is found late.
+func TestRevokedAnswers(t *testing.T) {
+	for _, late := range []time.Duration{0, 2 * survivalTime} {
+		now, target, m := time.Now(), Target{ID: "i-1"}, NewMonitor()
+		m.RecordInTouch(now) // not since: no answer proves anything
+		for _, part := range []uint64{common, deadly} {
+			now = now.Add(2 * survivalTime)
+			m.RecordWhole(now, target, now.Add(-beginDelay), Subject{Service: service, Parts: []uint64{part, fourth}, Closed: true})
+		}
+		m.RecordEnd(now.Add(late), target)
+		for part, want := range map[uint64]int{common: 1, deadly: 0} {
+			if n := m.whole.of(partKey{service, partFingerprints([]uint64{part, fourth})[0]}); n != want {
+				t.Errorf("end known %v after the last answer: part %d counts as answered %d times, want %d", late, part, n, want)
+			}
+		}
+	}
+}
+
+// Guards against an answer that counts as a proof because the end of its target is found late, as
+// the watch of the connections runs late on a slow machine or the target
 // takes a while to end.
 func TestWatchedAnswer(t *testing.T) {
 	const step = survivalTime / 2
 	target := Target{ID: "i-1"}
 	tests := []struct {
 		name     string
+		closed   bool // the answer ended with its connection
 		watch    func(m *Monitor, now time.Time)
 		survived bool
 	}{
-		{"watch runs late", func(*Monitor, time.Time) {}, false},
-		{"alive too shortly after the answer", func(m *Monitor, now time.Time) { m.RecordAlive(target, now.Add(-2*step)) }, false},
-		{"another process is alive", func(m *Monitor, now time.Time) { m.RecordAlive(Target{ID: "i-1", Incarnation: 1}, now) }, false},
-		{"alive", func(m *Monitor, now time.Time) { m.RecordAlive(target, now) }, true},
-		{"connection closed, store not heard since", func(m *Monitor, now time.Time) { m.RecordClosed(target) }, false},
-		{"connection closed, store heard since", func(m *Monitor, now time.Time) { m.RecordClosed(target); m.RecordInTouch(now) }, true},
+		{"watch runs late", false, func(*Monitor, time.Time) {}, false},
+		{"alive too shortly after the answer", false, func(m *Monitor, now time.Time) { m.RecordAlive(target, now.Add(-2*step)) }, false},
+		{"another process is alive", false, func(m *Monitor, now time.Time) { m.RecordAlive(Target{ID: "i-1", Incarnation: 1}, now) }, false},
+		{"alive", false, func(m *Monitor, now time.Time) { m.RecordAlive(target, now) }, true},
+		{"connection closed, store not heard since", false, func(m *Monitor, now time.Time) { m.RecordClosed(target, now) }, false},
+		{"connection closed, store heard since", false, func(m *Monitor, now time.Time) { m.RecordClosed(target, now.Add(-survivalTime)); m.RecordInTouch(now) }, true},
+		{"connection closed, store not heard since it was", false, func(m *Monitor, now time.Time) { m.RecordClosed(target, now); m.RecordInTouch(now) }, false},
+		{"answer ended with its connection, store heard since, watch runs late", true, func(m *Monitor, now time.Time) { m.RecordInTouch(now) }, false},
+		{"answer ended with its connection, alive, store heard since", true, func(m *Monitor, now time.Time) { m.RecordAlive(target, now); m.RecordInTouch(now) }, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			now, m := time.Now(), NewMonitor()
-			s := Subject{Service: service, Parts: []uint64{common, deadly, other}, Watched: true}
+			s := Subject{Service: service, Parts: []uint64{common, deadly, other}, Closed: tt.closed, Watched: true}
 			m.RecordInTouch(now)
 			m.RecordWhole(now, target, now, s)
 			now = now.Add(3 * step)
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -77,8 +77,9 @@
 // [SurvivalTime] before that are proofs, see Settle.
 func (m *Monitor) RecordAlive(t Target, at time.Time) { m.attempts.RecordAlive(t, at) }
 
-// RecordClosed records that a watched target has closed connections, but accepts others.
-func (m *Monitor) RecordClosed(t Target) { m.attempts.RecordClosed(t) }
+// RecordClosed records that a watched target has closed connections, but accepts others at
+// a time.
+func (m *Monitor) RecordClosed(t Target, at time.Time) { m.attempts.RecordClosed(t, at) }
 
 // NextSettle returns when the next answer is due for Settle. It reports false if there is
 // none.
--- a/internal/quarantiner/noguard.go
+++ b/internal/quarantiner/noguard.go
@@ -36,7 +36,7 @@
 func (NoGuard) RecordAlive(Target, time.Time) {}
 
 // RecordClosed does nothing.
-func (NoGuard) RecordClosed(Target) {}
+func (NoGuard) RecordClosed(Target, time.Time) {}
 
 // Repeated always reports false.
 func (NoGuard) Repeated(Report) bool { return false }
--- a/internal/receiver/answer.go
+++ b/internal/receiver/answer.go
@@ -224,9 +224,9 @@
 	s := j.subject()
 	s.Requests = j.identity() // what was answered before the first crash is suspected last
 	s.Closed = !response.KeepsConnection()
-	s.Watched = !s.Closed
+	s.Watched = len(j.sharedParts) > 0 || j.r.guard.Suspects()
 	j.r.guard.RecordWhole(chosen.process(), chosen.ChosenAt, s)
-	if len(j.sharedParts) > 0 || j.r.guard.Suspects() {
+	if s.Watched {
 		j.r.watchEnd(context.WithoutCancel(j.req.Context()), chosen, response.KeepsConnection())
 	}
 }
@@ -270,6 +270,7 @@
 func (r *Receiver) endWatch(ctx context.Context, addr string) {
 	now := time.Now()
 	closed := r.pool.DropClosed(addr)
+	open := r.pool.HasIdle(addr)
 	r.watchMu.Lock()
 	w := r.watched[addr]
 	chosen, again := w.chosen, !closed && now.Before(w.until)
@@ -278,10 +279,10 @@
 	}
 	r.watchMu.Unlock()
 	switch {
-	case closed && !r.checkEnd(ctx, chosen):
-		r.guard.RecordClosed(chosen.process())
-	case !closed:
+	case !closed && open:
 		r.guard.RecordAlive(chosen.process(), now)
+	case !again && !r.checkEnd(ctx, chosen) && r.pool.HasIdle(addr):
+		r.guard.RecordClosed(chosen.process(), time.Now())
 	}
 	if again {
 		time.AfterFunc(endWatchTime, func() { r.endWatch(ctx, addr) })
--- a/internal/receiver/guard_test.go
+++ b/internal/receiver/guard_test.go
@@ -85,7 +85,7 @@
 
 func (g *guard) RecordAlive(quarantiner.Target, time.Time) {}
 
-func (g *guard) RecordClosed(quarantiner.Target) {}
+func (g *guard) RecordClosed(quarantiner.Target, time.Time) {}
 
 func (g *guard) Repeated(quarantiner.Report) bool { return g.repeated }
 
--- a/internal/receiver/types.go
+++ b/internal/receiver/types.go
@@ -171,9 +171,9 @@
 	// RecordEnd records that a target has ended, whatever it was doing.
 	RecordEnd(t quarantiner.Target)
 	// RecordAlive records that the connections to a target whose answers are watched were
-	// open at a time, RecordClosed that it has closed some, but accepts others.
+	// open at a time, RecordClosed that it has closed some, but accepts others then.
 	RecordAlive(t quarantiner.Target, at time.Time)
-	RecordClosed(t quarantiner.Target)
+	RecordClosed(t quarantiner.Target, at time.Time)
 	// Repeated reports whether a request, or a part of its prompt, was at more than one
 	// crash and not answered since.
 	Repeated(r quarantiner.Report) bool
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -183,9 +183,9 @@
 	w.settle(func() { w.monitor.RecordAlive(t, at) })
 }
 
-// RecordClosed records that a watched target has closed connections, but accepts others.
-func (w *Warden) RecordClosed(t quarantiner.Target) {
-	w.settle(func() { w.monitor.RecordClosed(t) })
+// RecordClosed records that a watched target has closed connections, but accepts others at a time.
+func (w *Warden) RecordClosed(t quarantiner.Target, at time.Time) {
+	w.settle(func() { w.monitor.RecordClosed(t, at) })
 }
 
 // settle changes what is known of targets and takes account of the answers that they have
