--- a/internal/quarantiner/attempts_test.go
+++ b/internal/quarantiner/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -125,3 +126,114 @@
 		})
 	}
 }
+
+// Guards against a part that crashes targets after answers that look whole and so counts as
+// answered, like the path and body that all requests share: the instance, which knows some of the
+// crashes without the part, as records of the others come late, refuses that path and body instead,
+// also for requests without the part, and refusals do not name the part.
+func TestPartInWholeAnswers(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		own, other int  // crashes under answers of this instance, and of those known without the part
+		paths      bool // requests share their path and body, not only parts
+		healthy    Outcome
+	}{
+		{"half of the crashes known with the part", 3, 3, true, Allowed},
+		// Only the records of the others can end this quarantine, but the part is known.
+		{"few crashes known with the part", 2, 4, true, Quarantined},
+		{"few crashes known with the part, another part is quarantined", 2, 4, false, Quarantined},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			subject := func(parts ...uint64) Subject {
+				c := Content{Account: "t1", URI: "/plan", Parts: append(parts, rand.Uint64())}
+				if !tt.paths {
+					c.URI = fmt.Sprint("/plan/", rand.Uint64())
+				}
+				return Subject{Service: service, Parts: c.Parts, Requests: Fingerprints(c), Closed: true}
+			}
+			now, m := time.Now(), NewMonitor()
+			m.ObserveList(now, nil, false)
+			m.RecordInTouch(now) // not since: no answer proves anything
+			for range 20 {
+				m.RecordWhole(now, Target{ID: "i-healthy"}, now, subject(common, other))
+			}
+			for i := range tt.own + tt.other {
+				now = now.Add(100 * time.Millisecond)
+				id, healthy := fmt.Sprint("i-", i), subject(common, other)
+				m.RecordSent(healthy)
+				if i%2 == 0 && i/2 < tt.own {
+					s, sentAt := subject(common, deadly, other), now
+					m.RecordSent(s)
+					m.RecordWhole(now, Target{ID: id}, sentAt, s)
+					m.RecordEnd(now, Target{ID: id})
+				}
+				m.RecordCrash(now, Report{Service: service, Target: id, Begun: true, Parts: healthy.Parts, Requests: healthy.Requests})
+			}
+			if v := m.Judge(now, subject(common, deadly, other)); v.Outcome != Quarantined || v.Key.Part != deadly {
+				t.Errorf("request with the part is %s for %s, part %x", v.Outcome, v.Fingerprint, v.Key.Part)
+			}
+			if v := m.Judge(now, subject(common, other)); v.Outcome != tt.healthy || v.Key.Part == deadly {
+				t.Errorf("request without the part is %s for %s, part %x", v.Outcome, v.Fingerprint, v.Key.Part)
+			}
+		})
+	}
+}
+
+// Guards against healthy answers that are taken back because their target ends later, and against
+// an answer that its target has ended with and that stays, as the end is found late.
+func TestRevokedAnswers(t *testing.T) {
+	for _, late := range []time.Duration{0, 2 * survivalTime} {
+		now, target, m := time.Now(), Target{ID: "i-1"}, NewMonitor()
+		m.RecordInTouch(now) // not since: no answer proves anything
+		for _, part := range []uint64{common, deadly} {
+			now = now.Add(2 * survivalTime)
+			m.RecordWhole(now, target, now.Add(-beginDelay), Subject{Service: service, Parts: []uint64{part, fourth}, Closed: true})
+		}
+		m.RecordEnd(now.Add(late), target)
+		for part, want := range map[uint64]int{common: 1, deadly: 0} {
+			if n := m.whole.of(partKey{service, partFingerprints([]uint64{part, fourth})[0]}); n != want {
+				t.Errorf("end known %v after the last answer: part %d counts as answered %d times, want %d", late, part, n, want)
+			}
+		}
+	}
+}
+
+// Guards against an answer that counts as a proof because the end of its target is found late, as
+// the watch of the connections runs late on a slow machine or the target
+// takes a while to end.
+func TestWatchedAnswer(t *testing.T) {
+	const step = survivalTime / 2
+	target := Target{ID: "i-1"}
+	tests := []struct {
+		name     string
+		closed   bool // the answer ended with its connection
+		watch    func(m *Monitor, now time.Time)
+		survived bool
+	}{
+		{"watch runs late", false, func(*Monitor, time.Time) {}, false},
+		{"alive too shortly after the answer", false, func(m *Monitor, now time.Time) { m.RecordAlive(target, now.Add(-2*step)) }, false},
+		{"another process is alive", false, func(m *Monitor, now time.Time) { m.RecordAlive(Target{ID: "i-1", Incarnation: 1}, now) }, false},
+		{"alive", false, func(m *Monitor, now time.Time) { m.RecordAlive(target, now) }, true},
+		{"connection closed, store not heard since", false, func(m *Monitor, now time.Time) { m.RecordClosed(target, now) }, false},
+		{"connection closed, store heard since", false, func(m *Monitor, now time.Time) { m.RecordClosed(target, now.Add(-survivalTime)); m.RecordInTouch(now) }, true},
+		{"connection closed, store not heard since it was", false, func(m *Monitor, now time.Time) { m.RecordClosed(target, now); m.RecordInTouch(now) }, false},
+		{"answer ended with its connection, store heard since, watch runs late", true, func(m *Monitor, now time.Time) { m.RecordInTouch(now) }, false},
+		{"answer ended with its connection, alive, store heard since", true, func(m *Monitor, now time.Time) { m.RecordAlive(target, now); m.RecordInTouch(now) }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now, m := time.Now(), NewMonitor()
+			s := Subject{Service: service, Parts: []uint64{common, deadly, other}, Closed: tt.closed, Watched: true}
+			m.RecordInTouch(now)
+			m.RecordWhole(now, target, now, s)
+			now = now.Add(3 * step)
+			tt.watch(m, now)
+			m.Settle(now)
+			m.RecordEnd(now.Add(step), target)
+			m.Settle(now.Add(step))
+			if _, survived := m.answered.at(partKey{service, s.PartFingerprints()[0]}); survived != tt.survived {
+				t.Errorf("part counts as answered: %v, want %v", survived, tt.survived)
+			}
+		})
+	}
+}
--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -149,9 +149,8 @@
 	quarantined map[Fingerprint][][]Fingerprint // with the rivals, see rivals
 	voided      map[string]voided               // by name of the crash
 	answered    memory[partKey]                 // when targets last outlived answers
-	whole       memory[partKey]                 // when requests with what is shared were last answered whole
-	wholeExact  memory[partKey]                 // when exact requests were
-	outlived    memory[partKey]                 // when targets last outlived answers to exact requests
+	whole       counts[partKey]                 // whole answers to requests with what is shared
+	wholeExact  counts[partKey]                 // whole answers to exact requests
 	listed      bool
 	judgedAt    time.Time // last judgement that took account of the requests sent
 	fleetSize   func() int
@@ -162,7 +161,7 @@
 	return &Crashes{
 		crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool),
 		quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](),
-		whole: newMemory[partKey](), wholeExact: newMemory[partKey](), outlived: newMemory[partKey](), fleetSize: func() int { return 1 },
+		whole: newCounts[partKey](), wholeExact: newCounts[partKey](), fleetSize: func() int { return 1 },
 	}
 }
 
@@ -216,6 +215,32 @@
 	return v
 }
 
+// reason returns the part that explains best why a request is refused for a fingerprint. That is
+// the fingerprint itself if it is a part that was never answered. Otherwise it is a part in
+// quarantine, if a whole request is, or one that was never answered, was at more than one crash
+// and is in fewer requests. It returns the fingerprint if there is none.
+func (c *Crashes) reason(service string, id Fingerprint, parts []Fingerprint) Fingerprint {
+	if id.IsPart() && c.proof(id) == unanswered {
+		return id
+	}
+	part, refused := id, c.suspicions[id]
+	var best *suspicion
+	for _, p := range parts {
+		s := c.suspicions[p]
+		if p == id || s == nil || !s.concerns(p, service) {
+			continue
+		}
+		if c.isQuarantined(p) && !id.IsPart() {
+			return p
+		}
+		rare := len(s.crashes) >= p.rivalThreshold() && s.sent < refused.sent && c.proof(p) == unanswered
+		if rare && (best == nil || cmp.Or(cmp.Compare(len(s.crashes), len(best.crashes)), cmp.Compare(best.sent, s.sent)) > 0) {
+			part, best = p, s
+		}
+	}
+	return part
+}
+
 // concerns reports whether a service is to be kept from the request or part.
 func (s *suspicion) concerns(id Fingerprint, service string) bool {
 	if !id.IsPart() {
@@ -309,7 +334,6 @@
 // RecordCrash records that a target ended before it had answered a request. It returns
 // whether a record is to be written.
 func (c *Crashes) RecordCrash(now time.Time, r Report) bool {
-	c.retractWhole(r)
 	record := CrashRecord{Service: r.Service, Target: r.Target, Incarnation: r.Incarnation}
 	e, ok := c.crashes[record.Name()]
 	if !ok {
@@ -384,11 +408,7 @@
 		if _, ok := c.answered.at(k); ok && !id.isExact() {
 			continue
 		}
-		if _, ok := c.outlived.at(k); ok {
-			least = answered
-			continue
-		}
-		if _, ok := c.wholeOf(id).at(k); !ok {
+		if c.wholeOf(id).of(k) == 0 {
 			return unanswered
 		}
 		least = answered
@@ -398,37 +418,24 @@
 
 // RecordWhole records an answer whose target may end with it. It clears nothing, but what is
 // never answered is suspected first.
-func (c *Crashes) RecordWhole(now time.Time, service string, ids []Fingerprint) {
+func (c *Crashes) RecordWhole(service string, ids []Fingerprint) {
 	for _, id := range ids {
-		c.wholeOf(id).add(now, partKey{service, id})
-	}
-}
-
-// retractWhole takes back that a request was answered whole, as its target has ended with that
-// answer. Otherwise one that crashes targets right after its answers would need as many crashes
-// as a healthy one. Parts, which many requests have, keep what speaks for them.
-func (c *Crashes) retractWhole(r Report) {
-	if r.AnsweredAt.IsZero() {
-		return
-	}
-	for _, id := range r.Requests {
-		c.wholeOf(id).remove(r.AnsweredAt, partKey{r.Service, id})
+		c.wholeOf(id).add(partKey{service, id})
 	}
 }
 
-// recordOutlived records that the target of a request has outlived its answer. That stays if
-// other targets end with later answers.
-func (c *Crashes) recordOutlived(now time.Time, r Report) {
-	for _, id := range r.Requests {
-		if id.isExact() {
-			c.outlived.add(now, partKey{r.Service, id})
-		}
+// RevokeWhole takes back RecordWhole for an answer whose target has ended with it, as far as is
+// known. Otherwise what crashes targets after an answer that looks whole counts as answered, like
+// the healthy requests that share its path and body.
+func (c *Crashes) RevokeWhole(service string, ids []Fingerprint) {
+	for _, id := range ids {
+		c.wholeOf(id).remove(partKey{service, id})
 	}
 }
 
 // wholeOf returns the memory of whole answers for the kind of a fingerprint. Exact requests,
 // most of which never come again, have one of their own and do not displace what is shared.
-func (c *Crashes) wholeOf(id Fingerprint) *memory[partKey] {
+func (c *Crashes) wholeOf(id Fingerprint) *counts[partKey] {
 	if id.isExact() {
 		return &c.wholeExact
 	}
--- a/internal/quarantiner/monitor.go
+++ b/internal/quarantiner/monitor.go
@@ -22,7 +22,11 @@
 	}
 	parts := s.PartFingerprints()
 	v := m.Check(now, s.Service, append(slices.Clip(s.Requests), parts...))
-	if i := slices.Index(parts, v.Fingerprint); i >= 0 && v.Outcome != Allowed {
+	reason := v.Fingerprint
+	if v.Outcome == Quarantined {
+		reason = m.reason(s.Service, v.Fingerprint, parts)
+	}
+	if i := slices.Index(parts, reason); i >= 0 && v.Outcome != Allowed {
 		v.Key = Key{Service: s.Service, Part: s.Parts[i]}
 	}
 	return v
@@ -44,23 +48,39 @@
 // is sound is shown only once the target has outlived the answer, see Settle. It returns the
 // attempts that the target has ended under, and whether a record is to be written.
 func (m *Monitor) RecordWhole(now time.Time, t Target, sentAt time.Time, s Subject) (under []Report, changed bool) {
-	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, AnsweredAt: now, Begun: true, Closed: s.Closed, Parts: s.Parts, Requests: s.Requests}
+	r := Report{Service: s.Service, Target: t.ID, Incarnation: t.Incarnation, SentAt: sentAt, Begun: true, Closed: s.Closed, Watched: s.Watched, Parts: s.Parts, Requests: s.Requests}
 	if len(s.Fingerprints()) == 0 {
 		return nil, false
 	}
-	m.Crashes.RecordWhole(now, s.Service, s.Fingerprints())
+	m.Crashes.RecordWhole(s.Service, s.Fingerprints())
 	if len(s.Parts) == 0 && !m.Suspects() {
 		return nil, false // nothing watches for the end of the target after the answer
 	}
 	if m.attempts.AddAnswer(now, r) {
+		m.revoke([]Report{r})
 		under = []Report{r}
 	}
 	return under, m.count(now, under)
 }
 
+// revoke takes back the answers that targets have ended with.
+func (m *Monitor) revoke(list []Report) {
+	for _, r := range list {
+		m.RevokeWhole(r.Service, Subject{Parts: r.Parts, Requests: r.Requests}.Fingerprints())
+	}
+}
+
 // RecordInTouch records that the ends of all targets that the store knew of at a time are known.
 func (m *Monitor) RecordInTouch(at time.Time) { m.attempts.RecordInTouch(at) }
 
+// RecordAlive records that a watched target was alive at a time. Its answers from
+// [SurvivalTime] before that are proofs, see Settle.
+func (m *Monitor) RecordAlive(t Target, at time.Time) { m.attempts.RecordAlive(t, at) }
+
+// RecordClosed records that a watched target has closed connections, but accepts others at
+// a time.
+func (m *Monitor) RecordClosed(t Target, at time.Time) { m.attempts.RecordClosed(t, at) }
+
 // NextSettle returns when the next answer is due for Settle. It reports false if there is
 // none.
 func (m *Monitor) NextSettle() (time.Time, bool) { return m.attempts.NextSurvival() }
@@ -69,7 +89,6 @@
 // record is to be written.
 func (m *Monitor) Settle(now time.Time) (changed bool) {
 	for _, r := range m.attempts.Survived(now) {
-		m.recordOutlived(now, r)
 		changed = m.RecordSurvived(now, r.Service, r.shared()) || changed
 		changed = m.RecordAnswer(now, r.Requests) || changed
 	}
@@ -87,7 +106,8 @@
 
 // RecordEnd records that a target has ended. Its results are those of RecordWhole.
 func (m *Monitor) RecordEnd(now time.Time, t Target) (under []Report, changed bool) {
-	under = m.attempts.End(now, t)
+	under, revoked := m.attempts.End(now, t)
+	m.revoke(revoked)
 	return under, m.count(now, under)
 }
 
--- a/internal/receiver/record.go
+++ b/internal/receiver/record.go
@@ -61,11 +61,10 @@
 	if j.summary.exceeded {
 		e.Bool("exceeded", true)
 	}
-	switch {
-	case j.summary.cause != Crashing:
-	case j.quarantined.Key.Part != 0:
-		e.Str("part", partName(j.quarantined.Key.Part))
-	default:
+	if j.summary.cause == Crashing {
+		if j.quarantined.Key.Part != 0 {
+			e.Str("part", partName(j.quarantined.Key.Part))
+		}
 		e.Stringer("fingerprint", j.quarantined.Fingerprint)
 	}
 	if j.places.Restricted() {
