Return the result of a call to a holder that stops right after it

The stop ended the context of the holder before the caller was scheduled, and select takes any of the ready cases. The result is now returned if there is one. TestResultBeforeStop fails without the second select.

--- a/internal/holder/ask.go
+++ b/internal/holder/ask.go
@@ -37,13 +37,27 @@
 		return zero, ErrStopped
 	}
 	h.send(message(reply))
+	return reply.await(ctx, h.ctx.Done())
+}
+
+// await waits for the result until the context ends or the holder has stopped. A result that
+// arrived before either is returned, as the call has taken effect.
+func (r replyChan[T]) await(ctx context.Context, stopped <-chan struct{}) (T, error) {
+	var err error
 	select {
-	case a := <-reply:
+	case a := <-r:
 		return a.value, a.err
 	case <-ctx.Done():
-		return zero, fmt.Errorf("await holder: %w", ctx.Err())
-	case <-h.ctx.Done():
-		return zero, ErrStopped
+		err = fmt.Errorf("await holder: %w", ctx.Err())
+	case <-stopped:
+		err = ErrStopped
+	}
+	select {
+	case a := <-r:
+		return a.value, a.err
+	default:
+		var zero T
+		return zero, err
 	}
 }
 
