Give entries of single tests an address of their own

Its entry listened on 127.0.0.1, and the port for metrics is fixed, so two runs of the tests on a machine met there.

--- a/internal/starter/fleet_test.go
+++ b/internal/starter/fleet_test.go
@@ -70,6 +70,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", 9+os.Getpid()%200, n>>8, n&255)
 }
 
+// singleIP returns the address of an entry without a fleet. No fleet reaches this network.
+func singleIP() string { return fleetIP(255<<8 + 1) }
+
 // startFleet starts a fleet with runners of the engine service. The function computes their
 // responses.
 func startFleet(t *testing.T, entries, runners int, respond func(runner int, req platformtest.Request) platformtest.Response) *fleet {
--- a/internal/starter/previews_test.go
+++ b/internal/starter/previews_test.go
@@ -109,14 +109,14 @@
 			if d := e.accounting.Preview("t1", 1000); d.Used != 0 {
 				t.Errorf("%d tokens are used", d.Used)
 			}
-			for _, port := range []int{callers, peer, ready} {
-				res, err := http.Post(fmt.Sprintf("http://127.0.0.1:%d/preview", port), "application/json", strings.NewReader(`{"path":"/plan/7"}`))
+			for _, addr := range []string{cfg.Listen.Callers, fmt.Sprintf("%s:%d", cfg.Addr, peer), cfg.Listen.Ready} {
+				res, err := http.Post("http://"+addr+"/preview", "application/json", strings.NewReader(`{"path":"/plan/7"}`))
 				if err != nil {
 					t.Fatal(err)
 				}
 				_ = res.Body.Close()
 				if res.StatusCode == http.StatusOK {
-					t.Errorf("port %d answers questions of the operator", port)
+					t.Errorf("%s answers questions of the operator", addr)
 				}
 			}
 		})
--- a/internal/starter/starter_test.go
+++ b/internal/starter/starter_test.go
@@ -43,7 +43,7 @@
 func writeSettings(t *testing.T, store string, callers, ready, peer int) string {
 	t.Helper()
 	data, err := json.Marshal(map[string]any{
-		"node_name": "edge-a-1", "ip": "127.0.0.1", "zone": "a", "region": "r", "zones": map[string]string{"a": "r"},
+		"node_name": "edge-a-1", "ip": singleIP(), "zone": "a", "region": "r", "zones": map[string]string{"a": "r"},
 		"listen":     map[string]string{"frontend": fmt.Sprintf("127.0.0.1:%d", callers), "ready": fmt.Sprintf("127.0.0.1:%d", ready)},
 		"port_range": []int{peer, peer + 5}, "limits": map[string]any{"memory_mb": 134},
 		"platform": map[string]any{"address": store, "writes_per_s": 400, "reads_per_s": 2000},
@@ -154,7 +154,7 @@
 	}
 
 	platformtest.Eventually(t, "metrics", func() bool {
-		res, err := http.Get("http://127.0.0.1:" + metricsPort + "/metrics")
+		res, err := http.Get("http://" + singleIP() + ":" + metricsPort + "/metrics")
 		if err != nil {
 			return false
 		}
@@ -206,7 +206,7 @@
 	if err := json.Unmarshal(s.Get("budgets", "t1"), &budget); err != nil {
 		t.Fatal(err)
 	}
-	if p := budget.Parts["edge-a-1-127.0.0.1"]; p.Held != p.Spent || p.Spent != 4*(80+12) {
+	if p := budget.Parts["edge-a-1-"+singleIP()]; p.Held != p.Spent || p.Spent != 4*(80+12) {
 		t.Errorf("after the shutdown %d tokens are granted, %d spent; log:\n%s", p.Held, p.Spent, out.String())
 	}
 }
