Look for the next write of a crash only after a crash

Warden.update searched all records of crashes at each answer, also when nothing had crashed. It does so now only when a target has ended under requests, which is the only case that uses the result.

--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -262,22 +262,35 @@
 	w.mu.Lock()
 	now := time.Now()
 	under, changed := change(now)
+	delay := time.Duration(0)
 	if changed {
 		w.logChanges()
+		if len(under) > 0 {
+			delay = w.untilWrite(now)
+		}
 	}
-	next, ok := w.monitor.NextWrite()
 	w.mu.Unlock()
 	for _, f := range under {
 		w.scope.Tagged(map[string]string{"service": f.Service}).Counter(reporter.Crashes).Inc(1)
 	}
 	switch {
-	case changed && len(under) > 0 && ok:
-		time.AfterFunc(next.Sub(now), w.onChange)
+	case delay > 0:
+		time.AfterFunc(delay, w.onChange)
 	case changed:
 		w.onChange()
 	}
 }
 
+// untilWrite returns how long the next record to be stored waits for further requests, 0 if there
+// is none. The caller holds the lock.
+func (w *Warden) untilWrite(now time.Time) time.Duration {
+	next, ok := w.monitor.NextWrite()
+	if !ok {
+		return 0
+	}
+	return next.Sub(now)
+}
+
 // logChanges logs what has come into quarantine or out of it. The caller holds the lock.
 func (w *Warden) logChanges() {
 	now := make(map[quarantiner.Fingerprint]bool)
