Keep times and counts of the quarantine in one kind of memory

counts repeated the two generations of memory for another type of value. memory is now generic over the value and counts adds its arithmetic. Behaviour is the same; the tests of quarantiner pass unchanged.

--- a/internal/quarantiner/crashes.go
+++ b/internal/quarantiner/crashes.go
@@ -148,7 +148,7 @@
 	suspected   map[Fingerprint]bool            // with enough crashes for a quarantine
 	quarantined map[Fingerprint][][]Fingerprint // with the rivals, see rivals
 	voided      map[string]voided               // by name of the crash
-	answered    memory[partKey]                 // when targets last outlived answers
+	answered    memory[partKey, time.Time]      // when targets last outlived answers
 	whole       counts[partKey]                 // whole answers to requests with what is shared
 	wholeExact  counts[partKey]                 // whole answers to exact requests
 	listed      bool
@@ -160,7 +160,7 @@
 func NewCrashes() *Crashes {
 	return &Crashes{
 		crashes: make(map[string]*crash), suspicions: make(map[Fingerprint]*suspicion), suspected: make(map[Fingerprint]bool),
-		quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey](),
+		quarantined: make(map[Fingerprint][][]Fingerprint), voided: make(map[string]voided), answered: newMemory[partKey, time.Time](),
 		whole: newCounts[partKey](), wholeExact: newCounts[partKey](), fleetSize: func() int { return 1 },
 	}
 }
@@ -447,7 +447,7 @@
 // record is to be written.
 func (c *Crashes) RecordSurvived(now time.Time, service string, ids []Fingerprint) bool {
 	for _, id := range ids {
-		c.answered.add(now, partKey{service, id})
+		c.answered.put(partKey{service, id}, now)
 	}
 	return c.releaseAll(now, ids, func(e *crash) bool { return e.record.Service == service })
 }
@@ -522,7 +522,7 @@
 			continue
 		}
 		changed = true
-		c.answered.add(now, partKey{e.record.Service, id})
+		c.answered.put(partKey{e.record.Service, id}, now)
 		delete(e.added, id)
 		delete(e.added, id.waiting())
 		c.void(now, e, id)
@@ -818,7 +818,7 @@
 	}
 	for id := range before {
 		if _, ok := stored[id]; !ok && !e.added[id] && !e.added[id.waiting()] {
-			c.answered.add(now, partKey{r.Service, id}) // answered at another instance
+			c.answered.put(partKey{r.Service, id}, now) // answered at another instance
 		}
 	}
 	for id := range stored {
--- a/internal/quarantiner/memory.go
+++ b/internal/quarantiner/memory.go
@@ -1,54 +1,44 @@
 package quarantiner
 
-import "time"
-
-// memory remembers when something last happened to each of many keys. It forgets the
-// oldest ones when there are too many.
-type memory[K comparable] struct {
-	newer, older map[K]time.Time
+// memory remembers a value for each of many keys. It forgets the keys that were changed first
+// when there are too many.
+type memory[K comparable, V any] struct {
+	newer, older map[K]V
 }
 
-func newMemory[K comparable]() memory[K] { return memory[K]{newer: make(map[K]time.Time)} }
+func newMemory[K comparable, V any]() memory[K, V] {
+	return memory[K, V]{newer: make(map[K]V)}
+}
 
-func (m *memory[K]) add(now time.Time, k K) {
+func (m *memory[K, V]) put(k K, v V) {
 	if _, ok := m.newer[k]; !ok && len(m.newer) >= maxAnswered {
-		m.newer, m.older = make(map[K]time.Time), m.newer
+		m.newer, m.older = make(map[K]V), m.newer
 	}
-	m.newer[k] = now
+	m.newer[k] = v
 }
 
-func (m *memory[K]) at(k K) (at time.Time, ok bool) {
-	if at, ok = m.newer[k]; !ok {
-		at, ok = m.older[k]
+// at returns the value of a key.
+func (m *memory[K, V]) at(k K) (v V, ok bool) {
+	if v, ok = m.newer[k]; !ok {
+		v, ok = m.older[k]
 	}
-	return at, ok
+	return v, ok
 }
 
-// counts counts how often something happened to each of many keys. It forgets the oldest ones
-// when there are too many.
-type counts[K comparable] struct {
-	newer, older map[K]int
-}
+// counts counts how often something happened to each of many keys.
+type counts[K comparable] struct{ memory[K, int] }
 
-func newCounts[K comparable]() counts[K] { return counts[K]{newer: make(map[K]int)} }
+func newCounts[K comparable]() counts[K] { return counts[K]{newMemory[K, int]()} }
 
 // of returns the count of a key.
 func (c *counts[K]) of(k K) int {
-	if n, ok := c.newer[k]; ok {
-		return n
-	}
-	return c.older[k]
+	n, _ := c.at(k)
+	return n
 }
 
-func (c *counts[K]) add(k K) {
-	n := c.of(k) + 1
-	if _, ok := c.newer[k]; !ok && len(c.newer) >= maxAnswered {
-		c.newer, c.older = make(map[K]int), c.newer
-	}
-	c.newer[k] = n
-}
+func (c *counts[K]) add(k K) { c.put(k, c.of(k)+1) }
 
-// remove takes back an add.
+// remove takes back an add. It does not make the key a recent one.
 func (c *counts[K]) remove(k K) {
 	switch n := c.of(k); {
 	case n == 0: // forgotten
