--- a/internal/analyzer/day.go
+++ b/internal/analyzer/day.go
@@ -178,9 +178,9 @@
 }
 
 // percentile returns the value of a sorted list below which a share of the values lies.
-func percentile(sorted []time.Duration, share float64) time.Duration {
+func percentile[T cmp.Ordered](sorted []T, share float64) (v T) {
 	if len(sorted) == 0 {
-		return 0
+		return v
 	}
 	return sorted[min(int(share*float64(len(sorted))), len(sorted)-1)]
 }
@@ -403,9 +403,9 @@
 	return Unused{Count: len(indexes), Median: median(unused), Max: slices.Max(unused), Share: median(shares), Asked: median(asked)}
 }
 
-func median[T int64 | float64](list []T) T {
+func median[T cmp.Ordered](list []T) T {
 	slices.Sort(list)
-	return list[len(list)/2]
+	return percentile(list, 0.5)
 }
 
 // countTokens counts the tokens over time. What instances hold is the sum of the latest
--- a/internal/analyzer/day_read.go
+++ b/internal/analyzer/day_read.go
@@ -72,7 +72,7 @@
 }
 
 func (d *dayReader) read(r io.Reader) error {
-	long, err := eachLine(r, func(text []byte) error {
+	long, err := eachLine(r, func(text []byte) {
 		start := bytes.IndexByte(text, '{')
 		var line dayLine
 		switch {
@@ -82,7 +82,6 @@
 		default:
 			d.add(line)
 		}
-		return nil
 	})
 	d.day.Faults.Skipped += long
 	return err
--- a/internal/analyzer/day_timelines.go
+++ b/internal/analyzer/day_timelines.go
@@ -40,22 +40,22 @@
 	if len(list) == 0 {
 		return nil
 	}
-	_, err := eachLine(r, func(text []byte) error {
+	_, err := eachLine(r, func(text []byte) {
 		start := bytes.IndexByte(text, '{')
 		var head struct {
 			ID, Msg, Instance string
 			Crashed           bool
 		}
 		if start < 0 || json.Unmarshal(text[start:], &head) != nil {
-			return nil
+			return
 		}
 		own, isState := byID[head.ID], stateKinds[head.Msg] != ""
 		if len(own) == 0 && !isState && !head.Crashed {
-			return nil
+			return
 		}
 		line, ok := parse(text)
 		if !ok {
-			return nil
+			return
 		}
 		for _, c := range own {
 			c.addOwn(line)
@@ -70,7 +70,6 @@
 				c.addCrash(line)
 			}
 		}
-		return nil
 	})
 	if err != nil {
 		return err
--- a/internal/analyzer/reader.go
+++ b/internal/analyzer/reader.go
@@ -18,13 +18,12 @@
 // Read parses a log.
 func Read(r io.Reader) (*Log, error) {
 	log := &Log{}
-	long, err := eachLine(r, func(text []byte) error {
+	long, err := eachLine(r, func(text []byte) {
 		if line, ok := parse(text); ok {
 			log.Lines = append(log.Lines, line)
 		} else if len(bytes.TrimSpace(text)) > 0 {
 			log.Skipped++
 		}
-		return nil
 	})
 	if err != nil {
 		return nil, err
@@ -36,7 +35,7 @@
 
 // eachLine calls f with each line; its argument is valid until f returns. It leaves out
 // lines longer than maxLineBytes and returns their number.
-func eachLine(r io.Reader, f func(text []byte) error) (long int, err error) {
+func eachLine(r io.Reader, f func(text []byte)) (long int, err error) {
 	b := bufio.NewReaderSize(r, maxLineBytes)
 	for {
 		text, err := b.ReadSlice('\n')
@@ -50,9 +49,7 @@
 		if err != nil && !errors.Is(err, io.EOF) {
 			return long, fmt.Errorf("read log: %w", err)
 		}
-		if fault := f(text); fault != nil {
-			return long, fault
-		}
+		f(text)
 		if err != nil {
 			return long, nil
 		}
