Report responses that a reset cuts off during an upload as incomplete

What callers saw: a target answered a large request early with a 200 that had no length, sent a part of the body and reset the connection while the request was still being written. The caller got that part as a complete answer with the target's seal.

Cause: Linux reports a reset once. The write of the request got ECONNRESET, the read after it got the bytes that had arrived and then the end of the connection, as after an end in order. The forwarder ignored the error of the write and took the end for the end of the body.

Change: a verifier.Conn remembers the first error of a write and returns it in place of the end of the connection. EPIPE is left out: the kernel reports it for a reset that follows an end in order, so an early answer without a length whose server stops reading is still whole ("early without a length, reset after the end"). An answer with a length or chunks doesn't depend on the end and is served as before. If another goroutine writes, the read waits for that write only when poll shows that both directions are shut, when it returns at once.

--- a/internal/forwarder/drain_test.go
+++ b/internal/forwarder/drain_test.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"net"
 	"net/http"
 	"strings"
@@ -44,8 +43,7 @@
 	late := &lateConn{head: strings.NewReader("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\n"), called: make(chan struct{}), released: make(chan struct{})}
 	late.set.Add(1)
 	p := New(func(http.Header) string { return "id-1" })
-	in := &limitedReader{r: late, left: unlimited}
-	c := &conn{Conn: late, pool: p, in: in, br: bufio.NewReader(in), addr: "a"}
+	c := p.newConn(late, "a")
 	res, err := c.readResponseHead(http.MethodPost)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"daisylane/internal/verifier"
 )
 
 const (
@@ -70,7 +72,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*verifier.Conn
 	pool     *Pool
 	closing  atomic.Bool    // the other side has announced that it closes the connection
 	in       *limitedReader // read by br
@@ -280,8 +282,7 @@
 		}
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, addr, err)
 	}
-	in := &limitedReader{r: nc, left: unlimited}
-	c := &conn{Conn: nc, pool: p, in: in, br: bufio.NewReaderSize(in, readBufferBytes), addr: addr}
+	c := p.newConn(nc, addr)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if c.raw, err = sc.SyscallConn(); err != nil {
 			_ = nc.Close()
@@ -297,6 +298,13 @@
 	return c, nil
 }
 
+func (p *Pool) newConn(nc net.Conn, addr string) *conn {
+	c := &conn{Conn: verifier.NewConn(nc), pool: p, addr: addr}
+	c.in = &limitedReader{r: c.Conn, left: unlimited}
+	c.br = bufio.NewReaderSize(c.in, readBufferBytes)
+	return c
+}
+
 // register adds a new connection to the open ones. It reports whether an older one to the
 // same address has ended.
 func (p *Pool) register(c *conn) (ended bool) {
--- /dev/null
+++ b/internal/verifier/conn.go
@@ -0,0 +1,86 @@
+package verifier
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Conn is a connection on which a reset does not look like an end in order. One goroutine may
+// read while another one writes.
+type Conn struct {
+	net.Conn
+	raw syscall.RawConn // nil: there is none
+
+	writing  sync.Mutex // held during a write
+	writeErr error      // the first one, guarded by writing
+}
+
+// NewConn returns a connection that reads from and writes to c.
+func NewConn(c net.Conn) *Conn {
+	v := &Conn{Conn: c}
+	if sc, ok := c.(syscall.Conn); ok {
+		v.raw, _ = sc.SyscallConn() // fails on a closed connection only
+	}
+	return v
+}
+
+// Read implements [net.Conn]. It returns the error of the write in place of [io.EOF] if the
+// connection was reset during a write.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// Write implements [net.Conn].
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endError returns [io.EOF] if the other side has closed the connection in order, and
+// otherwise the error that ended it. The system reports a reset once: if a write
+// was told, a read gets the bytes that had arrived, and then the end of the connection. A
+// write that fails with EPIPE comes after an end in order.
+func (c *Conn) endError() error {
+	if !c.writing.TryLock() {
+		// The write goes on if the other side has closed only its own direction.
+		if !c.isShut() {
+			return io.EOF
+		}
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return fmt.Errorf("connection ended during a write: %w", c.writeErr)
+}
+
+// isShut reports whether the connection has ended in both directions, so that a write
+// returns at once.
+func (c *Conn) isShut() bool {
+	if c.raw == nil {
+		return false
+	}
+	shut := false
+	err := c.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd)}}
+		n, err := unix.Poll(fds, 0)
+		shut = err == nil && n > 0 && fds[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && shut
+}
