Refuse responses whose status line HTTP/1.1 doesn't allow

What callers saw: an answer of a target in trouble with status 000 was skipped as an informational one, so that the caller got whatever followed it as the answer, or nothing until its deadline. Statuses of 600 and above, versions other than HTTP/1 and reasons with control bytes were passed on as 200 or as they came.

Cause: http.ReadResponse takes any three characters that make a number as a status, any version, any separator and any reason, and the forwarder took its verdict for that of the grammar.

Change: verifier.Conn follows the responses on a connection as they are read, with their framing, and checks each status line by RFC 9112: version 1.x, a status from 100 to 599, a reason of allowed bytes. It passes on what stands before a line that is not allowed, and then only an error, so no reader behind it can complete such a response. 101 is refused as well, since no request asks for another protocol. A connection whose reading ended so is not kept.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -101,6 +101,7 @@
 // requests that arrive before it are skipped. A response without an id is accepted
 // only with a status of 300 or above and if c has sent no other request.
 func (p *Pool) exchange(c *conn, r Request) (*Response, error) {
+	c.Expect(r.Method)
 	n, werr := c.writePieces(r.encode(), r.OnProgress)
 	if werr != nil && n == 0 && c.requests == 1 {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, werr)
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -374,7 +374,7 @@
 	if n, ok := keepAlive(h); ok {
 		timeout = n - idleMargin
 	}
-	if timeout <= 0 || c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if timeout <= 0 || c.br.Buffered() > 0 || c.Malformed() != nil || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
--- a/internal/verifier/conn.go
+++ b/internal/verifier/conn.go
@@ -5,18 +5,25 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// Conn is a connection on which a reset does not look like an end in order. One goroutine may
-// read while another one writes.
+// Conn is a connection to a server of HTTP/1.1 whose reads return only what is allowed in
+// responses. One goroutine may read while another one writes.
 type Conn struct {
 	net.Conn
 	raw syscall.RawConn // nil: there is none
 
+	expecting   atomic.Bool // responses are expected, so that reads are checked
+	headRequest atomic.Bool
+	scanner     scanner
+	malformed   atomic.Pointer[error] // returned by all further reads
+
 	writing  sync.Mutex // held during a write
 	writeErr error      // the first one, guarded by writing
 }
@@ -30,10 +37,38 @@
 	return v
 }
 
-// Read implements [net.Conn]. It returns the error of the write in place of [io.EOF] if the
+// Expect is called before a request is written. Before the first call, reads are not checked.
+func (c *Conn) Expect(method string) {
+	c.headRequest.Store(method == http.MethodHead)
+	c.expecting.Store(true)
+}
+
+// Malformed returns the error that ended the reading, or nil. It wraps [ErrMalformed].
+func (c *Conn) Malformed() error {
+	if err := c.malformed.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// Read implements [net.Conn]. It returns an error that wraps [ErrMalformed] in place of bytes
+// that no response can hold, and the error of the write in place of [io.EOF] if the
 // connection was reset during a write.
 func (c *Conn) Read(b []byte) (int, error) {
+	if err := c.Malformed(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(b)
+	if n > 0 && c.expecting.Load() {
+		allowed, scanErr := c.scanner.scan(b[:n], c.headRequest.Load())
+		if scanErr != nil {
+			c.malformed.Store(&scanErr)
+			if allowed == 0 {
+				return 0, scanErr
+			}
+			return allowed, nil
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
--- a/internal/verifier/doc.go
+++ b/internal/verifier/doc.go
@@ -1,11 +1,21 @@
-// Package verifier checks that a response which ends with its connection is complete.
+// Package verifier checks that the bytes which a connection returns are responses by the
+// grammar of HTTP/1.1, and that a response which ends with its connection is complete.
 //
-// A reader takes the end of a connection for the end of a response without a length, which
-// after a reset it is not. A [Conn] returns an error in its place.
+// The readers of net/http accept any three digits as a status. They also take the end of a connection for the end of a response
+// without a length, which after a reset it is not.
+//
+// A [Conn] follows the responses on a connection as they are read. It passes on the bytes
+// before the first line that is not allowed, and then only the error, so that no reader
+// can take the response for a complete one.
 //
 // # Usage
 //
 //	c := verifier.NewConn(conn)
+//	c.Expect(http.MethodGet)
 //	... write the request
 //	res, err := http.ReadResponse(bufio.NewReader(c), req)
+//
+// # Source
+//
+// RFC 9112 (messages), RFC 9110 (fields and statuses).
 package verifier
