Refuse responses with names of fields that HTTP/1.1 doesn't allow

What callers saw: an answer of a target in trouble in whose head the name of a field held a blank was passed on as the target's. If the field was one that frames the body ("Content-Length : 2", "Transfer-Encoding : chunked"), the caller got a body that the target had not sent: chunk lines as content, or everything up to the end of the connection. A line that begins with a blank was joined to the field before it, so that the caller got a changed seal.

Cause: textproto accepts names with blanks and keeps such a field under a name of its own, so neither the framing nor the removal of fields sees it. It joins a folded line to the one before. Names with control bytes were refused already; their cases stay in the table.

Change: the name in each line of a head or of trailers has to be a token, which leaves no folded lines either. RFC 9112 5.1 and 5.2 let a gateway refuse both.

--- a/internal/verifier/conn_test.go
+++ b/internal/verifier/conn_test.go
@@ -39,6 +39,7 @@
 		{platformtest.SoundAnswers("", "hello"), true},
 		{platformtest.ResetAnswers("", "hello"), true},
 		{platformtest.StatusAnswers("", "hello"), false},
+		{platformtest.NameAnswers("", "hello"), false},
 	}
 	for _, tt := range tests {
 		for _, a := range tt.answers {
--- a/internal/verifier/doc.go
+++ b/internal/verifier/doc.go
@@ -1,7 +1,8 @@
 // Package verifier checks that the bytes which a connection returns are responses by the
 // grammar of HTTP/1.1, and that a response which ends with its connection is complete.
 //
-// The readers of net/http accept any three digits as a status. They also take the end of a connection for the end of a response
+// The readers of net/http accept any three digits as a status, and names of fields with
+// blanks. They also take the end of a connection for the end of a response
 // without a length, which after a reset it is not.
 //
 // A [Conn] follows the responses on a connection as they are read. It passes on the bytes
--- a/internal/verifier/scanner.go
+++ b/internal/verifier/scanner.go
@@ -103,7 +103,7 @@
 	}
 	switch {
 	case len(line) > 0:
-		s.scanField(line)
+		return s.scanField(line)
 	case s.state == trailers:
 		s.state = statusLine
 	default:
@@ -137,11 +137,15 @@
 	return ok && len(minor) == 1 && minor[0] >= '0' && minor[0] <= '9'
 }
 
-// scanField takes the framing of the body from a line of the head. Readers check the values.
-func (s *scanner) scanField(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+// scanField checks the name in a line of the head or of the trailers, and takes the framing of
+// the body from the head. A folded line is not allowed. Readers check the values.
+func (s *scanner) scanField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
+		return malformed("field name", line)
+	}
 	if s.state == trailers {
-		return
+		return nil
 	}
 	value = bytes.Trim(value, " \t")
 	switch {
@@ -151,6 +155,7 @@
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		s.chunked = !s.http10
 	}
+	return nil
 }
 
 // endHead sets the state after the empty line that ends a head.
