Refuse responses with lines or framing that HTTP/1.1 doesn't allow

What callers saw: answers that no grammar allows came through as the target's: lines without a carriage return, a length beside chunks, chunk sizes and extensions with stray bytes. A chunked answer of version 1.0 came with its chunk lines as content and status 200. After trailers with a bare line feed the caller waited for its deadline.

Cause: the same as for status lines and names, this time for line ends and for what frames the body: net/http is lenient where RFC 9112 lets a recipient choose, and ignores Transfer-Encoding in version 1.0.

Evidence: forwarder.TestAnswers failed for 7 cases and receiver.TestAnswers for 8 of a call that may not be repeated, such as "chunks of version 1.0" and "control byte in a chunk extension".

Change: every line ends with CR LF, values of fields hold allowed bytes, the body has one length or is chunked once, and the line before a chunk is a size with extensions by the grammar. The framing that the scanner follows is now the only one that a reader can see.

--- a/internal/verifier/conn_test.go
+++ b/internal/verifier/conn_test.go
@@ -40,6 +40,7 @@
 		{platformtest.ResetAnswers("", "hello"), true},
 		{platformtest.StatusAnswers("", "hello"), false},
 		{platformtest.NameAnswers("", "hello"), false},
+		{platformtest.FramingAnswers("", "hello"), false},
 	}
 	for _, tt := range tests {
 		for _, a := range tt.answers {
--- a/internal/verifier/scanner.go
+++ b/internal/verifier/scanner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strconv"
 
 	"golang.org/x/net/http/httpguts"
@@ -19,6 +20,11 @@
 	maxStatus      = 599
 )
 
+// chunkLine is the syntax of the line before a chunk, with its extensions.
+var chunkLine = regexp.MustCompile(`^([0-9A-Fa-f]+)([ \t]*;[ \t]*` + token + `([ \t]*=[ \t]*(` + token + `|"([^"\\\x00-\x08\x0a-\x1f\x7f]|\\[^\x00-\x08\x0a-\x1f\x7f])*"))?)*$`)
+
+const token = "[-!#$%&'*+.^_`|~0-9A-Za-z]+"
+
 // state is the part of a response that is expected next.
 type state int
 
@@ -90,14 +96,19 @@
 
 // scanLine checks a complete line and sets the next state.
 func (s *scanner) scanLine(line []byte, headRequest bool) error {
-	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok {
+		return malformed("line without a carriage return", line)
+	}
 	switch s.state {
 	case statusLine:
 		return s.scanStatusLine(line)
 	case chunkSize:
-		s.scanChunkSize(line)
-		return nil
+		return s.scanChunkSize(line)
 	case chunkEnd:
+		if len(line) > 0 {
+			return malformed("chunk longer than its size", line)
+		}
 		s.state = chunkSize
 		return nil
 	}
@@ -106,10 +117,9 @@
 		return s.scanField(line)
 	case s.state == trailers:
 		s.state = statusLine
-	default:
-		s.endHead(headRequest)
+		return nil
 	}
-	return nil
+	return s.endHead(headRequest)
 }
 
 // scanStatusLine checks the first line of a response.
@@ -137,29 +147,40 @@
 	return ok && len(minor) == 1 && minor[0] >= '0' && minor[0] <= '9'
 }
 
-// scanField checks the name in a line of the head or of the trailers, and takes the framing of
-// the body from the head. A folded line is not allowed. Readers check the values.
+// scanField checks a line of the head or of the trailers. A folded line is not allowed.
 func (s *scanner) scanField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
 		return malformed("field name", line)
 	}
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return malformed("field value", line)
+	}
 	if s.state == trailers {
 		return nil
 	}
 	value = bytes.Trim(value, " \t")
 	switch {
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		s.left, _ = strconv.ParseUint(string(value), 10, 63)
-		s.hasLength = true
+		n, err := strconv.ParseUint(string(value), 10, 63)
+		if err != nil || s.hasLength && s.left != n {
+			return malformed("length", line)
+		}
+		s.left, s.hasLength = n, true
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		s.chunked = !s.http10
+		if s.chunked || s.http10 || !bytes.EqualFold(value, []byte("chunked")) {
+			return malformed("transfer encoding", line)
+		}
+		s.chunked = true
 	}
 	return nil
 }
 
 // endHead sets the state after the empty line that ends a head.
-func (s *scanner) endHead(headRequest bool) {
+func (s *scanner) endHead(headRequest bool) error {
+	if s.chunked && s.hasLength {
+		return malformed("length beside chunks", nil)
+	}
 	switch {
 	case headRequest, s.status < http.StatusOK, s.status == http.StatusNoContent, s.status == http.StatusNotModified:
 		s.state = statusLine
@@ -172,15 +193,27 @@
 	default:
 		s.state = body
 	}
+	return nil
 }
 
-// scanChunkSize takes the size of a chunk from the line before it. Readers check it.
-func (s *scanner) scanChunkSize(line []byte) {
-	size, _, _ := bytes.Cut(line, []byte(";"))
-	n, _ := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 63)
+// scanChunkSize checks the line before a chunk.
+func (s *scanner) scanChunkSize(line []byte) error {
+	size := line
+	if bytes.IndexByte(line, ';') >= 0 {
+		parts := chunkLine.FindSubmatch(line)
+		if parts == nil {
+			return malformed("chunk extension", line)
+		}
+		size = parts[1]
+	}
+	n, err := strconv.ParseUint(string(size), 16, 63)
+	if err != nil {
+		return malformed("chunk size", line)
+	}
 	if s.left, s.state = n, chunkData; n == 0 {
 		s.state = trailers
 	}
+	return nil
 }
 
 func malformed(what string, line []byte) error {
