Test responses that stop in their head or body

Other operators reported clients that got a 200 with an empty or short body after a target had stopped within the head of its answer and closed the connection in order. That can't happen here: net/http reports an end within a head, a chunk, a trailer or a body with a length.

--- a/internal/verifier/conn_test.go
+++ b/internal/verifier/conn_test.go
@@ -38,6 +38,7 @@
 	}{
 		{platformtest.SoundAnswers("", "hello"), true},
 		{platformtest.ResetAnswers("", "hello"), true},
+		{platformtest.ShortAnswers("", "hello"), true},
 		{platformtest.StatusAnswers("", "hello"), false},
 		{platformtest.NameAnswers("", "hello"), false},
 		{platformtest.FramingAnswers("", "hello"), false},
