Pass on responses whose fields are not UTF-8 on the own interface

What callers saw: a call to a service ran, but its caller got no answer and an unknown outcome in place of one, when a field of the answer held bytes that are no UTF-8, which HTTP/1.1 allows.

Cause: the End frame keeps fields as protobuf strings. It could not be encoded, so the side closed the stream of the router without it.

Change: bytes that are no UTF-8 are replaced in the fields of the frame.

--- a/internal/executor/engine.go
+++ b/internal/executor/engine.go
@@ -213,7 +213,8 @@
 func flattenHeader(h http.Header) map[string]string {
 	flat := make(map[string]string, len(h))
 	for key := range h {
-		flat[key] = strings.Join(h.Values(key), ", ")
+		// Frames hold UTF-8 only, fields any bytes.
+		flat[key] = strings.ToValidUTF8(strings.Join(h.Values(key), ", "), "?")
 	}
 	for _, key := range hopByHopHeaders {
 		delete(flat, key)
