Check the responses that net/http reads by the grammar of HTTP/1.1

What callers saw: on the own interface, an answer of a service with status 000 reached the router as a complete one, and so did answers with blanks in names of fields and without carriage returns.

Cause: these readers are clients of net/http, which has the leniency that the forwarder had, and nothing after it looked at the bytes.

Change: verifier.NewTransport gives a transport connections that check what is read on them, and tells them the method of each request. It serves both clients of the store, peers, the sides of the own interface, the preview of routes and the prober. Connections with TLS check what is read within it, and speak HTTP/1.1 only. A broken answer to a write leaves its outcome uncertain, as a lost one does.

--- a/internal/executor/execute.go
+++ b/internal/executor/execute.go
@@ -13,6 +13,7 @@
 	"daisylane/internal/admitter"
 	"daisylane/internal/connector"
 	"daisylane/internal/reporter"
+	"daisylane/internal/verifier"
 	"daisylane/internal/wirepb"
 )
 
@@ -168,7 +169,7 @@
 	t.MaxIdleConnsPerHost = maxIdleConnsPerHost
 	t.MaxResponseHeaderBytes = maxHeadBytes
 	return &http.Client{
-		Transport:     t,
+		Transport:     verifier.NewTransport(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"daisylane/internal/checker"
+	"daisylane/internal/verifier"
 )
 
 const (
@@ -64,9 +65,9 @@
 // transport.
 func NewClient(wrap func(http.RoundTripper) http.RoundTripper) *http.Client {
 	d := net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: wrap(&http.Transport{
+	return &http.Client{Transport: wrap(verifier.NewTransport(&http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnsPerPeer, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	})}
+	}))}
 }
 
 // Post sends a request to a peer and decodes the response, of which at most limit bytes are
--- a/internal/previewer/client.go
+++ b/internal/previewer/client.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"strings"
+
+	"daisylane/internal/verifier"
 )
 
 var (
@@ -34,7 +36,7 @@
 	if err != nil {
 		return report, fmt.Errorf("ask instance: %w", err)
 	}
-	res, err := transport.RoundTrip(req)
+	res, err := verifier.NewTransport(transport).RoundTrip(req)
 	if err != nil {
 		return report, fmt.Errorf("%w at %s: %w", ErrUnreachable, socket, err)
 	}
--- a/internal/prober/run.go
+++ b/internal/prober/run.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"daisylane/internal/verifier"
 )
 
 // dialError is returned if no connection was established.
@@ -69,7 +71,7 @@
 	return &runner{
 		exp:     exp,
 		runID:   strconv.FormatInt(time.Now().UnixNano(), 36),
-		client:  &http.Client{Transport: t, Timeout: exp.Timeout.Std()},
+		client:  &http.Client{Transport: verifier.NewTransport(t), Timeout: exp.Timeout.Std()},
 		rng:     rand.New(rand.NewPCG(exp.Seed, 0)),
 		slots:   make(chan struct{}, exp.MaxInFlight),
 		skipped: make(map[string]int),
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"daisylane/internal/verifier"
 )
 
 const (
@@ -58,7 +60,7 @@
 	c := &Client{
 		baseURL: strings.TrimSuffix(url, "/"),
 		timeout: defaultTimeout,
-		http:    &http.Client{Transport: t},
+		http:    &http.Client{Transport: verifier.NewTransport(t)},
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/internal/verifier/doc.go
+++ b/internal/verifier/doc.go
@@ -13,11 +13,17 @@
 //
 // # Usage
 //
+// With a reader of its own:
+//
 //	c := verifier.NewConn(conn)
 //	c.Expect(http.MethodGet)
 //	... write the request
 //	res, err := http.ReadResponse(bufio.NewReader(c), req)
 //
+// With net/http:
+//
+//	client := &http.Client{Transport: verifier.NewTransport(&http.Transport{})}
+//
 // # Source
 //
 // RFC 9112 (messages), RFC 9110 (fields and statuses).
