Treat a write whose answer breaks off as uncertain

What callers saw: a write to the platform of the own interface whose answer began with 200 and broke off in its body counted as done, and one that began with 412 as a conflict without effect.

Cause: storer.Client.write looked at the status before the error of the body. What stands in the head of an answer that isn't complete is none.

Evidence: 36 cases of storer.TestAnswers returned no error for the write, such as "reset without a length" and "name of a trailer with a blank".

Change: a write without a complete answer is uncertain, so it is read back.

--- a/internal/storer/call.go
+++ b/internal/storer/call.go
@@ -80,10 +80,10 @@
 	defer httpRes.Body.Close()
 	res, err := readResponse(httpRes, MaxBodyBytes)
 	switch {
+	case err != nil:
+		return response{}, fmt.Errorf("%w: %w", ErrUncertain, err)
 	case res.status == http.StatusOK || res.status == http.StatusNoContent:
 		return res, nil
-	case res.status == http.StatusPreconditionFailed && err != nil:
-		return response{}, fmt.Errorf("%w: conflict without body: %w", ErrUnavailable, err)
 	case res.status == http.StatusPreconditionFailed:
 		return response{}, res.conflictError(key)
 	case res.status == http.StatusNotFound:
