Reset relayed connections that did not end in order

What callers saw: through a relay, an answer without a length that was reset at the store looked complete to the entry. The same holds for one that the relay itself gave up after a pause or at its stop.

Cause: the relay closed both of its connections in the same way, however one of them had ended, and so turned a reset into an end in order.

Evidence: tunneler.TestReset, "reset without a length", got "ok" and no error before.

Change: only an end in order is passed on as one. Whatever else ends a direction resets both connections, and verifier.Conn tells a reset that only a write was told of from an end in order.

--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -10,11 +10,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"daisylane/internal/verifier"
 )
 
 const (
@@ -70,17 +73,19 @@
 }
 
 // relayConnection copies bytes in both directions until one end closes its connection.
-func (r *Relay) relayConnection(ctx context.Context, in net.Conn) {
+func (r *Relay) relayConnection(ctx context.Context, accepted net.Conn) {
+	in := verifier.NewConn(accepted)
 	defer in.Close()
 	d := net.Dialer{Timeout: dialTimeout}
-	out, err := d.DialContext(ctx, "tcp", r.addr)
+	dialled, err := d.DialContext(ctx, "tcp", r.addr)
 	if err != nil {
 		r.log.Warn().Err(err).Str("from", in.RemoteAddr().String()).Msg("relayed address not reachable")
 		return
 	}
+	out := verifier.NewConn(dialled)
 	defer out.Close()
 	r.log.Info().Str("from", in.RemoteAddr().String()).Str("to", r.addr).Msg("relaying connection")
-	stop := context.AfterFunc(ctx, func() { _, _ = in.Close(), out.Close() })
+	stop := context.AfterFunc(ctx, func() { reset(in); reset(out) })
 	defer stop()
 	var wg sync.WaitGroup
 	wg.Go(func() { copyOneWay(out, in) })
@@ -88,24 +93,44 @@
 	wg.Wait()
 }
 
-// copyOneWay copies bytes in one direction. It closes both connections when either one
-// ends, fails or receives nothing for idleTimeout.
-func copyOneWay(to, from net.Conn) {
-	defer to.Close()
-	defer from.Close()
+// copyOneWay copies bytes in one direction. It closes both connections when from ends, and
+// resets both when either one fails or from receives nothing for idleTimeout: a response
+// that has no length would look complete if its connection were closed in order.
+func copyOneWay(to, from *verifier.Conn) {
+	if err := copyUntilEnd(to, from); err != nil && !errors.Is(err, net.ErrClosed) {
+		reset(to)
+		reset(from)
+		return
+	}
+	_, _ = to.Close(), from.Close() // the other direction may have closed them
+}
+
+// copyUntilEnd copies bytes until from ends.
+func copyUntilEnd(to, from net.Conn) error {
 	buf := make([]byte, bufferSize)
 	for {
-		if from.SetReadDeadline(time.Now().Add(idleTimeout)) != nil {
-			return
+		if err := from.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			return fmt.Errorf("set deadline: %w", err)
 		}
 		n, err := from.Read(buf)
 		if n > 0 {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
-				return
+				return fmt.Errorf("write: %w", writeErr)
 			}
 		}
-		if err != nil {
-			return
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return fmt.Errorf("read: %w", err)
 		}
 	}
 }
+
+// reset closes a connection so that its other end sees that it did not end in order.
+func reset(c *verifier.Conn) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails if it is closed already
+	}
+	_ = c.Close()
+}
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"daisylane/internal/verifier"
 	"daisylane/platform/platformtest"
 )
 
@@ -80,3 +84,32 @@
 		t.Error("the connection stays open")
 	}
 }
+
+// Guards against a response that looks complete to the client of a relay although its
+// connection to the server was reset.
+func TestReset(t *testing.T) {
+	for _, a := range append(platformtest.SoundAnswers("", "ok"), platformtest.ResetAnswers("", "ok")...) {
+		if a.Early && a.Whole {
+			continue // the relay closes the connection while the request arrives
+		}
+		t.Run(a.Name, func(t *testing.T) {
+			t.Parallel()
+			addr, _ := platformtest.ServeAnswer(t, a)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = New(addr, zerolog.Nop()).Serve(t.Context(), l) }()
+			client := http.Client{Transport: verifier.NewTransport(&http.Transport{})}
+			res, err := client.Post("http://"+l.Addr().String(), "", strings.NewReader(strings.Repeat("x", 4<<20)))
+			body := []byte(nil)
+			if err == nil {
+				body, err = io.ReadAll(res.Body)
+				_ = res.Body.Close()
+			}
+			if (err == nil) != a.Whole || a.Whole && string(body) != a.Body {
+				t.Errorf("got %q, %v, want a whole response: %v", body, err, a.Whole)
+			}
+		})
+	}
+}
