Reset the connection of a response of version 1.0 that is broken off

What callers saw: a client of version 1.0 got the beginning of a stream that its target had broken off as a complete answer.

Cause: such a client knows no chunks, so the end of the connection ends its answer, and net/http closes the connection of an aborted one in order.

Evidence: acceptor.TestBrokenOff, version 1.0, got "part" and no error before; version 1.1 held.

Change: the acceptor resets the connection when a handler aborts a response of version 1.0.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -31,6 +31,11 @@
 		if req.URL.Path == "/hold" {
 			<-r.held
 		}
+		if req.URL.Path == "/broken" {
+			fmt.Fprint(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
 		b, err := r.memory.Read(w, req, 1<<20, time.Now().Add(time.Second))
 		if err != nil {
 			w.Header().Set("Connection", "close")
@@ -99,6 +104,19 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
 
+// Guards against an answer that is broken off and looks complete to a client whose version has
+// no chunks, as the end of the connection ends it.
+func TestBrokenOff(t *testing.T) {
+	r := newRig(t, 1<<20)
+	for _, version := range []string{"1.0", "1.1"} {
+		c := r.dial()
+		c.send(strings.Replace(post("/broken", ""), "1.1", version, 1))
+		if got := c.answer(); got != "closed" {
+			t.Errorf("version %s: got %q, want a broken answer", version, got)
+		}
+	}
+}
+
 // Guards against ordinary clients that are cut off, and others that are not.
 func TestConnectionLimits(t *testing.T) {
 	chunked := "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/internal/acceptor/server.go
+++ b/internal/acceptor/server.go
@@ -209,6 +209,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		c.bodyWhole = false
+		if !r.ProtoAtLeast(1, 1) {
+			defer c.resetAborted()
+		}
 	}
 	s.handler.ServeHTTP(w, r)
 	if r.ContentLength != 0 && (!ok || !c.bodyWhole) {
@@ -409,6 +412,19 @@
 	bodyWhole     bool // of the present request; used by its handler only
 }
 
+// resetAborted is deferred while a response of version 1.0 is written. If the handler panics to
+// abort it, the server closes the connection, which in order would look like its end.
+func (c *conn) resetAborted() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if c.tcp != nil {
+		_ = c.tcp.SetLinger(0) // fails if the client has gone
+	}
+	panic(v)
+}
+
 // markWhole records that a handler has read the body of its request.
 func markWhole(r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
