--- a/internal/verifier/conn.go
+++ b/internal/verifier/conn.go
@@ -87,9 +87,9 @@
 }
 
 // endError returns [io.EOF] if the other side has closed the connection in order, and
-// otherwise the error that ended it. The system reports a reset once: if a write
-// was told, a read gets the bytes that had arrived, and then the end of the connection. A
-// write that fails with EPIPE comes after an end in order.
+// otherwise the error that ended it. The kernel reports a reset once: if a write got the
+// error, reads return the bytes that had arrived and then [io.EOF]. A write gets EPIPE, not
+// ECONNRESET, if the other side had closed the connection in order before the reset.
 func (c *Conn) endError() error {
 	if !c.writing.TryLock() {
 		// The write goes on if the other side has closed only its own direction.
--- a/internal/verifier/scanner.go
+++ b/internal/verifier/scanner.go
@@ -18,13 +18,13 @@
 	maxQuotedBytes = 64 // of a line in an error
 	minStatus      = 100
 	maxStatus      = 599
+
+	token = "[-!#$%&'*+.^_`|~0-9A-Za-z]+" // pattern of a token
 )
 
-// chunkLine is the syntax of the line before a chunk, with its extensions.
+// chunkLine is the pattern of the line before a chunk, with its extensions.
 var chunkLine = regexp.MustCompile(`^([0-9A-Fa-f]+)([ \t]*;[ \t]*` + token + `([ \t]*=[ \t]*(` + token + `|"([^"\\\x00-\x08\x0a-\x1f\x7f]|\\[^\x00-\x08\x0a-\x1f\x7f])*"))?)*$`)
 
-const token = "[-!#$%&'*+.^_`|~0-9A-Za-z]+"
-
 // state is the part of a response that is expected next.
 type state int
 
