Give requests of receiver.TestAnswers time for two attempts

A request that ends at its timeout isn't sent again, as it should be. The routes of this test have 9 s now; what it checks is the same.

--- a/internal/receiver/answers_test.go
+++ b/internal/receiver/answers_test.go
@@ -1,8 +1,10 @@
 package receiver_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"daisylane/internal/follower"
 	"daisylane/platform/platformtest"
@@ -34,7 +36,7 @@
 				if a.Early {
 					upload = strings.Repeat("x", 4<<20)
 				}
-				res, body, err := f.call(t, rt.path, upload, map[string]string{"Daisylane-Deadline-Ms": "9000"})
+				res, body, err := f.call(t, rt.path, upload, map[string]string{"Daisylane-Deadline-Ms": strconv.FormatInt(answerDeadline.Milliseconds(), 10)})
 				whole := err == nil && res.StatusCode < 300
 				if whole != a.Whole || a.Whole && body != a.Body {
 					t.Errorf("got %v %q, %v, want a whole answer: %v", res, body, err, a.Whole)
@@ -54,11 +56,14 @@
 	}
 }
 
+// answerDeadline leaves time for two attempts with large requests on a busy machine.
+const answerDeadline = 9 * time.Second
+
 // startAt is start for targets at the given addresses, each in both services, and with large
 // bodies.
 func startAt(t *testing.T, addrs ...string) *fixture {
 	f := start(t)
-	f.receiver.SetTable(tableWith(t, 2, 8<<20))
+	f.receiver.SetTable(tableWith(t, 2, 8<<20, answerDeadline))
 	f.dispatcher.WithRoster(func(r *follower.Roster) {
 		for i, addr := range addrs {
 			for _, service := range []string{"engine", "booking"} {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -71,11 +71,11 @@
 
 func table(t testing.TB, version int64) *resolver.Table {
 	t.Helper()
-	return tableWith(t, version, 100)
+	return tableWith(t, version, 100, time.Second)
 }
 
-// tableWith is table with a limit of bodies.
-func tableWith(t testing.TB, version, maxBodyBytes int64) *resolver.Table {
+// tableWith is table with a limit of bodies and a timeout of routes.
+func tableWith(t testing.TB, version, maxBodyBytes int64, timeout time.Duration) *resolver.Table {
 	t.Helper()
 	prefix := func(name string, kind resolver.Kind, attempts int, resumable bool) resolver.Route {
 		service := "booking"
@@ -84,7 +84,7 @@
 		}
 		return resolver.Route{
 			Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: kind, Shares: []resolver.WeightedService{{Service: service, Weight: 1}},
-			Timeout: time.Second, LatencyTarget: 200 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable, Priority: 3,
+			Timeout: timeout, LatencyTarget: 200 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable, Priority: 3,
 		}
 	}
 	public := prefix("public", resolver.Idempotent, 2, false)
--- a/internal/receiver/slow_test.go
+++ b/internal/receiver/slow_test.go
@@ -159,7 +159,7 @@
 		_, _ = c.Read(make([]byte, 4096)) // the rest
 	})
 	f := start(t)
-	f.receiver.SetTable(tableWith(t, 2, size))
+	f.receiver.SetTable(tableWith(t, 2, size, time.Second))
 	f.dispatcher.WithRoster(func(r *follower.Roster) {
 		r.Put(follower.Target{ID: "i-0", Service: "booking", Addr: addr, Centre: "a", Slots: 8})
 	})
