Poll connections in one place

forwarder.conn.ended and verifier.Conn.isShut asked poll(2) about the same connection, each with code of its own. Both call verifier.Conn.Polls now, with the events that they asked for before. Behaviour is the same; the tests of forwarder, verifier and tunneler pass with the race detector.

--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -355,16 +355,7 @@
 // ended reports whether the other side has closed or reset the connection, also if there are
 // unread bytes. It may be called while the connection is in use.
 func (c *conn) ended() bool {
-	if c.raw == nil || c.closing.Load() {
-		return false
-	}
-	ended := false
-	err := c.raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		ended = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return err == nil && ended
+	return !c.closing.Load() && c.Polls(unix.POLLRDHUP)
 }
 
 // release returns a connection to the pool after a complete response with the headers
--- a/internal/verifier/conn.go
+++ b/internal/verifier/conn.go
@@ -92,8 +92,9 @@
 // ECONNRESET, if the other side had closed the connection in order before the reset.
 func (c *Conn) endError() error {
 	if !c.writing.TryLock() {
-		// The write goes on if the other side has closed only its own direction.
-		if !c.isShut() {
+		// The write goes on if the other side has closed only its own direction. If both have
+		// ended, it returns at once.
+		if !c.Polls(0) {
 			return io.EOF
 		}
 		c.writing.Lock()
@@ -105,17 +106,17 @@
 	return fmt.Errorf("connection ended during a write: %w", c.writeErr)
 }
 
-// isShut reports whether the connection has ended in both directions, so that a write
-// returns at once.
-func (c *Conn) isShut() bool {
+// Polls reports whether one of the given events of poll(2) has occurred, or the connection has
+// ended in both directions. It may be called while the connection is in use.
+func (c *Conn) Polls(events int16) bool {
 	if c.raw == nil {
 		return false
 	}
-	shut := false
+	occurred := false
 	err := c.raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd)}}
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
 		n, err := unix.Poll(fds, 0)
-		shut = err == nil && n > 0 && fds[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+		occurred = err == nil && n > 0 && fds[0].Revents&(events|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return err == nil && shut
+	return err == nil && occurred
 }
